--- /dev/null
+++ b/.dependency-cruiser.cjs
@@ -0,0 +1,61 @@
+/** The layers of docs/ARCHITECTURE.md: an import may only point downwards. */
+const LAYERS = [
+  {name: 'transport', below: []},
+  {name: 'protocol', below: ['transport']},
+  {name: 'coordination', below: ['protocol']},
+  {name: 'state', below: ['coordination', 'protocol']},
+];
+
+const everything = ['transport', 'protocol', 'coordination', 'state'];
+const programs = [
+  'config',
+  'reporting',
+  'control',
+  'host',
+  'entry',
+  'operator',
+  'bin',
+];
+
+module.exports = {
+  forbidden: [
+    {name: 'no-circular', severity: 'error', from: {}, to: {circular: true}},
+    ...LAYERS.map(layer => ({
+      name: `layer-${layer.name}`,
+      comment: `${layer.name} may import only: ${['common', ...layer.below].join(', ')}`,
+      severity: 'error',
+      from: {path: `^src/${layer.name}/`},
+      to: {
+        path: `^src/(${[...everything, ...programs].filter(other => other !== layer.name && !layer.below.includes(other)).join('|')})/`,
+      },
+    })),
+    {
+      name: 'common-is-the-floor',
+      severity: 'error',
+      from: {path: '^src/common/'},
+      to: {path: '^src/(?!common/)'},
+    },
+    {
+      name: 'programs-stand-apart',
+      comment:
+        'control, host, entry and operator share code only through the layers',
+      severity: 'error',
+      from: {path: '^src/(control|host|entry|operator)/'},
+      to: {
+        path: '^src/(control|host|entry|operator|bin)/',
+        pathNot: '^src/$1/',
+      },
+    },
+    {
+      name: 'source-knows-no-tests',
+      severity: 'error',
+      from: {path: '^src/'},
+      to: {path: '^(test|demo|bench|tools)/'},
+    },
+  ],
+  options: {
+    doNotFollow: {path: 'node_modules'},
+    tsConfig: {fileName: 'tsconfig.json'},
+    tsPreCompilationDeps: true,
+  },
+};
--- /dev/null
+++ b/.prettierrc.js
@@ -0,0 +1,1 @@
+module.exports = {...require('gts/.prettierrc.json')};
--- /dev/null
+++ b/src/bin/run_daemon.ts
@@ -0,0 +1,77 @@
+/** What every daemon's binary does around the library. */
+import {CommanderError} from 'commander';
+import {EventRing} from '../common/event_ring';
+import {UsageError} from '../config/usage_error';
+import {startLogReporter} from '../reporting/log_reporter';
+
+const EXIT_FAILURE = 1;
+const EXIT_USAGE = 2;
+
+/** A started daemon. */
+interface Daemon {
+  readonly events: EventRing;
+  /** Ports by name, printed once when the daemon is up. */
+  readonly ports: Readonly<Record<string, number>>;
+  /** Stops without cutting off work under way. */
+  readonly stop: () => Promise<void>;
+  /** Settles when the daemon must stop by itself. */
+  readonly failed?: Promise<Error>;
+}
+
+/** How a daemon is started. */
+interface DaemonStart {
+  readonly logFormat: 'json' | 'pretty';
+  readonly start: () => Promise<Daemon>;
+}
+
+/**
+ * Resolves the settings, starts the daemon, and stops it on SIGTERM or SIGINT.
+ * A second signal stops at once.
+ *
+ * @example
+ * void runDaemon('whinreel-host', () => prepare(process.argv.slice(2), process.env));
+ */
+export async function runDaemon(
+  program: string,
+  prepare: () => DaemonStart,
+): Promise<void> {
+  try {
+    const {logFormat, start} = prepare();
+    const daemon = await start();
+    startLogReporter({
+      program,
+      format: logFormat,
+      events: daemon.events.stream,
+    });
+    process.stdout.write(
+      `${JSON.stringify({ready: program, ...daemon.ports})}\n`,
+    );
+    void daemon.failed?.then(error => exitWith(program, error));
+    await waitForSignal();
+    await daemon.stop();
+    process.exit(0);
+  } catch (error) {
+    exitWith(program, error as Error);
+  }
+}
+
+function waitForSignal(): Promise<void> {
+  return new Promise(resolve => {
+    for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+      process.once(signal, () => {
+        resolve();
+        process.once(signal, () => process.exit(EXIT_FAILURE));
+      });
+    }
+  });
+}
+
+function exitWith(program: string, error: Error): never {
+  if (error instanceof CommanderError && error.exitCode === 0) {
+    process.exit(0);
+  }
+  const isUsage = error instanceof UsageError;
+  const hint = isUsage ? ` (see ${program} --help)` : '';
+  process.stderr.write(`${program}: ${error.message}${hint}\n`);
+  process.exit(isUsage ? EXIT_USAGE : EXIT_FAILURE);
+}
--- /dev/null
+++ b/src/config/address_list_setting.ts
@@ -0,0 +1,20 @@
+import {z} from 'zod';
+import {parseAddress} from '../protocol/parse_address';
+
+/** A setting like `10.0.0.1:7000,10.0.0.2:7000`. */
+export const addressListSetting = z
+  .string()
+  .transform((text, context): readonly string[] => {
+    const addresses = text.split(',').filter(part => part !== '');
+    try {
+      addresses.forEach(parseAddress);
+    } catch {
+      context.addIssue('expected addresses like 10.0.0.1:7000,10.0.0.2:7000');
+      return z.NEVER;
+    }
+    if (addresses.length === 0) {
+      context.addIssue('expected at least one address');
+      return z.NEVER;
+    }
+    return addresses;
+  });
--- /dev/null
+++ b/src/config/address_setting.ts
@@ -0,0 +1,12 @@
+import {z} from 'zod';
+import {parseAddress} from '../protocol/parse_address';
+
+/** A setting like `127.0.0.1:7000`. */
+export const addressSetting = z.string().transform((text, context) => {
+  try {
+    return parseAddress(text);
+  } catch {
+    context.addIssue('expected an address like 127.0.0.1:7000');
+    return z.NEVER;
+  }
+});
--- /dev/null
+++ b/src/config/load_security.ts
@@ -0,0 +1,57 @@
+import {readFileSync} from 'node:fs';
+import {z} from 'zod';
+import {TransportSecurity} from '../transport/transport_security';
+import {securitySettings} from './security_settings';
+import {UsageError} from './usage_error';
+
+/**
+ * Reads the TLS files; refuses plain TCP beyond loopback unless it is allowed.
+ *
+ * @param listenHost the address that other processes will connect to
+ * @throws UsageError when a file is missing or plain TCP is not allowed
+ * @example
+ * const security = loadSecurity(settings, '127.0.0.1');
+ */
+export function loadSecurity(
+  settings: z.infer<typeof securitySettings>,
+  listenHost: string,
+): TransportSecurity | undefined {
+  const {tlsAuthority, tlsCertificate, tlsKey, allowPlainTcp} = settings;
+  const given = [tlsAuthority, tlsCertificate, tlsKey].filter(
+    file => file !== undefined,
+  );
+  if (tlsAuthority && tlsCertificate && tlsKey) {
+    return {
+      authority: readPem('--tls-authority', tlsAuthority),
+      certificate: readPem('--tls-certificate', tlsCertificate),
+      key: readPem('--tls-key', tlsKey),
+    };
+  }
+  if (given.length > 0) {
+    throw new UsageError(
+      '--tls-authority, --tls-certificate and --tls-key go together',
+    );
+  }
+  const isLoopback = /^(127\.|::1$|localhost$)/.test(listenHost);
+  if (!isLoopback && allowPlainTcp !== 'true') {
+    throw new UsageError(
+      '%s is not a loopback address: give --tls-authority, --tls-certificate and --tls-key, ' +
+        'or --allow-plain-tcp true',
+      listenHost,
+    );
+  }
+  return undefined;
+}
+
+function readPem(flag: string, file: string): string {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch (error) {
+    throw new UsageError(
+      '%s: cannot read %s: %s',
+      flag,
+      file,
+      (error as Error).message,
+    );
+  }
+}
--- /dev/null
+++ b/src/config/resolve_control_settings.ts
@@ -0,0 +1,75 @@
+import {z} from 'zod';
+import {ControlSettings} from '../control/control_settings';
+import {addressSetting} from './address_setting';
+import {createCountSetting} from './create_count_setting';
+import {loadPublicKeys} from './load_public_keys';
+import {loadSecurity} from './load_security';
+import {nameSetting} from './name_setting';
+import {peersSetting} from './peers_setting';
+import {resolveSettings} from './resolve_settings';
+import {securitySettings} from './security_settings';
+
+const DEFAULT_LEASE_MS = '5000';
+const DEFAULT_SNAPSHOT_EVERY = '4096';
+
+const schema = z.object({
+  name: nameSetting.describe(
+    'name of this control process, the same after every restart',
+  ),
+  listen: addressSetting.describe(
+    'address for all other processes, like 127.0.0.1:7000',
+  ),
+  dataFolder: z.string().min(1).describe('folder that survives restarts'),
+  peers: peersSetting.describe(
+    'the other control processes, like b=10.0.0.2:7000,c=10.0.0.3:7000',
+  ),
+  operatorKeys: z
+    .string()
+    .min(1)
+    .describe('PEM files of operators’ public keys, comma-separated'),
+  leaseMs: createCountSetting(1_000, 60_000)
+    .prefault(DEFAULT_LEASE_MS)
+    .describe(
+      'how long hosts and entries work under a confirmed bundle, in milliseconds',
+    ),
+  snapshotEvery: createCountSetting(16, 1_000_000)
+    .prefault(DEFAULT_SNAPSHOT_EVERY)
+    .describe('log entries between snapshots'),
+  ...securitySettings.shape,
+});
+
+/**
+ * Resolves everything that `whinreel-control` needs.
+ *
+ * @throws UsageError when a setting is wrong
+ * @example
+ * const {settings, logFormat} = resolveControlSettings(process.argv.slice(2), process.env);
+ */
+export function resolveControlSettings(
+  args: readonly string[],
+  env: Readonly<Record<string, string | undefined>>,
+): {settings: ControlSettings; logFormat: 'json' | 'pretty'} {
+  const summary =
+    'Agrees with the other control processes on bundles, groups and claims.';
+  const raw = resolveSettings({
+    program: 'whinreel-control',
+    summary,
+    schema,
+    args,
+    env,
+  });
+  const {name, listen, dataFolder, peers, leaseMs, snapshotEvery, logFormat} =
+    raw;
+  const settings: ControlSettings = {
+    name,
+    host: listen.host,
+    port: listen.port,
+    dataFolder,
+    peers,
+    trustedKeys: loadPublicKeys(raw.operatorKeys),
+    leaseMs,
+    snapshotEvery,
+    security: loadSecurity(raw, listen.host),
+  };
+  return {settings, logFormat};
+}
--- /dev/null
+++ b/src/config/resolve_entry_settings.ts
@@ -0,0 +1,55 @@
+import {z} from 'zod';
+import {EntrySettings} from '../entry/entry_settings';
+import {addressListSetting} from './address_list_setting';
+import {addressSetting} from './address_setting';
+import {loadSecurity} from './load_security';
+import {nameSetting} from './name_setting';
+import {resolveSettings} from './resolve_settings';
+import {securitySettings} from './security_settings';
+
+const LOOPBACK = '127.0.0.1';
+
+const schema = z.object({
+  entryId: nameSetting.describe('name of this entry, unique in the fleet'),
+  zone: nameSetting.describe('availability zone of this entry'),
+  listen: addressSetting.describe(
+    'address for callers, behind the platform’s balancer',
+  ),
+  control: addressListSetting.describe(
+    'addresses of the control processes, comma-separated',
+  ),
+  ...securitySettings.shape,
+});
+
+/**
+ * Resolves everything that `whinreel-entry` needs.
+ *
+ * @throws UsageError when a setting is wrong
+ * @example
+ * const {settings, logFormat} = resolveEntrySettings(process.argv.slice(2), process.env);
+ */
+export function resolveEntrySettings(
+  args: readonly string[],
+  env: Readonly<Record<string, string | undefined>>,
+): {settings: EntrySettings; logFormat: 'json' | 'pretty'} {
+  const summary =
+    'Takes callers’ requests: admits, routes, streams answers, retries.';
+  const raw = resolveSettings({
+    program: 'whinreel-entry',
+    summary,
+    schema,
+    args,
+    env,
+  });
+  const {entryId, zone, listen, control, logFormat} = raw;
+  const settings: EntrySettings = {
+    entryId,
+    zone,
+    host: listen.host,
+    port: listen.port,
+    control,
+    // An entry accepts no connections from other processes; callers come over HTTP.
+    security: loadSecurity(raw, LOOPBACK),
+  };
+  return {settings, logFormat};
+}
--- /dev/null
+++ b/src/config/resolve_host_settings.ts
@@ -0,0 +1,58 @@
+import {z} from 'zod';
+import {HostSettings} from '../host/host_settings';
+import {addressListSetting} from './address_list_setting';
+import {addressSetting} from './address_setting';
+import {loadSecurity} from './load_security';
+import {nameSetting} from './name_setting';
+import {resolveSettings} from './resolve_settings';
+import {securitySettings} from './security_settings';
+
+const schema = z.object({
+  hostId: nameSetting.describe('name of this host, unique in the fleet'),
+  zone: nameSetting.describe('availability zone of this host'),
+  domain: nameSetting.describe('fabric domain of this host'),
+  listen: addressSetting.describe('address for entries and other members'),
+  announceListen: addressSetting.describe(
+    'address where the backend server announces itself',
+  ),
+  control: addressListSetting.describe(
+    'addresses of the control processes, comma-separated',
+  ),
+  ...securitySettings.shape,
+});
+
+/**
+ * Resolves everything that `whinreel-host` needs.
+ *
+ * @throws UsageError when a setting is wrong
+ * @example
+ * const {settings, logFormat} = resolveHostSettings(process.argv.slice(2), process.env);
+ */
+export function resolveHostSettings(
+  args: readonly string[],
+  env: Readonly<Record<string, string | undefined>>,
+): {settings: HostSettings; logFormat: 'json' | 'pretty'} {
+  const summary =
+    'Stands beside one backend server: member of a group, fence, runner of work.';
+  const raw = resolveSettings({
+    program: 'whinreel-host',
+    summary,
+    schema,
+    args,
+    env,
+  });
+  const {hostId, zone, domain, listen, announceListen, control, logFormat} =
+    raw;
+  const settings: HostSettings = {
+    hostId,
+    zone,
+    domain,
+    host: listen.host,
+    port: listen.port,
+    announceHost: announceListen.host,
+    announcePort: announceListen.port,
+    control,
+    security: loadSecurity(raw, listen.host),
+  };
+  return {settings, logFormat};
+}
--- /dev/null
+++ b/src/control/create_status.ts
@@ -0,0 +1,89 @@
+import {HostView} from '../coordination/host_view';
+import {FleetStatus} from '../protocol/fleet_status';
+import {Group} from '../protocol/group';
+import {Fleet} from './fleet';
+import {RaftRuntime} from './raft_runtime';
+
+/** What a status is made from. */
+interface StatusInput {
+  readonly identity: string;
+  readonly runtime: RaftRuntime;
+  readonly fleet: Fleet;
+  readonly reachable: readonly string[];
+  readonly now: number;
+}
+
+/**
+ * Sums up what the leader knows.
+ *
+ * @example
+ * const status = createStatus({identity, runtime, fleet, reachable, now: clock.now()});
+ */
+export function createStatus(input: StatusInput): FleetStatus {
+  const {identity, runtime, fleet, reachable, now} = input;
+  const {state, raft} = runtime;
+  const hosts = fleet.listHosts(now, hostId => state.isDrained(hostId));
+  const entries = fleet.listEntries(now);
+  const newest = state.bundles.list().at(-1);
+  const versions = [...hosts.map(host => host.report), ...entries].map(
+    seen => seen.bundleVersion,
+  );
+  return {
+    leader: identity,
+    term: raft.term,
+    commitIndex: raft.commitIndex,
+    voters: [identity, ...raft.others].map(voter => ({
+      identity: voter,
+      isReachable: voter === identity || reachable.includes(voter),
+    })),
+    bundle: {
+      version: newest?.version ?? 0,
+      digest: newest?.digest ?? '',
+      keyId: newest?.keyId ?? '',
+      inForce: versions.filter(version => version === (newest?.version ?? 0))
+        .length,
+      of: versions.length,
+    },
+    groups: state.groups.list().map(group => describeGroup(group, hosts)),
+    hosts: hosts.map(host => describeHost(host, now)),
+    entries: entries.map(({entryId, bundleVersion}) => ({
+      entryId,
+      bundleVersion,
+    })),
+    claims: state.claims.size,
+  };
+}
+
+function describeGroup(
+  group: Group,
+  hosts: readonly HostView[],
+): FleetStatus['groups'][number] {
+  const first = hosts.find(
+    host => host.report.hostId === group.members[0].hostId,
+  )?.report;
+  const isCurrent = first?.assignment?.epoch === group.epoch;
+  return {
+    ...group,
+    isServing: isCurrent && first?.isServing === true,
+    running: first?.running ?? 0,
+    missing: first?.missing ?? [],
+  };
+}
+
+function describeHost(
+  host: HostView,
+  now: number,
+): FleetStatus['hosts'][number] {
+  const {hostId, zone, domain, backend, assignment, isLeaving, bundleVersion} =
+    host.report;
+  return {
+    hostId,
+    zone,
+    domain,
+    backend: backend ? `${backend.kind} ${backend.name}` : '',
+    group: assignment ? `${assignment.groupId}@${assignment.epoch}` : '',
+    isLeaving: isLeaving || host.isDrained,
+    seenMsAgo: Math.round(now - host.seenAt),
+    bundleVersion,
+  };
+}
--- /dev/null
+++ b/src/control/planner_loop.ts
@@ -0,0 +1,79 @@
+/** Lets the leader plan groups again and again. */
+import {Clock} from '../common/clock';
+import {planGroups} from '../coordination/plan_groups';
+import {Fleet} from './fleet';
+import {RaftRuntime} from './raft_runtime';
+
+const PLAN_EVERY_MS = 100;
+/** A new leader first listens, so that it does not take silence for loss. */
+const LISTEN_FIRST_MS = 2_000;
+
+/** What the loop works on. */
+interface PlannerLoopOptions {
+  readonly runtime: RaftRuntime;
+  readonly fleet: Fleet;
+  readonly clock: Clock;
+}
+
+/** Plans while this process leads. */
+export class PlannerLoop {
+  private readonly timer: NodeJS.Timeout;
+  private leadingSince = 0;
+  private leadingTerm = -1;
+  private isCommitting = false;
+
+  private constructor(private readonly options: PlannerLoopOptions) {
+    this.timer = setInterval(() => void this.run(), PLAN_EVERY_MS);
+  }
+
+  /**
+   * Starts the loop.
+   *
+   * @example
+   * const planner = PlannerLoop.create({runtime, fleet, clock});
+   */
+  static create(options: PlannerLoopOptions): PlannerLoop {
+    return new PlannerLoop(options);
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  private async run(): Promise<void> {
+    const {runtime, clock} = this.options;
+    if (!runtime.canAnswer() || this.isCommitting) {
+      return;
+    }
+    const now = clock.now();
+    if (this.leadingTerm !== runtime.raft.term) {
+      this.leadingTerm = runtime.raft.term;
+      this.leadingSince = now;
+    }
+    if (now - this.leadingSince < LISTEN_FIRST_MS) {
+      return;
+    }
+    this.isCommitting = true;
+    await this.commitPlan(now).catch(() => undefined);
+    this.isCommitting = false;
+  }
+
+  private async commitPlan(now: number): Promise<void> {
+    const {runtime, fleet} = this.options;
+    const {bundles, groups} = runtime.state;
+    if (!bundles.bundle) {
+      return;
+    }
+    const actions = planGroups({
+      bundle: bundles.bundle,
+      groups: groups.list(),
+      hosts: fleet.listHosts(now, hostId => runtime.state.isDrained(hostId)),
+      findEpoch: groupId => groups.findEpoch(groupId),
+      now,
+    });
+    const time = Date.now();
+    await Promise.all(
+      actions.map(action => runtime.propose({...action, time})),
+    );
+  }
+}
--- /dev/null
+++ b/src/control/raft_runtime.ts
@@ -0,0 +1,360 @@
+/** Drives the agreement: feeds it events and performs its effects on disk and network. */
+import {Clock} from '../common/clock';
+import {PushSource} from '../common/push_source';
+import {RaftEffects} from '../coordination/raft_effects';
+import {RaftEvent} from '../coordination/raft_event';
+import {RaftLog} from '../coordination/raft_log';
+import {RaftNode} from '../coordination/raft_node';
+import {RaftTiming} from '../coordination/raft_timing';
+import {ControlCommand} from '../protocol/control_command';
+import {RaftMessage} from '../protocol/raft_message';
+import {ClusterState} from '../state/cluster_state';
+import {CommandResult} from '../state/command_result';
+import {ControlDisk} from '../state/control_disk';
+import {LogRecord} from '../state/log_record';
+import {ControlError} from './control_error';
+
+const TICK_MS = 20;
+/** Entries behind the snapshot after which a new one is taken. */
+const DEFAULT_SNAPSHOT_EVERY = 4_096;
+
+type Outgoing = RaftEffects['messages'];
+
+/** One piece of work for the disk, done in order. */
+interface DiskJob {
+  readonly persist?: RaftEffects['persist'];
+  readonly install?: RaftEffects['install'];
+  readonly messages: Outgoing;
+}
+
+/** A command that waits for its commit. */
+interface Waiting {
+  readonly term: number;
+  readonly resolve: (result: CommandResult) => void;
+  readonly reject: (error: ControlError) => void;
+}
+
+/** What the runtime is made of. */
+interface RaftRuntimeOptions {
+  readonly disk: ControlDisk;
+  readonly clock: Clock;
+  readonly timing: RaftTiming;
+  readonly random: () => number;
+  readonly send: (to: string, message: RaftMessage) => void;
+  /** The disk failed: the process must stop, what it acknowledged stands. */
+  readonly onFailure: (error: Error) => void;
+  readonly snapshotEvery?: number;
+}
+
+/** Runs one node of the agreement and the tables that follow from its log. */
+export class RaftRuntime {
+  private readonly changes = PushSource.create<{
+    role: string;
+    reason: string;
+  }>();
+  /** Changes of role, as they happen. */
+  readonly roleChanges = this.changes.stream;
+  private readonly node: RaftNode;
+  private tables: ClusterState;
+  private readonly diskJobs: DiskJob[] = [];
+  private readonly snapshotJobs: Array<
+    NonNullable<ControlDisk['snapshots']['current']>
+  > = [];
+  /** Index of the newest snapshot that is taken or on its way to disk. */
+  private snapshotPlanned = 0;
+  private isDiskBusy = false;
+  private isInstalling = false;
+  private postponed: RaftEvent[] = [];
+  private readonly waiting = new Map<number, Waiting>();
+  private proposals: Array<{
+    command: ControlCommand;
+    waiting: Omit<Waiting, 'term'>;
+  }> = [];
+  private appliedTerm = 0;
+  private readonly timer: NodeJS.Timeout;
+  private isClosed = false;
+
+  private constructor(private readonly options: RaftRuntimeOptions) {
+    const {disk, clock, timing, random} = options;
+    const snapshot = disk.snapshots.current;
+    if (!snapshot) {
+      throw new ControlError('the data folder knows no quorum yet');
+    }
+    this.tables = ClusterState.create(snapshot.state);
+    const {term, votedFor, entries} = disk.log.recovered;
+    const start = createLogStart(snapshot);
+    const kept = entries.filter(entry => entry.index > snapshot.index);
+    this.node = RaftNode.create({
+      identity: disk.identity,
+      log: RaftLog.create(start, kept),
+      term,
+      votedFor,
+      commitIndex: snapshot.index,
+      timing,
+      random,
+      readSnapshot: () => disk.snapshots.current?.state ?? new Uint8Array(),
+      now: clock.now(),
+    });
+    this.timer = setInterval(() => this.step({type: 'tick'}), TICK_MS);
+  }
+
+  /**
+   * Starts a node from its data folder, which must know the quorum.
+   *
+   * @throws ControlError when no quorum was ever formed there
+   * @example
+   * const runtime = RaftRuntime.create({disk, clock, timing, random, send, onFailure});
+   */
+  static create(options: RaftRuntimeOptions): RaftRuntime {
+    return new RaftRuntime(options);
+  }
+
+  /** The tables as of the newest applied entry. */
+  get state(): ClusterState {
+    return this.tables;
+  }
+
+  /** The agreement itself, for reading only. */
+  get raft(): Pick<
+    RaftNode,
+    | 'role'
+    | 'term'
+    | 'leader'
+    | 'others'
+    | 'commitIndex'
+    | 'findVoter'
+    | 'isChangingVoters'
+  > {
+    return this.node;
+  }
+
+  /**
+   * True while this process leads, has applied everything committed before its
+   * term, and a quorum confirmed it so lately that no other can lead. Ask right
+   * before an answer leaves.
+   */
+  canAnswer(): boolean {
+    return (
+      this.appliedTerm === this.node.term &&
+      this.node.hasLease(this.options.clock.now())
+    );
+  }
+
+  /** Hands over a message from another node. */
+  receive(from: string, message: RaftMessage): void {
+    this.step({type: 'message', from, message});
+  }
+
+  /**
+   * Proposes a command and waits until it is committed and applied. Commands of
+   * one turn of the loop share one write and one round.
+   *
+   * @throws ControlError when this process does not lead or loses the lead
+   */
+  propose(command: ControlCommand): Promise<CommandResult> {
+    return new Promise((resolve, reject) => {
+      this.proposals.push({command, waiting: {resolve, reject}});
+      if (this.proposals.length === 1) {
+        setImmediate(() => this.flushProposals());
+      }
+    });
+  }
+
+  /** Stops; resolves when the disk is idle. */
+  async close(): Promise<void> {
+    this.isClosed = true;
+    clearInterval(this.timer);
+    this.rejectWaiting('control is stopping');
+    while (this.isDiskBusy) {
+      await new Promise(resolve => setTimeout(resolve, 1));
+    }
+  }
+
+  private flushProposals(): void {
+    const proposals = this.proposals;
+    this.proposals = [];
+    if (this.node.role !== 'leader' || this.isClosed) {
+      const error = new ControlError('this control process does not lead');
+      proposals.forEach(({waiting}) => waiting.reject(error));
+      return;
+    }
+    const firstIndex = this.node.lastIndex + 1;
+    proposals.forEach(({waiting}, offset) => {
+      this.waiting.set(firstIndex + offset, {...waiting, term: this.node.term});
+    });
+    this.step({
+      type: 'propose',
+      commands: proposals.map(({command}) => command),
+    });
+  }
+
+  private step(event: RaftEvent): void {
+    if (this.isClosed) {
+      return;
+    }
+    if (this.isInstalling) {
+      this.postponed.push(event);
+      return;
+    }
+    this.perform(this.node.step(event, this.options.clock.now()));
+  }
+
+  private perform(effects: RaftEffects): void {
+    this.sendAll(effects.messages);
+    const {persist, install, messagesAfterPersist} = effects;
+    if (persist || install || messagesAfterPersist.length > 0) {
+      this.isInstalling ||= install !== undefined;
+      this.diskJobs.push({persist, install, messages: messagesAfterPersist});
+      void this.drainDisk();
+    }
+    effects.committed.forEach(entry => this.apply(entry));
+    if (effects.change) {
+      this.handleChange(effects.change);
+    }
+  }
+
+  private apply(entry: RaftEffects['committed'][number]): void {
+    const result = this.tables.apply(entry);
+    if (entry.command.type === 'start-term') {
+      this.appliedTerm = entry.term;
+    }
+    const waiting = this.waiting.get(entry.index);
+    this.waiting.delete(entry.index);
+    if (waiting?.term === entry.term) {
+      waiting.resolve(result);
+    } else {
+      waiting?.reject(new ControlError('another leader took over'));
+    }
+    const every = this.options.snapshotEvery ?? DEFAULT_SNAPSHOT_EVERY;
+    const snapshotIndex = this.options.disk.snapshots.current?.index ?? 0;
+    if (entry.index - Math.max(snapshotIndex, this.snapshotPlanned) >= every) {
+      this.planSnapshot(entry.index, entry.term);
+    }
+  }
+
+  private planSnapshot(index: number, term: number): void {
+    this.snapshotPlanned = index;
+    const state = this.tables.save();
+    const voters = Object.fromEntries(this.node.listVotersAt(index));
+    this.snapshotJobs.push({index, term, voters, state});
+    void this.drainDisk();
+  }
+
+  private handleChange(change: {role: string; reason: string}): void {
+    if (change.role !== 'leader') {
+      this.rejectWaiting('this control process lost the lead');
+    }
+    this.changes.push(change);
+  }
+
+  private rejectWaiting(reason: string): void {
+    const error = new ControlError(reason);
+    for (const waiting of this.waiting.values()) {
+      waiting.reject(error);
+    }
+    this.waiting.clear();
+  }
+
+  private async drainDisk(): Promise<void> {
+    if (this.isDiskBusy) {
+      return;
+    }
+    this.isDiskBusy = true;
+    try {
+      while (
+        !this.isClosed &&
+        (this.diskJobs.length > 0 || this.snapshotJobs.length > 0)
+      ) {
+        await this.runDiskJobs(this.diskJobs.splice(0));
+        await this.runSnapshotJob();
+      }
+    } catch (error) {
+      this.isClosed = true;
+      clearInterval(this.timer);
+      this.options.onFailure(error as Error);
+    } finally {
+      this.isDiskBusy = false;
+    }
+  }
+
+  /** Writes all jobs that piled up with one sync. */
+  private async runDiskJobs(jobs: readonly DiskJob[]): Promise<void> {
+    const records = jobs.flatMap(job => createRecords(job.persist));
+    if (records.length > 0) {
+      await this.options.disk.log.append(records);
+    }
+    const last = jobs.flatMap(job => job.persist?.entries ?? []).at(-1);
+    for (const job of jobs) {
+      if (job.install) {
+        await this.install(job.install);
+      }
+      this.sendAll(job.messages);
+    }
+    if (last) {
+      this.step({type: 'persisted', index: last.index, term: last.term});
+    }
+  }
+
+  private async runSnapshotJob(): Promise<void> {
+    const snapshot = this.snapshotJobs.shift();
+    if (!snapshot) {
+      return;
+    }
+    const {disk} = this.options;
+    await disk.snapshots.save(snapshot);
+    this.step({type: 'compact', index: snapshot.index});
+    await disk.log.replaceAll(this.listRecords());
+  }
+
+  private async install(
+    snapshot: NonNullable<RaftEffects['install']>,
+  ): Promise<void> {
+    const {disk} = this.options;
+    const {index, term, voters, state} = snapshot;
+    await disk.snapshots.save({index, term, voters, state});
+    this.node.finishInstall(createLogStart({index, term, voters}));
+    this.tables = ClusterState.create(state);
+    await disk.log.replaceAll(this.listRecords());
+    this.isInstalling = false;
+    const postponed = this.postponed;
+    this.postponed = [];
+    postponed.forEach(event => this.step(event));
+  }
+
+  private listRecords(): LogRecord[] {
+    const {term, votedFor} = this.node.hardState;
+    const entries = this.node.listEntries();
+    return [
+      {type: 'hard-state', term, votedFor},
+      ...entries.map(entry => ({type: 'entry' as const, entry})),
+    ];
+  }
+
+  private sendAll(messages: Outgoing): void {
+    messages.forEach(({to, message}) => this.options.send(to, message));
+  }
+}
+
+function createRecords(persist: RaftEffects['persist']): LogRecord[] {
+  const records: LogRecord[] = [];
+  if (persist?.hardState) {
+    records.push({type: 'hard-state', ...persist.hardState});
+  }
+  if (persist?.truncateFrom !== undefined) {
+    records.push({type: 'truncate', from: persist.truncateFrom});
+  }
+  const entries = persist?.entries ?? [];
+  return [
+    ...records,
+    ...entries.map(entry => ({type: 'entry' as const, entry})),
+  ];
+}
+
+function createLogStart(snapshot: {
+  index: number;
+  term: number;
+  voters: Record<string, string>;
+}) {
+  const {index, term, voters} = snapshot;
+  return {index, term, voters: new Map(Object.entries(voters))};
+}
--- /dev/null
+++ b/src/coordination/raft_log.ts
@@ -0,0 +1,143 @@
+/** The replicated log in memory, from the newest snapshot on. */
+import {ControlCommand} from '../protocol/control_command';
+import {LogEntry} from '../protocol/log_entry';
+import {MessageOf} from '../protocol/message_of';
+import {CoordinationError} from './coordination_error';
+import {VoterSet} from './voter_set';
+
+/** Where the log starts: everything up to `index` lies in a snapshot. */
+interface LogStart {
+  readonly index: number;
+  readonly term: number;
+  readonly voters: VoterSet;
+}
+
+type VoterEntry = LogEntry & {command: MessageOf<ControlCommand, 'set-voter'>};
+
+/** Entries after a snapshot, and the voter sets that they lead to. */
+export class RaftLog {
+  /** The few entries that change voters, kept apart: they are asked for at every step. */
+  private voterEntries: VoterEntry[] = [];
+
+  private constructor(
+    private start: LogStart,
+    private entries: LogEntry[],
+  ) {}
+
+  /**
+   * Creates a log from a snapshot's place and the entries behind it.
+   *
+   * @throws CoordinationError when the entries do not follow the snapshot
+   * @example
+   * const log = RaftLog.create({index: 0, term: 0, voters}, []);
+   */
+  static create(start: LogStart, entries: readonly LogEntry[]): RaftLog {
+    const log = new RaftLog(start, []);
+    log.append(entries);
+    return log;
+  }
+
+  get firstIndex(): number {
+    return this.start.index + 1;
+  }
+
+  get lastIndex(): number {
+    return this.start.index + this.entries.length;
+  }
+
+  get lastTerm(): number {
+    return this.entries.at(-1)?.term ?? this.start.term;
+  }
+
+  /** The place of the snapshot that the log follows. */
+  get snapshot(): LogStart {
+    return this.start;
+  }
+
+  /** The term of an entry; undefined when it is unknown here. */
+  getTerm(index: number): number | undefined {
+    if (index === this.start.index) {
+      return this.start.term;
+    }
+    return this.entries[index - this.firstIndex]?.term;
+  }
+
+  /** At most `limit` entries from `index` on. */
+  slice(index: number, limit: number): LogEntry[] {
+    const from = index - this.firstIndex;
+    return this.entries.slice(from, from + limit);
+  }
+
+  /**
+   * Adds entries at the end.
+   *
+   * @throws CoordinationError when they leave a gap
+   */
+  append(entries: readonly LogEntry[]): void {
+    for (const entry of entries) {
+      if (entry.index !== this.lastIndex + 1) {
+        throw new CoordinationError(
+          'entry %d cannot follow %d',
+          entry.index,
+          this.lastIndex,
+        );
+      }
+      this.entries.push(entry);
+      if (isVoterEntry(entry)) {
+        this.voterEntries.push(entry);
+      }
+    }
+  }
+
+  /** Drops the entry at `index` and all after it. */
+  truncate(index: number): void {
+    this.entries.length = Math.max(0, index - this.firstIndex);
+    this.indexVoters();
+  }
+
+  /** Forgets the entries up to `index`, which a snapshot now holds. */
+  compact(index: number): void {
+    const term = this.getTerm(index);
+    if (term === undefined || index <= this.start.index) {
+      return;
+    }
+    const voters = this.listVoterSets(index)[0];
+    this.entries = this.entries.slice(index - this.start.index);
+    this.start = {index, term, voters};
+    this.indexVoters();
+  }
+
+  /** Starts anew behind a snapshot that came from the leader. */
+  reset(start: LogStart): void {
+    this.start = start;
+    this.entries = [];
+    this.voterEntries = [];
+  }
+
+  /**
+   * The voter sets in force: the committed one, then those of entries that are
+   * not committed yet.
+   */
+  listVoterSets(commitIndex: number): VoterSet[] {
+    const sets: VoterSet[] = [this.start.voters];
+    for (const {index, command} of this.voterEntries) {
+      const voters = new Map([
+        ...sets[sets.length - 1],
+        [command.name, command.identity],
+      ]);
+      if (index <= commitIndex) {
+        sets.length = 0;
+      }
+      sets.push(voters);
+    }
+    return sets;
+  }
+
+  private indexVoters(): void {
+    this.voterEntries = this.entries.filter(isVoterEntry);
+  }
+}
+
+function isVoterEntry(entry: LogEntry): entry is VoterEntry {
+  return entry.command.type === 'set-voter';
+}
--- /dev/null
+++ b/src/coordination/voter_set.ts
@@ -0,0 +1,2 @@
+/** The control processes whose votes count: name to identity. */
+export type VoterSet = ReadonlyMap<string, string>;
--- /dev/null
+++ b/src/entry/caller_response.ts
@@ -0,0 +1,155 @@
+/** Writes one answer to one caller: whole, or as a stream with an explicit end. */
+import {ServerResponse} from 'node:http';
+import {Outcome} from '../protocol/outcome';
+import {Problem} from './problem';
+import {sendProblem} from './send_problem';
+
+/** Whole answers up to this size are held until their outcome is known. */
+const MAX_HELD_BYTES = 1024 * 1024;
+const OUTCOME_HEADER = 'whinreel-outcome';
+const EVENT_STREAM = 'text/event-stream';
+const DROPPED_HEADERS = new Set([
+  'connection',
+  'keep-alive',
+  'transfer-encoding',
+  'content-length',
+]);
+
+/** Turns the frames of an attempt into HTTP. */
+export class CallerResponse {
+  private held: Uint8Array[] | undefined;
+  private heldBytes = 0;
+  private isEvents = false;
+  private hasDeliveredData = false;
+
+  private constructor(private readonly response: ServerResponse) {}
+
+  /**
+   * Wraps a response whose headers were not sent.
+   *
+   * @example
+   * const answer = CallerResponse.create(response);
+   */
+  static create(response: ServerResponse): CallerResponse {
+    return new CallerResponse(response);
+  }
+
+  /** Part of an answer has left: it cannot be started over. */
+  get hasDelivered(): boolean {
+    return this.hasDeliveredData;
+  }
+
+  /** The caller went away before the end. */
+  get isGone(): boolean {
+    return this.response.destroyed;
+  }
+
+  /** Calls back once if the caller goes away before the end. */
+  watchGone(callback: () => void): void {
+    this.response.once('close', () => {
+      if (!this.response.writableFinished) {
+        callback();
+      }
+    });
+  }
+
+  /** Takes the status and headers; forgets those of an earlier attempt. */
+  start(status: number, headers: Readonly<Record<string, string>>): void {
+    this.isEvents = headers['content-type']?.startsWith(EVENT_STREAM) ?? false;
+    this.held = this.isEvents ? undefined : [];
+    this.heldBytes = 0;
+    this.response.statusCode = status;
+    for (const [name, value] of Object.entries(headers)) {
+      if (!DROPPED_HEADERS.has(name)) {
+        this.response.setHeader(name, value);
+      }
+    }
+    if (this.isEvents) {
+      this.response.setHeader('trailer', OUTCOME_HEADER);
+    }
+  }
+
+  /** Writes a part of the answer; `onWritten` is called when there is room for more. */
+  write(bytes: Uint8Array, onWritten: () => void): void {
+    if (this.held && this.heldBytes + bytes.length <= MAX_HELD_BYTES) {
+      this.held.push(bytes);
+      this.heldBytes += bytes.length;
+      onWritten();
+      return;
+    }
+    this.releaseHeld();
+    this.hasDeliveredData = true;
+    const hasRoom = this.isGone || this.response.write(bytes);
+    if (hasRoom) {
+      onWritten();
+    } else {
+      this.waitForRoom(onWritten);
+    }
+  }
+
+  /** Ends an answer that is whole. */
+  finish(): void {
+    if (this.held) {
+      this.response.setHeader(OUTCOME_HEADER, 'answered');
+      this.response.setHeader('content-length', String(this.heldBytes));
+      this.response.end(Buffer.concat(this.held));
+      return;
+    }
+    this.addTrailer('answered');
+    this.response.end();
+  }
+
+  /** Ends an answer that is not whole: with a problem, an error event, or a broken connection. */
+  fail(problem: Problem): void {
+    if (!this.hasDeliveredData) {
+      this.clearHeaders();
+      sendProblem(this.response, problem);
+      return;
+    }
+    if (!this.isEvents) {
+      // Only a broken transfer tells the caller of a plain body that it is short.
+      this.response.destroy();
+      return;
+    }
+    const {title, detail, outcome} = problem;
+    const error = {
+      message: `${title}: ${detail}`,
+      type: 'whinreel_error',
+      outcome,
+    };
+    this.response.write(`event: error\ndata: ${JSON.stringify({error})}\n\n`);
+    this.addTrailer(outcome);
+    this.response.end();
+  }
+
+  /** A caller that goes away never drains, but work that runs once must go on. */
+  private waitForRoom(onWritten: () => void): void {
+    const proceed = () => {
+      this.response.off('drain', proceed);
+      this.response.off('close', proceed);
+      onWritten();
+    };
+    this.response.on('drain', proceed);
+    this.response.on('close', proceed);
+  }
+
+  private releaseHeld(): void {
+    const held = this.held;
+    this.held = undefined;
+    held?.forEach(bytes => this.response.write(bytes));
+  }
+
+  private addTrailer(outcome: Outcome): void {
+    if (this.isEvents) {
+      this.response.addTrailers({[OUTCOME_HEADER]: outcome});
+    }
+  }
+
+  private clearHeaders(): void {
+    for (const name of this.response.getHeaderNames()) {
+      if (name !== 'whinreel-request-id') {
+        this.response.removeHeader(name);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/entry_server.ts
@@ -0,0 +1,243 @@
+/** The process that callers talk to: admits, routes, streams answers, retries. */
+import {randomBytes} from 'node:crypto';
+import {IncomingMessage, ServerResponse} from 'node:http';
+import {EventRing} from '../common/event_ring';
+import {systemClock} from '../common/system_clock';
+import {Admission} from '../coordination/admission';
+import {Bundle} from '../protocol/bundle';
+import {ControlClient} from '../protocol/control_client';
+import {HttpListener} from '../transport/http_listener';
+import {readHttpBody} from '../transport/read_http_body';
+import {CallerRequest} from './caller_request';
+import {CallerResponse} from './caller_response';
+import {EntrySettings} from './entry_settings';
+import {HostLinks} from './host_links';
+import {OnceOnly} from './once_only';
+import {parseCallerRequest} from './parse_caller_request';
+import {RequestRunner} from './request_runner';
+import {RouteTable} from './route_table';
+import {sendProblem} from './send_problem';
+
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+const RETRY_WHEN_FULL_MS = 1_000;
+const RETRY_WHEN_STARTING_MS = 1_000;
+
+type Handler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void | Promise<void>;
+
+/** A running entry process. */
+export class EntryServer {
+  /** What happened here, newest in memory. */
+  readonly events = EventRing.create();
+  private readonly clock = systemClock;
+  private readonly admission = Admission.create();
+  private readonly links: HostLinks;
+  private readonly table: RouteTable;
+  private readonly runner: RequestRunner;
+  private readonly claims: ControlClient;
+  private listener: HttpListener | undefined;
+  private isLeaving = false;
+
+  private constructor(private readonly settings: EntrySettings) {
+    const {entryId, control, security} = settings;
+    const {clock} = this;
+    const identity = {
+      program: 'entry' as const,
+      id: entryId,
+      incarnation: randomBytes(8).toString('hex'),
+    };
+    this.links = HostLinks.create({identity, clock, security});
+    this.claims = ControlClient.create({
+      addresses: control,
+      identity,
+      security,
+    });
+    this.table = RouteTable.create({
+      entryId,
+      client: ControlClient.create({addresses: control, identity, security}),
+      clock,
+      onGroups: groups =>
+        this.links.setWanted(groups.map(group => group.members[0].address)),
+      onBundle: bundle => this.recordBundle(bundle),
+    });
+    this.runner = RequestRunner.create({
+      clock,
+      table: this.table,
+      links: this.links,
+      onceOnly: OnceOnly.create({client: this.claims, links: this.links}),
+      random: Math.random,
+    });
+  }
+
+  /**
+   * Listens for callers and follows control.
+   *
+   * @throws TransportError when the address cannot be taken
+   * @example
+   * const entry = await EntryServer.create(settings);
+   */
+  static async create(settings: EntrySettings): Promise<EntryServer> {
+    const entry = new EntryServer(settings);
+    try {
+      entry.listener = await HttpListener.create({
+        host: settings.host,
+        port: settings.port,
+        onRequest: (request, response) => void entry.handle(request, response),
+      });
+    } catch (error) {
+      await entry.close();
+      throw error;
+    }
+    return entry;
+  }
+
+  /** The port for callers. */
+  get port(): number {
+    return this.listener?.port ?? 0;
+  }
+
+  /** Takes no new requests and stops when those under way are answered. */
+  async drain(): Promise<void> {
+    this.isLeaving = true;
+    await this.listener?.drain();
+    await this.close();
+  }
+
+  /** Stops at once. */
+  async close(): Promise<void> {
+    await this.listener?.close();
+    this.table.close();
+    this.claims.close();
+    this.links.close();
+  }
+
+  private readonly routes: Readonly<Record<string, Handler>> = {
+    'GET /healthz': (_request, response) => {
+      const isReady = !this.isLeaving && this.table.hasLease(this.clock.now());
+      response.writeHead(isReady ? 200 : 503, {'content-type': 'text/plain'});
+      response.end(isReady ? 'ready\n' : 'not ready\n');
+    },
+    'GET /v1/models': (_request, response) => {
+      const models = this.table.bundle?.models ?? [];
+      const data = models.map(({name}) => ({
+        id: name,
+        object: 'model',
+        owned_by: 'whinreel',
+      }));
+      response.writeHead(200, {'content-type': 'application/json'});
+      response.end(JSON.stringify({object: 'list', data}));
+    },
+  };
+
+  private async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    try {
+      const route = this.routes[`${request.method} ${request.url}`];
+      await (route
+        ? route(request, response)
+        : this.handleWork(request, response));
+    } catch (error) {
+      this.answerError(response, error as Error);
+    }
+  }
+
+  private async handleWork(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const requestId = randomBytes(12).toString('hex');
+    response.setHeader('whinreel-request-id', requestId);
+    const body = await readHttpBody(request, MAX_BODY_BYTES);
+    const {bundle} = this.table;
+    const now = this.clock.now();
+    if (this.isLeaving || !bundle || !this.table.hasLease(now)) {
+      sendProblem(response, {
+        status: 503,
+        title: 'Not ready',
+        detail: this.isLeaving
+          ? 'this entry is stopping'
+          : 'control did not confirm the bundle',
+        outcome: 'not-run',
+        retryAfterMs: RETRY_WHEN_STARTING_MS,
+      });
+      return;
+    }
+    const parsed = parseCallerRequest({request, body, bundle, requestId, now});
+    if ('status' in parsed) {
+      sendProblem(response, parsed);
+      return;
+    }
+    await this.admitAndRun(parsed, bundle, response);
+  }
+
+  private async admitAndRun(
+    request: CallerRequest,
+    bundle: Bundle,
+    response: ServerResponse,
+  ): Promise<void> {
+    const workspace = bundle.workspaces.find(
+      known => known.name === request.workspace,
+    );
+    const limit = Math.ceil((workspace?.maxInFlight ?? 0) / this.table.entries);
+    if (!this.admission.admit(request.workspace, limit)) {
+      sendProblem(response, {
+        status: 429,
+        title: 'Too many requests',
+        detail: `workspace ${request.workspace} has ${limit} requests in flight at this entry`,
+        outcome: 'not-run',
+        retryAfterMs: RETRY_WHEN_FULL_MS,
+      });
+      return;
+    }
+    try {
+      const end = await this.runner.run(
+        request,
+        CallerResponse.create(response),
+      );
+      if (end.outcome !== 'answered') {
+        const {requestId: id} = request;
+        const {outcome, reason, attempts} = end;
+        const details = {workspace: request.workspace, attempts};
+        this.events.record({
+          type: `request-${outcome}`,
+          subject: 'request',
+          id,
+          reason,
+          details,
+        });
+      }
+    } finally {
+      this.admission.release(request.workspace);
+    }
+  }
+
+  private answerError(response: ServerResponse, error: Error): void {
+    if (response.headersSent || response.destroyed) {
+      response.destroy();
+      return;
+    }
+    const isTooLarge = error.name === 'TooLarge';
+    response.setHeader('connection', 'close');
+    sendProblem(response, {
+      status: isTooLarge ? 413 : 500,
+      title: isTooLarge ? 'Body too large' : 'Internal error',
+      detail: error.message,
+      outcome: isTooLarge ? 'not-run' : 'unknown',
+    });
+  }
+
+  private recordBundle(bundle: Bundle): void {
+    const reason = `version ${bundle.version} is in force here`;
+    const {entryId: id} = this.settings;
+    this.events.record({
+      type: 'bundle-in-force',
+      subject: 'bundle',
+      id,
+      reason,
+    });
+  }
+}
--- /dev/null
+++ b/src/entry/entry_settings.ts
@@ -0,0 +1,12 @@
+import {TransportSecurity} from '../transport/transport_security';
+
+/** Everything that an entry process is told when it starts. */
+export interface EntrySettings {
+  readonly entryId: string;
+  readonly zone: string;
+  /** Where callers connect. */
+  readonly host: string;
+  readonly port: number;
+  readonly control: readonly string[];
+  readonly security?: TransportSecurity;
+}
--- /dev/null
+++ b/src/entry/host_link.ts
@@ -0,0 +1,219 @@
+/** The entry's connection to one first member, with the attempts on it. */
+import {Clock} from '../common/clock';
+import {connectPeer} from '../protocol/connect_peer';
+import {Message} from '../protocol/message';
+import {MessageOf} from '../protocol/message_of';
+import {Peer} from '../protocol/peer';
+import {WorkMessage} from '../protocol/work_message';
+import {TransportSecurity} from '../transport/transport_security';
+import {AttemptEvents} from './attempt_events';
+
+const TOMBSTONE_TIMEOUT_MS = 1_500;
+const CREDIT_BYTES = 256 * 1024;
+
+type TombstoneAnswer = MessageOf<WorkMessage, 'tombstone-answer'>;
+type DispatchFields = Omit<
+  MessageOf<WorkMessage, 'dispatch'>,
+  'type' | 'stream' | 'startBy' | 'credit' | 'incarnation'
+>;
+
+interface OpenAttempt {
+  readonly events: AttemptEvents;
+  nextSequence: number;
+}
+
+type Handlers = {
+  [T in WorkMessage['type']]?: (message: MessageOf<WorkMessage, T>) => void;
+};
+
+/** What a link needs. */
+interface HostLinkOptions {
+  readonly address: string;
+  readonly identity: Parameters<typeof Peer.create>[1];
+  readonly clock: Clock;
+  readonly security?: TransportSecurity;
+  readonly onClosed: () => void;
+}
+
+/** Sends dispatches to one host process and sorts its frames by attempt. */
+export class HostLink {
+  private readonly attempts = new Map<number, OpenAttempt>();
+  private readonly tombstones = new Map<
+    string,
+    (answer: TombstoneAnswer | undefined) => void
+  >();
+  private lastStream = 0;
+  /** The host's clock as it last told it, and ours when that came. */
+  private hostClock:
+    {readonly theirs: number; readonly ours: number} | undefined;
+  private reportedRunning = 0;
+
+  private constructor(
+    private readonly peer: Peer,
+    private readonly options: HostLinkOptions,
+  ) {
+    void peer.messages
+      .observe(message => this.receive(message))
+      .catch(() => peer.close());
+    void peer.closed.then(() => this.handleClosed());
+  }
+
+  /**
+   * Connects to a host process.
+   *
+   * @throws TransportError when nobody answers there
+   * @example
+   * const link = await HostLink.connect({address, identity, clock, onClosed});
+   */
+  static async connect(options: HostLinkOptions): Promise<HostLink> {
+    const peer = await connectPeer(
+      options.address,
+      options.identity,
+      options.security,
+    );
+    return new HostLink(peer, options);
+  }
+
+  get isOpen(): boolean {
+    return this.peer.isOpen;
+  }
+
+  /** Which life of the host process this link leads to. */
+  get incarnation(): string {
+    return this.peer.remote.incarnation;
+  }
+
+  /** Attempts of this entry on the link. */
+  get ownRunning(): number {
+    return this.attempts.size;
+  }
+
+  /** Attempts of all entries as the host last reported. */
+  get totalRunning(): number {
+    return this.reportedRunning;
+  }
+
+  /**
+   * Sends one attempt.
+   *
+   * @param startWithinMs how long the frame may travel before the host refuses it
+   * @returns a call that cancels it
+   */
+  dispatch(
+    fields: DispatchFields,
+    startWithinMs: number,
+    events: AttemptEvents,
+  ): () => void {
+    const stream = ++this.lastStream;
+    if (!this.peer.isOpen || !this.hostClock) {
+      const reason = 'the host process is not connected';
+      queueMicrotask(() => events.onEnd({outcome: 'not-run', reason}));
+      return () => undefined;
+    }
+    const {theirs, ours} = this.hostClock;
+    const startBy = theirs + (this.options.clock.now() - ours) + startWithinMs;
+    this.attempts.set(stream, {events, nextSequence: 0});
+    const incarnation = this.incarnation;
+    this.peer.send({
+      type: 'dispatch',
+      ...fields,
+      stream,
+      startBy,
+      incarnation,
+      credit: CREDIT_BYTES,
+    });
+    return () => this.peer.send({type: 'cancel', stream});
+  }
+
+  /** Asks for the promise that an attempt never starts; undefined when no answer came. */
+  askTombstone(attemptId: string): Promise<TombstoneAnswer | undefined> {
+    return new Promise(resolve => {
+      const finish = (answer: TombstoneAnswer | undefined) => {
+        clearTimeout(timer);
+        this.tombstones.delete(attemptId);
+        resolve(answer);
+      };
+      const timer = setTimeout(() => finish(undefined), TOMBSTONE_TIMEOUT_MS);
+      this.tombstones.set(attemptId, finish);
+      this.peer.send({type: 'tombstone-ask', attemptId});
+    });
+  }
+
+  close(): void {
+    this.peer.close();
+  }
+
+  private readonly handlers: Handlers = {
+    clock: ({now, running}) => {
+      this.hostClock = {theirs: now, ours: this.options.clock.now()};
+      this.reportedRunning = running;
+    },
+    head: ({stream, status, headers}) => {
+      this.attempts.get(stream)?.events.onHead(status, headers);
+    },
+    data: message => this.receiveData(message),
+    end: message => this.receiveEnd(message),
+    refused: ({stream, reason, retryAfterMs}) => {
+      this.finish(stream, {outcome: 'not-run', reason, retryAfterMs});
+    },
+    'tombstone-answer': answer =>
+      this.tombstones.get(answer.attemptId)?.(answer),
+  };
+
+  private receive(message: Message): void {
+    this.handlers[message.type as WorkMessage['type']]?.(message as never);
+  }
+
+  private receiveData({
+    stream,
+    sequence,
+    bytes,
+  }: MessageOf<WorkMessage, 'data'>): void {
+    const attempt = this.attempts.get(stream);
+    if (!attempt) {
+      return;
+    }
+    if (sequence !== attempt.nextSequence) {
+      this.peer.send({type: 'cancel', stream});
+      const reason = `frame ${sequence} came where ${attempt.nextSequence} was due`;
+      this.finish(stream, {outcome: 'failed', reason});
+      return;
+    }
+    attempt.nextSequence += 1;
+    attempt.events.onData(bytes, () => {
+      this.peer.send({type: 'credit', stream, bytes: bytes.length});
+    });
+  }
+
+  private receiveEnd(message: MessageOf<WorkMessage, 'end'>): void {
+    const {stream, frames, outcome, reason} = message;
+    const attempt = this.attempts.get(stream);
+    const isShort = attempt !== undefined && attempt.nextSequence !== frames;
+    if (isShort && outcome === 'answered') {
+      const lost = `${frames - attempt.nextSequence} frames are missing at the end`;
+      this.finish(stream, {outcome: 'failed', reason: lost});
+      return;
+    }
+    this.finish(stream, {outcome, reason});
+  }
+
+  private finish(
+    stream: number,
+    end: Parameters<AttemptEvents['onEnd']>[0],
+  ): void {
+    const attempt = this.attempts.get(stream);
+    this.attempts.delete(stream);
+    attempt?.events.onEnd(end);
+  }
+
+  private handleClosed(): void {
+    this.options.onClosed();
+    const reason = 'the connection to the host process broke';
+    for (const stream of [...this.attempts.keys()]) {
+      this.finish(stream, {outcome: 'unknown', reason, isLinkLost: true});
+    }
+    for (const finish of [...this.tombstones.values()]) {
+      finish(undefined);
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/request_runner.ts
@@ -0,0 +1,299 @@
+/** Carries one request through its attempts to one final outcome. */
+import {Clock} from '../common/clock';
+import {chooseReplica} from '../coordination/choose_replica';
+import {decideRetry} from '../coordination/decide_retry';
+import {RetryBudget} from '../coordination/retry_budget';
+import {Group} from '../protocol/group';
+import {Outcome} from '../protocol/outcome';
+import {AttemptEvents} from './attempt_events';
+import {CallerRequest} from './caller_request';
+import {CallerResponse} from './caller_response';
+import {HostLink} from './host_link';
+import {HostLinks} from './host_links';
+import {OnceOnly} from './once_only';
+import {Problem} from './problem';
+import {RouteTable} from './route_table';
+
+/** How long a dispatch may travel before the host process refuses it. */
+const START_WITHIN_MS = 2_000;
+const NO_REPLICA_RETRY_MS = 1_000;
+
+/** What requests run with. */
+interface RequestRunnerOptions {
+  readonly clock: Clock;
+  readonly table: RouteTable;
+  readonly links: HostLinks;
+  readonly onceOnly: OnceOnly;
+  readonly random: () => number;
+}
+
+type AttemptEnd = Parameters<AttemptEvents['onEnd']>[0];
+
+interface Candidate {
+  readonly groupId: string;
+  readonly group: Group;
+  readonly link: HostLink;
+  readonly running: number;
+}
+
+/** How a request ended. */
+interface RequestEnd {
+  readonly outcome: Outcome;
+  readonly reason: string;
+  readonly attempts: number;
+}
+
+/** Runs requests against the replicas that the table names. */
+export class RequestRunner {
+  private readonly budgets = new Map<string, RetryBudget>();
+
+  private constructor(private readonly options: RequestRunnerOptions) {}
+
+  /**
+   * Creates a runner.
+   *
+   * @example
+   * const runner = RequestRunner.create({clock, table, links, onceOnly, random});
+   */
+  static create(options: RequestRunnerOptions): RequestRunner {
+    return new RequestRunner(options);
+  }
+
+  /** Runs one request; the response is complete when the promise resolves. */
+  async run(
+    request: CallerRequest,
+    response: CallerResponse,
+  ): Promise<RequestEnd> {
+    const {clock} = this.options;
+    const tried = new Set<string>();
+    let worst: AttemptEnd = {
+      outcome: 'not-run',
+      reason: 'no replica serves it now',
+    };
+    for (let attempt = 1; ; attempt += 1) {
+      const candidate = this.choose(request, tried);
+      if (!candidate) {
+        return this.fail(response, worst, attempt - 1);
+      }
+      tried.add(candidate.groupId);
+      const attemptId = `${request.requestId}.${attempt}`;
+      const end = await this.runAttempt(
+        request,
+        response,
+        candidate,
+        attemptId,
+      );
+      if ('status' in end) {
+        response.fail(end);
+        return {
+          outcome: end.outcome,
+          reason: end.detail,
+          attempts: attempt - 1,
+        };
+      }
+      if (end.outcome === 'answered') {
+        this.findBudget(request).recordSuccess();
+        return {outcome: 'answered', reason: '', attempts: attempt};
+      }
+      worst = takeWorse(worst, end);
+      const isRetried = decideRetry({
+        outcome: end.outcome,
+        isRepeatable: request.isRepeatable,
+        hasDelivered: response.hasDelivered || response.isGone,
+        attemptsMade: attempt,
+        msLeft: request.deadline - clock.now(),
+        takeRetry: () => this.findBudget(request).takeRetry(),
+      });
+      if (!isRetried) {
+        return this.fail(response, worst, attempt);
+      }
+    }
+  }
+
+  /** One attempt, with its claim if it must run at most once. */
+  private async runAttempt(
+    request: CallerRequest,
+    response: CallerResponse,
+    candidate: Candidate,
+    attemptId: string,
+  ): Promise<AttemptEnd | Problem> {
+    const {onceOnly} = this.options;
+    if (request.isRepeatable) {
+      const end = await this.dispatch(request, response, candidate, attemptId);
+      return this.resolveFate(request, response, candidate, attemptId, end);
+    }
+    const {group, link} = candidate;
+    const problem = await onceOnly.claim(request, {
+      attemptId,
+      group,
+      incarnation: link.incarnation,
+    });
+    if (problem) {
+      return problem;
+    }
+    const end = await this.dispatch(request, response, candidate, attemptId);
+    const settled = await this.resolveFate(
+      request,
+      response,
+      candidate,
+      attemptId,
+      end,
+    );
+    const resolving = onceOnly.resolve(request, attemptId, settled.outcome);
+    if (settled.outcome === 'not-run') {
+      // The next attempt claims again, which only the recorded outcome allows.
+      await resolving;
+    }
+    return settled;
+  }
+
+  /** After a lost connection the host process may still know what became of the attempt. */
+  private async resolveFate(
+    request: CallerRequest,
+    response: CallerResponse,
+    candidate: Candidate,
+    attemptId: string,
+    end: AttemptEnd,
+  ): Promise<AttemptEnd> {
+    const isWorthAsking =
+      end.isLinkLost && !response.hasDelivered && !request.isRepeatable;
+    if (!isWorthAsking) {
+      return end;
+    }
+    const link = await this.options.links.connectTo(
+      candidate.group.members[0].address,
+    );
+    if (!link || link.incarnation !== candidate.link.incarnation) {
+      return end;
+    }
+    const answer = await link.askTombstone(attemptId);
+    if (answer?.verdict === 'never-started') {
+      return {outcome: 'not-run', reason: 'the host process never started it'};
+    }
+    if (answer?.verdict === 'ended') {
+      return {
+        outcome: 'failed',
+        reason: 'it ran, but its answer was lost on the way',
+      };
+    }
+    return end;
+  }
+
+  private dispatch(
+    request: CallerRequest,
+    response: CallerResponse,
+    {group, link}: Candidate,
+    attemptId: string,
+  ): Promise<AttemptEnd> {
+    const {clock} = this.options;
+    return new Promise(resolve => {
+      let hasHead = false;
+      const msLeft = Math.max(0, request.deadline - clock.now());
+      const timer = setTimeout(() => giveUp('the deadline passed'), msLeft);
+      const cancel = link.dispatch(
+        {
+          attemptId,
+          groupId: group.id,
+          epoch: group.epoch,
+          method: request.method,
+          path: request.path,
+          headers: request.headers,
+          body: request.body,
+          isRepeatable: request.isRepeatable,
+          priority: request.priority,
+        },
+        Math.min(START_WITHIN_MS, msLeft),
+        {
+          onHead: (status, headers) => {
+            hasHead = true;
+            response.start(status, headers);
+          },
+          onData: (bytes, giveBack) => {
+            response.write(bytes, giveBack);
+          },
+          onEnd: end => {
+            clearTimeout(timer);
+            if (end.outcome === 'answered') {
+              response.finish();
+            }
+            resolve(end);
+          },
+        },
+      );
+      const giveUp = (reason: string) => {
+        cancel();
+        clearTimeout(timer);
+        resolve({outcome: hasHead ? 'failed' : 'unknown', reason});
+      };
+      if (request.isRepeatable) {
+        response.watchGone(() => giveUp('the caller went away'));
+      }
+    });
+  }
+
+  private choose(
+    request: CallerRequest,
+    tried: ReadonlySet<string>,
+  ): Candidate | undefined {
+    const {table, links, random} = this.options;
+    const candidates: Candidate[] = [];
+    for (const group of table.groups) {
+      const isMatch =
+        group.kind === request.kind && group.name === request.name;
+      if (!isMatch || group.isDraining || tried.has(group.id)) {
+        continue;
+      }
+      const link = links.find(group.members[0].address);
+      if (link) {
+        const running = Math.max(link.ownRunning, link.totalRunning);
+        candidates.push({groupId: group.id, group, link, running});
+      }
+    }
+    return chooseReplica(candidates, random);
+  }
+
+  private findBudget(request: CallerRequest): RetryBudget {
+    const key = `${request.workspace}/${request.name}`;
+    let budget = this.budgets.get(key);
+    if (!budget) {
+      budget = RetryBudget.create();
+      this.budgets.set(key, budget);
+    }
+    return budget;
+  }
+
+  private fail(
+    response: CallerResponse,
+    end: AttemptEnd,
+    attempts: number,
+  ): RequestEnd {
+    response.fail(describeEnd(end));
+    return {outcome: end.outcome, reason: end.reason, attempts};
+  }
+}
+
+/** One earlier attempt that may have run outweighs later ones that surely did not. */
+function takeWorse(worst: AttemptEnd, end: AttemptEnd): AttemptEnd {
+  const ORDER: readonly Outcome[] = ['not-run', 'failed', 'unknown'];
+  return ORDER.indexOf(end.outcome) >= ORDER.indexOf(worst.outcome)
+    ? end
+    : worst;
+}
+
+const STATUS_BY_OUTCOME: Record<Outcome, number> = {
+  answered: 200,
+  'not-run': 503,
+  failed: 502,
+  unknown: 504,
+};
+
+function describeEnd({outcome, reason, retryAfterMs}: AttemptEnd): Problem {
+  const isNotRun = outcome === 'not-run';
+  return {
+    status: STATUS_BY_OUTCOME[outcome],
+    title: isNotRun ? 'Not run' : outcome === 'failed' ? 'Failed' : 'Unknown',
+    detail: reason,
+    outcome,
+    retryAfterMs: isNotRun ? (retryAfterMs ?? NO_REPLICA_RETRY_MS) : undefined,
+  };
+}
--- /dev/null
+++ b/src/entry/route_table.ts
@@ -0,0 +1,111 @@
+/** The entry's copy of what control decided: bundle, groups, lease. */
+import {Clock} from '../common/clock';
+import {Bundle} from '../protocol/bundle';
+import {ControlClient} from '../protocol/control_client';
+import {ControlMessage} from '../protocol/control_message';
+import {Group} from '../protocol/group';
+import {MessageOf} from '../protocol/message_of';
+
+const REFRESH_EVERY_MS = 250;
+
+type Directive = MessageOf<ControlMessage, 'entry-directive'>;
+
+/** What the table is kept up to date with. */
+interface RouteTableOptions {
+  readonly entryId: string;
+  readonly client: ControlClient;
+  readonly clock: Clock;
+  readonly onGroups: (groups: readonly Group[]) => void;
+  readonly onBundle: (bundle: Bundle) => void;
+}
+
+/** Asks control again and again; old while control does not answer. */
+export class RouteTable {
+  private currentBundle: Bundle | undefined;
+  private currentGroups: readonly Group[] = [];
+  private tableVersion = 0;
+  private leaseUntil = -Infinity;
+  private entryCount = 1;
+  private isClosed = false;
+  private wake: () => void = () => undefined;
+
+  private constructor(private readonly options: RouteTableOptions) {
+    void this.run();
+  }
+
+  /**
+   * Starts asking.
+   *
+   * @example
+   * const table = RouteTable.create({entryId, client, clock, onGroups, onBundle});
+   */
+  static create(options: RouteTableOptions): RouteTable {
+    return new RouteTable(options);
+  }
+
+  /** The newest bundle that control named. */
+  get bundle(): Bundle | undefined {
+    return this.currentBundle;
+  }
+
+  get groups(): readonly Group[] {
+    return this.currentGroups;
+  }
+
+  /** Entries that share the limits of the bundle. */
+  get entries(): number {
+    return this.entryCount;
+  }
+
+  /** True while control confirmed the bundle lately enough to take new work. */
+  hasLease(now: number): boolean {
+    return now < this.leaseUntil;
+  }
+
+  close(): void {
+    this.isClosed = true;
+    this.wake();
+    this.options.client.close();
+  }
+
+  private async run(): Promise<void> {
+    while (!this.isClosed) {
+      await this.refresh().catch(() => undefined);
+      await new Promise<void>(resolve => {
+        this.wake = resolve;
+        setTimeout(resolve, REFRESH_EVERY_MS);
+      });
+    }
+  }
+
+  private async refresh(): Promise<void> {
+    const {client, clock, entryId} = this.options;
+    const askedAt = clock.now();
+    const directive = await client.ask({
+      type: 'entry-report',
+      entryId,
+      bundleVersion: this.currentBundle?.version ?? 0,
+      tableVersion: this.tableVersion,
+    });
+    if (!this.isClosed) {
+      this.applyDirective(directive, askedAt);
+    }
+  }
+
+  private applyDirective(directive: Directive, askedAt: number): void {
+    this.leaseUntil = Math.max(this.leaseUntil, askedAt + directive.leaseMs);
+    this.entryCount = directive.entries;
+    if (directive.bundle) {
+      const bundle = Bundle.parse(JSON.parse(directive.bundle.document));
+      if (bundle.version > (this.currentBundle?.version ?? 0)) {
+        this.currentBundle = bundle;
+        this.options.onBundle(bundle);
+      }
+    }
+    if (directive.groups) {
+      this.currentGroups = directive.groups;
+      this.tableVersion = directive.tableVersion;
+      this.options.onGroups(directive.groups);
+    }
+  }
+}
--- /dev/null
+++ b/src/host/announce_listener.ts
@@ -0,0 +1,84 @@
+/** The local HTTP endpoint where the backend server announces itself. */
+import {IncomingMessage, ServerResponse} from 'node:http';
+import {BackendAnnouncement} from '../protocol/backend_announcement';
+import {HttpListener} from '../transport/http_listener';
+import {readHttpBody} from '../transport/read_http_body';
+
+const MAX_ANNOUNCEMENT_BYTES = 16 * 1024;
+
+/** Where to listen and what to answer. */
+interface AnnounceListenerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly onAnnounce: (announcement: BackendAnnouncement) => void;
+  /** What `GET /status` shows. */
+  readonly describe: () => object;
+}
+
+/**
+ * Starts the endpoint.
+ *
+ * @throws TransportError when the address cannot be taken
+ * @example
+ * const listener = await listenForAnnouncements({host, port, onAnnounce, describe});
+ */
+export function listenForAnnouncements(
+  options: AnnounceListenerOptions,
+): Promise<HttpListener> {
+  const {host, port} = options;
+  return HttpListener.create({
+    host,
+    port,
+    onRequest: (request, response) => {
+      void handleRequest(request, response, options).catch(() =>
+        response.destroy(),
+      );
+    },
+  });
+}
+
+async function handleRequest(
+  request: IncomingMessage,
+  response: ServerResponse,
+  options: AnnounceListenerOptions,
+): Promise<void> {
+  const route = `${request.method} ${request.url}`;
+  if (route === 'GET /status') {
+    answerJson(response, 200, options.describe());
+    return;
+  }
+  if (route !== 'POST /announce') {
+    answerJson(response, 404, {error: 'try POST /announce or GET /status'});
+    return;
+  }
+  const body = await readHttpBody(request, MAX_ANNOUNCEMENT_BYTES);
+  const announcement = parseAnnouncement(body);
+  if (typeof announcement === 'string') {
+    answerJson(response, 400, {error: announcement});
+    return;
+  }
+  options.onAnnounce(announcement);
+  answerJson(response, 200, {});
+}
+
+function parseAnnouncement(body: Buffer): BackendAnnouncement | string {
+  try {
+    const parsed = BackendAnnouncement.safeParse(JSON.parse(body.toString()));
+    if (parsed.success) {
+      return parsed.data;
+    }
+    const issue = parsed.error.issues[0];
+    return `${issue.path.join('.') || 'announcement'}: ${issue.message}`;
+  } catch {
+    return 'the announcement is not JSON';
+  }
+}
+
+function answerJson(
+  response: ServerResponse,
+  status: number,
+  value: object,
+): void {
+  response.writeHead(status, {'content-type': 'application/json'});
+  response.end(JSON.stringify(value));
+}
--- /dev/null
+++ b/src/host/control_session.ts
@@ -0,0 +1,91 @@
+/** Reports to control a few times a second and takes its directives. */
+import {Clock} from '../common/clock';
+import {ControlClient} from '../protocol/control_client';
+import {ControlMessage} from '../protocol/control_message';
+import {HostReport} from '../protocol/host_report';
+import {MessageOf} from '../protocol/message_of';
+
+const REPORT_EVERY_MS = 300;
+
+/** What the session works with. */
+interface ControlSessionOptions {
+  readonly client: ControlClient;
+  readonly clock: Clock;
+  /** Undefined while the process must not offer itself yet. */
+  readonly createReport: () => HostReport | undefined;
+  readonly onDirective: (
+    directive: MessageOf<ControlMessage, 'host-directive'>,
+  ) => void;
+}
+
+/** Keeps the lease that control's answers carry. */
+export class ControlSession {
+  private leaseUntil = -Infinity;
+  private isClosed = false;
+  private wake: () => void = () => undefined;
+
+  private constructor(private readonly options: ControlSessionOptions) {
+    void this.run();
+  }
+
+  /**
+   * Starts reporting.
+   *
+   * @example
+   * const session = ControlSession.create({client, clock, createReport, onDirective});
+   */
+  static create(options: ControlSessionOptions): ControlSession {
+    return new ControlSession(options);
+  }
+
+  /** True while control confirmed the bundle lately enough to take new work. */
+  hasLease(now: number): boolean {
+    return now < this.leaseUntil;
+  }
+
+  /** Reports at once instead of at the next time. */
+  reportSoon(): void {
+    this.wake();
+  }
+
+  close(): void {
+    this.isClosed = true;
+    this.wake();
+    this.options.client.close();
+  }
+
+  private async run(): Promise<void> {
+    while (!this.isClosed) {
+      await this.reportOnce();
+      await new Promise<void>(resolve => {
+        const timer = setTimeout(resolve, REPORT_EVERY_MS);
+        this.wake = () => {
+          clearTimeout(timer);
+          resolve();
+        };
+      });
+    }
+  }
+
+  private async reportOnce(): Promise<void> {
+    const {client, clock, createReport, onDirective} = this.options;
+    const report = createReport();
+    if (!report) {
+      return;
+    }
+    const askedAt = clock.now();
+    try {
+      const directive = await client.ask({type: 'host-report', report});
+      if (!this.isClosed) {
+        // Counted from before the question: a late answer cannot lengthen the lease.
+        this.leaseUntil = Math.max(
+          this.leaseUntil,
+          askedAt + directive.leaseMs,
+        );
+        onDirective(directive);
+      }
+    } catch {
+      // No leader answered; the lease runs out on its own.
+    }
+  }
+}
--- /dev/null
+++ b/src/host/host_error.ts
@@ -0,0 +1,4 @@
+import {VError} from 'verror';
+
+/** A failure of a host process's own work. */
+export class HostError extends VError {}
--- /dev/null
+++ b/src/host/host_server.ts
@@ -0,0 +1,358 @@
+/** The process beside one backend server: member of a group, fence, runner of work. */
+import {randomBytes} from 'node:crypto';
+import {EventRing} from '../common/event_ring';
+import {systemClock} from '../common/system_clock';
+import {checkDispatch} from '../coordination/check_dispatch';
+import {GroupLease} from '../coordination/group_lease';
+import {Membership} from '../coordination/membership';
+import {Bundle} from '../protocol/bundle';
+import {ControlClient} from '../protocol/control_client';
+import {ControlMessage} from '../protocol/control_message';
+import {Group} from '../protocol/group';
+import {HostReport} from '../protocol/host_report';
+import {MembershipMessage} from '../protocol/membership_message';
+import {MessageOf} from '../protocol/message_of';
+import {Peer} from '../protocol/peer';
+import {WorkMessage} from '../protocol/work_message';
+import {FrameConnection} from '../transport/frame_connection';
+import {FrameServer} from '../transport/frame_server';
+import {HttpBackend} from '../transport/http_backend';
+import {HttpListener} from '../transport/http_listener';
+import {listenForAnnouncements} from './announce_listener';
+import {BackendSlot} from './backend_slot';
+import {ControlSession} from './control_session';
+import {EngineOrders} from './engine_orders';
+import {HeartbeatAsker} from './heartbeat_asker';
+import {HostSettings} from './host_settings';
+import {WorkRunner} from './work_runner';
+
+const CHECK_EVERY_MS = 50;
+const DRAIN_POLL_MS = 50;
+
+/** A running host process. */
+export class HostServer {
+  /** What happened here, newest in memory. */
+  readonly events = EventRing.create();
+  private readonly incarnation = randomBytes(8).toString('hex');
+  private readonly clock = systemClock;
+  private readonly backend = HttpBackend.create();
+  private readonly slot = BackendSlot.create(this.clock);
+  private readonly membership = Membership.create(this.clock.now());
+  private readonly orders: EngineOrders;
+  private readonly runner: WorkRunner;
+  private readonly timers: NodeJS.Timeout[] = [];
+  private lease: GroupLease | undefined;
+  private asker: HeartbeatAsker | undefined;
+  private session: ControlSession | undefined;
+  private server: FrameServer | undefined;
+  private announceListener: HttpListener | undefined;
+  private bundle: Bundle | undefined;
+  private isLeaving = false;
+  private wasServing = false;
+
+  private constructor(private readonly settings: HostSettings) {
+    this.orders = EngineOrders.create({
+      hostId: settings.hostId,
+      backend: this.backend,
+      findUrl: () => this.slot.current?.url,
+    });
+    this.runner = WorkRunner.create({
+      incarnation: this.incarnation,
+      clock: this.clock,
+      events: this.events,
+      backend: this.backend,
+      findBackendUrl: () => this.slot.current?.url,
+      refuse: (dispatch, now) => this.refuse(dispatch, now),
+      checkRight: dispatch => this.checkRight(dispatch),
+    });
+  }
+
+  /**
+   * Listens for its backend server, entries and members, and reports to control.
+   *
+   * @throws TransportError when an address cannot be taken
+   * @example
+   * const host = await HostServer.create(settings);
+   */
+  static async create(settings: HostSettings): Promise<HostServer> {
+    const host = new HostServer(settings);
+    await host.start();
+    return host;
+  }
+
+  /** The port for entries and members. */
+  get port(): number {
+    return this.server?.port ?? 0;
+  }
+
+  /** The port where the backend server announces itself. */
+  get announcePort(): number {
+    return this.announceListener?.port ?? 0;
+  }
+
+  /**
+   * Leaves: takes no new work, lets what runs finish, waits until control
+   * released the host, then stops.
+   *
+   * @param timeoutMs milliseconds to wait for the release once nothing runs
+   */
+  async drain(timeoutMs: number): Promise<void> {
+    this.isLeaving = true;
+    this.record('leaving', 'the process was told to stop');
+    this.session?.reportSoon();
+    let deadline = this.clock.now() + timeoutMs;
+    const isReleased = () => this.membership.group === null;
+    while (
+      this.runner.runningCount > 0 ||
+      (!isReleased() && this.clock.now() < deadline)
+    ) {
+      if (this.runner.runningCount > 0) {
+        deadline = this.clock.now() + timeoutMs;
+      }
+      await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS));
+    }
+    await this.close();
+  }
+
+  /** Stops at once. */
+  async close(): Promise<void> {
+    this.timers.forEach(timer => clearInterval(timer));
+    this.session?.close();
+    this.asker?.close();
+    this.orders.close();
+    this.runner.close();
+    await this.server?.close();
+    await this.announceListener?.close();
+    await this.backend.close();
+  }
+
+  private async start(): Promise<void> {
+    const {settings} = this;
+    this.server = await FrameServer.create({
+      host: settings.host,
+      port: settings.port,
+      security: settings.security,
+      onConnection: connection =>
+        void this.acceptPeer(connection).catch(() => undefined),
+    });
+    this.announceListener = await listenForAnnouncements({
+      host: settings.announceHost,
+      port: settings.announcePort,
+      onAnnounce: announcement => {
+        if (this.slot.announce(announcement)) {
+          this.record(
+            'backend-announced',
+            `${announcement.kind} ${announcement.name}`,
+          );
+          this.orders.refresh();
+          this.session?.reportSoon();
+        }
+      },
+      describe: () => this.describe(),
+    });
+    this.session = ControlSession.create({
+      client: ControlClient.create({
+        addresses: settings.control,
+        identity: this.identity,
+        security: settings.security,
+      }),
+      clock: this.clock,
+      createReport: () => this.createReport(),
+      onDirective: directive => this.applyDirective(directive),
+    });
+    this.timers.push(setInterval(() => this.check(), CHECK_EVERY_MS));
+  }
+
+  private get identity() {
+    const {hostId: id} = this.settings;
+    return {program: 'host' as const, id, incarnation: this.incarnation};
+  }
+
+  private async acceptPeer(connection: FrameConnection): Promise<void> {
+    const peer = await Peer.create(connection, this.identity);
+    if (peer.remote.program === 'entry') {
+      this.runner.accept(peer);
+      return;
+    }
+    void peer.messages.observe(message => {
+      if (message.type === 'heartbeat-ask') {
+        this.answerHeartbeat(peer, message);
+      }
+    });
+  }
+
+  private answerHeartbeat(
+    peer: Peer,
+    ask: MessageOf<MembershipMessage, 'heartbeat-ask'>,
+  ): void {
+    const {group} = this.membership;
+    const {id: hostId, incarnation} = peer.remote;
+    const isReady = group !== null && this.orders.isInForce(group);
+    const isMember =
+      isReady &&
+      this.membership.answerHeartbeat(
+        ask,
+        {hostId, incarnation},
+        this.clock.now(),
+      );
+    const {groupId, epoch, nonce} = ask;
+    const answerer = this.settings.hostId;
+    peer.send({
+      type: 'heartbeat-answer',
+      hostId: answerer,
+      groupId,
+      epoch,
+      nonce,
+      isMember,
+    });
+  }
+
+  private applyDirective(
+    directive: MessageOf<ControlMessage, 'host-directive'>,
+  ): void {
+    if (directive.bundle) {
+      this.setBundle(Bundle.parse(JSON.parse(directive.bundle.document)));
+    }
+    const group = directive.group;
+    if (!this.membership.assign(group)) {
+      return;
+    }
+    this.asker?.close();
+    this.asker = undefined;
+    this.lease = undefined;
+    this.runner.stopUnlawful();
+    this.orders.setWanted(group);
+    if (group?.members[0].hostId === this.settings.hostId) {
+      this.startLease(group);
+    }
+    const name = group ? `${group.id} epoch ${group.epoch}` : 'no group';
+    this.record('assigned', `control assigned ${name}`);
+    this.session?.reportSoon();
+  }
+
+  private startLease(group: Group): void {
+    this.lease = GroupLease.create(group, this.settings.hostId);
+    this.asker = HeartbeatAsker.create({
+      group,
+      lease: this.lease,
+      identity: this.identity,
+      clock: this.clock,
+      security: this.settings.security,
+    });
+  }
+
+  private setBundle(bundle: Bundle): void {
+    if (bundle.version > (this.bundle?.version ?? 0)) {
+      this.bundle = bundle;
+      this.record('bundle-in-force', `version ${bundle.version}`);
+    }
+  }
+
+  private refuse(
+    dispatch: MessageOf<WorkMessage, 'dispatch'>,
+    now: number,
+  ): string | undefined {
+    const {group} = this.membership;
+    return checkDispatch(
+      {
+        hostId: this.settings.hostId,
+        incarnation: this.incarnation,
+        group: group ?? undefined,
+        missing: this.listMissing(now),
+        hasBundleLease: this.session?.hasLease(now) ?? false,
+        hasBackend: group !== null && this.orders.isInForce(group),
+        isLeaving: this.isLeaving || (this.slot.current?.isLeaving ?? false),
+        now,
+      },
+      dispatch,
+    );
+  }
+
+  /** Work may go on only in its own epoch and with every member present. */
+  private checkRight(
+    dispatch: MessageOf<WorkMessage, 'dispatch'>,
+  ): string | undefined {
+    const {group} = this.membership;
+    if (group?.id !== dispatch.groupId || group.epoch !== dispatch.epoch) {
+      return 'the group moved on to another epoch';
+    }
+    const missing = this.listMissing(this.clock.now());
+    return missing.length === 0
+      ? undefined
+      : `members are missing: ${missing.join(' ')}`;
+  }
+
+  private listMissing(now: number): string[] {
+    return this.lease?.listMissing(now) ?? [];
+  }
+
+  private isServing(now: number): boolean {
+    const {group} = this.membership;
+    const isReady = group !== null && this.orders.isInForce(group);
+    return isReady && (this.lease?.isHeld(now) ?? false);
+  }
+
+  private check(): void {
+    this.orders.refresh();
+    const isServing = this.isServing(this.clock.now());
+    if (isServing === this.wasServing) {
+      return;
+    }
+    this.wasServing = isServing;
+    const missing = this.listMissing(this.clock.now()).join(' ');
+    const reason = missing
+      ? `members are missing: ${missing}`
+      : 'the group or engine changed';
+    this.record(
+      isServing ? 'serving' : 'stopped-serving',
+      isServing ? 'every member is present' : reason,
+    );
+    this.runner.stopUnlawful();
+    this.session?.reportSoon();
+  }
+
+  private createReport(): HostReport | undefined {
+    const now = this.clock.now();
+    if (this.membership.isQuiet(now)) {
+      return undefined;
+    }
+    const {hostId, zone, domain, host} = this.settings;
+    const backend = this.slot.current;
+    return {
+      hostId,
+      incarnation: this.incarnation,
+      zone,
+      domain,
+      address: `${host}:${this.port}`,
+      backend: backend
+        ? {
+            kind: backend.kind,
+            name: backend.name,
+            accelerators: backend.accelerators,
+          }
+        : null,
+      isLeaving: this.isLeaving || (backend?.isLeaving ?? false),
+      assignment: this.membership.describe(now),
+      isServing: this.isServing(now),
+      missing: this.listMissing(now),
+      running: this.runner.runningCount,
+      bundleVersion: this.bundle?.version ?? 0,
+    };
+  }
+
+  private describe(): object {
+    return {
+      report: this.createReport() ?? null,
+      events: this.events.listSince(0),
+    };
+  }
+
+  private record(type: string, reason: string): void {
+    this.events.record({
+      type,
+      subject: 'host',
+      id: this.settings.hostId,
+      reason,
+    });
+  }
+}
--- /dev/null
+++ b/src/host/host_settings.ts
@@ -0,0 +1,17 @@
+import {TransportSecurity} from '../transport/transport_security';
+
+/** Everything that a host process is told when it starts. */
+export interface HostSettings {
+  readonly hostId: string;
+  readonly zone: string;
+  /** Fabric domain that this host belongs to. */
+  readonly domain: string;
+  /** Where entries and other members connect. */
+  readonly host: string;
+  readonly port: number;
+  /** Where the backend server announces itself. */
+  readonly announceHost: string;
+  readonly announcePort: number;
+  readonly control: readonly string[];
+  readonly security?: TransportSecurity;
+}
--- /dev/null
+++ b/src/host/running_attempt.ts
@@ -0,0 +1,185 @@
+/** One attempt that runs on the backend server, with its answer on the way back. */
+import {MessageOf} from '../protocol/message_of';
+import {Outcome} from '../protocol/outcome';
+import {SseSplitter} from '../protocol/sse_splitter';
+import {WorkMessage} from '../protocol/work_message';
+import {HttpBackend} from '../transport/http_backend';
+import {TransportError} from '../transport/transport_error';
+
+const MAX_PIECE_BYTES = 64 * 1024;
+const MAX_EVENT_BYTES = 1024 * 1024;
+const SERVER_ERROR = 500;
+const EVENT_STREAM = 'text/event-stream';
+
+/** How an attempt ended. */
+interface AttemptEnd {
+  readonly outcome: Outcome;
+  readonly reason: string;
+}
+
+/** What an attempt needs. */
+interface RunningAttemptOptions {
+  readonly dispatch: MessageOf<WorkMessage, 'dispatch'>;
+  readonly backend: HttpBackend;
+  readonly backendUrl: string;
+  /** The fencing number that the backend server is told. */
+  readonly epoch: number;
+  readonly send: (message: WorkMessage) => void;
+  /** Called before anything is passed on; a text stops the attempt. */
+  readonly checkRight: () => string | undefined;
+}
+
+/** Runs one attempt and sends its answer in frames, within the given credit. */
+export class RunningAttempt {
+  /** Resolves once, after the last frame was sent. */
+  readonly ended: Promise<AttemptEnd>;
+  private readonly abort = new AbortController();
+  private credit: number;
+  private resumeSending: (() => void) | undefined;
+  private sequence = 0;
+  private stopped: AttemptEnd | undefined;
+
+  private constructor(private readonly options: RunningAttemptOptions) {
+    this.credit = options.dispatch.credit;
+    this.ended = this.run();
+  }
+
+  /**
+   * Starts the attempt at once.
+   *
+   * @example
+   * const attempt = RunningAttempt.create({dispatch, backend, backendUrl, epoch, send, checkRight});
+   */
+  static create(options: RunningAttemptOptions): RunningAttempt {
+    return new RunningAttempt(options);
+  }
+
+  /** Lets more bytes of the answer go out. */
+  addCredit(bytes: number): void {
+    this.credit += bytes;
+    this.resumeSending?.();
+  }
+
+  /** Stops the work; the first reason stands. */
+  stop(end: AttemptEnd): void {
+    this.stopped ??= end;
+    this.abort.abort();
+    this.resumeSending?.();
+  }
+
+  private async run(): Promise<AttemptEnd> {
+    const {dispatch, send} = this.options;
+    let end: AttemptEnd;
+    try {
+      end = await this.forward();
+    } catch (error) {
+      if (isNeverSent(error) && !this.stopped) {
+        const reason = 'the backend server does not accept connections';
+        send({
+          type: 'refused',
+          stream: dispatch.stream,
+          reason,
+          retryAfterMs: 1_000,
+        });
+        return {outcome: 'not-run', reason};
+      }
+      end = this.stopped ?? {
+        outcome: 'unknown',
+        reason: (error as Error).message,
+      };
+    }
+    const {outcome, reason} = end;
+    send({
+      type: 'end',
+      stream: dispatch.stream,
+      frames: this.sequence,
+      outcome,
+      reason,
+    });
+    return end;
+  }
+
+  private async forward(): Promise<AttemptEnd> {
+    const {dispatch, backend, backendUrl, epoch, send} = this.options;
+    const {method, path, headers, body, stream} = dispatch;
+    const answer = await backend.call({
+      url: backendUrl,
+      method,
+      path,
+      headers: {
+        ...headers,
+        'whinreel-attempt-id': dispatch.attemptId,
+        'whinreel-epoch': String(epoch),
+      },
+      body,
+      signal: this.abort.signal,
+    });
+    this.checkStillAllowed();
+    send({
+      type: 'head',
+      stream,
+      status: answer.status,
+      headers: answer.headers,
+    });
+    const isEvents =
+      answer.headers['content-type']?.startsWith(EVENT_STREAM) ?? false;
+    const splitter = isEvents ? SseSplitter.create() : undefined;
+    for await (const chunk of answer.body) {
+      this.checkStillAllowed();
+      await this.sendPieces(splitter ? splitter.split(chunk) : chunk);
+      if ((splitter?.pendingBytes ?? 0) > MAX_EVENT_BYTES) {
+        return {
+          outcome: 'failed',
+          reason: 'the backend server sent an event without an end',
+        };
+      }
+    }
+    this.checkStillAllowed();
+    if (answer.status >= SERVER_ERROR) {
+      return {
+        outcome: 'failed',
+        reason: `the backend server answered ${answer.status}`,
+      };
+    }
+    if (splitter && !splitter.isComplete) {
+      return {
+        outcome: 'failed',
+        reason: 'the backend server ended without its end mark',
+      };
+    }
+    return {outcome: 'answered', reason: ''};
+  }
+
+  private async sendPieces(bytes: Buffer): Promise<void> {
+    for (let offset = 0; offset < bytes.length; offset += MAX_PIECE_BYTES) {
+      const piece = bytes.subarray(offset, offset + MAX_PIECE_BYTES);
+      while (this.credit <= 0) {
+        await new Promise<void>(resolve => (this.resumeSending = resolve));
+        this.checkStillAllowed();
+      }
+      this.credit -= piece.length;
+      const {stream} = this.options.dispatch;
+      this.options.send({
+        type: 'data',
+        stream,
+        sequence: this.sequence,
+        bytes: piece,
+      });
+      this.sequence += 1;
+    }
+  }
+
+  private checkStillAllowed(): void {
+    const refusal = this.options.checkRight();
+    if (refusal) {
+      this.stop({outcome: 'failed', reason: refusal});
+    }
+    if (this.stopped) {
+      throw new TransportError({name: 'Stopped'}, this.stopped.reason);
+    }
+  }
+}
+
+function isNeverSent(error: unknown): boolean {
+  return error instanceof TransportError && error.name === 'NeverSent';
+}
--- /dev/null
+++ b/src/host/work_runner.ts
@@ -0,0 +1,212 @@
+/** Takes dispatches from entries, runs them, answers for their fate. */
+import {Clock} from '../common/clock';
+import {EventRing} from '../common/event_ring';
+import {DispatchLedger} from '../coordination/dispatch_ledger';
+import {Message} from '../protocol/message';
+import {MessageOf} from '../protocol/message_of';
+import {Peer} from '../protocol/peer';
+import {WorkMessage} from '../protocol/work_message';
+import {HttpBackend} from '../transport/http_backend';
+import {RunningAttempt} from './running_attempt';
+
+const REPORT_CLOCK_MS = 1_000;
+const REFUSAL_RETRY_MS = 250;
+
+type Dispatch = MessageOf<WorkMessage, 'dispatch'>;
+
+/** What the runner needs from its host process. */
+interface WorkRunnerOptions {
+  readonly incarnation: string;
+  readonly clock: Clock;
+  readonly events: EventRing;
+  readonly backend: HttpBackend;
+  readonly findBackendUrl: () => string | undefined;
+  /** Why a dispatch must not start now, if so. */
+  readonly refuse: (dispatch: Dispatch, now: number) => string | undefined;
+  /** Why work for this group and epoch must stop, if so. */
+  readonly checkRight: (dispatch: Dispatch) => string | undefined;
+}
+
+/** One entry's connection with the attempts that came over it. */
+interface EntryConnection {
+  readonly peer: Peer;
+  readonly attempts: Map<number, RunningAttempt>;
+}
+
+type Handlers = {
+  [T in WorkMessage['type']]?: (
+    connection: EntryConnection,
+    message: MessageOf<WorkMessage, T>,
+  ) => void;
+};
+
+/** Runs work on the backend server for every connected entry. */
+export class WorkRunner {
+  private readonly ledger = DispatchLedger.create();
+  private readonly running = new Map<RunningAttempt, Dispatch>();
+  private readonly connections = new Set<EntryConnection>();
+  private readonly timer: NodeJS.Timeout;
+
+  private constructor(private readonly options: WorkRunnerOptions) {
+    this.timer = setInterval(() => this.reportClocks(), REPORT_CLOCK_MS);
+  }
+
+  /**
+   * Creates a runner without connections.
+   *
+   * @example
+   * const runner = WorkRunner.create(options);
+   * runner.accept(peer);
+   */
+  static create(options: WorkRunnerOptions): WorkRunner {
+    return new WorkRunner(options);
+  }
+
+  /** Attempts that run now. */
+  get runningCount(): number {
+    return this.running.size;
+  }
+
+  /** Serves an entry until its connection ends. */
+  accept(peer: Peer): void {
+    const connection: EntryConnection = {peer, attempts: new Map()};
+    this.connections.add(connection);
+    this.reportClock(peer);
+    void peer.messages
+      .observe(message => this.receive(connection, message))
+      .catch(() => peer.close());
+    void peer.closed.then(() => {
+      this.connections.delete(connection);
+      for (const attempt of connection.attempts.values()) {
+        attempt.stop({outcome: 'unknown', reason: 'the entry went away'});
+      }
+    });
+  }
+
+  /** Stops everything that lost its right to run. */
+  stopUnlawful(): void {
+    for (const [attempt, dispatch] of this.running) {
+      const reason = this.options.checkRight(dispatch);
+      if (reason) {
+        attempt.stop({outcome: 'failed', reason});
+      }
+    }
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+    for (const {peer} of this.connections) {
+      peer.close();
+    }
+  }
+
+  private receive(connection: EntryConnection, message: Message): void {
+    const handler = this.handlers[message.type as WorkMessage['type']];
+    handler?.(connection, message as never);
+  }
+
+  private readonly handlers: Handlers = {
+    dispatch: (connection, message) => this.dispatch(connection, message),
+    credit: ({attempts}, {stream, bytes}) =>
+      attempts.get(stream)?.addCredit(bytes),
+    cancel: ({attempts}, {stream}) =>
+      attempts
+        .get(stream)
+        ?.stop({outcome: 'failed', reason: 'the caller went away'}),
+    'tombstone-ask': ({peer}, {attemptId}) =>
+      this.answerTombstone(peer, attemptId),
+  };
+
+  private dispatch(connection: EntryConnection, dispatch: Dispatch): void {
+    const {clock, refuse, findBackendUrl} = this.options;
+    // Read after the frame: after a pause the frame may be old, the clock is not.
+    const now = clock.now();
+    const {attemptId, stream} = dispatch;
+    const known = this.ledger.find(attemptId);
+    if (known && known.status !== 'never-started') {
+      const reason = 'this attempt was started before';
+      connection.peer.send({
+        type: 'end',
+        stream,
+        frames: 0,
+        outcome: 'unknown',
+        reason,
+      });
+      return;
+    }
+    const url = findBackendUrl();
+    const refusal = known
+      ? 'the attempt was given up before it came'
+      : refuse(dispatch, now);
+    if (refusal || !url) {
+      // Once refused it must never start, however often its frame comes.
+      this.ledger.recordTombstone(attemptId, now);
+      const reason = refusal ?? 'no backend server is announced';
+      connection.peer.send({
+        type: 'refused',
+        stream,
+        reason,
+        retryAfterMs: REFUSAL_RETRY_MS,
+      });
+      return;
+    }
+    this.ledger.start(attemptId, now);
+    this.run(connection, dispatch, url);
+  }
+
+  private run(
+    connection: EntryConnection,
+    dispatch: Dispatch,
+    backendUrl: string,
+  ): void {
+    const {backend, checkRight, events} = this.options;
+    const attempt = RunningAttempt.create({
+      dispatch,
+      backend,
+      backendUrl,
+      epoch: dispatch.epoch,
+      send: message => connection.peer.send(message),
+      checkRight: () => checkRight(dispatch),
+    });
+    this.running.set(attempt, dispatch);
+    connection.attempts.set(dispatch.stream, attempt);
+    void attempt.ended.then(({outcome, reason}) => {
+      this.running.delete(attempt);
+      connection.attempts.delete(dispatch.stream);
+      this.ledger.end(dispatch.attemptId, outcome);
+      if (outcome !== 'answered') {
+        const {attemptId: id} = dispatch;
+        events.record({
+          type: `attempt-${outcome}`,
+          subject: 'request',
+          id,
+          reason,
+        });
+      }
+    });
+  }
+
+  private answerTombstone(peer: Peer, attemptId: string): void {
+    const fate = this.ledger.recordTombstone(
+      attemptId,
+      this.options.clock.now(),
+    );
+    const verdict = fate.status;
+    const outcome = fate.status === 'ended' ? fate.outcome : undefined;
+    peer.send({type: 'tombstone-answer', attemptId, verdict, outcome});
+  }
+
+  private reportClocks(): void {
+    this.connections.forEach(({peer}) => this.reportClock(peer));
+  }
+
+  private reportClock(peer: Peer): void {
+    const {incarnation, clock} = this.options;
+    peer.send({
+      type: 'clock',
+      incarnation,
+      now: clock.now(),
+      running: this.running.size,
+    });
+  }
+}
--- /dev/null
+++ b/src/operator/json_reporter.ts
@@ -0,0 +1,21 @@
+import {OperatorEvent} from './operator_event';
+import {OperatorReporter} from './operator_reporter';
+
+/** Writes each event as one line of JSON. */
+export class JsonReporter implements OperatorReporter {
+  private constructor(private readonly write: (text: string) => void) {}
+
+  /**
+   * Creates a reporter.
+   *
+   * @example
+   * const reporter = JsonReporter.create(text => process.stdout.write(text));
+   */
+  static create(write: (text: string) => void): JsonReporter {
+    return new JsonReporter(write);
+  }
+
+  report(event: OperatorEvent): void {
+    this.write(`${JSON.stringify(event)}\n`);
+  }
+}
--- /dev/null
+++ b/src/operator/operator_event.ts
@@ -0,0 +1,54 @@
+import {Bundle} from '../protocol/bundle';
+import {FleetStatus} from '../protocol/fleet_status';
+import {JournalEntry} from '../state/journal_entry';
+
+/** What a command of `whinreel` has to tell; reporters turn it into text or JSON. */
+export type OperatorEvent =
+  | {
+      readonly type: 'key-created';
+      readonly keyId: string;
+      readonly files: readonly string[];
+    }
+  | {
+      readonly type: 'bundle-checked';
+      readonly bundle: Bundle;
+      readonly digest: string;
+    }
+  | {
+      readonly type: 'bundle-signed';
+      readonly file: string;
+      readonly version: number;
+      readonly digest: string;
+      readonly keyId: string;
+    }
+  | {
+      readonly type: 'bundle-compared';
+      readonly changes: ReadonlyArray<{
+        path: string;
+        before: string;
+        after: string;
+      }>;
+    }
+  | {
+      readonly type: 'rolled-out';
+      readonly isAccepted: boolean;
+      readonly reason: string;
+      readonly version: number;
+      readonly digest: string;
+      readonly keyId: string;
+    }
+  | {
+      readonly type: 'in-force';
+      readonly version: number;
+      readonly inForce: number;
+      readonly of: number;
+    }
+  | {readonly type: 'status'; readonly status: FleetStatus}
+  | {readonly type: 'journal'; readonly entries: readonly JournalEntry[]}
+  | {
+      readonly type: 'drain-ordered';
+      readonly hostId: string;
+      readonly isDraining: boolean;
+      readonly isAccepted: boolean;
+      readonly reason: string;
+    };
--- /dev/null
+++ b/src/operator/operator_reporter.ts
@@ -0,0 +1,6 @@
+import {OperatorEvent} from './operator_event';
+
+/** Shows what a command has to tell. */
+export interface OperatorReporter {
+  report(event: OperatorEvent): void;
+}
--- /dev/null
+++ b/src/protocol/claim_verdict.ts
@@ -0,0 +1,21 @@
+import {z} from 'zod';
+import {Outcome} from './outcome';
+
+/** The answer to a claim of a once-only request. */
+export const ClaimVerdict = z.discriminatedUnion('status', [
+  z.object({status: z.literal('granted')}),
+  z.object({
+    status: z.literal('in-progress'),
+    attemptId: z.string(),
+    hostId: z.string(),
+    incarnation: z.string(),
+    address: z.string(),
+  }),
+  z.object({
+    status: z.literal('ended'),
+    attemptId: z.string(),
+    outcome: Outcome,
+  }),
+  z.object({status: z.literal('key-reused')}),
+]);
+export type ClaimVerdict = z.infer<typeof ClaimVerdict>;
--- /dev/null
+++ b/src/protocol/compute_digest.ts
@@ -0,0 +1,11 @@
+import {createHash} from 'node:crypto';
+
+/**
+ * SHA-256 of text or bytes, in hex.
+ *
+ * @example
+ * computeDigest('secret-key');
+ */
+export function computeDigest(text: string | Uint8Array): string {
+  return createHash('sha256').update(text).digest('hex');
+}
--- /dev/null
+++ b/src/protocol/connect_peer.ts
@@ -0,0 +1,24 @@
+import {FrameConnection} from '../transport/frame_connection';
+import {TransportSecurity} from '../transport/transport_security';
+import {parseAddress} from './parse_address';
+import {Peer} from './peer';
+
+/**
+ * Connects to another process and exchanges hellos.
+ *
+ * @param address `host:port`
+ * @throws TransportError when nobody answers there
+ * @example
+ * const peer = await connectPeer('127.0.0.1:7000', {program: 'entry', id: 'e1', incarnation});
+ */
+export async function connectPeer(
+  address: string,
+  identity: Parameters<typeof Peer.create>[1],
+  security?: TransportSecurity,
+): Promise<Peer> {
+  const connection = await FrameConnection.connect({
+    ...parseAddress(address),
+    security,
+  });
+  return Peer.create(connection, identity);
+}
--- /dev/null
+++ b/src/protocol/control_client.ts
@@ -0,0 +1,162 @@
+/** Finds the control leader and asks it. */
+import {TransportSecurity} from '../transport/transport_security';
+import {connectPeer} from './connect_peer';
+import {ControlMessage} from './control_message';
+import {Message} from './message';
+import {MessageOf} from './message_of';
+import {Peer} from './peer';
+import {ProtocolError} from './protocol_error';
+
+const DEFAULT_TIMEOUT_MS = 1_500;
+const RETRY_PAUSE_MS = 50;
+
+/** Answer types by the type of the call. */
+interface Answers {
+  'host-report': 'host-directive';
+  'entry-report': 'entry-directive';
+  'claim-ask': 'claim-answer';
+  'claim-resolve': 'claim-resolved';
+  'roll-out-ask': 'roll-out-answer';
+  'status-ask': 'status-answer';
+  'journal-ask': 'journal-answer';
+  'drain-ask': 'drain-answer';
+}
+type Ask = MessageOf<ControlMessage, keyof Answers>;
+type WithoutCall<T> = T extends unknown ? Omit<T, 'call'> : never;
+
+/** How to reach control and who asks. */
+interface ControlClientOptions {
+  readonly addresses: readonly string[];
+  readonly identity: Parameters<typeof Peer.create>[1];
+  readonly security?: TransportSecurity;
+}
+
+/** Asks the leader, following redirects and trying every control process in turn. */
+export class ControlClient {
+  private peer: Peer | undefined;
+  private connecting: Promise<Peer> | undefined;
+  private readonly pending = new Map<
+    number,
+    (answer: ControlMessage | undefined) => void
+  >();
+  private lastCall = 0;
+  private nextAddress = 0;
+  private leader: string | undefined;
+  private isClosed = false;
+
+  private constructor(private readonly options: ControlClientOptions) {}
+
+  /**
+   * Creates a client; it connects with the first call.
+   *
+   * @example
+   * const client = ControlClient.create({addresses: ['127.0.0.1:7000'], identity});
+   * const answer = await client.ask({type: 'status-ask'}, 2000);
+   */
+  static create(options: ControlClientOptions): ControlClient {
+    return new ControlClient(options);
+  }
+
+  /**
+   * Asks until the leader answers or the time runs out. The call may reach
+   * control more than once, so every call is idempotent there.
+   *
+   * @param timeoutMs milliseconds in all
+   * @throws ProtocolError when no leader answered in time
+   */
+  async ask<T extends keyof Answers>(
+    ask: WithoutCall<MessageOf<ControlMessage, T>> & {type: T},
+    timeoutMs = DEFAULT_TIMEOUT_MS,
+  ): Promise<MessageOf<ControlMessage, Answers[T]>> {
+    const deadline = performance.now() + timeoutMs;
+    let lastError: Error | undefined;
+    while (!this.isClosed && performance.now() < deadline) {
+      const answer = await this.askOnce(
+        ask as WithoutCall<Ask>,
+        deadline,
+      ).catch((error: Error) => {
+        lastError = error;
+        return undefined;
+      });
+      if (answer && answer.type !== 'not-leader') {
+        return answer as unknown as MessageOf<ControlMessage, Answers[T]>;
+      }
+      this.dropPeer(answer?.leader);
+      await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
+    }
+    const message = `no control leader answered at ${this.options.addresses.join(', ')}`;
+    throw lastError
+      ? new ProtocolError(lastError, message)
+      : new ProtocolError(message);
+  }
+
+  /** Closes the connection and gives up what is pending. */
+  close(): void {
+    this.isClosed = true;
+    this.dropPeer(undefined);
+  }
+
+  private async askOnce(
+    ask: WithoutCall<Ask>,
+    deadline: number,
+  ): Promise<ControlMessage | undefined> {
+    const peer = await this.getPeer();
+    const call = ++this.lastCall;
+    return new Promise(resolve => {
+      const finish = (answer: ControlMessage | undefined) => {
+        clearTimeout(timer);
+        this.pending.delete(call);
+        resolve(answer);
+      };
+      const remaining = Math.max(0, deadline - performance.now());
+      const timer = setTimeout(
+        () => finish(undefined),
+        Math.min(remaining, DEFAULT_TIMEOUT_MS),
+      );
+      this.pending.set(call, finish);
+      peer.send({...ask, call} as Message);
+    });
+  }
+
+  private getPeer(): Promise<Peer> {
+    if (this.peer?.isOpen) {
+      return Promise.resolve(this.peer);
+    }
+    this.connecting ??= this.connect().finally(
+      () => (this.connecting = undefined),
+    );
+    return this.connecting;
+  }
+
+  private async connect(): Promise<Peer> {
+    const {addresses, identity, security} = this.options;
+    const address =
+      this.leader ?? addresses[this.nextAddress++ % addresses.length];
+    this.leader = undefined;
+    const peer = await connectPeer(address, identity, security);
+    void peer.messages.observe(message => this.receive(message));
+    void peer.closed.then(() => {
+      if (this.peer === peer) {
+        this.dropPeer(undefined);
+      }
+    });
+    this.peer = peer;
+    return peer;
+  }
+
+  private receive(message: Message): void {
+    if ('call' in message) {
+      this.pending.get(message.call)?.(message);
+    }
+  }
+
+  private dropPeer(leader: string | undefined): void {
+    this.leader = leader;
+    const peer = this.peer;
+    this.peer = undefined;
+    peer?.close();
+    for (const finish of [...this.pending.values()]) {
+      finish(undefined);
+    }
+  }
+}
--- /dev/null
+++ b/src/protocol/control_command.ts
@@ -0,0 +1,69 @@
+/** Commands of the replicated log. Every table of control is derived from them. */
+import {z} from 'zod';
+import {Group} from './group';
+import {Outcome} from './outcome';
+import {SignedBundle} from './signed_bundle';
+
+/** Wall-clock milliseconds at the leader that proposed it. */
+const Time = z.number();
+const Claim = z.object({
+  workspace: z.string(),
+  key: z.string(),
+  attemptId: z.string(),
+});
+
+export const ControlCommand = z.discriminatedUnion('type', [
+  z.object({type: z.literal('start-term'), time: Time}),
+  /** A control process with this name now keeps its state under this identity. */
+  z.object({
+    type: z.literal('set-voter'),
+    time: Time,
+    name: z.string(),
+    identity: z.string(),
+  }),
+  z.object({type: z.literal('roll-out'), time: Time, bundle: SignedBundle}),
+  z.object({
+    type: z.literal('set-group'),
+    time: Time,
+    group: Group,
+    reason: z.string(),
+  }),
+  z.object({
+    type: z.literal('remove-group'),
+    time: Time,
+    groupId: z.string(),
+    epoch: z.int(),
+    reason: z.string(),
+  }),
+  /** Stops new work on a group without touching what is in flight: the epoch stays. */
+  z.object({
+    type: z.literal('drain-group'),
+    time: Time,
+    groupId: z.string(),
+    epoch: z.int(),
+    reason: z.string(),
+  }),
+  z.object({
+    type: z.literal('drain-host'),
+    time: Time,
+    hostId: z.string(),
+    isDraining: z.boolean(),
+    keyId: z.string(),
+  }),
+  Claim.extend({
+    type: z.literal('claim'),
+    time: Time,
+    digest: z.string(),
+    groupId: z.string(),
+    epoch: z.int(),
+    hostId: z.string(),
+    incarnation: z.string(),
+    address: z.string(),
+  }),
+  Claim.extend({
+    type: z.literal('resolve-claim'),
+    time: Time,
+    outcome: Outcome,
+  }),
+]);
+export type ControlCommand = z.infer<typeof ControlCommand>;
--- /dev/null
+++ b/src/protocol/control_message.ts
@@ -0,0 +1,117 @@
+/** Calls to the control leader and their answers, matched by `call`. */
+import {z} from 'zod';
+import {ClaimVerdict} from './claim_verdict';
+import {Group} from './group';
+import {HostReport} from './host_report';
+import {Outcome} from './outcome';
+import {SignedBundle} from './signed_bundle';
+
+const Call = z.int().nonnegative();
+
+export const ControlMessage = z.discriminatedUnion('type', [
+  z.object({type: z.literal('host-report'), call: Call, report: HostReport}),
+  z.object({
+    type: z.literal('host-directive'),
+    call: Call,
+    /** How long the receiver may take new work, from when it asked. */
+    leaseMs: z.number(),
+    bundleVersion: z.int(),
+    /** Present when the asker reported another version. */
+    bundle: SignedBundle.optional(),
+    group: Group.nullable(),
+  }),
+  z.object({
+    type: z.literal('entry-report'),
+    call: Call,
+    entryId: z.string().max(128),
+    bundleVersion: z.int().nonnegative(),
+    /** The newest routing table that the entry holds; 0 for none. */
+    tableVersion: z.int().nonnegative(),
+  }),
+  z.object({
+    type: z.literal('entry-directive'),
+    call: Call,
+    leaseMs: z.number(),
+    bundleVersion: z.int(),
+    bundle: SignedBundle.optional(),
+    tableVersion: z.int(),
+    groups: z.array(Group).optional(),
+    entries: z.int().positive(),
+  }),
+  z.object({
+    type: z.literal('claim-ask'),
+    call: Call,
+    claim: z.object({
+      workspace: z.string(),
+      key: z.string().max(256),
+      attemptId: z.string(),
+      digest: z.string(),
+      groupId: z.string(),
+      epoch: z.int(),
+      hostId: z.string(),
+      incarnation: z.string(),
+      address: z.string(),
+    }),
+  }),
+  z.object({
+    type: z.literal('claim-answer'),
+    call: Call,
+    verdict: ClaimVerdict,
+  }),
+  z.object({
+    type: z.literal('claim-resolve'),
+    call: Call,
+    workspace: z.string(),
+    key: z.string(),
+    attemptId: z.string(),
+    outcome: Outcome,
+  }),
+  z.object({type: z.literal('claim-resolved'), call: Call}),
+  z.object({type: z.literal('roll-out-ask'), call: Call, bundle: SignedBundle}),
+  z.object({
+    type: z.literal('roll-out-answer'),
+    call: Call,
+    isAccepted: z.boolean(),
+    version: z.int(),
+    digest: z.string(),
+    keyId: z.string(),
+    reason: z.string(),
+  }),
+  z.object({type: z.literal('status-ask'), call: Call}),
+  z.object({type: z.literal('status-answer'), call: Call, status: z.unknown()}),
+  z.object({
+    type: z.literal('journal-ask'),
+    call: Call,
+    subject: z.string().optional(),
+    id: z.string().optional(),
+    after: z.int().nonnegative(),
+  }),
+  z.object({
+    type: z.literal('journal-answer'),
+    call: Call,
+    entries: z.array(z.unknown()),
+  }),
+  z.object({
+    type: z.literal('drain-ask'),
+    call: Call,
+    hostId: z.string(),
+    isDraining: z.boolean(),
+    /** Wall-clock milliseconds at the operator's machine. */
+    time: z.number(),
+    keyId: z.string(),
+    signature: z.string(),
+  }),
+  z.object({
+    type: z.literal('drain-answer'),
+    call: Call,
+    isAccepted: z.boolean(),
+    reason: z.string(),
+  }),
+  z.object({
+    type: z.literal('not-leader'),
+    call: Call,
+    /** Where the leader is believed to be. */
+    leader: z.string().optional(),
+  }),
+]);
+export type ControlMessage = z.infer<typeof ControlMessage>;
--- /dev/null
+++ b/src/protocol/message.ts
@@ -0,0 +1,18 @@
+import {z} from 'zod';
+import {ControlMessage} from './control_message';
+import {FormationMessage} from './formation_message';
+import {HelloMessage} from './hello_message';
+import {MembershipMessage} from './membership_message';
+import {RaftMessage} from './raft_message';
+import {WorkMessage} from './work_message';
+
+/** Every message between the system's own processes. */
+export const Message = z.discriminatedUnion('type', [
+  HelloMessage,
+  WorkMessage,
+  MembershipMessage,
+  ControlMessage,
+  RaftMessage,
+  FormationMessage,
+]);
+export type Message = z.infer<typeof Message>;
--- /dev/null
+++ b/src/state/cluster_state.ts
@@ -0,0 +1,235 @@
+/** Every table of control, derived from the log by applying its commands in order. */
+import {Decoder, Encoder} from 'cbor-x';
+import {z} from 'zod';
+import {ControlCommand} from '../protocol/control_command';
+import {LogEntry} from '../protocol/log_entry';
+import {MessageOf} from '../protocol/message_of';
+import {BundleTable} from './bundle_table';
+import {ClaimTable} from './claim_table';
+import {CommandResult} from './command_result';
+import {GroupTable} from './group_table';
+import {JournalEntry} from './journal_entry';
+
+const MAX_JOURNAL_ENTRIES = 10_000;
+const MS_PER_MINUTE = 60_000;
+const encoder = new Encoder({useRecords: false});
+const decoder = new Decoder({useRecords: false, mapsAsObjects: true});
+
+const Snapshot = z.object({
+  time: z.number(),
+  bundles: z.unknown(),
+  groups: z.unknown(),
+  claims: z.unknown(),
+  drained: z.array(z.string()),
+  journal: z.array(JournalEntry),
+});
+
+type Handlers = {
+  [T in ControlCommand['type']]: (
+    command: MessageOf<ControlCommand, T>,
+    index: number,
+  ) => CommandResult;
+};
+type Note = Omit<JournalEntry, 'index' | 'time' | 'details'> & {
+  details?: JournalEntry['details'];
+};
+
+/** The replicated tables. */
+export class ClusterState {
+  readonly bundles: BundleTable;
+  readonly groups: GroupTable;
+  readonly claims: ClaimTable;
+  private readonly drained: Set<string>;
+  private journal: JournalEntry[];
+  private committedTime: number;
+
+  private constructor(snapshot: z.infer<typeof Snapshot> | undefined) {
+    this.bundles = BundleTable.create(snapshot?.bundles);
+    this.groups = GroupTable.create(snapshot?.groups);
+    this.claims = ClaimTable.create(snapshot?.claims);
+    this.drained = new Set(snapshot?.drained);
+    this.journal = snapshot?.journal ?? [];
+    this.committedTime = snapshot?.time ?? 0;
+  }
+
+  /**
+   * Creates empty tables, or those of a snapshot.
+   *
+   * @example
+   * const state = ClusterState.create();
+   * state.apply(entry);
+   */
+  static create(snapshot?: Uint8Array): ClusterState {
+    const isEmpty = !snapshot || snapshot.length === 0;
+    return new ClusterState(
+      isEmpty ? undefined : Snapshot.parse(decoder.decode(snapshot)),
+    );
+  }
+
+  /** Wall-clock milliseconds of the newest command; never goes back. */
+  get time(): number {
+    return this.committedTime;
+  }
+
+  /** True for a host that an operator drains. */
+  isDrained(hostId: string): boolean {
+    return this.drained.has(hostId);
+  }
+
+  /** Journal entries, oldest first, about one subject or all. */
+  listJournal(filter: {
+    subject?: string;
+    id?: string;
+    after: number;
+  }): JournalEntry[] {
+    return this.journal.filter(
+      entry =>
+        entry.index > filter.after &&
+        (filter.subject === undefined || entry.subject === filter.subject) &&
+        (filter.id === undefined || entry.id === filter.id),
+    );
+  }
+
+  /** Applies one committed entry. */
+  apply(entry: LogEntry): CommandResult {
+    const {command, index} = entry;
+    this.committedTime = Math.max(this.committedTime, command.time);
+    return this.handlers[command.type](command as never, index);
+  }
+
+  /** All tables as bytes. */
+  save(): Uint8Array {
+    return encoder.encode({
+      time: this.committedTime,
+      bundles: this.bundles.save(),
+      groups: this.groups.save(),
+      claims: this.claims.save(),
+      drained: [...this.drained],
+      journal: this.journal,
+    });
+  }
+
+  private readonly handlers: Handlers = {
+    'start-term': () => ({isAccepted: true, reason: 'started'}),
+    'set-voter': (command, index) => {
+      const reason = `${command.name} starts anew with an empty disk as ${command.identity}`;
+      this.record(index, {
+        type: 'voter-replaced',
+        subject: 'control',
+        id: command.name,
+        reason,
+      });
+      return {isAccepted: true, reason};
+    },
+    'roll-out': (command, index) => this.rollOut(command, index),
+    'set-group': (command, index) => this.setGroup(command, index),
+    'remove-group': (command, index) => {
+      const result = this.groups.remove(command.groupId, command.epoch);
+      return this.recordGroupChange(index, 'group-removed', command, result);
+    },
+    'drain-group': (command, index) => {
+      const result = this.groups.drain(command.groupId, command.epoch);
+      return this.recordGroupChange(index, 'group-draining', command, result);
+    },
+    'drain-host': (command, index) => this.drainHost(command, index),
+    claim: command => {
+      const keepMs =
+        (this.bundles.bundle?.onceOnly.keepMinutes ?? 0) * MS_PER_MINUTE;
+      this.claims.expire(this.committedTime - keepMs);
+      const verdict = this.claims.claim(command);
+      return {
+        isAccepted: verdict.status === 'granted',
+        reason: verdict.status,
+        verdict,
+      };
+    },
+    'resolve-claim': command => {
+      const isAccepted = this.claims.resolve(command);
+      return {
+        isAccepted,
+        reason: isAccepted ? 'recorded' : 'an earlier outcome stands',
+      };
+    },
+  };
+
+  private rollOut(
+    command: MessageOf<ControlCommand, 'roll-out'>,
+    index: number,
+  ): CommandResult {
+    const before = this.bundles.version;
+    const result = this.bundles.rollOut(command.bundle, command.time);
+    const isNew = this.bundles.version !== before;
+    if (isNew || !result.isAccepted) {
+      this.record(index, {
+        type: result.isAccepted ? 'bundle-accepted' : 'bundle-refused',
+        subject: 'bundle',
+        id: String(result.isAccepted ? this.bundles.version : before + 1),
+        reason: result.reason,
+        details: {keyId: command.bundle.keyId},
+      });
+    }
+    return result;
+  }
+
+  private setGroup(
+    command: MessageOf<ControlCommand, 'set-group'>,
+    index: number,
+  ): CommandResult {
+    const {group} = command;
+    const result = this.groups.set(group);
+    this.record(index, {
+      type: result.isAccepted ? 'group-set' : 'group-refused',
+      subject: 'group',
+      id: group.id,
+      reason: result.isAccepted ? command.reason : result.reason,
+      details: {
+        epoch: group.epoch,
+        members: group.members.map(member => member.hostId).join(' '),
+        isDraining: group.isDraining,
+      },
+    });
+    return result;
+  }
+
+  private recordGroupChange(
+    index: number,
+    type: string,
+    command: {groupId: string; reason: string},
+    result: CommandResult,
+  ): CommandResult {
+    if (result.isAccepted) {
+      const {groupId: id, reason} = command;
+      this.record(index, {type, subject: 'group', id, reason});
+    }
+    return result;
+  }
+
+  private drainHost(
+    command: MessageOf<ControlCommand, 'drain-host'>,
+    index: number,
+  ): CommandResult {
+    const {hostId, isDraining, keyId} = command;
+    if (isDraining) {
+      this.drained.add(hostId);
+    } else {
+      this.drained.delete(hostId);
+    }
+    const type = isDraining ? 'host-drained' : 'host-undrained';
+    const reason = `ordered by the operator with key ${keyId}`;
+    this.record(index, {
+      type,
+      subject: 'host',
+      id: hostId,
+      reason,
+      details: {keyId},
+    });
+    return {isAccepted: true, reason};
+  }
+
+  private record(index: number, note: Note): void {
+    this.journal.push({details: {}, ...note, index, time: this.committedTime});
+    if (this.journal.length > MAX_JOURNAL_ENTRIES * 1.2) {
+      this.journal = this.journal.slice(-MAX_JOURNAL_ENTRIES);
+    }
+  }
+}
--- /dev/null
+++ b/src/state/command_result.ts
@@ -0,0 +1,15 @@
+import {ClaimVerdict} from '../protocol/claim_verdict';
+
+/** What applying a command to the tables led to. */
+export interface CommandResult {
+  readonly isAccepted: boolean;
+  readonly reason: string;
+  /** For roll-outs: the bundle that stands. */
+  readonly bundle?: {
+    readonly version: number;
+    readonly digest: string;
+    readonly keyId: string;
+  };
+  /** For claims. */
+  readonly verdict?: ClaimVerdict;
+}
--- /dev/null
+++ b/src/state/control_disk.ts
@@ -0,0 +1,106 @@
+/** The data folder of a control process: lock, identity, snapshot and log. */
+import {randomBytes} from 'node:crypto';
+import {mkdir, readFile, rm, writeFile} from 'node:fs/promises';
+import * as path from 'node:path';
+import {readIfPresent} from './read_if_present';
+import {replaceFile} from './replace_file';
+import {SnapshotStore} from './snapshot_store';
+import {StateError} from './state_error';
+import {WriteAheadLog} from './write_ahead_log';
+
+const LOCK_FILE = 'lock';
+const IDENTITY_FILE = 'identity';
+const DISK_ID_BYTES = 8;
+
+/** An opened data folder. */
+export class ControlDisk {
+  private constructor(
+    private readonly folder: string,
+    /** Name of the process and of this very disk: a new disk is a new voter. */
+    readonly identity: string,
+    readonly snapshots: SnapshotStore,
+    readonly log: WriteAheadLog,
+  ) {}
+
+  /**
+   * Opens a data folder, creating it when it is not there.
+   *
+   * @param name the name of this control process
+   * @throws StateError when the folder is in use or damaged
+   * @example
+   * const disk = await ControlDisk.create('data', 'control-a');
+   */
+  static async create(folder: string, name: string): Promise<ControlDisk> {
+    await mkdir(folder, {recursive: true});
+    await takeLock(folder);
+    const identity = await readOrCreateIdentity(folder, name);
+    const snapshots = await SnapshotStore.create(folder);
+    const log = await WriteAheadLog.create(folder);
+    return new ControlDisk(folder, identity, snapshots, log);
+  }
+
+  /** Closes the log and gives the folder free. */
+  async close(): Promise<void> {
+    await this.log.close();
+    await rm(path.join(this.folder, LOCK_FILE), {force: true});
+  }
+}
+
+async function readOrCreateIdentity(
+  folder: string,
+  name: string,
+): Promise<string> {
+  const file = path.join(folder, IDENTITY_FILE);
+  const known = await readIfPresent(file);
+  if (!known) {
+    const identity = `${name}/${randomBytes(DISK_ID_BYTES).toString('hex')}`;
+    await replaceFile(file, Buffer.from(identity));
+    return identity;
+  }
+  const identity = known.toString();
+  if (!identity.startsWith(`${name}/`)) {
+    throw new StateError(
+      'the data folder %s belongs to "%s", not to "%s"',
+      folder,
+      identity.split('/')[0],
+      name,
+    );
+  }
+  return identity;
+}
+
+/** The lock names a process and its start time, since process ids are used again. */
+async function takeLock(folder: string): Promise<void> {
+  const file = path.join(folder, LOCK_FILE);
+  const owner = (await readIfPresent(file))?.toString();
+  if (owner) {
+    const [pid, startTime] = owner.split(' ');
+    if (
+      Number(pid) !== process.pid &&
+      (await readStartTime(pid)) === startTime
+    ) {
+      throw new StateError(
+        'the data folder %s is in use by process %s',
+        folder,
+        pid,
+      );
+    }
+  }
+  await writeFile(
+    file,
+    `${process.pid} ${await readStartTime(String(process.pid))}`,
+  );
+}
+
+/** Start time of a process in clock ticks since boot; undefined when it is gone. */
+async function readStartTime(pid: string): Promise<string | undefined> {
+  const START_TIME_FIELD = 19;
+  try {
+    const stat = await readFile(`/proc/${pid}/stat`, 'utf8');
+    // The second field may hold spaces, so fields are counted after its bracket.
+    const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+    return fields[0] === 'Z' ? undefined : fields[START_TIME_FIELD];
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/state/log_record.ts
@@ -0,0 +1,15 @@
+import {z} from 'zod';
+import {LogEntry} from '../protocol/log_entry';
+
+/** One record of the write-ahead log. */
+export const LogRecord = z.discriminatedUnion('type', [
+  z.object({type: z.literal('entry'), entry: LogEntry}),
+  /** Drops the entry at `from` and all after it. */
+  z.object({type: z.literal('truncate'), from: z.int().positive()}),
+  z.object({
+    type: z.literal('hard-state'),
+    term: z.int().nonnegative(),
+    votedFor: z.string().optional(),
+  }),
+]);
+export type LogRecord = z.infer<typeof LogRecord>;
--- /dev/null
+++ b/src/state/snapshot_store.ts
@@ -0,0 +1,79 @@
+/** The newest snapshot of the state on disk. */
+import * as path from 'node:path';
+import {Decoder, Encoder} from 'cbor-x';
+import {z} from 'zod';
+import {readIfPresent} from './read_if_present';
+import {recordFile} from './record_file';
+import {replaceFile} from './replace_file';
+import {StateError} from './state_error';
+
+const FILE_NAME = 'snapshot';
+const encoder = new Encoder({useRecords: false});
+const decoder = new Decoder({useRecords: false, mapsAsObjects: true});
+
+const Snapshot = z.object({
+  index: z.int().nonnegative(),
+  term: z.int().nonnegative(),
+  voters: z.record(z.string(), z.string()),
+  state: z.custom<Uint8Array>(value => value instanceof Uint8Array),
+});
+type Snapshot = z.infer<typeof Snapshot>;
+
+/** Keeps one snapshot, replaced as a whole. */
+export class SnapshotStore {
+  private constructor(
+    private readonly file: string,
+    private snapshot: Snapshot | undefined,
+  ) {}
+
+  /**
+   * Reads the snapshot in a data folder, if there is one.
+   *
+   * @throws StateError when it is damaged
+   * @example
+   * const store = await SnapshotStore.create('data');
+   */
+  static async create(folder: string): Promise<SnapshotStore> {
+    const file = path.join(folder, FILE_NAME);
+    const bytes = await readIfPresent(file);
+    return new SnapshotStore(file, bytes && readSnapshot(bytes, file));
+  }
+
+  /** The newest snapshot; undefined in a folder that never had one. */
+  get current(): Snapshot | undefined {
+    return this.snapshot;
+  }
+
+  /**
+   * Replaces the snapshot and waits until it is on disk.
+   *
+   * @throws StateError when the disk refuses
+   */
+  async save(snapshot: Snapshot): Promise<void> {
+    try {
+      await replaceFile(this.file, recordFile.encode(encoder.encode(snapshot)));
+    } catch (error) {
+      throw new StateError(
+        error as Error,
+        'cannot write the snapshot %s',
+        this.file,
+      );
+    }
+    this.snapshot = snapshot;
+  }
+}
+
+function readSnapshot(bytes: Buffer, file: string): Snapshot {
+  const {payloads, wholeBytes} = recordFile.decode(bytes, file);
+  if (payloads.length !== 1 || wholeBytes !== bytes.length) {
+    throw new StateError(
+      '%s is damaged: it does not hold exactly one record',
+      file,
+    );
+  }
+  const parsed = Snapshot.safeParse(decoder.decode(payloads[0]));
+  if (!parsed.success) {
+    throw new StateError(parsed.error, '%s holds no snapshot', file);
+  }
+  return parsed.data;
+}
--- /dev/null
+++ b/src/state/write_ahead_log.ts
@@ -0,0 +1,133 @@
+/** The replicated log and the node's vote on disk. */
+import {FileHandle, open} from 'node:fs/promises';
+import * as path from 'node:path';
+import {Decoder, Encoder} from 'cbor-x';
+import {LogEntry} from '../protocol/log_entry';
+import {LogRecord} from './log_record';
+import {readIfPresent} from './read_if_present';
+import {recordFile} from './record_file';
+import {replaceFile} from './replace_file';
+import {StateError} from './state_error';
+import {syncFolder} from './sync_folder';
+
+const FILE_NAME = 'log.wal';
+const encoder = new Encoder({useRecords: false});
+const decoder = new Decoder({useRecords: false, mapsAsObjects: true});
+
+/** What the log on disk says. */
+interface RecoveredLog {
+  readonly term: number;
+  readonly votedFor: string | undefined;
+  readonly entries: readonly LogEntry[];
+  /** Bytes of an unfinished last write that were cut off. */
+  readonly cutBytes: number;
+}
+
+/** Appends records and returns only when they are on disk. */
+export class WriteAheadLog {
+  private constructor(
+    private readonly folder: string,
+    private file: FileHandle,
+    /** What was found when the log was opened. */
+    readonly recovered: RecoveredLog,
+  ) {}
+
+  /**
+   * Opens the log in a data folder, cutting off an unfinished last write.
+   *
+   * @throws StateError when a record in the middle is damaged
+   * @example
+   * const log = await WriteAheadLog.create('data');
+   */
+  static async create(folder: string): Promise<WriteAheadLog> {
+    const name = path.join(folder, FILE_NAME);
+    const bytes = (await readIfPresent(name)) ?? Buffer.alloc(0);
+    const {payloads, wholeBytes} = recordFile.decode(bytes, name);
+    const records = payloads.map(payload => decodeRecord(payload, name));
+    const file = await open(name, 'a', 0o600);
+    await file.truncate(wholeBytes);
+    await file.sync();
+    await syncFolder(folder);
+    const cutBytes = bytes.length - wholeBytes;
+    return new WriteAheadLog(folder, file, {...replay(records), cutBytes});
+  }
+
+  /**
+   * Appends records and waits until they are on disk.
+   *
+   * @throws StateError when the disk refuses; the log must not be used after that
+   */
+  async append(records: readonly LogRecord[]): Promise<void> {
+    const bytes = Buffer.concat(records.map(encodeRecord));
+    try {
+      await this.file.appendFile(bytes);
+      await this.file.datasync();
+    } catch (error) {
+      throw new StateError(
+        error as Error,
+        'cannot write the log in %s',
+        this.folder,
+      );
+    }
+  }
+
+  /** Writes the log anew with only these records, after a snapshot. */
+  async replaceAll(records: readonly LogRecord[]): Promise<void> {
+    const name = path.join(this.folder, FILE_NAME);
+    try {
+      await replaceFile(name, Buffer.concat(records.map(encodeRecord)));
+      await this.file.close();
+      this.file = await open(name, 'a', 0o600);
+    } catch (error) {
+      throw new StateError(
+        error as Error,
+        'cannot write the log in %s anew',
+        this.folder,
+      );
+    }
+  }
+
+  async close(): Promise<void> {
+    await this.file.close();
+  }
+}
+
+function encodeRecord(record: LogRecord): Buffer {
+  return recordFile.encode(encoder.encode(record));
+}
+
+function decodeRecord(payload: Buffer, name: string): LogRecord {
+  const parsed = LogRecord.safeParse(decoder.decode(payload));
+  if (!parsed.success) {
+    throw new StateError(
+      parsed.error,
+      '%s holds a record of an unknown kind',
+      name,
+    );
+  }
+  return parsed.data;
+}
+
+function replay(records: readonly LogRecord[]): Omit<RecoveredLog, 'cutBytes'> {
+  const entries: LogEntry[] = [];
+  let term = 0;
+  let votedFor: string | undefined;
+  for (const record of records) {
+    if (record.type === 'hard-state') {
+      term = record.term;
+      votedFor = record.votedFor;
+    } else if (record.type === 'truncate') {
+      dropFrom(entries, record.from);
+    } else {
+      // A rewritten log may hold an entry that an append behind it repeats.
+      dropFrom(entries, record.entry.index);
+      entries.push(record.entry);
+    }
+  }
+  return {term, votedFor, entries};
+}
+
+function dropFrom(entries: LogEntry[], index: number): void {
+  const firstIndex = entries[0]?.index ?? index;
+  entries.length = Math.min(entries.length, Math.max(0, index - firstIndex));
+}
--- /dev/null
+++ b/src/transport/transport_security.ts
@@ -0,0 +1,7 @@
+/** Keys for mutual TLS between processes, in PEM text. */
+export interface TransportSecurity {
+  /** The authority that signs every process's certificate. */
+  readonly authority: string;
+  readonly certificate: string;
+  readonly key: string;
+}
--- /dev/null
+++ b/test/protocol/peer.test.ts
@@ -0,0 +1,69 @@
+import * as net from 'node:net';
+import {expect, test} from 'vitest';
+import {Message} from '../../src/protocol/message';
+import {messageCodec} from '../../src/protocol/message_codec';
+import {Peer} from '../../src/protocol/peer';
+import {FrameConnection} from '../../src/transport/frame_connection';
+import {FrameServer} from '../../src/transport/frame_server';
+
+const hello = {program: 'host', id: 'h1', incarnation: 'i1'} as const;
+
+async function listen(onConnection: (connection: FrameConnection) => void) {
+  return FrameServer.create({host: '127.0.0.1', port: 0, onConnection});
+}
+
+test('a message that arrives together with the hello is not lost', async () => {
+  const received: Message[] = [];
+  const server = await listen(connection => {
+    void Peer.create(connection, hello).then(async peer => {
+      await new Promise(resolve => setImmediate(resolve));
+      await peer.messages.observe(message => received.push(message));
+    });
+  });
+  const connection = await FrameConnection.connect({
+    host: '127.0.0.1',
+    port: server.port,
+  });
+  connection.send(messageCodec.encode({type: 'hello', protocol: 1, ...hello}));
+  connection.send(messageCodec.encode({type: 'status-ask', call: 7}));
+  connection.finish();
+  await connection.closed;
+
+  expect(received).toEqual([{type: 'status-ask', call: 7}]);
+  await server.close();
+});
+
+test('a peer that does not say hello first is disconnected', async () => {
+  const refusals: string[] = [];
+  const server = await listen(connection => {
+    Peer.create(connection, hello).catch((error: Error) =>
+      refusals.push(error.message),
+    );
+  });
+  const connection = await FrameConnection.connect({
+    host: '127.0.0.1',
+    port: server.port,
+  });
+  connection.send(messageCodec.encode({type: 'status-ask', call: 7}));
+  await connection.closed;
+
+  expect(refusals).toEqual(['the peer did not say hello first']);
+  await server.close();
+});
+
+test('a frame that announces more than the limit ends the connection at once', async () => {
+  const refusals: string[] = [];
+  const server = await listen(connection => {
+    Peer.create(connection, hello).catch((error: Error) =>
+      refusals.push(error.message),
+    );
+  });
+  const socket = net.connect(server.port, '127.0.0.1');
+  socket.write(Buffer.from([0xff, 0xff, 0xff, 0xff]));
+  await new Promise(resolve => socket.resume().on('close', resolve));
+
+  expect(refusals).toEqual([
+    'the peer broke the framing: a frame of 4294967295 bytes is over the limit of 8388608 bytes',
+  ]);
+  await server.close();
+});
--- /dev/null
+++ b/test/support/managed_process.ts
@@ -0,0 +1,114 @@
+/** One of the real binaries, started for a test, demo or benchmark. */
+import {ChildProcess, spawn} from 'node:child_process';
+import * as path from 'node:path';
+
+const START_TIMEOUT_MS = 15_000;
+
+/** What to start. */
+interface ManagedProcessOptions {
+  readonly label: string;
+  /** Script below `build/`. */
+  readonly script: string;
+  readonly args: readonly string[];
+  readonly nodeArgs?: readonly string[];
+}
+
+/** This file runs compiled below `build/`, or as it is under the test runner. */
+function findBuildFolder(): string {
+  const root = path.resolve(__dirname, '../..');
+  return path.basename(root) === 'build' ? root : path.join(root, 'build');
+}
+
+/** A child process that says when it is ready and is never left behind. */
+export class ManagedProcess {
+  readonly lines: string[] = [];
+  readonly exited: Promise<number | null>;
+  hasExited = false;
+  stderr = '';
+
+  private constructor(
+    readonly label: string,
+    private readonly child: ChildProcess,
+    readonly ready: Readonly<Record<string, unknown>>,
+  ) {
+    this.exited = new Promise(resolve => {
+      child.once('exit', code => {
+        this.hasExited = true;
+        resolve(code);
+      });
+    });
+  }
+
+  /** Starts a script and waits for its ready line. */
+  static async create(options: ManagedProcessOptions): Promise<ManagedProcess> {
+    const file = path.join(findBuildFolder(), options.script);
+    const child = spawn(
+      process.execPath,
+      [...(options.nodeArgs ?? []), file, ...options.args],
+      {
+        stdio: ['pipe', 'pipe', 'pipe'],
+      },
+    );
+    let stderr = '';
+    child.stderr.on('data', data => (stderr += String(data)));
+    const lines: string[] = [];
+    const ready = await new Promise<Record<string, unknown>>(
+      (resolve, reject) => {
+        const fail = (why: string) => {
+          child.kill('SIGKILL');
+          reject(new Error(`${options.label}: ${why}: ${stderr.trim()}`));
+        };
+        const timer = setTimeout(
+          () => fail('not ready in time'),
+          START_TIMEOUT_MS,
+        );
+        child.once('exit', code => fail(`exited with ${code}`));
+        let rest = '';
+        child.stdout.on('data', data => {
+          rest += String(data);
+          const parts = rest.split('\n');
+          rest = parts.pop() ?? '';
+          for (const line of parts) {
+            lines.push(line);
+            if (line.startsWith('{"ready"')) {
+              clearTimeout(timer);
+              resolve(JSON.parse(line) as Record<string, unknown>);
+            }
+          }
+        });
+      },
+    );
+    child.removeAllListeners('exit');
+    const managed = new ManagedProcess(options.label, child, ready);
+    managed.lines.push(...lines);
+    child.stdout.on('data', data =>
+      managed.lines.push(...String(data).split('\n')),
+    );
+    child.stderr.on('data', data => (managed.stderr += String(data)));
+    return managed;
+  }
+
+  get pid(): number {
+    return this.child.pid ?? 0;
+  }
+
+  /** Stops it as an operator would. */
+  async stop(): Promise<number | null> {
+    this.child.kill('SIGCONT');
+    this.child.kill('SIGTERM');
+    return this.exited;
+  }
+
+  async kill(): Promise<void> {
+    this.child.kill('SIGKILL');
+    await this.exited;
+  }
+
+  pause(): void {
+    this.child.kill('SIGSTOP');
+  }
+
+  resume(): void {
+    this.child.kill('SIGCONT');
+  }
+}
--- /dev/null
+++ b/test/support/test_fleet.ts
@@ -0,0 +1,270 @@
+/** A whole small fleet of real processes on loopback. */
+import {generateKeyPairSync, KeyObject, createPrivateKey} from 'node:crypto';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import * as path from 'node:path';
+import {Bundle} from '../../src/protocol/bundle';
+import {computeDigest} from '../../src/protocol/compute_digest';
+import {FleetStatus} from '../../src/protocol/fleet_status';
+import {signBundle} from '../../src/protocol/sign_bundle';
+import {OperatorClient} from '../../src/operator/operator_client';
+import {EngineStandIn} from '../stand_ins/engine_stand_in';
+import {ManagedProcess} from './managed_process';
+import {reservePort} from './reserve_port';
+import {waitUntil} from './wait_until';
+
+/** One host with the backend server beside it. */
+interface HostPlan {
+  readonly hostId: string;
+  readonly zone?: string;
+  readonly domain: string;
+  readonly kind: 'model' | 'service';
+  readonly name: string;
+  readonly engine?: Partial<Parameters<typeof EngineStandIn.create>[0]>;
+}
+
+/** What to start. */
+interface TestFleetOptions {
+  readonly controls?: number;
+  readonly entries?: number;
+  readonly hosts: readonly HostPlan[];
+  readonly controlArgs?: readonly string[];
+  /** Called for each process that is up. */
+  readonly onProgress?: (text: string) => void;
+}
+
+/** Starts, breaks and stops a fleet. */
+export class TestFleet {
+  readonly folder = mkdtempSync(path.join(tmpdir(), 'whinreel-'));
+  readonly controls = new Map<string, ManagedProcess>();
+  readonly entries = new Map<string, ManagedProcess>();
+  readonly hosts = new Map<string, ManagedProcess>();
+  readonly engines = new Map<string, EngineStandIn>();
+  private readonly controlPorts = new Map<string, number>();
+  private readonly operatorKey: KeyObject;
+  private lastDigest = '';
+  private client: OperatorClient | undefined;
+
+  private constructor(private readonly options: TestFleetOptions) {
+    const {privateKey, publicKey} = generateKeyPairSync('ed25519');
+    this.operatorKey = privateKey;
+    writeFileSync(
+      this.keyFile,
+      privateKey.export({type: 'pkcs8', format: 'pem'}),
+    );
+    writeFileSync(
+      this.publicKeyFile,
+      publicKey.export({type: 'spki', format: 'pem'}),
+    );
+  }
+
+  /** Starts every process and waits until each is up. */
+  static async create(options: TestFleetOptions): Promise<TestFleet> {
+    const fleet = new TestFleet(options);
+    try {
+      await fleet.start();
+    } catch (error) {
+      await fleet.close();
+      throw error;
+    }
+    return fleet;
+  }
+
+  get keyFile(): string {
+    return path.join(this.folder, 'operator.pem');
+  }
+
+  get publicKeyFile(): string {
+    return path.join(this.folder, 'operator.pub.pem');
+  }
+
+  get controlAddresses(): string[] {
+    return [...this.controlPorts.values()].map(port => `127.0.0.1:${port}`);
+  }
+
+  get operator(): OperatorClient {
+    this.client ??= OperatorClient.create({
+      addresses: this.controlAddresses,
+      timeoutMs: 10_000,
+    });
+    return this.client;
+  }
+
+  /** Base address for callers at an entry. */
+  entryUrl(entryId = 'entry-1'): string {
+    return `http://127.0.0.1:${this.findEntry(entryId).ready['port']}`;
+  }
+
+  findEntry(entryId: string): ManagedProcess {
+    return find(this.entries, entryId);
+  }
+
+  findHost(hostId: string): ManagedProcess {
+    return find(this.hosts, hostId);
+  }
+
+  findControl(name: string): ManagedProcess {
+    return find(this.controls, name);
+  }
+
+  findEngine(hostId: string): EngineStandIn {
+    return find(this.engines, hostId);
+  }
+
+  /** Signs a bundle as the successor of the last one and rolls it out. */
+  async rollOut(bundle: Bundle) {
+    const key = createPrivateKey(readFileSync(this.keyFile));
+    const signed = signBundle({...bundle, previous: this.lastDigest}, key);
+    const answer = await this.operator.rollOut(signed);
+    if (answer.isAccepted) {
+      this.lastDigest = computeDigest(signed.document);
+    }
+    return {answer, signed};
+  }
+
+  /** Waits until the status fits. */
+  waitForStatus(
+    what: string,
+    fits: (status: FleetStatus) => boolean,
+  ): Promise<FleetStatus> {
+    return waitUntil(what, async () => {
+      const status = await this.operator.readStatus();
+      return fits(status) ? status : undefined;
+    });
+  }
+
+  /** Waits until this many groups serve. */
+  waitForServing(count: number): Promise<FleetStatus> {
+    return this.waitForStatus(
+      `${count} groups serve`,
+      status => status.groups.filter(group => group.isServing).length === count,
+    );
+  }
+
+  /** Waits until every entry may take work. */
+  async waitForReady(): Promise<void> {
+    for (const entryId of this.entries.keys()) {
+      await waitUntil(`${entryId} is ready`, async () => {
+        const response = await fetch(`${this.entryUrl(entryId)}/healthz`);
+        return response.status === 200;
+      });
+    }
+  }
+
+  async startControl(name: string): Promise<void> {
+    const peers = [...this.controlPorts]
+      .filter(([other]) => other !== name)
+      .map(([other, port]) => `${other}=127.0.0.1:${port}`)
+      .join(',');
+    const args = [
+      ...['--name', name],
+      ...['--listen', `127.0.0.1:${this.controlPorts.get(name)}`],
+      ...['--data-folder', this.dataFolder(name)],
+      ...['--peers', peers],
+      ...['--operator-keys', this.publicKeyFile],
+      ...(this.options.controlArgs ?? []),
+    ];
+    const script = 'src/bin/whinreel_control.js';
+    this.controls.set(
+      name,
+      await ManagedProcess.create({label: name, script, args}),
+    );
+    this.options.onProgress?.(name);
+  }
+
+  dataFolder(name: string): string {
+    return path.join(this.folder, name);
+  }
+
+  async startEntry(entryId: string): Promise<void> {
+    const args = [
+      ...['--entry-id', entryId],
+      ...['--zone', 'zone-1'],
+      ...['--listen', '127.0.0.1:0'],
+      ...['--control', this.controlAddresses.join(',')],
+    ];
+    const script = 'src/bin/whinreel_entry.js';
+    this.entries.set(
+      entryId,
+      await ManagedProcess.create({label: entryId, script, args}),
+    );
+    this.options.onProgress?.(entryId);
+  }
+
+  async startHost(plan: HostPlan): Promise<void> {
+    const {hostId} = plan;
+    const announcePort = this.hosts.get(hostId)?.ready['announcePort'] ?? 0;
+    const args = [
+      ...['--host-id', hostId],
+      ...['--zone', plan.zone ?? 'zone-1'],
+      ...['--domain', plan.domain],
+      ...['--listen', '127.0.0.1:0'],
+      ...['--announce-listen', `127.0.0.1:${announcePort}`],
+      ...['--control', this.controlAddresses.join(',')],
+    ];
+    const script = 'src/bin/whinreel_host.js';
+    const host = await ManagedProcess.create({label: hostId, script, args});
+    this.hosts.set(hostId, host);
+    if (!this.engines.has(hostId)) {
+      const announceTo = `127.0.0.1:${host.ready['announcePort']}`;
+      const {kind, name, engine} = plan;
+      this.engines.set(
+        hostId,
+        await EngineStandIn.create({kind, name, announceTo, ...engine}),
+      );
+    }
+    this.options.onProgress?.(hostId);
+  }
+
+  /** Starts a host process again beside its living backend server. */
+  async restartHost(hostId: string): Promise<void> {
+    const plan = this.options.hosts.find(host => host.hostId === hostId);
+    if (plan) {
+      await this.startHost(plan);
+    }
+  }
+
+  /** Ends everything that was started, whatever state it is in. */
+  async close(): Promise<void> {
+    this.client?.close();
+    const processes = [this.entries, this.hosts, this.controls].flatMap(map => [
+      ...map.values(),
+    ]);
+    await Promise.all(
+      processes.map(async managed => {
+        if (!managed.hasExited) {
+          managed.resume();
+          await managed.kill();
+        }
+      }),
+    );
+    await Promise.all([...this.engines.values()].map(engine => engine.close()));
+    rmSync(this.folder, {recursive: true, force: true});
+  }
+
+  private async start(): Promise<void> {
+    const {controls = 3, entries = 1, hosts} = this.options;
+    const names = Array.from(
+      {length: controls},
+      (_, at) => `control-${at + 1}`,
+    );
+    for (const name of names) {
+      this.controlPorts.set(name, await reservePort());
+    }
+    await Promise.all(names.map(name => this.startControl(name)));
+    await Promise.all(hosts.map(plan => this.startHost(plan)));
+    const entryIds = Array.from(
+      {length: entries},
+      (_, at) => `entry-${at + 1}`,
+    );
+    await Promise.all(entryIds.map(entryId => this.startEntry(entryId)));
+  }
+}
+
+function find<T>(map: ReadonlyMap<string, T>, id: string): T {
+  const found = map.get(id);
+  if (!found) {
+    throw new Error(`there is no ${id}`);
+  }
+  return found;
+}
