--- a/test/stand_ins/engine_stand_in.ts
+++ b/test/stand_ins/engine_stand_in.ts
@@ -214,12 +214,13 @@
         response.end();
         return;
       }
+      if (at > 0) {
+        await sleep(this.tokenMs);
+      }
       const chunk = {choices: [{index: 0, delta: {content: `t${at} `}}]};
       response.write(`data: ${JSON.stringify(chunk)}\n\n`);
       await this.hold;
-      if (this.tokenMs > 0) {
-        await sleep(this.tokenMs);
-      } else if (response.writableNeedDrain) {
+      if (response.writableNeedDrain) {
         await new Promise(resolve =>
           response.once('drain', resolve).once('close', resolve),
         );
--- a/test/support/managed_process.ts
+++ b/test/support/managed_process.ts
@@ -10,7 +10,13 @@
   /** Script below `build/`. */
   readonly script: string;
   readonly args: readonly string[];
-  readonly nodeArgs?: readonly string[];
+}
+
+/** Flags for Node itself, for a profile of every process: `--cpu-prof --cpu-prof-dir=...`. */
+function readNodeArgs(): string[] {
+  return (process.env['BENCH_NODE_ARGS'] ?? '')
+    .split(' ')
+    .filter(arg => arg !== '');
 }
 
 /** This file runs compiled below `build/`, or as it is under the test runner. */
@@ -44,7 +50,7 @@
     const file = path.join(findBuildFolder(), options.script);
     const child = spawn(
       process.execPath,
-      [...(options.nodeArgs ?? []), file, ...options.args],
+      [...readNodeArgs(), file, ...options.args],
       {
         stdio: ['pipe', 'pipe', 'pipe'],
       },
--- a/test/support/test_fleet.ts
+++ b/test/support/test_fleet.ts
@@ -20,6 +20,8 @@
   readonly domain: string;
   readonly kind: 'model' | 'service';
   readonly name: string;
+  /** The stand-in runs as a process of its own, started by the caller. */
+  readonly hasOwnStandIn?: boolean;
   readonly engine?: Partial<Parameters<typeof EngineStandIn.create>[0]>;
 }
 
@@ -205,7 +207,7 @@
     const script = 'src/bin/whinreel_host.js';
     const host = await ManagedProcess.create({label: hostId, script, args});
     this.hosts.set(hostId, host);
-    if (!this.engines.has(hostId)) {
+    if (!this.engines.has(hostId) && !plan.hasOwnStandIn) {
       const announceTo = `127.0.0.1:${host.ready['announcePort']}`;
       const {kind, name, engine} = plan;
       this.engines.set(
