test(scenarios): scripted failures on real processes, and four faults they found

Hosts now report `isDrained`; the planner waits for it. - cut_from_control: a host cut from control went on reporting, because control named the leader by an address that only control processes use. Clients now try their own addresses in turn; the redirect is gone. - control_disk_lost: status called a voter reachable while its replacement was not committed. Status now tells `isCaughtUp` and `isChangingVoters`. - several: entries learned of new groups up to 250 ms late and answered not-run. Control now holds an entry's question until there is news (1 s at most).

--- a/bench/light_fleet.ts
+++ b/bench/light_fleet.ts
@@ -98,6 +98,7 @@
           isServing: isFirst,
           missing: [],
           running: 0,
+          isDrained: false,
           bundleVersion,
         },
       });
--- a/src/config/resolve_host_settings.ts
+++ b/src/config/resolve_host_settings.ts
@@ -15,6 +15,9 @@
   announceListen: addressSetting.describe(
     'address where the backend server announces itself',
   ),
+  advertise: addressSetting
+    .optional()
+    .describe('address that others are told, when it is not --listen'),
   control: addressListSetting.describe(
     'addresses of the control processes, comma-separated',
   ),
@@ -41,14 +44,23 @@
     args,
     env,
   });
-  const {hostId, zone, domain, listen, announceListen, control, logFormat} =
-    raw;
+  const {
+    hostId,
+    zone,
+    domain,
+    listen,
+    announceListen,
+    advertise,
+    control,
+    logFormat,
+  } = raw;
   const settings: HostSettings = {
     hostId,
     zone,
     domain,
     host: listen.host,
     port: listen.port,
+    advertise: advertise && `${advertise.host}:${advertise.port}`,
     announceHost: announceListen.host,
     announcePort: announceListen.port,
     control,
--- a/src/control/call_handlers.ts
+++ b/src/control/call_handlers.ts
@@ -9,6 +9,7 @@
 import {HostReport} from '../protocol/host_report';
 import {MessageOf} from '../protocol/message_of';
 import {openSignedBundle} from '../protocol/open_signed_bundle';
+import {ChangeSignal} from './change_signal';
 import {ControlError} from './control_error';
 import {Fleet} from './fleet';
 import {RaftRuntime} from './raft_runtime';
@@ -16,6 +17,8 @@
 /** How long an operator's order may travel. */
 const MAX_ORDER_AGE_MS = 60_000;
 const MAX_JOURNAL_ANSWER = 1_000;
+/** How long an entry's question is held while there is nothing new to tell. */
+const HOLD_MS = 1_000;
 
 type Asks =
   | 'host-report'
@@ -37,6 +40,7 @@
   readonly runtime: RaftRuntime;
   readonly fleet: Fleet;
   readonly clock: Clock;
+  readonly signal: ChangeSignal;
   /** Keys of the operators whose bundles and orders are accepted. */
   readonly trustedKeys: readonly KeyObject[];
   /** How long hosts and entries may take new work after each answer. */
@@ -68,8 +72,14 @@
       const bundle = describeBundle(report.bundleVersion);
       return {type: 'host-directive', call, leaseMs, ...bundle, group};
     },
-    'entry-report': ({call, entryId, bundleVersion, tableVersion}) => {
+    'entry-report': async ({call, entryId, bundleVersion, tableVersion}) => {
       fleet.recordEntry(entryId, bundleVersion, clock.now());
+      const isUpToDate =
+        tableVersion === runtime.state.groups.version &&
+        bundleVersion === runtime.state.bundles.version;
+      if (isUpToDate) {
+        await context.signal.waitForChange(HOLD_MS);
+      }
       const {groups} = runtime.state;
       return {
         type: 'entry-directive',
--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -13,6 +13,7 @@
 import {FrameConnection} from '../transport/frame_connection';
 import {FrameServer} from '../transport/frame_server';
 import {createCallHandlers} from './call_handlers';
+import {ChangeSignal} from './change_signal';
 import {ControlError} from './control_error';
 import {ControlLinks} from './control_links';
 import {ControlSettings} from './control_settings';
@@ -36,6 +37,7 @@
   readonly failed: Promise<Error>;
   private fail: (error: Error) => void = () => undefined;
   private readonly fleet = Fleet.create();
+  private readonly signal = ChangeSignal.create();
   private readonly incarnation = randomBytes(8).toString('hex');
   private readonly answers = new Map<
     string,
@@ -154,8 +156,7 @@
     reply: Reply,
   ): Promise<void> {
     const {runtime, handlers} = this;
-    const refuse = () =>
-      reply({type: 'not-leader', call: ask.call, leader: this.findLeader()});
+    const refuse = () => reply({type: 'not-leader', call: ask.call});
     if (!runtime?.canAnswer() || !handlers?.[ask.type]) {
       refuse();
       return;
@@ -176,13 +177,6 @@
     }
   }
 
-  private findLeader(): string | undefined {
-    const leader = this.runtime?.raft.leader;
-    return leader === undefined
-      ? undefined
-      : this.settings.peers.get(splitIdentity(leader).name);
-  }
-
   private listVoters(): Record<string, string> {
     const {runtime, settings, disk} = this;
     if (!runtime) {
@@ -235,6 +229,7 @@
       send: (to, message) => this.links?.send(to, message),
       onFailure: error => this.fail(error),
       snapshotEvery: settings.snapshotEvery,
+      onChange: () => this.signal.announce(),
     });
     this.runtime = runtime;
     void runtime.roleChanges.observe(({role, reason}) => {
@@ -246,6 +241,7 @@
       runtime,
       fleet,
       clock: systemClock,
+      signal: this.signal,
       trustedKeys: settings.trustedKeys,
       leaseMs: settings.leaseMs,
       createStatus: () =>
--- a/src/control/create_status.ts
+++ b/src/control/create_status.ts
@@ -35,7 +35,9 @@
     voters: [identity, ...raft.others].map(voter => ({
       identity: voter,
       isReachable: voter === identity || reachable.includes(voter),
+      isCaughtUp: raft.isCaughtUp(voter),
     })),
+    isChangingVoters: raft.isChangingVoters,
     bundle: {
       version: newest?.version ?? 0,
       digest: newest?.digest ?? '',
--- a/src/control/raft_runtime.ts
+++ b/src/control/raft_runtime.ts
@@ -44,6 +44,8 @@
   /** The disk failed: the process must stop, what it acknowledged stands. */
   readonly onFailure: (error: Error) => void;
   readonly snapshotEvery?: number;
+  /** Called when bundles or groups may have changed, or the role did. */
+  readonly onChange: () => void;
 }
 
 /** Runs one node of the agreement and the tables that follow from its log. */
@@ -123,6 +125,7 @@
     | 'others'
     | 'commitIndex'
     | 'findVoter'
+    | 'isCaughtUp'
     | 'isChangingVoters'
   > {
     return this.node;
@@ -214,7 +217,11 @@
   }
 
   private apply(entry: RaftEffects['committed'][number]): void {
+    const before = this.tables.changeCount;
     const result = this.tables.apply(entry);
+    if (this.tables.changeCount !== before) {
+      this.options.onChange();
+    }
     if (entry.command.type === 'start-term') {
       this.appliedTerm = entry.term;
     }
@@ -245,6 +252,7 @@
       this.rejectWaiting('this control process lost the lead');
     }
     this.changes.push(change);
+    this.options.onChange();
   }
 
   private rejectWaiting(reason: string): void {
--- a/src/coordination/plan_groups.ts
+++ b/src/coordination/plan_groups.ts
@@ -84,9 +84,11 @@
       : planRepair(group, lost, context);
   }
   if (group.isDraining) {
-    const isIdle =
-      context.hosts.get(group.members[0].hostId)?.report.running === 0;
-    return isIdle
+    // Counts from before the first member knew of the drain say nothing.
+    const first = context.hosts.get(group.members[0].hostId)?.report;
+    const isDone =
+      first?.isDrained === true && first.assignment?.epoch === group.epoch;
+    return isDone
       ? {type: 'remove-group', ...target, reason: 'drained'}
       : undefined;
   }
--- a/src/coordination/raft_node.ts
+++ b/src/coordination/raft_node.ts
@@ -80,6 +80,11 @@
     return this.state.voterSets.at(-1)?.get(name);
   }
 
+  /** True for a voter that is known to hold everything committed. */
+  isCaughtUp(identity: string): boolean {
+    return this.replication.findMatch(identity) >= this.state.commitIndex;
+  }
+
   /** Committed voters as of an entry. */
   listVotersAt(index: number): VoterSet {
     return this.state.log.listVoterSets(index)[0];
--- a/src/coordination/raft_replication.ts
+++ b/src/coordination/raft_replication.ts
@@ -261,7 +261,8 @@
     }
   }
 
-  private findMatch(identity: string): number {
+  /** The last entry that a voter is known to have on disk. */
+  findMatch(identity: string): number {
     if (identity === this.state.identity) {
       return this.state.persistedIndex;
     }
--- a/src/entry/route_table.ts
+++ b/src/entry/route_table.ts
@@ -6,7 +6,8 @@
 import {Group} from '../protocol/group';
 import {MessageOf} from '../protocol/message_of';
 
-const REFRESH_EVERY_MS = 250;
+/** Control holds a question that has no news, so this pause only bounds the rate of changes. */
+const REFRESH_EVERY_MS = 20;
 
 type Directive = MessageOf<ControlMessage, 'entry-directive'>;
 
--- a/src/host/host_server.ts
+++ b/src/host/host_server.ts
@@ -311,19 +311,27 @@
     this.session?.reportSoon();
   }
 
+  /** A group that was told to drain starts nothing new, so this stays true. */
+  private isDrained(): boolean {
+    return (
+      this.membership.group?.isDraining === true &&
+      this.runner.runningCount === 0
+    );
+  }
+
   private createReport(): HostReport | undefined {
     const now = this.clock.now();
     if (this.membership.isQuiet(now)) {
       return undefined;
     }
-    const {hostId, zone, domain, host} = this.settings;
+    const {hostId, zone, domain, host, advertise} = this.settings;
     const backend = this.slot.current;
     return {
       hostId,
       incarnation: this.incarnation,
       zone,
       domain,
-      address: `${host}:${this.port}`,
+      address: advertise ?? `${host}:${this.port}`,
       backend: backend
         ? {
             kind: backend.kind,
@@ -336,6 +344,7 @@
       isServing: this.isServing(now),
       missing: this.listMissing(now),
       running: this.runner.runningCount,
+      isDrained: this.isDrained(),
       bundleVersion: this.bundle?.version ?? 0,
     };
   }
--- a/src/host/host_settings.ts
+++ b/src/host/host_settings.ts
@@ -9,6 +9,8 @@
   /** Where entries and other members connect. */
   readonly host: string;
   readonly port: number;
+  /** Address that others are told, when it is not where this process listens. */
+  readonly advertise?: string;
   /** Where the backend server announces itself. */
   readonly announceHost: string;
   readonly announcePort: number;
--- a/src/host/running_attempt.ts
+++ b/src/host/running_attempt.ts
@@ -109,6 +109,7 @@
       headers: {
         ...headers,
         'whinreel-attempt-id': dispatch.attemptId,
+        'whinreel-group': dispatch.groupId,
         'whinreel-epoch': String(epoch),
       },
       body,
--- a/src/operator/text_reporter.ts
+++ b/src/operator/text_reporter.ts
@@ -61,8 +61,10 @@
   const digest = formatDigest(bundle.digest);
   const voterList = voters
     .map(
-      ({identity, isReachable}) =>
-        `${identity}${isReachable ? '' : ' (unreachable)'}`,
+      ({identity, isReachable, isCaughtUp}) =>
+        identity +
+        (isReachable ? '' : ' (unreachable)') +
+        (isCaughtUp ? '' : ' (catching up)'),
     )
     .join(', ');
   return [
--- a/src/protocol/control_client.ts
+++ b/src/protocol/control_client.ts
@@ -8,7 +8,8 @@
 import {ProtocolError} from './protocol_error';
 
 const DEFAULT_TIMEOUT_MS = 1_500;
-const RETRY_PAUSE_MS = 50;
+/** After each control process was tried once. */
+const ROUND_PAUSE_MS = 50;
 
 /** Answer types by the type of the call. */
 interface Answers {
@@ -31,7 +32,11 @@
   readonly security?: TransportSecurity;
 }
 
-/** Asks the leader, following redirects and trying every control process in turn. */
+/**
+ * Asks the leader, trying every control process in turn and staying with the
+ * one that answers. Control does not name the leader's address: the address by
+ * which control processes know each other need not be one that the asker has.
+ */
 export class ControlClient {
   private peer: Peer | undefined;
   private connecting: Promise<Peer> | undefined;
@@ -41,7 +46,6 @@
   >();
   private lastCall = 0;
   private nextAddress = 0;
-  private leader: string | undefined;
   private isClosed = false;
 
   private constructor(private readonly options: ControlClientOptions) {}
@@ -70,19 +74,21 @@
   ): Promise<MessageOf<ControlMessage, Answers[T]>> {
     const deadline = performance.now() + timeoutMs;
     let lastError: Error | undefined;
-    while (!this.isClosed && performance.now() < deadline) {
-      const answer = await this.askOnce(
-        ask as WithoutCall<Ask>,
-        deadline,
-      ).catch((error: Error) => {
-        lastError = error;
-        return undefined;
-      });
-      if (answer && answer.type !== 'not-leader') {
-        return answer as unknown as MessageOf<ControlMessage, Answers[T]>;
+    for (let tries = 1; performance.now() < deadline; tries += 1) {
+      try {
+        const answer = await this.askOnce(ask as WithoutCall<Ask>, deadline);
+        if (answer) {
+          return answer as unknown as MessageOf<ControlMessage, Answers[T]>;
+        }
+      } catch (error) {
+        lastError = error as Error;
+      }
+      if (this.isClosed) {
+        break;
+      }
+      if (tries % this.options.addresses.length === 0) {
+        await new Promise(resolve => setTimeout(resolve, ROUND_PAUSE_MS));
       }
-      this.dropPeer(answer?.leader);
-      await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
     }
     const message = `no control leader answered at ${this.options.addresses.join(', ')}`;
     throw lastError
@@ -93,14 +99,30 @@
   /** Closes the connection and gives up what is pending. */
   close(): void {
     this.isClosed = true;
-    this.dropPeer(undefined);
+    if (this.peer) {
+      this.dropPeer(this.peer);
+    }
   }
 
+  /** Asks one control process; undefined when it does not lead or does not answer. */
   private async askOnce(
     ask: WithoutCall<Ask>,
     deadline: number,
   ): Promise<ControlMessage | undefined> {
     const peer = await this.getPeer();
+    const answer = await this.waitForAnswer(peer, ask, deadline);
+    if (answer && answer.type !== 'not-leader') {
+      return answer;
+    }
+    this.dropPeer(peer);
+    return undefined;
+  }
+
+  private waitForAnswer(
+    peer: Peer,
+    ask: WithoutCall<Ask>,
+    deadline: number,
+  ): Promise<ControlMessage | undefined> {
     const call = ++this.lastCall;
     return new Promise(resolve => {
       const finish = (answer: ControlMessage | undefined) => {
@@ -130,16 +152,10 @@
 
   private async connect(): Promise<Peer> {
     const {addresses, identity, security} = this.options;
-    const address =
-      this.leader ?? addresses[this.nextAddress++ % addresses.length];
-    this.leader = undefined;
+    const address = addresses[this.nextAddress++ % addresses.length];
     const peer = await connectPeer(address, identity, security);
     void peer.messages.observe(message => this.receive(message));
-    void peer.closed.then(() => {
-      if (this.peer === peer) {
-        this.dropPeer(undefined);
-      }
-    });
+    void peer.closed.then(() => this.dropPeer(peer));
     this.peer = peer;
     return peer;
   }
@@ -150,11 +166,13 @@
     }
   }
 
-  private dropPeer(leader: string | undefined): void {
-    this.leader = leader;
-    const peer = this.peer;
+  /** Goes to another control process; calls on this one are asked again there. */
+  private dropPeer(peer: Peer): void {
+    if (this.peer !== peer) {
+      return;
+    }
     this.peer = undefined;
-    peer?.close();
+    peer.close();
     for (const finish of [...this.pending.values()]) {
       finish(undefined);
     }
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -110,8 +110,6 @@
   z.object({
     type: z.literal('not-leader'),
     call: Call,
-    /** Where the leader is believed to be. */
-    leader: z.string().optional(),
   }),
 ]);
 export type ControlMessage = z.infer<typeof ControlMessage>;
--- a/src/protocol/fleet_status.ts
+++ b/src/protocol/fleet_status.ts
@@ -6,7 +6,16 @@
   leader: z.string(),
   term: z.int(),
   commitIndex: z.int(),
-  voters: z.array(z.object({identity: z.string(), isReachable: z.boolean()})),
+  voters: z.array(
+    z.object({
+      identity: z.string(),
+      isReachable: z.boolean(),
+      /** It holds everything that is committed. */
+      isCaughtUp: z.boolean(),
+    }),
+  ),
+  /** A voter is being replaced; not committed yet. */
+  isChangingVoters: z.boolean(),
   bundle: z.object({
     version: z.int(),
     digest: z.string(),
--- a/src/protocol/host_report.ts
+++ b/src/protocol/host_report.ts
@@ -22,6 +22,8 @@
   /** For a first member: members that it does not hear. */
   missing: z.array(z.string()),
   running: z.int().nonnegative(),
+  /** For a first member: it knows that its group drains, and nothing runs any more. */
+  isDrained: z.boolean(),
   bundleVersion: z.int().nonnegative(),
 });
 export type HostReport = z.infer<typeof HostReport>;
--- a/src/state/cluster_state.ts
+++ b/src/state/cluster_state.ts
@@ -71,6 +71,11 @@
     return this.committedTime;
   }
 
+  /** Rises with each change of the bundle or of a group. */
+  get changeCount(): number {
+    return this.groups.version + this.bundles.version;
+  }
+
   /** True for a host that an operator drains. */
   isDrained(hostId: string): boolean {
     return this.drained.has(hostId);
--- a/test/stand_ins/engine_stand_in.ts
+++ b/test/stand_ins/engine_stand_in.ts
@@ -36,6 +36,8 @@
   readonly runs = new Map<string, number>();
   /** Runs that were started, by the text of the request's body. */
   readonly runsByBody = new Map<string, number>();
+  /** Group and epoch that each run was started under. */
+  readonly epochs: Array<{at: number; group: string; epoch: number}> = [];
   readonly orders: Order[] = [];
   readonly refusedOrders: Order[] = [];
   /** Runs that the other side gave up. */
@@ -231,6 +233,11 @@
 
   private countRun(request: http.IncomingMessage, body: string): void {
     const id = request.headers['whinreel-attempt-id']?.toString() ?? '';
+    this.epochs.push({
+      at: performance.now(),
+      group: request.headers['whinreel-group']?.toString() ?? '',
+      epoch: Number(request.headers['whinreel-epoch'] ?? 0),
+    });
     this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
     this.runsByBody.set(body, (this.runsByBody.get(body) ?? 0) + 1);
   }
--- /dev/null
+++ b/test/support/check_epochs.ts
@@ -0,0 +1,13 @@
+import {expect} from 'vitest';
+import {TestFleet} from './test_fleet';
+
+/** No engine ran for a group under an epoch lower than one it already ran under anywhere. */
+export function checkEpochs(fleet: TestFleet): void {
+  const runs = [...fleet.engines.values()].flatMap(engine => engine.epochs);
+  const highest = new Map<string, number>();
+  for (const {group, epoch} of runs.sort((left, right) => left.at - right.at)) {
+    const seen = highest.get(group) ?? 0;
+    expect(epoch, `epoch of ${group}`).toBeGreaterThanOrEqual(seen);
+    highest.set(group, epoch);
+  }
+}
--- a/test/support/test_fleet.ts
+++ b/test/support/test_fleet.ts
@@ -10,6 +10,7 @@
 import {OperatorClient} from '../../src/operator/operator_client';
 import {EngineStandIn} from '../stand_ins/engine_stand_in';
 import {ManagedProcess} from './managed_process';
+import {RelayNet} from './relay_net';
 import {reservePort} from './reserve_port';
 import {waitUntil} from './wait_until';
 
@@ -31,6 +32,8 @@
   readonly entries?: number;
   readonly hosts: readonly HostPlan[];
   readonly controlArgs?: readonly string[];
+  /** Every connection between processes goes through a relay that can be cut. */
+  readonly hasRelays?: boolean;
   /** Called for each process that is up. */
   readonly onProgress?: (text: string) => void;
 }
@@ -42,14 +45,13 @@
   readonly entries = new Map<string, ManagedProcess>();
   readonly hosts = new Map<string, ManagedProcess>();
   readonly engines = new Map<string, EngineStandIn>();
+  readonly relays = RelayNet.create();
   private readonly controlPorts = new Map<string, number>();
-  private readonly operatorKey: KeyObject;
   private lastDigest = '';
   private client: OperatorClient | undefined;
 
   private constructor(private readonly options: TestFleetOptions) {
     const {privateKey, publicKey} = generateKeyPairSync('ed25519');
-    this.operatorKey = privateKey;
     writeFileSync(
       this.keyFile,
       privateKey.export({type: 'pkcs8', format: 'pem'}),
@@ -113,10 +115,21 @@
     return find(this.engines, hostId);
   }
 
+  readOperatorKey(): KeyObject {
+    return createPrivateKey(readFileSync(this.keyFile));
+  }
+
+  /** Takes a host out of service as an operator would. */
+  drain(hostId: string) {
+    return this.operator.drain(hostId, true, this.readOperatorKey());
+  }
+
   /** Signs a bundle as the successor of the last one and rolls it out. */
   async rollOut(bundle: Bundle) {
-    const key = createPrivateKey(readFileSync(this.keyFile));
-    const signed = signBundle({...bundle, previous: this.lastDigest}, key);
+    const signed = signBundle(
+      {...bundle, previous: this.lastDigest},
+      this.readOperatorKey(),
+    );
     const answer = await this.operator.rollOut(signed);
     if (answer.isAccepted) {
       this.lastDigest = computeDigest(signed.document);
@@ -129,9 +142,11 @@
     what: string,
     fits: (status: FleetStatus) => boolean,
   ): Promise<FleetStatus> {
-    return waitUntil(what, async () => {
-      const status = await this.operator.readStatus();
-      return fits(status) ? status : undefined;
+    let last: FleetStatus | undefined;
+    const describe = () => `${what}; last status ${JSON.stringify(last)}`;
+    return waitUntil(describe, async () => {
+      last = await this.operator.readStatus();
+      return fits(last) ? last : undefined;
     });
   }
 
@@ -154,9 +169,10 @@
   }
 
   async startControl(name: string): Promise<void> {
-    const peers = [...this.controlPorts]
+    const addresses = await this.listControlAddresses(name);
+    const peers = [...addresses]
       .filter(([other]) => other !== name)
-      .map(([other, port]) => `${other}=127.0.0.1:${port}`)
+      .map(([other, address]) => `${other}=${address}`)
       .join(',');
     const args = [
       ...['--name', name],
@@ -174,6 +190,30 @@
     this.options.onProgress?.(name);
   }
 
+  /** Where one process reaches each control process. */
+  private async listControlAddresses(
+    from: string,
+  ): Promise<Map<string, string>> {
+    const addresses = new Map<string, string>();
+    for (const [name, port] of this.controlPorts) {
+      const reached = this.options.hasRelays
+        ? await this.relays.open(from, name, port)
+        : port;
+      addresses.set(name, `127.0.0.1:${reached}`);
+    }
+    return addresses;
+  }
+
+  private async createAdvertiseArgs(hostId: string): Promise<string[]> {
+    if (!this.options.hasRelays) {
+      return [];
+    }
+    return [
+      '--advertise',
+      `127.0.0.1:${await this.relays.open('*', hostId, 0)}`,
+    ];
+  }
+
   dataFolder(name: string): string {
     return path.join(this.folder, name);
   }
@@ -182,8 +222,14 @@
     const args = [
       ...['--entry-id', entryId],
       ...['--zone', 'zone-1'],
-      ...['--listen', '127.0.0.1:0'],
-      ...['--control', this.controlAddresses.join(',')],
+      ...[
+        '--listen',
+        `127.0.0.1:${this.entries.get(entryId)?.ready['port'] ?? 0}`,
+      ],
+      ...[
+        '--control',
+        [...(await this.listControlAddresses(entryId)).values()].join(','),
+      ],
     ];
     const script = 'src/bin/whinreel_entry.js';
     this.entries.set(
@@ -202,11 +248,16 @@
       ...['--domain', plan.domain],
       ...['--listen', '127.0.0.1:0'],
       ...['--announce-listen', `127.0.0.1:${announcePort}`],
-      ...['--control', this.controlAddresses.join(',')],
+      ...[
+        '--control',
+        [...(await this.listControlAddresses(hostId)).values()].join(','),
+      ],
+      ...(await this.createAdvertiseArgs(hostId)),
     ];
     const script = 'src/bin/whinreel_host.js';
     const host = await ManagedProcess.create({label: hostId, script, args});
     this.hosts.set(hostId, host);
+    this.relays.aim('*', hostId, Number(host.ready['port']));
     if (!this.engines.has(hostId) && !plan.hasOwnStandIn) {
       const announceTo = `127.0.0.1:${host.ready['announcePort']}`;
       const {kind, name, engine} = plan;
@@ -240,6 +291,7 @@
         }
       }),
     );
+    this.relays.close();
     await Promise.all([...this.engines.values()].map(engine => engine.close()));
     rmSync(this.folder, {recursive: true, force: true});
   }
--- a/test/support/wait_until.ts
+++ b/test/support/wait_until.ts
@@ -3,7 +3,7 @@
 
 /** Polls until a condition holds; fails with its name when it does not. */
 export async function waitUntil<T>(
-  what: string,
+  what: string | (() => string),
   probe: () => T | undefined | false | Promise<T | undefined | false>,
   timeoutMs = DEFAULT_TIMEOUT_MS,
 ): Promise<T> {
@@ -21,6 +21,6 @@
     await new Promise(resolve => setTimeout(resolve, POLL_MS));
   }
   throw new Error(
-    `${what}: not within ${timeoutMs} ms${lastError ? ` (${String(lastError)})` : ''}`,
+    `${typeof what === 'string' ? what : what()}: not within ${timeoutMs} ms${lastError ? ` (${String(lastError)})` : ''}`,
   );
 }
--- a/vitest.config.mts
+++ b/vitest.config.mts
@@ -6,6 +6,7 @@
     testTimeout: 60_000,
     hookTimeout: 60_000,
     pool: 'forks',
-    maxWorkers: 4,
+    maxWorkers: 3,
+    maxConcurrency: 3,
   },
 });
