fix(membership): a new first member waits until its old group cannot count it

Ruled out: the answering side (a member that follows a new first member did wait already); the table (it held h3 in one group at all times). Change: `Membership.isBoundElsewhere`; the host process counts itself as missing until then.

--- a/src/coordination/membership.ts
+++ b/src/coordination/membership.ts
@@ -69,6 +69,14 @@
     return now < this.boundUntil;
   }
 
+  /**
+   * True while the first member of the group that this host left may still
+   * count it. A host that leads its new group must not serve before that is over.
+   */
+  isBoundElsewhere(now: number): boolean {
+    return this.boundTo !== null && this.isBound(now);
+  }
+
   /** What to tell control: an old group is named until the host is free of it. */
   describe(now: number): Assignment | null {
     if (this.currentGroup) {
@@ -88,8 +96,9 @@
       return false;
     }
     const isFirst = group.members[0].hostId === asker.hostId;
-    const isBoundElsewhere = this.boundTo !== null && this.isBound(now);
-    if (!isFirst || (isBoundElsewhere && !this.hasOldFirstMoved(asker))) {
+    const isWaiting =
+      this.isBoundElsewhere(now) && !this.hasOldFirstMoved(asker);
+    if (!isFirst || isWaiting) {
       return false;
     }
     this.answeredTo = asker;
--- a/src/host/host_server.ts
+++ b/src/host/host_server.ts
@@ -283,13 +283,18 @@
   }
 
   private listMissing(now: number): string[] {
-    return this.lease?.listMissing(now) ?? [];
+    const missing = this.lease?.listMissing(now) ?? [];
+    // The old group may still count this host, so the new one cannot yet.
+    return this.membership.isBoundElsewhere(now)
+      ? [this.settings.hostId, ...missing]
+      : missing;
   }
 
   private isServing(now: number): boolean {
     const {group} = this.membership;
     const isReady = group !== null && this.orders.isInForce(group);
-    return isReady && (this.lease?.isHeld(now) ?? false);
+    const isLeading = this.lease !== undefined;
+    return isReady && isLeading && this.listMissing(now).length === 0;
   }
 
   private check(): void {
--- /dev/null
+++ b/test/coordination/raft_node.test.ts
@@ -0,0 +1,157 @@
+import fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {RaftNet} from '../support/raft_net';
+
+const NODES = ['a', 'b', 'c'];
+const RUNS = 1_000;
+
+/** Numbers in [0, 1) that depend on nothing but the seed. */
+function createRandom(seed: number): () => number {
+  let state = seed >>> 0;
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
+    return state / 2 ** 32;
+  };
+}
+
+const node = fc.constantFrom(...NODES);
+const fault = fc.oneof(
+  {
+    weight: 12,
+    arbitrary: fc.record({do: fc.constant('deliver' as const), pick: fc.nat()}),
+  },
+  {weight: 8, arbitrary: fc.record({do: fc.constant('sync' as const), node})},
+  {
+    weight: 6,
+    arbitrary: fc.record({
+      do: fc.constant('tick' as const),
+      ms: fc.integer({min: 10, max: 400}),
+    }),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({do: fc.constant('propose' as const), node}),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({do: fc.constant('repeat' as const), pick: fc.nat()}),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({do: fc.constant('lose' as const), pick: fc.nat()}),
+  },
+  {weight: 1, arbitrary: fc.record({do: fc.constant('crash' as const), node})},
+  {
+    weight: 1,
+    arbitrary: fc.record({do: fc.constant('restart' as const), node}),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({do: fc.constant('cut' as const), node, other: node}),
+  },
+  {weight: 1, arbitrary: fc.record({do: fc.constant('heal' as const)})},
+);
+type Fault = typeof fault extends fc.Arbitrary<infer T> ? T : never;
+
+function play(net: RaftNet, step: Fault, at: number): void {
+  const flights = net.flights.length;
+  const actions: {[T in Fault['do']]: (step: Extract<Fault, {do: T}>) => void} =
+    {
+      deliver: ({pick}) => flights > 0 && net.deliver(pick % flights),
+      repeat: ({pick}) => flights > 0 && net.deliver(pick % flights, true),
+      lose: ({pick}) => flights > 0 && net.flights.splice(pick % flights, 1),
+      sync: step => net.sync(step.node),
+      tick: ({ms}) => net.tick(ms),
+      propose: step => net.propose(step.node, at),
+      crash: step => net.crash(step.node),
+      restart: step => {
+        if (!net.get(step.node).isUp) {
+          net.restart(step.node);
+        }
+      },
+      cut: step => net.cut(step.node, step.other),
+      heal: () => net.heal(),
+    };
+  actions[step.do](step as never);
+}
+
+describe('agreement', () => {
+  test('one leader a term, committed entries stay, logs match, and it recovers once faults end', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fault, {minLength: 50, maxLength: 250}),
+        fc.nat(),
+        (steps, seed) => {
+          const net = RaftNet.create(NODES, createRandom(seed));
+          net.settle();
+          // RaftNet throws on a second leader of a term or a changed committed entry.
+          steps.forEach((step, at) => play(net, step, at));
+
+          expect(net.settle()).toBe(true);
+          const logs = NODES.map(name => net.get(name).node.listEntries());
+          const shortest = Math.min(
+            ...NODES.map(name => net.get(name).node.commitIndex),
+          );
+          const prefixes = logs.map(entries =>
+            JSON.stringify(entries.slice(0, shortest)),
+          );
+          expect(new Set(prefixes).size).toBe(1);
+        },
+      ),
+      {numRuns: RUNS, seed: 20_261_202},
+    );
+  });
+
+  test('a leader that hears no quorum loses its lease before another can be elected', () => {
+    const net = RaftNet.create(NODES, createRandom(1));
+    net.settle();
+    const [leader] = [...net.leaders.entries()]
+      .sort((x, y) => y[0] - x[0])[0]
+      .slice(1) as [string];
+    for (const other of NODES) {
+      net.cut(leader, other);
+      net.cut(other, leader);
+    }
+    let wasLeased = true;
+    for (let round = 0; round < 200; round += 1) {
+      net.tick(10);
+      NODES.forEach(name => net.sync(name));
+      while (net.flights.length > 0) {
+        net.deliver(0);
+        NODES.forEach(name => net.sync(name));
+      }
+      const hasLease = net.get(leader).node.hasLease(net.now);
+      const isOtherLed = NODES.some(
+        name => name !== leader && net.get(name).node.role === 'leader',
+      );
+      expect(hasLease && isOtherLed).toBe(false);
+      wasLeased = hasLease;
+    }
+    expect(wasLeased).toBe(false);
+    expect(net.get(leader).node.role).not.toBe('leader');
+    expect([...net.leaders.values()].some(name => name !== leader)).toBe(true);
+  });
+
+  test('a node that was cut off for long does not raise the term when it returns', () => {
+    const net = RaftNet.create(NODES, createRandom(2));
+    net.settle();
+    const term = Math.max(...net.leaders.keys());
+    const leader = net.leaders.get(term) ?? '';
+    const cutOff = NODES.find(name => name !== leader) ?? '';
+    for (const other of NODES) {
+      net.cut(cutOff, other);
+      net.cut(other, cutOff);
+    }
+    for (let round = 0; round < 100; round += 1) {
+      net.tick(40);
+      NODES.forEach(name => net.sync(name));
+      while (net.flights.length > 0) {
+        net.deliver(0);
+        NODES.forEach(name => net.sync(name));
+      }
+    }
+    expect(net.settle()).toBe(true);
+    expect(net.get(leader).node.role).toBe('leader');
+    expect(net.get(leader).node.term).toBe(term);
+  });
+});
--- /dev/null
+++ b/test/support/raft_net.ts
@@ -0,0 +1,247 @@
+/** A few agreement nodes with a network and disks made of plain values and a virtual clock. */
+import {RaftEffects} from '../../src/coordination/raft_effects';
+import {RaftEvent} from '../../src/coordination/raft_event';
+import {RaftLog} from '../../src/coordination/raft_log';
+import {RaftNode} from '../../src/coordination/raft_node';
+import {LogEntry} from '../../src/protocol/log_entry';
+import {RaftMessage} from '../../src/protocol/raft_message';
+
+const TIMING = {heartbeatMs: 50, electionMs: 300, leaseMs: 225};
+
+interface Flight {
+  readonly from: string;
+  readonly to: string;
+  readonly message: RaftMessage;
+}
+
+/** What survives a crash. */
+interface Disk {
+  term: number;
+  votedFor: string | undefined;
+  entries: LogEntry[];
+}
+
+/** One node, its disk, and what it applied. */
+interface Member {
+  node: RaftNode;
+  disk: Disk;
+  unsynced: Array<{
+    persist: RaftEffects['persist'];
+    messages: RaftEffects['messages'];
+  }>;
+  applied: LogEntry[];
+  isUp: boolean;
+}
+
+/** Steps nodes by hand; every choice comes from outside. */
+export class RaftNet {
+  now = 0;
+  readonly members = new Map<string, Member>();
+  readonly flights: Flight[] = [];
+  /** Every leader that was ever seen, by term. */
+  readonly leaders = new Map<number, string>();
+  /** Every entry that was ever committed anywhere, by index. */
+  readonly committed = new Map<number, string>();
+  private readonly cuts = new Set<string>();
+
+  private constructor(
+    private readonly voters: readonly string[],
+    private readonly random: () => number,
+  ) {
+    for (const identity of voters) {
+      const disk: Disk = {term: 0, votedFor: undefined, entries: []};
+      this.members.set(identity, this.startMember(identity, disk));
+    }
+  }
+
+  static create(identities: readonly string[], random: () => number): RaftNet {
+    return new RaftNet(identities, random);
+  }
+
+  get identities(): string[] {
+    return [...this.members.keys()];
+  }
+
+  /** Lets time pass at every node that is up. */
+  tick(ms: number): void {
+    this.now += ms;
+    for (const identity of this.identities) {
+      this.step(identity, {type: 'tick'});
+    }
+  }
+
+  propose(identity: string, time: number): void {
+    this.step(identity, {
+      type: 'propose',
+      commands: [{type: 'start-term', time}],
+    });
+  }
+
+  /** Delivers one message under way; a cut link loses it. */
+  deliver(at: number, isKept = false): void {
+    const flight = this.flights[at];
+    if (!isKept) {
+      this.flights.splice(at, 1);
+    }
+    const {from, to, message} = flight;
+    if (!this.cuts.has(`${from}>${to}`)) {
+      this.step(to, {type: 'message', from, message});
+    }
+  }
+
+  /** Brings everything that a node waits for onto its disk. */
+  sync(identity: string): void {
+    const member = this.get(identity);
+    const jobs = member.unsynced;
+    member.unsynced = [];
+    for (const {persist, messages} of jobs) {
+      write(member.disk, persist);
+      this.sendAll(identity, messages);
+    }
+    const last = jobs.flatMap(job => job.persist?.entries ?? []).at(-1);
+    if (last) {
+      this.step(identity, {
+        type: 'persisted',
+        index: last.index,
+        term: last.term,
+      });
+    }
+  }
+
+  crash(identity: string): void {
+    const member = this.get(identity);
+    member.isUp = false;
+    member.unsynced = [];
+  }
+
+  restart(identity: string): void {
+    const {disk} = this.get(identity);
+    this.members.set(identity, this.startMember(identity, disk));
+  }
+
+  cut(from: string, to: string): void {
+    this.cuts.add(`${from}>${to}`);
+  }
+
+  heal(): void {
+    this.cuts.clear();
+  }
+
+  /** Runs without faults until a leader has committed something new everywhere. */
+  settle(): boolean {
+    this.heal();
+    for (const [identity, member] of this.members) {
+      if (!member.isUp) {
+        this.restart(identity);
+      }
+    }
+    const target = Math.max(...this.committed.keys(), 0) + 1;
+    const isLeading = (name: string) => this.get(name).node.role === 'leader';
+    for (let round = 0; round < 400; round += 1) {
+      this.tick(20);
+      this.identities
+        .filter(isLeading)
+        .forEach(name => this.propose(name, round));
+      for (let count = 0; count < 50; count += 1) {
+        this.identities.forEach(identity => this.sync(identity));
+        if (this.flights.length === 0) {
+          break;
+        }
+        this.deliver(0);
+      }
+      const isDone = [...this.members.values()].every(
+        ({node}) => node.commitIndex >= target,
+      );
+      if (isDone) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  get(identity: string): Member {
+    const member = this.members.get(identity);
+    if (!member) {
+      throw new Error(`no node ${identity}`);
+    }
+    return member;
+  }
+
+  private startMember(identity: string, disk: Disk): Member {
+    const voters = new Map(this.voters.map(name => [name, name]));
+    const node = RaftNode.create({
+      identity,
+      log: RaftLog.create({index: 0, term: 0, voters}, disk.entries),
+      term: disk.term,
+      votedFor: disk.votedFor,
+      commitIndex: 0,
+      timing: TIMING,
+      random: this.random,
+      readSnapshot: () => new Uint8Array(),
+      now: this.now,
+    });
+    return {node, disk, unsynced: [], applied: [], isUp: true};
+  }
+
+  private step(identity: string, event: RaftEvent): void {
+    const member = this.get(identity);
+    if (!member.isUp) {
+      return;
+    }
+    const effects = member.node.step(event, this.now);
+    this.sendAll(identity, effects.messages);
+    if (effects.persist || effects.messagesAfterPersist.length > 0) {
+      member.unsynced.push({
+        persist: effects.persist,
+        messages: effects.messagesAfterPersist,
+      });
+    }
+    member.applied.push(...effects.committed);
+    this.record(identity, effects);
+  }
+
+  private record(identity: string, effects: RaftEffects): void {
+    const {node} = this.get(identity);
+    if (node.role === 'leader') {
+      const known = this.leaders.get(node.term) ?? identity;
+      if (known !== identity) {
+        throw new Error(
+          `two leaders in term ${node.term}: ${known} and ${identity}`,
+        );
+      }
+      this.leaders.set(node.term, identity);
+    }
+    for (const entry of effects.committed) {
+      const text = JSON.stringify(entry);
+      const known = this.committed.get(entry.index) ?? text;
+      if (known !== text) {
+        throw new Error(
+          `entry ${entry.index} was committed as ${known} and as ${text}`,
+        );
+      }
+      this.committed.set(entry.index, text);
+    }
+  }
+
+  private sendAll(from: string, messages: RaftEffects['messages']): void {
+    // Messages travel as bytes, so a receiver never shares an object with a sender.
+    messages.forEach(({to, message}) => {
+      this.flights.push({from, to, message: structuredClone(message)});
+    });
+  }
+}
+
+function write(disk: Disk, persist: RaftEffects['persist']): void {
+  if (!persist) {
+    return;
+  }
+  if (persist.hardState) {
+    disk.term = persist.hardState.term;
+    disk.votedFor = persist.hardState.votedFor;
+  }
+  const from = persist.truncateFrom;
+  if (from !== undefined) {
+    disk.entries = disk.entries.filter(entry => entry.index < from);
+  }
+  disk.entries.push(...persist.entries);
+}
