--- /dev/null
+++ b/test/transport/tls.test.ts
@@ -0,0 +1,70 @@
+import {readFileSync} from 'node:fs';
+import * as path from 'node:path';
+import {afterEach, beforeEach, expect, test} from 'vitest';
+import {connectPeer} from '../../src/protocol/connect_peer';
+import {Peer} from '../../src/protocol/peer';
+import {FrameServer} from '../../src/transport/frame_server';
+import {TransportSecurity} from '../../src/transport/transport_security';
+
+const FIXTURES = path.resolve(__dirname, '../fixtures/tls');
+const read = (name: string) => readFileSync(path.join(FIXTURES, name), 'utf8');
+const authority = read('authority.pem');
+const trusted: TransportSecurity = {
+  authority,
+  certificate: read('process.pem'),
+  key: read('process.key'),
+};
+const stranger: TransportSecurity = {
+  authority,
+  certificate: read('stranger.pem'),
+  key: read('stranger.key'),
+};
+const hello = {program: 'entry', id: 'e1', incarnation: 'i1'} as const;
+
+let server: FrameServer;
+const greeted: string[] = [];
+
+beforeEach(async () => {
+  greeted.length = 0;
+  server = await FrameServer.create({
+    host: '127.0.0.1',
+    port: 0,
+    security: trusted,
+    onConnection: connection => {
+      Peer.create(connection, {program: 'host', id: 'h1', incarnation: 'i2'})
+        .then(peer => greeted.push(peer.remote.id))
+        .catch(() => undefined);
+    },
+  });
+});
+
+afterEach(() => server.close());
+
+test('a process with a certificate of the authority is greeted', async () => {
+  const peer = await connectPeer(`127.0.0.1:${server.port}`, hello, trusted);
+
+  expect(peer.remote.id).toBe('h1');
+  peer.close();
+});
+
+test('a process with a certificate of its own making is refused', async () => {
+  await expect(
+    connectPeer(`127.0.0.1:${server.port}`, hello, stranger),
+  ).rejects.toThrow();
+  expect(greeted).toEqual([]);
+});
+
+test('a process without TLS is refused', async () => {
+  await expect(
+    connectPeer(`127.0.0.1:${server.port}`, hello),
+  ).rejects.toThrow();
+  expect(greeted).toEqual([]);
+});
+
+test('a server that the authority did not sign is not talked to', async () => {
+  const other = {...trusted, authority: stranger.certificate};
+
+  await expect(
+    connectPeer(`127.0.0.1:${server.port}`, hello, other),
+  ).rejects.toThrow();
+});
