feat(entry): resume a broken stream at another replica

Cause: a lost replica ended every stream in flight with an error event, although engines can take up a stream and the request was repeatable. Ruled out: running it again from the start (the caller would see tokens twice). Change: the entry counts the whole events that it delivered, asks the next replica to leave them out (whinreel-resume-after), and goes on only when that replica confirms (whinreel-resumed-from). Frames of an attempt that was given up are dropped: before, they could have been written into the next attempt's answer (new test "gets no frame of an attempt that was given up"). Before: a stream cut by a member's death ended with `failed`.

--- a/src/entry/caller_response.ts
+++ b/src/entry/caller_response.ts
@@ -7,6 +7,9 @@
 /** Whole answers up to this size are held until their outcome is known. */
 const MAX_HELD_BYTES = 1024 * 1024;
 const OUTCOME_HEADER = 'whinreel-outcome';
+const RESUMED_FROM_HEADER = 'whinreel-resumed-from';
+const LINE_FEED = 10;
+const OK = 200;
 const EVENT_STREAM = 'text/event-stream';
 const DROPPED_HEADERS = new Set([
   'connection',
@@ -21,6 +24,7 @@
   private heldBytes = 0;
   private isEvents = false;
   private hasDeliveredData = false;
+  private eventCount = 0;
 
   private constructor(private readonly response: ServerResponse) {}
 
@@ -39,6 +43,16 @@
     return this.hasDeliveredData;
   }
 
+  /** Whole events that the caller was sent. */
+  get deliveredEvents(): number {
+    return this.eventCount;
+  }
+
+  /** A broken stream can be taken up by another replica behind its last event. */
+  get canResume(): boolean {
+    return this.hasDeliveredData && this.isEvents && !this.isGone;
+  }
+
   /** The caller went away before the end. */
   get isGone(): boolean {
     return this.response.destroyed;
@@ -69,6 +83,18 @@
     }
   }
 
+  /**
+   * Goes on with the answer of another attempt; false when that attempt does
+   * not start behind the last event that the caller was sent.
+   */
+  acceptResumed(
+    status: number,
+    headers: Readonly<Record<string, string>>,
+  ): boolean {
+    const from = headers[RESUMED_FROM_HEADER];
+    return status === OK && from === String(this.eventCount);
+  }
+
   /** Writes a part of the answer; `onWritten` is called when there is room for more. */
   write(bytes: Uint8Array, onWritten: () => void): void {
     if (this.held && this.heldBytes + bytes.length <= MAX_HELD_BYTES) {
@@ -79,6 +105,7 @@
     }
     this.releaseHeld();
     this.hasDeliveredData = true;
+    this.eventCount += this.isEvents ? countEvents(bytes) : 0;
     const hasRoom = this.isGone || this.response.write(bytes);
     if (hasRoom) {
       onWritten();
@@ -153,3 +180,14 @@
     }
   }
 }
+
+/** Frames hold whole events, so each ends with an empty line. */
+function countEvents(bytes: Uint8Array): number {
+  let count = 0;
+  for (let at = 1; at < bytes.length; at += 1) {
+    if (bytes[at] === LINE_FEED && bytes[at - 1] === LINE_FEED) {
+      count += 1;
+    }
+  }
+  return count;
+}
--- a/src/entry/request_runner.ts
+++ b/src/entry/request_runner.ts
@@ -17,6 +17,8 @@
 /** How long a dispatch may travel before the host process refuses it. */
 const START_WITHIN_MS = 2_000;
 const NO_REPLICA_RETRY_MS = 1_000;
+/** Asks a backend server to leave out this many events of its answer. */
+const RESUME_HEADER = 'whinreel-resume-after';
 
 /** What requests run with. */
 interface RequestRunnerOptions {
@@ -99,7 +101,8 @@
       const isRetried = decideRetry({
         outcome: end.outcome,
         isRepeatable: request.isRepeatable,
-        hasDelivered: response.hasDelivered || response.isGone,
+        hasDelivered:
+          response.isGone || (response.hasDelivered && !response.canResume),
         attemptsMade: attempt,
         msLeft: request.deadline - clock.now(),
         takeRetry: () => this.findBudget(request).takeRetry(),
@@ -185,10 +188,22 @@
     {group, link}: Candidate,
     attemptId: string,
   ): Promise<AttemptEnd> {
-    const {clock} = this.options;
+    const msLeft = Math.max(0, request.deadline - this.options.clock.now());
     return new Promise(resolve => {
       let hasHead = false;
-      const msLeft = Math.max(0, request.deadline - clock.now());
+      // Frames of an attempt that was given up may still come; they are nobody's.
+      let isOver = false;
+      const finish = (end: AttemptEnd) => {
+        isOver = true;
+        clearTimeout(timer);
+        resolve(end);
+      };
+      const giveUp = (reason: string) => {
+        if (!isOver) {
+          finish({outcome: hasHead ? 'failed' : 'unknown', reason});
+          cancel();
+        }
+      };
       const timer = setTimeout(() => giveUp('the deadline passed'), msLeft);
       const cancel = link.dispatch(
         {
@@ -197,7 +212,7 @@
           epoch: group.epoch,
           method: request.method,
           path: request.path,
-          headers: request.headers,
+          headers: createHeaders(request, response),
           body: request.body,
           isRepeatable: request.isRepeatable,
           priority: request.priority,
@@ -206,25 +221,31 @@
         {
           onHead: (status, headers) => {
             hasHead = true;
-            response.start(status, headers);
+            if (isOver) {
+              return;
+            }
+            if (!response.hasDelivered) {
+              response.start(status, headers);
+            } else if (!response.acceptResumed(status, headers)) {
+              giveUp('the answer broke off and could not be resumed');
+            }
           },
           onData: (bytes, giveBack) => {
-            response.write(bytes, giveBack);
+            if (!isOver) {
+              response.write(bytes, giveBack);
+            }
           },
           onEnd: end => {
-            clearTimeout(timer);
+            if (isOver) {
+              return;
+            }
             if (end.outcome === 'answered') {
               response.finish();
             }
-            resolve(end);
+            finish(end);
           },
         },
       );
-      const giveUp = (reason: string) => {
-        cancel();
-        clearTimeout(timer);
-        resolve({outcome: hasHead ? 'failed' : 'unknown', reason});
-      };
       if (request.isRepeatable) {
         response.watchGone(() => giveUp('the caller went away'));
       }
@@ -272,6 +293,15 @@
   }
 }
 
+function createHeaders(
+  request: CallerRequest,
+  response: CallerResponse,
+): Readonly<Record<string, string>> {
+  return response.canResume
+    ? {...request.headers, [RESUME_HEADER]: String(response.deliveredEvents)}
+    : request.headers;
+}
+
 /** One earlier attempt that may have run outweighs later ones that surely did not. */
 function takeWorse(worst: AttemptEnd, end: AttemptEnd): AttemptEnd {
   const ORDER: readonly Outcome[] = ['not-run', 'failed', 'unknown'];
--- /dev/null
+++ b/test/entry/request_runner.test.ts
@@ -0,0 +1,241 @@
+import * as http from 'node:http';
+import {AddressInfo} from 'node:net';
+import {afterEach, describe, expect, test} from 'vitest';
+import {systemClock} from '../../src/common/system_clock';
+import {CallerRequest} from '../../src/entry/caller_request';
+import {CallerResponse} from '../../src/entry/caller_response';
+import {HostLinks} from '../../src/entry/host_links';
+import {OnceOnly} from '../../src/entry/once_only';
+import {RequestRunner} from '../../src/entry/request_runner';
+import {RouteTable} from '../../src/entry/route_table';
+import {ControlClient} from '../../src/protocol/control_client';
+import {Group} from '../../src/protocol/group';
+import {WorkMessage} from '../../src/protocol/work_message';
+import {call} from '../support/caller';
+import {FakeHost} from '../support/fake_host';
+import {waitUntil} from '../support/wait_until';
+
+const identity = {program: 'entry', id: 'e', incarnation: 'i'} as const;
+const EVENTS = {'content-type': 'text/event-stream'};
+const closers: Array<() => unknown> = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) {
+    await close();
+  }
+});
+
+function createGroup(id: string, address: string): Group {
+  const members = [{hostId: id, incarnation: 'fake', address}];
+  const place = {kind: 'model', name: 'm', domain: 'd', zone: 'z'} as const;
+  return {id, epoch: 1, ...place, members, isDraining: false};
+}
+
+/** Sends one request through a runner whose only replicas are the given hosts. */
+async function ask(
+  hosts: readonly FakeHost[],
+  changes: Partial<CallerRequest> = {},
+) {
+  const links = HostLinks.create({identity, clock: systemClock});
+  const groups = hosts.map((host, at) => createGroup(`g${at}`, host.address));
+  links.setWanted(hosts.map(host => host.address));
+  await waitUntil('links', () => hosts.every(host => links.find(host.address)));
+  const runner = RequestRunner.create({
+    clock: systemClock,
+    table: {groups} as unknown as RouteTable,
+    links,
+    onceOnly: OnceOnly.create({
+      client: ControlClient.create({addresses: [], identity}),
+      links,
+    }),
+    // Always the replica that comes first among those not tried.
+    random: () => 0,
+  });
+  const request: CallerRequest = {
+    requestId: 'r',
+    workspace: 'w',
+    priority: 5,
+    kind: 'model',
+    name: 'm',
+    method: 'POST',
+    path: '/',
+    headers: {},
+    body: Buffer.from('body'),
+    isRepeatable: true,
+    idempotencyKey: 'r',
+    deadline: systemClock.now() + 5_000,
+    ...changes,
+  };
+  const server = http.createServer((_, response) => {
+    void runner.run(request, CallerResponse.create(response));
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  closers.push(
+    () => links.close(),
+    () => server.close(),
+  );
+  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}/`;
+  return call({url, method: 'POST', headers: {}, body: ''});
+}
+
+async function createHost(
+  ...args: Parameters<typeof FakeHost.create>
+): Promise<FakeHost> {
+  const host = await FakeHost.create(...args);
+  closers.push(() => host.close());
+  return host;
+}
+
+function data(stream: number, sequence: number, text: string): WorkMessage {
+  return {
+    type: 'data',
+    stream,
+    sequence,
+    bytes: Buffer.from(`data: ${text}\n\n`),
+  };
+}
+
+function end(stream: number, frames: number): WorkMessage {
+  return {type: 'end', stream, frames, outcome: 'answered', reason: ''};
+}
+
+describe('an answer', () => {
+  test('whose frames are lost, repeated or reordered is never passed on as whole', async () => {
+    const orders = [
+      [0, 2],
+      [0, 0, 1],
+      [1, 0, 2],
+      [0, 1],
+    ];
+    for (const order of orders) {
+      const host = await createHost((dispatch, send) => {
+        const {stream} = dispatch;
+        send({type: 'head', stream, status: 200, headers: EVENTS});
+        order.forEach(sequence => send(data(stream, sequence, `t${sequence}`)));
+        send(end(stream, 3));
+      });
+      const answer = await ask([host], {isRepeatable: true});
+
+      expect(answer.outcome, String(order)).toBe('failed');
+      expect(answer.text, String(order)).toMatch(/"outcome":"failed"/);
+    }
+  });
+
+  test('gets no frame of an attempt that was given up, however late it comes', async () => {
+    const lateSends: Array<() => void> = [];
+    const first = await createHost((dispatch, send) => {
+      const {stream} = dispatch;
+      send({type: 'head', stream, status: 200, headers: EVENTS});
+      send(data(stream, 0, 'a'));
+      send(data(stream, 5, 'gap'));
+      lateSends.push(() => {
+        send(data(stream, 1, 'late'));
+        send(end(stream, 2));
+      });
+    });
+    const second = await createHost((dispatch, send) => {
+      const {stream} = dispatch;
+      const resumed = {...EVENTS, 'whinreel-resumed-from': '1'};
+      lateSends.forEach(send => send());
+      setTimeout(() => {
+        send({type: 'head', stream, status: 200, headers: resumed});
+        send(data(stream, 0, 'b'));
+        send(data(stream, 1, '[DONE]'));
+        send(end(stream, 2));
+      }, 50);
+    });
+    const answer = await ask([first, second]);
+
+    expect(second.dispatches[0].headers).toEqual({
+      'whinreel-resume-after': '1',
+    });
+    expect(answer.text).toBe('data: a\n\ndata: b\n\ndata: [DONE]\n\n');
+    expect(answer.outcome).toBe('answered');
+  });
+
+  test('is not continued by a replica that starts from the beginning', async () => {
+    const first = await createHost((dispatch, send, peer) => {
+      const {stream} = dispatch;
+      send({type: 'head', stream, status: 200, headers: EVENTS});
+      send(data(stream, 0, 'a'));
+      peer.finish();
+    });
+    const second = await createHost((dispatch, send) => {
+      const {stream} = dispatch;
+      send({type: 'head', stream, status: 200, headers: EVENTS});
+      send(data(stream, 0, 'a'));
+      send(end(stream, 1));
+    });
+    const answer = await ask([first, second]);
+
+    expect(answer.text.match(/data: a/g)).toHaveLength(1);
+    expect(answer.text).toContain('event: error\n');
+  });
+});
+
+describe('a request', () => {
+  test('that was refused by one replica runs at the next, and both are told different attempts', async () => {
+    const refusing = await createHost((dispatch, send) => {
+      send({
+        type: 'refused',
+        stream: dispatch.stream,
+        reason: 'full',
+        retryAfterMs: 100,
+      });
+    });
+    const answering = await createHost((dispatch, send) => {
+      const {stream} = dispatch;
+      send({type: 'head', stream, status: 200, headers: {}});
+      send(end(stream, 0));
+    });
+    const answer = await ask([refusing, answering]);
+
+    expect(answer.outcome).toBe('answered');
+    const attempts = [refusing, answering].map(
+      host => host.dispatches[0].attemptId,
+    );
+    expect(attempts).toEqual(['r.1', 'r.2']);
+  });
+
+  test('that every replica refused is told not-run with a time to come back', async () => {
+    const refuse: Parameters<typeof FakeHost.create>[0] = (dispatch, send) => {
+      send({
+        type: 'refused',
+        stream: dispatch.stream,
+        reason: 'full',
+        retryAfterMs: 2_500,
+      });
+    };
+    const answer = await ask([
+      await createHost(refuse),
+      await createHost(refuse),
+    ]);
+
+    expect([answer.status, answer.outcome]).toEqual([503, 'not-run']);
+  });
+
+  test('that may have run somewhere is not told not-run because others refused it', async () => {
+    const breaking = await createHost((_dispatch, _send, peer) => peer.close());
+    const refusing = await createHost((dispatch, send) => {
+      send({
+        type: 'refused',
+        stream: dispatch.stream,
+        reason: 'full',
+        retryAfterMs: 100,
+      });
+    });
+    const answer = await ask([breaking, refusing]);
+
+    expect(answer.outcome).toBe('unknown');
+  });
+
+  test('whose deadline passes is told so at once and its attempt is cancelled', async () => {
+    const silent = await createHost(() => undefined);
+    const answer = await ask([silent], {deadline: systemClock.now() + 300});
+
+    expect(answer.outcome).toBe('unknown');
+    await waitUntil('the cancel', () =>
+      silent.messages.some(({type}) => type === 'cancel'),
+    );
+  });
+});
--- a/test/stand_ins/engine_stand_in.ts
+++ b/test/stand_ins/engine_stand_in.ts
@@ -192,7 +192,8 @@
     await sleep(this.firstTokenMs);
     const count = body.max_tokens ?? DEFAULT_TOKENS;
     if (body.stream) {
-      await this.stream(response, count, () => isGone);
+      const resumeAfter = Number(request.headers['whinreel-resume-after'] ?? 0);
+      await this.stream(response, {from: resumeAfter, count}, () => isGone);
     } else {
       const content = Array.from({length: count}, (_, at) => `t${at}`).join(
         ' ',
@@ -207,11 +208,14 @@
 
   private async stream(
     response: http.ServerResponse,
-    count: number,
+    {from, count}: {from: number; count: number},
     isGone: () => boolean,
   ): Promise<void> {
-    response.writeHead(200, {'content-type': 'text/event-stream'});
-    for (let at = 0; at < count && !isGone(); at += 1) {
+    response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      ...(from > 0 ? {'whinreel-resumed-from': String(from)} : {}),
+    });
+    for (let at = from; at < count && !isGone(); at += 1) {
       if (at === this.breakAfterTokens) {
         response.end();
         return;
