fix(once-only): a run outlives its entry and its deadline, and its outcome is found

Cause: reading the path as a newcomer: when an entry gave a once-only request up at its deadline it cancelled the run half-way and recorded `unknown` for good; a host process stopped a once-only run when its entry died. Both are allowed by the promise (never twice) but lose the truth that the next caller asks for. Ruled out: keeping `unknown` and letting the host correct it (the first recorded outcome must stand). Change: once-only runs are not cancelled; `unknown` is not recorded, so the next caller asks the host process; it lets the run finish without its entry. Before: the resent request heard `unknown`. After: once_entry_killed and once_deadline hear `answered`, with one run.

--- a/src/entry/request_runner.ts
+++ b/src/entry/request_runner.ts
@@ -142,6 +142,10 @@
       attemptId,
       end,
     );
+    if (settled.outcome === 'unknown') {
+      // The host process may still learn the truth; whoever asks later hears it.
+      return settled;
+    }
     const resolving = onceOnly.resolve(request, attemptId, settled.outcome);
     if (settled.outcome === 'not-run') {
       // The next attempt claims again, which only the recorded outcome allows.
@@ -200,8 +204,13 @@
       };
       const giveUp = (reason: string) => {
         if (!isOver) {
-          finish({outcome: hasHead ? 'failed' : 'unknown', reason});
-          cancel();
+          // What must run once is not broken off half-way: it may have its effect already.
+          const isCancelled = request.isRepeatable;
+          const outcome = isCancelled && hasHead ? 'failed' : 'unknown';
+          finish({outcome, reason});
+          if (isCancelled) {
+            cancel();
+          }
         }
       };
       const timer = setTimeout(() => giveUp('the deadline passed'), msLeft);
@@ -231,7 +240,9 @@
             }
           },
           onData: (bytes, giveBack) => {
-            if (!isOver) {
+            if (isOver) {
+              giveBack();
+            } else {
               response.write(bytes, giveBack);
             }
           },
--- a/src/host/work_runner.ts
+++ b/src/host/work_runner.ts
@@ -78,7 +78,7 @@
     void peer.closed.then(() => {
       this.connections.delete(connection);
       for (const attempt of connection.attempts.values()) {
-        attempt.stop({outcome: 'unknown', reason: 'the entry went away'});
+        this.handleEntryGone(attempt);
       }
     });
   }
@@ -186,6 +186,15 @@
     });
   }
 
+  /** What must run once goes on without its caller, so that its outcome is known. */
+  private handleEntryGone(attempt: RunningAttempt): void {
+    if (this.running.get(attempt)?.isRepeatable === false) {
+      attempt.addCredit(Infinity);
+    } else {
+      attempt.stop({outcome: 'unknown', reason: 'the entry went away'});
+    }
+  }
+
   private answerTombstone(peer: Peer, attemptId: string): void {
     const fate = this.ledger.recordTombstone(
       attemptId,
--- a/test/support/scenario.ts
+++ b/test/support/scenario.ts
@@ -62,6 +62,8 @@
     isSlowReader: z.boolean().default(false),
     /** Asks again for as long as it is told that nothing ran, as callers may. */
     isPatient: z.boolean().default(true),
+    /** Asks again until it is told this outcome. */
+    until: z.string().optional(),
   }),
   /** Waits for the answer and checks it. */
   expect: z.strictObject({
@@ -120,6 +122,8 @@
   controls: z.int().default(3),
   entries: z.int().default(1),
   snapshotEvery: z.int().optional(),
+  /** All processes talk mutual TLS. */
+  isTls: z.boolean().default(false),
   hosts: z.record(z.string(), Host),
   models: z
     .array(
--- a/test/support/scenario_runner.ts
+++ b/test/support/scenario_runner.ts
@@ -61,6 +61,7 @@
       entries,
       controlArgs,
       hasRelays: true,
+      isTls: scenario.isTls,
     });
     const bundle = Bundle.parse({
       operator: 'scenario',
@@ -105,7 +106,7 @@
     pause: id => this.find(id).pause(),
     resume: id => this.find(id).resume(),
     stop: id => {
-      this.stopping.set(id, this.find(id).stop());
+      this.stopping.set(this.resolve(id), this.find(id).stop());
     },
     start: id => this.start(this.resolve(id)),
     loseDisk: id => {
@@ -160,7 +161,7 @@
       this.aliases.set(leader, status.leader.split('/')[0]);
     },
     expectExit: async ({process, code}) => {
-      expect(await this.stopping.get(process)).toBe(code);
+      expect(await this.stopping.get(this.resolve(process))).toBe(code);
     },
   };
 
@@ -263,7 +264,9 @@
     const {isSlowReader} = value;
     const url = `${this.fleet.entryUrl(this.resolve(value.at))}${path}`;
     const ask = () => call({url, method: 'POST', headers, body, isSlowReader});
-    const answer = value.isPatient ? askPatiently(ask) : ask();
+    const isDone = (outcome: string) =>
+      value.until ? outcome === value.until : outcome !== 'not-run';
+    const answer = value.isPatient ? askPatiently(ask, isDone) : ask();
     this.answers.set(value.as, answer);
     void answer.then(() => this.settled.add(value.as));
   }
@@ -348,9 +351,10 @@
 /** A caller may ask again at once after `not-run`; others would wait as long as they are told. */
 async function askPatiently(
   ask: () => Promise<CallResult>,
+  isDone: (outcome: string) => boolean,
 ): Promise<CallResult> {
-  return waitUntil('an answer that is not not-run', async () => {
+  return waitUntil('an answer with the awaited outcome', async () => {
     const result = await ask();
-    return result.outcome === 'not-run' ? undefined : result;
+    return isDone(result.outcome) ? result : undefined;
   });
 }
--- a/test/support/test_fleet.ts
+++ b/test/support/test_fleet.ts
@@ -8,12 +8,16 @@
 import {FleetStatus} from '../../src/protocol/fleet_status';
 import {signBundle} from '../../src/protocol/sign_bundle';
 import {OperatorClient} from '../../src/operator/operator_client';
+import {TransportSecurity} from '../../src/transport/transport_security';
 import {EngineStandIn} from '../stand_ins/engine_stand_in';
 import {ManagedProcess} from './managed_process';
 import {RelayNet} from './relay_net';
 import {reservePort} from './reserve_port';
 import {waitUntil} from './wait_until';
 
+/** From the sources or from below `build/`: fixtures are not copied there. */
+const TLS_FIXTURES = path.resolve(process.cwd(), 'test/fixtures/tls');
+
 /** One host with the backend server beside it. */
 interface HostPlan {
   readonly hostId: string;
@@ -34,6 +38,8 @@
   readonly controlArgs?: readonly string[];
   /** Every connection between processes goes through a relay that can be cut. */
   readonly hasRelays?: boolean;
+  /** All processes talk mutual TLS with the keys in test/fixtures. */
+  readonly isTls?: boolean;
   /** Called for each process that is up. */
   readonly onProgress?: (text: string) => void;
 }
@@ -90,6 +96,7 @@
     this.client ??= OperatorClient.create({
       addresses: this.controlAddresses,
       timeoutMs: 10_000,
+      security: this.options.isTls ? readTestSecurity() : undefined,
     });
     return this.client;
   }
@@ -181,6 +188,7 @@
       ...['--peers', peers],
       ...['--operator-keys', this.publicKeyFile],
       ...(this.options.controlArgs ?? []),
+      ...this.listTlsArgs(),
     ];
     const script = 'src/bin/whinreel_control.js';
     this.controls.set(
@@ -204,6 +212,17 @@
     return addresses;
   }
 
+  private listTlsArgs(): string[] {
+    if (!this.options.isTls) {
+      return [];
+    }
+    return [
+      ...['--tls-authority', path.join(TLS_FIXTURES, 'authority.pem')],
+      ...['--tls-certificate', path.join(TLS_FIXTURES, 'process.pem')],
+      ...['--tls-key', path.join(TLS_FIXTURES, 'process.key')],
+    ];
+  }
+
   private async createAdvertiseArgs(hostId: string): Promise<string[]> {
     if (!this.options.hasRelays) {
       return [];
@@ -230,6 +249,7 @@
         '--control',
         [...(await this.listControlAddresses(entryId)).values()].join(','),
       ],
+      ...this.listTlsArgs(),
     ];
     const script = 'src/bin/whinreel_entry.js';
     this.entries.set(
@@ -253,6 +273,7 @@
         [...(await this.listControlAddresses(hostId)).values()].join(','),
       ],
       ...(await this.createAdvertiseArgs(hostId)),
+      ...this.listTlsArgs(),
     ];
     const script = 'src/bin/whinreel_host.js';
     const host = await ManagedProcess.create({label: hostId, script, args});
@@ -322,3 +343,13 @@
   }
   return found;
 }
+
+function readTestSecurity(): TransportSecurity {
+  const read = (name: string) =>
+    readFileSync(path.join(TLS_FIXTURES, name), 'utf8');
+  return {
+    authority: read('authority.pem'),
+    certificate: read('process.pem'),
+    key: read('process.key'),
+  };
+}
