perf(control): tell a host its group only when it changed

Cause: docs/CAPACITY.md: each directive repeated the whole group (669 bytes for eight members) 3.3 times a second to every host. Ruled out: longer periods first (they also delay detection of a loss). Change: a report names what the host was told (fencing number, draining); the directive leaves the group out when that is still so. The leader's thread still breaks first, at the number of reports.

--- a/bench/light_fleet.ts
+++ b/bench/light_fleet.ts
@@ -75,7 +75,7 @@
       {program: 'host', id: hostId, incarnation},
       message => {
         if (message.type === 'host-directive') {
-          group = message.group;
+          group = message.group === undefined ? group : message.group;
           bundleVersion = message.bundleVersion;
           this.versions.set(hostId, bundleVersion);
         }
@@ -95,6 +95,7 @@
           backend: {kind: 'model', name: 'assistant', accelerators: 8},
           isLeaving: false,
           assignment: group && {groupId: group.id, epoch: group.epoch},
+          told: group && {fencing: group.fencing, isDraining: group.isDraining},
           isServing: isFirst,
           missing: [],
           running: 0,
--- a/bench/virtual_fleet.ts
+++ b/bench/virtual_fleet.ts
@@ -189,6 +189,7 @@
       },
       isLeaving: false,
       assignment: isMember ? {groupId: group.id, epoch: group.epoch} : null,
+      told: null,
       isServing: isMember && this.isServing(group),
       missing: [],
       running: 0,
--- a/src/control/call_handlers.ts
+++ b/src/control/call_handlers.ts
@@ -69,7 +69,7 @@
   return {
     'host-report': ({call, report}) => {
       fleet.recordHost(report, clock.now());
-      const group = findAssignment(runtime, report);
+      const group = findNews(findAssignment(runtime, report), report);
       const bundle = describeBundle(report.bundleVersion);
       const standby = context.findStandby(report.hostId);
       return {type: 'host-directive', call, leaseMs, ...bundle, group, standby};
@@ -142,6 +142,16 @@
   return group && member?.incarnation === report.incarnation ? group : null;
 }
 
+/** Undefined when the host was told the same before. */
+function findNews(
+  group: Group | null,
+  {told}: HostReport,
+): Group | null | undefined {
+  const isSame =
+    group?.fencing === told?.fencing && group?.isDraining === told?.isDraining;
+  return isSame ? undefined : group;
+}
+
 async function rollOut(
   ask: MessageOf<ControlMessage, 'roll-out-ask'>,
   context: CallContext,
--- a/src/host/host_server.ts
+++ b/src/host/host_server.ts
@@ -213,8 +213,13 @@
     if (directive.bundle) {
       this.setBundle(Bundle.parse(JSON.parse(directive.bundle.document)));
     }
-    const {group, standby} = directive;
-    this.orders.setStandby(standby);
+    this.orders.setStandby(directive.standby);
+    if (directive.group !== undefined) {
+      this.assignGroup(directive.group);
+    }
+  }
+
+  private assignGroup(group: Group | null): void {
     if (!this.membership.assign(group)) {
       return;
     }
@@ -321,7 +326,6 @@
     this.session?.reportSoon();
   }
 
-  /** A group that was told to drain starts nothing new, so this stays true. */
   private isDrained(): boolean {
     return (
       this.membership.group?.isDraining === true &&
@@ -351,6 +355,10 @@
         : null,
       isLeaving: this.isLeaving || (backend?.isLeaving ?? false),
       assignment: this.membership.describe(now),
+      told: this.membership.group && {
+        fencing: this.membership.group.fencing,
+        isDraining: this.membership.group.isDraining,
+      },
       isServing: this.isServing(now),
       missing: this.lease?.listSilent(now) ?? [],
       running: this.runner.runningCount,
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -18,7 +18,8 @@
     bundleVersion: z.int(),
     /** Present when the asker reported another version. */
     bundle: SignedBundle.optional(),
-    group: Group.nullable(),
+    /** Null for none; absent when it is as the asker was told before. */
+    group: Group.nullable().optional(),
     /** The model that an engine without a group should load in advance. */
     standby: z.string().nullable(),
   }),
--- a/src/protocol/host_report.ts
+++ b/src/protocol/host_report.ts
@@ -17,6 +17,8 @@
     .nullable(),
   isLeaving: z.boolean(),
   assignment: z.object({groupId: z.string(), epoch: z.int()}).nullable(),
+  /** What it was last told about its group; control repeats only what differs. */
+  told: z.object({fencing: z.int(), isDraining: z.boolean()}).nullable(),
   /** For a first member: the group serves. */
   isServing: z.boolean(),
   /** For a first member: members that it does not hear. */
--- a/test/coordination/plan_groups.test.ts
+++ b/test/coordination/plan_groups.test.ts
@@ -37,6 +37,7 @@
       backend: {kind: 'model', name: 'assistant', accelerators: 8},
       isLeaving: false,
       assignment: group ? {groupId: group.id, epoch: group.epoch} : null,
+      told: null,
       isServing: isFirst,
       missing: [],
       running: 0,
