fix(operator): wrong arguments of commands end with exit code 2; files split

Ruled out: mapping code 1 to 2 in the binary (real failures end with 1). Three tests; the third failed before.

--- a/src/bin/whinreel.ts
+++ b/src/bin/whinreel.ts
@@ -9,7 +9,6 @@
 const program = createProgram({write: text => process.stdout.write(text)});
 
 program
-  .exitOverride()
   .parseAsync(process.argv)
   .then(() => process.exit(EXIT_CODES.done))
   .catch((error: Error) => {
--- a/src/entry/route_table.ts
+++ b/src/entry/route_table.ts
@@ -1,5 +1,6 @@
 /** The entry's copy of what control decided: bundle, groups, lease. */
 import {Clock} from '../common/clock';
+import {BundleLease} from '../coordination/bundle_lease';
 import {Bundle} from '../protocol/bundle';
 import {ControlClient} from '../protocol/control_client';
 import {ControlMessage} from '../protocol/control_message';
@@ -25,7 +26,7 @@
   private currentBundle: Bundle | undefined;
   private currentGroups: readonly Group[] = [];
   private tableVersion = 0;
-  private leaseUntil = -Infinity;
+  private readonly lease = BundleLease.create();
   private entryCount = 1;
   private isClosed = false;
   private wake: () => void = () => undefined;
@@ -60,7 +61,7 @@
 
   /** True while control confirmed the bundle lately enough to take new work. */
   hasLease(now: number): boolean {
-    return now < this.leaseUntil;
+    return this.lease.isHeld(now);
   }
 
   close(): void {
@@ -94,7 +95,7 @@
   }
 
   private applyDirective(directive: Directive, askedAt: number): void {
-    this.leaseUntil = Math.max(this.leaseUntil, askedAt + directive.leaseMs);
+    this.lease.renew(askedAt, directive.leaseMs);
     this.entryCount = directive.entries;
     if (directive.bundle) {
       const bundle = Bundle.parse(JSON.parse(directive.bundle.document));
--- a/src/host/control_session.ts
+++ b/src/host/control_session.ts
@@ -1,5 +1,6 @@
 /** Reports to control a few times a second and takes its directives. */
 import {Clock} from '../common/clock';
+import {BundleLease} from '../coordination/bundle_lease';
 import {ControlClient} from '../protocol/control_client';
 import {ControlMessage} from '../protocol/control_message';
 import {HostReport} from '../protocol/host_report';
@@ -20,7 +21,7 @@
 
 /** Keeps the lease that control's answers carry. */
 export class ControlSession {
-  private leaseUntil = -Infinity;
+  private readonly lease = BundleLease.create();
   private isClosed = false;
   private wake: () => void = () => undefined;
 
@@ -40,7 +41,7 @@
 
   /** True while control confirmed the bundle lately enough to take new work. */
   hasLease(now: number): boolean {
-    return now < this.leaseUntil;
+    return this.lease.isHeld(now);
   }
 
   /** Reports at once instead of at the next time. */
@@ -77,11 +78,7 @@
     try {
       const directive = await client.ask({type: 'host-report', report});
       if (!this.isClosed) {
-        // Counted from before the question: a late answer cannot lengthen the lease.
-        this.leaseUntil = Math.max(
-          this.leaseUntil,
-          askedAt + directive.leaseMs,
-        );
+        this.lease.renew(askedAt, directive.leaseMs);
         onDirective(directive);
       }
     } catch {
--- a/src/host/host_server.ts
+++ b/src/host/host_server.ts
@@ -3,14 +3,11 @@
 import {EventRing} from '../common/event_ring';
 import {systemClock} from '../common/system_clock';
 import {checkDispatch} from '../coordination/check_dispatch';
-import {GroupLease} from '../coordination/group_lease';
-import {Membership} from '../coordination/membership';
 import {Bundle} from '../protocol/bundle';
 import {ControlClient} from '../protocol/control_client';
 import {ControlMessage} from '../protocol/control_message';
 import {Group} from '../protocol/group';
 import {HostReport} from '../protocol/host_report';
-import {MembershipMessage} from '../protocol/membership_message';
 import {MessageOf} from '../protocol/message_of';
 import {Peer} from '../protocol/peer';
 import {WorkMessage} from '../protocol/work_message';
@@ -22,7 +19,7 @@
 import {BackendSlot} from './backend_slot';
 import {ControlSession} from './control_session';
 import {EngineOrders} from './engine_orders';
-import {HeartbeatAsker} from './heartbeat_asker';
+import {GroupMember} from './group_member';
 import {HostSettings} from './host_settings';
 import {WorkRunner} from './work_runner';
 
@@ -37,12 +34,10 @@
   private readonly clock = systemClock;
   private readonly backend = HttpBackend.create();
   private readonly slot = BackendSlot.create(this.clock);
-  private readonly membership = Membership.create(this.clock.now());
   private readonly orders: EngineOrders;
+  private readonly member: GroupMember;
   private readonly runner: WorkRunner;
   private readonly timers: NodeJS.Timeout[] = [];
-  private lease: GroupLease | undefined;
-  private asker: HeartbeatAsker | undefined;
   private session: ControlSession | undefined;
   private server: FrameServer | undefined;
   private announceListener: HttpListener | undefined;
@@ -56,6 +51,13 @@
       backend: this.backend,
       findUrl: () => this.slot.current?.url,
     });
+    this.member = GroupMember.create({
+      hostId: settings.hostId,
+      identity: this.identity,
+      clock: this.clock,
+      orders: this.orders,
+      security: settings.security,
+    });
     this.runner = WorkRunner.create({
       incarnation: this.incarnation,
       clock: this.clock,
@@ -63,7 +65,7 @@
       backend: this.backend,
       findBackendUrl: () => this.slot.current?.url,
       refuse: (dispatch, now) => this.refuse(dispatch, now),
-      checkRight: dispatch => this.checkRight(dispatch),
+      checkRight: dispatch => this.member.checkRight(dispatch),
     });
   }
 
@@ -101,7 +103,7 @@
     this.record('leaving', 'the process was told to stop');
     this.session?.reportSoon();
     let deadline = this.clock.now() + timeoutMs;
-    const isReleased = () => this.membership.group === null;
+    const isReleased = () => this.member.group === null;
     while (
       this.runner.runningCount > 0 ||
       (!isReleased() && this.clock.now() < deadline)
@@ -118,7 +120,7 @@
   async close(): Promise<void> {
     this.timers.forEach(timer => clearInterval(timer));
     this.session?.close();
-    this.asker?.close();
+    this.member.close();
     this.orders.close();
     this.runner.close();
     await this.server?.close();
@@ -176,37 +178,11 @@
     }
     void peer.messages.observe(message => {
       if (message.type === 'heartbeat-ask') {
-        this.answerHeartbeat(peer, message);
+        this.member.answerHeartbeat(peer, message);
       }
     });
   }
 
-  private answerHeartbeat(
-    peer: Peer,
-    ask: MessageOf<MembershipMessage, 'heartbeat-ask'>,
-  ): void {
-    const {group} = this.membership;
-    const {id: hostId, incarnation} = peer.remote;
-    const isReady = group !== null && this.orders.isInForce(group);
-    const isMember =
-      isReady &&
-      this.membership.answerHeartbeat(
-        ask,
-        {hostId, incarnation},
-        this.clock.now(),
-      );
-    const {groupId, epoch, nonce} = ask;
-    const answerer = this.settings.hostId;
-    peer.send({
-      type: 'heartbeat-answer',
-      hostId: answerer,
-      groupId,
-      epoch,
-      nonce,
-      isMember,
-    });
-  }
-
   private applyDirective(
     directive: MessageOf<ControlMessage, 'host-directive'>,
   ): void {
@@ -220,37 +196,15 @@
   }
 
   private assignGroup(group: Group | null): void {
-    if (!this.membership.assign(group)) {
+    if (!this.member.assign(group)) {
       return;
     }
-    this.asker?.close();
-    this.asker = undefined;
-    this.lease = undefined;
     this.runner.stopUnlawful();
-    this.orders.setWanted(group);
-    if (group?.members[0].hostId === this.settings.hostId) {
-      this.startLease(group);
-    }
     const name = group ? `${group.id} epoch ${group.epoch}` : 'no group';
     this.record('assigned', `control assigned ${name}`);
     this.session?.reportSoon();
   }
 
-  private startLease(group: Group): void {
-    this.lease = GroupLease.create(
-      group,
-      this.settings.hostId,
-      this.clock.now(),
-    );
-    this.asker = HeartbeatAsker.create({
-      group,
-      lease: this.lease,
-      identity: this.identity,
-      clock: this.clock,
-      security: this.settings.security,
-    });
-  }
-
   private setBundle(bundle: Bundle): void {
     if (bundle.version > (this.bundle?.version ?? 0)) {
       this.bundle = bundle;
@@ -262,15 +216,15 @@
     dispatch: MessageOf<WorkMessage, 'dispatch'>,
     now: number,
   ): string | undefined {
-    const {group} = this.membership;
+    const {member} = this;
     return checkDispatch(
       {
         hostId: this.settings.hostId,
         incarnation: this.incarnation,
-        group: group ?? undefined,
-        missing: this.listMissing(now),
+        group: member.group ?? undefined,
+        missing: member.listMissing(now),
         hasBundleLease: this.session?.hasLease(now) ?? false,
-        hasBackend: group !== null && this.orders.isInForce(group),
+        hasBackend: member.hasOrders(),
         isLeaving: this.isLeaving || (this.slot.current?.isLeaving ?? false),
         now,
       },
@@ -278,43 +232,15 @@
     );
   }
 
-  /** Work may go on only in its own epoch and with every member present. */
-  private checkRight(
-    dispatch: MessageOf<WorkMessage, 'dispatch'>,
-  ): string | undefined {
-    const {group} = this.membership;
-    if (group?.id !== dispatch.groupId || group.epoch !== dispatch.epoch) {
-      return 'the group moved on to another epoch';
-    }
-    const missing = this.listMissing(this.clock.now());
-    return missing.length === 0
-      ? undefined
-      : `members are missing: ${missing.join(' ')}`;
-  }
-
-  private listMissing(now: number): string[] {
-    const missing = this.lease?.listMissing(now) ?? [];
-    // The old group may still count this host, so the new one cannot yet.
-    return this.membership.isBoundElsewhere(now)
-      ? [this.settings.hostId, ...missing]
-      : missing;
-  }
-
-  private isServing(now: number): boolean {
-    const {group} = this.membership;
-    const isReady = group !== null && this.orders.isInForce(group);
-    const isLeading = this.lease !== undefined;
-    return isReady && isLeading && this.listMissing(now).length === 0;
-  }
-
   private check(): void {
     this.orders.refresh();
-    const isServing = this.isServing(this.clock.now());
+    const now = this.clock.now();
+    const isServing = this.member.isServing(now);
     if (isServing === this.wasServing) {
       return;
     }
     this.wasServing = isServing;
-    const missing = this.listMissing(this.clock.now()).join(' ');
+    const missing = this.member.listMissing(now).join(' ');
     const reason = missing
       ? `members are missing: ${missing}`
       : 'the group or engine changed';
@@ -326,16 +252,9 @@
     this.session?.reportSoon();
   }
 
-  private isDrained(): boolean {
-    return (
-      this.membership.group?.isDraining === true &&
-      this.runner.runningCount === 0
-    );
-  }
-
   private createReport(): HostReport | undefined {
     const now = this.clock.now();
-    if (this.membership.isQuiet(now)) {
+    if (this.member.isQuiet(now)) {
       return undefined;
     }
     const {hostId, zone, domain, host, advertise} = this.settings;
@@ -354,15 +273,12 @@
           }
         : null,
       isLeaving: this.isLeaving || (backend?.isLeaving ?? false),
-      assignment: this.membership.describe(now),
-      told: this.membership.group && {
-        fencing: this.membership.group.fencing,
-        isDraining: this.membership.group.isDraining,
-      },
-      isServing: this.isServing(now),
-      missing: this.lease?.listSilent(now) ?? [],
+      ...this.member.describe(now),
       running: this.runner.runningCount,
-      isDrained: this.isDrained(),
+      // A group that was told to drain starts nothing new, so this stays true.
+      isDrained:
+        this.member.group?.isDraining === true &&
+        this.runner.runningCount === 0,
       bundleVersion: this.bundle?.version ?? 0,
     };
   }
--- /dev/null
+++ b/src/operator/add_fleet_commands.ts
@@ -0,0 +1,115 @@
+/** The commands about the running fleet. */
+import {Argument} from 'commander';
+import {OperatorClient} from './operator_client';
+import {OperatorError} from './operator_error';
+import {OperatorReporter} from './operator_reporter';
+import {parseWholeNumber} from './parse_whole_number';
+import {ProgramContext} from './program_context';
+import {readPrivateKey} from './read_private_key';
+
+const POLL_MS = 200;
+const SUBJECTS = ['group', 'host', 'bundle', 'control'];
+
+/**
+ * Adds `status`, `watch`, `explain`, `drain` and `undrain`.
+ *
+ * @example
+ * addFleetCommands(context);
+ */
+export function addFleetCommands(context: ProgramContext): void {
+  const {program, createReporter, withClient} = context;
+  program
+    .command('status')
+    .description('bundle, groups and hosts as control sees them')
+    .action(() =>
+      withClient(async client => {
+        createReporter().report({
+          type: 'status',
+          status: await client.readStatus(),
+        });
+      }),
+    );
+  program
+    .command('watch')
+    .description('decisions of control as they are made, until interrupted')
+    .option('--from <index>', 'start behind this place in the log', '0')
+    .action((options: {from: string}) =>
+      withClient(client =>
+        watch(
+          client,
+          parseWholeNumber('--from', options.from),
+          createReporter(),
+        ),
+      ),
+    );
+  program
+    .command('explain')
+    .addArgument(new Argument('<subject>').choices(SUBJECTS))
+    .argument('<id>')
+    .description(
+      'what happened to a group, host, bundle or control process, and why',
+    )
+    .addHelpText('after', '\nExample:\n  whinreel explain group assistant-1')
+    .action((subject: string, id: string) =>
+      withClient(async client => {
+        const entries = await client.readJournal({subject, id, after: 0});
+        createReporter().report({type: 'journal', entries});
+      }),
+    );
+  for (const isDraining of [true, false]) {
+    program
+      .command(isDraining ? 'drain <host>' : 'undrain <host>')
+      .description(
+        isDraining
+          ? 'take a host out of service'
+          : 'put a host back into service',
+      )
+      .requiredOption('--key <file>', 'private key that signs the order')
+      .action((hostId: string, options: {key: string}) =>
+        withClient(client =>
+          drain(client, hostId, isDraining, options.key, createReporter()),
+        ),
+      );
+  }
+}
+
+async function drain(
+  client: OperatorClient,
+  hostId: string,
+  isDraining: boolean,
+  keyFile: string,
+  reporter: OperatorReporter,
+): Promise<void> {
+  const answer = await client.drain(
+    hostId,
+    isDraining,
+    readPrivateKey(keyFile),
+  );
+  const {isAccepted, reason} = answer;
+  reporter.report({
+    type: 'drain-ordered',
+    hostId,
+    isDraining,
+    isAccepted,
+    reason,
+  });
+  if (!isAccepted) {
+    throw new OperatorError({info: {kind: 'refused'}}, 'the order was refused');
+  }
+}
+
+async function watch(
+  client: OperatorClient,
+  from: number,
+  reporter: OperatorReporter,
+): Promise<void> {
+  let after = from;
+  for (;;) {
+    const entries = await client.readJournal({after});
+    if (entries.length > 0) {
+      after = entries[entries.length - 1].index;
+      reporter.report({type: 'journal', entries});
+    }
+    await new Promise(resolve => setTimeout(resolve, POLL_MS));
+  }
+}
--- /dev/null
+++ b/src/operator/parse_whole_number.ts
@@ -0,0 +1,16 @@
+import {OperatorError} from './operator_error';
+
+/**
+ * Reads a flag that takes a whole number from 0.
+ *
+ * @throws OperatorError naming the flag and the value
+ * @example
+ * parseWholeNumber('--from', '12'); // 12
+ */
+export function parseWholeNumber(flag: string, text: string): number {
+  if (!/^\d{1,15}$/.test(text)) {
+    const message = `${flag} is "${text}": expected a whole number`;
+    throw new OperatorError({info: {kind: 'usage'}}, '%s', message);
+  }
+  return Number(text);
+}
--- a/src/operator/text_reporter.ts
+++ b/src/operator/text_reporter.ts
@@ -51,7 +51,10 @@
   'in-force': ({version, inForce, of}) =>
     `version ${version} is in force on ${inForce} of ${of} hosts and entries\n`,
   status: ({status}) => formatStatus(status),
-  journal: ({entries}) => entries.map(formatJournalEntry).join(''),
+  journal: ({entries}) =>
+    entries.length === 0
+      ? 'nothing is recorded about it\n'
+      : entries.map(formatJournalEntry).join(''),
   'drain-ordered': ({hostId, isDraining, isAccepted, reason}) =>
     `${isAccepted ? '' : 'refused: '}${hostId} ${isDraining ? 'drains' : 'is back'}: ${reason}\n`,
 };
--- a/test/operator/command_line.test.ts
+++ b/test/operator/command_line.test.ts
@@ -147,3 +147,23 @@
     expect(result.stdout).toContain('Usage: whinreel');
   }
 });
+
+test.each([
+  [
+    ['--timeout-ms', 'soon', 'status'],
+    '--timeout-ms is "soon": expected a whole number',
+  ],
+  [['watch', '--from', '-1'], '--from is "-1": expected a whole number'],
+  [
+    ['explain', 'weather', 'x'],
+    "error: command-argument value 'weather' is invalid",
+  ],
+])(
+  'wrong input to a command is named, with exit code 2 (%#)',
+  async (args, message) => {
+    const result = await run(['--control', '127.0.0.1:1', ...args]);
+
+    expect(result.code).toBe(2);
+    expect(result.stderr).toContain(message);
+  },
+);
