--- a/src/control/call_handlers.ts
+++ b/src/control/call_handlers.ts
@@ -99,8 +99,10 @@
         time: Date.now(),
         ...claim,
       });
-      const verdict = result.verdict ?? {status: 'key-reused'};
-      return {type: 'claim-answer', call, verdict};
+      if (!result.verdict) {
+        throw new ControlError('the claim was applied without a verdict');
+      }
+      return {type: 'claim-answer', call, verdict: result.verdict};
     },
     'claim-resolve': async ({call, workspace, key, attemptId, outcome}) => {
       const time = Date.now();
--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -177,15 +177,14 @@
     }
   }
 
+  /** Only committed voters: a replacement that is merely proposed may still fail. */
   private listVoters(): Record<string, string> {
-    const {runtime, settings, disk} = this;
+    const {runtime, disk} = this;
     if (!runtime) {
       return disk.snapshots.current?.voters ?? {};
     }
-    const names = [settings.name, ...settings.peers.keys()];
-    return Object.fromEntries(
-      names.map(name => [name, runtime.raft.findVoter(name) ?? '']),
-    );
+    const {raft} = runtime;
+    return Object.fromEntries(raft.listVotersAt(raft.commitIndex));
   }
 
   private async formOrJoinQuorum(): Promise<void> {
--- a/src/control/raft_runtime.ts
+++ b/src/control/raft_runtime.ts
@@ -13,6 +13,7 @@
 import {ControlDisk} from '../state/control_disk';
 import {LogRecord} from '../state/log_record';
 import {ControlError} from './control_error';
+import {PendingProposals} from './pending_proposals';
 
 const TICK_MS = 20;
 /** Entries behind the snapshot after which a new one is taken. */
@@ -27,13 +28,6 @@
   readonly messages: Outgoing;
 }
 
-/** A command that waits for its commit. */
-interface Waiting {
-  readonly term: number;
-  readonly resolve: (result: CommandResult) => void;
-  readonly reject: (error: ControlError) => void;
-}
-
 /** What the runtime is made of. */
 interface RaftRuntimeOptions {
   readonly disk: ControlDisk;
@@ -67,11 +61,7 @@
   private isDiskBusy = false;
   private isInstalling = false;
   private postponed: RaftEvent[] = [];
-  private readonly waiting = new Map<number, Waiting>();
-  private proposals: Array<{
-    command: ControlCommand;
-    waiting: Omit<Waiting, 'term'>;
-  }> = [];
+  private readonly pending = PendingProposals.create();
   private appliedTerm = 0;
   private readonly timer: NodeJS.Timeout;
   private isClosed = false;
@@ -125,6 +115,7 @@
     | 'others'
     | 'commitIndex'
     | 'findVoter'
+    | 'listVotersAt'
     | 'isCaughtUp'
     | 'isChangingVoters'
   > {
@@ -155,40 +146,34 @@
    * @throws ControlError when this process does not lead or loses the lead
    */
   propose(command: ControlCommand): Promise<CommandResult> {
-    return new Promise((resolve, reject) => {
-      this.proposals.push({command, waiting: {resolve, reject}});
-      if (this.proposals.length === 1) {
-        setImmediate(() => this.flushProposals());
-      }
-    });
+    const settled = this.pending.add(command);
+    if (this.pending.queuedCount === 1) {
+      setImmediate(() => this.flushProposals());
+    }
+    return settled;
   }
 
   /** Stops; resolves when the disk is idle. */
   async close(): Promise<void> {
     this.isClosed = true;
     clearInterval(this.timer);
-    this.rejectWaiting('control is stopping');
+    this.pending.reject('control is stopping');
     while (this.isDiskBusy) {
       await new Promise(resolve => setTimeout(resolve, 1));
     }
   }
 
   private flushProposals(): void {
-    const proposals = this.proposals;
-    this.proposals = [];
+    if (this.pending.queuedCount === 0) {
+      return;
+    }
     if (this.node.role !== 'leader' || this.isClosed) {
-      const error = new ControlError('this control process does not lead');
-      proposals.forEach(({waiting}) => waiting.reject(error));
+      this.pending.reject('this control process does not lead');
       return;
     }
-    const firstIndex = this.node.lastIndex + 1;
-    proposals.forEach(({waiting}, offset) => {
-      this.waiting.set(firstIndex + offset, {...waiting, term: this.node.term});
-    });
-    this.step({
-      type: 'propose',
-      commands: proposals.map(({command}) => command),
-    });
+    const {lastIndex, term} = this.node;
+    const commands = this.pending.take(lastIndex + 1, term);
+    this.step({type: 'propose', commands});
   }
 
   private step(event: RaftEvent): void {
@@ -225,13 +210,7 @@
     if (entry.command.type === 'start-term') {
       this.appliedTerm = entry.term;
     }
-    const waiting = this.waiting.get(entry.index);
-    this.waiting.delete(entry.index);
-    if (waiting?.term === entry.term) {
-      waiting.resolve(result);
-    } else {
-      waiting?.reject(new ControlError('another leader took over'));
-    }
+    this.pending.settle(entry.index, entry.term, result);
     const every = this.options.snapshotEvery ?? DEFAULT_SNAPSHOT_EVERY;
     const snapshotIndex = this.options.disk.snapshots.current?.index ?? 0;
     if (entry.index - Math.max(snapshotIndex, this.snapshotPlanned) >= every) {
@@ -249,20 +228,12 @@
 
   private handleChange(change: {role: string; reason: string}): void {
     if (change.role !== 'leader') {
-      this.rejectWaiting('this control process lost the lead');
+      this.pending.reject('this control process lost the lead');
     }
     this.changes.push(change);
     this.options.onChange();
   }
 
-  private rejectWaiting(reason: string): void {
-    const error = new ControlError(reason);
-    for (const waiting of this.waiting.values()) {
-      waiting.reject(error);
-    }
-    this.waiting.clear();
-  }
-
   private async drainDisk(): Promise<void> {
     if (this.isDiskBusy) {
       return;
--- a/src/entry/entry_server.ts
+++ b/src/entry/entry_server.ts
@@ -11,9 +11,11 @@
 import {CallerRequest} from './caller_request';
 import {CallerResponse} from './caller_response';
 import {EntrySettings} from './entry_settings';
+import {findWorkspace} from './find_workspace';
 import {HostLinks} from './host_links';
 import {OnceOnly} from './once_only';
 import {parseCallerRequest} from './parse_caller_request';
+import {Problem} from './problem';
 import {RequestRunner} from './request_runner';
 import {RouteTable} from './route_table';
 import {sendProblem} from './send_problem';
@@ -22,6 +24,13 @@
 const RETRY_WHEN_FULL_MS = 1_000;
 const RETRY_WHEN_STARTING_MS = 1_000;
 
+const UNKNOWN_KEY: Problem = {
+  status: 401,
+  title: 'Unknown key',
+  detail: 'send "Authorization: Bearer" with a key of a workspace',
+  outcome: 'not-run',
+};
+
 type Handler = (
   request: IncomingMessage,
   response: ServerResponse,
@@ -151,10 +160,8 @@
   ): Promise<void> {
     const requestId = randomBytes(12).toString('hex');
     response.setHeader('whinreel-request-id', requestId);
-    const body = await readHttpBody(request, MAX_BODY_BYTES);
     const {bundle} = this.table;
-    const now = this.clock.now();
-    if (this.isLeaving || !bundle || !this.table.hasLease(now)) {
+    if (this.isLeaving || !bundle || !this.table.hasLease(this.clock.now())) {
       sendProblem(response, {
         status: 503,
         title: 'Not ready',
@@ -166,23 +173,29 @@
       });
       return;
     }
-    const parsed = parseCallerRequest({request, body, bundle, requestId, now});
+    const workspace = findWorkspace(request, bundle);
+    if (!workspace) {
+      // Nobody without a key may make an entry hold a body.
+      sendProblem(response, UNKNOWN_KEY);
+      return;
+    }
+    const body = await readHttpBody(request, MAX_BODY_BYTES);
+    const now = this.clock.now();
+    const input = {request, body, bundle, workspace, requestId, now};
+    const parsed = parseCallerRequest(input);
     if ('status' in parsed) {
       sendProblem(response, parsed);
       return;
     }
-    await this.admitAndRun(parsed, bundle, response);
+    await this.admitAndRun(parsed, workspace.maxInFlight, response);
   }
 
   private async admitAndRun(
     request: CallerRequest,
-    bundle: Bundle,
+    maxInFlight: number,
     response: ServerResponse,
   ): Promise<void> {
-    const workspace = bundle.workspaces.find(
-      known => known.name === request.workspace,
-    );
-    const limit = Math.ceil((workspace?.maxInFlight ?? 0) / this.table.entries);
+    const limit = Math.ceil(maxInFlight / this.table.entries);
     if (!this.admission.admit(request.workspace, limit)) {
       sendProblem(response, {
         status: 429,
@@ -221,7 +234,6 @@
       return;
     }
     const isTooLarge = error.name === 'TooLarge';
-    response.setHeader('connection', 'close');
     sendProblem(response, {
       status: isTooLarge ? 413 : 500,
       title: isTooLarge ? 'Body too large' : 'Internal error',
--- a/src/entry/parse_caller_request.ts
+++ b/src/entry/parse_caller_request.ts
@@ -1,7 +1,6 @@
 /** Reads a caller's headers and body against the bundle in force. */
 import {IncomingMessage} from 'node:http';
 import {Bundle} from '../protocol/bundle';
-import {computeDigest} from '../protocol/compute_digest';
 import {CallerRequest} from './caller_request';
 import {Problem} from './problem';
 
@@ -30,6 +29,8 @@
   readonly request: IncomingMessage;
   readonly body: Buffer;
   readonly bundle: Bundle;
+  /** Whose key the request carries. */
+  readonly workspace: Bundle['workspaces'][number];
   readonly requestId: string;
   /** This process's monotonic clock. */
   readonly now: number;
@@ -38,22 +39,14 @@
 type Target = Pick<CallerRequest, 'kind' | 'name' | 'path'>;
 
 /**
- * Checks who asks and for what.
+ * Checks what is asked for.
  *
  * @returns the request, or the problem to answer with; nothing has run then
  * @example
- * const parsed = parseCallerRequest({request, body, bundle, requestId, now});
+ * const parsed = parseCallerRequest({request, body, bundle, workspace, requestId, now});
  */
 export function parseCallerRequest(input: ParseInput): CallerRequest | Problem {
-  const {request, body, bundle, requestId, now} = input;
-  const workspace = findWorkspace(request, bundle);
-  if (!workspace) {
-    return refuse(
-      401,
-      'Unknown key',
-      'send "Authorization: Bearer" with a key of a workspace',
-    );
-  }
+  const {request, body, bundle, workspace, requestId, now} = input;
   const target = findTarget(request, body, bundle);
   if ('status' in target) {
     return target;
@@ -100,21 +93,6 @@
   };
 }
 
-function findWorkspace(
-  request: IncomingMessage,
-  bundle: Bundle,
-): Bundle['workspaces'][number] | undefined {
-  const token = /^Bearer (.+)$/i.exec(request.headers.authorization ?? '')?.[1];
-  if (!token) {
-    return undefined;
-  }
-  // Keys are long random texts, so comparing their digests leaks nothing useful.
-  const hash = computeDigest(token);
-  return bundle.workspaces.find(workspace =>
-    workspace.keyHashes.includes(hash),
-  );
-}
-
 function findTarget(
   request: IncomingMessage,
   body: Buffer,
--- a/test/end_to_end/whole_path.test.ts
+++ b/test/end_to_end/whole_path.test.ts
@@ -1,6 +1,7 @@
 import {afterAll, beforeAll, expect, test} from 'vitest';
 import {Bundle} from '../../src/protocol/bundle';
 import {computeDigest} from '../../src/protocol/compute_digest';
+import {call} from '../support/caller';
 import {TestFleet} from '../support/test_fleet';
 
 const KEY = 'key-of-hotel';
@@ -172,3 +173,18 @@
   expect(text).toContain('"outcome":"failed"');
   expect(text).not.toContain('[DONE]');
 });
+
+test('a body is read only for a known key, and only up to the limit', async () => {
+  const url = `${fleet.entryUrl()}/v1/chat/completions`;
+  const body = 'x'.repeat(5 * 1024 * 1024);
+  const stranger = await call({url, method: 'POST', headers: {}, body});
+  const known = await call({
+    url,
+    method: 'POST',
+    headers: {authorization: `Bearer ${KEY}`},
+    body,
+  });
+
+  expect([stranger.status, known.status]).toEqual([401, 413]);
+  expect([stranger.outcome, known.outcome]).toEqual(['not-run', 'not-run']);
+});
