fix(control): form the quorum in one try at a time; three more found by a busy machine

Cause: a run of all tests failed twice. leader_cut_off: one control process was gone. Forming was started every 100 ms; on a slow disk a second try overlapped the first, both wrote the same temporary file, and the rename of the second failed outside any handler. Ruled out: the cut itself (the status showed a third process unreachable and never caught up), taken ports (it had met the others).

whole_path: a stranger's 401 was lost with a reset connection, because the body was not read to its end.

A process of a killed test run lived on for half an hour.

--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -48,6 +48,7 @@
   private runtime: RaftRuntime | undefined;
   private planner: PlannerLoop | undefined;
   private handlers: Handlers | undefined;
+  private isClosed = false;
   private readonly timers: NodeJS.Timeout[] = [];
 
   private constructor(
@@ -82,6 +83,7 @@
 
   /** Stops without waiting for anything but the disk. */
   async close(): Promise<void> {
+    this.isClosed = true;
     this.timers.forEach(timer => clearInterval(timer));
     this.planner?.close();
     this.links?.close();
@@ -116,9 +118,7 @@
     if (disk.snapshots.current) {
       this.startRaft();
     } else {
-      this.timers.push(
-        setInterval(() => void this.formOrJoinQuorum(), FORMATION_EVERY_MS),
-      );
+      void this.runFormation().catch((error: Error) => this.fail(error));
     }
   }
 
@@ -187,11 +187,16 @@
     return Object.fromEntries(raft.listVotersAt(raft.commitIndex));
   }
 
+  /** One try after the other: two that overlap would write the same file. */
+  private async runFormation(): Promise<void> {
+    while (!this.runtime && !this.isClosed) {
+      await this.formOrJoinQuorum();
+      await new Promise(resolve => setTimeout(resolve, FORMATION_EVERY_MS));
+    }
+  }
+
   private async formOrJoinQuorum(): Promise<void> {
     const {disk, links, settings} = this;
-    if (disk.snapshots.current || this.runtime) {
-      return;
-    }
     for (const identity of links?.listIdentities() ?? []) {
       links?.send(identity, {type: 'formation-ask', identity: disk.identity});
     }
--- a/src/entry/entry_server.ts
+++ b/src/entry/entry_server.ts
@@ -176,6 +176,7 @@
     const workspace = findWorkspace(request, bundle);
     if (!workspace) {
       // Nobody without a key may make an entry hold a body.
+      await readHttpBody(request, 0).catch(() => undefined);
       sendProblem(response, UNKNOWN_KEY);
       return;
     }
--- a/src/transport/read_http_body.ts
+++ b/src/transport/read_http_body.ts
@@ -2,8 +2,9 @@
 import {TransportError} from './transport_error';
 
 /**
- * Reads a whole HTTP body. What comes beyond the limit is thrown away as it
- * arrives: a connection that is reset would take the answer with it.
+ * Reads a whole HTTP body. What comes beyond the limit is thrown away, and the
+ * error waits for the end: a connection that is closed before it was read to
+ * the end is reset, and the answer is lost with it.
  *
  * @throws TransportError named `TooLarge` when it is over the limit
  * @example
@@ -20,18 +21,18 @@
       size += chunk.length;
       if (size <= maxBytes) {
         chunks.push(chunk);
+      } else {
+        chunks.length = 0;
+      }
+    });
+    request.on('end', () => {
+      if (size <= maxBytes) {
+        resolve(Buffer.concat(chunks));
         return;
       }
-      chunks.length = 0;
-      reject(
-        new TransportError(
-          {name: 'TooLarge'},
-          'the body is over %d bytes',
-          maxBytes,
-        ),
-      );
+      const name = 'TooLarge';
+      reject(new TransportError({name}, 'the body is over %d bytes', maxBytes));
     });
-    request.on('end', () => resolve(Buffer.concat(chunks)));
     request.on('error', error => {
       reject(new TransportError(error, 'the body broke off'));
     });
--- a/test/stand_ins/run.ts
+++ b/test/stand_ins/run.ts
@@ -16,6 +16,4 @@
     'SIGTERM',
     () => void standIn.close().then(() => process.exit(0)),
   );
-  // A stand-in must not outlive whoever started it.
-  process.stdin.resume().once('end', () => process.exit(0));
 });
--- a/test/support/managed_process.ts
+++ b/test/support/managed_process.ts
@@ -48,9 +48,13 @@
   /** Starts a script and waits for its ready line. */
   static async create(options: ManagedProcessOptions): Promise<ManagedProcess> {
     const file = path.join(findBuildFolder(), options.script);
+    const guard = path.join(
+      findBuildFolder(),
+      'test/support/exit_with_parent.js',
+    );
     const child = spawn(
       process.execPath,
-      [...readNodeArgs(), file, ...options.args],
+      [...readNodeArgs(), '-r', guard, file, ...options.args],
       {
         stdio: ['pipe', 'pipe', 'pipe'],
       },
@@ -105,6 +109,11 @@
     return this.exited;
   }
 
+  /** What the process sees when whoever started it is gone. */
+  closeInput(): void {
+    this.child.stdin?.end();
+  }
+
   async kill(): Promise<void> {
     this.child.kill('SIGKILL');
     await this.exited;
