--- a/src/control/control_links.ts
+++ b/src/control/control_links.ts
@@ -19,8 +19,6 @@
     message: Message,
     reply: (message: Message) => void,
   ) => void;
-  /** A connection was opened. */
-  readonly onLink: (identity: string) => void;
 }
 
 /** Keeps one outgoing connection to every other control process. */
@@ -34,7 +32,7 @@
    * Starts connecting, and reconnects for as long as it is open.
    *
    * @example
-   * const links = ControlLinks.create({identity, addresses, onMessage, onLink});
+   * const links = ControlLinks.create({identity, addresses, onMessage});
    */
   static create(options: ControlLinksOptions): ControlLinks {
     const links = new ControlLinks(options);
@@ -72,7 +70,7 @@
   }
 
   private async connectOnce(name: string, address: string): Promise<void> {
-    const {identity, security, onMessage, onLink} = this.options;
+    const {identity, security, onMessage} = this.options;
     const peer = await connectPeer(address, identity, security);
     if (this.isClosed) {
       peer.close();
@@ -83,7 +81,6 @@
     void peer.messages.observe(message =>
       onMessage(peer.remote.id, message, reply),
     );
-    onLink(peer.remote.id);
     await peer.closed;
     this.peers.delete(name);
   }
--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -113,7 +113,6 @@
       addresses: settings.peers,
       security: settings.security,
       onMessage: (from, message, reply) => this.receive(from, message, reply),
-      onLink: () => undefined,
     });
     if (disk.snapshots.current) {
       this.startRaft();
--- a/src/entry/entry_error.ts
+++ /dev/null
@@ -1,4 +0,0 @@
-import {VError} from 'verror';
-
-/** A failure of an entry process's own work. */
-export class EntryError extends VError {}
