feat(control): a group that lost a member is ended durably, and orders wait only for their like

Change: end-engine-group in the log; the hold on orders is per order; loads are not repeated while they run; a stall is judged by bytes of the body. Conclusion: the losses themselves are still noticed only when the head breaks after 5 s; next.

--- a/src/control/engine_planner_loop.ts
+++ b/src/control/engine_planner_loop.ts
@@ -1,8 +1,11 @@
 /** Lets the leader plan the groups of engines again and again, and gives its orders. */
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
+import {BackendView} from '../coordination/backend_view';
 import {EngineAction} from '../coordination/engine_action';
 import {planEngineGroups} from '../coordination/plan_engine_groups';
+import {ControlCommand} from '../protocol/control_command';
+import {EngineProfile} from '../protocol/engine_profile';
 import {GatewayRules} from '../protocol/gateway_rules';
 import {BackendHealth} from './backend_health';
 import {BackendRegistry} from './backend_registry';
@@ -13,7 +16,9 @@
 
 const PLAN_EVERY_MS = 100;
 /** A new leader first listens for this many registration intervals. */
-const LISTEN_INTERVALS = 2;
+const LISTEN_INTERVALS = 1.5;
+/** Without a new host for this many registration intervals, all that live are known. */
+const SETTLED_INTERVALS = 0.7;
 /** An order that was taken shows in a registration; longer silence asks again. */
 const RETRY_MS = {
   begun: 3_000,
@@ -23,9 +28,21 @@
   fenced: 30_000,
 };
 
+/** Loads slow each other down; longer than this one has been lost. */
+const SLOW_LOAD = 2;
+
 type Pool = GatewayRules['pools'][number];
 type Order = Extract<EngineAction, {type: 'order'}>;
 
+/** An order that was given. */
+interface LastOrder {
+  readonly key: string;
+  /** When the same order may be given again. */
+  againAt: number;
+  /** No answer came yet. */
+  isPending: boolean;
+}
+
 /** What the loop works on. */
 interface EnginePlannerOptions {
   readonly duties: NonNullable<ControlSettings['pools']>;
@@ -42,8 +59,8 @@
   private readonly health: BackendHealth;
   private readonly allowance: LoadAllowance;
   private readonly peaks = new Map<string, number>();
-  /** When the next order to an engine may leave, by incarnation. */
-  private readonly nextOrderAt = new Map<string, number>();
+  /** The newest order to each engine, by incarnation. */
+  private readonly lastOrders = new Map<string, LastOrder>();
   private plannedTerm = -1;
   private isCommitting = false;
 
@@ -78,7 +95,7 @@
     }
     if (this.plannedTerm !== runtime.raft.term) {
       this.plannedTerm = runtime.raft.term;
-      this.nextOrderAt.clear();
+      this.lastOrders.clear();
       this.peaks.clear();
     }
     registry.expire(now);
@@ -96,10 +113,13 @@
       return;
     }
     const groups = engines.list().filter(group => group.pool === pool.name);
-    this.recordPeaks(groups.map(group => group.model));
     const backends = registry
       .list()
       .filter(({registration}) => registration.pool === pool.name);
+    if (groups.length === 0 && !this.isSettled(backends, now)) {
+      return;
+    }
+    this.recordPeaks(groups.map(group => group.model));
     this.health.refresh(groups, now);
     const actions = planEngineGroups({
       pool: pool.name,
@@ -116,11 +136,17 @@
     await this.commitChanges(actions);
     for (const action of actions) {
       if (action.type === 'order') {
-        this.giveOrder(action, pool.engine.loadsPerSecond, now);
+        this.giveOrder(action, pool.engine, now);
       }
     }
   }
 
+  /** The first groups are planned once, with every host: no more are coming in. */
+  private isSettled(backends: readonly BackendView[], now: number): boolean {
+    const newest = Math.max(...backends.map(view => view.firstSeenAt));
+    return now - newest > this.options.duties.heartbeatMs * SETTLED_INTERVALS;
+  }
+
   private recordPeaks(models: readonly string[]): void {
     for (const model of new Set(models)) {
       const count = models.filter(other => other === model).length;
@@ -129,49 +155,54 @@
   }
 
   private async commitChanges(actions: readonly EngineAction[]): Promise<void> {
-    const {runtime} = this.options;
+    const {runtime, events} = this.options;
     const time = Date.now();
-    const proposals = actions.flatMap(action => {
-      if (action.type === 'set-group') {
-        const group = {...action.group, epoch: 0};
-        const {reason} = action;
-        return [
-          runtime.propose({type: 'set-engine-group', time, group, reason}),
-        ];
-      }
-      if (action.type === 'remove-group') {
-        const {name, epoch, reason} = action;
-        return [
-          runtime.propose({
-            type: 'remove-engine-group',
-            time,
-            name,
-            epoch,
-            reason,
-          }),
-        ];
-      }
-      return [];
-    });
+    const commands = actions.flatMap(action => createCommand(action, time));
+    for (const command of commands) {
+      const isSetting = command.type === 'set-engine-group';
+      const id = isSetting ? command.group.name : command.name;
+      const details: Record<string, string | number> = isSetting
+        ? {
+            members: command.group.members.join(' '),
+            domain: command.group.domain,
+          }
+        : {epoch: command.epoch};
+      const {type, reason} = command;
+      events.record({type, subject: 'group', id, reason, details});
+    }
+    const proposals = commands.map(command => runtime.propose(command));
     // A change that fails is planned again; the loss of the lead is recorded elsewhere.
     await Promise.all(proposals).catch(() => undefined);
   }
 
-  private giveOrder(order: Order, loadsPerSecond: number, now: number): void {
-    const {incarnation} = order;
-    if (now < (this.nextOrderAt.get(incarnation) ?? 0)) {
+  private giveOrder(order: Order, profile: EngineProfile, now: number): void {
+    const {incarnation, kind, group} = order;
+    const key = `${kind} ${group?.epoch ?? order.model}`;
+    const last = this.lastOrders.get(incarnation);
+    // The same order waits for its effect; another one only for the answer.
+    const isHeld = last?.isPending || (last?.key === key && now < last.againAt);
+    if (isHeld) {
       return;
     }
-    if (order.isLoad && !this.allowance.take(loadsPerSecond, now)) {
+    if (order.isLoad && !this.allowance.take(profile.loadsPerSecond, now)) {
       return;
     }
-    // Held until the outcome is known.
-    this.nextOrderAt.set(incarnation, Infinity);
-    void this.sendOrder(order).catch(() => undefined);
+    const entry = {key, againAt: Infinity, isPending: true};
+    this.lastOrders.set(incarnation, entry);
+    const loadMs =
+      profile.models.find(({name}) => name === order.model)?.loadMs ?? 0;
+    void this.sendOrder(order)
+      .catch(() => 'unanswered' as const)
+      .then(outcome => {
+        entry.isPending = false;
+        const isLoading = order.isLoad && outcome === 'begun';
+        const waitMs = isLoading ? loadMs * SLOW_LOAD : RETRY_MS[outcome];
+        entry.againAt = this.options.clock.now() + waitMs;
+      });
   }
 
-  private async sendOrder(order: Order): Promise<void> {
-    const {duties, runtime, clock, events} = this.options;
+  private async sendOrder(order: Order): Promise<keyof typeof RETRY_MS> {
+    const {duties, runtime, events} = this.options;
     const {incarnation, address, kind, group, model, reason} = order;
     const outcome = await (duties.orders?.send({
       incarnation,
@@ -184,7 +215,6 @@
         members: kind === 'join' ? group?.members : undefined,
       },
     }) ?? 'unanswered');
-    this.nextOrderAt.set(incarnation, clock.now() + RETRY_MS[outcome]);
     events.record({
       type: `engine-order-${outcome}`,
       subject: 'host',
@@ -198,5 +228,27 @@
         fence: runtime.raft.term,
       },
     });
+    return outcome;
+  }
+}
+
+type GroupCommand = Extract<
+  ControlCommand,
+  {type: 'set-engine-group' | 'end-engine-group' | 'remove-engine-group'}
+>;
+
+function createCommand(action: EngineAction, time: number): GroupCommand[] {
+  if (action.type === 'order') {
+    return [];
+  }
+  const {reason} = action;
+  if (action.type === 'set-group') {
+    // The epoch is the place in the log, known when it is committed.
+    const group = {...action.group, epoch: 0};
+    return [{type: 'set-engine-group', time, group, reason}];
   }
+  const {name, epoch} = action;
+  const type =
+    action.type === 'end-group' ? 'end-engine-group' : 'remove-engine-group';
+  return [{type, time, name, epoch, reason}];
 }
--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -225,7 +225,8 @@
       group.name === wanted?.name &&
       group.epoch === wanted.epoch;
     const isWhole =
-      wanted?.members.every(member => !engines.isRetired(member)) ?? false;
+      wanted?.isEnding === false &&
+      wanted.members.every(member => !engines.isRetired(member));
     return isOpen && isWhole ? {...target, model: wanted?.model} : undefined;
   }
 
--- a/src/coordination/plan_engine_formation.ts
+++ b/src/coordination/plan_engine_formation.ts
@@ -50,6 +50,7 @@
         model: model.name,
         domain: option.domain,
         members,
+        isEnding: false,
       },
       reason: `${model.name} has the fewest hosts for its share; ready in ${option.readyMs} ms`,
     });
--- a/src/coordination/plan_engine_groups.ts
+++ b/src/coordination/plan_engine_groups.ts
@@ -20,9 +20,13 @@
     input.backends.map(view => [view.registration.incarnation, view]),
   );
   const steps = input.groups.flatMap(group => {
-    const fault = findFault(group, views, input);
-    return fault
-      ? planRemoval(group, fault, views, input)
+    if (group.isEnding) {
+      return planRemoval(group, views, input);
+    }
+    const reason = findFault(group, views, input);
+    const {name, epoch} = group;
+    return reason
+      ? [{type: 'end-group' as const, name, epoch, reason}]
       : planAssembly(group, views);
   });
   return [...steps, ...planEngineFormation(input)];
@@ -33,23 +37,31 @@
   group: EngineGroup,
   views: Views,
   input: EnginePlanInput,
-): {reason: string; isPlanned: boolean} | undefined {
-  const lost = group.members.find(
-    member => !views.has(member) || input.isLost(member),
-  );
+): string | undefined {
+  const lost = findLost(group, views, input);
   if (lost !== undefined) {
-    return {reason: `${lost} is lost`, isPlanned: false};
+    return `${lost} is lost`;
   }
   const retired = group.members.find(member => input.isRetired(member));
   if (retired !== undefined) {
-    return {reason: `${retired} is leaving`, isPlanned: true};
+    return `${retired} is leaving`;
   }
   const told = findTold(group, views.get(group.members[0]));
   return told?.state === 'broken'
-    ? {reason: 'the head says that it is broken', isPlanned: false}
+    ? 'the head says that it is broken'
     : undefined;
 }
 
+function findLost(
+  group: EngineGroup,
+  views: Views,
+  input: EnginePlanInput,
+): string | undefined {
+  return group.members.find(
+    member => !views.has(member) || input.isLost(member),
+  );
+}
+
 /** What a member says about this very group. */
 function findTold(group: EngineGroup, view: BackendView | undefined) {
   const told = view?.registration.group;
@@ -57,30 +69,32 @@
   return isSame ? told : undefined;
 }
 
+/** The head lets go first; only then may its members join others. */
 function planRemoval(
   group: EngineGroup,
-  fault: {reason: string; isPlanned: boolean},
   views: Views,
   input: EnginePlanInput,
 ): EngineAction[] {
   const [head] = group.members;
   const {name, epoch} = group;
-  const {reason} = fault;
   const view = views.get(head);
+  const removal = {type: 'remove-group' as const, name, epoch};
   if (!view || input.isLost(head)) {
     return input.isGone(head)
-      ? [{type: 'remove-group', name, epoch, reason}]
+      ? [{...removal, reason: `its head ${head} is dead`}]
       : [];
   }
   const told = findTold(group, view);
   if (!told) {
-    return [{type: 'remove-group', name, epoch, reason}];
+    return [{...removal, reason: `its head ${head} has let go`}];
   }
-  if (told.state === 'closing' && fault.isPlanned) {
+  // A group that is whole finishes its work before a member leaves.
+  const isWhole = findLost(group, views, input) === undefined;
+  if (isWhole && told.state === 'closing') {
     return [];
   }
-  const kind = fault.isPlanned && told.state === 'open' ? 'close' : 'leave';
-  return [createOrder(kind, view, group, reason)];
+  const kind = isWhole && told.state === 'open' ? 'close' : 'leave';
+  return [createOrder(kind, view, group, `${name} is taken apart`)];
 }
 
 function planAssembly(group: EngineGroup, views: Views): EngineAction[] {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -113,11 +113,11 @@
   }
 
   private handleHead(head: AnswerHead): void {
-    const {request, board, target, clock} = this.options;
+    const {request, board, target} = this.options;
     if (this.isEnded) {
       return;
     }
-    this.quietSince = clock.now();
+    // A head says nothing about progress: it may leave before any work begins.
     if (head.isOtherIncarnation) {
       board.drop(target.incarnation);
     }
@@ -134,7 +134,6 @@
       this.stop('the backend server does not vouch for its answer');
       return;
     }
-    board.recordHeard(target.incarnation);
     this.head = head;
     this.options.onHead(head);
   }
--- a/src/protocol/control_command.ts
+++ b/src/protocol/control_command.ts
@@ -43,6 +43,14 @@
     group: EngineGroup,
     reason: z.string(),
   }),
+  /** From now on the group is only taken apart. */
+  z.object({
+    type: z.literal('end-engine-group'),
+    time: Time,
+    name: z.string(),
+    epoch: z.int(),
+    reason: z.string(),
+  }),
   z.object({
     type: z.literal('remove-engine-group'),
     time: Time,
--- a/src/protocol/engine_group.ts
+++ b/src/protocol/engine_group.ts
@@ -10,5 +10,7 @@
   domain: z.string(),
   /** Incarnations of the backend servers. */
   members: z.array(z.string()).min(1),
+  /** It lost a member or is to lose one: it is being taken apart, for good. */
+  isEnding: z.boolean(),
 });
 export type EngineGroup = z.infer<typeof EngineGroup>;
--- a/src/state/cluster_state.ts
+++ b/src/state/cluster_state.ts
@@ -174,6 +174,11 @@
       });
       return result;
     },
+    'end-engine-group': ({name, epoch, reason}, index) => {
+      const result = this.engines.end(name, epoch);
+      const about = {groupId: name, reason};
+      return this.recordGroupChange(index, 'group-ending', about, result);
+    },
     'remove-engine-group': ({name, epoch, reason}, index) => {
       const result = this.engines.remove(name, epoch);
       const about = {groupId: name, reason};
--- a/src/state/engine_group_table.ts
+++ b/src/state/engine_group_table.ts
@@ -68,6 +68,17 @@
     return {isAccepted: true, reason: `set with epoch ${group.epoch}`};
   }
 
+  /** Marks a group as one that is being taken apart. */
+  end(name: string, epoch: number): CommandResult {
+    const group = this.groups.get(name);
+    if (group?.epoch !== epoch) {
+      return {isAccepted: false, reason: `${name} has another epoch`};
+    }
+    this.groups.set(name, {...group, isEnding: true});
+    this.changes += 1;
+    return {isAccepted: true, reason: 'is being taken apart'};
+  }
+
   /** Removes a group under the epoch that is meant. */
   remove(name: string, epoch: number): CommandResult {
     const group = this.groups.get(name);
