--- a/src/control/backend_health.ts
+++ b/src/control/backend_health.ts
@@ -1,5 +1,6 @@
 /** What the leader believes about backend servers that fall silent. */
 import {Clock} from '../common/clock';
+import {EventRing} from '../common/event_ring';
 import {EngineGroup} from '../protocol/engine_group';
 import {BackendRegistry} from './backend_registry';
 import {ControlSettings} from './control_settings';
@@ -27,6 +28,7 @@
   readonly duties: NonNullable<ControlSettings['pools']>;
   readonly clock: Clock;
   readonly registry: BackendRegistry;
+  readonly events: EventRing;
   readonly desk: Pick<GatewayDesk, 'isStalled' | 'isAnswering'>;
 }
 
@@ -72,6 +74,7 @@
       const hasSpoken = view === undefined || view.seenAt > askedAt;
       if (!doubted.has(incarnation) && hasSpoken) {
         this.doubts.delete(incarnation);
+        this.tell('backend-trusted', incarnation, 'it was heard again');
       }
     }
   }
@@ -96,6 +99,9 @@
   }
 
   private ask(incarnation: string, now: number): void {
+    if (!this.doubts.has(incarnation)) {
+      this.tell('backend-doubted', incarnation, 'it or its head is silent');
+    }
     const doubt = this.doubts.get(incarnation) ?? {
       failures: 0,
       isAsking: false,
@@ -118,6 +124,9 @@
       isAnswering => {
         doubt.isAsking = false;
         doubt.failures = isAnswering ? 0 : doubt.failures + 1;
+        if (doubt.failures === FAILED_PROBES) {
+          this.tell('backend-lost', incarnation, 'it did not answer twice');
+        }
       },
       () => {
         doubt.isAsking = false;
@@ -125,4 +134,12 @@
       },
     );
   }
+
+  private tell(type: string, id: string, reason: string): void {
+    const {events, registry, clock} = this.options;
+    const seenAt = registry.find(id)?.seenAt;
+    const silentMs = seenAt === undefined ? -1 : clock.now() - seenAt;
+    const details = {silentMs: Math.round(silentMs)};
+    events.record({type, subject: 'host', id, reason, details});
+  }
 }
--- a/src/control/engine_planner_loop.ts
+++ b/src/control/engine_planner_loop.ts
@@ -65,8 +65,14 @@
   private isCommitting = false;
 
   private constructor(private readonly options: EnginePlannerOptions) {
-    const {duties, clock, registry, desk} = options;
-    this.health = BackendHealth.create({duties, clock, registry, desk});
+    const {duties, clock, registry, desk, events} = options;
+    this.health = BackendHealth.create({
+      duties,
+      clock,
+      registry,
+      desk,
+      events,
+    });
     this.allowance = LoadAllowance.create(0, clock.now());
     this.timer = setInterval(() => void this.run(), PLAN_EVERY_MS);
   }
