feat(control): loads only on hosts that stay free; a silent head's time is counted by every control process

Change: warm groups first, spares of both models, cold groups only from hosts that stay free, release-engine-group in the log, exact connect limit.

--- a/src/control/backend_health.ts
+++ b/src/control/backend_health.ts
@@ -14,8 +14,6 @@
 const PROBE_EVERY_MS = 150;
 /** The same once it counts as lost: only a return would be news. */
 const PROBE_LOST_EVERY_MS = 1_000;
-/** Beyond the time that a group may stand still, before a silent head counts as dead. */
-const GONE_MARGIN_MS = 3_000;
 
 interface Doubt {
   failures: number;
@@ -48,30 +46,38 @@
     return new BackendHealth(options);
   }
 
+  /** Forgets every doubt: another process led meanwhile. */
+  clear(): void {
+    this.doubts.clear();
+  }
+
   /** Asks the members of groups about which there is doubt. */
   refresh(groups: readonly EngineGroup[], now: number): void {
     const {desk, registry, duties} = this.options;
-    const doubted = new Set<string>();
+    const doubted = new Map<string, string>();
     for (const {members} of groups) {
-      const isStalled = desk.isStalled(members[0]);
-      for (const member of members) {
-        const seenAt = registry.find(member)?.seenAt ?? -Infinity;
+      const head = members[0].incarnation;
+      const isStalled = desk.isStalled(head);
+      for (const {incarnation, address} of members) {
+        const seenAt = registry.find(incarnation)?.seenAt ?? -Infinity;
         const isSilent = now - seenAt > duties.heartbeatMs * DOUBT_INTERVALS;
         // A group whose head gives answers has all its members.
-        if (isStalled || (isSilent && !desk.isAnswering(members[0]))) {
-          doubted.add(member);
+        if (isStalled || (isSilent && !desk.isAnswering(head))) {
+          doubted.set(incarnation, address);
         }
       }
     }
     this.clearAnswered(doubted);
-    doubted.forEach(incarnation => this.ask(incarnation, now));
+    doubted.forEach((address, incarnation) =>
+      this.ask(incarnation, address, now),
+    );
   }
 
   /** A doubt ends with a word of the backend server itself, not with its group. */
-  private clearAnswered(doubted: ReadonlySet<string>): void {
+  private clearAnswered(doubted: ReadonlyMap<string, string>): void {
     for (const [incarnation, {askedAt}] of this.doubts) {
       const view = this.options.registry.find(incarnation);
-      const hasSpoken = view === undefined || view.seenAt > askedAt;
+      const hasSpoken = view !== undefined && view.seenAt > askedAt;
       if (!doubted.has(incarnation) && hasSpoken) {
         this.doubts.delete(incarnation);
         this.tell('backend-trusted', incarnation, 'it was heard again');
@@ -84,21 +90,7 @@
     return (this.doubts.get(incarnation)?.failures ?? 0) >= FAILED_PROBES;
   }
 
-  /** Silent towards control and every gateway for longer than a group may stand still. */
-  isGone(incarnation: string, now: number): boolean {
-    const {registry, duties, desk} = this.options;
-    const view = registry.find(incarnation);
-    if (!view) {
-      return true;
-    }
-    const silentMs = now - view.seenAt;
-    return (
-      silentMs > duties.stallMs + GONE_MARGIN_MS &&
-      !desk.isAnswering(incarnation)
-    );
-  }
-
-  private ask(incarnation: string, now: number): void {
+  private ask(incarnation: string, address: string, now: number): void {
     if (!this.doubts.has(incarnation)) {
       this.tell('backend-doubted', incarnation, 'it or its head is silent');
     }
@@ -108,13 +100,11 @@
       askedAt: -Infinity,
     };
     this.doubts.set(incarnation, doubt);
-    const address =
-      this.options.registry.find(incarnation)?.registration.address;
     const everyMs = this.isLost(incarnation)
       ? PROBE_LOST_EVERY_MS
       : PROBE_EVERY_MS;
     const isDue = now - doubt.askedAt >= everyMs;
-    if (!address || doubt.isAsking || !isDue) {
+    if (doubt.isAsking || !isDue) {
       return;
     }
     doubt.isAsking = true;
--- a/src/control/engine_planner_loop.ts
+++ b/src/control/engine_planner_loop.ts
@@ -5,18 +5,24 @@
 import {EngineAction} from '../coordination/engine_action';
 import {planEngineGroups} from '../coordination/plan_engine_groups';
 import {ControlCommand} from '../protocol/control_command';
+import {EngineGroup} from '../protocol/engine_group';
 import {EngineProfile} from '../protocol/engine_profile';
 import {GatewayRules} from '../protocol/gateway_rules';
 import {BackendHealth} from './backend_health';
 import {BackendRegistry} from './backend_registry';
 import {ControlSettings} from './control_settings';
 import {GatewayDesk} from './gateway_desk';
+import {HeadRelease} from './head_release';
 import {LoadAllowance} from './load_allowance';
 import {RaftRuntime} from './raft_runtime';
 
 const PLAN_EVERY_MS = 100;
 /** A new leader first listens for this many registration intervals. */
 const LISTEN_INTERVALS = 1.5;
+/** Free time in registration intervals after which a host may load other weights. */
+const IDLE_INTERVALS = 2;
+/** Silence in registration intervals after which a backend server counts as away. */
+const SILENT_INTERVALS = 3;
 /** Without a new host for this many registration intervals, all that live are known. */
 const SETTLED_INTERVALS = 0.7;
 /** An order that was taken shows in a registration; longer silence asks again. */
@@ -57,7 +63,10 @@
 export class EnginePlannerLoop {
   private readonly timer: NodeJS.Timeout;
   private readonly health: BackendHealth;
+  private readonly release: HeadRelease;
   private readonly allowance: LoadAllowance;
+  /** Since when engines are in no group. */
+  private readonly freeSince = new Map<string, number>();
   private readonly peaks = new Map<string, number>();
   /** The newest order to each engine, by incarnation. */
   private readonly lastOrders = new Map<string, LastOrder>();
@@ -73,6 +82,7 @@
       desk,
       events,
     });
+    this.release = HeadRelease.create(registry, duties.stallMs);
     this.allowance = LoadAllowance.create(0, clock.now());
     this.timer = setInterval(() => void this.run(), PLAN_EVERY_MS);
   }
@@ -94,6 +104,7 @@
   private async run(): Promise<void> {
     const {runtime, clock, duties, registry} = this.options;
     const now = clock.now();
+    this.release.refresh(runtime.state.engines.list(), now);
     const listenMs = duties.heartbeatMs * LISTEN_INTERVALS;
     const isListening = now - runtime.leadingSince < listenMs;
     if (!runtime.canAnswer() || this.isCommitting || isListening) {
@@ -102,6 +113,7 @@
     if (this.plannedTerm !== runtime.raft.term) {
       this.plannedTerm = runtime.raft.term;
       this.lastOrders.clear();
+      this.health.clear();
       this.peaks.clear();
     }
     registry.expire(now);
@@ -125,6 +137,7 @@
     if (groups.length === 0 && !this.isSettled(backends, now)) {
       return;
     }
+    this.recordFree(groups, backends, now);
     this.recordPeaks(groups.map(group => group.model));
     this.health.refresh(groups, now);
     const actions = planEngineGroups({
@@ -134,10 +147,15 @@
       backends,
       peaks: this.peaks,
       now,
-      silentAfterMs: duties.heartbeatMs * 3,
+      silentAfterMs: duties.heartbeatMs * SILENT_INTERVALS,
+      isStillListening:
+        now - runtime.leadingSince < duties.heartbeatMs * SILENT_INTERVALS,
       isRetired: incarnation => engines.isRetired(incarnation),
       isLost: incarnation => this.health.isLost(incarnation),
-      isGone: incarnation => this.health.isGone(incarnation, now),
+      isLetGo: group => this.release.isLetGo(group, now),
+      hasLeaver: group => this.release.hasLeaver(group),
+      idleAfterMs: duties.heartbeatMs * IDLE_INTERVALS,
+      findFreeSince: incarnation => this.freeSince.get(incarnation) ?? now,
     });
     await this.commitChanges(actions);
     for (const action of actions) {
@@ -147,6 +165,27 @@
     }
   }
 
+  private recordFree(
+    groups: readonly EngineGroup[],
+    backends: readonly BackendView[],
+    now: number,
+  ): void {
+    const taken = new Set(groups.flatMap(listMembers));
+    const live = new Set<string>();
+    for (const {registration} of backends) {
+      const {incarnation} = registration;
+      if (!taken.has(incarnation)) {
+        live.add(incarnation);
+        this.freeSince.set(incarnation, this.freeSince.get(incarnation) ?? now);
+      }
+    }
+    for (const incarnation of this.freeSince.keys()) {
+      if (!live.has(incarnation)) {
+        this.freeSince.delete(incarnation);
+      }
+    }
+  }
+
   /** The first groups are planned once, with every host: no more are coming in. */
   private isSettled(backends: readonly BackendView[], now: number): boolean {
     const newest = Math.max(...backends.map(view => view.firstSeenAt));
@@ -169,7 +208,7 @@
       const id = isSetting ? command.group.name : command.name;
       const details: Record<string, string | number> = isSetting
         ? {
-            members: command.group.members.join(' '),
+            members: listMembers(command.group).join(' '),
             domain: command.group.domain,
           }
         : {epoch: command.epoch};
@@ -183,7 +222,7 @@
 
   private giveOrder(order: Order, profile: EngineProfile, now: number): void {
     const {incarnation, kind, group} = order;
-    const key = `${kind} ${group?.epoch ?? order.model}`;
+    const key = `${kind} ${group?.epoch ?? ''}`;
     const last = this.lastOrders.get(incarnation);
     // The same order waits for its effect; another one only for the answer.
     const isHeld = last?.isPending || (last?.key === key && now < last.againAt);
@@ -202,7 +241,10 @@
       .then(outcome => {
         entry.isPending = false;
         const isLoading = order.isLoad && outcome === 'begun';
-        const waitMs = isLoading ? loadMs * SLOW_LOAD : RETRY_MS[outcome];
+        // An engine that does not fit is loading something else.
+        const isBusy = kind === 'stage' && outcome === 'unfit';
+        const waitMs =
+          isLoading || isBusy ? loadMs * SLOW_LOAD : RETRY_MS[outcome];
         entry.againAt = this.options.clock.now() + waitMs;
       });
   }
@@ -218,7 +260,7 @@
         kind,
         group: group && {name: group.name, epoch: group.epoch},
         model: kind === 'join' || kind === 'stage' ? model : undefined,
-        members: kind === 'join' ? group?.members : undefined,
+        members: kind === 'join' && group ? listMembers(group) : undefined,
       },
     }) ?? 'unanswered');
     events.record({
@@ -240,9 +282,21 @@
 
 type GroupCommand = Extract<
   ControlCommand,
-  {type: 'set-engine-group' | 'end-engine-group' | 'remove-engine-group'}
+  {
+    type:
+      | 'set-engine-group'
+      | 'end-engine-group'
+      | 'release-engine-group'
+      | 'remove-engine-group';
+  }
 >;
 
+const COMMANDS = {
+  'end-group': 'end-engine-group',
+  'release-group': 'release-engine-group',
+  'remove-group': 'remove-engine-group',
+} as const;
+
 function createCommand(action: EngineAction, time: number): GroupCommand[] {
   if (action.type === 'order') {
     return [];
@@ -254,7 +308,9 @@
     return [{type: 'set-engine-group', time, group, reason}];
   }
   const {name, epoch} = action;
-  const type =
-    action.type === 'end-group' ? 'end-engine-group' : 'remove-engine-group';
-  return [{type, time, name, epoch, reason}];
+  return [{type: COMMANDS[action.type], time, name, epoch, reason}];
+}
+
+function listMembers(group: Pick<EngineGroup, 'members'>): string[] {
+  return group.members.map(member => member.incarnation);
 }
--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -219,14 +219,14 @@
     }
     const wanted = engines
       .list()
-      .find(({members}) => members[0] === incarnation);
+      .find(({members}) => members[0].incarnation === incarnation);
     const isOpen =
       group?.state === 'open' &&
       group.name === wanted?.name &&
       group.epoch === wanted.epoch;
     const isWhole =
       wanted?.isEnding === false &&
-      wanted.members.every(member => !engines.isRetired(member));
+      wanted.members.every(member => !engines.isRetired(member.incarnation));
     return isOpen && isWhole ? {...target, model: wanted?.model} : undefined;
   }
 
--- a/src/coordination/engine_action.ts
+++ b/src/coordination/engine_action.ts
@@ -11,7 +11,7 @@
       readonly reason: string;
     }
   | {
-      readonly type: 'end-group' | 'remove-group';
+      readonly type: 'end-group' | 'release-group' | 'remove-group';
       readonly name: string;
       readonly epoch: number;
       readonly reason: string;
--- a/src/coordination/engine_plan_input.ts
+++ b/src/coordination/engine_plan_input.ts
@@ -15,10 +15,18 @@
   readonly now: number;
   /** Silence after which a backend server is given no part in a new group. */
   readonly silentAfterMs: number;
+  /** Hosts that are free for less may soon be wanted with the weights that they have. */
+  readonly idleAfterMs: number;
+  /** Since when a backend server is in no group, as far as is known. */
+  readonly findFreeSince: (incarnation: string) => number;
+  /** A new leader does not take a member that it never heard for lost. */
+  readonly isStillListening: boolean;
   /** It drains or said goodbye. */
   readonly isRetired: (incarnation: string) => boolean;
   /** Its group stands still, or would: it does not answer. */
   readonly isLost: (incarnation: string) => boolean;
-  /** Proved dead, so that it heads no group any more. */
-  readonly isGone: (incarnation: string) => boolean;
+  /** Its head, silent or dead, is proved to count on no member any more. */
+  readonly isLetGo: (group: EngineGroup) => boolean;
+  /** A member has left that the head may still count on. */
+  readonly hasLeaver: (group: EngineGroup) => boolean;
 }
--- a/src/coordination/plan_engine_formation.ts
+++ b/src/coordination/plan_engine_formation.ts
@@ -13,15 +13,22 @@
 
 /** Hosts that could form one group. */
 interface Option {
+  readonly model: Model;
   readonly domain: string;
   readonly hosts: readonly BackendView[];
   /** Until the slowest of them is ready. */
   readonly readyMs: number;
+  /** Somebody has to read weights from the store. */
+  readonly needsLoad: boolean;
+  /** Hosts of the model for its share of the work, before this group. */
+  readonly rank: number;
+  /** Free hosts of the domain. */
+  readonly freeCount: number;
 }
 
 /**
- * Plans new groups for the model that has the fewest hosts for its share of the
- * work, and tells spare hosts which weights to keep.
+ * Plans new groups: those that need no load first, then for the model that has
+ * the fewest hosts for its share of the work; and tells spares what to keep.
  *
  * @example
  * const actions = planEngineFormation(input);
@@ -32,27 +39,32 @@
   const counts = countGroups(input);
   const names = new Set(input.groups.map(group => group.name));
   for (;;) {
-    const choice = chooseNext(input, free, counts);
-    if (!choice) {
+    const [option] = listOptions(input, free, counts).sort(compareOptions);
+    if (!option) {
       break;
     }
-    const {model, option} = choice;
-    const members = option.hosts.map(host => host.registration.incarnation);
+    const {model, hosts, domain, readyMs} = option;
     const name = findFreeName(model.name, names);
     names.add(name);
     counts.set(model.name, (counts.get(model.name) ?? 0) + 1);
-    free = free.filter(host => !option.hosts.includes(host));
+    free = free.filter(host => !hosts.includes(host));
+    const members = hosts.map(({registration}) => ({
+      incarnation: registration.incarnation,
+      address: registration.address,
+    }));
+    const {pool} = input;
     actions.push({
       type: 'set-group',
       group: {
         name,
-        pool: input.pool,
+        pool,
         model: model.name,
-        domain: option.domain,
+        domain,
         members,
         isEnding: false,
+        isReleased: false,
       },
-      reason: `${model.name} has the fewest hosts for its share; ready in ${option.readyMs} ms`,
+      reason: `${model.name} lacks hosts for its share; these are ready in ${readyMs} ms`,
     });
   }
   return [...actions, ...planStaging(input, free)];
@@ -60,12 +72,18 @@
 
 /** Engines that are well, belong to no committed group, and stay. */
 function listFree(input: EnginePlanInput): BackendView[] {
-  const taken = new Set(input.groups.flatMap(group => group.members));
+  const taken = new Set(
+    input.groups.flatMap(group =>
+      group.members.map(member => member.incarnation),
+    ),
+  );
   return input.backends
     .filter(({registration, seenAt}) => {
-      const {incarnation, domain} = registration;
+      const {incarnation, domain, group} = registration;
+      const isServing = group?.state === 'open' || group?.state === 'closing';
       return (
         domain !== undefined &&
+        !isServing &&
         !taken.has(incarnation) &&
         !input.isRetired(incarnation) &&
         !input.isLost(incarnation) &&
@@ -89,55 +107,80 @@
   return counts;
 }
 
-function chooseNext(
+/** The tightest domain that fits comes first, so that large gaps stay usable. */
+function compareOptions(left: Option, right: Option): number {
+  return (
+    Number(left.needsLoad) - Number(right.needsLoad) ||
+    left.rank - right.rank ||
+    left.readyMs - right.readyMs ||
+    left.freeCount - right.freeCount
+  );
+}
+
+function listOptions(
   input: EnginePlanInput,
   free: readonly BackendView[],
   counts: ReadonlyMap<string, number>,
-): {model: Model; option: Option} | undefined {
-  const rank = (model: Model) =>
-    ((counts.get(model.name) ?? 0) * model.size) /
-    Math.max(model.share, Number.EPSILON);
-  const models = [...input.profile.models].sort(
-    (left, right) => rank(left) - rank(right),
+): Option[] {
+  const domains = new Set(free.map(host => host.registration.domain ?? ''));
+  return input.profile.models.flatMap(model =>
+    [...domains].flatMap(
+      domain => findOption(model, domain, input, free, counts) ?? [],
+    ),
   );
-  for (const model of models) {
-    const option = findOption(model, input, free, counts);
-    if (option) {
-      return {model, option};
-    }
-  }
-  return undefined;
 }
 
-/** Below its peak a model may use spares; beyond it spares stay spares. */
+/**
+ * Below its peak a model may use spares that have its weights. Beyond the peak,
+ * and for weights that must be loaded, spares stay spares.
+ */
 function findOption(
   model: Model,
+  domain: string,
   input: EnginePlanInput,
   free: readonly BackendView[],
   counts: ReadonlyMap<string, number>,
 ): Option | undefined {
-  const isBelowPeak =
-    (counts.get(model.name) ?? 0) < (input.peaks.get(model.name) ?? 0);
-  const domains = [
-    ...new Set(free.map(host => host.registration.domain ?? '')),
-  ];
-  const options = domains.flatMap(domain => {
-    const hosts = free.filter(host => host.registration.domain === domain);
-    const spares = isBelowPeak ? 0 : countSpares(domain, input);
-    if (hosts.length - spares < model.size) {
-      return [];
-    }
-    const costs = hosts
-      .map(host => ({host, readyMs: computeReadyMs(host, model)}))
-      .sort((left, right) => left.readyMs - right.readyMs)
-      .slice(0, model.size);
-    const readyMs = costs[costs.length - 1].readyMs;
-    const chosen = costs.map(({host}) => host);
-    return [{domain, hosts: chosen, readyMs, left: hosts.length}];
-  });
-  return options.sort(
-    (left, right) => left.readyMs - right.readyMs || right.left - left.left,
-  )[0];
+  const count = counts.get(model.name) ?? 0;
+  const isBelowPeak = count < (input.peaks.get(model.name) ?? 0);
+  const hosts = free.filter(host => host.registration.domain === domain);
+  if (hosts.length < model.size) {
+    return undefined;
+  }
+  const chosen = hosts
+    .map(host => ({host, readyMs: computeReadyMs(host, model)}))
+    .sort(
+      (left, right) =>
+        left.readyMs - right.readyMs || countStaged(left) - countStaged(right),
+    )
+    .slice(0, model.size);
+  const {readyMs} = chosen[chosen.length - 1];
+  const needsLoad = readyMs >= model.loadMs;
+  const spares = isBelowPeak && !needsLoad ? 0 : countSpares(domain, input);
+  const isSettled = chosen.every(({host}) => isIdle(host, input));
+  if (hosts.length - spares < model.size || (needsLoad && !isSettled)) {
+    return undefined;
+  }
+  return {
+    model,
+    domain,
+    hosts: chosen.map(({host}) => host),
+    readyMs,
+    needsLoad,
+    rank: (count * model.size) / Math.max(model.share, Number.EPSILON),
+    freeCount: hosts.length,
+  };
+}
+
+function countStaged({host}: {host: BackendView}): number {
+  return host.registration.stagedModels.length;
+}
+
+/** At the first start nobody has weights, so there is nothing to wait for. */
+function isIdle(host: BackendView, input: EnginePlanInput): boolean {
+  const isFirstStart = input.peaks.size === 0;
+  const freeSince = input.findFreeSince(host.registration.incarnation);
+  return isFirstStart || input.now - freeSince > input.idleAfterMs;
 }
 
 function countSpares(domain: string, input: EnginePlanInput): number {
@@ -164,30 +207,49 @@
   return `${model}-${number}`;
 }
 
-/** A spare without weights loads those of the largest group of its domain: it is the likeliest to lose a member. */
+/** Spares without weights load those of the models that their domain serves. */
 function planStaging(
   input: EnginePlanInput,
   free: readonly BackendView[],
 ): EngineAction[] {
+  const staged = free.flatMap(({registration}) =>
+    registration.stagedModels.map(model => ({
+      model,
+      domain: registration.domain,
+    })),
+  );
   return free
     .filter(host => host.registration.stagedModels.length === 0)
-    .flatMap(host => {
-      const {incarnation, address, domain} = host.registration;
-      const [largest] = input.groups
-        .filter(group => group.domain === domain)
-        .sort((left, right) => right.members.length - left.members.length);
-      return largest
-        ? [
-            {
-              type: 'order' as const,
-              kind: 'stage' as const,
-              incarnation,
-              address,
-              model: largest.model,
-              isLoad: true,
-              reason: `a spare for ${largest.name}`,
-            },
-          ]
-        : [];
+    .flatMap(({registration}) => {
+      const {incarnation, address, domain} = registration;
+      const model = chooseSpareModel(input, domain, staged);
+      if (model === undefined) {
+        return [];
+      }
+      staged.push({model, domain});
+      const reason = `a spare in ${domain}`;
+      const order = {incarnation, address, model, isLoad: true, reason};
+      return [{type: 'order' as const, kind: 'stage' as const, ...order}];
     });
 }
+
+/** The model with the most serving members for each spare that has its weights. */
+function chooseSpareModel(
+  input: EnginePlanInput,
+  domain: string | undefined,
+  staged: ReadonlyArray<{model: string; domain: string | undefined}>,
+): string | undefined {
+  const scores = input.profile.models.map(({name}) => {
+    const members = input.groups
+      .filter(group => group.domain === domain && group.model === name)
+      .reduce((sum, group) => sum + group.members.length, 0);
+    const spares = staged.filter(
+      known => known.domain === domain && known.model === name,
+    ).length;
+    return {name, spares, score: members / (spares + 1)};
+  });
+  const [best] = scores.sort(
+    (left, right) => right.score - left.score || left.spares - right.spares,
+  );
+  return best && best.score > 0 ? best.name : undefined;
+}
--- a/src/coordination/plan_engine_groups.ts
+++ b/src/coordination/plan_engine_groups.ts
@@ -6,6 +6,7 @@
 import {planEngineFormation} from './plan_engine_formation';
 
 type Views = ReadonlyMap<string, BackendView>;
+type Member = EngineGroup['members'][number];
 
 /**
  * Plans steps towards whole, open groups; a pure function of what is known now.
@@ -29,7 +30,7 @@
       ? [{type: 'end-group' as const, name, epoch, reason}]
       : planAssembly(group, views);
   });
-  return [...steps, ...planEngineFormation(input)];
+  return [...steps, ...planStrays(input), ...planEngineFormation(input)];
 }
 
 /** Why a group cannot go on, if it cannot. */
@@ -39,14 +40,16 @@
   input: EnginePlanInput,
 ): string | undefined {
   const lost = findLost(group, views, input);
-  if (lost !== undefined) {
-    return `${lost} is lost`;
+  if (lost) {
+    return `${lost.incarnation} is lost`;
   }
-  const retired = group.members.find(member => input.isRetired(member));
-  if (retired !== undefined) {
-    return `${retired} is leaving`;
+  const retired = group.members.find(member =>
+    input.isRetired(member.incarnation),
+  );
+  if (retired) {
+    return `${retired.incarnation} is leaving`;
   }
-  const told = findTold(group, views.get(group.members[0]));
+  const told = findTold(group, views.get(group.members[0].incarnation));
   return told?.state === 'broken'
     ? 'the head says that it is broken'
     : undefined;
@@ -56,10 +59,11 @@
   group: EngineGroup,
   views: Views,
   input: EnginePlanInput,
-): string | undefined {
-  return group.members.find(
-    member => !views.has(member) || input.isLost(member),
-  );
+): Member | undefined {
+  return group.members.find(({incarnation}) => {
+    const isUnknown = !views.has(incarnation) && !input.isStillListening;
+    return isUnknown || input.isLost(incarnation);
+  });
 }
 
 /** What a member says about this very group. */
@@ -75,14 +79,16 @@
   views: Views,
   input: EnginePlanInput,
 ): EngineAction[] {
-  const [head] = group.members;
+  const head = group.members[0].incarnation;
   const {name, epoch} = group;
   const view = views.get(head);
   const removal = {type: 'remove-group' as const, name, epoch};
   if (!view || input.isLost(head)) {
-    return input.isGone(head)
-      ? [{...removal, reason: `its head ${head} is dead`}]
-      : [];
+    if (input.isLetGo(group)) {
+      const reason = `its head ${head} counts on nobody any more`;
+      return [{...removal, reason}];
+    }
+    return planLeaving(group, views, input);
   }
   const told = findTold(group, view);
   if (!told) {
@@ -97,8 +103,39 @@
   return [createOrder(kind, view, group, `${name} is taken apart`)];
 }
 
+/**
+ * Nobody can ask a head that is silent. A member that leaves makes it stand
+ * still and then break by itself, whether it is dead or only cut off.
+ */
+function planLeaving(
+  group: EngineGroup,
+  views: Views,
+  input: EnginePlanInput,
+): EngineAction[] {
+  const {name, epoch} = group;
+  const reason = `a member has left, the head of ${name} will break`;
+  const release =
+    !group.isReleased && input.hasLeaver(group)
+      ? [{type: 'release-group' as const, name, epoch, reason}]
+      : [];
+  const orders = group.members
+    .slice(1)
+    .flatMap(({incarnation}) => views.get(incarnation) ?? [])
+    .filter(view => findTold(group, view))
+    .filter(view => !input.isLost(view.registration.incarnation))
+    .map(view =>
+      createOrder('leave', view, group, `the head of ${name} is silent`),
+    );
+  return [...release, ...orders];
+}
+
 function planAssembly(group: EngineGroup, views: Views): EngineAction[] {
-  const members = group.members.flatMap(member => views.get(member) ?? []);
+  const members = group.members.flatMap(
+    ({incarnation}) => views.get(incarnation) ?? [],
+  );
+  if (members.length < group.members.length) {
+    return [];
+  }
   const strangers = members.filter(view => !findTold(group, view));
   if (strangers.length > 0) {
     return strangers.map(view =>
@@ -114,6 +151,40 @@
     : [];
 }
 
+/** An engine that still serves a group that control has given up must stop. */
+function planStrays(input: EnginePlanInput): EngineAction[] {
+  const known = new Set(
+    input.groups.map(({name, epoch}) => `${name} ${epoch}`),
+  );
+  return input.backends.flatMap(view => {
+    const told = view.registration.group;
+    const isServing = told?.state === 'open' || told?.state === 'closing';
+    const {incarnation, address, domain} = view.registration;
+    const isAway =
+      input.isLost(incarnation) ||
+      input.now - view.seenAt > input.silentAfterMs;
+    if (
+      !told ||
+      !isServing ||
+      isAway ||
+      known.has(`${told.name} ${told.epoch}`)
+    ) {
+      return [];
+    }
+    const group: EngineGroup = {
+      name: told.name,
+      epoch: told.epoch,
+      pool: input.pool,
+      model: view.registration.model ?? '',
+      domain: domain ?? '',
+      members: [{incarnation, address}],
+      isEnding: true,
+      isReleased: false,
+    };
+    return [createOrder('leave', view, group, 'its group was given up')];
+  });
+}
+
 function createOrder(
   kind: 'join' | 'open' | 'close' | 'leave',
   {registration}: BackendView,
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -15,8 +15,10 @@
 
 /** Sendings that were refused as not run do not count as runs, but end here. */
 const MAX_REFUSALS = 3;
-/** When a caller may come again after a refusal: about a change of groups. */
-const RETRY_AFTER_MS = 500;
+/** When a caller may come again after a refusal: about the repair of a group. */
+const RETRY_AFTER_MS = 2_500;
+/** Never later than this part of the caller's time, beyond which it would not come. */
+const RETRY_AFTER_SHARE = 0.3;
 /** Part of the objective after which an unanswered request of a silent target is sent elsewhere. */
 const SILENT_START_SHARE = 0.9;
 /** An answer that is not a stream is held until it is whole, so that it can be repeated. */
@@ -301,7 +303,10 @@
     }
     const hasRun = this.runs > 0;
     const status = hasRun ? 502 : 503;
-    const retryAfterMs = hasRun ? undefined : RETRY_AFTER_MS;
+    const leftMs = this.deadlineAt - this.options.clock.now();
+    const retryAfterMs = hasRun
+      ? undefined
+      : Math.min(RETRY_AFTER_MS, leftMs * RETRY_AFTER_SHARE);
     answer.sendOwn({status, reason, retryAfterMs}, request.id);
     this.finish(hasRun ? 'failed' : 'refused', reason, status);
   }
--- a/src/protocol/control_command.ts
+++ b/src/protocol/control_command.ts
@@ -51,6 +51,14 @@
     epoch: z.int(),
     reason: z.string(),
   }),
+  /** A member has left: every control process starts to count the head's time. */
+  z.object({
+    type: z.literal('release-engine-group'),
+    time: Time,
+    name: z.string(),
+    epoch: z.int(),
+    reason: z.string(),
+  }),
   z.object({
     type: z.literal('remove-engine-group'),
     time: Time,
--- a/src/protocol/engine_group.ts
+++ b/src/protocol/engine_group.ts
@@ -8,9 +8,18 @@
   pool: z.string(),
   model: z.string(),
   domain: z.string(),
-  /** Incarnations of the backend servers. */
-  members: z.array(z.string()).min(1),
+  members: z
+    .array(
+      z.object({
+        incarnation: z.string(),
+        /** `host:port`, so that a new leader can ask members it has not heard. */
+        address: z.string(),
+      }),
+    )
+    .min(1),
   /** It lost a member or is to lose one: it is being taken apart, for good. */
   isEnding: z.boolean(),
+  /** A member has left while the head was silent, so the head will break by itself. */
+  isReleased: z.boolean(),
 });
 export type EngineGroup = z.infer<typeof EngineGroup>;
--- a/src/state/cluster_state.ts
+++ b/src/state/cluster_state.ts
@@ -170,7 +170,10 @@
         subject: 'group',
         id: group.name,
         reason: result.isAccepted ? reason : result.reason,
-        details: {epoch: index, members: group.members.join(' ')},
+        details: {
+          epoch: index,
+          members: group.members.map(member => member.incarnation).join(' '),
+        },
       });
       return result;
     },
@@ -179,6 +182,11 @@
       const about = {groupId: name, reason};
       return this.recordGroupChange(index, 'group-ending', about, result);
     },
+    'release-engine-group': ({name, epoch, reason}, index) => {
+      const result = this.engines.release(name, epoch);
+      const about = {groupId: name, reason};
+      return this.recordGroupChange(index, 'group-released', about, result);
+    },
     'remove-engine-group': ({name, epoch, reason}, index) => {
       const result = this.engines.remove(name, epoch);
       const about = {groupId: name, reason};
--- a/src/state/engine_group_table.ts
+++ b/src/state/engine_group_table.ts
@@ -55,10 +55,11 @@
 
   /** Sets a group; its members must be in no other. */
   set(group: EngineGroup): CommandResult {
+    const wanted = new Set(group.members.map(member => member.incarnation));
     const taken = this.list().find(
       other =>
         other.name !== group.name &&
-        other.members.some(member => group.members.includes(member)),
+        other.members.some(({incarnation}) => wanted.has(incarnation)),
     );
     if (taken) {
       return {isAccepted: false, reason: `a member is in ${taken.name}`};
@@ -70,13 +71,12 @@
 
   /** Marks a group as one that is being taken apart. */
   end(name: string, epoch: number): CommandResult {
-    const group = this.groups.get(name);
-    if (group?.epoch !== epoch) {
-      return {isAccepted: false, reason: `${name} has another epoch`};
-    }
-    this.groups.set(name, {...group, isEnding: true});
-    this.changes += 1;
-    return {isAccepted: true, reason: 'is being taken apart'};
+    return this.mark(name, epoch, {isEnding: true});
+  }
+
+  /** Marks a group as one that a member has left. */
+  release(name: string, epoch: number): CommandResult {
+    return this.mark(name, epoch, {isReleased: true});
   }
 
   /** Removes a group under the epoch that is meant. */
@@ -106,6 +106,20 @@
     return {isAccepted: true, reason: 'retired'};
   }
 
+  private mark(
+    name: string,
+    epoch: number,
+    marks: Partial<Pick<EngineGroup, 'isEnding' | 'isReleased'>>,
+  ): CommandResult {
+    const group = this.groups.get(name);
+    if (group?.epoch !== epoch) {
+      return {isAccepted: false, reason: `${name} has another epoch`};
+    }
+    this.groups.set(name, {...group, ...marks});
+    this.changes += 1;
+    return {isAccepted: true, reason: Object.keys(marks).join(' ')};
+  }
+
   /** The table as plain data. */
   save(): z.infer<typeof Snapshot> {
     return {
--- /dev/null
+++ b/src/transport/create_connector.ts
@@ -0,0 +1,35 @@
+import {buildConnector} from 'undici';
+import {TransportError} from './transport_error';
+
+/** The library's own limit, which counts in whole seconds; it only cleans up. */
+const LIBRARY_TIMEOUT_MS = 5_000;
+
+/**
+ * A connector with an exact limit: the library's timers count in seconds, which
+ * is too coarse to notice a host that went dark.
+ *
+ * @param timeoutMs milliseconds until a connection is given up
+ * @returns what the library takes as `connect`; errors have the code
+ *     `UND_ERR_CONNECT_TIMEOUT`
+ * @example
+ * const agent = new Agent({connect: createConnector(300)});
+ */
+export function createConnector(timeoutMs: number): buildConnector.connector {
+  const connect = buildConnector({timeout: LIBRARY_TIMEOUT_MS});
+  return (options, callback) => {
+    let isOver = false;
+    const timer = setTimeout(() => {
+      isOver = true;
+      const error = new TransportError('no connection in %d ms', timeoutMs);
+      callback(Object.assign(error, {code: 'UND_ERR_CONNECT_TIMEOUT'}), null);
+    }, timeoutMs);
+    connect(options, (...result) => {
+      if (isOver) {
+        result[1]?.destroy();
+        return;
+      }
+      clearTimeout(timer);
+      callback(...result);
+    });
+  };
+}
--- a/src/transport/http_origins.ts
+++ b/src/transport/http_origins.ts
@@ -1,9 +1,10 @@
 /** Calls to many HTTP servers over kept connections; nothing is ever sent twice. */
 import {Dispatcher, Pool, errors} from 'undici';
+import {createConnector} from './create_connector';
 import {TransportError} from './transport_error';
 
 /** A new connection is given this long; beyond it the server counts as away. */
-const CONNECT_TIMEOUT_MS = 700;
+const CONNECT_TIMEOUT_MS = 400;
 /** Connections that no request used for this long are closed. */
 const IDLE_TIMEOUT_MS = 10_000;
 /** Closed this long before the server says that it would close. */
@@ -133,7 +134,7 @@
         connections: maxConnections,
         // With more than one, the library would send again what stood behind a broken one.
         pipelining: 1,
-        connect: {timeout: CONNECT_TIMEOUT_MS},
+        connect: createConnector(CONNECT_TIMEOUT_MS),
         keepAliveTimeout: IDLE_TIMEOUT_MS,
         keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
         headersTimeout: 0,
