--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -86,6 +86,11 @@
     return [...new Set([...known, ...voters, ...seeds])];
   }
 
+  /** Takes other places to find control processes at, as the settings changed. */
+  addSeeds(seeds: readonly string[]): void {
+    this.keeper?.addSeeds(seeds);
+  }
+
   /** True while this process may answer for the whole system. */
   get isLeading(): boolean {
     return this.runtime?.canAnswer() ?? false;
@@ -181,7 +186,10 @@
     reply: Reply,
   ): Promise<void> {
     const {runtime, handlers} = this;
-    const refuse = () => reply({type: 'not-leader', call: ask.call});
+    const control = this.settings.seeded
+      ? this.listControlAddresses()
+      : undefined;
+    const refuse = () => reply({type: 'not-leader', call: ask.call, control});
     if (!runtime?.canAnswer() || !handlers?.[ask.type]) {
       refuse();
       return;
--- a/src/control/quorum_keeper.ts
+++ b/src/control/quorum_keeper.ts
@@ -74,6 +74,11 @@
     return {type: 'formation-answer', identity: disk.identity, voters};
   }
 
+  /** Takes other places to ask, as the settings changed. */
+  addSeeds(seeds: readonly string[]): void {
+    this.connect(seeds);
+  }
+
   /** Takes an answer about the quorum. */
   handleAnswer(from: string, answer: Answer): void {
     this.answers.set(splitIdentity(from).name, answer);
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -50,6 +50,7 @@
   private readonly budgets = new Map<string, RepeatBudget>();
   private readonly flows = new Set<RequestFlow>();
   private readonly stallTimer: NodeJS.Timeout;
+  private seeds: readonly string[];
   private controlAddresses: readonly string[];
   private listener: HttpListener | undefined;
   private openRequests = 0;
@@ -59,6 +60,7 @@
   private constructor(private readonly settings: GatewaySettings) {
     const {gatewayId, zone, control, confirmationMs} = settings;
     const {clock, events} = this;
+    this.seeds = control;
     this.controlAddresses = control;
     this.board = TargetBoard.create(zone, clock, Math.random);
     const incarnation = randomBytes(8).toString('hex');
@@ -81,7 +83,7 @@
         this.origins.retain(this.board.listAddresses());
       },
       onControl: addresses => {
-        this.controlAddresses = [...new Set([...addresses, ...control])];
+        this.controlAddresses = [...new Set([...addresses, ...this.seeds])];
       },
     });
     this.stallTimer = setInterval(() => {
@@ -117,6 +119,14 @@
     return !this.isLeaving && this.feed.isConfirmed();
   }
 
+  /** Takes other places to find control at, as the settings changed. */
+  setControl(addresses: readonly string[]): void {
+    this.seeds = addresses;
+    this.controlAddresses = [
+      ...new Set([...this.controlAddresses, ...addresses]),
+    ];
+  }
+
   /** Answers what comes until callers have noticed, then ends when all is answered. */
   async drain(): Promise<void> {
     this.isLeaving = true;
--- a/src/gateway/rules_feed.ts
+++ b/src/gateway/rules_feed.ts
@@ -41,7 +41,7 @@
   private tableTag = '';
   private confirmedAt = -Infinity;
   private gatewayCount = 1;
-  private isConnected = false;
+  private isConnected: boolean | undefined;
   private isClosed = false;
 
   private constructor(private readonly options: RulesFeedOptions) {
--- a/src/protocol/control_client.ts
+++ b/src/protocol/control_client.ts
@@ -42,8 +42,8 @@
 
 /**
  * Asks the leader, trying every control process in turn and staying with the
- * one that answers. Control does not name the leader's address: the address by
- * which control processes know each other need not be one that the asker has.
+ * one that answers. Where control processes are named by their addresses, one
+ * that does not lead tells where the others are.
  */
 export class ControlClient {
   private peer: Peer | undefined;
@@ -54,6 +54,8 @@
   >();
   private lastCall = 0;
   private nextAddress = 0;
+  /** Addresses told by processes that do not lead. */
+  private hints: readonly string[] = [];
   private isClosed = false;
 
   private constructor(private readonly options: ControlClientOptions) {}
@@ -114,7 +116,16 @@
 
   private get addresses(): readonly string[] {
     const {addresses} = this.options;
-    return typeof addresses === 'function' ? addresses() : addresses;
+    const known = typeof addresses === 'function' ? addresses() : addresses;
+    return [...new Set([...this.hints, ...known])];
+  }
+
+  /** Starts over with the likeliest when something new is told. */
+  private followHints(hints: readonly string[]): void {
+    if (hints.join() !== this.hints.join()) {
+      this.hints = hints;
+      this.nextAddress = 0;
+    }
   }
 
   /** Asks one control process; undefined when it does not lead or does not answer. */
@@ -127,6 +138,9 @@
     if (answer && answer.type !== 'not-leader') {
       return answer;
     }
+    if (answer?.control) {
+      this.followHints(answer.control);
+    }
     this.dropPeer(peer);
     return undefined;
   }
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -181,6 +181,8 @@
   z.object({
     type: z.literal('not-leader'),
     call: Call,
+    /** Where the leader may be, the likeliest first; only where names are addresses. */
+    control: z.array(z.string()).optional(),
   }),
 ]);
 export type ControlMessage = z.infer<typeof ControlMessage>;
