fix(state): a restarted process knows which voters are in force

Change: the log on disk holds the commit index beside the entries that leaders sent with it. Test: coordination/raft_voters, fails without.

--- a/src/control/raft_runtime.ts
+++ b/src/control/raft_runtime.ts
@@ -26,6 +26,8 @@
 /** One piece of work for the disk, done in order. */
 interface DiskJob {
   readonly persist?: RaftEffects['persist'];
+  /** Known to be committed when the job was made. */
+  readonly commitIndex: number;
   readonly install?: RaftEffects['install'];
   readonly messages: Outgoing;
 }
@@ -78,7 +80,7 @@
       throw new ControlError('the data folder knows no quorum yet');
     }
     this.tables = ClusterState.create(snapshot.state);
-    const {term, votedFor, entries} = disk.log.recovered;
+    const {term, votedFor, entries, commitIndex} = disk.log.recovered;
     const start = createLogStart(snapshot);
     const kept = entries.filter(entry => entry.index > snapshot.index);
     this.node = RaftNode.create({
@@ -87,6 +89,7 @@
       term,
       votedFor,
       commitIndex: snapshot.index,
+      knownCommitted: commitIndex,
       timing,
       random,
       readSnapshot: () => disk.snapshots.current?.state ?? new Uint8Array(),
@@ -202,7 +205,12 @@
     const {persist, install, messagesAfterPersist} = effects;
     if (persist || install || messagesAfterPersist.length > 0) {
       this.isInstalling ||= install !== undefined;
-      this.diskJobs.push({persist, install, messages: messagesAfterPersist});
+      this.diskJobs.push({
+        persist,
+        commitIndex: this.node.commitIndex,
+        install,
+        messages: messagesAfterPersist,
+      });
       void this.drainDisk();
     }
     effects.committed.forEach(entry => this.apply(entry));
@@ -270,7 +278,7 @@
 
   /** Writes all jobs that piled up with one sync. */
   private async runDiskJobs(jobs: readonly DiskJob[]): Promise<void> {
-    const records = jobs.flatMap(job => createRecords(job.persist));
+    const records = jobs.flatMap(createRecords);
     if (records.length > 0) {
       await this.retryWhileFull(() => this.options.disk.log.append(records));
     }
@@ -334,6 +342,7 @@
     const entries = this.node.listEntries();
     return [
       {type: 'hard-state', term, votedFor},
+      {type: 'commit', index: this.node.commitIndex},
       ...entries.map(entry => ({type: 'entry' as const, entry})),
     ];
   }
@@ -343,7 +352,7 @@
   }
 }
 
-function createRecords(persist: RaftEffects['persist']): LogRecord[] {
+function createRecords({persist, commitIndex}: DiskJob): LogRecord[] {
   const records: LogRecord[] = [];
   if (persist?.hardState) {
     records.push({type: 'hard-state', ...persist.hardState});
@@ -352,6 +361,9 @@
     records.push({type: 'truncate', from: persist.truncateFrom});
   }
   const entries = persist?.entries ?? [];
+  if (entries.length > 0) {
+    records.push({type: 'commit', index: commitIndex});
+  }
   return [
     ...records,
     ...entries.map(entry => ({type: 'entry' as const, entry})),
--- a/src/coordination/raft_options.ts
+++ b/src/coordination/raft_options.ts
@@ -10,6 +10,8 @@
   readonly votedFor: string | undefined;
   /** Everything up to here is known to be committed (the snapshot's place). */
   readonly commitIndex: number;
+  /** Entries up to here were committed, though they may not be applied yet. */
+  readonly knownCommitted?: number;
   readonly timing: RaftTiming;
   /** Uniform in [0, 1). */
   readonly random: () => number;
--- a/src/coordination/raft_state.ts
+++ b/src/coordination/raft_state.ts
@@ -68,7 +68,11 @@
   }
 
   get voterSets(): VoterSet[] {
-    return this.log.listVoterSets(this.commitIndex);
+    const committed = Math.max(
+      this.commitIndex,
+      this.options.knownCommitted ?? 0,
+    );
+    return this.log.listVoterSets(committed);
   }
 
   /** Identities of the other voters. */
--- a/src/state/write_ahead_log.ts
+++ b/src/state/write_ahead_log.ts
@@ -18,6 +18,8 @@
 interface RecoveredLog {
   readonly term: number;
   readonly votedFor: string | undefined;
+  /** Entries up to here were known to be committed. */
+  readonly commitIndex: number;
   readonly entries: readonly LogEntry[];
   /** Bytes of an unfinished last write that were cut off. */
   readonly cutBytes: number;
@@ -136,10 +138,13 @@
   const entries: LogEntry[] = [];
   let term = 0;
   let votedFor: string | undefined;
+  let commitIndex = 0;
   for (const record of records) {
     if (record.type === 'hard-state') {
       term = record.term;
       votedFor = record.votedFor;
+    } else if (record.type === 'commit') {
+      commitIndex = Math.max(commitIndex, record.index);
     } else if (record.type === 'truncate') {
       dropFrom(entries, record.from);
     } else {
@@ -148,7 +153,7 @@
       entries.push(record.entry);
     }
   }
-  return {term, votedFor, entries};
+  return {term, votedFor, commitIndex, entries};
 }
 
 function dropFrom(entries: LogEntry[], index: number): void {
--- a/src/transport/create_connector.ts
+++ b/src/transport/create_connector.ts
@@ -4,9 +4,20 @@
 /** The library's own limit, which counts in whole seconds; it only cleans up. */
 const LIBRARY_TIMEOUT_MS = 5_000;
 
+/**
+ * The library takes a reset behind an answer without a length for its normal
+ * end. Under another code it stays an error, so a broken answer is not passed on
+ * as a whole one.
+ */
+function renameReset(error: NodeJS.ErrnoException): void {
+  if (error.code === 'ECONNRESET') {
+    error.code = 'CONNECTION_RESET';
+  }
+}
+
 /**
  * A connector with an exact limit: the library's timers count in seconds, which
- * is too coarse to notice a host that went dark.
+ * is too coarse to notice a host that went dark; and a reset is always an error.
  *
  * @param timeoutMs milliseconds until a connection is given up
  * @returns what the library takes as `connect`; errors have the code
@@ -29,6 +40,7 @@
         return;
       }
       clearTimeout(timer);
+      result[1]?.on('error', renameReset);
       callback(...result);
     });
   };
--- /dev/null
+++ b/test/coordination/raft_voters.test.ts
@@ -0,0 +1,143 @@
+import {describe, expect, test} from 'vitest';
+import {RaftLog} from '../../src/coordination/raft_log';
+import {RaftNode} from '../../src/coordination/raft_node';
+import {decideVoterChange} from '../../src/coordination/decide_voter_change';
+import {LogEntry} from '../../src/protocol/log_entry';
+
+const TIMING = {heartbeatMs: 50, electionMs: 300, leaseMs: 225};
+const FOUNDERS = ['a', 'b', 'c'];
+
+function setVoter(index: number, name: string, replaces?: string): LogEntry {
+  const command = {
+    type: 'set-voter' as const,
+    time: 0,
+    name,
+    identity: `${name}/1`,
+    replaces,
+  };
+  return {index, term: 1, command};
+}
+
+/** A node of a quorum that grew from three to five, just started again. */
+function restart(knownCommitted: number | undefined): RaftNode {
+  const voters = new Map(FOUNDERS.map(name => [name, `${name}/1`]));
+  const entries = [setVoter(1, 'd'), setVoter(2, 'e')];
+  return RaftNode.create({
+    identity: 'a/1',
+    log: RaftLog.create({index: 0, term: 0, voters}, entries),
+    term: 1,
+    votedFor: undefined,
+    commitIndex: 0,
+    knownCommitted,
+    timing: TIMING,
+    random: () => 0,
+    readSnapshot: () => new Uint8Array(),
+    now: 0,
+  });
+}
+
+/** Lets the node stand for election and answers as these voters. */
+function elect(node: RaftNode, granting: readonly string[]): string {
+  node.step({type: 'tick'}, 1_000);
+  for (const isPreVote of [true, false]) {
+    for (const from of granting) {
+      const term = 2;
+      const message = {
+        type: 'vote-answer' as const,
+        term,
+        isGranted: true,
+        isPreVote,
+      };
+      node.step({type: 'message', from, message}, 1_000);
+    }
+  }
+  return node.role;
+}
+
+describe('a quorum that grew', () => {
+  test('elects with three of five after two founders lost their disks', () => {
+    expect(elect(restart(2), ['d/1', 'e/1'])).toBe('leader');
+  });
+
+  test('still asks the founders while the growth may not be committed', () => {
+    expect(elect(restart(undefined), ['d/1', 'e/1'])).toBe('pre-candidate');
+  });
+
+  test('lets one voter go in the step in which another comes', () => {
+    const voters = new Map(FOUNDERS.map(name => [name, `${name}/1`]));
+    const log = RaftLog.create({index: 0, term: 0, voters}, [
+      setVoter(1, 'd', 'b'),
+    ]);
+
+    expect([...log.listVoterSets(1)[0].keys()]).toEqual(['a', 'c', 'd']);
+    expect(log.listVoterSets(0)).toHaveLength(2);
+  });
+});
+
+describe('the next change of voters', () => {
+  const voters = new Map([
+    ['a', 'a/1'],
+    ['b', 'b/1'],
+    ['c', 'c/1'],
+  ]);
+  const nobody = () => false;
+
+  test('is nothing while nobody asks', () => {
+    const situation = {voters, candidates: [], target: 5, isSilent: nobody};
+    expect(decideVoterChange(situation)).toBeUndefined();
+  });
+
+  test('takes in one more until the quorum has its size', () => {
+    const situation = {
+      voters,
+      candidates: ['a/1', 'd/7', 'e/8'],
+      target: 5,
+      isSilent: nobody,
+    };
+    expect(decideVoterChange(situation)).toEqual({name: 'd', identity: 'd/7'});
+  });
+
+  test('gives the place of a silent voter to one that waits', () => {
+    const situation = {
+      voters,
+      candidates: ['d/7'],
+      target: 3,
+      isSilent: (identity: string) => identity === 'b/1',
+    };
+    expect(decideVoterChange(situation)).toEqual({
+      name: 'd',
+      identity: 'd/7',
+      replaces: 'b',
+    });
+  });
+
+  test('lets one that waits go on waiting while every voter is heard', () => {
+    const situation = {
+      voters,
+      candidates: ['d/7'],
+      target: 3,
+      isSilent: nobody,
+    };
+    expect(decideVoterChange(situation)).toBeUndefined();
+  });
+
+  test('puts a new disk in the place of the lost one before anything else', () => {
+    const situation = {
+      voters,
+      candidates: ['d/7', 'b/2'],
+      target: 5,
+      isSilent: (identity: string) => identity === 'b/1',
+    };
+    expect(decideVoterChange(situation)).toEqual({name: 'b', identity: 'b/2'});
+  });
+
+  test('never replaces a disk whose old self still answers', () => {
+    const situation = {
+      voters,
+      candidates: ['b/2'],
+      target: 3,
+      isSilent: nobody,
+    };
+    expect(decideVoterChange(situation)).toBeUndefined();
+  });
+});
