--- a/test/coordination/raft_voters.test.ts
+++ b/test/coordination/raft_voters.test.ts
@@ -39,16 +39,14 @@
 /** Lets the node stand for election and answers as these voters. */
 function elect(node: RaftNode, granting: readonly string[]): string {
   node.step({type: 'tick'}, 1_000);
-  for (const isPreVote of [true, false]) {
+  for (const awaited of ['pre-candidate', 'candidate']) {
     for (const from of granting) {
-      const term = 2;
-      const message = {
-        type: 'vote-answer' as const,
-        term,
-        isGranted: true,
-        isPreVote,
-      };
-      node.step({type: 'message', from, message}, 1_000);
+      if (node.role === awaited) {
+        const isPreVote = awaited === 'pre-candidate';
+        const vote = {term: 2, isGranted: true, isPreVote};
+        const message = {type: 'vote-answer' as const, ...vote};
+        node.step({type: 'message', from, message}, 1_000);
+      }
     }
   }
   return node.role;
