feat(gateway): places at engines are shared among gateways

Change: gateways tell control what they run, control tells each what the others run; a request beyond the places waits 0.2 of its aim, then is refused with a time to come back.

--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -12,7 +12,7 @@
 import {RaftRuntime} from './raft_runtime';
 
 /** How long a gateway's question is held while there is nothing new to tell. */
-const HOLD_MS = 500;
+const HOLD_MS = 250;
 /** Silence after which a gateway no longer counts. */
 const GATEWAY_PRESENT_MS = 3_000;
 /** What a gateway says about a backend server counts for this long. */
@@ -22,6 +22,12 @@
 
 type Ask<T extends ControlMessage['type']> = MessageOf<ControlMessage, T>;
 
+/** What a gateway last said. */
+interface GatewayWord {
+  readonly seenAt: number;
+  readonly running: Readonly<Record<string, number>>;
+}
+
 /** What the desk works on. */
 interface GatewayDeskOptions {
   readonly settings: ControlSettings;
@@ -34,7 +40,7 @@
 
 /** Answers calls; the caller makes sure that this process leads. */
 export class GatewayDesk {
-  private readonly gateways = new Map<string, number>();
+  private readonly gateways = new Map<string, GatewayWord>();
   /** When a gateway last said so, by incarnation. */
   private readonly stalledAt = new Map<string, number>();
   private readonly answeringAt = new Map<string, number>();
@@ -158,14 +164,27 @@
       tableTag: tag,
       ...(ask.tableTag === tag ? {} : this.describeTable()),
       isComplete: this.isTableComplete(clock.now()),
+      runningElsewhere: this.sumRunning(ask.gatewayId),
       gateways: Math.max(1, this.gateways.size),
       control: [...raft.listVotersAt(raft.commitIndex).keys()],
     };
   }
 
+  private sumRunning(exceptId: string): Record<string, number> {
+    const sums: Record<string, number> = {};
+    for (const [id, {running}] of this.gateways) {
+      for (const [incarnation, count] of Object.entries(running)) {
+        const added = id === exceptId ? 0 : count;
+        sums[incarnation] = (sums[incarnation] ?? 0) + added;
+      }
+    }
+    return sums;
+  }
+
   private recordWord(ask: Ask<'gateway-ask'>, now: number): void {
-    this.gateways.set(ask.gatewayId, now);
-    for (const [id, seenAt] of this.gateways) {
+    const {gatewayId, running} = ask;
+    this.gateways.set(gatewayId, {seenAt: now, running});
+    for (const [id, {seenAt}] of this.gateways) {
       if (now - seenAt > GATEWAY_PRESENT_MS) {
         this.gateways.delete(id);
       }
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -17,8 +17,8 @@
 import {RulesFeed} from './rules_feed';
 import {TargetBoard} from './target_board';
 
-/** Between two looks for stalled streams; well under the pauses that matter. */
-const STALL_CHECK_MS = 20;
+/** Between two looks at requests that wait or stall; well under the pauses that matter. */
+const CHECK_MS = 20;
 /** When a caller may come again while the gateway cannot act: a change of leader. */
 const RETRY_AFTER_MS = 700;
 /** A stopping gateway still takes requests for this long: its balancer has to notice. */
@@ -49,7 +49,7 @@
   private readonly feed: RulesFeed;
   private readonly budgets = new Map<string, RepeatBudget>();
   private readonly flows = new Set<RequestFlow>();
-  private readonly stallTimer: NodeJS.Timeout;
+  private readonly checkTimer: NodeJS.Timeout;
   private seeds: readonly string[];
   private controlAddresses: readonly string[];
   private listener: HttpListener | undefined;
@@ -78,6 +78,7 @@
         ...this.board.listNews(),
         hasServed: this.hasServed,
       }),
+      onRunning: running => this.board.setRunningElsewhere(running),
       onTargets: targets => {
         this.board.setTargets(targets);
         this.origins.retain(this.board.listAddresses());
@@ -86,10 +87,10 @@
         this.controlAddresses = [...new Set([...addresses, ...this.seeds])];
       },
     });
-    this.stallTimer = setInterval(() => {
+    this.checkTimer = setInterval(() => {
       const now = clock.now();
-      this.flows.forEach(flow => flow.checkStall(now));
-    }, STALL_CHECK_MS);
+      this.flows.forEach(flow => flow.check(now));
+    }, CHECK_MS);
   }
 
   /**
@@ -145,7 +146,7 @@
 
   /** Stops at once. */
   async close(): Promise<void> {
-    clearInterval(this.stallTimer);
+    clearInterval(this.checkTimer);
     this.feed.close();
     await this.listener?.close();
     await this.origins.close();
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -1,6 +1,7 @@
 /** Carries one request through: attempts, repeats, resumed streams, its final answer. */
 import {Clock} from '../common/clock';
 import {GatewayRules} from '../protocol/gateway_rules';
+import {GatewayTarget} from '../protocol/gateway_target';
 import {HttpOrigins} from '../transport/http_origins';
 import {AnswerHead} from './answer_head';
 import {Attempt} from './attempt';
@@ -21,6 +22,8 @@
 const RETRY_AFTER_SHARE = 0.3;
 /** Part of the objective after which an unanswered request of a silent target is sent elsewhere. */
 const SILENT_START_SHARE = 0.9;
+/** Part of the objective for which a request waits for a place before it is refused: a refusal must come early to be of use. */
+const WAIT_SHARE = 0.2;
 /** An answer that is not a stream is held until it is whole, so that it can be repeated. */
 const MAX_HELD_BYTES = 8 * 1024 * 1024;
 
@@ -71,6 +74,8 @@
   private readonly deadlineAt: number;
   private readonly timer: NodeJS.Timeout;
   private readonly stallMs: number;
+  /** Set while it waits for a place at a backend server. */
+  private waitingUntil: number | undefined;
   private isDone = false;
 
   private constructor(private readonly options: RequestFlowOptions) {
@@ -104,8 +109,29 @@
     return this.isDone;
   }
 
-  /** Looks whether the backend server stopped in the middle; called every few milliseconds. */
-  checkStall(now: number): void {
+  /** Looks whether it must go on waiting or go elsewhere; called every few milliseconds. */
+  check(now: number): void {
+    if (this.waitingUntil !== undefined) {
+      this.checkWaiting(now, this.waitingUntil);
+    } else {
+      this.checkStall(now);
+    }
+  }
+
+  private checkWaiting(now: number, until: number): void {
+    const target = this.findTarget(false);
+    if (!target && now < until) {
+      return;
+    }
+    this.waitingUntil = undefined;
+    if (target) {
+      this.sendTo(target);
+    } else {
+      this.giveUp('every backend server that serves it is full');
+    }
+  }
+
+  private checkStall(now: number): void {
     const {attempt} = this;
     const {route, board} = this.options;
     const canGoElsewhere =
@@ -117,7 +143,7 @@
     }
     const {incarnation} = attempt.target;
     board.recordStalled(incarnation);
-    if (this.findTarget()) {
+    if (this.findTarget(true)) {
       const quietMs = Math.round(now - attempt.quietSince);
       attempt.stop(`silent for ${quietMs} ms`);
     }
@@ -140,14 +166,24 @@
     return quietMs > limitMs && isTargetSilent;
   }
 
+  /** Sends to the best target; the first time also waits a little for a place. */
   private sendOn(whyNot: string): void {
-    const {options} = this;
-    const {request, board, clock} = options;
-    const target = this.findTarget();
-    if (!target) {
+    const {route, clock} = this.options;
+    // What has begun elsewhere is worth more than what has not begun at all.
+    const mayQueue = this.targets.length > 0;
+    const target = this.findTarget(mayQueue);
+    if (target) {
+      this.sendTo(target);
+    } else if (!mayQueue && this.findTarget(true)) {
+      this.waitingUntil = clock.now() + route.objectiveMs * WAIT_SHARE;
+    } else {
       this.giveUp(whyNot);
-      return;
     }
+  }
+
+  private sendTo(target: GatewayTarget): void {
+    const {options} = this;
+    const {request, board, clock} = options;
     this.tried.add(target.incarnation);
     this.targets.push(target.incarnation);
     this.splitter = EventSplitter.create();
@@ -171,10 +207,11 @@
     });
   }
 
-  private findTarget() {
+  private findTarget(mayQueue: boolean): GatewayTarget | undefined {
     const {request, pool, board} = this.options;
     return board.choose({
       pool: pool.name,
+      mayQueue,
       model: pool.engine ? request.model : undefined,
       excluded: this.tried,
     });
@@ -346,6 +383,7 @@
 
   private markDone(): void {
     this.isDone = true;
+    this.waitingUntil = undefined;
     clearTimeout(this.timer);
   }
 
--- a/src/gateway/rules_feed.ts
+++ b/src/gateway/rules_feed.ts
@@ -17,6 +17,7 @@
 interface BackendNews {
   readonly stalled: readonly string[];
   readonly answering: readonly string[];
+  readonly running: Readonly<Record<string, number>>;
   readonly hasServed: boolean;
 }
 
@@ -29,6 +30,8 @@
   /** How long an answer counts, from when it was asked for, in milliseconds. */
   readonly confirmationMs: number;
   readonly collectNews: () => BackendNews;
+  /** Requests that other gateways have at each backend server. */
+  readonly onRunning: (running: Readonly<Record<string, number>>) => void;
   readonly onTargets: (targets: ReadonlyMap<string, GatewayTarget>) => void;
   /** Addresses of the control processes, whenever they are told. */
   readonly onControl: (addresses: readonly string[]) => void;
@@ -110,6 +113,7 @@
         tableTag: this.tableTag,
         stalled: [...news.stalled],
         answering: [...news.answering],
+        running: {...news.running},
         hasServed: news.hasServed,
       },
       ASK_TIMEOUT_MS,
@@ -142,6 +146,7 @@
     if (answer.targets) {
       this.applyTargets(answer, answer.targets);
     }
+    this.options.onRunning(answer.runningElsewhere);
     this.gatewayCount = answer.gateways;
     this.options.onControl(answer.control);
   }
--- a/src/gateway/target_board.ts
+++ b/src/gateway/target_board.ts
@@ -17,6 +17,8 @@
 interface Standing {
   target: GatewayTarget;
   running: number;
+  /** Requests of other gateways, as last told. */
+  runningElsewhere: number;
   /** Prompt tokens of requests that have not answered yet. */
   waitingTokens: number;
   heardAt: number;
@@ -27,6 +29,8 @@
 /** What a target is wanted for. */
 interface Want {
   readonly pool: string;
+  /** Also targets that have no place free: they queue. */
+  readonly mayQueue: boolean;
   readonly model?: string;
   readonly excluded: ReadonlySet<string>;
 }
@@ -67,6 +71,13 @@
     this.standings = standings;
   }
 
+  /** Notes what the other gateways have running. */
+  setRunningElsewhere(running: Readonly<Record<string, number>>): void {
+    for (const [incarnation, standing] of this.standings) {
+      standing.runningElsewhere = running[incarnation] ?? 0;
+    }
+  }
+
   /** The least busy target; undefined when none is fit. */
   choose(want: Want): GatewayTarget | undefined {
     const now = this.clock.now();
@@ -78,7 +89,8 @@
         target.pool === want.pool &&
         target.model === want.model &&
         !want.excluded.has(target.incarnation) &&
-        standing.avoidUntil <= now;
+        standing.avoidUntil <= now &&
+        (want.mayQueue || hasPlace(standing));
       const cost = isFit ? this.computeCost(standing) : Infinity;
       if (cost < bestCost) {
         best = standing;
@@ -88,11 +100,6 @@
     return best?.target;
   }
 
-  /** True while a target is still told by control. */
-  has(incarnation: string): boolean {
-    return this.standings.has(incarnation);
-  }
-
   /** Addresses of all targets. */
   listAddresses(): Set<string> {
     return new Set(
@@ -166,18 +173,23 @@
   }
 
   /** What control should know. */
-  listNews(): {stalled: string[]; answering: string[]} {
+  listNews() {
     const now = this.clock.now();
     const stalled: string[] = [];
     const answering: string[] = [];
-    for (const [incarnation, {heardAt, stalledAt}] of this.standings) {
+    const counts: Record<string, number> = {};
+    for (const [incarnation, standing] of this.standings) {
+      const {heardAt, stalledAt, running} = standing;
+      if (running > 0) {
+        counts[incarnation] = running;
+      }
       if (now - stalledAt < STALLED_MS && this.isStalled(incarnation)) {
         stalled.push(incarnation);
       } else if (now - heardAt < HEARD_LATELY_MS) {
         answering.push(incarnation);
       }
     }
-    return {stalled, answering};
+    return {stalled, answering, running: counts};
   }
 
   private avoid(incarnation: string, forMs: number): void {
@@ -187,9 +199,10 @@
     }
   }
 
-  private computeCost({target, running, waitingTokens}: Standing): number {
+  private computeCost(standing: Standing): number {
+    const {target, running, runningElsewhere, waitingTokens} = standing;
     const distance = target.zone === this.zone ? 0 : OTHER_ZONE_TOKENS;
-    const work = running * RUNNING_TOKENS + waitingTokens;
+    const work = (running + runningElsewhere) * RUNNING_TOKENS + waitingTokens;
     // Gateways see only their own work; chance keeps them from choosing alike.
     return (work + distance) * (1 + this.random() / 2) + this.random();
   }
@@ -199,9 +212,16 @@
   return {
     target,
     running: 0,
+    runningElsewhere: 0,
     waitingTokens: 0,
     heardAt: -Infinity,
     avoidUntil: -Infinity,
     stalledAt: -Infinity,
   };
 }
+
+/** Engines keep their pace up to their last place; beyond it requests queue there. */
+function hasPlace({target, running, runningElsewhere}: Standing): boolean {
+  const isEngine = target.model !== undefined;
+  return !isEngine || running + runningElsewhere < target.slots;
+}
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -155,6 +155,8 @@
     stalled: z.array(z.string()),
     /** Backend servers that answered this gateway lately. */
     answering: z.array(z.string()),
+    /** Requests that this gateway has at backend servers now, by incarnation. */
+    running: z.record(z.string(), z.int()),
     /** True once a caller's request was taken. */
     hasServed: z.boolean(),
   }),
@@ -173,6 +175,8 @@
     closed: z.array(z.string()).optional(),
     /** False while the leader may not have heard every backend server yet. */
     isComplete: z.boolean(),
+    /** Requests that the other gateways have there, by incarnation, as last told. */
+    runningElsewhere: z.record(z.string(), z.int()),
     /** Gateways heard of lately, for sharing out what is limited in all. */
     gateways: z.int().positive(),
     /** Addresses of the control processes that vote. */
