feat(control): far groups of hosts that would idle; shorter repairs

Change: groups over several domains where nothing better is left; plans every 40 ms; what an engine answers counts at once; one failed question is enough beside a gateway's word.

--- a/src/control/backend_health.ts
+++ b/src/control/backend_health.ts
@@ -10,6 +10,8 @@
 const DOUBT_INTERVALS = 2;
 /** Failed questions in a row that count as a loss. */
 const FAILED_PROBES = 2;
+/** The same where a gateway says that the group stands still: one more witness. */
+const FAILED_PROBES_STALLED = 1;
 /** Between two questions to one backend server that is in doubt. */
 const PROBE_EVERY_MS = 150;
 /** The same once it counts as lost: only a return would be news. */
@@ -17,6 +19,8 @@
 
 interface Doubt {
   failures: number;
+  /** A gateway says that its group stands still. */
+  isStalled: boolean;
   isAsking: boolean;
   askedAt: number;
 }
@@ -54,7 +58,7 @@
   /** Asks the members of groups about which there is doubt. */
   refresh(groups: readonly EngineGroup[], now: number): void {
     const {desk, registry, duties} = this.options;
-    const doubted = new Map<string, string>();
+    const doubted = new Map<string, {address: string; isStalled: boolean}>();
     for (const {members} of groups) {
       const head = members[0].incarnation;
       const isStalled = desk.isStalled(head);
@@ -63,18 +67,21 @@
         const isSilent = now - seenAt > duties.heartbeatMs * DOUBT_INTERVALS;
         // A group whose head gives answers has all its members.
         if (isStalled || (isSilent && !desk.isAnswering(head))) {
-          doubted.set(incarnation, address);
+          doubted.set(incarnation, {address, isStalled});
         }
       }
     }
     this.clearAnswered(doubted);
-    doubted.forEach((address, incarnation) =>
-      this.ask(incarnation, address, now),
-    );
+    doubted.forEach(({address, isStalled}, incarnation) => {
+      const doubt =
+        this.doubts.get(incarnation) ?? this.startDoubt(incarnation);
+      doubt.isStalled ||= isStalled;
+      this.ask(incarnation, doubt, address, now);
+    });
   }
 
   /** A doubt ends with a word of the backend server itself, not with its group. */
-  private clearAnswered(doubted: ReadonlyMap<string, string>): void {
+  private clearAnswered(doubted: ReadonlyMap<string, unknown>): void {
     for (const [incarnation, {askedAt}] of this.doubts) {
       const view = this.options.registry.find(incarnation);
       const hasSpoken = view !== undefined && view.seenAt > askedAt;
@@ -87,19 +94,29 @@
 
   /** It does not answer, and nobody hears from its group. */
   isLost(incarnation: string): boolean {
-    return (this.doubts.get(incarnation)?.failures ?? 0) >= FAILED_PROBES;
+    const doubt = this.doubts.get(incarnation);
+    const needed = doubt?.isStalled ? FAILED_PROBES_STALLED : FAILED_PROBES;
+    return doubt !== undefined && doubt.failures >= needed;
   }
 
-  private ask(incarnation: string, address: string, now: number): void {
-    if (!this.doubts.has(incarnation)) {
-      this.tell('backend-doubted', incarnation, 'it or its head is silent');
-    }
-    const doubt = this.doubts.get(incarnation) ?? {
+  private startDoubt(incarnation: string): Doubt {
+    this.tell('backend-doubted', incarnation, 'it or its head is silent');
+    const doubt = {
       failures: 0,
+      isStalled: false,
       isAsking: false,
       askedAt: -Infinity,
     };
     this.doubts.set(incarnation, doubt);
+    return doubt;
+  }
+
+  private ask(
+    incarnation: string,
+    doubt: Doubt,
+    address: string,
+    now: number,
+  ): void {
     const everyMs = this.isLost(incarnation)
       ? PROBE_LOST_EVERY_MS
       : PROBE_EVERY_MS;
@@ -113,9 +130,10 @@
     void (orders?.probe(address) ?? Promise.resolve(true)).then(
       isAnswering => {
         doubt.isAsking = false;
+        const wasLost = this.isLost(incarnation);
         doubt.failures = isAnswering ? 0 : doubt.failures + 1;
-        if (doubt.failures === FAILED_PROBES) {
-          this.tell('backend-lost', incarnation, 'it did not answer twice');
+        if (!wasLost && this.isLost(incarnation)) {
+          this.tell('backend-lost', incarnation, 'it did not answer');
         }
       },
       () => {
--- a/src/control/backend_registry.ts
+++ b/src/control/backend_registry.ts
@@ -54,8 +54,7 @@
   ): void {
     const known = this.views.get(incarnation);
     if (known) {
-      const registration = {...known.registration, group};
-      this.record(registration, now);
+      this.record({...known.registration, group}, now);
     }
   }
 
--- a/src/control/engine_planner_loop.ts
+++ b/src/control/engine_planner_loop.ts
@@ -16,7 +16,8 @@
 import {LoadAllowance} from './load_allowance';
 import {RaftRuntime} from './raft_runtime';
 
-const PLAN_EVERY_MS = 100;
+/** A repair takes half a dozen steps, each of which waits for the next plan. */
+const PLAN_EVERY_MS = 40;
 /** A new leader first listens for this many registration intervals. */
 const LISTEN_INTERVALS = 1.5;
 /** Free time in registration intervals after which a host may load other weights. */
@@ -34,6 +35,8 @@
   fenced: 30_000,
 };
 
+/** A closing engine that leaves says nothing when it is done, so it is asked. */
+const CLOSE_CHECK_MS = 250;
 /** Loads slow each other down; longer than this one has been lost. */
 const SLOW_LOAD = 2;
 
@@ -242,13 +245,33 @@
         entry.isPending = false;
         const isLoading = order.isLoad && outcome === 'begun';
         // An engine that does not fit is loading something else.
+        this.recordEffect(order, outcome);
         const isBusy = kind === 'stage' && outcome === 'unfit';
         const waitMs =
           isLoading || isBusy ? loadMs * SLOW_LOAD : RETRY_MS[outcome];
-        entry.againAt = this.options.clock.now() + waitMs;
+        const isClosing = kind === 'close' && outcome === 'begun';
+        entry.againAt =
+          this.options.clock.now() + (isClosing ? CLOSE_CHECK_MS : waitMs);
       });
   }
 
+  /** What an engine answered counts before its next registration; one that leaves sends none. */
+  private recordEffect(order: Order, outcome: keyof typeof RETRY_MS): void {
+    const {registry, clock} = this.options;
+    const {incarnation, kind, group} = order;
+    const told = registry.find(incarnation)?.registration.group;
+    const isSame = told?.name === group?.name && told?.epoch === group?.epoch;
+    if (outcome !== 'holds' || !told || !isSame) {
+      return;
+    }
+    if (kind === 'leave') {
+      registry.recordGroup(incarnation, undefined, clock.now());
+    } else if (kind === 'close') {
+      const closed = {...told, state: 'ready' as const};
+      registry.recordGroup(incarnation, closed, clock.now());
+    }
+  }
+
   private async sendOrder(order: Order): Promise<keyof typeof RETRY_MS> {
     const {duties, runtime, events} = this.options;
     const {incarnation, address, kind, group, model, reason} = order;
--- a/src/coordination/plan_engine_formation.ts
+++ b/src/coordination/plan_engine_formation.ts
@@ -8,6 +8,8 @@
 const SPARE_SHARE = 0.25;
 /** A join of a model that the engine held last; the engines' own figure. */
 const HELD_JOIN_MS = 200;
+/** Between the domains of a group that spans several. */
+const FAR_SEPARATOR = '+';
 
 type Model = EngineProfile['models'][number];
 
@@ -18,6 +20,8 @@
   readonly hosts: readonly BackendView[];
   /** Until the slowest of them is ready. */
   readonly readyMs: number;
+  /** Its members are in several domains: it runs, but slower. */
+  readonly isFar: boolean;
   /** Somebody has to read weights from the store. */
   readonly needsLoad: boolean;
   /** Hosts of the model for its share of the work, before this group. */
@@ -110,6 +114,7 @@
 /** The tightest domain that fits comes first, so that large gaps stay usable. */
 function compareOptions(left: Option, right: Option): number {
   return (
+    Number(left.isFar) - Number(right.isFar) ||
     Number(left.needsLoad) - Number(right.needsLoad) ||
     left.rank - right.rank ||
     left.readyMs - right.readyMs ||
@@ -123,11 +128,12 @@
   counts: ReadonlyMap<string, number>,
 ): Option[] {
   const domains = new Set(free.map(host => host.registration.domain ?? ''));
-  return input.profile.models.flatMap(model =>
-    [...domains].flatMap(
+  return input.profile.models.flatMap(model => {
+    const near = [...domains].flatMap(
       domain => findOption(model, domain, input, free, counts) ?? [],
-    ),
-  );
+    );
+    return [...near, ...findFarOption(model, input, free, counts)];
+  });
 }
 
 /**
@@ -162,6 +168,7 @@
     return undefined;
   }
   return {
+    isFar: false,
     model,
     domain,
     hosts: chosen.map(({host}) => host),
@@ -172,6 +179,40 @@
   };
 }
 
+/**
+ * Hosts of several domains that hold the weights and would otherwise serve
+ * nobody: a slow replica is better than none.
+ */
+function findFarOption(
+  model: Model,
+  input: EnginePlanInput,
+  free: readonly BackendView[],
+  counts: ReadonlyMap<string, number>,
+): Option[] {
+  const count = counts.get(model.name) ?? 0;
+  const isBelowPeak = count < (input.peaks.get(model.name) ?? 0);
+  const warm = free.filter(
+    host => computeReadyMs(host, model) < model.loadMs && isIdle(host, input),
+  );
+  if (!isBelowPeak || warm.length < model.size) {
+    return [];
+  }
+  const hosts = warm.slice(0, model.size);
+  const domains = new Set(hosts.map(host => host.registration.domain));
+  return [
+    {
+      isFar: true,
+      model,
+      domain: [...domains].join(FAR_SEPARATOR),
+      hosts,
+      readyMs: Math.max(...hosts.map(host => computeReadyMs(host, model))),
+      needsLoad: false,
+      rank: (count * model.size) / Math.max(model.share, Number.EPSILON),
+      freeCount: warm.length,
+    },
+  ];
+}
+
 function countStaged({host}: {host: BackendView}): number {
   return host.registration.stagedModels.length;
 }
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -23,7 +23,7 @@
 /** Part of the objective after which an unanswered request of a silent target is sent elsewhere. */
 const SILENT_START_SHARE = 0.9;
 /** Part of the objective for which a request waits for a place before it is refused: a refusal must come early to be of use. */
-const WAIT_SHARE = 0.2;
+const WAIT_SHARE = 0.12;
 /** An answer that is not a stream is held until it is whole, so that it can be repeated. */
 const MAX_HELD_BYTES = 8 * 1024 * 1024;
 
