fix(gateway): an answer without a length is passed on without one; a request given up opens no connection

A test of a stalled stream showed that the library opens a new connection for each request that was given up. Change: such an answer goes on as it came, ended by the connection.

--- a/src/entry/caller_response.ts
+++ b/src/entry/caller_response.ts
@@ -21,6 +21,10 @@
 /** Turns the frames of an attempt into HTTP. */
 export class CallerResponse {
   private held: Uint8Array[] | undefined;
+  /** Told when the caller goes away. */
+  private onGone: (() => void) | undefined;
+  /** Told when there is room for more. */
+  private readonly waiting: Array<() => void> = [];
   private heldBytes = 0;
   private isEvents = false;
   private hasDeliveredData = false;
@@ -58,13 +62,19 @@
     return this.response.destroyed;
   }
 
-  /** Calls back once if the caller goes away before the end. */
+  /**
+   * Calls back if the caller goes away before the end. Of several attempts only
+   * the newest is told.
+   */
   watchGone(callback: () => void): void {
-    this.response.once('close', () => {
-      if (!this.response.writableFinished) {
-        callback();
-      }
-    });
+    if (!this.onGone) {
+      this.response.once('close', () => {
+        if (!this.response.writableFinished) {
+          this.onGone?.();
+        }
+      });
+    }
+    this.onGone = callback;
   }
 
   /** Takes the status and headers; forgets those of an earlier attempt. */
@@ -151,10 +161,14 @@
 
   /** A caller that goes away never drains, but work that runs once must go on. */
   private waitForRoom(onWritten: () => void): void {
+    this.waiting.push(onWritten);
+    if (this.waiting.length > 1) {
+      return;
+    }
     const proceed = () => {
       this.response.off('drain', proceed);
       this.response.off('close', proceed);
-      onWritten();
+      this.waiting.splice(0).forEach(callback => callback());
     };
     this.response.on('drain', proceed);
     this.response.on('close', proceed);
--- a/src/gateway/answer_head.ts
+++ b/src/gateway/answer_head.ts
@@ -11,6 +11,11 @@
   readonly isNotRun: boolean;
   /** The address is another start of a backend server now. */
   readonly isOtherIncarnation: boolean;
+  /**
+   * The answer says where it ends. Without it only the end of the connection
+   * does, which a crash ends as well.
+   */
+  readonly isFramed: boolean;
   /** The body is a series of events. */
   readonly isEventStream: boolean;
 }
--- a/src/gateway/caller_answer.ts
+++ b/src/gateway/caller_answer.ts
@@ -14,6 +14,8 @@
 
 /** Everything that leaves on one response. */
 export class CallerAnswer {
+  private onRoom: (() => void) | undefined;
+
   private constructor(
     private readonly response: ServerResponse,
     private readonly requestIdHeader: string,
@@ -57,6 +59,7 @@
   /** Sends the head of a stream. */
   begin(head: AnswerHead): void {
     this.prepareConnection();
+    this.leaveUnframed(head);
     this.response.writeHead(head.status, head.headers);
   }
 
@@ -65,9 +68,16 @@
     return this.response.write(bytes);
   }
 
-  /** Calls back once when the caller has taken what was sent. */
+  /** Calls back once when the caller has taken what was sent; the newest is told. */
   watchRoom(callback: () => void): void {
-    this.response.once('drain', callback);
+    if (!this.onRoom) {
+      this.response.once('drain', () => {
+        const told = this.onRoom;
+        this.onRoom = undefined;
+        told?.();
+      });
+    }
+    this.onRoom = callback;
   }
 
   /** Ends a stream that is whole. */
@@ -78,10 +88,10 @@
   /** Sends a whole answer of a backend server. */
   sendWhole(head: AnswerHead, body: Buffer): void {
     this.prepareConnection();
-    this.response.writeHead(head.status, {
-      ...head.headers,
-      'content-length': String(body.length),
-    });
+    this.leaveUnframed(head);
+    const length = {'content-length': String(body.length)};
+    const added = head.isFramed ? length : {};
+    this.response.writeHead(head.status, {...head.headers, ...added});
     this.response.end(body);
   }
 
@@ -111,6 +121,14 @@
     this.response.destroy();
   }
 
+  /** What may not be whole is not given an end that says that it is. */
+  private leaveUnframed(head: AnswerHead): void {
+    if (!head.isFramed) {
+      this.response.useChunkedEncodingByDefault = false;
+      this.response.shouldKeepAlive = false;
+    }
+  }
+
   private prepareConnection(): void {
     if (this.isLeaving()) {
       this.response.shouldKeepAlive = false;
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -219,7 +219,7 @@
 
   private handleHead(head: AnswerHead): void {
     const {answer} = this.options;
-    if (answer.hasBegun && !head.isEventStream) {
+    if (answer.hasBegun && !(head.isEventStream && head.isFramed)) {
       this.attempt?.stop(`status ${head.status} in place of the rest`);
       return;
     }
--- a/src/transport/create_connector.ts
+++ b/src/transport/create_connector.ts
@@ -6,12 +6,15 @@
 
 /**
  * The library takes a reset behind an answer without a length for its normal
- * end. Under another code it stays an error, so a broken answer is not passed on
- * as a whole one.
+ * end, and connects anew for a request that was given up. Under other codes both
+ * are plain errors: a broken answer is not passed on as a whole one, and no
+ * server is troubled by a connection that nobody needs.
  */
-function renameReset(error: NodeJS.ErrnoException): void {
+function renameError(error: NodeJS.ErrnoException): void {
   if (error.code === 'ECONNRESET') {
     error.code = 'CONNECTION_RESET';
+  } else if (error.code === 'UND_ERR_INFO' && error.message === 'aborted') {
+    error.code = 'REQUEST_GIVEN_UP';
   }
 }
 
@@ -40,7 +43,7 @@
         return;
       }
       clearTimeout(timer);
-      result[1]?.on('error', renameReset);
+      result[1]?.on('error', renameError);
       callback(...result);
     });
   };
--- /dev/null
+++ b/test/support/backend_stand_in.ts
@@ -0,0 +1,76 @@
+/** A backend server that writes exactly the bytes that a test wants. */
+import * as net from 'node:net';
+
+/** One request as it arrived. */
+interface ArrivedRequest {
+  readonly head: string;
+  readonly body: string;
+  readonly headers: ReadonlyMap<string, string>;
+  readonly socket: net.Socket;
+}
+
+type Handler = (request: ArrivedRequest) => void;
+
+/** Listens on loopback; each request is handed to the test. */
+export class BackendStandIn {
+  readonly requests: ArrivedRequest[] = [];
+  private readonly sockets = new Set<net.Socket>();
+
+  private constructor(
+    private readonly server: net.Server,
+    readonly address: string,
+  ) {}
+
+  static async create(handle: Handler): Promise<BackendStandIn> {
+    const server = net.createServer();
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const {port} = server.address() as net.AddressInfo;
+    const backend = new BackendStandIn(server, `127.0.0.1:${port}`);
+    server.on('connection', socket => backend.accept(socket, handle));
+    return backend;
+  }
+
+  /** Connections that were made so far and still stand. */
+  get openConnections(): number {
+    return this.sockets.size;
+  }
+
+  close(): void {
+    this.server.close();
+    this.sockets.forEach(socket => socket.destroy());
+  }
+
+  private accept(socket: net.Socket, handle: Handler): void {
+    this.sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => this.sockets.delete(socket));
+    let pending = '';
+    socket.on('data', chunk => {
+      pending += chunk.toString('latin1');
+      const end = pending.indexOf('\r\n\r\n');
+      if (end < 0) {
+        return;
+      }
+      const head = pending.slice(0, end);
+      const headers = new Map(
+        head
+          .split('\r\n')
+          .slice(1)
+          .map(line => {
+            const at = line.indexOf(':');
+            const value = line.slice(at + 1).trim();
+            return [line.slice(0, at).toLowerCase(), value] as const;
+          }),
+      );
+      const length = Number(headers.get('content-length') ?? 0);
+      if (pending.length < end + 4 + length) {
+        return;
+      }
+      const body = pending.slice(end + 4, end + 4 + length);
+      pending = pending.slice(end + 4 + length);
+      const request = {head, body, headers, socket};
+      this.requests.push(request);
+      handle(request);
+    });
+  }
+}
--- /dev/null
+++ b/test/support/plain_dialect.ts
@@ -0,0 +1,58 @@
+/** Header names of nobody in particular, for tests of the gateway. */
+import {CallerDialect} from '../../src/gateway/caller_dialect';
+
+export const plainDialect: CallerDialect = {
+  requestIdHeader: 'request-id',
+
+  readRequest(message) {
+    const {headers} = message;
+    const id = headers['request-id'];
+    if (typeof id !== 'string') {
+      return 'request-id is missing';
+    }
+    return {
+      id,
+      host: headers.host ?? '',
+      method: message.method ?? 'GET',
+      path: message.url ?? '/',
+      key: headers['key'] as string | undefined,
+      waitMs: headers['wait-ms'] ? Number(headers['wait-ms']) : undefined,
+      model: headers['model'] as string | undefined,
+      promptTokens: 10,
+      lastEventId: headers['last-event-id'] as string | undefined,
+      forwardedHeaders: ['request-id', id],
+    };
+  },
+
+  createHeaders(request, marks) {
+    const headers = [...request.forwardedHeaders];
+    headers.push('incarnation', marks.incarnation);
+    if (marks.remainingMs !== undefined) {
+      headers.push('remaining-ms', String(marks.remainingMs));
+    }
+    if (marks.lastEventId !== undefined) {
+      headers.push('last-event-id', marks.lastEventId);
+    }
+    return headers;
+  },
+
+  readAnswer(status, raw) {
+    const headers = Object.fromEntries(
+      Object.entries(raw).flatMap(([name, value]) =>
+        value === undefined || name === 'transfer-encoding'
+          ? []
+          : [[name, String(value)]],
+      ),
+    );
+    return {
+      status,
+      headers,
+      requestId: headers['request-id'],
+      isSealed: 'seal' in headers,
+      isNotRun: 'not-run' in headers,
+      isOtherIncarnation: status === 421,
+      isFramed: 'content-length' in raw || 'transfer-encoding' in raw,
+      isEventStream: headers['content-type'] === 'text/event-stream',
+    };
+  },
+};
