--- a/src/coordination/plan_engine_formation.ts
+++ b/src/coordination/plan_engine_formation.ts
@@ -114,8 +114,8 @@
 /** The tightest domain that fits comes first, so that large gaps stay usable. */
 function compareOptions(left: Option, right: Option): number {
   return (
-    Number(left.isFar) - Number(right.isFar) ||
     Number(left.needsLoad) - Number(right.needsLoad) ||
+    Number(left.isFar) - Number(right.isFar) ||
     left.rank - right.rank ||
     left.readyMs - right.readyMs ||
     left.freeCount - right.freeCount
