fix(control): nothing is acknowledged before the quorum has its size; no lock on the platform's folder

Cause: the new test of a quorum that grows lost its majority: a bundle was acknowledged by three of four voters, then two disks were lost and two of four cannot elect. Ruled out: commit index on disk (the bundle was there). Change: operators and departures wait for all voters, six seconds at most where no more come; the adapter keeps no lock. Test: control/seeded_quorum, fails without the first.

--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -63,7 +63,11 @@
    * const control = await ControlServer.create(settings);
    */
   static async create(settings: ControlSettings): Promise<ControlServer> {
-    const disk = await ControlDisk.create(settings.dataFolder, settings.name);
+    const disk = await ControlDisk.create(
+      settings.dataFolder,
+      settings.name,
+      settings.locksFolder,
+    );
     const control = new ControlServer(settings, disk);
     await control.start().catch(async error => {
       await disk.close();
--- a/src/control/control_settings.ts
+++ b/src/control/control_settings.ts
@@ -30,6 +30,8 @@
   readonly host: string;
   readonly port: number;
   readonly dataFolder: string;
+  /** False where the platform keeps other processes out of the folder; true by default. */
+  readonly locksFolder?: boolean;
   /** Address of each other control process, by name. */
   readonly peers: ReadonlyMap<string, string>;
   readonly trustedKeys: readonly KeyObject[];
--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -17,6 +17,8 @@
 const GATEWAY_PRESENT_MS = 3_000;
 /** What a gateway says about a backend server counts for this long. */
 const WORD_MS = 2_000;
+/** Voters that were to come have come after this long; a start takes two seconds. */
+const GROWTH_MS = 6_000;
 /** After this long as leader every backend server that lives has been heard. */
 const COMPLETE_AFTER_MS = 15_000;
 
@@ -249,19 +251,26 @@
     return isOpen && isWhole ? {...target, model: wanted?.model} : undefined;
   }
 
-  /** Before the quorum is large enough, a loss that is to be survived could take every copy. */
+  /**
+   * Before the quorum has its size, a loss that is to be survived could take
+   * every copy, or leave no majority. Where no more voters come, the copies decide.
+   */
   private checkCopies(): void {
-    const {settings, runtime} = this.options;
-    const needed = settings.seeded?.minCopies ?? 1;
+    const {settings, runtime, clock} = this.options;
     const {raft} = runtime;
     const voters = raft.listVotersAt(raft.commitIndex).size;
+    const {voters: wanted = 1, minCopies = 1} = settings.seeded ?? {};
     const copies = Math.floor(voters / 2) + 1;
-    if (copies < needed || raft.isChangingVoters) {
+    const ledMs = clock.now() - runtime.leadingSince;
+    const isEnough =
+      voters >= wanted || (ledMs > GROWTH_MS && copies >= minCopies);
+    if (!isEnough || raft.isChangingVoters) {
       throw new ControlError(
-        'the quorum has %d voters, so an entry has %d sure copies of the %d needed',
+        'the quorum has %d of %d voters, so an entry has %d sure copies of the %d needed',
         voters,
+        wanted,
         copies,
-        needed,
+        minCopies,
       );
     }
   }
--- a/src/state/control_disk.ts
+++ b/src/state/control_disk.ts
@@ -26,13 +26,20 @@
    * Opens a data folder, creating it when it is not there.
    *
    * @param name the name of this control process
+   * @param locksFolder false where no other process can come to the folder
    * @throws StateError when the folder is in use or damaged
    * @example
    * const disk = await ControlDisk.create('data', 'control-a');
    */
-  static async create(folder: string, name: string): Promise<ControlDisk> {
+  static async create(
+    folder: string,
+    name: string,
+    locksFolder = true,
+  ): Promise<ControlDisk> {
     await mkdir(folder, {recursive: true});
-    await takeLock(folder);
+    if (locksFolder) {
+      await takeLock(folder);
+    }
     const identity = await readOrCreateIdentity(folder, name);
     const snapshots = await SnapshotStore.create(folder);
     const log = await WriteAheadLog.create(folder);
