--- /dev/null
+++ b/test/platform/translation.test.ts
@@ -0,0 +1,261 @@
+import {writeFileSync, mkdtempSync} from 'node:fs';
+import {IncomingMessage} from 'node:http';
+import {tmpdir} from 'node:os';
+import * as path from 'node:path';
+import {describe, expect, test} from 'vitest';
+import {callerHeaders} from '../../platform/caller_headers';
+import {decodeConfiguration} from '../../platform/decode_configuration';
+import {decodeRegistration} from '../../platform/decode_registration';
+import {readSettings} from '../../platform/read_settings';
+
+const ROUTE = {
+  name: 'r',
+  host: 'H.example',
+  path_prefix: '/a/',
+  route_type: 'stream',
+  timeout_ms: 8000,
+  target_latency_ms: 400,
+  priority: 1,
+  service: 's',
+  max_attempts: 2,
+  allow_anonymous: false,
+  resumable: true,
+  gap_aim_ms: 300,
+};
+const CONFIGURATION = {
+  version: 3,
+  routes: [ROUTE],
+  services: [{name: 's', max_connections: 10}, {name: 't'}],
+  limits: {
+    max_header_bytes: 1,
+    max_body_bytes: 1,
+    header_timeout_ms: 1,
+    idle_timeout_ms: 1,
+  },
+  tenants: [{name: 'w', api_keys: ['k']}],
+};
+
+function decode(changes: object) {
+  return decodeConfiguration(JSON.stringify({...CONFIGURATION, ...changes}));
+}
+
+describe('the operator’s configuration', () => {
+  test('becomes rules, and keys become digests', () => {
+    const rules = decode({});
+    expect(rules.routes[0]).toMatchObject({
+      kind: 'stream',
+      objectiveMs: 400,
+      pauseObjectiveMs: 300,
+      targets: [{pool: 's', weight: 1}],
+      isResumable: true,
+    });
+    expect(JSON.stringify(rules)).not.toContain('"k"');
+  });
+
+  test('without keys needs none', () => {
+    expect(decode({tenants: undefined}).workspaces).toBeUndefined();
+    expect(decode({tenants: []}).workspaces).toEqual([]);
+  });
+
+  test('splits a route by weight', () => {
+    const split = [
+      {service: 's', weight: 90},
+      {service: 't', weight: 10},
+    ];
+    const routes = [{...ROUTE, service: undefined, traffic_split: split}];
+    expect(decode({routes}).routes[0].targets).toEqual([
+      {pool: 's', weight: 90},
+      {pool: 't', weight: 10},
+    ]);
+  });
+
+  const twice = [ROUTE, {...ROUTE, name: 'q', host: 'h.example'}];
+  const weightless = [{...ROUTE, traffic_split: [{service: 's', weight: 0}]}];
+  const shared = [
+    {name: 'w', api_keys: ['k']},
+    {name: 'x', api_keys: ['k']},
+  ];
+  const wrong: Array<[string, object, string]> = [
+    [
+      'an unknown service',
+      {routes: [{...ROUTE, service: 'u'}]},
+      'unknown service',
+    ],
+    ['two routes at one place', {routes: twice}, 'two routes'],
+    ['weights that add up to 0', {routes: weightless}, 'add up to 0'],
+    ['no time', {routes: [{...ROUTE, timeout_ms: 0}]}, 'timeout_ms'],
+    ['a key of two workspaces', {tenants: shared}, 'share a key'],
+    ['no version', {version: undefined}, 'version'],
+  ];
+  test.each(wrong)(
+    'with %s is refused with the reason',
+    (_, changes, reason) => {
+      expect(() => decode(changes)).toThrow(reason);
+    },
+  );
+
+  test('that breaks off is refused', () => {
+    const text = JSON.stringify(CONFIGURATION).slice(0, -5);
+    expect(() => decodeConfiguration(text)).toThrow('no JSON');
+  });
+});
+
+describe('a registration', () => {
+  const wire = {
+    service: 's',
+    address: '10.0.0.1:80',
+    zone: 'z',
+    version: 'v1',
+    slots: 34,
+    state: 'ready',
+    cold_remaining_ms: 0,
+    models: [{name: 'm', version: 1, adapters: []}],
+    sequence: 4,
+    domain: 'd0',
+    staged: ['m'],
+    group: {name: 'g', epoch: 3, rank: 1, state: 'ready'},
+  };
+
+  test('becomes what the product knows of a backend server', () => {
+    expect(decodeRegistration('i', JSON.stringify(wire))).toEqual({
+      incarnation: 'i',
+      pool: 's',
+      address: '10.0.0.1:80',
+      zone: 'z',
+      isLeaving: false,
+      sequence: 4,
+      slots: 34,
+      domain: 'd0',
+      model: 'm',
+      stagedModels: ['m'],
+      group: {name: 'g', epoch: 3, rank: 1, state: 'ready'},
+    });
+  });
+
+  test('of a plain service has neither domain nor group', () => {
+    const plain = {...wire, domain: null, group: null, models: [], staged: []};
+    const registration = decodeRegistration('i', JSON.stringify(plain));
+    expect(registration.domain).toBeUndefined();
+    expect(registration.group).toBeUndefined();
+  });
+
+  test('that lacks its state is refused with the field', () => {
+    const text = JSON.stringify({...wire, state: undefined});
+    expect(() => decodeRegistration('i', text)).toThrow('state');
+  });
+});
+
+describe('headers', () => {
+  function read(headers: Record<string, string>) {
+    const rawHeaders = Object.entries(headers).flat();
+    const message = {headers, rawHeaders, method: 'POST', url: '/a/b?c'};
+    return callerHeaders.readRequest(message as unknown as IncomingMessage);
+  }
+
+  const sent = {
+    host: 'H.example:80',
+    'x-whinreel-request-id': 'q',
+    'x-whinreel-request-deadline-ms': '900',
+    'x-whinreel-tenant': 'forged',
+    'x-whinreel-token-usage': '1460,80',
+    authorization: 'Bearer secret',
+    connection: 'keep-alive, x-hop',
+    'x-hop': '1',
+    'x-other': '2',
+  };
+
+  test('of a caller are read', () => {
+    expect(read(sent)).toMatchObject({
+      id: 'q',
+      host: 'h.example',
+      key: 'secret',
+      waitMs: 900,
+      promptTokens: 1460,
+    });
+    expect(read({host: 'h'})).toMatch('is missing');
+  });
+
+  test('go on without the key and with what the gateway sets itself', () => {
+    const request = read(sent);
+    if (typeof request === 'string') {
+      throw new Error(request);
+    }
+    const marks = {incarnation: 'i', workspace: 'w', remainingMs: 800};
+    const headers = callerHeaders.createHeaders(request, marks);
+    const map = new Map<string, string>();
+    for (let at = 0; at < headers.length; at += 2) {
+      expect(map.has(headers[at])).toBe(false);
+      map.set(headers[at], headers[at + 1]);
+    }
+
+    expect(headers.join(' ')).not.toContain('secret');
+    expect(map.get('x-whinreel-tenant')).toBe('w');
+    expect(map.get('x-whinreel-request-deadline-ms')).toBe('800');
+    expect(map.get('x-whinreel-expect-instance')).toBe('i');
+    expect(map.get('x-other')).toBe('2');
+    expect(map.has('x-hop')).toBe(false);
+  });
+
+  test('of an answer tell what it is worth', () => {
+    const head = callerHeaders.readAnswer(503, {
+      'x-whinreel-not-executed': '1',
+      'x-whinreel-request-id': 'q',
+      'content-length': '0',
+    });
+    expect(head).toMatchObject({
+      requestId: 'q',
+      isNotRun: true,
+      isSealed: false,
+      isFramed: true,
+    });
+    expect(callerHeaders.readAnswer(421, {}).isOtherIncarnation).toBe(true);
+  });
+});
+
+describe('the settings file', () => {
+  const text = `
+node_name = "front-1"
+ip = "10.1.0.40"
+zone = "z"
+internal_ports = [7340,7355]
+seeds = ["10.1.0.42:8229"]
+bootstrap = true
+heartbeat_ms = 1200
+new_field = 3
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+[fault_tolerance]
+machines = 2
+[bounds]
+grace_s = 8
+`;
+
+  function read(content: string) {
+    const folder = mkdtempSync(path.join(tmpdir(), 'whinreel-settings-'));
+    const file = path.join(folder, 'boot.toml');
+    writeFileSync(file, content);
+    return readSettings({WHINREEL_NODE_FILE: file});
+  }
+
+  test('is read, and fields that nobody knows are skipped', () => {
+    expect(read(text)).toMatchObject({node_name: 'front-1', bootstrap: true});
+  });
+
+  test.each([
+    ['a field that is missing', text.replace('zone = "z"', ''), 'zone'],
+    ['a wrong field', text.replace('8229"', '"'), 'seeds.0'],
+    ['broken text', 'zone = ', 'cannot read'],
+  ])('with %s ends in one clear line', (_, content, reason) => {
+    expect(() => read(content)).toThrow(reason);
+    try {
+      read(content);
+    } catch (error) {
+      expect((error as Error).message).not.toContain('\n');
+    }
+  });
+
+  test('must be named', () => {
+    expect(() => readSettings({})).toThrow('WHINREEL_NODE_FILE');
+  });
+});
--- /dev/null
+++ b/test/state/disk_full.test.ts
@@ -0,0 +1,58 @@
+import {mkdtempSync} from 'node:fs';
+import {open} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import * as path from 'node:path';
+import {afterEach, describe, expect, test, vi} from 'vitest';
+import {LogRecord} from '../../src/state/log_record';
+import {WriteAheadLog} from '../../src/state/write_ahead_log';
+
+afterEach(() => vi.restoreAllMocks());
+
+function record(index: number): LogRecord {
+  const command = {type: 'start-term' as const, time: 0};
+  return {type: 'entry', entry: {index, term: 1, command}};
+}
+
+/** Lets the next append write a few bytes and then find the disk full. */
+async function fillDisk(folder: string): Promise<void> {
+  const probe = await open(path.join(folder, 'probe'), 'w');
+  const prototype = Object.getPrototypeOf(probe) as typeof probe;
+  await probe.close();
+  const append = prototype.appendFile;
+  vi.spyOn(prototype, 'appendFile').mockImplementationOnce(async function (
+    this: typeof probe,
+    bytes,
+  ) {
+    await append.call(this, (bytes as Buffer).subarray(0, 5));
+    throw Object.assign(new Error('no space left'), {code: 'ENOSPC'});
+  });
+}
+
+describe('a log on a disk that is full', () => {
+  test('says so, and takes the same records once there is room', async () => {
+    const folder = mkdtempSync(path.join(tmpdir(), 'whinreel-full-'));
+    const log = await WriteAheadLog.create(folder);
+    await log.append([record(1)]);
+    await fillDisk(folder);
+    await expect(log.append([record(2)])).rejects.toMatchObject({
+      name: 'DiskFull',
+    });
+    await log.append([record(2)]);
+    await log.close();
+    const {recovered} = await WriteAheadLog.create(folder);
+
+    expect(recovered.entries.map(entry => entry.index)).toEqual([1, 2]);
+    expect(recovered.cutBytes).toBe(0);
+  });
+
+  test('keeps the commit index beside the entries', async () => {
+    const folder = mkdtempSync(path.join(tmpdir(), 'whinreel-commit-'));
+    const log = await WriteAheadLog.create(folder);
+    await log.append([{type: 'commit', index: 1}, record(1), record(2)]);
+    await log.append([{type: 'commit', index: 2}, record(3)]);
+    await log.close();
+    const {recovered} = await WriteAheadLog.create(folder);
+
+    expect(recovered.commitIndex).toBe(2);
+  });
+});
