--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -166,13 +166,13 @@
       tableTag: tag,
       ...(ask.tableTag === tag ? {} : this.describeTable()),
       isComplete: this.isTableComplete(clock.now()),
-      runningElsewhere: this.sumRunning(ask.gatewayId),
+      runningElsewhere: this.countRunning(ask.gatewayId),
       gateways: Math.max(1, this.gateways.size),
       control: [...raft.listVotersAt(raft.commitIndex).keys()],
     };
   }
 
-  private sumRunning(exceptId: string): Record<string, number> {
+  private countRunning(exceptId: string): Record<string, number> {
     const sums: Record<string, number> = {};
     for (const [id, {running}] of this.gateways) {
       for (const [incarnation, count] of Object.entries(running)) {
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -12,6 +12,7 @@
 import {EventSplitter} from './event_splitter';
 import {GatewayRequest} from './gateway_request';
 import {RepeatBudget} from './repeat_budget';
+import {StallJudge} from './stall_judge';
 import {TargetBoard} from './target_board';
 
 /** Sendings that were refused as not run do not count as runs, but end here. */
@@ -20,8 +21,6 @@
 const RETRY_AFTER_MS = 2_500;
 /** Never later than this part of the caller's time, beyond which it would not come. */
 const RETRY_AFTER_SHARE = 0.3;
-/** Part of the objective after which an unanswered request of a silent target is sent elsewhere. */
-const SILENT_START_SHARE = 0.9;
 /** Part of the objective for which a request waits for a place before it is refused: a refusal must come early to be of use. */
 const WAIT_SHARE = 0.12;
 /** An answer that is not a stream is held until it is whole, so that it can be repeated. */
@@ -73,17 +72,20 @@
   private readonly targets: string[] = [];
   private readonly deadlineAt: number;
   private readonly timer: NodeJS.Timeout;
-  private readonly stallMs: number;
+  private readonly stall: StallJudge;
   /** Set while it waits for a place at a backend server. */
   private waitingUntil: number | undefined;
   private isDone = false;
 
   private constructor(private readonly options: RequestFlowOptions) {
-    const {request, route, arrivedAt, clock, answer, pool} = options;
+    const {request, route, arrivedAt, clock, answer, pool, board} = options;
     const holdMs = Math.min(route.timeoutMs, request.waitMs ?? Infinity);
     this.deadlineAt = arrivedAt + holdMs;
     this.lastEventId = request.lastEventId;
-    this.stallMs = computeStallMs(pool.engine, request.model);
+    this.stall = StallJudge.create(board, {
+      stallMs: computeStallMs(pool.engine, request.model),
+      objectiveMs: route.objectiveMs,
+    });
     this.timer = setTimeout(
       () => this.expire(),
       Math.max(0, this.deadlineAt - clock.now()),
@@ -131,41 +133,24 @@
     }
   }
 
+  /** A stream that stopped goes on elsewhere, if it may and somebody can take it. */
   private checkStall(now: number): void {
     const {attempt} = this;
     const {route, board} = this.options;
     const canGoElsewhere =
       route.kind === 'stream' &&
       route.isResumable &&
-      this.runs + 1 < this.maxRuns;
-    if (!attempt || !canGoElsewhere || !this.isStalled(attempt, now)) {
+      this.runs + 1 < route.maxAttempts;
+    if (!attempt || !canGoElsewhere || !this.stall.isStalled(attempt, now)) {
       return;
     }
-    const {incarnation} = attempt.target;
-    board.recordStalled(incarnation);
+    board.recordStalled(attempt.target.incarnation);
     if (this.findTarget(true)) {
       const quietMs = Math.round(now - attempt.quietSince);
       attempt.stop(`silent for ${quietMs} ms`);
     }
   }
 
-  /**
-   * A stream that pauses for longer than a pass can take, while nothing else
-   * comes from there, has stopped. Before the first event a queue explains more.
-   */
-  private isStalled(attempt: Attempt, now: number): boolean {
-    const {route, board} = this.options;
-    const {incarnation} = attempt.target;
-    const quietMs = now - attempt.quietSince;
-    const isKnown = board.isStalled(incarnation);
-    const limitMs =
-      attempt.hasStarted || isKnown
-        ? this.stallMs
-        : Math.max(this.stallMs, route.objectiveMs * SILENT_START_SHARE);
-    const isTargetSilent = now - board.findHeardAt(incarnation) > this.stallMs;
-    return quietMs > limitMs && isTargetSilent;
-  }
-
   /** Sends to the best target; the first time also waits a little for a place. */
   private sendOn(whyNot: string): void {
     const {route, clock} = this.options;
@@ -272,7 +257,8 @@
       return;
     }
     this.runs += 1;
-    const mayRepeat = this.isRepeatable && this.runs < this.maxRuns;
+    const mayRepeat =
+      this.isRepeatable && this.runs < this.options.route.maxAttempts;
     if (end.kind === 'broken') {
       this.repeat(end.reason, mayRepeat);
       return;
@@ -326,10 +312,6 @@
     return route.kind === 'safe' || route.isResumable;
   }
 
-  private get maxRuns(): number {
-    return this.options.route.maxAttempts;
-  }
-
   /** The final answer, at once; only what has not run may be called so. */
   private giveUp(reason: string): void {
     const {answer, request} = this.options;
--- a/tools/check_style.ts
+++ b/tools/check_style.ts
@@ -98,7 +98,10 @@
 function main(): void {
   const verbs = readVerbs();
   const complaints: string[] = [];
-  for (const file of listFiles(path.join(ROOT, 'src'))) {
+  const files = ['src', 'platform'].flatMap(folder =>
+    listFiles(path.join(ROOT, folder)),
+  );
+  for (const file of files) {
     const source = ts.createSourceFile(
       file,
       readFileSync(file, 'utf8'),
