feat(control): every host keeps a second model at hand

Change: a host holds one model in memory and keeps another on its disk: spares are parked with a model, then every host stages the other, in the lead as far as it reaches. A model in memory is no load; ending groups do not count; repairs go where most spares stay; groups over several domains give way to near ones.

--- a/src/control/backend_registry.ts
+++ b/src/control/backend_registry.ts
@@ -38,6 +38,7 @@
       registration,
       seenAt: now,
       firstSeenAt: known?.firstSeenAt ?? now,
+      heldModel: registration.model ?? known?.heldModel,
     });
     if (!known) {
       this.dropPredecessors(registration);
--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -241,6 +241,7 @@
       registry: this.registry,
       clock: systemClock,
       signal: this.signal,
+      events: this.events,
       identity: disk.identity,
     });
     if (settings.pools) {
--- a/src/control/engine_planner_loop.ts
+++ b/src/control/engine_planner_loop.ts
@@ -19,9 +19,7 @@
 /** A repair takes half a dozen steps, each of which waits for the next plan. */
 const PLAN_EVERY_MS = 40;
 /** A new leader first listens for this many registration intervals. */
-const LISTEN_INTERVALS = 1.5;
-/** Free time in registration intervals after which a host may load other weights. */
-const IDLE_INTERVALS = 2;
+const LISTEN_INTERVALS = 1.1;
 /** Silence in registration intervals after which a backend server counts as away. */
 const SILENT_INTERVALS = 3;
 /** Without a new host for this many registration intervals, all that live are known. */
@@ -30,13 +28,18 @@
 const RETRY_MS = {
   begun: 3_000,
   holds: 1_000,
-  unfit: 700,
+  // An engine tells its count of orders some 200 ms late, and expects the right one.
+  unfit: 200,
   unanswered: 1_500,
   fenced: 30_000,
 };
 
 /** A closing engine that leaves says nothing when it is done, so it is asked. */
 const CLOSE_CHECK_MS = 250;
+/** Margin below the pool's limit on loads, for those of a leader before. */
+const SERVING_LOAD_FACTOR = 0.9;
+/** Before the first request many hosts load at once, each the slower for it. */
+const EARLY_LOAD_FACTOR = 3;
 /** Loads slow each other down; longer than this one has been lost. */
 const SLOW_LOAD = 2;
 
@@ -68,11 +71,12 @@
   private readonly health: BackendHealth;
   private readonly release: HeadRelease;
   private readonly allowance: LoadAllowance;
-  /** Since when engines are in no group. */
-  private readonly freeSince = new Map<string, number>();
   private readonly peaks = new Map<string, number>();
   /** The newest order to each engine, by incarnation. */
   private readonly lastOrders = new Map<string, LastOrder>();
+  /** When the loads that were ordered should be done, by incarnation. */
+  private readonly loadsUntil = new Map<string, number>();
+  private wasServing = false;
   private plannedTerm = -1;
   private isCommitting = false;
 
@@ -140,7 +144,6 @@
     if (groups.length === 0 && !this.isSettled(backends, now)) {
       return;
     }
-    this.recordFree(groups, backends, now);
     this.recordPeaks(groups.map(group => group.model));
     this.health.refresh(groups, now);
     const actions = planEngineGroups({
@@ -157,8 +160,6 @@
       isLost: incarnation => this.health.isLost(incarnation),
       isLetGo: group => this.release.isLetGo(group, now),
       hasLeaver: group => this.release.hasLeaver(group),
-      idleAfterMs: duties.heartbeatMs * IDLE_INTERVALS,
-      findFreeSince: incarnation => this.freeSince.get(incarnation) ?? now,
     });
     await this.commitChanges(actions);
     for (const action of actions) {
@@ -168,27 +169,6 @@
     }
   }
 
-  private recordFree(
-    groups: readonly EngineGroup[],
-    backends: readonly BackendView[],
-    now: number,
-  ): void {
-    const taken = new Set(groups.flatMap(listMembers));
-    const live = new Set<string>();
-    for (const {registration} of backends) {
-      const {incarnation} = registration;
-      if (!taken.has(incarnation)) {
-        live.add(incarnation);
-        this.freeSince.set(incarnation, this.freeSince.get(incarnation) ?? now);
-      }
-    }
-    for (const incarnation of this.freeSince.keys()) {
-      if (!live.has(incarnation)) {
-        this.freeSince.delete(incarnation);
-      }
-    }
-  }
-
   /** The first groups are planned once, with every host: no more are coming in. */
   private isSettled(backends: readonly BackendView[], now: number): boolean {
     const newest = Math.max(...backends.map(view => view.firstSeenAt));
@@ -232,7 +212,7 @@
     if (isHeld) {
       return;
     }
-    if (order.isLoad && !this.allowance.take(profile.loadsPerSecond, now)) {
+    if (order.isLoad && !this.takeLoad(order, profile, now)) {
       return;
     }
     const entry = {key, againAt: Infinity, isPending: true};
@@ -255,6 +235,31 @@
       });
   }
 
+  /** Before the first request loads are quick and do not count against the limit. */
+  private takeLoad(order: Order, profile: EngineProfile, now: number): boolean {
+    const {hasServed} = this.options.desk;
+    if (hasServed !== this.wasServing) {
+      this.wasServing = hasServed;
+      this.allowance.clear();
+      this.loadsUntil.clear();
+    }
+    for (const [incarnation, endsAt] of this.loadsUntil) {
+      if (endsAt < now) {
+        this.loadsUntil.delete(incarnation);
+      }
+    }
+    const isFull = hasServed && this.loadsUntil.size >= profile.concurrentLoads;
+    const factor = hasServed ? SERVING_LOAD_FACTOR : EARLY_LOAD_FACTOR;
+    const perSecond = profile.loadsPerSecond * factor;
+    if (isFull || !this.allowance.take(perSecond, now)) {
+      return false;
+    }
+    const loadMs =
+      profile.models.find(({name}) => name === order.model)?.loadMs ?? 0;
+    this.loadsUntil.set(order.incarnation, now + loadMs);
+    return true;
+  }
+
   /** What an engine answered counts before its next registration; one that leaves sends none. */
   private recordEffect(order: Order, outcome: keyof typeof RETRY_MS): void {
     const {registry, clock} = this.options;
--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -1,6 +1,8 @@
 /** The leader's answers to gateways, to operators on a channel and to backend servers. */
 import {Clock} from '../common/clock';
+import {EventRing} from '../common/event_ring';
 import {BackendView} from '../coordination/backend_view';
+import {BackendRegistration} from '../protocol/backend_registration';
 import {ControlMessage} from '../protocol/control_message';
 import {GatewayTarget} from '../protocol/gateway_target';
 import {MessageOf} from '../protocol/message_of';
@@ -37,6 +39,7 @@
   readonly registry: BackendRegistry;
   readonly clock: Clock;
   readonly signal: ChangeSignal;
+  readonly events: EventRing;
   readonly identity: string;
 }
 
@@ -118,6 +121,7 @@
     const {registry, clock} = this.options;
     if (registry.record(registration, clock.now())) {
       this.announce();
+      this.recordNews(registration);
     }
     if (registration.isLeaving) {
       await this.retire(registration.incarnation, 'it says that it is leaving');
@@ -125,6 +129,26 @@
     return {type: 'registration-answer', call};
   }
 
+  private recordNews(registration: BackendRegistration): void {
+    const {incarnation, pool, address, isLeaving, model, stagedModels, group} =
+      registration;
+    this.options.events.record({
+      type: 'backend-told',
+      subject: 'host',
+      id: incarnation,
+      reason: isLeaving ? 'it says that it is leaving' : 'it registered',
+      details: {
+        pool,
+        address,
+        model: model ?? '',
+        staged: stagedModels.join(' '),
+        group: group?.name ?? '',
+        epoch: group?.epoch ?? 0,
+        state: group?.state ?? '',
+      },
+    });
+  }
+
   private async depart({
     call,
     incarnation,
--- a/src/control/load_allowance.ts
+++ b/src/control/load_allowance.ts
@@ -22,6 +22,11 @@
     return new LoadAllowance(perSecond, 0, now);
   }
 
+  /** Forgets what was saved up: another limit is in force. */
+  clear(): void {
+    this.tokens = 0;
+  }
+
   /** Takes one load; false when it must wait. */
   take(perSecond: number, now: number): boolean {
     const MS_PER_SECOND = 1_000;
--- a/src/coordination/backend_view.ts
+++ b/src/coordination/backend_view.ts
@@ -6,4 +6,6 @@
   /** When the registration came, in milliseconds of control's monotonic clock. */
   readonly seenAt: number;
   readonly firstSeenAt: number;
+  /** The model that it held last since its start, as far as is known: it joins that at once. */
+  readonly heldModel: string | undefined;
 }
--- a/src/coordination/engine_plan_input.ts
+++ b/src/coordination/engine_plan_input.ts
@@ -15,10 +15,6 @@
   readonly now: number;
   /** Silence after which a backend server is given no part in a new group. */
   readonly silentAfterMs: number;
-  /** Hosts that are free for less may soon be wanted with the weights that they have. */
-  readonly idleAfterMs: number;
-  /** Since when a backend server is in no group, as far as is known. */
-  readonly findFreeSince: (incarnation: string) => number;
   /** A new leader does not take a member that it never heard for lost. */
   readonly isStillListening: boolean;
   /** It drains or said goodbye. */
--- /dev/null
+++ b/src/coordination/list_free_engines.ts
@@ -0,0 +1,37 @@
+import {BackendView} from './backend_view';
+import {EnginePlanInput} from './engine_plan_input';
+
+/**
+ * Lists the engines that are well, belong to no committed group, and stay, in a
+ * fixed order.
+ *
+ * @example
+ * const free = listFreeEngines(input);
+ */
+export function listFreeEngines(input: EnginePlanInput): BackendView[] {
+  const taken = new Set(
+    input.groups.flatMap(group =>
+      group.members.map(member => member.incarnation),
+    ),
+  );
+  return input.backends
+    .filter(({registration, seenAt}) => {
+      const {incarnation, domain, group} = registration;
+      const isServing = group?.state === 'open' || group?.state === 'closing';
+      return (
+        domain !== undefined &&
+        !isServing &&
+        !taken.has(incarnation) &&
+        !input.isRetired(incarnation) &&
+        !input.isLost(incarnation) &&
+        input.now - seenAt < input.silentAfterMs
+      );
+    })
+    .sort(compareIncarnations);
+}
+
+function compareIncarnations(left: BackendView, right: BackendView): number {
+  return left.registration.incarnation < right.registration.incarnation
+    ? -1
+    : 1;
+}
--- a/src/coordination/plan_engine_formation.ts
+++ b/src/coordination/plan_engine_formation.ts
@@ -1,13 +1,13 @@
-/** Decides which free engines form new groups, and what spares keep ready. */
+/** Decides which free engines form new groups. */
 import {EngineProfile} from '../protocol/engine_profile';
 import {BackendView} from './backend_view';
+import {computeReadyMs} from './compute_ready_ms';
 import {EngineAction} from './engine_action';
 import {EnginePlanInput} from './engine_plan_input';
+import {listFreeEngines} from './list_free_engines';
 
 /** The part of a domain's hosts that is kept to take the place of lost members. */
 const SPARE_SHARE = 0.25;
-/** A join of a model that the engine held last; the engines' own figure. */
-const HELD_JOIN_MS = 200;
 /** Between the domains of a group that spans several. */
 const FAR_SEPARATOR = '+';
 
@@ -24,22 +24,24 @@
   readonly isFar: boolean;
   /** Somebody has to read weights from the store. */
   readonly needsLoad: boolean;
+  /** The model had more groups before. */
+  readonly isBelowPeak: boolean;
   /** Hosts of the model for its share of the work, before this group. */
   readonly rank: number;
-  /** Free hosts of the domain. */
-  readonly freeCount: number;
+  /** Breaks ties between domains, the least first. */
+  readonly slack: number;
 }
 
 /**
  * Plans new groups: those that need no load first, then for the model that has
- * the fewest hosts for its share of the work; and tells spares what to keep.
+ * the fewest hosts for its share of the work.
  *
  * @example
  * const actions = planEngineFormation(input);
  */
 export function planEngineFormation(input: EnginePlanInput): EngineAction[] {
   const actions: EngineAction[] = [];
-  let free = listFree(input);
+  let free = listFreeEngines(input);
   const counts = countGroups(input);
   const names = new Set(input.groups.map(group => group.name));
   for (;;) {
@@ -71,54 +73,25 @@
       reason: `${model.name} lacks hosts for its share; these are ready in ${readyMs} ms`,
     });
   }
-  return [...actions, ...planStaging(input, free)];
-}
-
-/** Engines that are well, belong to no committed group, and stay. */
-function listFree(input: EnginePlanInput): BackendView[] {
-  const taken = new Set(
-    input.groups.flatMap(group =>
-      group.members.map(member => member.incarnation),
-    ),
-  );
-  return input.backends
-    .filter(({registration, seenAt}) => {
-      const {incarnation, domain, group} = registration;
-      const isServing = group?.state === 'open' || group?.state === 'closing';
-      return (
-        domain !== undefined &&
-        !isServing &&
-        !taken.has(incarnation) &&
-        !input.isRetired(incarnation) &&
-        !input.isLost(incarnation) &&
-        input.now - seenAt < input.silentAfterMs
-      );
-    })
-    .sort(compareIncarnations);
-}
-
-function compareIncarnations(left: BackendView, right: BackendView): number {
-  return left.registration.incarnation < right.registration.incarnation
-    ? -1
-    : 1;
+  return actions;
 }
 
 function countGroups(input: EnginePlanInput): Map<string, number> {
   const counts = new Map<string, number>();
-  for (const {model} of input.groups) {
-    counts.set(model, (counts.get(model) ?? 0) + 1);
+  for (const {model, isEnding} of input.groups) {
+    counts.set(model, (counts.get(model) ?? 0) + (isEnding ? 0 : 1));
   }
   return counts;
 }
 
-/** The tightest domain that fits comes first, so that large gaps stay usable. */
 function compareOptions(left: Option, right: Option): number {
   return (
     Number(left.needsLoad) - Number(right.needsLoad) ||
     Number(left.isFar) - Number(right.isFar) ||
+    Number(right.isBelowPeak) - Number(left.isBelowPeak) ||
     left.rank - right.rank ||
     left.readyMs - right.readyMs ||
-    left.freeCount - right.freeCount
+    left.slack - right.slack
   );
 }
 
@@ -136,10 +109,7 @@
   });
 }
 
-/**
- * Below its peak a model may use spares that have its weights. Beyond the peak,
- * and for weights that must be loaded, spares stay spares.
- */
+/** Below its peak a model may use spares; beyond it spares stay spares. */
 function findOption(
   model: Model,
   domain: string,
@@ -163,19 +133,22 @@
   const {readyMs} = chosen[chosen.length - 1];
   const needsLoad = readyMs >= model.loadMs;
   const spares = isBelowPeak && !needsLoad ? 0 : countSpares(domain, input);
-  const isSettled = chosen.every(({host}) => isIdle(host, input));
-  if (hosts.length - spares < model.size || (needsLoad && !isSettled)) {
+  // Later on weights are loaded before a group waits for them.
+  const isFirstStart = input.peaks.size === 0;
+  if (hosts.length - spares < model.size || (needsLoad && !isFirstStart)) {
     return undefined;
   }
   return {
     isFar: false,
+    isBelowPeak,
     model,
     domain,
     hosts: chosen.map(({host}) => host),
     readyMs,
     needsLoad,
     rank: (count * model.size) / Math.max(model.share, Number.EPSILON),
-    freeCount: hosts.length,
+    // At first the tightest fit, so that large gaps stay usable; later the domain that keeps most spares.
+    slack: isFirstStart ? hosts.length : -hosts.length,
   };
 }
 
@@ -191,9 +164,7 @@
 ): Option[] {
   const count = counts.get(model.name) ?? 0;
   const isBelowPeak = count < (input.peaks.get(model.name) ?? 0);
-  const warm = free.filter(
-    host => computeReadyMs(host, model) < model.loadMs && isIdle(host, input),
-  );
+  const warm = free.filter(host => computeReadyMs(host, model) < model.loadMs);
   if (!isBelowPeak || warm.length < model.size) {
     return [];
   }
@@ -202,13 +173,14 @@
   return [
     {
       isFar: true,
+      isBelowPeak,
       model,
       domain: [...domains].join(FAR_SEPARATOR),
       hosts,
       readyMs: Math.max(...hosts.map(host => computeReadyMs(host, model))),
       needsLoad: false,
       rank: (count * model.size) / Math.max(model.share, Number.EPSILON),
-      freeCount: warm.length,
+      slack: 0,
     },
   ];
 }
@@ -217,13 +189,6 @@
   return host.registration.stagedModels.length;
 }
 
-/** At the first start nobody has weights, so there is nothing to wait for. */
-function isIdle(host: BackendView, input: EnginePlanInput): boolean {
-  const isFirstStart = input.peaks.size === 0;
-  const freeSince = input.findFreeSince(host.registration.incarnation);
-  return isFirstStart || input.now - freeSince > input.idleAfterMs;
-}
-
 function countSpares(domain: string, input: EnginePlanInput): number {
   const hosts = input.backends.filter(
     host => host.registration.domain === domain,
@@ -231,15 +196,6 @@
   return Math.floor(hosts.length * SPARE_SHARE);
 }
 
-function computeReadyMs({registration}: BackendView, model: Model): number {
-  if (registration.model === model.name) {
-    return HELD_JOIN_MS;
-  }
-  return registration.stagedModels.includes(model.name)
-    ? model.warmMs
-    : model.loadMs;
-}
-
 function findFreeName(model: string, names: ReadonlySet<string>): string {
   let number = 1;
   while (names.has(`${model}-${number}`)) {
@@ -247,50 +203,3 @@
   }
   return `${model}-${number}`;
 }
-
-/** Spares without weights load those of the models that their domain serves. */
-function planStaging(
-  input: EnginePlanInput,
-  free: readonly BackendView[],
-): EngineAction[] {
-  const staged = free.flatMap(({registration}) =>
-    registration.stagedModels.map(model => ({
-      model,
-      domain: registration.domain,
-    })),
-  );
-  return free
-    .filter(host => host.registration.stagedModels.length === 0)
-    .flatMap(({registration}) => {
-      const {incarnation, address, domain} = registration;
-      const model = chooseSpareModel(input, domain, staged);
-      if (model === undefined) {
-        return [];
-      }
-      staged.push({model, domain});
-      const reason = `a spare in ${domain}`;
-      const order = {incarnation, address, model, isLoad: true, reason};
-      return [{type: 'order' as const, kind: 'stage' as const, ...order}];
-    });
-}
-
-/** The model with the most serving members for each spare that has its weights. */
-function chooseSpareModel(
-  input: EnginePlanInput,
-  domain: string | undefined,
-  staged: ReadonlyArray<{model: string; domain: string | undefined}>,
-): string | undefined {
-  const scores = input.profile.models.map(({name}) => {
-    const members = input.groups
-      .filter(group => group.domain === domain && group.model === name)
-      .reduce((sum, group) => sum + group.members.length, 0);
-    const spares = staged.filter(
-      known => known.domain === domain && known.model === name,
-    ).length;
-    return {name, spares, score: members / (spares + 1)};
-  });
-  const [best] = scores.sort(
-    (left, right) => right.score - left.score || left.spares - right.spares,
-  );
-  return best && best.score > 0 ? best.name : undefined;
-}
--- a/src/coordination/plan_engine_groups.ts
+++ b/src/coordination/plan_engine_groups.ts
@@ -4,6 +4,8 @@
 import {EngineAction} from './engine_action';
 import {EnginePlanInput} from './engine_plan_input';
 import {planEngineFormation} from './plan_engine_formation';
+import {planUpgrades} from './plan_upgrades';
+import {planWeights} from './plan_weights';
 
 type Views = ReadonlyMap<string, BackendView>;
 type Member = EngineGroup['members'][number];
@@ -30,7 +32,18 @@
       ? [{type: 'end-group' as const, name, epoch, reason}]
       : planAssembly(group, views);
   });
-  return [...steps, ...planStrays(input), ...planEngineFormation(input)];
+  const formations = planEngineFormation(input);
+  const formed = formations.flatMap(action =>
+    action.type === 'set-group' ? action.group.members : [],
+  );
+  const taken = new Set(formed.map(member => member.incarnation));
+  return [
+    ...steps,
+    ...planStrays(input),
+    ...planUpgrades(input),
+    ...formations,
+    ...planWeights(input, taken),
+  ];
 }
 
 /** Why a group cannot go on, if it cannot. */
@@ -187,13 +200,14 @@
 
 function createOrder(
   kind: 'join' | 'open' | 'close' | 'leave',
-  {registration}: BackendView,
+  {registration, heldModel}: BackendView,
   group: EngineGroup,
   reason: string,
 ): EngineAction {
   const {incarnation, address, stagedModels} = registration;
-  const isLoad = kind === 'join' && !stagedModels.includes(group.model);
   const {model} = group;
+  const isAtHand = heldModel === model || stagedModels.includes(model);
+  const isLoad = kind === 'join' && !isAtHand;
   return {
     type: 'order',
     kind,
--- a/src/protocol/engine_profile.ts
+++ b/src/protocol/engine_profile.ts
@@ -37,6 +37,8 @@
   loadsPerSecond: z.number().positive(),
   /** Loads that run side by side before they slow each other down. */
   concurrentLoads: z.int().positive(),
+  /** Models whose weights a host keeps beside the one in memory. */
+  keptModels: z.int().nonnegative(),
   /** From the order to open until the replica serves. */
   openMs: Milliseconds,
 });
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -142,6 +142,7 @@
       stepsPerEvent: 4,
       loadsPerSecond: 1,
       concurrentLoads: 1,
+      keptModels: 1,
       openMs: 0,
     };
     // Four steps of 10 ms reading and 10 ms writing at half the time, and a quarter.
--- a/test/support/flow_fixture.ts
+++ b/test/support/flow_fixture.ts
@@ -181,5 +181,6 @@
   stepsPerEvent: 2,
   loadsPerSecond: 1,
   concurrentLoads: 1,
+  keptModels: 1,
   openMs: 0,
 };
