fix(coordination): an ending group is replaced only while a silent head holds its hosts

Change: only groups held by a silent head do not count; none over several domains is formed while one gives way.

--- a/src/coordination/plan_engine_formation.ts
+++ b/src/coordination/plan_engine_formation.ts
@@ -76,10 +76,12 @@
   return actions;
 }
 
+/** A group that ends is soon formed anew from its hosts, unless a silent head holds them. */
 function countGroups(input: EnginePlanInput): Map<string, number> {
   const counts = new Map<string, number>();
-  for (const {model, isEnding} of input.groups) {
-    counts.set(model, (counts.get(model) ?? 0) + (isEnding ? 0 : 1));
+  for (const {model, isEnding, members} of input.groups) {
+    const isHeld = isEnding && input.isLost(members[0].incarnation);
+    counts.set(model, (counts.get(model) ?? 0) + (isHeld ? 0 : 1));
   }
   return counts;
 }
@@ -165,7 +167,11 @@
   const count = counts.get(model.name) ?? 0;
   const isBelowPeak = count < (input.peaks.get(model.name) ?? 0);
   const warm = free.filter(host => computeReadyMs(host, model) < model.loadMs);
-  if (!isBelowPeak || warm.length < model.size) {
+  // Hosts of one that gives way are about to be used better.
+  const isOneEnding = input.groups.some(
+    group => group.isEnding && group.domain.includes(FAR_SEPARATOR),
+  );
+  if (!isBelowPeak || isOneEnding || warm.length < model.size) {
     return [];
   }
   const hosts = warm.slice(0, model.size);
--- a/src/coordination/plan_weights.ts
+++ b/src/coordination/plan_weights.ts
@@ -53,7 +53,7 @@
 function listByNeed({profile, groups, backends}: EnginePlanInput): Model[] {
   const rank = ({name, share}: Model) => {
     const members = groups
-      .filter(group => group.model === name && !group.isEnding)
+      .filter(group => group.model === name)
       .reduce((sum, group) => sum + group.members.length, 0);
     const kept = backends.filter(({registration}) =>
       registration.stagedModels.includes(name),
--- a/test/coordination/plan_engine_groups.test.ts
+++ b/test/coordination/plan_engine_groups.test.ts
@@ -379,4 +379,39 @@
 
     expect(describeActions(actions)).toContain('end-group low-1');
   });
+
+  test('is not replaced by another while it gives way', () => {
+    const held = {model: 'low', stagedModels: ['big']};
+    const backends = [
+      host('a', {...held, ...told('open')}),
+      host('b', {...held, ...told('ready', 1), domain: 'e'}),
+      host('c', {...held, domain: 'f'}),
+      host('s', {...held, domain: 'g'}),
+    ];
+    const groups = [group(['a', 'b'], {domain: 'd+e', isEnding: true})];
+    const actions = plan({groups, backends, peaks: new Map([['low', 3]])});
+
+    expect(describeActions(actions)).toEqual(['close a']);
+  });
+});
+
+describe('a group that ends', () => {
+  const held = {model: 'low', stagedModels: ['big']};
+  const spares = [host('s', held), host('t', held)];
+  const members = [host('a', told('open')), host('b', told('ready', 1))];
+  const groups = [group(['a', 'b'], {isEnding: true})];
+  const peaks = new Map([['low', 1]]);
+  const backends = [...members, ...spares];
+
+  test('is formed anew from its own hosts, not from the spares of others', () => {
+    const isLost = (incarnation: string) => incarnation === 'b';
+    const actions = plan({groups, backends, peaks, isLost});
+    expect(describeActions(actions)).toEqual(['leave a']);
+  });
+
+  test('is replaced by spares while a silent head holds its hosts', () => {
+    const isLost = (incarnation: string) => incarnation === 'a';
+    const actions = plan({groups, backends, peaks, isLost});
+    expect(describeActions(actions)).toContain('set-group low-2');
+  });
 });
