fix(coordination): groups over several domains only below half of the usual count

Change: slow groups only where a model has less than half of its usual groups, and none in the step in which one gives way.

--- a/src/coordination/plan_engine_formation.ts
+++ b/src/coordination/plan_engine_formation.ts
@@ -10,6 +10,8 @@
 const SPARE_SHARE = 0.25;
 /** Between the domains of a group that spans several. */
 const FAR_SEPARATOR = '+';
+/** Part of a model's usual groups below which slow ones help: they take spares that near ones will need. */
+const FAR_BELOW_SHARE = 0.5;
 
 type Model = EngineProfile['models'][number];
 
@@ -36,16 +38,22 @@
  * Plans new groups: those that need no load first, then for the model that has
  * the fewest hosts for its share of the work.
  *
+ * @param mayBeFar groups over several domains may be formed, too
  * @example
  * const actions = planEngineFormation(input);
  */
-export function planEngineFormation(input: EnginePlanInput): EngineAction[] {
+export function planEngineFormation(
+  input: EnginePlanInput,
+  mayBeFar = true,
+): EngineAction[] {
   const actions: EngineAction[] = [];
   let free = listFreeEngines(input);
   const counts = countGroups(input);
   const names = new Set(input.groups.map(group => group.name));
   for (;;) {
-    const [option] = listOptions(input, free, counts).sort(compareOptions);
+    const [option] = listOptions(input, free, counts, mayBeFar).sort(
+      compareOptions,
+    );
     if (!option) {
       break;
     }
@@ -101,13 +109,15 @@
   input: EnginePlanInput,
   free: readonly BackendView[],
   counts: ReadonlyMap<string, number>,
+  mayBeFar: boolean,
 ): Option[] {
   const domains = new Set(free.map(host => host.registration.domain ?? ''));
   return input.profile.models.flatMap(model => {
     const near = [...domains].flatMap(
       domain => findOption(model, domain, input, free, counts) ?? [],
     );
-    return [...near, ...findFarOption(model, input, free, counts)];
+    const far = mayBeFar ? findFarOption(model, input, free, counts) : [];
+    return [...near, ...far];
   });
 }
 
@@ -165,7 +175,8 @@
   counts: ReadonlyMap<string, number>,
 ): Option[] {
   const count = counts.get(model.name) ?? 0;
-  const isBelowPeak = count < (input.peaks.get(model.name) ?? 0);
+  const isBelowPeak =
+    count < (input.peaks.get(model.name) ?? 0) * FAR_BELOW_SHARE;
   const warm = free.filter(host => computeReadyMs(host, model) < model.loadMs);
   // Hosts of one that gives way are about to be used better.
   const isOneEnding = input.groups.some(
--- a/src/coordination/plan_engine_groups.ts
+++ b/src/coordination/plan_engine_groups.ts
@@ -32,7 +32,8 @@
       ? [{type: 'end-group' as const, name, epoch, reason}]
       : planAssembly(group, views);
   });
-  const formations = planEngineFormation(input);
+  const upgrades = planUpgrades(input);
+  const formations = planEngineFormation(input, upgrades.length === 0);
   const formed = formations.flatMap(action =>
     action.type === 'set-group' ? action.group.members : [],
   );
@@ -40,7 +41,7 @@
   return [
     ...steps,
     ...planStrays(input),
-    ...planUpgrades(input),
+    ...upgrades,
     ...formations,
     ...planWeights(input, taken),
   ];
--- a/test/coordination/plan_engine_groups.test.ts
+++ b/test/coordination/plan_engine_groups.test.ts
@@ -304,12 +304,8 @@
     const backends = [...hosts('a', 3, changes), ...hosts('b', 1, changes)];
     const low = group(['x', 'y']);
     const other = group(['v', 'w'], {name: 'low-2'});
-    const [action] = plan({
-      backends,
-      peaks,
-      groups: [low, other],
-      isStillListening: true,
-    });
+    const groups = [low, other];
+    const [action] = plan({backends, peaks, groups, isStillListening: true});
 
     expect(action).toMatchObject({
       type: 'set-group',
@@ -317,6 +313,19 @@
     });
   });
 
+  test('stay spares while half of the usual groups of a model stand', () => {
+    const changes = {model: 'big', stagedModels: ['low']};
+    const domains = ['a', 'b', 'c', 'e'];
+    const backends = domains.flatMap(domain => hosts(domain, 1, changes));
+    const low = group(['x', 'y']);
+    const other = group(['v', 'w'], {name: 'low-2'});
+    const big = group(['p', 'q', 'r', 's'], {name: 'big-1', model: 'big'});
+    const groups = [low, other, big];
+    const actions = plan({backends, peaks, groups, isStillListening: true});
+
+    expect(describeActions(actions)).toEqual([]);
+  });
+
   test('that serve a group which control has given up are told to leave', () => {
     const backends = [host('a', told('open'))];
     expect(describeActions(plan({backends}))).toEqual(['leave a']);
