--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -117,7 +117,8 @@
 
   /** True while new connections should come here. */
   get isReady(): boolean {
-    return !this.isLeaving && this.feed.isConfirmed();
+    const hasTargets = this.board.listAddresses().size > 0;
+    return !this.isLeaving && this.feed.isConfirmed() && hasTargets;
   }
 
   /** Takes other places to find control at, as the settings changed. */
