feat(control): models that refuse get spares, and hosts of a model at ease

Change: gateways tell of which models they refuse; such a model may take all spares of a domain but one and comes first when groups are formed; a group of a model at ease, or with more hosts for its share, gives way, at most every 2.5 s.

--- a/src/control/engine_planner_loop.ts
+++ b/src/control/engine_planner_loop.ts
@@ -40,6 +40,8 @@
 const SERVING_LOAD_FACTOR = 0.9;
 /** Before the first request many hosts load at once, each the slower for it. */
 const EARLY_LOAD_FACTOR = 3;
+/** After a group ends, its hosts serve again within this time; only then is it seen what is missing. */
+const REBALANCE_EVERY_MS = 2_500;
 /** Loads slow each other down; longer than this one has been lost. */
 const SLOW_LOAD = 2;
 
@@ -76,6 +78,8 @@
   private readonly lastOrders = new Map<string, LastOrder>();
   /** When the loads that were ordered should be done, by incarnation. */
   private readonly loadsUntil = new Map<string, number>();
+  /** When a group was last ended, for whatever reason. */
+  private rebalancedAt = -Infinity;
   private wasServing = false;
   private plannedTerm = -1;
   private isCommitting = false;
@@ -132,7 +136,7 @@
   }
 
   private async planPool(pool: Pool, now: number): Promise<void> {
-    const {runtime, registry, duties} = this.options;
+    const {runtime, registry, duties, desk} = this.options;
     const {engines} = runtime.state;
     if (!pool.engine) {
       return;
@@ -157,10 +161,15 @@
       isStillListening:
         now - runtime.leadingSince < duties.heartbeatMs * SILENT_INTERVALS,
       isRetired: incarnation => engines.isRetired(incarnation),
+      mayRebalance: now - this.rebalancedAt > REBALANCE_EVERY_MS,
+      isPressed: model => desk.isPressed(model),
       isLost: incarnation => this.health.isLost(incarnation),
       isLetGo: group => this.release.isLetGo(group, now),
       hasLeaver: group => this.release.hasLeaver(group),
     });
+    if (actions.some(action => action.type === 'end-group')) {
+      this.rebalancedAt = now;
+    }
     await this.commitChanges(actions);
     for (const action of actions) {
       if (action.type === 'order') {
--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -49,6 +49,8 @@
   /** When a gateway last said so, by incarnation. */
   private readonly stalledAt = new Map<string, number>();
   private readonly answeringAt = new Map<string, number>();
+  /** When a gateway last lacked places, by model. */
+  private readonly pressedAt = new Map<string, number>();
   private hasServedRequests = false;
 
   private constructor(private readonly options: GatewayDeskOptions) {}
@@ -78,6 +80,11 @@
     return this.isRecent(this.answeringAt.get(incarnation));
   }
 
+  /** Some gateway refused requests for want of a place at this model. */
+  isPressed(model: string): boolean {
+    return this.isRecent(this.pressedAt.get(model));
+  }
+
   /** Wakes the gateways that wait for news. */
   announce(): void {
     this.options.signal.announce();
@@ -219,6 +226,7 @@
     ask.answering.forEach(incarnation =>
       this.answeringAt.set(incarnation, now),
     );
+    ask.pressed.forEach(model => this.pressedAt.set(model, now));
     this.hasServedRequests ||= ask.hasServed;
   }
 
--- a/src/coordination/engine_plan_input.ts
+++ b/src/coordination/engine_plan_input.ts
@@ -17,6 +17,10 @@
   readonly silentAfterMs: number;
   /** A new leader does not take a member that it never heard for lost. */
   readonly isStillListening: boolean;
+  /** False for a while after hosts were moved, so that they do not go to and fro. */
+  readonly mayRebalance: boolean;
+  /** Requests are refused for want of a place at this model. */
+  readonly isPressed: (model: string) => boolean;
   /** It drains or said goodbye. */
   readonly isRetired: (incarnation: string) => boolean;
   /** Its group stands still, or would: it does not answer. */
--- a/src/coordination/plan_engine_formation.ts
+++ b/src/coordination/plan_engine_formation.ts
@@ -26,6 +26,8 @@
   readonly isFar: boolean;
   /** Somebody has to read weights from the store. */
   readonly needsLoad: boolean;
+  /** Requests for the model are refused. */
+  readonly isPressed: boolean;
   /** The model had more groups before. */
   readonly isBelowPeak: boolean;
   /** Hosts of the model for its share of the work, before this group. */
@@ -98,6 +100,7 @@
   return (
     Number(left.needsLoad) - Number(right.needsLoad) ||
     Number(left.isFar) - Number(right.isFar) ||
+    Number(right.isPressed) - Number(left.isPressed) ||
     Number(right.isBelowPeak) - Number(left.isBelowPeak) ||
     left.rank - right.rank ||
     left.readyMs - right.readyMs ||
@@ -121,7 +124,6 @@
   });
 }
 
-/** Below its peak a model may use spares; beyond it spares stay spares. */
 function findOption(
   model: Model,
   domain: string,
@@ -144,7 +146,7 @@
     .slice(0, model.size);
   const {readyMs} = chosen[chosen.length - 1];
   const needsLoad = readyMs >= model.loadMs;
-  const spares = isBelowPeak && !needsLoad ? 0 : countSpares(domain, input);
+  const spares = countSpares(model, domain, input, isBelowPeak, needsLoad);
   // Later on weights are loaded before a group waits for them.
   const isFirstStart = input.peaks.size === 0;
   if (hosts.length - spares < model.size || (needsLoad && !isFirstStart)) {
@@ -152,6 +154,7 @@
   }
   return {
     isFar: false,
+    isPressed: input.isPressed(model.name),
     isBelowPeak,
     model,
     domain,
@@ -190,6 +193,7 @@
   return [
     {
       isFar: true,
+      isPressed: input.isPressed(model.name),
       isBelowPeak,
       model,
       domain: [...domains].join(FAR_SEPARATOR),
@@ -206,7 +210,20 @@
   return host.registration.stagedModels.length;
 }
 
-function countSpares(domain: string, input: EnginePlanInput): number {
+/** Repairs may take every spare, pressed models all but one, others none. */
+function countSpares(
+  model: Model,
+  domain: string,
+  input: EnginePlanInput,
+  isBelowPeak: boolean,
+  needsLoad: boolean,
+): number {
+  if (!needsLoad && isBelowPeak) {
+    return 0;
+  }
+  if (!needsLoad && input.isPressed(model.name)) {
+    return 1;
+  }
   const hosts = input.backends.filter(
     host => host.registration.domain === domain,
   );
--- a/src/coordination/plan_engine_groups.ts
+++ b/src/coordination/plan_engine_groups.ts
@@ -4,6 +4,7 @@
 import {EngineAction} from './engine_action';
 import {EnginePlanInput} from './engine_plan_input';
 import {planEngineFormation} from './plan_engine_formation';
+import {planRebalance} from './plan_rebalance';
 import {planUpgrades} from './plan_upgrades';
 import {planWeights} from './plan_weights';
 
@@ -33,6 +34,7 @@
       : planAssembly(group, views);
   });
   const upgrades = planUpgrades(input);
+  const gifts = upgrades.length === 0 ? planRebalance(input) : [];
   const formations = planEngineFormation(input, upgrades.length === 0);
   const formed = formations.flatMap(action =>
     action.type === 'set-group' ? action.group.members : [],
@@ -42,6 +44,7 @@
     ...steps,
     ...planStrays(input),
     ...upgrades,
+    ...gifts,
     ...formations,
     ...planWeights(input, taken),
   ];
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -29,6 +29,8 @@
 const STOP_CHECK_MS = 50;
 /** What a caller may send before any rules are known. */
 const UNKNOWN_LIMIT_BYTES = 1024 * 1024;
+/** A refusal speaks for more hosts this long. */
+const PRESSED_MS = 1_000;
 /** A control process that is silent for this long is left for another. */
 const CONTROL_TRY_MS = 1_000;
 
@@ -54,6 +56,8 @@
   private controlAddresses: readonly string[];
   private listener: HttpListener | undefined;
   private openRequests = 0;
+  /** When a request was last refused for want of a place, by model. */
+  private readonly pressedAt = new Map<string, number>();
   private hasServed = false;
   private isLeaving = false;
 
@@ -76,6 +80,7 @@
       confirmationMs,
       collectNews: () => ({
         ...this.board.listNews(),
+        pressed: this.listPressed(),
         hasServed: this.hasServed,
       }),
       onRunning: running => this.board.setRunningElsewhere(running),
@@ -254,6 +259,13 @@
     return {route, pool, workspace: workspace?.name};
   }
 
+  private listPressed(): string[] {
+    const since = this.clock.now() - PRESSED_MS;
+    return [...this.pressedAt].flatMap(([model, at]) =>
+      at > since ? [model] : [],
+    );
+  }
+
   private findBudget(pool: string): RepeatBudget {
     const known = this.budgets.get(pool);
     const budget =
@@ -287,6 +299,9 @@
     result: Parameters<Parameters<typeof RequestFlow.create>[0]['onDone']>[0],
   ): void {
     const {outcome, reason, status, targets, events, tookMs} = result;
+    if (outcome === 'refused' && request.model !== undefined) {
+      this.pressedAt.set(request.model, this.clock.now());
+    }
     this.events.record({
       type: `request-${outcome}`,
       subject: 'request',
--- a/src/gateway/rules_feed.ts
+++ b/src/gateway/rules_feed.ts
@@ -18,6 +18,8 @@
   readonly stalled: readonly string[];
   readonly answering: readonly string[];
   readonly running: Readonly<Record<string, number>>;
+  /** Models of which requests were refused lately for want of a place. */
+  readonly pressed: readonly string[];
   readonly hasServed: boolean;
 }
 
@@ -114,6 +116,7 @@
         stalled: [...news.stalled],
         answering: [...news.answering],
         running: {...news.running},
+        pressed: [...news.pressed],
         hasServed: news.hasServed,
       },
       ASK_TIMEOUT_MS,
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -157,6 +157,8 @@
     answering: z.array(z.string()),
     /** Requests that this gateway has at backend servers now, by incarnation. */
     running: z.record(z.string(), z.int()),
+    /** Models of which requests were refused lately for want of a place. */
+    pressed: z.array(z.string()),
     /** True once a caller's request was taken. */
     hasServed: z.boolean(),
   }),
--- a/test/control/seeded_quorum.test.ts
+++ b/test/control/seeded_quorum.test.ts
@@ -158,6 +158,7 @@
         stalled: [],
         answering: [],
         running: {},
+        pressed: [],
         hasServed: false,
       };
       const client = createClient([names[0], names[2]]);
@@ -208,6 +209,7 @@
     stalled: [],
     answering: [],
     running: {i1: 2},
+    pressed: [],
     hasServed: true,
   };
 
--- a/test/coordination/plan_engine_groups.test.ts
+++ b/test/coordination/plan_engine_groups.test.ts
@@ -94,6 +94,8 @@
     now: NOW,
     silentAfterMs: 3_600,
     isStillListening: false,
+    mayRebalance: true,
+    isPressed: () => false,
     isRetired: () => false,
     isLost: () => false,
     isLetGo: () => false,
@@ -337,6 +339,66 @@
   });
 });
 
+describe('a model of which requests are refused', () => {
+  test('gets one more group from spares, and leaves one of them', () => {
+    const held = {model: 'low', stagedModels: ['big']};
+    const peaks = new Map([['low', 1]]);
+    const groups = [group(['x', 'y'])];
+    const isPressed = (model: string) => model === 'low';
+    const formed = (count: number) =>
+      plan({
+        backends: hosts('d', count, held),
+        groups,
+        peaks,
+        isPressed,
+        isStillListening: true,
+      }).filter(action => action.type === 'set-group').length;
+
+    expect(formed(3)).toBe(1);
+    expect(formed(2)).toBe(0);
+  });
+});
+
+describe('a model that has fewer hosts for its share', () => {
+  const held = {model: 'low', stagedModels: ['big']};
+  const small = [1, 2, 3].map(number =>
+    group([`m${number}`, `n${number}`], {
+      name: `low-${number}`,
+      domain: `d${number}`,
+      epoch: number,
+    }),
+  );
+  const members = small.flatMap(({members: own, domain, name, epoch}) =>
+    own.map(({incarnation}, rank) => {
+      const state = rank === 0 ? ('open' as const) : ('ready' as const);
+      const membership = {name, epoch, rank, state};
+      return host(incarnation, {...held, domain, group: membership});
+    }),
+  );
+  const spares = [
+    host('s', {...held, domain: 'd2'}),
+    host('t', {...held, domain: 'd2'}),
+  ];
+  const input = {
+    groups: small,
+    backends: [...members, ...spares],
+    peaks: new Map([
+      ['big', 1],
+      ['low', 3],
+    ]),
+  };
+
+  test('gets the hosts of another where they and spares are enough', () => {
+    const isPressed = (model: string) => model === 'big';
+    const actions = plan({...input, isPressed});
+    expect(describeActions(actions)).toContain('end-group low-2');
+  });
+
+  test('takes nothing while none of its requests are refused', () => {
+    expect(describeActions(plan(input))).not.toContain('end-group low-2');
+  });
+});
+
 describe('second copies of weights', () => {
   const peaks = new Map([['low', 1]]);
 
