--- /dev/null
+++ b/test/coordination/plan_engine_hosts.test.ts
@@ -0,0 +1,200 @@
+import {describe, expect, test} from 'vitest';
+import {
+  describeActions,
+  group,
+  host,
+  hosts,
+  plan,
+  told,
+} from '../support/engine_plan';
+
+describe('hosts without a place', () => {
+  const peaks = new Map([
+    ['big', 2],
+    ['low', 2],
+  ]);
+
+  test('take a model into memory before any group waits for it', () => {
+    const actions = plan({backends: hosts('d', 4), peaks});
+    expect(describeActions(actions)).toEqual([
+      'join d0',
+      'join d1',
+      'join d2',
+      'join d3',
+    ]);
+    expect(actions[0]).toMatchObject({
+      isLoad: true,
+      group: {name: 'parked-d0', members: [{incarnation: 'd0'}]},
+    });
+  });
+
+  test('take the model that lies on their own disk without a load', () => {
+    const backends = [host('a', {stagedModels: ['low']})];
+    const [action] = plan({backends, peaks});
+    expect(action).toMatchObject({kind: 'join', model: 'low', isLoad: false});
+  });
+
+  test('form a slow group over two domains rather than none', () => {
+    const changes = {model: 'big', stagedModels: ['big']};
+    const backends = [...hosts('a', 3, changes), ...hosts('b', 1, changes)];
+    const low = group(['x', 'y']);
+    const other = group(['v', 'w'], {name: 'low-2'});
+    const groups = [low, other];
+    const [action] = plan({backends, peaks, groups, isStillListening: true});
+
+    expect(action).toMatchObject({
+      type: 'set-group',
+      group: {model: 'big', domain: 'a+b'},
+    });
+  });
+
+  test('stay spares while half of the usual groups of a model stand', () => {
+    const changes = {model: 'big', stagedModels: ['low']};
+    const domains = ['a', 'b', 'c', 'e'];
+    const backends = domains.flatMap(domain => hosts(domain, 1, changes));
+    const low = group(['x', 'y']);
+    const other = group(['v', 'w'], {name: 'low-2'});
+    const big = group(['p', 'q', 'r', 's'], {name: 'big-1', model: 'big'});
+    const groups = [low, other, big];
+    const actions = plan({backends, peaks, groups, isStillListening: true});
+
+    expect(describeActions(actions)).toEqual([]);
+  });
+
+  test('that serve a group which control has given up are told to leave', () => {
+    const backends = [host('a', told('open'))];
+    expect(describeActions(plan({backends}))).toEqual(['leave a']);
+  });
+
+  test('that serve such a group and are silent are left alone', () => {
+    const backends = [host('a', told('open'), 0)];
+    expect(plan({backends})).toEqual([]);
+  });
+});
+
+describe('a model of which requests are refused', () => {
+  test('gets one more group from spares, and leaves one of them', () => {
+    const held = {model: 'low', stagedModels: ['big']};
+    const peaks = new Map([['low', 1]]);
+    const groups = [group(['x', 'y'])];
+    const isPressed = (model: string) => model === 'low';
+    const formed = (count: number) =>
+      plan({
+        backends: hosts('d', count, held),
+        groups,
+        peaks,
+        isPressed,
+        isStillListening: true,
+      }).filter(action => action.type === 'set-group').length;
+
+    expect(formed(3)).toBe(1);
+    expect(formed(2)).toBe(0);
+  });
+});
+
+describe('a model that has fewer hosts for its share', () => {
+  const held = {model: 'low', stagedModels: ['big']};
+  const small = [1, 2, 3].map(number =>
+    group([`m${number}`, `n${number}`], {
+      name: `low-${number}`,
+      domain: `d${number}`,
+      epoch: number,
+    }),
+  );
+  const members = small.flatMap(({members: own, domain, name, epoch}) =>
+    own.map(({incarnation}, rank) => {
+      const state = rank === 0 ? ('open' as const) : ('ready' as const);
+      const membership = {name, epoch, rank, state};
+      return host(incarnation, {...held, domain, group: membership});
+    }),
+  );
+  const spares = [
+    host('s', {...held, domain: 'd2'}),
+    host('t', {...held, domain: 'd2'}),
+  ];
+  const input = {
+    groups: small,
+    backends: [...members, ...spares],
+    peaks: new Map([
+      ['big', 1],
+      ['low', 3],
+    ]),
+  };
+
+  test('gets the hosts of another where they and spares are enough', () => {
+    const isPressed = (model: string) => model === 'big';
+    const actions = plan({...input, isPressed});
+    expect(describeActions(actions)).toContain('end-group low-2');
+  });
+
+  test('takes nothing while none of its requests are refused', () => {
+    expect(describeActions(plan(input))).not.toContain('end-group low-2');
+  });
+});
+
+describe('second copies of weights', () => {
+  const peaks = new Map([['low', 1]]);
+
+  test('are kept by spares and by members, spares first', () => {
+    const held = {model: 'low', stagedModels: ['low']};
+    const members = [
+      host('a', {...held, ...told('open')}),
+      host('b', {...held, ...told('ready', 1)}),
+    ];
+    const actions = plan({
+      groups: [group(['a', 'b'])],
+      backends: [...members, host('s', held)],
+      peaks,
+    });
+
+    expect(describeActions(actions)).toEqual(['stage s', 'stage a', 'stage b']);
+    expect(actions[0]).toMatchObject({model: 'big', isLoad: true});
+  });
+
+  test('do not push out the copy that is at hand', () => {
+    const backends = [host('a', {model: 'low', stagedModels: ['big']})];
+    expect(plan({backends, peaks: new Map()})).toEqual([]);
+  });
+
+  test('let a member of the small model repair the large one at once', () => {
+    const survivors = ['a', 'b', 'c'].map(name =>
+      host(name, {model: 'big', stagedModels: ['low']}),
+    );
+    const spare = host('s', {model: 'low', stagedModels: ['big']});
+    const [action] = plan({
+      backends: [...survivors, spare],
+      peaks: new Map([['big', 1]]),
+    });
+
+    expect(action).toMatchObject({type: 'set-group', group: {model: 'big'}});
+  });
+});
+
+describe('a group over two domains', () => {
+  test('gives way when its hosts and free ones fit into one', () => {
+    const held = {model: 'low', stagedModels: ['big']};
+    const backends = [
+      host('a', {...held, ...told('open')}),
+      host('b', {...held, ...told('ready', 1), domain: 'e'}),
+      host('c', {...held, domain: 'e'}),
+    ];
+    const groups = [group(['a', 'b'], {domain: 'd+e'})];
+    const actions = plan({groups, backends, peaks: new Map([['low', 1]])});
+
+    expect(describeActions(actions)).toContain('end-group low-1');
+  });
+
+  test('is not replaced by another while it gives way', () => {
+    const held = {model: 'low', stagedModels: ['big']};
+    const backends = [
+      host('a', {...held, ...told('open')}),
+      host('b', {...held, ...told('ready', 1), domain: 'e'}),
+      host('c', {...held, domain: 'f'}),
+      host('s', {...held, domain: 'g'}),
+    ];
+    const groups = [group(['a', 'b'], {domain: 'd+e', isEnding: true})];
+    const actions = plan({groups, backends, peaks: new Map([['low', 3]])});
+
+    expect(describeActions(actions)).toEqual(['close a']);
+  });
+});
--- /dev/null
+++ b/test/support/engine_plan.ts
@@ -0,0 +1,116 @@
+/** Hosts, groups and plans of engines with few words. */
+import {BackendView} from '../../src/coordination/backend_view';
+import {EngineAction} from '../../src/coordination/engine_action';
+import {EnginePlanInput} from '../../src/coordination/engine_plan_input';
+import {planEngineGroups} from '../../src/coordination/plan_engine_groups';
+import {BackendRegistration} from '../../src/protocol/backend_registration';
+import {EngineGroup} from '../../src/protocol/engine_group';
+import {EngineProfile} from '../../src/protocol/engine_profile';
+
+export const NOW = 100_000;
+export type Told = NonNullable<BackendRegistration['group']>;
+
+/** A large model on four hosts and a small one on two. */
+export const PROFILE: EngineProfile = {
+  models: [
+    {name: 'big', size: 4, pace: 1, share: 0.67, loadMs: 16_000, warmMs: 1_600},
+    {name: 'low', size: 2, pace: 1, share: 0.33, loadMs: 12_000, warmMs: 1_100},
+  ],
+  slots: 34,
+  contextTokens: 1_000_000,
+  stepMs: 6,
+  stepMsPerRequest: 0.3,
+  promptTokensPerSecond: 46_000,
+  promptChunkTokens: 2_048,
+  stepsPerEvent: 3,
+  loadsPerSecond: 3,
+  concurrentLoads: 6,
+  keptModels: 1,
+  openMs: 300,
+};
+
+export function host(
+  incarnation: string,
+  changes: Partial<BackendRegistration> = {},
+  seenAt = NOW,
+): BackendView {
+  const registration = {
+    incarnation,
+    pool: 'p',
+    address: `${incarnation}:1`,
+    zone: 'z',
+    isLeaving: false,
+    sequence: 1,
+    slots: 34,
+    domain: 'd',
+    stagedModels: [],
+    ...changes,
+  };
+  const {model: heldModel} = registration as BackendRegistration;
+  return {registration, seenAt, firstSeenAt: 0, heldModel};
+}
+
+export function hosts(
+  domain: string,
+  count: number,
+  changes: Partial<BackendRegistration> = {},
+): BackendView[] {
+  return Array.from({length: count}, (_, at) =>
+    host(`${domain}${at}`, {domain, ...changes}),
+  );
+}
+
+export function group(
+  members: string[],
+  changes: Partial<EngineGroup> = {},
+): EngineGroup {
+  return {
+    name: 'low-1',
+    epoch: 7,
+    pool: 'p',
+    model: 'low',
+    domain: 'd',
+    members: members.map(incarnation => ({
+      incarnation,
+      address: `${incarnation}:1`,
+    })),
+    isEnding: false,
+    isReleased: false,
+    ...changes,
+  };
+}
+
+export function told(state: Told['state'], rank = 0, epoch = 7): {group: Told} {
+  return {group: {name: 'low-1', epoch, rank, state}};
+}
+
+export function plan(changes: Partial<EnginePlanInput>): EngineAction[] {
+  return planEngineGroups({
+    pool: 'p',
+    profile: PROFILE,
+    groups: [],
+    backends: [],
+    peaks: new Map([['low', 0]]),
+    now: NOW,
+    silentAfterMs: 3_600,
+    isStillListening: false,
+    mayRebalance: true,
+    isPressed: () => false,
+    isRetired: () => false,
+    isLost: () => false,
+    isLetGo: () => false,
+    hasLeaver: () => false,
+    ...changes,
+  });
+}
+
+/** Orders as `kind incarnation`, changes of groups as `type name`. */
+export function describeActions(actions: readonly EngineAction[]): string[] {
+  return actions.map(action => {
+    if (action.type === 'order') {
+      return `${action.kind} ${action.incarnation}`;
+    }
+    const {name} = action.type === 'set-group' ? action.group : action;
+    return `${action.type} ${name}`;
+  });
+}
