--- a/src/operator/create_program.ts
+++ b/src/operator/create_program.ts
@@ -5,6 +5,7 @@
 import {addBundleCommands} from './add_bundle_commands';
 import {addFleetCommands} from './add_fleet_commands';
 import {addKeyCommands} from './add_key_commands';
+import {addLogCommands} from './add_log_commands';
 import {JsonReporter} from './json_reporter';
 import {OperatorClient} from './operator_client';
 import {OperatorError} from './operator_error';
@@ -75,6 +76,7 @@
   };
   const context = {program, createReporter, withClient};
   addKeyCommands(context);
+  addLogCommands(context);
   addBundleCommands(context);
   addFleetCommands(context);
   return program;
--- a/src/operator/operator_event.ts
+++ b/src/operator/operator_event.ts
@@ -43,6 +43,16 @@
       readonly inForce: number;
       readonly of: number;
     }
+  | {
+      readonly type: 'log-explained';
+      readonly lines: ReadonlyArray<{
+        time: string;
+        program: string;
+        event: string;
+        id: string;
+        reason: string;
+      }>;
+    }
   | {readonly type: 'status'; readonly status: FleetStatus}
   | {readonly type: 'journal'; readonly entries: readonly JournalEntry[]}
   | {
--- a/src/operator/text_reporter.ts
+++ b/src/operator/text_reporter.ts
@@ -44,6 +44,17 @@
           ['PATH', 'BEFORE', 'AFTER'],
           changes.map(({path, before, after}) => [path, before, after]),
         ),
+  'log-explained': ({lines}) =>
+    formatTable(
+      ['TIME', 'PROGRAM', 'EVENT', 'ABOUT', 'REASON'],
+      lines.map(({time, program, event, id, reason}) => [
+        time,
+        program,
+        event,
+        id,
+        reason,
+      ]),
+    ),
   'rolled-out': ({isAccepted, reason, version, digest, keyId}) =>
     isAccepted
       ? `version ${version} (digest ${formatDigest(digest)}, signed by ${keyId}): ${reason}\n`
