fix(gateway): a request that waits for a connection leaves a backend server that takes no new work

Cause: reading the path of a departure: a request could wait in the library for a connection and be sent long after the departure was acknowledged. Change: such an attempt is given up as not run and goes elsewhere. Results of requests have a type of their own; stream tests a file. Test: gateway/request_flow, fails without.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -63,6 +63,11 @@
     return this.hasBytes;
   }
 
+  /** It waits for a connection: the backend server has seen nothing of it. */
+  get isWaiting(): boolean {
+    return !this.isSent && !this.isEnded;
+  }
+
   /** Gives up; the backend server sees its connection close. */
   stop(reason: string): void {
     this.finish({kind: this.isSent ? 'broken' : 'not-run', reason});
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -9,6 +9,7 @@
 import {readHttpBody} from '../transport/read_http_body';
 import {CallerAnswer} from './caller_answer';
 import {choosePool} from './choose_pool';
+import {FlowResult} from './flow_result';
 import {GatewayRequest} from './gateway_request';
 import {GatewaySettings} from './gateway_settings';
 import {RepeatBudget} from './repeat_budget';
@@ -296,7 +297,7 @@
   private recordResult(
     request: GatewayRequest,
     route: string,
-    result: Parameters<Parameters<typeof RequestFlow.create>[0]['onDone']>[0],
+    result: FlowResult,
   ): void {
     const {outcome, reason, status, targets, events, tookMs} = result;
     if (outcome === 'refused' && request.model !== undefined) {
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -10,6 +10,7 @@
 import {CallerDialect} from './caller_dialect';
 import {computeStallMs} from './compute_stall_ms';
 import {EventSplitter} from './event_splitter';
+import {FlowResult} from './flow_result';
 import {GatewayRequest} from './gateway_request';
 import {RepeatBudget} from './repeat_budget';
 import {StallJudge} from './stall_judge';
@@ -47,16 +48,6 @@
   readonly onDone: (result: FlowResult) => void;
 }
 
-/** What became of a request, for the log. */
-interface FlowResult {
-  readonly outcome: 'answered' | 'refused' | 'failed' | 'gone';
-  readonly reason: string;
-  readonly status: number;
-  readonly targets: readonly string[];
-  readonly events: number;
-  readonly tookMs: number;
-}
-
 /** One request under way. */
 export class RequestFlow {
   private attempt: Attempt | undefined;
@@ -115,11 +106,24 @@
   check(now: number): void {
     if (this.waitingUntil !== undefined) {
       this.checkWaiting(now, this.waitingUntil);
+    } else if (this.isLeftBehind) {
+      this.attempt?.stop('its backend server takes no new work');
     } else {
       this.checkStall(now);
     }
   }
 
+  /** It waits for a connection to a backend server that control no longer tells. */
+  private get isLeftBehind(): boolean {
+    const {attempt} = this;
+    const {board} = this.options;
+    return (
+      attempt !== undefined &&
+      attempt.isWaiting &&
+      !board.has(attempt.target.incarnation)
+    );
+  }
+
   private checkWaiting(now: number, until: number): void {
     const target = this.findTarget(false);
     if (!target && now < until) {
--- a/src/gateway/target_board.ts
+++ b/src/gateway/target_board.ts
@@ -78,6 +78,11 @@
     }
   }
 
+  /** True while control tells this target. */
+  has(incarnation: string): boolean {
+    return this.standings.has(incarnation);
+  }
+
   /** The least busy target; undefined when none is fit. */
   choose(want: Want): GatewayTarget | undefined {
     const now = this.clock.now();
--- a/test/gateway/request_flow.test.ts
+++ b/test/gateway/request_flow.test.ts
@@ -1,79 +1,7 @@
-import {afterEach, describe, expect, test} from 'vitest';
-import {GatewayRules} from '../../src/protocol/gateway_rules';
-import {GatewayTarget} from '../../src/protocol/gateway_target';
-import {BackendStandIn} from '../support/backend_stand_in';
-import {FlowFixture} from '../support/flow_fixture';
+import {describe, expect, test} from 'vitest';
+import {answer, notRun, reset, start, write} from '../support/backend_scripts';
 import {waitUntil} from '../support/wait_until';
 
-type Handler = Parameters<typeof BackendStandIn.create>[0];
-type Route = GatewayRules['routes'][number];
-
-const closers: Array<() => unknown> = [];
-
-afterEach(async () => {
-  for (const close of closers.splice(0).reverse()) {
-    await close();
-  }
-});
-
-async function start(
-  handlers: readonly Handler[],
-  route: Partial<Route> = {},
-  target: Partial<GatewayTarget> = {},
-) {
-  const backends = await Promise.all(
-    handlers.map(handle => BackendStandIn.create(handle)),
-  );
-  const fixture = await FlowFixture.create(backends, route, target);
-  closers.push(...backends.map(backend => () => backend.close()), () =>
-    fixture.close(),
-  );
-  return {fixture, backends};
-}
-
-function write(text: string): Handler {
-  return ({socket}) => socket.write(text.replaceAll('\n', '\r\n'));
-}
-
-function answer(body: string, headers = ''): Handler {
-  return write(
-    `HTTP/1.1 200 OK\nrequest-id: q\nseal: s\ncontent-length: ${body.length}\n${headers}\n${body}`,
-  );
-}
-
-const reset: Handler = ({socket}) => socket.resetAndDestroy();
-const notRun = write('HTTP/1.1 503 Full\nnot-run: 1\ncontent-length: 0\n\n');
-const STREAM_HEAD =
-  'HTTP/1.1 200 OK\nrequest-id: q\nseal: first\ncontent-type: text/event-stream\ntransfer-encoding: chunked\n\n';
-
-/** One chunk of an HTTP body. */
-function chunk(text: string): string {
-  return `${text.length.toString(16)}\r\n${text}\r\n`;
-}
-
-/** Events with these numbers. */
-function events(...ids: number[]): string {
-  return ids.map(id => `id: ${id}\ndata: t${id}\n\n`).join('');
-}
-
-/** A stream from an event on, ended or left hanging. */
-function stream(
-  seal: string,
-  ids: number[],
-  end: 'whole' | 'reset' | 'silent',
-  extra = '',
-): Handler {
-  return ({socket}) => {
-    socket.write(STREAM_HEAD.replace('first', seal).replaceAll('\n', '\r\n'));
-    socket.write(chunk(events(...ids) + extra));
-    if (end === 'whole') {
-      setTimeout(() => socket.write('0\r\n\r\n'), 10);
-    } else if (end === 'reset') {
-      setTimeout(() => socket.resetAndDestroy(), 10);
-    }
-  };
-}
-
 describe('a plain request', () => {
   test('gets the status, headers and body of its backend server unchanged', async () => {
     const {fixture, backends} = await start([answer('body', 'other: 1\n')]);
@@ -145,7 +73,7 @@
   });
 
   test('is not harmed by bytes behind the answer before', async () => {
-    const {fixture} = await start([answer('mine', '') as Handler]);
+    const {fixture} = await start([answer('mine', '')]);
     await fixture.ask();
     expect((await fixture.ask()).body).toBe('mine');
     const surplus = await start([
@@ -207,6 +135,22 @@
     expect(left).toBeLessThanOrEqual(900);
   });
 
+  test('that waits for a connection goes elsewhere when its backend server leaves', async () => {
+    const {fixture, backends} = await start([() => undefined, answer('b')]);
+    // As many connections as there are, all busy.
+    const [first, second] = fixture.targets;
+    fixture.board.setTargets(new Map([first]));
+    const busy = [1, 2, 3, 4].map(() => fixture.open());
+    await waitUntil('busy', () => backends[0].requests.length === 4);
+    const asked = fixture.ask();
+    await waitUntil('the fifth', () => fixture.flowCount === 5);
+    fixture.board.setTargets(new Map([second]));
+
+    expect((await asked).body).toBe('b');
+    expect(backends[0].requests).toHaveLength(4);
+    busy.forEach(request => request.destroy());
+  });
+
   test('whose caller leaves frees its backend server', async () => {
     const {fixture, backends} = await start([() => undefined]);
     const request = fixture.open();
@@ -217,98 +161,3 @@
     expect(fixture.results[0].outcome).toBe('gone');
   });
 });
-
-describe('a stream', () => {
-  const route = {kind: 'stream', isResumable: true} as const;
-  const model = {model: 'm'};
-
-  test('is passed on event by event under the head of its backend server', async () => {
-    const {fixture} = await start(
-      [stream('a', [1, 2, 3], 'whole')],
-      route,
-      model,
-    );
-    const received = await fixture.ask();
-
-    expect(received.body).toBe(events(1, 2, 3));
-    expect(received.headers.seal).toBe('a');
-    expect(received.isWhole).toBe(true);
-  });
-
-  test('goes on at another backend server behind the last whole event', async () => {
-    const {fixture, backends} = await start(
-      [stream('a', [1, 2], 'reset', 'id: 3\nda'), stream('b', [3, 4], 'whole')],
-      route,
-      model,
-    );
-    const received = await fixture.ask();
-
-    expect(received.body).toBe(events(1, 2, 3, 4));
-    expect(received.headers.seal).toBe('a');
-    expect(backends[1].requests[0].headers.get('last-event-id')).toBe('2');
-  });
-
-  test('that stops in the middle goes on elsewhere, and the silent one is let go', async () => {
-    const {fixture, backends} = await start(
-      [stream('a', [1], 'silent'), stream('b', [2], 'whole')],
-      route,
-      model,
-    );
-    const received = await fixture.ask();
-
-    expect(received.body).toBe(events(1, 2));
-    await waitUntil('closed', () => backends[0].openConnections === 0);
-    expect(fixture.board.listNews().stalled).toEqual(['i0']);
-  });
-
-  test('that may not be resumed is broken off, never ended as whole', async () => {
-    const {fixture} = await start(
-      [stream('a', [1], 'reset'), stream('b', [2], 'whole')],
-      {...route, isResumable: false},
-      model,
-    );
-    const received = await fixture.ask();
-
-    expect(received.isWhole).toBe(false);
-    expect(received.body).toBe(events(1));
-  });
-
-  test('that ends within an event is not whole', async () => {
-    const {fixture} = await start(
-      [stream('a', [1], 'whole', 'id: 2\nda')],
-      {...route, isResumable: false},
-      model,
-    );
-    const received = await fixture.ask();
-
-    expect(received.isWhole).toBe(false);
-    expect(received.body).toBe(events(1));
-  });
-
-  test('beyond the places of every engine is refused early', async () => {
-    const {fixture, backends} = await start(
-      [stream('a', [1], 'whole')],
-      route,
-      model,
-    );
-    fixture.board.setRunningElsewhere({i0: 4});
-    const received = await fixture.ask();
-
-    expect(received.status).toBe(503);
-    expect(fixture.results[0].tookMs).toBeLessThan(500 / 4);
-    expect(backends[0].requests).toHaveLength(0);
-  });
-
-  test('that waits for a place takes the first that gets free', async () => {
-    const {fixture} = await start(
-      [stream('a', [1], 'whole')],
-      {...route, objectiveMs: 20_000},
-      model,
-    );
-    fixture.board.setRunningElsewhere({i0: 4});
-    const asked = fixture.ask();
-    setTimeout(() => fixture.board.setRunningElsewhere({i0: 3}), 50);
-
-    expect((await asked).body).toBe(events(1));
-  });
-});
--- /dev/null
+++ b/test/gateway/stream_flow.test.ts
@@ -0,0 +1,98 @@
+import {describe, expect, test} from 'vitest';
+import {events, start, stream} from '../support/backend_scripts';
+import {waitUntil} from '../support/wait_until';
+
+describe('a stream', () => {
+  const route = {kind: 'stream', isResumable: true} as const;
+  const model = {model: 'm'};
+
+  test('is passed on event by event under the head of its backend server', async () => {
+    const {fixture} = await start(
+      [stream('a', [1, 2, 3], 'whole')],
+      route,
+      model,
+    );
+    const received = await fixture.ask();
+
+    expect(received.body).toBe(events(1, 2, 3));
+    expect(received.headers.seal).toBe('a');
+    expect(received.isWhole).toBe(true);
+  });
+
+  test('goes on at another backend server behind the last whole event', async () => {
+    const {fixture, backends} = await start(
+      [stream('a', [1, 2], 'reset', 'id: 3\nda'), stream('b', [3, 4], 'whole')],
+      route,
+      model,
+    );
+    const received = await fixture.ask();
+
+    expect(received.body).toBe(events(1, 2, 3, 4));
+    expect(received.headers.seal).toBe('a');
+    expect(backends[1].requests[0].headers.get('last-event-id')).toBe('2');
+  });
+
+  test('that stops in the middle goes on elsewhere, and the silent one is let go', async () => {
+    const {fixture, backends} = await start(
+      [stream('a', [1], 'silent'), stream('b', [2], 'whole')],
+      route,
+      model,
+    );
+    const received = await fixture.ask();
+
+    expect(received.body).toBe(events(1, 2));
+    await waitUntil('closed', () => backends[0].openConnections === 0);
+    expect(fixture.board.listNews().stalled).toEqual(['i0']);
+  });
+
+  test('that may not be resumed is broken off, never ended as whole', async () => {
+    const {fixture} = await start(
+      [stream('a', [1], 'reset'), stream('b', [2], 'whole')],
+      {...route, isResumable: false},
+      model,
+    );
+    const received = await fixture.ask();
+
+    expect(received.isWhole).toBe(false);
+    expect(received.body).toBe(events(1));
+  });
+
+  test('that ends within an event is not whole', async () => {
+    const {fixture} = await start(
+      [stream('a', [1], 'whole', 'id: 2\nda')],
+      {...route, isResumable: false},
+      model,
+    );
+    const received = await fixture.ask();
+
+    expect(received.isWhole).toBe(false);
+    expect(received.body).toBe(events(1));
+  });
+
+  test('beyond the places of every engine is refused early', async () => {
+    const {fixture, backends} = await start(
+      [stream('a', [1], 'whole')],
+      route,
+      model,
+    );
+    fixture.board.setRunningElsewhere({i0: 4});
+    const received = await fixture.ask();
+
+    expect(received.status).toBe(503);
+    expect(fixture.results[0].tookMs).toBeLessThan(500 / 4);
+    expect(backends[0].requests).toHaveLength(0);
+  });
+
+  test('that waits for a place takes the first that gets free', async () => {
+    const {fixture} = await start(
+      [stream('a', [1], 'whole')],
+      {...route, objectiveMs: 20_000},
+      model,
+    );
+    fixture.board.setRunningElsewhere({i0: 4});
+    const asked = fixture.ask();
+    setTimeout(() => fixture.board.setRunningElsewhere({i0: 3}), 50);
+
+    expect((await asked).body).toBe(events(1));
+  });
+});
--- /dev/null
+++ b/test/support/backend_scripts.ts
@@ -0,0 +1,77 @@
+/** Backend servers of a few words, and a gateway's flow in front of them. */
+import {afterEach} from 'vitest';
+import {GatewayRules} from '../../src/protocol/gateway_rules';
+import {GatewayTarget} from '../../src/protocol/gateway_target';
+import {BackendStandIn} from './backend_stand_in';
+import {FlowFixture} from './flow_fixture';
+
+type Handler = Parameters<typeof BackendStandIn.create>[0];
+type Route = GatewayRules['routes'][number];
+
+const closers: Array<() => unknown> = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) {
+    await close();
+  }
+});
+
+export async function start(
+  handlers: readonly Handler[],
+  route: Partial<Route> = {},
+  target: Partial<GatewayTarget> = {},
+) {
+  const backends = await Promise.all(
+    handlers.map(handle => BackendStandIn.create(handle)),
+  );
+  const fixture = await FlowFixture.create(backends, route, target);
+  closers.push(...backends.map(backend => () => backend.close()), () =>
+    fixture.close(),
+  );
+  return {fixture, backends};
+}
+
+export function write(text: string): Handler {
+  return ({socket}) => socket.write(text.replaceAll('\n', '\r\n'));
+}
+
+export function answer(body: string, headers = ''): Handler {
+  return write(
+    `HTTP/1.1 200 OK\nrequest-id: q\nseal: s\ncontent-length: ${body.length}\n${headers}\n${body}`,
+  );
+}
+
+export const reset: Handler = ({socket}) => socket.resetAndDestroy();
+export const notRun = write(
+  'HTTP/1.1 503 Full\nnot-run: 1\ncontent-length: 0\n\n',
+);
+export const STREAM_HEAD =
+  'HTTP/1.1 200 OK\nrequest-id: q\nseal: first\ncontent-type: text/event-stream\ntransfer-encoding: chunked\n\n';
+
+/** One chunk of an HTTP body. */
+export function chunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+/** Events with these numbers. */
+export function events(...ids: number[]): string {
+  return ids.map(id => `id: ${id}\ndata: t${id}\n\n`).join('');
+}
+
+/** A stream from an event on, ended or left hanging. */
+export function stream(
+  seal: string,
+  ids: number[],
+  end: 'whole' | 'reset' | 'silent',
+  extra = '',
+): Handler {
+  return ({socket}) => {
+    socket.write(STREAM_HEAD.replace('first', seal).replaceAll('\n', '\r\n'));
+    socket.write(chunk(events(...ids) + extra));
+    if (end === 'whole') {
+      setTimeout(() => socket.write('0\r\n\r\n'), 10);
+    } else if (end === 'reset') {
+      setTimeout(() => socket.resetAndDestroy(), 10);
+    }
+  };
+}
--- a/test/support/flow_fixture.ts
+++ b/test/support/flow_fixture.ts
@@ -3,6 +3,7 @@
 import {AddressInfo} from 'node:net';
 import {systemClock} from '../../src/common/system_clock';
 import {CallerAnswer} from '../../src/gateway/caller_answer';
+import {FlowResult} from '../../src/gateway/flow_result';
 import {RepeatBudget} from '../../src/gateway/repeat_budget';
 import {RequestFlow} from '../../src/gateway/request_flow';
 import {TargetBoard} from '../../src/gateway/target_board';
@@ -13,7 +14,6 @@
 import {plainDialect} from './plain_dialect';
 
 type Route = GatewayRules['routes'][number];
-type Result = Parameters<Parameters<typeof RequestFlow.create>[0]['onDone']>[0];
 
 const CHECK_MS = 5;
 
@@ -43,7 +43,9 @@
 
 /** A small gateway of one route. */
 export class FlowFixture {
-  readonly results: Result[] = [];
+  readonly results: FlowResult[] = [];
+  /** What the board was told at first. */
+  targets: Array<[string, GatewayTarget]> = [];
   readonly board = TargetBoard.create('z', systemClock, () => 0);
   private readonly origins = HttpOrigins.create();
   private readonly flows = new Set<RequestFlow>();
@@ -68,15 +70,12 @@
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
     const route = {...ROUTE, ...changes};
     const fixture = new FlowFixture(server, route, target.model);
-    fixture.board.setTargets(
-      new Map(
-        backends.map(({address}, at) => {
-          const incarnation = `i${at}`;
-          const place = {pool: 'p', address, zone: 'z', slots: 4};
-          return [incarnation, {incarnation, ...place, ...target}];
-        }),
-      ),
-    );
+    fixture.targets = backends.map(({address}, at) => {
+      const incarnation = `i${at}`;
+      const place = {pool: 'p', address, zone: 'z', slots: 4};
+      return [incarnation, {incarnation, ...place, ...target}];
+    });
+    fixture.board.setTargets(new Map(fixture.targets));
     server.on('request', (message, response) =>
       fixture.start(message, response),
     );
@@ -120,6 +119,11 @@
     return request;
   }
 
+  /** Requests that were taken so far. */
+  get flowCount(): number {
+    return this.flows.size;
+  }
+
   async close(): Promise<void> {
     clearInterval(this.timer);
     this.server.closeAllConnections();
