fix(control): large bundles travel in messages of a megabyte

Ruled out: the disk and memory (72 MB at the peak). Change: a message holds entries up to about 1 MB, one at least; the frame limit is 32 MB, since one bundle may be as large as a body may, and travels as text and as rules; what cannot be sent is recorded and counts as lost.

--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -221,7 +221,7 @@
       clock: systemClock,
       timing: defaultRaftTiming,
       random: Math.random,
-      send: (to, message) => this.links?.send(to, message),
+      send: (to, message) => this.sendRaft(to, message),
       onFailure: error => this.fail(error),
       snapshotEvery: settings.snapshotEvery,
       onChange: () => this.signal.announce(),
@@ -274,6 +274,15 @@
     });
   }
 
+  /** What cannot be sent is as good as lost, which the agreement bears. */
+  private sendRaft(to: string, message: RaftMessage): void {
+    try {
+      this.links?.send(to, message);
+    } catch (error) {
+      this.record('message-not-sent', (error as Error).message);
+    }
+  }
+
   private record(type: string, reason: string): void {
     this.events.record({
       type,
--- a/src/coordination/raft_replication.ts
+++ b/src/coordination/raft_replication.ts
@@ -3,12 +3,14 @@
 import {LogEntry} from '../protocol/log_entry';
 import {MessageOf} from '../protocol/message_of';
 import {RaftMessage} from '../protocol/raft_message';
+import {computeEntryBytes} from './compute_entry_bytes';
 import {hasQuorum} from './has_quorum';
 import {RaftProgress} from './raft_progress';
 import {RaftState} from './raft_state';
 
-/** Keeps one message under the frame limit when every entry holds a large bundle. */
-const MAX_ENTRIES_PER_MESSAGE = 16;
+const MAX_ENTRIES_PER_MESSAGE = 256;
+/** More would hold up the heartbeats behind it; a single entry may be larger. */
+const MAX_BYTES_PER_MESSAGE = 1024 * 1024;
 
 type AppendAsk = MessageOf<RaftMessage, 'append-ask'>;
 type AppendAnswer = MessageOf<RaftMessage, 'append-answer'>;
@@ -198,9 +200,8 @@
       this.sendSnapshot(to, progress);
       return;
     }
-    const entries = state.log.slice(
-      progress.nextIndex,
-      MAX_ENTRIES_PER_MESSAGE,
+    const entries = limitBytes(
+      state.log.slice(progress.nextIndex, MAX_ENTRIES_PER_MESSAGE),
     );
     progress.nextIndex += entries.length;
     state.send(to, {
@@ -276,3 +277,12 @@
     return this.state.progress.get(identity)?.matchIndex ?? 0;
   }
 }
+
+/** The first entries that fit into one message, one at least. */
+function limitBytes(entries: readonly LogEntry[]): LogEntry[] {
+  let bytes = 0;
+  return entries.filter((entry, at) => {
+    bytes += computeEntryBytes(entry);
+    return at === 0 || bytes <= MAX_BYTES_PER_MESSAGE;
+  });
+}
--- a/src/transport/frame_connection.ts
+++ b/src/transport/frame_connection.ts
@@ -8,7 +8,8 @@
 import {TransportSecurity} from './transport_security';
 
 const LENGTH_BYTES = 4;
-const DEFAULT_MAX_FRAME_BYTES = 8 * 1024 * 1024;
+/** A bundle may be as large as a body may, and travels as text and as rules. */
+const DEFAULT_MAX_FRAME_BYTES = 32 * 1024 * 1024;
 const DEFAULT_MAX_UNSENT_BYTES = 64 * 1024 * 1024;
 const CONNECT_TIMEOUT_MS = 1_000;
 
--- a/test/coordination/raft_voters.test.ts
+++ b/test/coordination/raft_voters.test.ts
@@ -139,3 +139,57 @@
     expect(decideVoterChange(situation)).toBeUndefined();
   });
 });
+
+describe('entries that hold large bundles', () => {
+  test('go to a follower in several messages, none larger than needed', () => {
+    const voters = new Map([
+      ['a', 'a/1'],
+      ['b', 'b/1'],
+    ]);
+    const limits = {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    };
+    const entries = [1, 2, 3, 4].map(index => ({
+      index,
+      term: 1,
+      command: {
+        type: 'accept-channel-bundle' as const,
+        time: 0,
+        bundle: {
+          channel: 'c',
+          source: 'x'.repeat(300_000),
+          rules: {version: index, routes: [], pools: [], limits},
+        },
+      },
+    }));
+    const node = RaftNode.create({
+      identity: 'a/1',
+      log: RaftLog.create({index: 0, term: 0, voters}, entries),
+      term: 1,
+      votedFor: undefined,
+      commitIndex: 0,
+      timing: TIMING,
+      random: () => 0,
+      readSnapshot: () => new Uint8Array(),
+      now: 0,
+    });
+    expect(elect(node, ['b/1'])).toBe('leader');
+    const answer = {
+      type: 'append-answer' as const,
+      term: 2,
+      isMatch: false,
+      matchIndex: 0,
+      round: 1,
+    };
+    node.step({type: 'message', from: 'b/1', message: answer}, 1_010);
+    const {messages} = node.step({type: 'tick'}, 1_200);
+    const [sent] = messages.flatMap(({message}) =>
+      message.type === 'append-ask' ? [message.entries.length] : [],
+    );
+
+    expect(sent).toBe(1);
+  });
+});
