--- a/src/coordination/raft_replication.ts
+++ b/src/coordination/raft_replication.ts
@@ -200,7 +200,7 @@
       this.sendSnapshot(to, progress);
       return;
     }
-    const entries = limitBytes(
+    const entries = takeFitting(
       state.log.slice(progress.nextIndex, MAX_ENTRIES_PER_MESSAGE),
     );
     progress.nextIndex += entries.length;
@@ -279,7 +279,7 @@
 }
 
 /** The first entries that fit into one message, one at least. */
-function limitBytes(entries: readonly LogEntry[]): LogEntry[] {
+function takeFitting(entries: readonly LogEntry[]): LogEntry[] {
   let bytes = 0;
   return entries.filter((entry, at) => {
     bytes += computeEntryBytes(entry);
