refactor(control): orders to engines have a file of their own; a new leader's allowance of loads is empty

Cause: the planner's loop held plans, orders and loads in 350 lines; reading it showed that a bucket that nobody had used was full for a new leader, and that an error in a plan would have stopped all later plans. Change: OrderDispatcher; the allowance begins anew with each lead; the loop goes on after an error.

--- a/src/control/backend_health.ts
+++ b/src/control/backend_health.ts
@@ -10,7 +10,7 @@
 const DOUBT_INTERVALS = 2;
 /** Failed questions in a row that count as a loss. */
 const FAILED_PROBES = 2;
-/** The same where a gateway says that the group stands still: one more witness. */
+/** The same where a gateway says that the group has stalled: one more witness. */
 const FAILED_PROBES_STALLED = 1;
 /** Between two questions to one backend server that is in doubt. */
 const PROBE_EVERY_MS = 150;
@@ -19,7 +19,7 @@
 
 interface Doubt {
   failures: number;
-  /** A gateway says that its group stands still. */
+  /** A gateway says that its group has stalled. */
   isStalled: boolean;
   isAsking: boolean;
   askedAt: number;
--- a/src/control/control_settings.ts
+++ b/src/control/control_settings.ts
@@ -18,7 +18,7 @@
 interface PoolDuties {
   /** Between two registrations of one backend server, in milliseconds. */
   readonly heartbeatMs: number;
-  /** How long work on a group stands still before it breaks, in milliseconds. */
+  /** How long a group that lost a member stalls before its head reports it broken, in milliseconds. */
   readonly stallMs: number;
   /** Absent where nobody gives orders to engines. */
   readonly orders?: EngineOrders;
--- a/src/control/engine_planner_loop.ts
+++ b/src/control/engine_planner_loop.ts
@@ -5,15 +5,14 @@
 import {EngineAction} from '../coordination/engine_action';
 import {planEngineGroups} from '../coordination/plan_engine_groups';
 import {ControlCommand} from '../protocol/control_command';
-import {EngineGroup} from '../protocol/engine_group';
-import {EngineProfile} from '../protocol/engine_profile';
+import {listMemberNames} from '../protocol/list_member_names';
 import {GatewayRules} from '../protocol/gateway_rules';
 import {BackendHealth} from './backend_health';
 import {BackendRegistry} from './backend_registry';
 import {ControlSettings} from './control_settings';
 import {GatewayDesk} from './gateway_desk';
 import {HeadRelease} from './head_release';
-import {LoadAllowance} from './load_allowance';
+import {OrderDispatcher} from './order_dispatcher';
 import {RaftRuntime} from './raft_runtime';
 
 /** A repair takes half a dozen steps, each of which waits for the next plan. */
@@ -24,38 +23,11 @@
 const SILENT_INTERVALS = 3;
 /** Without a new host for this many registration intervals, all that live are known. */
 const SETTLED_INTERVALS = 0.7;
-/** An order that was taken shows in a registration; longer silence asks again. */
-const RETRY_MS = {
-  begun: 3_000,
-  holds: 1_000,
-  // An engine tells its count of orders some 200 ms late, and expects the right one.
-  unfit: 200,
-  unanswered: 1_500,
-  fenced: 30_000,
-};
 
-/** A closing engine that leaves says nothing when it is done, so it is asked. */
-const CLOSE_CHECK_MS = 250;
-/** Margin below the pool's limit on loads, for those of a leader before. */
-const SERVING_LOAD_FACTOR = 0.9;
-/** Before the first request many hosts load at once, each the slower for it. */
-const EARLY_LOAD_FACTOR = 3;
 /** After a group ends, its hosts serve again within this time; only then is it seen what is missing. */
 const REBALANCE_EVERY_MS = 2_500;
-/** Loads slow each other down; longer than this one has been lost. */
-const SLOW_LOAD = 2;
 
 type Pool = GatewayRules['pools'][number];
-type Order = Extract<EngineAction, {type: 'order'}>;
-
-/** An order that was given. */
-interface LastOrder {
-  readonly key: string;
-  /** When the same order may be given again. */
-  againAt: number;
-  /** No answer came yet. */
-  isPending: boolean;
-}
 
 /** What the loop works on. */
 interface EnginePlannerOptions {
@@ -72,15 +44,10 @@
   private readonly timer: NodeJS.Timeout;
   private readonly health: BackendHealth;
   private readonly release: HeadRelease;
-  private readonly allowance: LoadAllowance;
   private readonly peaks = new Map<string, number>();
-  /** The newest order to each engine, by incarnation. */
-  private readonly lastOrders = new Map<string, LastOrder>();
-  /** When the loads that were ordered should be done, by incarnation. */
-  private readonly loadsUntil = new Map<string, number>();
-  /** When a group was last ended, for whatever reason. */
+  private readonly orders: OrderDispatcher;
+  /** When a group was last ended: for a while after it no hosts are moved. */
   private rebalancedAt = -Infinity;
-  private wasServing = false;
   private plannedTerm = -1;
   private isCommitting = false;
 
@@ -94,7 +61,7 @@
       events,
     });
     this.release = HeadRelease.create(registry, duties.stallMs);
-    this.allowance = LoadAllowance.create(0, clock.now());
+    this.orders = OrderDispatcher.create(options);
     this.timer = setInterval(() => void this.run(), PLAN_EVERY_MS);
   }
 
@@ -123,16 +90,19 @@
     }
     if (this.plannedTerm !== runtime.raft.term) {
       this.plannedTerm = runtime.raft.term;
-      this.lastOrders.clear();
+      this.orders.clear();
       this.health.clear();
       this.peaks.clear();
     }
     registry.expire(now);
     this.isCommitting = true;
-    for (const pool of runtime.state.channel.rules?.pools ?? []) {
-      await this.planPool(pool, now);
+    try {
+      for (const pool of runtime.state.channel.rules?.pools ?? []) {
+        await this.planPool(pool, now);
+      }
+    } finally {
+      this.isCommitting = false;
     }
-    this.isCommitting = false;
   }
 
   private async planPool(pool: Pool, now: number): Promise<void> {
@@ -173,7 +143,7 @@
     await this.commitChanges(actions);
     for (const action of actions) {
       if (action.type === 'order') {
-        this.giveOrder(action, pool.engine, now);
+        this.orders.give(action, pool.engine, now);
       }
     }
   }
@@ -200,7 +170,7 @@
       const id = isSetting ? command.group.name : command.name;
       const details: Record<string, string | number> = isSetting
         ? {
-            members: listMembers(command.group).join(' '),
+            members: listMemberNames(command.group).join(' '),
             domain: command.group.domain,
           }
         : {epoch: command.epoch};
@@ -211,110 +181,6 @@
     // A change that fails is planned again; the loss of the lead is recorded elsewhere.
     await Promise.all(proposals).catch(() => undefined);
   }
-
-  private giveOrder(order: Order, profile: EngineProfile, now: number): void {
-    const {incarnation, kind, group} = order;
-    const key = `${kind} ${group?.epoch ?? ''}`;
-    const last = this.lastOrders.get(incarnation);
-    // The same order waits for its effect; another one only for the answer.
-    const isHeld = last?.isPending || (last?.key === key && now < last.againAt);
-    if (isHeld) {
-      return;
-    }
-    if (order.isLoad && !this.takeLoad(order, profile, now)) {
-      return;
-    }
-    const entry = {key, againAt: Infinity, isPending: true};
-    this.lastOrders.set(incarnation, entry);
-    const loadMs =
-      profile.models.find(({name}) => name === order.model)?.loadMs ?? 0;
-    void this.sendOrder(order)
-      .catch(() => 'unanswered' as const)
-      .then(outcome => {
-        entry.isPending = false;
-        const isLoading = order.isLoad && outcome === 'begun';
-        // An engine that does not fit is loading something else.
-        this.recordEffect(order, outcome);
-        const isBusy = kind === 'stage' && outcome === 'unfit';
-        const waitMs =
-          isLoading || isBusy ? loadMs * SLOW_LOAD : RETRY_MS[outcome];
-        const isClosing = kind === 'close' && outcome === 'begun';
-        entry.againAt =
-          this.options.clock.now() + (isClosing ? CLOSE_CHECK_MS : waitMs);
-      });
-  }
-
-  /** Before the first request loads are quick and do not count against the limit. */
-  private takeLoad(order: Order, profile: EngineProfile, now: number): boolean {
-    const {hasServed} = this.options.desk;
-    if (hasServed !== this.wasServing) {
-      this.wasServing = hasServed;
-      this.allowance.clear();
-      this.loadsUntil.clear();
-    }
-    for (const [incarnation, endsAt] of this.loadsUntil) {
-      if (endsAt < now) {
-        this.loadsUntil.delete(incarnation);
-      }
-    }
-    const isFull = hasServed && this.loadsUntil.size >= profile.concurrentLoads;
-    const factor = hasServed ? SERVING_LOAD_FACTOR : EARLY_LOAD_FACTOR;
-    const perSecond = profile.loadsPerSecond * factor;
-    if (isFull || !this.allowance.take(perSecond, now)) {
-      return false;
-    }
-    const loadMs =
-      profile.models.find(({name}) => name === order.model)?.loadMs ?? 0;
-    this.loadsUntil.set(order.incarnation, now + loadMs);
-    return true;
-  }
-
-  /** What an engine answered counts before its next registration; one that leaves sends none. */
-  private recordEffect(order: Order, outcome: keyof typeof RETRY_MS): void {
-    const {registry, clock} = this.options;
-    const {incarnation, kind, group} = order;
-    const told = registry.find(incarnation)?.registration.group;
-    const isSame = told?.name === group?.name && told?.epoch === group?.epoch;
-    if (outcome !== 'holds' || !told || !isSame) {
-      return;
-    }
-    if (kind === 'leave') {
-      registry.recordGroup(incarnation, undefined, clock.now());
-    } else if (kind === 'close') {
-      const closed = {...told, state: 'ready' as const};
-      registry.recordGroup(incarnation, closed, clock.now());
-    }
-  }
-
-  private async sendOrder(order: Order): Promise<keyof typeof RETRY_MS> {
-    const {duties, runtime, events} = this.options;
-    const {incarnation, address, kind, group, model, reason} = order;
-    const outcome = await (duties.orders?.send({
-      incarnation,
-      address,
-      fence: runtime.raft.term,
-      order: {
-        kind,
-        group: group && {name: group.name, epoch: group.epoch},
-        model: kind === 'join' || kind === 'stage' ? model : undefined,
-        members: kind === 'join' && group ? listMembers(group) : undefined,
-      },
-    }) ?? 'unanswered');
-    events.record({
-      type: `engine-order-${outcome}`,
-      subject: 'host',
-      id: incarnation,
-      reason,
-      details: {
-        order: kind,
-        group: group?.name ?? '',
-        epoch: group?.epoch ?? 0,
-        model: model ?? '',
-        fence: runtime.raft.term,
-      },
-    });
-    return outcome;
-  }
 }
 
 type GroupCommand = Extract<
@@ -347,7 +213,3 @@
   const {name, epoch} = action;
   return [{type: COMMANDS[action.type], time, name, epoch, reason}];
 }
-
-function listMembers(group: Pick<EngineGroup, 'members'>): string[] {
-  return group.members.map(member => member.incarnation);
-}
--- a/src/control/head_release.ts
+++ b/src/control/head_release.ts
@@ -2,7 +2,7 @@
 import {EngineGroup} from '../protocol/engine_group';
 import {BackendRegistry} from './backend_registry';
 
-/** Beyond the time after which a head that stands still is broken, for the way of its orders and words. */
+/** Beyond the time after which a stalled head is broken, for messages on their way. */
 const MARGIN_MS = 500;
 
 /**
@@ -21,7 +21,7 @@
   /**
    * Creates a memory that knows of no departure.
    *
-   * @param stallMs how long a head stands still before it is broken
+   * @param stallMs how long a head stalls before it is broken
    * @example
    * const release = HeadRelease.create(registry, 5000);
    */
--- a/src/control/load_allowance.ts
+++ b/src/control/load_allowance.ts
@@ -22,9 +22,10 @@
     return new LoadAllowance(perSecond, 0, now);
   }
 
-  /** Forgets what was saved up: another limit is in force. */
-  clear(): void {
+  /** Begins anew with nothing saved up. */
+  clear(now: number): void {
     this.tokens = 0;
+    this.filledAt = now;
   }
 
   /** Takes one load; false when it must wait. */
--- a/src/coordination/engine_plan_input.ts
+++ b/src/coordination/engine_plan_input.ts
@@ -23,7 +23,7 @@
   readonly isPressed: (model: string) => boolean;
   /** It drains or said goodbye. */
   readonly isRetired: (incarnation: string) => boolean;
-  /** Its group stands still, or would: it does not answer. */
+  /** It does not answer, so its group has stalled or soon will. */
   readonly isLost: (incarnation: string) => boolean;
   /** Its head, silent or dead, is proved to count on no member any more. */
   readonly isLetGo: (group: EngineGroup) => boolean;
