test(soak): real processes killed, frozen, stopped and wiped, promises checked from outside

Change: npm run soak plays seeds with three control and two entry processes, backend servers that count what they run, callers and an operator.

--- /dev/null
+++ b/test/soak/main.ts
@@ -0,0 +1,19 @@
+/** `npm run soak -- FIRST_SEED COUNT SECONDS`: plays seeds one after the other and says what broke. */
+import {SoakRun} from './soak_run';
+
+async function main(): Promise<void> {
+  const [first = '1', count = '1', seconds = '20'] = process.argv.slice(2);
+  for (let at = 0; at < Number(count); at += 1) {
+    const seed = Number(first) + at;
+    const run = await SoakRun.play({seed, forMs: Number(seconds) * 1_000});
+    const {answered, refused, acknowledged, broken} = run;
+    const result = {seed, answered, refused, acknowledged, broken};
+    process.stdout.write(`${JSON.stringify(result)}\n`);
+    process.exitCode = broken.length > 0 ? 1 : process.exitCode;
+  }
+}
+
+main().catch((error: Error) => {
+  process.stderr.write(`${error.stack}\n`);
+  process.exitCode = 1;
+});
--- a/test/support/managed_process.ts
+++ b/test/support/managed_process.ts
@@ -10,6 +10,8 @@
   /** Script below `build/`. */
   readonly script: string;
   readonly args: readonly string[];
+  /** Beside the variables of the test itself. */
+  readonly env?: Readonly<Record<string, string>>;
 }
 
 /** Flags for Node itself, for a profile of every process: `--cpu-prof --cpu-prof-dir=...`. */
@@ -57,6 +59,7 @@
       [...readNodeArgs(), '-r', guard, file, ...options.args],
       {
         stdio: ['pipe', 'pipe', 'pipe'],
+        env: {...process.env, ...options.env},
       },
     );
     let stderr = '';
