--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -237,8 +237,15 @@
   private get tableTag(): string {
     const {registry, runtime, identity} = this.options;
     const {name} = splitIdentity(identity);
-    const {engines} = runtime.state;
-    return `${name}/${runtime.raft.term}/${registry.version}/${engines.version}`;
+    const {engines, channel} = runtime.state;
+    // The rules tell which pools there are, so a table is made under one version.
+    return [
+      name,
+      runtime.raft.term,
+      registry.version,
+      engines.version,
+      channel.version,
+    ].join('/');
   }
 
   /** A new leader has not heard every backend server yet. */
--- a/test/control/seeded_quorum.test.ts
+++ b/test/control/seeded_quorum.test.ts
@@ -237,6 +237,21 @@
     expect(after.retired).toEqual(['i1']);
   });
 
+  test('a gateway is told backend servers that registered before the first rules', async () => {
+    const {client} = await startOne();
+    await client.ask<'registration-ask'>(register({}), ASK_MS);
+    const early = await client.ask<'gateway-ask'>(gatewayAsk, ASK_MS);
+    expect(early.targets).toEqual([]);
+    await rollOutPool(client);
+    const {tableTag} = early;
+    const answer = await client.ask<'gateway-ask'>(
+      {...gatewayAsk, tableTag},
+      ASK_MS,
+    );
+
+    expect(answer.targets?.map(target => target.incarnation)).toEqual(['i1']);
+  });
+
   test('a departure that was acknowledged outlives the process', async () => {
     const [name] = await reserveNames();
     const folder = createFolder();
