test(soak): run the soak after all other files, not beside the scenarios

The soak test starts and kills processes and ran beside them. Ruled out: load of our own benches, none ran then. Change: the order of the files; no test or limit is changed. Conclusion: isolation only; the cause is to be traced next.

--- a/vitest.config.mts
+++ b/vitest.config.mts
@@ -1,12 +1,29 @@
 import {defineConfig} from 'vitest/config';
 
+/** The soak starts and kills many processes, so it runs after all other files. */
+const SOAK = 'test/soak/**/*.test.ts';
+
 export default defineConfig({
   test: {
-    include: ['test/**/*.test.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000,
     pool: 'forks',
     maxWorkers: 3,
     maxConcurrency: 3,
+    projects: [
+      {
+        extends: true,
+        test: {
+          name: 'product',
+          include: ['test/**/*.test.ts'],
+          exclude: [SOAK],
+          sequence: {groupOrder: 0},
+        },
+      },
+      {
+        extends: true,
+        test: {name: 'soak', include: [SOAK], sequence: {groupOrder: 1}},
+      },
+    ],
   },
 });
