fix(control): check rules in the product, not only in the adapter

Cause: platform/ decided which rules are good (routes that lead nowhere, two at one place, a shared key); another adapter would have got none of it, and control accepted such rules from anyone on a trusted channel. Ruled out: throwing from the handler. A first try did; the error was an unhandled rejection that ends a control process (test showed it). Change: checkGatewayRules in src/protocol; control answers with the reason and changes nothing; platform/ translates, then asks the same function and wraps its error, so the operator's answer stays 400.

--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -3,6 +3,8 @@
 import {EventRing} from '../common/event_ring';
 import {BackendView} from '../coordination/backend_view';
 import {BackendRegistration} from '../protocol/backend_registration';
+import {ChannelBundle} from '../protocol/channel_bundle';
+import {checkGatewayRules} from '../protocol/check_gateway_rules';
 import {ControlMessage} from '../protocol/control_message';
 import {GatewayTarget} from '../protocol/gateway_target';
 import {MessageOf} from '../protocol/message_of';
@@ -110,6 +112,11 @@
     if (!settings.trustedChannels?.includes(bundle.channel)) {
       throw new ControlError('the channel %s is not trusted', bundle.channel);
     }
+    const wrong = findWrongRules(bundle);
+    if (wrong !== undefined) {
+      const {version} = runtime.state.channel;
+      return {type: 'channel-bundle-answer', call, version, reason: wrong};
+    }
     this.checkCopies();
     const time = Date.now();
     const {reason} = await runtime.propose({
@@ -314,3 +321,12 @@
     }
   }
 }
+
+function findWrongRules({rules}: ChannelBundle): string | undefined {
+  try {
+    checkGatewayRules(rules);
+    return undefined;
+  } catch (error) {
+    return (error as Error).message;
+  }
+}
--- a/test/control/seeded_quorum.test.ts
+++ b/test/control/seeded_quorum.test.ts
@@ -69,6 +69,20 @@
   return control;
 }
 
+const STRAY_ROUTE = {
+  name: 'r',
+  host: 'h',
+  pathPrefix: '/',
+  kind: 'safe' as const,
+  timeoutMs: 1_000,
+  objectiveMs: 100,
+  priority: 0,
+  targets: [{pool: 'nowhere', weight: 1}],
+  maxAttempts: 1,
+  isAnonymous: true,
+  isResumable: false,
+};
+
 function createClient(addresses: readonly string[]): ControlClient {
   const client = ControlClient.create({
     addresses,
@@ -307,6 +321,21 @@
     expect(await readSource(client)).toBeNull();
   });
 
+  test('rules that lead nowhere are refused by control, whoever translated them', async () => {
+    const {client} = await startOne();
+    const base = bundle(1);
+    const rules = {...base.rules, pools: [], routes: [STRAY_ROUTE]};
+    const ask = {
+      type: 'channel-bundle-ask' as const,
+      bundle: {...base, rules},
+    };
+
+    const answer = await client.ask<'channel-bundle-ask'>(ask, ASK_MS);
+    expect(answer.version).toBe(0);
+    expect(answer.reason).toBe('route r names the unknown pool "nowhere"');
+    expect(await readSource(client)).toBeNull();
+  });
+
   test('an older version is acknowledged and changes nothing', async () => {
     const {client} = await startOne();
     await rollOut(client, 4);
--- a/test/platform/translation.test.ts
+++ b/test/platform/translation.test.ts
@@ -79,7 +79,12 @@
     [
       'an unknown service',
       {routes: [{...ROUTE, service: 'u'}]},
-      'unknown service',
+      'unknown pool "u"',
+    ],
+    [
+      'a route that names no service',
+      {routes: [{...ROUTE, service: undefined}]},
+      'route r names no pool',
     ],
     ['two routes at one place', {routes: twice}, 'two routes'],
     ['weights that add up to 0', {routes: weightless}, 'add up to 0'],
