feat(gateway): the log of a request tells its first event and the load at its target

Logs did not tell whether late answers waited at engines or for a place. Change: each result carries the time to the first event and the requests known to run at the target when it was chosen.

--- a/src/gateway/flow_result.ts
+++ b/src/gateway/flow_result.ts
@@ -8,5 +8,9 @@
   readonly targets: readonly string[];
   /** Events of a stream that were passed on. */
   readonly events: number;
+  /** From arrival to the first event of a stream; -1 without one. */
+  readonly firstEventMs: number;
+  /** Requests known to run at the last target when it was chosen; -1 when none was. */
+  readonly runningAtTarget: number;
   readonly tookMs: number;
 }
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -300,6 +300,7 @@
     result: FlowResult,
   ): void {
     const {outcome, reason, status, targets, events, tookMs} = result;
+    const {firstEventMs, runningAtTarget} = result;
     if (outcome === 'refused' && request.model !== undefined) {
       this.pressedAt.set(request.model, this.clock.now());
     }
@@ -313,6 +314,8 @@
         status,
         targets: targets.join(' '),
         events,
+        firstEventMs,
+        runningAtTarget,
         tookMs,
         model: request.model ?? '',
         promptTokens: request.promptTokens,
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -57,6 +57,8 @@
   private heldBytes = 0;
   private lastEventId: string | undefined;
   private eventCount = 0;
+  private firstEventMs = -1;
+  private runningAtTarget = -1;
   private runs = 0;
   private refusals = 0;
   private readonly tried = new Set<string>();
@@ -173,6 +175,7 @@
   private sendTo(target: GatewayTarget): void {
     const {options} = this;
     const {request, board, clock} = options;
+    this.runningAtTarget = board.countRunning(target.incarnation);
     this.tried.add(target.incarnation);
     this.targets.push(target.incarnation);
     this.splitter = EventSplitter.create();
@@ -234,13 +237,16 @@
   }
 
   private passEvent(bytes: Buffer, id: string | undefined): void {
-    const {answer} = this.options;
+    const {answer, arrivedAt, clock} = this.options;
     if (this.isDone || !this.head) {
       return;
     }
     if (!answer.hasBegun) {
       answer.begin(this.head);
     }
+    if (this.eventCount === 0) {
+      this.firstEventMs = Math.round(clock.now() - arrivedAt);
+    }
     this.eventCount += 1;
     this.lastEventId = id ?? this.lastEventId;
     const {attempt} = this;
@@ -380,7 +386,16 @@
   ): void {
     const {arrivedAt, clock, onDone} = this.options;
     const tookMs = Math.round(clock.now() - arrivedAt);
-    const {targets, eventCount: events} = this;
-    onDone({outcome, reason, status, targets, events, tookMs});
+    const {targets, eventCount: events, firstEventMs, runningAtTarget} = this;
+    onDone({
+      outcome,
+      reason,
+      status,
+      targets,
+      events,
+      firstEventMs,
+      runningAtTarget,
+      tookMs,
+    });
   }
 }
--- a/src/gateway/target_board.ts
+++ b/src/gateway/target_board.ts
@@ -147,6 +147,12 @@
     }
   }
 
+  /** Requests known to run at a target, here and at the other gateways; -1 for one that is not known. */
+  countRunning(incarnation: string): number {
+    const standing = this.standings.get(incarnation);
+    return standing ? standing.running + standing.runningElsewhere : -1;
+  }
+
   /** When bytes last came from a target. */
   findHeardAt(incarnation: string): number {
     return this.standings.get(incarnation)?.heardAt ?? -Infinity;
