feat(coordination): free hosts wait for the model that lacks groups most

Cause: after losses the model on two hosts found a place almost anywhere and took each free host, also the survivors of broken groups of the model on four; empty hosts loaded the small model, too, as copies on disks counted like hosts in groups. A spare could not be parked again after a change of leader (412: epoch 1 is under one that it had seen). Ruled out: the way of a request (first events are in time while hosts are there), the limit on loads alone (the loads that were made went to the small model). Change: a model that lacks groups reserves hosts in the domain where least is missing, against models with more hosts for their share; empty hosts load the model they are reserved for, else what has least hosts, those that are loading included; hosts come from several groups of one domain at once, also while a silent head holds others; parking uses the newest place in the log as its epoch.

--- a/src/control/engine_planner_loop.ts
+++ b/src/control/engine_planner_loop.ts
@@ -132,6 +132,8 @@
         now - runtime.leadingSince < duties.heartbeatMs * SILENT_INTERVALS,
       isRetired: incarnation => engines.isRetired(incarnation),
       mayRebalance: now - this.rebalancedAt > REBALANCE_EVERY_MS,
+      epoch: runtime.raft.commitIndex,
+      findLoading: incarnation => this.orders.findLoading(incarnation),
       isPressed: model => desk.isPressed(model),
       isLost: incarnation => this.health.isLost(incarnation),
       isLetGo: group => this.release.isLetGo(group, now),
--- a/src/control/order_dispatcher.ts
+++ b/src/control/order_dispatcher.ts
@@ -53,8 +53,8 @@
 export class OrderDispatcher {
   /** The newest order to each engine, by incarnation. */
   private readonly lastOrders = new Map<string, LastOrder>();
-  /** When the loads that were ordered should be done, by incarnation. */
-  private readonly loadsUntil = new Map<string, number>();
+  /** The loads that were ordered, and when each should be done, by incarnation. */
+  private readonly loads = new Map<string, {model: string; endsAt: number}>();
   private readonly allowance: LoadAllowance;
   private wasServing = false;
 
@@ -76,14 +76,19 @@
   /** Forgets every order: another process led meanwhile, and may have begun loads. */
   clear(): void {
     this.lastOrders.clear();
-    this.loadsUntil.clear();
+    this.loads.clear();
     this.allowance.clear(this.options.clock.now());
   }
 
+  /** The model that an engine was told to load lately. */
+  findLoading(incarnation: string): string | undefined {
+    return this.loads.get(incarnation)?.model;
+  }
+
   /** Gives an order, unless the same one still waits for its effect. */
   give(order: Order, profile: EngineProfile, now: number): void {
-    const {incarnation, kind, group} = order;
-    const key = `${kind} ${group?.epoch ?? ''}`;
+    const {incarnation, kind, group, isParking} = order;
+    const key = isParking ? 'park' : `${kind} ${group?.epoch ?? ''}`;
     const last = this.lastOrders.get(incarnation);
     // The same order waits for its effect; another one only for the answer.
     const isHeld = last?.isPending || (last?.key === key && now < last.againAt);
@@ -119,14 +124,14 @@
     if (hasServed !== this.wasServing) {
       this.wasServing = hasServed;
       this.allowance.clear(now);
-      this.loadsUntil.clear();
+      this.loads.clear();
     }
-    for (const [incarnation, endsAt] of this.loadsUntil) {
+    for (const [incarnation, {endsAt}] of this.loads) {
       if (endsAt < now) {
-        this.loadsUntil.delete(incarnation);
+        this.loads.delete(incarnation);
       }
     }
-    const isFull = hasServed && this.loadsUntil.size >= profile.concurrentLoads;
+    const isFull = hasServed && this.loads.size >= profile.concurrentLoads;
     const factor = hasServed ? SERVING_LOAD_FACTOR : EARLY_LOAD_FACTOR;
     const perSecond = profile.loadsPerSecond * factor;
     if (isFull || !this.allowance.take(perSecond, now)) {
@@ -134,7 +139,8 @@
     }
     const loadMs =
       profile.models.find(({name}) => name === order.model)?.loadMs ?? 0;
-    this.loadsUntil.set(order.incarnation, now + loadMs);
+    const {incarnation, model = ''} = order;
+    this.loads.set(incarnation, {model, endsAt: now + loadMs});
     return true;
   }
 
--- a/src/coordination/engine_action.ts
+++ b/src/coordination/engine_action.ts
@@ -22,6 +22,8 @@
       readonly incarnation: string;
       readonly address: string;
       readonly group?: EngineGroup;
+      /** Its group has one host and never opens; its epoch rises while the order waits. */
+      readonly isParking?: boolean;
       /** The model of a `join` or `stage`. */
       readonly model?: string;
       /** It reads weights from the store, where loads are limited. */
--- /dev/null
+++ b/src/coordination/engine_counts.ts
@@ -0,0 +1,58 @@
+/** How many groups each model has, and which model lacks hosts most. */
+import {EngineGroup} from '../protocol/engine_group';
+import {EngineProfile} from '../protocol/engine_profile';
+
+type Model = EngineProfile['models'][number];
+
+/** Counts that follow while one plan is made. */
+export class EngineCounts {
+  private constructor(
+    private readonly groups: Map<string, number>,
+    private readonly spares: Map<string, number>,
+  ) {}
+
+  /**
+   * Counts the committed groups. One that ends is soon formed anew from its
+   * hosts, unless a silent head holds them.
+   *
+   * @example
+   * const counts = EngineCounts.create(input.groups, input.isLost);
+   */
+  static create(
+    groups: readonly EngineGroup[],
+    isLost: (incarnation: string) => boolean,
+  ): EngineCounts {
+    const counts = new EngineCounts(new Map(), new Map());
+    for (const {model, isEnding, members} of groups) {
+      if (!isEnding || !isLost(members[0].incarnation)) {
+        counts.addGroup(model);
+      }
+    }
+    return counts;
+  }
+
+  addGroup(model: string): void {
+    this.groups.set(model, this.countGroups(model) + 1);
+  }
+
+  /** Notes a host outside of groups that has this model, or is loading it. */
+  addSpare(model: string): void {
+    this.spares.set(model, (this.spares.get(model) ?? 0) + 1);
+  }
+
+  countGroups(model: string): number {
+    return this.groups.get(model) ?? 0;
+  }
+
+  /** Hosts in groups for the model's share of the work; the least is the neediest. */
+  computeRank({name, size, share}: Model): number {
+    const hosts = this.countGroups(name) * size;
+    return hosts / Math.max(share, Number.EPSILON);
+  }
+
+  /** The same with the spares that have the model. */
+  computeSupply({name, size, share}: Model): number {
+    const hosts = this.countGroups(name) * size + (this.spares.get(name) ?? 0);
+    return hosts / Math.max(share, Number.EPSILON);
+  }
+}
--- a/src/coordination/engine_plan_input.ts
+++ b/src/coordination/engine_plan_input.ts
@@ -19,6 +19,10 @@
   readonly isStillListening: boolean;
   /** False for a while after hosts were moved, so that they do not go to and fro. */
   readonly mayRebalance: boolean;
+  /** An epoch that no engine has seen a higher one of: the newest place in the log. */
+  readonly epoch: number;
+  /** The model that an engine was told to load and does not have yet. */
+  readonly findLoading: (incarnation: string) => string | undefined;
   /** Requests are refused for want of a place at this model. */
   readonly isPressed: (model: string) => boolean;
   /** It drains or said goodbye. */
--- /dev/null
+++ b/src/coordination/engine_reservation.ts
@@ -0,0 +1,9 @@
+import {EngineProfile} from '../protocol/engine_profile';
+import {BackendView} from './backend_view';
+
+/** Free hosts of one domain that wait to become a group of a model. */
+export interface EngineReservation {
+  readonly model: EngineProfile['models'][number];
+  readonly domain: string;
+  readonly hosts: readonly BackendView[];
+}
--- a/src/coordination/plan_engine_formation.ts
+++ b/src/coordination/plan_engine_formation.ts
@@ -3,8 +3,11 @@
 import {BackendView} from './backend_view';
 import {computeReadyMs} from './compute_ready_ms';
 import {EngineAction} from './engine_action';
+import {EngineCounts} from './engine_counts';
 import {EnginePlanInput} from './engine_plan_input';
+import {EngineReservation} from './engine_reservation';
 import {listFreeEngines} from './list_free_engines';
+import {reserveEngines} from './reserve_engines';
 
 /** The part of a domain's hosts that is kept to take the place of lost members. */
 const SPARE_SHARE = 0.25;
@@ -36,33 +39,45 @@
   readonly slack: number;
 }
 
+/** New groups, and the free hosts that wait for one. */
+interface EngineFormation {
+  readonly actions: readonly EngineAction[];
+  readonly reservations: readonly EngineReservation[];
+}
+
 /**
  * Plans new groups: those that need no load first, then for the model that has
- * the fewest hosts for its share of the work.
+ * the fewest hosts for its share of the work. Hosts that such a model can soon
+ * use are kept from models that need them less.
  *
  * @param mayBeFar groups over several domains may be formed, too
  * @example
- * const actions = planEngineFormation(input);
+ * const {actions, reservations} = planEngineFormation(input);
  */
 export function planEngineFormation(
   input: EnginePlanInput,
   mayBeFar = true,
-): EngineAction[] {
+): EngineFormation {
   const actions: EngineAction[] = [];
   let free = listFreeEngines(input);
-  const counts = countGroups(input);
+  const counts = EngineCounts.create(input.groups, input.isLost);
   const names = new Set(input.groups.map(group => group.name));
   for (;;) {
-    const [option] = listOptions(input, free, counts, mayBeFar).sort(
-      compareOptions,
-    );
+    const reservations = listReservations(input, free, counts);
+    const [option] = listOptions(
+      input,
+      free,
+      counts,
+      reservations,
+      mayBeFar,
+    ).sort(compareOptions);
     if (!option) {
-      break;
+      return {actions, reservations};
     }
     const {model, hosts, domain, readyMs} = option;
     const name = findFreeName(model.name, names);
     names.add(name);
-    counts.set(model.name, (counts.get(model.name) ?? 0) + 1);
+    counts.addGroup(model.name);
     free = free.filter(host => !hosts.includes(host));
     const members = hosts.map(({registration}) => ({
       incarnation: registration.incarnation,
@@ -83,17 +98,43 @@
       reason: `${model.name} lacks hosts for its share; these are ready in ${readyMs} ms`,
     });
   }
-  return actions;
 }
 
-/** A group that ends is soon formed anew from its hosts, unless a silent head holds them. */
-function countGroups(input: EnginePlanInput): Map<string, number> {
-  const counts = new Map<string, number>();
-  for (const {model, isEnding, members} of input.groups) {
-    const isHeld = isEnding && input.isLost(members[0].incarnation);
-    counts.set(model, (counts.get(model) ?? 0) + (isHeld ? 0 : 1));
-  }
-  return counts;
+/** One for each model that lacks groups and can form none of the free hosts now. */
+function listReservations(
+  input: EnginePlanInput,
+  free: readonly BackendView[],
+  counts: EngineCounts,
+): EngineReservation[] {
+  return input.profile.models.flatMap(model => {
+    const isLacking =
+      input.isPressed(model.name) || isBelowPeak(model, input, counts);
+    return (isLacking && reserveEngines(model, free, input)) || [];
+  });
+}
+
+function isBelowPeak(
+  {name}: Model,
+  {peaks}: EnginePlanInput,
+  counts: EngineCounts,
+): boolean {
+  return counts.countGroups(name) < (peaks.get(name) ?? 0);
+}
+
+/** Without those that wait for a group of a needier model. */
+function listUnreserved(
+  model: Model,
+  free: readonly BackendView[],
+  counts: EngineCounts,
+  reservations: readonly EngineReservation[],
+): BackendView[] {
+  const rank = counts.computeRank(model);
+  const kept = new Set(
+    reservations
+      .filter(({model: other}) => counts.computeRank(other) < rank)
+      .flatMap(({hosts}) => hosts),
+  );
+  return free.filter(host => !kept.has(host));
 }
 
 function compareOptions(left: Option, right: Option): number {
@@ -111,15 +152,17 @@
 function listOptions(
   input: EnginePlanInput,
   free: readonly BackendView[],
-  counts: ReadonlyMap<string, number>,
+  counts: EngineCounts,
+  reservations: readonly EngineReservation[],
   mayBeFar: boolean,
 ): Option[] {
-  const domains = new Set(free.map(host => host.registration.domain ?? ''));
   return input.profile.models.flatMap(model => {
+    const hosts = listUnreserved(model, free, counts, reservations);
+    const domains = new Set(hosts.map(host => host.registration.domain ?? ''));
     const near = [...domains].flatMap(
-      domain => findOption(model, domain, input, free, counts) ?? [],
+      domain => findOption(model, domain, input, hosts, counts) ?? [],
     );
-    const far = mayBeFar ? findFarOption(model, input, free, counts) : [];
+    const far = mayBeFar ? findFarOption(model, input, hosts, counts) : [];
     return [...near, ...far];
   });
 }
@@ -129,10 +172,9 @@
   domain: string,
   input: EnginePlanInput,
   free: readonly BackendView[],
-  counts: ReadonlyMap<string, number>,
+  counts: EngineCounts,
 ): Option | undefined {
-  const count = counts.get(model.name) ?? 0;
-  const isBelowPeak = count < (input.peaks.get(model.name) ?? 0);
+  const isLacking = isBelowPeak(model, input, counts);
   const hosts = free.filter(host => host.registration.domain === domain);
   if (hosts.length < model.size) {
     return undefined;
@@ -146,7 +188,7 @@
     .slice(0, model.size);
   const {readyMs} = chosen[chosen.length - 1];
   const needsLoad = readyMs >= model.loadMs;
-  const spares = countSpares(model, domain, input, isBelowPeak, needsLoad);
+  const spares = countSpares(model, domain, input, isLacking, needsLoad);
   // Later on weights are loaded before a group waits for them.
   const isFirstStart = input.peaks.size === 0;
   if (hosts.length - spares < model.size || (needsLoad && !isFirstStart)) {
@@ -155,13 +197,13 @@
   return {
     isFar: false,
     isPressed: input.isPressed(model.name),
-    isBelowPeak,
+    isBelowPeak: isLacking,
     model,
     domain,
     hosts: chosen.map(({host}) => host),
     readyMs,
     needsLoad,
-    rank: (count * model.size) / Math.max(model.share, Number.EPSILON),
+    rank: counts.computeRank(model),
     // At first the tightest fit, so that large gaps stay usable; later the domain that keeps most spares.
     slack: isFirstStart ? hosts.length : -hosts.length,
   };
@@ -175,17 +217,16 @@
   model: Model,
   input: EnginePlanInput,
   free: readonly BackendView[],
-  counts: ReadonlyMap<string, number>,
+  counts: EngineCounts,
 ): Option[] {
-  const count = counts.get(model.name) ?? 0;
-  const isBelowPeak =
-    count < (input.peaks.get(model.name) ?? 0) * FAR_BELOW_SHARE;
+  const usual = input.peaks.get(model.name) ?? 0;
+  const isFarBelow = counts.countGroups(model.name) < usual * FAR_BELOW_SHARE;
   const warm = free.filter(host => computeReadyMs(host, model) < model.loadMs);
   // Hosts of one that gives way are about to be used better.
   const isOneEnding = input.groups.some(
     group => group.isEnding && group.domain.includes(FAR_SEPARATOR),
   );
-  if (!isBelowPeak || isOneEnding || warm.length < model.size) {
+  if (!isFarBelow || isOneEnding || warm.length < model.size) {
     return [];
   }
   const hosts = warm.slice(0, model.size);
@@ -194,13 +235,13 @@
     {
       isFar: true,
       isPressed: input.isPressed(model.name),
-      isBelowPeak,
+      isBelowPeak: isFarBelow,
       model,
       domain: [...domains].join(FAR_SEPARATOR),
       hosts,
       readyMs: Math.max(...hosts.map(host => computeReadyMs(host, model))),
       needsLoad: false,
-      rank: (count * model.size) / Math.max(model.share, Number.EPSILON),
+      rank: counts.computeRank(model),
       slack: 0,
     },
   ];
@@ -215,10 +256,10 @@
   model: Model,
   domain: string,
   input: EnginePlanInput,
-  isBelowPeak: boolean,
+  isLacking: boolean,
   needsLoad: boolean,
 ): number {
-  if (!needsLoad && isBelowPeak) {
+  if (!needsLoad && isLacking) {
     return 0;
   }
   if (!needsLoad && input.isPressed(model.name)) {
--- a/src/coordination/plan_engine_groups.ts
+++ b/src/coordination/plan_engine_groups.ts
@@ -35,7 +35,10 @@
   });
   const upgrades = planUpgrades(input);
   const gifts = upgrades.length === 0 ? planRebalance(input) : [];
-  const formations = planEngineFormation(input, upgrades.length === 0);
+  const {actions: formations, reservations} = planEngineFormation(
+    input,
+    upgrades.length === 0,
+  );
   const formed = formations.flatMap(action =>
     action.type === 'set-group' ? action.group.members : [],
   );
@@ -46,7 +49,7 @@
     ...upgrades,
     ...gifts,
     ...formations,
-    ...planWeights(input, taken),
+    ...planWeights(input, taken, reservations),
   ];
 }
 
--- a/src/coordination/plan_rebalance.ts
+++ b/src/coordination/plan_rebalance.ts
@@ -1,8 +1,10 @@
 /** Decides when a group gives up its hosts for a model that lacks them more. */
 import {EngineGroup} from '../protocol/engine_group';
 import {EngineProfile} from '../protocol/engine_profile';
+import {BackendView} from './backend_view';
 import {computeReadyMs} from './compute_ready_ms';
 import {EngineAction} from './engine_action';
+import {EngineCounts} from './engine_counts';
 import {EnginePlanInput} from './engine_plan_input';
 import {listFreeEngines} from './list_free_engines';
 
@@ -12,73 +14,119 @@
 type Model = EngineProfile['models'][number];
 
 /**
- * Ends one group of a model that has more hosts for its share of the work than
- * another, of which requests are refused, if its hosts and the free ones of
+ * Ends groups of models that have more hosts for their share of the work than
+ * another, of which requests are refused, if their hosts and the free ones of
  * their domain can then form a group of that other without a load.
  *
  * @example
  * const actions = planRebalance(input);
  */
 export function planRebalance(input: EnginePlanInput): EngineAction[] {
-  const {profile, groups} = input;
-  if (!input.mayRebalance || groups.some(group => group.isEnding)) {
+  const isOneLeaving = input.groups.some(
+    ({isEnding, members}) => isEnding && !input.isLost(members[0].incarnation),
+  );
+  if (!input.mayRebalance || isOneLeaving) {
     return [];
   }
-  for (const model of profile.models.filter(({name}) =>
-    input.isPressed(name),
-  )) {
-    const donor = groups.find(
-      group =>
-        group.model !== model.name &&
-        isBetterOff(group, model, input) &&
-        canHelp(group, model, input),
+  const counts = EngineCounts.create(input.groups, input.isLost);
+  const needy = input.profile.models
+    .filter(({name}) => input.isPressed(name))
+    .sort(
+      (left, right) => counts.computeRank(left) - counts.computeRank(right),
     );
-    if (donor) {
-      const {name, epoch} = donor;
+  for (const model of needy) {
+    const donors = findDonors(model, counts, input);
+    if (donors) {
       const reason = `${model.name} refuses requests and has fewer hosts for its share`;
-      return [{type: 'end-group', name, epoch, reason}];
+      return donors.map(({name, epoch}) => ({
+        type: 'end-group',
+        name,
+        epoch,
+        reason,
+      }));
     }
   }
   return [];
 }
 
-function countHosts(model: Model, groups: readonly EngineGroup[]): number {
-  return groups.filter(group => group.model === model.name).length * model.size;
+/** The fewest groups of one domain whose hosts are enough; undefined for none. */
+function findDonors(
+  model: Model,
+  counts: EngineCounts,
+  input: EnginePlanInput,
+): readonly EngineGroup[] | undefined {
+  const domains = [...new Set(input.groups.map(group => group.domain))];
+  return domains
+    .flatMap(domain => {
+      const donors = listDonors(model, domain, counts, input);
+      return donors ? [donors] : [];
+    })
+    .sort((left, right) => left.length - right.length)[0];
+}
+
+function listDonors(
+  model: Model,
+  domain: string,
+  counts: EngineCounts,
+  input: EnginePlanInput,
+): readonly EngineGroup[] | undefined {
+  const donors: EngineGroup[] = [];
+  let ready = countReady(listFreeEngines(input), domain, model);
+  for (const group of input.groups) {
+    const isDonor =
+      ready < model.size &&
+      !group.isEnding &&
+      group.domain === domain &&
+      group.model !== model.name &&
+      isBetterOff(group, donors, model, counts, input);
+    if (isDonor) {
+      donors.push(group);
+      ready += countReady(listMembers(group, input), domain, model);
+    }
+  }
+  return donors.length > 0 && ready >= model.size ? donors : undefined;
+}
+
+function listMembers(
+  {members}: EngineGroup,
+  {backends}: EnginePlanInput,
+): BackendView[] {
+  const own = new Set(members.map(member => member.incarnation));
+  return backends.filter(({registration}) => own.has(registration.incarnation));
+}
+
+function countReady(
+  hosts: readonly BackendView[],
+  domain: string,
+  model: Model,
+): number {
+  return hosts.filter(
+    host =>
+      host.registration.domain === domain &&
+      computeReadyMs(host, model) < model.loadMs,
+  ).length;
 }
 
 /**
- * Still after it gave up one group. A model whose own requests find places may
- * also give when it has more than it usually needs to keep.
+ * Still after it gave up this group and those given before. A model whose own
+ * requests find places may also give when it has more than it usually needs to
+ * keep.
  */
 function isBetterOff(
   group: EngineGroup,
+  given: readonly EngineGroup[],
   needy: Model,
-  {profile, groups, peaks, isPressed}: EnginePlanInput,
+  counts: EngineCounts,
+  {profile, peaks, isPressed}: EnginePlanInput,
 ): boolean {
   const model = profile.models.find(({name}) => name === group.model);
   if (!model) {
     return false;
   }
-  const left = countHosts(model, groups) - model.size;
-  const kept = (peaks.get(model.name) ?? 0) * model.size * KEPT_SHARE;
+  const gifts = given.filter(other => other.model === model.name).length + 1;
+  const left = counts.countGroups(model.name) - gifts;
+  const kept = (peaks.get(model.name) ?? 0) * KEPT_SHARE;
   const isAtEase = !isPressed(model.name) && left >= kept;
-  const needyRank = countHosts(needy, groups) / needy.share;
-  return isAtEase || left / model.share > needyRank;
-}
-
-function canHelp(
-  group: EngineGroup,
-  model: Model,
-  input: EnginePlanInput,
-): boolean {
-  const members = new Set(group.members.map(member => member.incarnation));
-  const own = input.backends.filter(({registration}) =>
-    members.has(registration.incarnation),
-  );
-  const ready = [...own, ...listFreeEngines(input)].filter(
-    host =>
-      host.registration.domain === group.domain &&
-      computeReadyMs(host, model) < model.loadMs,
-  );
-  return ready.length >= model.size;
+  const leftRank = (left * model.size) / model.share;
+  return isAtEase || leftRank > counts.computeRank(needy);
 }
--- a/src/coordination/plan_weights.ts
+++ b/src/coordination/plan_weights.ts
@@ -7,12 +7,11 @@
 import {EngineProfile} from '../protocol/engine_profile';
 import {BackendView} from './backend_view';
 import {EngineAction} from './engine_action';
+import {EngineCounts} from './engine_counts';
 import {EnginePlanInput} from './engine_plan_input';
+import {EngineReservation} from './engine_reservation';
 import {listFreeEngines} from './list_free_engines';
 
-/** Groups of one host that serve nobody; engines want an epoch above none. */
-const PARKING_EPOCH = 1;
-
 type Model = EngineProfile['models'][number];
 
 /**
@@ -20,12 +19,14 @@
  * memory, then second copies, spares before members.
  *
  * @param taken incarnations that the same plan puts into groups
+ * @param reservations hosts that wait for a group of one model
  * @example
- * const orders = planWeights(input, taken);
+ * const orders = planWeights(input, taken, reservations);
  */
 export function planWeights(
   input: EnginePlanInput,
   taken: ReadonlySet<string> = new Set(),
+  reservations: readonly EngineReservation[] = [],
 ): EngineAction[] {
   const free = listFreeEngines(input).filter(
     host => !taken.has(host.registration.incarnation),
@@ -40,65 +41,94 @@
       !input.isLost(registration.incarnation) &&
       input.now - seenAt < input.silentAfterMs,
   );
-  const models = listByNeed(input);
+  const counts = countSupply(input, free);
+  const ready = [...free, ...members];
   return [
-    ...free.flatMap(host => planParking(host, models, input.pool)),
-    ...[...free, ...members].flatMap(host =>
-      planSecondCopy(host, models, input),
+    ...planParkings(input, free, counts, reservations),
+    ...ready.flatMap(host =>
+      planSecondCopy(host, sortByNeed(input, counts), input),
     ),
   ];
 }
 
+/** Groups, and spares by the model that each has or is loading. */
+function countSupply(
+  input: EnginePlanInput,
+  free: readonly BackendView[],
+): EngineCounts {
+  const counts = EngineCounts.create(input.groups, input.isLost);
+  for (const {registration, heldModel} of free) {
+    const model = heldModel ?? input.findLoading(registration.incarnation);
+    if (model !== undefined) {
+      counts.addSpare(model);
+    }
+  }
+  return counts;
+}
+
 /** The model with the fewest hosts for its share of the work comes first. */
-function listByNeed({profile, groups, backends}: EnginePlanInput): Model[] {
-  const rank = ({name, share}: Model) => {
-    const members = groups
-      .filter(group => group.model === name)
-      .reduce((sum, group) => sum + group.members.length, 0);
-    const kept = backends.filter(({registration}) =>
-      registration.stagedModels.includes(name),
-    ).length;
-    return (members + kept) / Math.max(share, Number.EPSILON);
-  };
-  return [...profile.models].sort((left, right) => rank(left) - rank(right));
+function sortByNeed({profile}: EnginePlanInput, counts: EngineCounts): Model[] {
+  return [...profile.models].sort(
+    (left, right) => counts.computeSupply(left) - counts.computeSupply(right),
+  );
 }
 
-/** A free host with nothing in memory takes a model into it, in a group of its own that never opens. */
-function planParking(
-  {registration, heldModel}: BackendView,
-  models: readonly Model[],
-  pool: string,
+/** Empty hosts that wait for a group take its model, the others what lacks hosts most. */
+function planParkings(
+  input: EnginePlanInput,
+  free: readonly BackendView[],
+  counts: EngineCounts,
+  reservations: readonly EngineReservation[],
 ): EngineAction[] {
-  const {incarnation, address, domain, stagedModels, group} = registration;
-  if (heldModel !== undefined || group !== undefined) {
-    return [];
-  }
-  const model =
-    models.find(({name}) => stagedModels.includes(name)) ?? models[0];
-  if (!model) {
-    return [];
-  }
-  return [
-    {
-      type: 'order',
-      kind: 'join',
-      incarnation,
-      address,
-      group: {
-        name: `parked-${incarnation}`,
-        epoch: PARKING_EPOCH,
-        pool,
-        model: model.name,
-        domain: domain ?? '',
-        members: [{incarnation, address}],
-        isEnding: false,
-        isReleased: false,
-      },
+  const empty = free.filter(
+    ({registration, heldModel}) =>
+      heldModel === undefined &&
+      registration.group === undefined &&
+      input.findLoading(registration.incarnation) === undefined,
+  );
+  return empty.flatMap(host => {
+    const {stagedModels} = host.registration;
+    const models = sortByNeed(input, counts);
+    const reserved = reservations.find(({hosts}) => hosts.includes(host));
+    const model =
+      models.find(({name}) => stagedModels.includes(name)) ??
+      reserved?.model ??
+      models[0];
+    if (!model) {
+      return [];
+    }
+    counts.addSpare(model.name);
+    return [createParking(host, model, input)];
+  });
+}
+
+/** A free host takes a model into memory in a group of its own that never opens. */
+function createParking(
+  {registration}: BackendView,
+  model: Model,
+  {pool, epoch}: EnginePlanInput,
+): EngineAction {
+  const {incarnation, address, domain, stagedModels} = registration;
+  return {
+    type: 'order',
+    kind: 'join',
+    incarnation,
+    address,
+    group: {
+      name: `parked-${incarnation}`,
+      epoch,
+      pool,
       model: model.name,
-      isLoad: !stagedModels.includes(model.name),
-      reason: 'a spare takes a model into memory',
+      domain: domain ?? '',
+      members: [{incarnation, address}],
+      isEnding: false,
+      isReleased: false,
     },
-  ];
+    isParking: true,
+    model: model.name,
+    isLoad: !stagedModels.includes(model.name),
+    reason: 'a spare takes a model into memory',
+  };
 }
 
 function planSecondCopy(
--- a/test/support/engine_plan.ts
+++ b/test/support/engine_plan.ts
@@ -95,6 +95,8 @@
     silentAfterMs: 3_600,
     isStillListening: false,
     mayRebalance: true,
+    epoch: 1,
+    findLoading: () => undefined,
     isPressed: () => false,
     isRetired: () => false,
     isLost: () => false,
