fix(control): loads for empty hosts first, orders that lag no more, stalls told at once

Change: second copies take at most half of the load slots, and hosts without weights do not count them; the dispatcher hands on the count of orders that answers told; urgent news are answered at once; 0.4 s; orders about copies do not push out those about groups; the long file of the flow is split.

--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -190,7 +190,7 @@
     const {channel} = runtime.state;
     const isUpToDate =
       ask.rulesVersion === channel.version && ask.tableTag === this.tableTag;
-    if (isUpToDate) {
+    if (isUpToDate && !ask.isUrgent) {
       await signal.waitForChange(HOLD_MS);
     }
     const {raft, state} = runtime;
--- a/src/control/order_dispatcher.ts
+++ b/src/control/order_dispatcher.ts
@@ -2,6 +2,7 @@
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
 import {EngineAction} from '../coordination/engine_action';
+import {EngineOrders} from '../protocol/engine_orders';
 import {EngineProfile} from '../protocol/engine_profile';
 import {listMemberNames} from '../protocol/list_member_names';
 import {BackendRegistry} from './backend_registry';
@@ -16,7 +17,8 @@
   holds: 1_000,
   // An engine tells its count of orders some 200 ms late, and expects the right one.
   unfit: 200,
-  unanswered: 1_500,
+  // Should the first one be carried out late, it expects an older count and loses.
+  unanswered: 400,
   fenced: 30_000,
 };
 /** A closing engine that leaves says nothing when it is done, so it is asked. */
@@ -25,9 +27,13 @@
 const SLOW_LOAD = 2;
 /** Margin below the pool's limit on loads, for those of a leader before. */
 const SERVING_LOAD_FACTOR = 0.9;
+/** Part of the loads that run at full speed which second copies may take: hosts without any weights come first. */
+const SECOND_COPY_SHARE = 0.5;
 /** Before the first request many hosts load at once, each the slower for it. */
 const EARLY_LOAD_FACTOR = 3;
 
+type Answer = Awaited<ReturnType<EngineOrders['send']>>;
+type Outcome = Answer['outcome'];
 type Order = Extract<EngineAction, {type: 'order'}>;
 
 /** An order that was given. */
@@ -39,6 +45,14 @@
   isPending: boolean;
 }
 
+/** A load of weights that was ordered. */
+interface Load {
+  readonly model: string;
+  readonly endsAt: number;
+  /** The host has another model already. */
+  readonly isSecondCopy: boolean;
+}
+
 /** What orders are given with. */
 interface OrderDispatcherOptions {
   readonly duties: NonNullable<ControlSettings['pools']>;
@@ -51,10 +65,15 @@
 
 /** Remembers the newest order to each engine. */
 export class OrderDispatcher {
-  /** The newest order to each engine, by incarnation. */
-  private readonly lastOrders = new Map<string, LastOrder>();
+  /** The newest order about groups, and the newest about copies, to each engine. */
+  private readonly lastOrders = {
+    group: new Map<string, LastOrder>(),
+    copy: new Map<string, LastOrder>(),
+  };
   /** The loads that were ordered, and when each should be done, by incarnation. */
-  private readonly loads = new Map<string, {model: string; endsAt: number}>();
+  private readonly loads = new Map<string, Load>();
+  /** Orders that each engine took, by what its answers said. */
+  private readonly ordersTaken = new Map<string, number>();
   private readonly allowance: LoadAllowance;
   private wasServing = false;
 
@@ -75,7 +94,9 @@
 
   /** Forgets every order: another process led meanwhile, and may have begun loads. */
   clear(): void {
-    this.lastOrders.clear();
+    this.lastOrders.group.clear();
+    this.lastOrders.copy.clear();
+    this.ordersTaken.clear();
     this.loads.clear();
     this.allowance.clear(this.options.clock.now());
   }
@@ -89,17 +110,21 @@
   give(order: Order, profile: EngineProfile, now: number): void {
     const {incarnation, kind, group, isParking} = order;
     const key = isParking ? 'park' : `${kind} ${group?.epoch ?? ''}`;
-    const last = this.lastOrders.get(incarnation);
+    const {group: groupOrders, copy: copyOrders} = this.lastOrders;
+    const lastOrders = kind === 'stage' ? copyOrders : groupOrders;
+    const last = lastOrders.get(incarnation);
+    const isAnswerDue = [groupOrders, copyOrders].some(
+      orders => orders.get(incarnation)?.isPending,
+    );
     // The same order waits for its effect; another one only for the answer.
-    const isHeld = last?.isPending || (last?.key === key && now < last.againAt);
-    if (isHeld) {
+    if (isAnswerDue || (last?.key === key && now < last.againAt)) {
       return;
     }
     if (order.isLoad && !this.takeLoad(order, profile, now)) {
       return;
     }
     const entry = {key, againAt: Infinity, isPending: true};
-    this.lastOrders.set(incarnation, entry);
+    lastOrders.set(incarnation, entry);
     const loadMs =
       profile.models.find(({name}) => name === order.model)?.loadMs ?? 0;
     void this.sendOrder(order)
@@ -131,7 +156,8 @@
         this.loads.delete(incarnation);
       }
     }
-    const isFull = hasServed && this.loads.size >= profile.concurrentLoads;
+    const isSecondCopy = order.kind === 'stage';
+    const isFull = hasServed && this.isFull(isSecondCopy, profile);
     const factor = hasServed ? SERVING_LOAD_FACTOR : EARLY_LOAD_FACTOR;
     const perSecond = profile.loadsPerSecond * factor;
     if (isFull || !this.allowance.take(perSecond, now)) {
@@ -140,12 +166,23 @@
     const loadMs =
       profile.models.find(({name}) => name === order.model)?.loadMs ?? 0;
     const {incarnation, model = ''} = order;
-    this.loads.set(incarnation, {model, endsAt: now + loadMs});
+    this.loads.set(incarnation, {model, endsAt: now + loadMs, isSecondCopy});
     return true;
   }
 
+  /** Loads side by side slow each other down; second copies hold up no others. */
+  private isFull(
+    isSecondCopy: boolean,
+    {concurrentLoads}: EngineProfile,
+  ): boolean {
+    const loads = [...this.loads.values()];
+    return isSecondCopy
+      ? loads.length >= concurrentLoads * SECOND_COPY_SHARE
+      : loads.filter(load => !load.isSecondCopy).length >= concurrentLoads;
+  }
+
   /** What an engine answered counts before its next registration; one that leaves sends none. */
-  private recordEffect(order: Order, outcome: keyof typeof RETRY_MS): void {
+  private recordEffect(order: Order, outcome: Outcome): void {
     const {registry, clock} = this.options;
     const {incarnation, kind, group} = order;
     const told = registry.find(incarnation)?.registration.group;
@@ -161,20 +198,32 @@
     }
   }
 
-  private async sendOrder(order: Order): Promise<keyof typeof RETRY_MS> {
+  /** After a refusal what was counted may be wrong: its own report decides again. */
+  private recordTaken(incarnation: string, answer: Answer | undefined): void {
+    if (answer?.ordersTaken !== undefined) {
+      this.ordersTaken.set(incarnation, answer.ordersTaken);
+    } else if (answer?.outcome === 'unfit') {
+      this.ordersTaken.delete(incarnation);
+    }
+  }
+
+  private async sendOrder(order: Order): Promise<Outcome> {
     const {duties, runtime, events} = this.options;
     const {incarnation, address, kind, group, model, reason} = order;
-    const outcome = await (duties.orders?.send({
+    const answer = await duties.orders?.send({
       incarnation,
       address,
       fence: runtime.raft.term,
+      ordersTaken: this.ordersTaken.get(incarnation) ?? 0,
       order: {
         kind,
         group: group && {name: group.name, epoch: group.epoch},
         model: kind === 'join' || kind === 'stage' ? model : undefined,
         members: kind === 'join' && group ? listMemberNames(group) : undefined,
       },
-    }) ?? 'unanswered');
+    });
+    const outcome = answer?.outcome ?? 'unanswered';
+    this.recordTaken(incarnation, answer);
     events.record({
       type: `engine-order-${outcome}`,
       subject: 'host',
--- a/src/coordination/reserve_engines.ts
+++ b/src/coordination/reserve_engines.ts
@@ -49,7 +49,7 @@
     registration.domain === domain;
   const own = free
     .filter(isHere)
-    .sort((left, right) => rateHost(left) - rateHost(right));
+    .sort((left, right) => computeDistance(left) - computeDistance(right));
   const soon = leaving.filter(isHere).slice(0, model.size);
   const hosts = own.slice(0, model.size - soon.length);
   const isReady = (host: BackendView) =>
@@ -58,7 +58,7 @@
   return {domain, hosts, ready, possible: own.length + soon.length};
 
   /** Those that have the model come first, then those that are loading it, then empty ones. */
-  function rateHost(host: BackendView): number {
+  function computeDistance(host: BackendView): number {
     const isLoading =
       input.findLoading(host.registration.incarnation) === model.name;
     return isLoading ? model.warmMs * 2 : computeReadyMs(host, model);
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -67,7 +67,9 @@
     const {clock, events} = this;
     this.seeds = control;
     this.controlAddresses = control;
-    this.board = TargetBoard.create(zone, clock, Math.random);
+    this.board = TargetBoard.create(zone, clock, Math.random, () =>
+      this.feed.tellNow(),
+    );
     const incarnation = randomBytes(8).toString('hex');
     this.feed = RulesFeed.create({
       gatewayId,
@@ -267,6 +269,15 @@
     );
   }
 
+  private recordPressed(model: string): void {
+    const now = this.clock.now();
+    const isNews = now - (this.pressedAt.get(model) ?? -Infinity) > PRESSED_MS;
+    this.pressedAt.set(model, now);
+    if (isNews) {
+      this.feed.tellNow();
+    }
+  }
+
   private findBudget(pool: string): RepeatBudget {
     const known = this.budgets.get(pool);
     const budget =
@@ -302,7 +313,7 @@
     const {outcome, reason, status, targets, events, tookMs} = result;
     const {firstEventMs, runningAtTarget} = result;
     if (outcome === 'refused' && request.model !== undefined) {
-      this.pressedAt.set(request.model, this.clock.now());
+      this.recordPressed(request.model);
     }
     this.events.record({
       type: `request-${outcome}`,
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -8,24 +8,20 @@
 import {AttemptEnd} from './attempt_end';
 import {CallerAnswer} from './caller_answer';
 import {CallerDialect} from './caller_dialect';
+import {computeRetryAfterMs} from './compute_retry_after_ms';
 import {computeStallMs} from './compute_stall_ms';
 import {EventSplitter} from './event_splitter';
 import {FlowResult} from './flow_result';
 import {GatewayRequest} from './gateway_request';
+import {HeldBody} from './held_body';
 import {RepeatBudget} from './repeat_budget';
 import {StallJudge} from './stall_judge';
 import {TargetBoard} from './target_board';
 
 /** Sendings that were refused as not run do not count as runs, but end here. */
 const MAX_REFUSALS = 3;
-/** When a caller may come again after a refusal: about the repair of a group. */
-const RETRY_AFTER_MS = 2_500;
-/** Never later than this part of the caller's time, beyond which it would not come. */
-const RETRY_AFTER_SHARE = 0.3;
 /** Part of the objective for which a request waits for a place before it is refused: a refusal must come early to be of use. */
 const WAIT_SHARE = 0.12;
-/** An answer that is not a stream is held until it is whole, so that it can be repeated. */
-const MAX_HELD_BYTES = 8 * 1024 * 1024;
 
 /** What a flow needs. */
 interface RequestFlowOptions {
@@ -53,8 +49,7 @@
   private attempt: Attempt | undefined;
   private head: AnswerHead | undefined;
   private splitter = EventSplitter.create();
-  private held: Buffer[] = [];
-  private heldBytes = 0;
+  private held = HeldBody.create();
   private lastEventId: string | undefined;
   private eventCount = 0;
   private firstEventMs = -1;
@@ -179,8 +174,7 @@
     this.tried.add(target.incarnation);
     this.targets.push(target.incarnation);
     this.splitter = EventSplitter.create();
-    this.held = [];
-    this.heldBytes = 0;
+    this.held = HeldBody.create();
     this.attempt = Attempt.create({
       request,
       body: options.body,
@@ -228,12 +222,9 @@
         .forEach(event => this.passEvent(event.bytes, event.id));
       return;
     }
-    this.heldBytes += chunk.length;
-    if (this.heldBytes > MAX_HELD_BYTES) {
+    if (!this.held.add(chunk)) {
       this.attempt?.stop('the answer is too large to hold');
-      return;
     }
-    this.held.push(chunk);
   }
 
   private passEvent(bytes: Buffer, id: string | undefined): void {
@@ -300,7 +291,7 @@
       this.sendOn('no other backend server');
       return;
     }
-    answer.sendWhole(head, Buffer.concat(this.held));
+    answer.sendWhole(head, this.held.copyWhole());
     this.finish('answered', 'whole', head.status);
   }
 
@@ -333,9 +324,7 @@
     const hasRun = this.runs > 0;
     const status = hasRun ? 502 : 503;
     const leftMs = this.deadlineAt - this.options.clock.now();
-    const retryAfterMs = hasRun
-      ? undefined
-      : Math.min(RETRY_AFTER_MS, leftMs * RETRY_AFTER_SHARE);
+    const retryAfterMs = hasRun ? undefined : computeRetryAfterMs(leftMs);
     answer.sendOwn({status, reason, retryAfterMs}, request.id);
     this.finish(hasRun ? 'failed' : 'refused', reason, status);
   }
@@ -387,15 +376,7 @@
     const {arrivedAt, clock, onDone} = this.options;
     const tookMs = Math.round(clock.now() - arrivedAt);
     const {targets, eventCount: events, firstEventMs, runningAtTarget} = this;
-    onDone({
-      outcome,
-      reason,
-      status,
-      targets,
-      events,
-      firstEventMs,
-      runningAtTarget,
-      tookMs,
-    });
+    const course = {targets, events, firstEventMs, runningAtTarget, tookMs};
+    onDone({outcome, reason, status, ...course});
   }
 }
--- a/src/gateway/rules_feed.ts
+++ b/src/gateway/rules_feed.ts
@@ -47,6 +47,7 @@
   private confirmedAt = -Infinity;
   private gatewayCount = 1;
   private isConnected: boolean | undefined;
+  private isTelling = false;
   private isClosed = false;
 
   private constructor(private readonly options: RulesFeedOptions) {
@@ -84,6 +85,17 @@
     return this.options.clock.now() - this.confirmedAt;
   }
 
+  /** Tells control at once what is new here, beside the question that it holds. */
+  tellNow(): void {
+    if (this.isTelling || this.isClosed) {
+      return;
+    }
+    this.isTelling = true;
+    this.askOnce(true)
+      .catch((error: Error) => this.recordConnection(false, error.message))
+      .finally(() => (this.isTelling = false));
+  }
+
   close(): void {
     this.isClosed = true;
     this.options.client.close();
@@ -92,7 +104,7 @@
   private async follow(): Promise<void> {
     while (!this.isClosed) {
       try {
-        await this.askOnce();
+        await this.askOnce(false);
         this.recordConnection(true, 'control answers');
       } catch (error) {
         this.recordConnection(false, (error as Error).message);
@@ -103,7 +115,7 @@
     }
   }
 
-  private async askOnce(): Promise<void> {
+  private async askOnce(isUrgent: boolean): Promise<void> {
     const {client, clock, gatewayId, collectNews} = this.options;
     const askedAt = clock.now();
     const news = collectNews();
@@ -118,6 +130,7 @@
         running: {...news.running},
         pressed: [...news.pressed],
         hasServed: news.hasServed,
+        isUrgent,
       },
       ASK_TIMEOUT_MS,
     );
--- a/src/gateway/target_board.ts
+++ b/src/gateway/target_board.ts
@@ -43,16 +43,24 @@
     private readonly zone: string,
     private readonly clock: Clock,
     private readonly random: () => number,
+    private readonly onStalled: () => void,
   ) {}
 
   /**
    * Creates a board without targets.
    *
+   * @param onStalled told when a target is newly known to have stopped
+   *
    * @example
    * const board = TargetBoard.create('zone-a', clock, Math.random);
    */
-  static create(zone: string, clock: Clock, random: () => number): TargetBoard {
-    return new TargetBoard(zone, clock, random);
+  static create(
+    zone: string,
+    clock: Clock,
+    random: () => number,
+    onStalled: () => void = () => undefined,
+  ): TargetBoard {
+    return new TargetBoard(zone, clock, random, onStalled);
   }
 
   /** Takes the targets that control tells; what is known of those that stay is kept. */
@@ -174,7 +182,11 @@
     this.avoid(incarnation, STALLED_MS);
     const standing = this.standings.get(incarnation);
     if (standing) {
+      const isNews = !this.isStalled(incarnation);
       standing.stalledAt = this.clock.now();
+      if (isNews) {
+        this.onStalled();
+      }
     }
   }
 
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -161,6 +161,8 @@
     pressed: z.array(z.string()),
     /** True once a caller's request was taken. */
     hasServed: z.boolean(),
+    /** The asker has news: the answer must not wait for any in return. */
+    isUrgent: z.boolean().default(false),
   }),
   z.object({
     type: z.literal('gateway-answer'),
--- a/src/protocol/engine_orders.ts
+++ b/src/protocol/engine_orders.ts
@@ -19,14 +19,23 @@
   readonly order: EngineOrder;
   /** Rises with each leader; engines refuse a lower one than they saw. */
   readonly fence: number;
+  /** Orders that it took by what its answers said; its own report lags behind. */
+  readonly ordersTaken: number;
 }
 
 /** What became of an order. `unanswered` may have been taken, also later. */
 type OrderOutcome = 'begun' | 'holds' | 'unfit' | 'fenced' | 'unanswered';
 
+/** An engine's answer to an order. */
+interface OrderAnswer {
+  readonly outcome: OrderOutcome;
+  /** Orders that it has taken now; absent where its answer does not tell. */
+  readonly ordersTaken?: number;
+}
+
 /** Gives orders to engines. */
 export interface EngineOrders {
-  readonly send: (call: OrderCall) => Promise<OrderOutcome>;
+  readonly send: (call: OrderCall) => Promise<OrderAnswer>;
   /** Asks whether an engine answers at all. */
   readonly probe: (address: string) => Promise<boolean>;
 }
--- a/test/control/engine_orders.test.ts
+++ b/test/control/engine_orders.test.ts
@@ -12,7 +12,7 @@
 import {PROFILE, group, host, told} from '../support/engine_plan';
 
 type Order = Extract<EngineAction, {type: 'order'}>;
-type Outcome = Awaited<ReturnType<EngineOrders['send']>>;
+type Answer = Awaited<ReturnType<EngineOrders['send']>>;
 
 const STALL_MS = 5_000;
 const HEARTBEAT_MS = 1_000;
@@ -58,11 +58,13 @@
   function create(hasServed: boolean) {
     const clock = new HandClock();
     const sent: string[] = [];
-    const answers: Outcome[] = [];
+    const answers: Answer[] = [];
+    const expected: number[] = [];
     const orders: EngineOrders = {
-      send: ({incarnation, order}) => {
+      send: ({incarnation, order, ordersTaken}) => {
         sent.push(`${order.kind} ${incarnation}`);
-        return Promise.resolve(answers.shift() ?? 'begun');
+        expected.push(ordersTaken);
+        return Promise.resolve(answers.shift() ?? {outcome: 'begun'});
       },
       probe: () => Promise.resolve(true),
     };
@@ -78,7 +80,7 @@
       dispatcher.give(order, PROFILE, clock.now());
       await settle();
     };
-    return {clock, sent, answers, dispatcher, give};
+    return {clock, sent, answers, expected, dispatcher, give};
   }
 
   function createOrder(kind: Order['kind'], isLoad = false): Order {
@@ -104,7 +106,7 @@
 
   test('one that does not fit yet is given again soon', async () => {
     const {clock, sent, answers, give} = create(true);
-    answers.push('unfit');
+    answers.push({outcome: 'unfit'});
     await give(createOrder('join'));
     clock.time += 100;
     await give(createOrder('join'));
@@ -113,6 +115,69 @@
     expect(sent).toEqual(['join a', 'join a']);
   });
 
+  test('one without an answer is given again before its effect could be missed', async () => {
+    const {clock, sent, answers, give} = create(true);
+    answers.push({outcome: 'unanswered'});
+    await give(createOrder('leave'));
+    clock.time += 500;
+    await give(createOrder('leave'));
+    expect(sent).toEqual(['leave a', 'leave a']);
+  });
+
+  test('the next one expects what the answer before told', async () => {
+    const {answers, expected, give} = create(true);
+    answers.push({outcome: 'begun', ordersTaken: 5});
+    await give(createOrder('join'));
+    await give(createOrder('open'));
+    expect(expected).toEqual([0, 5]);
+  });
+
+  test('one after a refusal expects only what the engine reports', async () => {
+    const {answers, expected, give} = create(true);
+    answers.push({outcome: 'begun', ordersTaken: 5}, {outcome: 'unfit'});
+    await give(createOrder('join'));
+    await give(createOrder('open'));
+    await give(createOrder('close'));
+    expect(expected).toEqual([0, 5, 0]);
+  });
+
+  test('one about a copy does not let the one about a group be given again', async () => {
+    const {sent, give} = create(false);
+    await give(createOrder('open'));
+    await give(createOrder('stage'));
+    await give(createOrder('open'));
+    expect(sent).toEqual(['open a', 'stage a']);
+  });
+
+  test('a parked host is not told again when the epoch for parking rises', async () => {
+    const {clock, sent, give} = create(true);
+    const park = {...createOrder('join'), isParking: true};
+    await give(park);
+    clock.time += 500;
+    await give({...park, group: group(['a'], {epoch: 8})});
+    expect(sent).toEqual(['join a']);
+  });
+
+  test('second copies leave room for hosts that have no weights', async () => {
+    const {clock, sent, dispatcher, give} = create(true);
+    const loadOn = async (kind: Order['kind'], incarnation: string) => {
+      clock.time += 1_000;
+      await give({...createOrder(kind, true), incarnation});
+    };
+    // The first look finds that requests are served and empties the allowance.
+    await loadOn('stage', 'x');
+    for (const incarnation of ['c1', 'c2', 'c3', 'c4']) {
+      await loadOn('stage', incarnation);
+    }
+    expect(sent).toEqual(['stage c1', 'stage c2', 'stage c3']);
+
+    for (const incarnation of ['e1', 'e2', 'e3', 'e4', 'e5', 'e6']) {
+      await loadOn('join', incarnation);
+    }
+    expect(sent.slice(3)).toHaveLength(6);
+    expect(dispatcher.findLoading('e6')).toBe('low');
+  });
+
   test('loads beyond the limit wait', async () => {
     const {clock, sent, give} = create(true);
     await give(createOrder('join', true));
@@ -129,7 +194,7 @@
     const registry = createRegistry(clock);
     const answering = new Set(['a:1', 'b:1']);
     const orders: EngineOrders = {
-      send: () => Promise.resolve('begun'),
+      send: () => Promise.resolve({outcome: 'begun'}),
       probe: address => Promise.resolve(answering.has(address)),
     };
     const health = BackendHealth.create({
--- a/test/control/seeded_quorum.test.ts
+++ b/test/control/seeded_quorum.test.ts
@@ -174,6 +174,7 @@
         running: {},
         pressed: [],
         hasServed: false,
+        isUrgent: false,
       };
       const client = createClient([names[0], names[2]]);
       const {control} = await client.ask<'gateway-ask'>(ask, ASK_MS);
@@ -225,6 +226,7 @@
     running: {i1: 2},
     pressed: [],
     hasServed: true,
+    isUrgent: false,
   };
 
   async function rollOutPool(client: ControlClient): Promise<void> {
@@ -251,6 +253,25 @@
     expect(after.retired).toEqual(['i1']);
   });
 
+  test('a gateway with news is answered at once', async () => {
+    const {client} = await startOne();
+    await rollOutPool(client);
+    const {rulesVersion, tableTag} = await client.ask<'gateway-ask'>(
+      gatewayAsk,
+      ASK_MS,
+    );
+    const order: string[] = [];
+    const asks = [false, true].map(async isUrgent => {
+      await client.ask<'gateway-ask'>(
+        {...gatewayAsk, rulesVersion, tableTag, isUrgent},
+        ASK_MS,
+      );
+      order.push(isUrgent ? 'urgent' : 'held');
+    });
+    await Promise.all(asks);
+    expect(order).toEqual(['urgent', 'held']);
+  });
+
   test('a gateway is told backend servers that registered before the first rules', async () => {
     const {client} = await startOne();
     await client.ask<'registration-ask'>(register({}), ASK_MS);
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -215,6 +215,20 @@
     });
   });
 
+  test('says at once that a target stopped, and only once', () => {
+    const told: string[] = [];
+    const board = TargetBoard.create(
+      'z',
+      new HandClock(),
+      () => 0,
+      () => told.push('stalled'),
+    );
+    board.setTargets(new Map([target('a')]));
+    board.recordStalled('a');
+    board.recordStalled('a');
+    expect(told).toEqual(['stalled']);
+  });
+
   test('keeps what it knows of targets that stay', () => {
     const {board, choose} = create(target('a'), target('b'));
     board.recordStart('a', 100);
