--- a/src/control/engine_planner_loop.ts
+++ b/src/control/engine_planner_loop.ts
@@ -4,6 +4,7 @@
 import {BackendView} from '../coordination/backend_view';
 import {EngineAction} from '../coordination/engine_action';
 import {planEngineGroups} from '../coordination/plan_engine_groups';
+import {computeUsualGroups} from '../coordination/compute_usual_groups';
 import {ControlCommand} from '../protocol/control_command';
 import {listMemberNames} from '../protocol/list_member_names';
 import {GatewayRules} from '../protocol/gateway_rules';
@@ -44,7 +45,6 @@
   private readonly timer: NodeJS.Timeout;
   private readonly health: BackendHealth;
   private readonly release: HeadRelease;
-  private readonly peaks = new Map<string, number>();
   private readonly orders: OrderDispatcher;
   /** When a group was last ended: for a while after it no hosts are moved. */
   private rebalancedAt = -Infinity;
@@ -92,7 +92,6 @@
       this.plannedTerm = runtime.raft.term;
       this.orders.clear();
       this.health.clear();
-      this.peaks.clear();
     }
     registry.expire(now);
     this.isCommitting = true;
@@ -118,14 +117,14 @@
     if (groups.length === 0 && !this.isSettled(backends, now)) {
       return;
     }
-    this.recordPeaks(groups.map(group => group.model));
     this.health.refresh(groups, now);
     const actions = planEngineGroups({
       pool: pool.name,
       profile: pool.engine,
       groups,
       backends,
-      peaks: this.peaks,
+      usual: computeUsualGroups(pool.engine, this.countWell(backends)),
+      isFirstStart: groups.length === 0 && backends.every(isEmpty),
       now,
       silentAfterMs: duties.heartbeatMs * SILENT_INTERVALS,
       isStillListening:
@@ -156,11 +155,14 @@
     return now - newest > this.options.duties.heartbeatMs * SETTLED_INTERVALS;
   }
 
-  private recordPeaks(models: readonly string[]): void {
-    for (const model of new Set(models)) {
-      const count = models.filter(other => other === model).length;
-      this.peaks.set(model, Math.max(count, this.peaks.get(model) ?? 0));
-    }
+  private countWell(backends: readonly BackendView[]): number {
+    const {engines} = this.options.runtime.state;
+    return backends.filter(
+      ({registration: {incarnation, domain}}) =>
+        domain !== undefined &&
+        !engines.isRetired(incarnation) &&
+        !this.health.isLost(incarnation),
+    ).length;
   }
 
   private async commitChanges(actions: readonly EngineAction[]): Promise<void> {
@@ -185,6 +187,10 @@
   }
 }
 
+function isEmpty({registration, heldModel}: BackendView): boolean {
+  return heldModel === undefined && registration.stagedModels.length === 0;
+}
+
 type GroupCommand = Extract<
   ControlCommand,
   {
--- a/src/control/order_dispatcher.ts
+++ b/src/control/order_dispatcher.ts
@@ -18,7 +18,7 @@
   // An engine tells its count of orders some 200 ms late, and expects the right one.
   unfit: 200,
   // Should the first one be carried out late, it expects an older count and loses.
-  unanswered: 400,
+  unanswered: 100,
   fenced: 30_000,
 };
 /** A closing engine that leaves says nothing when it is done, so it is asked. */
--- a/src/coordination/engine_plan_input.ts
+++ b/src/coordination/engine_plan_input.ts
@@ -10,8 +10,10 @@
   readonly groups: readonly EngineGroup[];
   /** Backend servers of the pool that were heard. */
   readonly backends: readonly BackendView[];
-  /** Most groups of a model that stood at once, by model. */
-  readonly peaks: ReadonlyMap<string, number>;
+  /** Groups that each model should have for its share of the work, spares aside. */
+  readonly usual: ReadonlyMap<string, number>;
+  /** No host has any weights: nobody is served yet, so groups may wait for loads. */
+  readonly isFirstStart: boolean;
   readonly now: number;
   /** Silence after which a backend server is given no part in a new group. */
   readonly silentAfterMs: number;
--- a/src/coordination/plan_engine_formation.ts
+++ b/src/coordination/plan_engine_formation.ts
@@ -7,10 +7,9 @@
 import {EnginePlanInput} from './engine_plan_input';
 import {EngineReservation} from './engine_reservation';
 import {listFreeEngines} from './list_free_engines';
+import {SPARE_SHARE} from './spare_share';
 import {reserveEngines} from './reserve_engines';
 
-/** The part of a domain's hosts that is kept to take the place of lost members. */
-const SPARE_SHARE = 0.25;
 /** Between the domains of a group that spans several. */
 const FAR_SEPARATOR = '+';
 /** Part of a model's usual groups below which slow ones help: they take spares that near ones will need. */
@@ -31,8 +30,8 @@
   readonly needsLoad: boolean;
   /** Requests for the model are refused. */
   readonly isPressed: boolean;
-  /** The model had more groups before. */
-  readonly isBelowPeak: boolean;
+  /** The model has fewer groups than it should. */
+  readonly isBelowUsual: boolean;
   /** Hosts of the model for its share of the work, before this group. */
   readonly rank: number;
   /** Breaks ties between domains, the least first. */
@@ -108,17 +107,17 @@
 ): EngineReservation[] {
   return input.profile.models.flatMap(model => {
     const isLacking =
-      input.isPressed(model.name) || isBelowPeak(model, input, counts);
+      input.isPressed(model.name) || isBelowUsual(model, input, counts);
     return (isLacking && reserveEngines(model, free, input)) || [];
   });
 }
 
-function isBelowPeak(
+function isBelowUsual(
   {name}: Model,
-  {peaks}: EnginePlanInput,
+  {usual}: EnginePlanInput,
   counts: EngineCounts,
 ): boolean {
-  return counts.countGroups(name) < (peaks.get(name) ?? 0);
+  return counts.countGroups(name) < (usual.get(name) ?? 0);
 }
 
 /** Without those that wait for a group of a needier model. */
@@ -142,8 +141,10 @@
     Number(left.needsLoad) - Number(right.needsLoad) ||
     Number(left.isFar) - Number(right.isFar) ||
     Number(right.isPressed) - Number(left.isPressed) ||
-    Number(right.isBelowPeak) - Number(left.isBelowPeak) ||
+    Number(right.isBelowUsual) - Number(left.isBelowUsual) ||
     left.rank - right.rank ||
+    // What is left over more often fits the smaller model.
+    right.model.size - left.model.size ||
     left.readyMs - right.readyMs ||
     left.slack - right.slack
   );
@@ -174,7 +175,7 @@
   free: readonly BackendView[],
   counts: EngineCounts,
 ): Option | undefined {
-  const isLacking = isBelowPeak(model, input, counts);
+  const isLacking = isBelowUsual(model, input, counts);
   const hosts = free.filter(host => host.registration.domain === domain);
   if (hosts.length < model.size) {
     return undefined;
@@ -190,14 +191,14 @@
   const needsLoad = readyMs >= model.loadMs;
   const spares = countSpares(model, domain, input, isLacking, needsLoad);
   // Later on weights are loaded before a group waits for them.
-  const isFirstStart = input.peaks.size === 0;
+  const {isFirstStart} = input;
   if (hosts.length - spares < model.size || (needsLoad && !isFirstStart)) {
     return undefined;
   }
   return {
     isFar: false,
     isPressed: input.isPressed(model.name),
-    isBelowPeak: isLacking,
+    isBelowUsual: isLacking,
     model,
     domain,
     hosts: chosen.map(({host}) => host),
@@ -219,7 +220,7 @@
   free: readonly BackendView[],
   counts: EngineCounts,
 ): Option[] {
-  const usual = input.peaks.get(model.name) ?? 0;
+  const usual = input.usual.get(model.name) ?? 0;
   const isFarBelow = counts.countGroups(model.name) < usual * FAR_BELOW_SHARE;
   const warm = free.filter(host => computeReadyMs(host, model) < model.loadMs);
   // Hosts of one that gives way are about to be used better.
@@ -235,7 +236,7 @@
     {
       isFar: true,
       isPressed: input.isPressed(model.name),
-      isBelowPeak: isFarBelow,
+      isBelowUsual: isFarBelow,
       model,
       domain: [...domains].join(FAR_SEPARATOR),
       hosts,
--- a/src/coordination/plan_rebalance.ts
+++ b/src/coordination/plan_rebalance.ts
@@ -117,7 +117,7 @@
   given: readonly EngineGroup[],
   needy: Model,
   counts: EngineCounts,
-  {profile, peaks, isPressed}: EnginePlanInput,
+  {profile, usual, isPressed}: EnginePlanInput,
 ): boolean {
   const model = profile.models.find(({name}) => name === group.model);
   if (!model) {
@@ -125,7 +125,7 @@
   }
   const gifts = given.filter(other => other.model === model.name).length + 1;
   const left = counts.countGroups(model.name) - gifts;
-  const kept = (peaks.get(model.name) ?? 0) * KEPT_SHARE;
+  const kept = (usual.get(model.name) ?? 0) * KEPT_SHARE;
   const isAtEase = !isPressed(model.name) && left >= kept;
   const leftRank = (left * model.size) / model.share;
   return isAtEase || leftRank > counts.computeRank(needy);
--- a/test/coordination/plan_engine_groups.test.ts
+++ b/test/coordination/plan_engine_groups.test.ts
@@ -12,7 +12,11 @@
 describe('the first start', () => {
   test('fills each domain with groups of both models and keeps spares', () => {
     const backends = ['a', 'b', 'c'].flatMap(domain => hosts(domain, 8));
-    const actions = plan({backends, peaks: new Map()});
+    const actions = plan({
+      backends,
+      usual: new Map(),
+      isFirstStart: true,
+    });
     const groups = actions.flatMap(action =>
       action.type === 'set-group' ? [action.group] : [],
     );
@@ -82,7 +86,7 @@
     const fresh = hosts('f', 4, {domain: 'd'});
     const [action] = plan({
       backends: [...survivors, spare, ...fresh],
-      peaks: new Map([
+      usual: new Map([
         ['big', 1],
         ['low', 1],
       ]),
@@ -161,9 +165,9 @@
 
   test('joins no other group', () => {
     const backends = [host('a'), host('b')];
-    const peaks = new Map([['low', 1]]);
+    const usual = new Map([['low', 1]]);
     // The other host parks; nothing is planned for the one that leaves.
-    const actions = plan({backends, isRetired, peaks});
+    const actions = plan({backends, isRetired, usual});
     expect(describeActions(actions)).toEqual(['join a']);
     expect(actions[0]).toMatchObject({group: {name: 'parked-a'}});
   });
@@ -174,18 +178,18 @@
   const spares = [host('s', held), host('t', held)];
   const members = [host('a', told('open')), host('b', told('ready', 1))];
   const groups = [group(['a', 'b'], {isEnding: true})];
-  const peaks = new Map([['low', 1]]);
+  const usual = new Map([['low', 1]]);
   const backends = [...members, ...spares];
 
   test('is formed anew from its own hosts, not from the spares of others', () => {
     const isLost = (incarnation: string) => incarnation === 'b';
-    const actions = plan({groups, backends, peaks, isLost});
+    const actions = plan({groups, backends, usual, isLost});
     expect(describeActions(actions)).toEqual(['leave a']);
   });
 
   test('is replaced by spares while a silent head holds its hosts', () => {
     const isLost = (incarnation: string) => incarnation === 'a';
-    const actions = plan({groups, backends, peaks, isLost});
+    const actions = plan({groups, backends, usual, isLost});
     expect(describeActions(actions)).toContain('set-group low-2');
   });
 });
--- a/test/coordination/plan_engine_hosts.test.ts
+++ b/test/coordination/plan_engine_hosts.test.ts
@@ -9,13 +9,13 @@
 } from '../support/engine_plan';
 
 describe('hosts without a place', () => {
-  const peaks = new Map([
+  const usual = new Map([
     ['big', 2],
     ['low', 2],
   ]);
 
   test('take a model into memory before any group waits for it', () => {
-    const actions = plan({backends: hosts('d', 4), peaks});
+    const actions = plan({backends: hosts('d', 4), usual});
     expect(describeActions(actions)).toEqual([
       'join d0',
       'join d1',
@@ -30,7 +30,7 @@
 
   test('take the model that lies on their own disk without a load', () => {
     const backends = [host('a', {stagedModels: ['low']})];
-    const [action] = plan({backends, peaks});
+    const [action] = plan({backends, usual});
     expect(action).toMatchObject({kind: 'join', model: 'low', isLoad: false});
   });
 
@@ -40,7 +40,7 @@
     const low = group(['x', 'y']);
     const other = group(['v', 'w'], {name: 'low-2'});
     const groups = [low, other];
-    const [action] = plan({backends, peaks, groups, isStillListening: true});
+    const [action] = plan({backends, usual, groups, isStillListening: true});
 
     expect(action).toMatchObject({
       type: 'set-group',
@@ -56,7 +56,7 @@
     const other = group(['v', 'w'], {name: 'low-2'});
     const big = group(['p', 'q', 'r', 's'], {name: 'big-1', model: 'big'});
     const groups = [low, other, big];
-    const actions = plan({backends, peaks, groups, isStillListening: true});
+    const actions = plan({backends, usual, groups, isStillListening: true});
 
     expect(describeActions(actions)).toEqual([]);
   });
@@ -75,14 +75,14 @@
 describe('a model of which requests are refused', () => {
   test('gets one more group from spares, and leaves one of them', () => {
     const held = {model: 'low', stagedModels: ['big']};
-    const peaks = new Map([['low', 1]]);
+    const usual = new Map([['low', 1]]);
     const groups = [group(['x', 'y'])];
     const isPressed = (model: string) => model === 'low';
     const formed = (count: number) =>
       plan({
         backends: hosts('d', count, held),
         groups,
-        peaks,
+        usual,
         isPressed,
         isStillListening: true,
       }).filter(action => action.type === 'set-group').length;
@@ -115,7 +115,7 @@
   const input = {
     groups: small,
     backends: [...members, ...spares],
-    peaks: new Map([
+    usual: new Map([
       ['big', 1],
       ['low', 3],
     ]),
@@ -133,7 +133,7 @@
 });
 
 describe('second copies of weights', () => {
-  const peaks = new Map([['low', 1]]);
+  const usual = new Map([['low', 1]]);
 
   test('are kept by spares and by members, spares first', () => {
     const held = {model: 'low', stagedModels: ['low']};
@@ -144,7 +144,7 @@
     const actions = plan({
       groups: [group(['a', 'b'])],
       backends: [...members, host('s', held)],
-      peaks,
+      usual,
     });
 
     expect(describeActions(actions)).toEqual(['stage s', 'stage a', 'stage b']);
@@ -153,7 +153,7 @@
 
   test('do not push out the copy that is at hand', () => {
     const backends = [host('a', {model: 'low', stagedModels: ['big']})];
-    expect(plan({backends, peaks: new Map()})).toEqual([]);
+    expect(plan({backends, usual: new Map()})).toEqual([]);
   });
 
   test('let a member of the small model repair the large one at once', () => {
@@ -163,7 +163,7 @@
     const spare = host('s', {model: 'low', stagedModels: ['big']});
     const [action] = plan({
       backends: [...survivors, spare],
-      peaks: new Map([['big', 1]]),
+      usual: new Map([['big', 1]]),
     });
 
     expect(action).toMatchObject({type: 'set-group', group: {model: 'big'}});
@@ -179,7 +179,7 @@
       host('c', {...held, domain: 'e'}),
     ];
     const groups = [group(['a', 'b'], {domain: 'd+e'})];
-    const actions = plan({groups, backends, peaks: new Map([['low', 1]])});
+    const actions = plan({groups, backends, usual: new Map([['low', 1]])});
 
     expect(describeActions(actions)).toContain('end-group low-1');
   });
@@ -193,7 +193,7 @@
       host('s', {...held, domain: 'g'}),
     ];
     const groups = [group(['a', 'b'], {domain: 'd+e', isEnding: true})];
-    const actions = plan({groups, backends, peaks: new Map([['low', 3]])});
+    const actions = plan({groups, backends, usual: new Map([['low', 3]])});
 
     expect(describeActions(actions)).toEqual(['close a']);
   });
--- a/test/coordination/plan_needier_model.test.ts
+++ b/test/coordination/plan_needier_model.test.ts
@@ -1,7 +1,9 @@
 import {describe, expect, test} from 'vitest';
+import {computeUsualGroups} from '../../src/coordination/compute_usual_groups';
 import {EngineGroup} from '../../src/protocol/engine_group';
 import {BackendView} from '../../src/coordination/backend_view';
 import {
+  PROFILE,
   describeActions,
   group,
   host,
@@ -37,14 +39,14 @@
 describe('hosts of a domain in which the needier model can soon form a group', () => {
   const {groups, views} = createSmallGroups('e', [1, 2]);
   const survivors = ['a', 'b', 'c'].map(name => host(name, holdsBig));
-  const peaks = new Map([
+  const usual = new Map([
     ['big', 2],
     ['low', 3],
   ]);
 
   test('are not taken by the other model', () => {
     const backends = [...views, ...survivors, host('new')];
-    const actions = plan({groups, backends, peaks});
+    const actions = plan({groups, backends, usual});
 
     expect(actions.filter(({type}) => type === 'set-group')).toEqual([]);
   });
@@ -52,7 +54,7 @@
   test('include an empty one, which loads the needier model', () => {
     const others = hosts('f', 3, holdsBig);
     const backends = [...views, ...survivors, ...others, host('new')];
-    const [order] = plan({groups, backends, peaks}).filter(
+    const [order] = plan({groups, backends, usual}).filter(
       action => action.type === 'order',
     );
 
@@ -65,7 +67,7 @@
   });
 
   test('are used by the other model when too few are left for the needier', () => {
-    const actions = plan({groups, backends: [...views, ...survivors], peaks});
+    const actions = plan({groups, backends: [...views, ...survivors], usual});
 
     expect(describeActions(actions)).toContain('set-group low-3');
   });
@@ -76,7 +78,7 @@
     const actions = plan({
       groups: [groups[0], big, {...big, name: 'big-2', epoch: 9}],
       backends,
-      peaks: new Map([
+      usual: new Map([
         ['big', 3],
         ['low', 3],
       ]),
@@ -96,7 +98,7 @@
     const backends = hosts('d', 1).concat(host('a'), host('b', {domain: 'e'}));
     const actions = plan({
       backends,
-      peaks: new Map([['low', 0]]),
+      usual: new Map([['low', 0]]),
       findLoading: incarnation => loading.get(incarnation),
     });
 
@@ -119,7 +121,7 @@
   const input = {
     groups: [...groups, ...elsewhere.groups],
     backends: [...views, ...elsewhere.views],
-    peaks: new Map([
+    usual: new Map([
       ['big', 1],
       ['low', 4],
     ]),
@@ -177,3 +179,50 @@
     expect(ended).toEqual([]);
   });
 });
+
+describe('the usual number of groups of a model', () => {
+  const count = (hosts: number) => [...computeUsualGroups(PROFILE, hosts)];
+
+  test('is its share of the hosts, without a quarter for spares', () => {
+    expect(count(24)).toEqual([
+      ['big', 3],
+      ['low', 3],
+    ]);
+  });
+
+  test('falls and rises with the hosts that there are', () => {
+    expect(count(17)).toEqual([
+      ['big', 2],
+      ['low', 2],
+    ]);
+    expect(count(32)).toEqual([
+      ['big', 4],
+      ['low', 4],
+    ]);
+  });
+
+  test('is one while there are hosts enough for one', () => {
+    expect(count(4)).toEqual([
+      ['big', 1],
+      ['low', 1],
+    ]);
+    expect(count(1)).toEqual([
+      ['big', 0],
+      ['low', 0],
+    ]);
+  });
+});
+
+describe('two models that lack groups alike', () => {
+  test('are formed in the order of their sizes, also where the smaller is ready sooner', () => {
+    const backends = hosts('d', 4, holdsLow);
+    const [action] = plan({
+      backends,
+      usual: new Map([
+        ['big', 1],
+        ['low', 1],
+      ]),
+    });
+    expect(action).toMatchObject({type: 'set-group', group: {model: 'big'}});
+  });
+});
