feat(gateway): what has begun waits for a group that is formed anew; losses do not hold up moves

Cause: (1) each loss of a member set back the pause after which hosts may move between models, so with a loss every three seconds they hardly moved; slow groups over several domains took hosts that were about to be free; (2) a stream whose head broke off was ended at once where no other head was left, and the same engine as head of a new group counted as tried already. Change: only moves hold up moves; no group over several domains while hosts are about to be free; what has begun waits 1.9 s from the last byte for somebody to go on with it; a target is named with its group's epoch; the flow's course has a file of its own.

--- a/src/control/engine_planner_loop.ts
+++ b/src/control/engine_planner_loop.ts
@@ -25,7 +25,7 @@
 /** Without a new host for this many registration intervals, all that live are known. */
 const SETTLED_INTERVALS = 0.7;
 
-/** After a group ends, its hosts serve again within this time; only then is it seen what is missing. */
+/** Hosts that were moved serve again within this time; only then is it seen what is missing. */
 const REBALANCE_EVERY_MS = 2_500;
 
 type Pool = GatewayRules['pools'][number];
@@ -46,7 +46,7 @@
   private readonly health: BackendHealth;
   private readonly release: HeadRelease;
   private readonly orders: OrderDispatcher;
-  /** When a group was last ended: for a while after it no hosts are moved. */
+  /** When hosts were last moved: they are not moved again at once. */
   private rebalancedAt = -Infinity;
   private plannedTerm = -1;
   private isCommitting = false;
@@ -138,7 +138,7 @@
       isLetGo: group => this.release.isLetGo(group, now),
       hasLeaver: group => this.release.hasLeaver(group),
     });
-    if (actions.some(action => action.type === 'end-group')) {
+    if (actions.some(action => 'isMove' in action && action.isMove)) {
       this.rebalancedAt = now;
     }
     await this.commitChanges(actions);
--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -294,7 +294,9 @@
     const isWhole =
       wanted?.isEnding === false &&
       wanted.members.every(member => !engines.isRetired(member.incarnation));
-    return isOpen && isWhole ? {...target, model: wanted?.model} : undefined;
+    return isOpen && isWhole
+      ? {...target, model: wanted?.model, epoch: wanted?.epoch}
+      : undefined;
   }
 
   /**
--- a/src/coordination/engine_action.ts
+++ b/src/coordination/engine_action.ts
@@ -15,6 +15,8 @@
       readonly name: string;
       readonly epoch: number;
       readonly reason: string;
+      /** Nothing is lost: its hosts move to a better use. */
+      readonly isMove?: boolean;
     }
   | {
       readonly type: 'order';
--- a/src/coordination/plan_engine_formation.ts
+++ b/src/coordination/plan_engine_formation.ts
@@ -223,11 +223,11 @@
   const usual = input.usual.get(model.name) ?? 0;
   const isFarBelow = counts.countGroups(model.name) < usual * FAR_BELOW_SHARE;
   const warm = free.filter(host => computeReadyMs(host, model) < model.loadMs);
-  // Hosts of one that gives way are about to be used better.
-  const isOneEnding = input.groups.some(
-    group => group.isEnding && group.domain.includes(FAR_SEPARATOR),
+  // Hosts that are about to be free can often form a near one.
+  const isOneLeaving = input.groups.some(
+    ({isEnding, members}) => isEnding && !input.isLost(members[0].incarnation),
   );
-  if (!isFarBelow || isOneEnding || warm.length < model.size) {
+  if (!isFarBelow || isOneLeaving || warm.length < model.size) {
     return [];
   }
   const hosts = warm.slice(0, model.size);
--- a/src/coordination/plan_engine_groups.ts
+++ b/src/coordination/plan_engine_groups.ts
@@ -35,9 +35,10 @@
   });
   const upgrades = planUpgrades(input);
   const gifts = upgrades.length === 0 ? planRebalance(input) : [];
+  const isMoving = upgrades.length > 0 || gifts.length > 0;
   const {actions: formations, reservations} = planEngineFormation(
     input,
-    upgrades.length === 0,
+    !isMoving,
   );
   const formed = formations.flatMap(action =>
     action.type === 'set-group' ? action.group.members : [],
--- a/src/coordination/plan_rebalance.ts
+++ b/src/coordination/plan_rebalance.ts
@@ -43,6 +43,7 @@
         name,
         epoch,
         reason,
+        isMove: true,
       }));
     }
   }
--- a/src/coordination/plan_upgrades.ts
+++ b/src/coordination/plan_upgrades.ts
@@ -21,7 +21,7 @@
   }
   const {name, epoch} = far;
   const reason = 'its hosts and free ones can form a group in one domain';
-  return [{type: 'end-group', name, epoch, reason}];
+  return [{type: 'end-group', name, epoch, reason, isMove: true}];
 }
 
 function listDomains(group: EngineGroup, input: EnginePlanInput): string[] {
--- /dev/null
+++ b/src/gateway/flow_course.ts
@@ -0,0 +1,51 @@
+/** What happened to one request on its way, for the log. */
+export class FlowCourse {
+  private readonly tried: string[] = [];
+  private eventCount = 0;
+  private firstEventAt: number | undefined;
+  private runningAtTarget = -1;
+
+  private constructor(private readonly arrivedAt: number) {}
+
+  /**
+   * Creates the course of a request that was sent nowhere yet.
+   *
+   * @param arrivedAt milliseconds of the process's monotonic clock
+   * @example
+   * const course = FlowCourse.create(clock.now());
+   */
+  static create(arrivedAt: number): FlowCourse {
+    return new FlowCourse(arrivedAt);
+  }
+
+  /** It was sent somewhere at least once. */
+  get wasSent(): boolean {
+    return this.tried.length > 0;
+  }
+
+  /** Notes where it is sent, and what is known to run there. */
+  recordTarget(incarnation: string, running: number): void {
+    this.tried.push(incarnation);
+    this.runningAtTarget = running;
+  }
+
+  /** Notes an event that was passed on. */
+  recordEvent(now: number): void {
+    this.eventCount += 1;
+    this.firstEventAt ??= now;
+  }
+
+  /** All of it, at its end. */
+  describe(now: number) {
+    const {arrivedAt, firstEventAt} = this;
+    const firstEventMs =
+      firstEventAt === undefined ? -1 : Math.round(firstEventAt - arrivedAt);
+    return {
+      targets: this.tried,
+      events: this.eventCount,
+      firstEventMs,
+      runningAtTarget: this.runningAtTarget,
+      tookMs: Math.round(now - arrivedAt),
+    };
+  }
+}
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -10,7 +10,9 @@
 import {CallerDialect} from './caller_dialect';
 import {computeRetryAfterMs} from './compute_retry_after_ms';
 import {computeStallMs} from './compute_stall_ms';
+import {createTargetKey} from './create_target_key';
 import {EventSplitter} from './event_splitter';
+import {FlowCourse} from './flow_course';
 import {FlowResult} from './flow_result';
 import {GatewayRequest} from './gateway_request';
 import {HeldBody} from './held_body';
@@ -23,6 +25,11 @@
 /** Part of the objective for which a request waits for a place before it is refused: a refusal must come early to be of use. */
 const WAIT_SHARE = 0.12;
 
+/** How long what has begun waits for somebody to go on with it: a repair takes about a second and a half, and callers leave after a pause of two. */
+const REPAIR_WAIT_MS = 1_900;
+
+type Outcome = FlowResult['outcome'];
+
 /** What a flow needs. */
 interface RequestFlowOptions {
   readonly request: GatewayRequest;
@@ -51,24 +58,24 @@
   private splitter = EventSplitter.create();
   private held = HeldBody.create();
   private lastEventId: string | undefined;
-  private eventCount = 0;
-  private firstEventMs = -1;
-  private runningAtTarget = -1;
   private runs = 0;
   private refusals = 0;
   private readonly tried = new Set<string>();
-  private readonly targets: string[] = [];
+  private readonly course: FlowCourse;
   private readonly deadlineAt: number;
   private readonly timer: NodeJS.Timeout;
   private readonly stall: StallJudge;
   /** Set while it waits for a place at a backend server. */
   private waitingUntil: number | undefined;
+  /** When the last attempt was sent or heard from. */
+  private quietSince = -Infinity;
   private isDone = false;
 
   private constructor(private readonly options: RequestFlowOptions) {
     const {request, route, arrivedAt, clock, answer, pool, board} = options;
     const holdMs = Math.min(route.timeoutMs, request.waitMs ?? Infinity);
     this.deadlineAt = arrivedAt + holdMs;
+    this.course = FlowCourse.create(arrivedAt);
     this.lastEventId = request.lastEventId;
     this.stall = StallJudge.create(board, {
       stallMs: computeStallMs(pool.engine, request.model),
@@ -122,7 +129,7 @@
   }
 
   private checkWaiting(now: number, until: number): void {
-    const target = this.findTarget(false);
+    const target = this.findTarget(this.course.wasSent);
     if (!target && now < until) {
       return;
     }
@@ -130,7 +137,7 @@
     if (target) {
       this.sendTo(target);
     } else {
-      this.giveUp('every backend server that serves it is full');
+      this.giveUp('nobody had a place for it in time');
     }
   }
 
@@ -156,23 +163,32 @@
   private sendOn(whyNot: string): void {
     const {route, clock} = this.options;
     // What has begun elsewhere is worth more than what has not begun at all.
-    const mayQueue = this.targets.length > 0;
+    const mayQueue = this.course.wasSent;
     const target = this.findTarget(mayQueue);
     if (target) {
       this.sendTo(target);
     } else if (!mayQueue && this.findTarget(true)) {
       this.waitingUntil = clock.now() + route.objectiveMs * WAIT_SHARE;
+    } else if (this.canAwaitRepair) {
+      this.waitingUntil = this.quietSince + REPAIR_WAIT_MS;
     } else {
       this.giveUp(whyNot);
     }
   }
 
+  /** What an engine has begun may go on once a group of the model is formed anew. */
+  private get canAwaitRepair(): boolean {
+    const {pool, clock} = this.options;
+    const isInTime = clock.now() < this.quietSince + REPAIR_WAIT_MS;
+    return pool.engine !== undefined && this.runs > 0 && isInTime;
+  }
+
   private sendTo(target: GatewayTarget): void {
     const {options} = this;
     const {request, board, clock} = options;
-    this.runningAtTarget = board.countRunning(target.incarnation);
-    this.tried.add(target.incarnation);
-    this.targets.push(target.incarnation);
+    this.tried.add(createTargetKey(target));
+    const {incarnation} = target;
+    this.course.recordTarget(incarnation, board.countRunning(incarnation));
     this.splitter = EventSplitter.create();
     this.held = HeldBody.create();
     this.attempt = Attempt.create({
@@ -228,17 +244,14 @@
   }
 
   private passEvent(bytes: Buffer, id: string | undefined): void {
-    const {answer, arrivedAt, clock} = this.options;
+    const {answer, clock} = this.options;
     if (this.isDone || !this.head) {
       return;
     }
     if (!answer.hasBegun) {
       answer.begin(this.head);
     }
-    if (this.eventCount === 0) {
-      this.firstEventMs = Math.round(clock.now() - arrivedAt);
-    }
-    this.eventCount += 1;
+    this.course.recordEvent(clock.now());
     this.lastEventId = id ?? this.lastEventId;
     const {attempt} = this;
     if (!answer.write(bytes) && attempt) {
@@ -248,6 +261,7 @@
   }
 
   private handleEnd(end: AttemptEnd): void {
+    this.quietSince = this.attempt?.quietSince ?? this.quietSince;
     this.attempt = undefined;
     if (this.isDone) {
       return;
@@ -353,11 +367,7 @@
     this.tell('gone', 'the caller left', 0);
   }
 
-  private finish(
-    outcome: FlowResult['outcome'],
-    reason: string,
-    status: number,
-  ): void {
+  private finish(outcome: Outcome, reason: string, status: number): void {
     this.markDone();
     this.tell(outcome, reason, status);
   }
@@ -368,15 +378,8 @@
     clearTimeout(this.timer);
   }
 
-  private tell(
-    outcome: FlowResult['outcome'],
-    reason: string,
-    status: number,
-  ): void {
-    const {arrivedAt, clock, onDone} = this.options;
-    const tookMs = Math.round(clock.now() - arrivedAt);
-    const {targets, eventCount: events, firstEventMs, runningAtTarget} = this;
-    const course = {targets, events, firstEventMs, runningAtTarget, tookMs};
-    onDone({outcome, reason, status, ...course});
+  private tell(outcome: Outcome, reason: string, status: number): void {
+    const {clock, onDone} = this.options;
+    onDone({outcome, reason, status, ...this.course.describe(clock.now())});
   }
 }
--- a/src/gateway/target_board.ts
+++ b/src/gateway/target_board.ts
@@ -1,6 +1,7 @@
 /** What this gateway knows about backend servers: its own work there, and who stalls. */
 import {Clock} from '../common/clock';
 import {GatewayTarget} from '../protocol/gateway_target';
+import {createTargetKey} from './create_target_key';
 
 /** How long a backend server that did not take a connection is passed over. */
 const UNREACHABLE_MS = 1_000;
@@ -32,6 +33,7 @@
   /** Also targets that have no place free: they queue. */
   readonly mayQueue: boolean;
   readonly model?: string;
+  /** Keys of targets that were tried in vain. */
   readonly excluded: ReadonlySet<string>;
 }
 
@@ -68,7 +70,9 @@
     const standings = new Map<string, Standing>();
     for (const [incarnation, target] of targets) {
       const known = this.standings.get(incarnation);
-      const hasMoved = known?.target.model !== target.model;
+      const hasMoved =
+        known?.target.model !== target.model ||
+        known?.target.epoch !== target.epoch;
       const standing = known ?? createStanding(target);
       standing.target = target;
       if (hasMoved) {
@@ -101,7 +105,7 @@
       const isFit =
         target.pool === want.pool &&
         target.model === want.model &&
-        !want.excluded.has(target.incarnation) &&
+        !want.excluded.has(createTargetKey(target)) &&
         standing.avoidUntil <= now &&
         (want.mayQueue || hasPlace(standing));
       const cost = isFit ? this.computeCost(standing) : Infinity;
--- a/src/protocol/gateway_target.ts
+++ b/src/protocol/gateway_target.ts
@@ -10,5 +10,7 @@
   slots: z.int().nonnegative(),
   /** The model that it serves as the head of an open group. */
   model: z.string().optional(),
+  /** Epoch of that group: the head of a new one has nothing of what broke before. */
+  epoch: z.int().optional(),
 });
 export type GatewayTarget = z.infer<typeof GatewayTarget>;
--- a/test/coordination/plan_needier_model.test.ts
+++ b/test/coordination/plan_needier_model.test.ts
@@ -156,6 +156,25 @@
     ]);
   });
 
+  test('gets them as a move, not as a loss', () => {
+    const [ended] = plan(input).filter(({type}) => type === 'end-group');
+    expect(ended).toMatchObject({isMove: true});
+  });
+
+  test('forms no slow group over two domains while hosts are about to be free', () => {
+    const spread = ['g', 'h', 'i', 'j'].flatMap(domain =>
+      hosts(domain, 1, holdsBig),
+    );
+    const backends = [...input.backends, ...spread];
+    const moving = plan({...input, backends});
+    expect(describeActions(moving)).not.toContain('set-group big-1');
+
+    const [first, ...others] = input.groups;
+    const leaving = [{...first, isEnding: true}, ...others];
+    const after = plan({...input, groups: leaving, backends});
+    expect(describeActions(after)).not.toContain('set-group big-1');
+  });
+
   test('gets nothing while another group is being taken apart', () => {
     const leaving = createSmallGroups('f', [5]);
     const ending = {...leaving.groups[0], isEnding: true};
--- a/test/gateway/stream_flow.test.ts
+++ b/test/gateway/stream_flow.test.ts
@@ -45,6 +45,40 @@
     expect(fixture.board.listNews().stalled).toEqual(['i0']);
   });
 
+  test('goes on at the same backend server once that is the head of a new group', async () => {
+    const parts = [
+      stream('a', [1, 2], 'reset', 'id: 3\nda'),
+      stream('b', [3, 4], 'whole'),
+    ];
+    const {fixture, backends} = await start(
+      [request => parts.shift()?.(request)],
+      route,
+      {...model, epoch: 7},
+    );
+    const asked = fixture.ask();
+    const [backend] = backends;
+    await waitUntil(
+      'broken',
+      () => backend.requests.length === 1 && backend.openConnections === 0,
+    );
+    fixture.board.setTargets(new Map());
+    const [[incarnation, target]] = fixture.targets;
+    const again = {...target, epoch: 9};
+    fixture.board.setTargets(new Map([[incarnation, again]]));
+
+    expect((await asked).body).toBe(events(1, 2, 3, 4));
+    expect(backends[0].requests).toHaveLength(2);
+  });
+
+  test('that nobody goes on with in time is broken off', async () => {
+    const {fixture} = await start([stream('a', [1, 2], 'reset')], route, model);
+    const received = await fixture.ask();
+
+    expect(received.isWhole).toBe(false);
+    expect(received.body).toBe(events(1, 2));
+    expect(fixture.results[0].outcome).toBe('failed');
+  });
+
   test('that may not be resumed is broken off, never ended as whole', async () => {
     const {fixture} = await start(
       [stream('a', [1], 'reset'), stream('b', [2], 'whole')],
