fix(control): a late registration of an ended start does not displace the one that lives

The registry took any incarnation that it did not know for the newest, so the one that lives was forgotten until its next call; worse, for the proof that a silent head is gone another start at its address counted, so members could have been used while that head still counted on them. Change: at an address that is held, a start that was replaced or has called more than three times counts only when it goes on calling for two intervals while the holder is silent. The log tells the count of a registration.

--- a/src/control/backend_registry.ts
+++ b/src/control/backend_registry.ts
@@ -5,21 +5,35 @@
 /** Silence after which a backend server is forgotten: it said no goodbye. */
 const FORGET_AFTER_MS = 30_000;
 
+/** Calls of a start that is new: its first ones may have been lost. */
+const FIRST_CALLS = 3;
+/** Silence of an address's holder after which another start that goes on calling has taken its place. */
+const SILENT_INTERVALS = 2;
+/** Where the interval of registrations is not known, in milliseconds. */
+const DEFAULT_HEARTBEAT_MS = 1_000;
+/** Starts that ended at an address; incarnations are never used again, so only the newest matter. */
+const MAX_REPLACED = 512;
+
 /** The newest registration of each start of a backend server. */
 export class BackendRegistry {
   private readonly views = new Map<string, BackendView>();
+  /** Starts whose address another one has taken. */
+  private readonly replaced = new Set<string>();
+  /** Calls of starts that may be late ones: when each first came. */
+  private readonly doubtfulSince = new Map<string, number>();
   private changes = 0;
 
-  private constructor() {}
+  private constructor(private readonly heartbeatMs: number) {}
 
   /**
    * Creates an empty registry.
    *
+   * @param heartbeatMs interval of registrations
    * @example
-   * const registry = BackendRegistry.create();
+   * const registry = BackendRegistry.create(1000);
    */
-  static create(): BackendRegistry {
-    return new BackendRegistry();
+  static create(heartbeatMs = DEFAULT_HEARTBEAT_MS): BackendRegistry {
+    return new BackendRegistry(heartbeatMs);
   }
 
   /** Rises with each change that gateways or the planner care about. */
@@ -33,6 +47,9 @@
     if (known && known.registration.sequence > registration.sequence) {
       return false;
     }
+    if (!known && this.isLate(registration, now)) {
+      return false;
+    }
     const isNews = !known || describe(known) !== describe({registration});
     this.views.set(registration.incarnation, {
       registration,
@@ -83,16 +100,57 @@
   /** Forgets everything: another process may lead now. */
   clear(): void {
     this.views.clear();
+    this.replaced.clear();
+    this.doubtfulSince.clear();
     this.changes += 1;
   }
 
+  /**
+   * A call that a cut held up may come after its sender crashed and another
+   * start took its address. It is told from a new start by its count of calls,
+   * and from a start that lives by the holder of the address, which goes on
+   * calling.
+   */
+  private isLate(registration: BackendRegistration, now: number): boolean {
+    const {incarnation, sequence} = registration;
+    const holder = this.findHolder(registration);
+    const isDoubtful = this.replaced.has(incarnation) || sequence > FIRST_CALLS;
+    if (!holder || !isDoubtful) {
+      return false;
+    }
+    const since = this.doubtfulSince.get(incarnation) ?? now;
+    const hasHolderSpoken = holder.seenAt >= since;
+    this.doubtfulSince.set(incarnation, hasHolderSpoken ? now : since);
+    return hasHolderSpoken || now - since < this.heartbeatMs * SILENT_INTERVALS;
+  }
+
+  private findHolder({
+    incarnation,
+    address,
+  }: BackendRegistration): BackendView | undefined {
+    return this.list().find(
+      ({registration}) =>
+        registration.address === address &&
+        registration.incarnation !== incarnation,
+    );
+  }
+
   /** A new start at the same address ends the one before. */
-  private dropPredecessors({incarnation, address}: BackendRegistration): void {
-    for (const {registration} of this.list()) {
-      const isOther = registration.incarnation !== incarnation;
-      if (isOther && registration.address === address) {
-        this.remove(registration.incarnation);
+  private dropPredecessors(registration: BackendRegistration): void {
+    this.replaced.delete(registration.incarnation);
+    this.doubtfulSince.delete(registration.incarnation);
+    const holder = this.findHolder(registration);
+    if (!holder) {
+      return;
+    }
+    const {incarnation} = holder.registration;
+    this.remove(incarnation);
+    this.replaced.add(incarnation);
+    for (const oldest of this.replaced) {
+      if (this.replaced.size <= MAX_REPLACED) {
+        break;
       }
+      this.replaced.delete(oldest);
     }
   }
 }
--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -42,7 +42,7 @@
   private links: ControlLinks | undefined;
   private keeper: QuorumKeeper | undefined;
   private enginePlanner: EnginePlannerLoop | undefined;
-  private readonly registry = BackendRegistry.create();
+  private readonly registry: BackendRegistry;
   private runtime: RaftRuntime | undefined;
   private planner: PlannerLoop | undefined;
   private handlers: Handlers | undefined;
@@ -52,6 +52,7 @@
     private readonly disk: ControlDisk,
   ) {
     this.failed = new Promise(resolve => (this.fail = resolve));
+    this.registry = BackendRegistry.create(settings.pools?.heartbeatMs);
   }
 
   /**
--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -146,6 +146,7 @@
   private recordNews(registration: BackendRegistration): void {
     const {incarnation, pool, address, isLeaving, model, stagedModels, group} =
       registration;
+    const {sequence} = registration;
     this.options.events.record({
       type: 'backend-told',
       subject: 'host',
@@ -154,6 +155,7 @@
       details: {
         pool,
         address,
+        sequence,
         model: model ?? '',
         staged: stagedModels.join(' '),
         group: group?.name ?? '',
--- /dev/null
+++ b/test/control/backend_registry.test.ts
@@ -0,0 +1,78 @@
+import {describe, expect, test} from 'vitest';
+import {BackendRegistry} from '../../src/control/backend_registry';
+import {HeadRelease} from '../../src/control/head_release';
+import {group, host} from '../support/engine_plan';
+
+const HEARTBEAT_MS = 1_000;
+const STALL_MS = 5_000;
+
+function create() {
+  const registry = BackendRegistry.create(HEARTBEAT_MS);
+  /** One call of a start at the same address as all others of a test. */
+  const call = (incarnation: string, sequence: number, now: number) => {
+    const {registration} = host(incarnation, {address: 'a:1', sequence});
+    return registry.record(registration, now);
+  };
+  const list = () => registry.list().map(view => view.registration.incarnation);
+  return {registry, call, list};
+}
+
+describe('the start of a backend server that is known at an address', () => {
+  test('is the newest one', () => {
+    const {call, list} = create();
+    call('old', 40, 0);
+    call('new', 1, 500);
+    expect(list()).toEqual(['new']);
+  });
+
+  test('stays when a call of the one before comes late', () => {
+    const {call, list} = create();
+    call('old', 40, 0);
+    call('new', 1, 500);
+    expect(call('old', 41, 600)).toBe(false);
+    expect(call('old', 42, 601)).toBe(false);
+    expect(list()).toEqual(['new']);
+  });
+
+  test('stays when the one before was never heard here', () => {
+    const {call, list} = create();
+    call('new', 7, 0);
+    expect(call('old', 41, 100)).toBe(false);
+    expect(list()).toEqual(['new']);
+  });
+
+  test('stays however often late calls come while it goes on calling', () => {
+    const {call, list} = create();
+    call('old', 40, 0);
+    call('new', 1, 500);
+    for (let at = 1; at < 10; at += 1) {
+      call('old', 40 + at, at * HEARTBEAT_MS);
+      call('new', 1 + at, at * HEARTBEAT_MS + 500);
+    }
+    expect(list()).toEqual(['new']);
+  });
+
+  test('gives way to one that calls alone, however many calls that one has made', () => {
+    const {call, list} = create();
+    call('late', 3, 0);
+    call('living', 41, 100);
+    call('living', 42, 1_100);
+    expect(list()).toEqual(['late']);
+    call('living', 43, 2_100);
+    expect(list()).toEqual(['living']);
+  });
+});
+
+describe('a silent head', () => {
+  test('is not taken for gone because a call of the start before it comes late', () => {
+    const {registry, call} = create();
+    call('head', 30, 0);
+    call('before', 20, 500);
+    const release = HeadRelease.create(registry, STALL_MS);
+    const ended = {...group(['head', 'b']), isEnding: true};
+    const [, member] = ended.members;
+    const members = [{incarnation: 'head', address: 'a:1'}, member];
+
+    expect(release.isLetGo({...ended, members}, 600)).toBe(false);
+  });
+});
