fix(coordination): a new leader knows held groups, and what engines that left a group hold

Change: a group that is taken apart counts as held when it is released, its head is lost or this leader never heard it; members of ending groups are known to hold their model; a reserved host takes the model it is reserved for.

--- a/src/control/backend_registry.ts
+++ b/src/control/backend_registry.ts
@@ -76,6 +76,18 @@
     }
   }
 
+  /**
+   * Notes the model of a group that an engine was a member of. One that has
+   * left no longer tells it, but joins that model at once; a new leader knows
+   * only from the log.
+   */
+  recordHeld(incarnation: string, model: string): void {
+    const known = this.views.get(incarnation);
+    if (known && known.heldModel === undefined) {
+      this.views.set(incarnation, {...known, heldModel: model});
+    }
+  }
+
   remove(incarnation: string): void {
     this.changes += this.views.delete(incarnation) ? 1 : 0;
   }
--- a/src/control/engine_planner_loop.ts
+++ b/src/control/engine_planner_loop.ts
@@ -6,6 +6,7 @@
 import {planEngineGroups} from '../coordination/plan_engine_groups';
 import {computeUsualGroups} from '../coordination/compute_usual_groups';
 import {ControlCommand} from '../protocol/control_command';
+import {EngineGroup} from '../protocol/engine_group';
 import {listMemberNames} from '../protocol/list_member_names';
 import {GatewayRules} from '../protocol/gateway_rules';
 import {BackendHealth} from './backend_health';
@@ -117,6 +118,7 @@
     if (groups.length === 0 && !this.isSettled(backends, now)) {
       return;
     }
+    this.recordHeld(groups);
     this.health.refresh(groups, now);
     const actions = planEngineGroups({
       pool: pool.name,
@@ -155,6 +157,16 @@
     return now - newest > this.options.duties.heartbeatMs * SETTLED_INTERVALS;
   }
 
+  /** Members that were told to leave still have the weights in memory. */
+  private recordHeld(groups: readonly EngineGroup[]): void {
+    const {registry} = this.options;
+    for (const {members, model} of groups.filter(group => group.isEnding)) {
+      members.forEach(({incarnation}) =>
+        registry.recordHeld(incarnation, model),
+      );
+    }
+  }
+
   private countWell(backends: readonly BackendView[]): number {
     const {engines} = this.options.runtime.state;
     return backends.filter(
--- a/src/coordination/engine_counts.ts
+++ b/src/coordination/engine_counts.ts
@@ -1,6 +1,7 @@
 /** How many groups each model has, and which model lacks hosts most. */
-import {EngineGroup} from '../protocol/engine_group';
 import {EngineProfile} from '../protocol/engine_profile';
+import {EnginePlanInput} from './engine_plan_input';
+import {isHeldBySilentHead} from './is_held_by_silent_head';
 
 type Model = EngineProfile['models'][number];
 
@@ -16,18 +17,13 @@
    * hosts, unless a silent head holds them.
    *
    * @example
-   * const counts = EngineCounts.create(input.groups, input.isLost);
+   * const counts = EngineCounts.create(input);
    */
-  static create(
-    groups: readonly EngineGroup[],
-    isLost: (incarnation: string) => boolean,
-  ): EngineCounts {
+  static create(input: EnginePlanInput): EngineCounts {
     const counts = new EngineCounts(new Map(), new Map());
-    for (const {model, isEnding, members} of groups) {
-      if (!isEnding || !isLost(members[0].incarnation)) {
-        counts.addGroup(model);
-      }
-    }
+    input.groups
+      .filter(group => !isHeldBySilentHead(group, input))
+      .forEach(({model}) => counts.addGroup(model));
     return counts;
   }
 
--- a/src/coordination/plan_engine_formation.ts
+++ b/src/coordination/plan_engine_formation.ts
@@ -8,6 +8,7 @@
 import {EngineReservation} from './engine_reservation';
 import {listFreeEngines} from './list_free_engines';
 import {SPARE_SHARE} from './spare_share';
+import {isHeldBySilentHead} from './is_held_by_silent_head';
 import {reserveEngines} from './reserve_engines';
 
 /** Between the domains of a group that spans several. */
@@ -59,7 +60,7 @@
 ): EngineFormation {
   const actions: EngineAction[] = [];
   let free = listFreeEngines(input);
-  const counts = EngineCounts.create(input.groups, input.isLost);
+  const counts = EngineCounts.create(input);
   const names = new Set(input.groups.map(group => group.name));
   for (;;) {
     const reservations = listReservations(input, free, counts);
@@ -225,7 +226,7 @@
   const warm = free.filter(host => computeReadyMs(host, model) < model.loadMs);
   // Hosts that are about to be free can often form a near one.
   const isOneLeaving = input.groups.some(
-    ({isEnding, members}) => isEnding && !input.isLost(members[0].incarnation),
+    group => group.isEnding && !isHeldBySilentHead(group, input),
   );
   if (!isFarBelow || isOneLeaving || warm.length < model.size) {
     return [];
--- a/src/coordination/plan_rebalance.ts
+++ b/src/coordination/plan_rebalance.ts
@@ -6,6 +6,7 @@
 import {EngineAction} from './engine_action';
 import {EngineCounts} from './engine_counts';
 import {EnginePlanInput} from './engine_plan_input';
+import {isHeldBySilentHead} from './is_held_by_silent_head';
 import {listFreeEngines} from './list_free_engines';
 
 /** Part of its usual groups that a model keeps when it gives hosts away. */
@@ -23,12 +24,12 @@
  */
 export function planRebalance(input: EnginePlanInput): EngineAction[] {
   const isOneLeaving = input.groups.some(
-    ({isEnding, members}) => isEnding && !input.isLost(members[0].incarnation),
+    group => group.isEnding && !isHeldBySilentHead(group, input),
   );
   if (!input.mayRebalance || isOneLeaving) {
     return [];
   }
-  const counts = EngineCounts.create(input.groups, input.isLost);
+  const counts = EngineCounts.create(input);
   const needy = input.profile.models
     .filter(({name}) => input.isPressed(name))
     .sort(
--- a/src/coordination/plan_weights.ts
+++ b/src/coordination/plan_weights.ts
@@ -56,7 +56,7 @@
   input: EnginePlanInput,
   free: readonly BackendView[],
 ): EngineCounts {
-  const counts = EngineCounts.create(input.groups, input.isLost);
+  const counts = EngineCounts.create(input);
   for (const {registration, heldModel} of free) {
     const model = heldModel ?? input.findLoading(registration.incarnation);
     if (model !== undefined) {
@@ -91,8 +91,8 @@
     const models = sortByNeed(input, counts);
     const reserved = reservations.find(({hosts}) => hosts.includes(host));
     const model =
-      models.find(({name}) => stagedModels.includes(name)) ??
       reserved?.model ??
+      models.find(({name}) => stagedModels.includes(name)) ??
       models[0];
     if (!model) {
       return [];
--- a/src/coordination/reserve_engines.ts
+++ b/src/coordination/reserve_engines.ts
@@ -8,6 +8,7 @@
 import {computeReadyMs} from './compute_ready_ms';
 import {EnginePlanInput} from './engine_plan_input';
 import {EngineReservation} from './engine_reservation';
+import {isHeldBySilentHead} from './is_held_by_silent_head';
 
 type Model = EngineProfile['models'][number];
 
@@ -69,10 +70,7 @@
 function listLeaving(input: EnginePlanInput): BackendView[] {
   const leaving = new Set(
     input.groups
-      .filter(
-        ({isEnding, members}) =>
-          isEnding && !input.isLost(members[0].incarnation),
-      )
+      .filter(group => group.isEnding && !isHeldBySilentHead(group, input))
       .flatMap(({members}) => members.map(member => member.incarnation)),
   );
   return input.backends.filter(
--- a/test/control/backend_registry.test.ts
+++ b/test/control/backend_registry.test.ts
@@ -63,6 +63,23 @@
   });
 });
 
+describe('an engine that has left its group', () => {
+  test('is known to hold the model of that group, also to a new leader', () => {
+    const {registry} = create();
+    registry.record(host('a', {model: undefined}).registration, 0);
+    registry.recordHeld('a', 'big');
+    registry.record(host('a', {sequence: 2}).registration, 1_000);
+    expect(registry.find('a')?.heldModel).toBe('big');
+  });
+
+  test('is believed where it tells its model itself', () => {
+    const {registry} = create();
+    registry.record(host('a', {model: 'low'}).registration, 0);
+    registry.recordHeld('a', 'big');
+    expect(registry.find('a')?.heldModel).toBe('low');
+  });
+});
+
 describe('a silent head', () => {
   test('is not taken for gone because a call of the start before it comes late', () => {
     const {registry, call} = create();
--- a/test/coordination/plan_needier_model.test.ts
+++ b/test/coordination/plan_needier_model.test.ts
@@ -89,6 +89,24 @@
   });
 });
 
+describe('a host without a model in memory that a group waits for', () => {
+  test('loads that model, also with the other one on its disk', () => {
+    const survivors = ['a', 'b', 'c'].map(name => host(name, holdsBig));
+    const back = host('back', {stagedModels: ['low']});
+    const {groups, views} = createSmallGroups('e', [1]);
+    const [order] = plan({
+      groups,
+      backends: [...views, ...survivors, back],
+      usual: new Map([
+        ['big', 1],
+        ['low', 1],
+      ]),
+    }).filter(action => action.type === 'order');
+
+    expect(order).toMatchObject({incarnation: 'back', model: 'big'});
+  });
+});
+
 describe('empty hosts that no group waits for', () => {
   test('are shared out by what other empty hosts are loading already', () => {
     const loading = new Map([
@@ -175,6 +193,23 @@
     expect(describeActions(after)).not.toContain('set-group big-1');
   });
 
+  test('gets them under a new leader, which never heard the silent head', () => {
+    const held = group(['x', 'y', 'z', 'w'], {
+      name: 'big-1',
+      model: 'big',
+      domain: 'g',
+      isEnding: true,
+    });
+    const ended = plan({...input, groups: [...input.groups, held]}).filter(
+      ({type}) => type === 'end-group',
+    );
+
+    expect(describeActions(ended)).toEqual([
+      'end-group low-1',
+      'end-group low-2',
+    ]);
+  });
+
   test('gets nothing while another group is being taken apart', () => {
     const leaving = createSmallGroups('f', [5]);
     const ending = {...leaving.groups[0], isEnding: true};
