fix(coordination): hosts move only from groups that serve, and only while nothing is formed

Change: what an engine holds is unknown while it joins; only open groups give hosts; no move in a plan that forms groups; the only group of a model that refuses requests stays; a model that gives hosts keeps two groups unless the other has none.

--- a/src/control/backend_registry.ts
+++ b/src/control/backend_registry.ts
@@ -55,7 +55,7 @@
       registration,
       seenAt: now,
       firstSeenAt: known?.firstSeenAt ?? now,
-      heldModel: registration.model ?? known?.heldModel,
+      heldModel: findHeldModel(registration, known),
     });
     if (!known) {
       this.dropPredecessors(registration);
@@ -83,7 +83,8 @@
    */
   recordHeld(incarnation: string, model: string): void {
     const known = this.views.get(incarnation);
-    if (known && known.heldModel === undefined) {
+    const isInGroup = known?.registration.group !== undefined;
+    if (known && !isInGroup && known.heldModel === undefined) {
       this.views.set(incarnation, {...known, heldModel: model});
     }
   }
@@ -167,6 +168,14 @@
   }
 }
 
+/** Joining puts another model into memory; until it is told, nothing is sure. */
+function findHeldModel(
+  {model, group}: BackendRegistration,
+  known: BackendView | undefined,
+): string | undefined {
+  return model ?? (group?.state === 'joining' ? undefined : known?.heldModel);
+}
+
 /** Everything but the counter of calls. */
 function describe({registration}: {registration: BackendRegistration}): string {
   return JSON.stringify({...registration, sequence: 0});
--- a/src/coordination/plan_engine_groups.ts
+++ b/src/coordination/plan_engine_groups.ts
@@ -33,12 +33,10 @@
       ? [{type: 'end-group' as const, name, epoch, reason}]
       : planAssembly(group, views);
   });
-  const upgrades = planUpgrades(input);
-  const gifts = upgrades.length === 0 ? planRebalance(input) : [];
-  const isMoving = upgrades.length > 0 || gifts.length > 0;
+  const moves = planMoves(input);
   const {actions: formations, reservations} = planEngineFormation(
     input,
-    !isMoving,
+    moves.length === 0,
   );
   const formed = formations.flatMap(action =>
     action.type === 'set-group' ? action.group.members : [],
@@ -47,13 +45,19 @@
   return [
     ...steps,
     ...planStrays(input),
-    ...upgrades,
-    ...gifts,
+    // New groups may take the hosts that a move counts on.
+    ...(formations.length === 0 ? moves : []),
     ...formations,
     ...planWeights(input, taken, reservations),
   ];
 }
 
+/** Groups that give up their hosts to a better use. */
+function planMoves(input: EnginePlanInput): EngineAction[] {
+  const upgrades = planUpgrades(input);
+  return upgrades.length > 0 ? upgrades : planRebalance(input);
+}
+
 /** Why a group cannot go on, if it cannot. */
 function findFault(
   group: EngineGroup,
--- a/src/coordination/plan_rebalance.ts
+++ b/src/coordination/plan_rebalance.ts
@@ -12,6 +12,9 @@
 /** Part of its usual groups that a model keeps when it gives hosts away. */
 const KEPT_SHARE = 0.6;
 
+/** With fewer groups the next loss would leave a model without any; only one that has none may ask for that. */
+const SAFE_GROUPS = 2;
+
 type Model = EngineProfile['models'][number];
 
 /**
@@ -77,7 +80,7 @@
   for (const group of input.groups) {
     const isDonor =
       ready < model.size &&
-      !group.isEnding &&
+      isServing(group, input) &&
       group.domain === domain &&
       group.model !== model.name &&
       isBetterOff(group, donors, model, counts, input);
@@ -89,6 +92,18 @@
   return donors.length > 0 && ready >= model.size ? donors : undefined;
 }
 
+/** One that is being formed is about to help by itself. */
+function isServing(
+  {isEnding, members, name}: EngineGroup,
+  {backends}: EnginePlanInput,
+): boolean {
+  const [head] = members;
+  const told = backends.find(
+    ({registration}) => registration.incarnation === head.incarnation,
+  )?.registration.group;
+  return !isEnding && told?.name === name && told.state === 'open';
+}
+
 function listMembers(
   {members}: EngineGroup,
   {backends}: EnginePlanInput,
@@ -127,6 +142,10 @@
   }
   const gifts = given.filter(other => other.model === model.name).length + 1;
   const left = counts.countGroups(model.name) - gifts;
+  const isFragile = left < SAFE_GROUPS && counts.countGroups(needy.name) > 0;
+  if (left < 1 || isFragile) {
+    return false;
+  }
   const kept = (usual.get(model.name) ?? 0) * KEPT_SHARE;
   const isAtEase = !isPressed(model.name) && left >= kept;
   const leftRank = (left * model.size) / model.share;
--- a/src/coordination/plan_upgrades.ts
+++ b/src/coordination/plan_upgrades.ts
@@ -14,7 +14,11 @@
  */
 export function planUpgrades(input: EnginePlanInput): EngineAction[] {
   const far = input.groups.find(
-    group => !group.isEnding && isFar(group, input) && canBeNear(group, input),
+    group =>
+      !group.isEnding &&
+      isFar(group, input) &&
+      !isNeeded(group, input) &&
+      canBeNear(group, input),
   );
   if (!far) {
     return [];
@@ -24,6 +28,17 @@
   return [{type: 'end-group', name, epoch, reason, isMove: true}];
 }
 
+/** A slow group finishes its work slowly; meanwhile nobody would serve a model that has no other. */
+function isNeeded(
+  {name, model}: EngineGroup,
+  {groups, isPressed}: EnginePlanInput,
+): boolean {
+  const hasOther = groups.some(
+    other => other.model === model && other.name !== name && !other.isEnding,
+  );
+  return !hasOther && isPressed(model);
+}
+
 function listDomains(group: EngineGroup, input: EnginePlanInput): string[] {
   return group.members.flatMap(({incarnation}) => {
     const view = input.backends.find(
--- a/test/control/backend_registry.test.ts
+++ b/test/control/backend_registry.test.ts
@@ -72,6 +72,16 @@
     expect(registry.find('a')?.heldModel).toBe('big');
   });
 
+  test('holds nothing for sure while it joins another', () => {
+    const {registry} = create();
+    registry.record(host('a', {model: 'low'}).registration, 0);
+    const joining = {name: 'g', epoch: 1, rank: 0, state: 'joining' as const};
+    const again = host('a', {model: undefined, group: joining, sequence: 2});
+    registry.record(again.registration, 1_000);
+    registry.recordHeld('a', 'low');
+    expect(registry.find('a')?.heldModel).toBeUndefined();
+  });
+
   test('is believed where it tells its model itself', () => {
     const {registry} = create();
     registry.record(host('a', {model: 'low'}).registration, 0);
--- a/test/coordination/plan_engine_hosts.test.ts
+++ b/test/coordination/plan_engine_hosts.test.ts
@@ -184,6 +184,21 @@
     expect(describeActions(actions)).toContain('end-group low-1');
   });
 
+  test('stays while it is the only one of a model that refuses requests', () => {
+    const held = {model: 'low', stagedModels: ['big']};
+    const backends = [
+      host('a', {...held, ...told('open')}),
+      host('b', {...held, ...told('ready', 1), domain: 'e'}),
+      host('c', {...held, domain: 'e'}),
+    ];
+    const groups = [group(['a', 'b'], {domain: 'd+e'})];
+    const usual = new Map([['low', 1]]);
+    const isPressed = () => true;
+    const actions = plan({groups, backends, usual, isPressed});
+
+    expect(describeActions(actions)).not.toContain('end-group low-1');
+  });
+
   test('is not replaced by another while it gives way', () => {
     const held = {model: 'low', stagedModels: ['big']};
     const backends = [
--- a/test/coordination/plan_needier_model.test.ts
+++ b/test/coordination/plan_needier_model.test.ts
@@ -222,6 +222,54 @@
     expect(ended).toEqual([]);
   });
 
+  test('leaves the other model two groups, unless it has none itself', () => {
+    const three = createSmallGroups('d', [1, 2, 3]);
+    const big = group(['p', 'q', 'r', 's'], {name: 'big-1', model: 'big'});
+    const spares = hosts('d', 2, holdsBig);
+    const listEnded = (own: readonly EngineGroup[]) =>
+      plan({
+        ...input,
+        groups: [...three.groups.slice(0, 2), ...own],
+        backends: [...three.views.slice(0, 4), ...spares],
+        usual: new Map([
+          ['big', 1],
+          ['low', 2],
+        ]),
+        isStillListening: true,
+      }).filter(({type}) => type === 'end-group');
+
+    expect(listEnded([big])).toEqual([]);
+    expect(describeActions(listEnded([]))).toEqual(['end-group low-1']);
+  });
+
+  test('gets nothing from a group that is only being formed', () => {
+    const backends = input.backends.map(view => {
+      const {group: told} = view.registration;
+      const joining = told && {...told, state: 'joining' as const};
+      return {...view, registration: {...view.registration, group: joining}};
+    });
+    const ended = plan({...input, backends}).filter(
+      ({type}) => type === 'end-group',
+    );
+
+    expect(ended).toEqual([]);
+  });
+
+  test('gets nothing while free hosts are formed into a group', () => {
+    const free = hosts('k', 2, holdsLow);
+    const actions = plan({
+      ...input,
+      backends: [...input.backends, ...free],
+      usual: new Map([
+        ['big', 1],
+        ['low', 5],
+      ]),
+    });
+
+    expect(describeActions(actions)).toContain('set-group low-5');
+    expect(describeActions(actions)).not.toContain('end-group low-1');
+  });
+
   test('gets nothing that would leave the other model needier', () => {
     const ended = plan({
       ...input,
