fix(entry,control): their stops end in time and cut off no call that was read

The same class as at the gateway, found by looking at every program's stop. Entry: it refused from the first instant, before any balancer could have noticed, and waited without end for answers under way, so that whoever supervises it would kill it in the middle of them. Control: it closed at once, with operators' and backend servers' calls that it had read and passed on. Host process: waits for what runs without a limit; left as it is, since a kill by its supervisor cuts the same connections as its own limit would (by reading).

--- a/src/entry/entry_server.ts
+++ b/src/entry/entry_server.ts
@@ -2,6 +2,8 @@
 import {randomBytes} from 'node:crypto';
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {EventRing} from '../common/event_ring';
+import {runStop} from '../common/run_stop';
+import {StopSchedule} from '../common/stop_schedule';
 import {systemClock} from '../common/system_clock';
 import {Admission} from '../coordination/admission';
 import {Bundle} from '../protocol/bundle';
@@ -46,11 +48,16 @@
   private readonly table: RouteTable;
   private readonly runner: RequestRunner;
   private readonly claims: ControlClient;
+  private readonly schedule: StopSchedule;
+  /** Answers that are not whole yet. */
+  private readonly open = new Set<ServerResponse>();
+  /** Requests that were taken and have not ended. */
+  private taken = 0;
   private listener: HttpListener | undefined;
-  private isLeaving = false;
 
   private constructor(private readonly settings: EntrySettings) {
-    const {entryId, control, security} = settings;
+    const {entryId, control, security, stopWithinMs} = settings;
+    this.schedule = StopSchedule.create({withinMs: stopWithinMs});
     const {clock} = this;
     const identity = {
       program: 'entry' as const,
@@ -107,10 +114,26 @@
     return this.listener?.port ?? 0;
   }
 
-  /** Takes no new requests and stops when those under way are answered. */
+  /** Answers what comes until callers have noticed, then stops when what was taken is answered. */
   async drain(): Promise<void> {
-    this.isLeaving = true;
-    await this.listener?.drain();
+    const {givenUp} = await runStop({
+      schedule: this.schedule,
+      clock: this.clock,
+      countTaken: () => this.taken,
+      countOpen: () => this.open.size,
+      stopAccepting: () => this.listener?.stopAccepting(),
+      giveUp: () => this.open.forEach(answer => giveUp(answer)),
+    });
+    this.events.record({
+      type: 'entry-stopped',
+      subject: 'process',
+      id: this.settings.entryId,
+      reason:
+        givenUp === 0
+          ? 'nothing is under way'
+          : 'the time for the stop is over',
+      details: {givenUp},
+    });
     await this.close();
   }
 
@@ -124,7 +147,8 @@
 
   private readonly routes: Readonly<Record<string, Handler>> = {
     'GET /healthz': (_request, response) => {
-      const isReady = !this.isLeaving && this.table.hasLease(this.clock.now());
+      const hasLease = this.table.hasLease(this.clock.now());
+      const isReady = hasLease && !this.schedule.hasBegun;
       response.writeHead(isReady ? 200 : 503, {'content-type': 'text/plain'});
       response.end(isReady ? 'ready\n' : 'not ready\n');
     },
@@ -144,6 +168,9 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    this.open.add(response);
+    response.once('close', () => this.open.delete(response));
+    response.shouldKeepAlive &&= !this.schedule.hasBegun;
     try {
       const route = this.routes[`${request.method} ${request.url}`];
       await (route
@@ -161,11 +188,13 @@
     const requestId = randomBytes(12).toString('hex');
     response.setHeader('whinreel-request-id', requestId);
     const {bundle} = this.table;
-    if (this.isLeaving || !bundle || !this.table.hasLease(this.clock.now())) {
+    const now = this.clock.now();
+    const isTooLate = !this.schedule.canTake(now, 0);
+    if (isTooLate || !bundle || !this.table.hasLease(now)) {
       sendProblem(response, {
         status: 503,
         title: 'Not ready',
-        detail: this.isLeaving
+        detail: isTooLate
           ? 'this entry is stopping'
           : 'control did not confirm the bundle',
         outcome: 'not-run',
@@ -181,8 +210,14 @@
       return;
     }
     const body = await readHttpBody(request, MAX_BODY_BYTES);
-    const now = this.clock.now();
-    const input = {request, body, bundle, workspace, requestId, now};
+    const input = {
+      request,
+      body,
+      bundle,
+      workspace,
+      requestId,
+      now: this.clock.now(),
+    };
     const parsed = parseCallerRequest(input);
     if ('status' in parsed) {
       sendProblem(response, parsed);
@@ -207,6 +242,7 @@
       });
       return;
     }
+    this.taken += 1;
     try {
       const end = await this.runner.run(
         request,
@@ -225,6 +261,7 @@
         });
       }
     } finally {
+      this.taken -= 1;
       this.admission.release(request.workspace);
     }
   }
@@ -254,3 +291,17 @@
     });
   }
 }
+
+/** The final answer of a request that outlasts its entry: it may have run. */
+function giveUp(response: ServerResponse): void {
+  if (response.headersSent || response.destroyed) {
+    response.destroy();
+    return;
+  }
+  sendProblem(response, {
+    status: 502,
+    title: 'Given up',
+    detail: 'this entry stopped before the answer was whole',
+    outcome: 'unknown',
+  });
+}
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -8,5 +8,7 @@
   readonly host: string;
   readonly port: number;
   readonly control: readonly string[];
+  /** From the signal to stop to the end by force, in milliseconds. */
+  readonly stopWithinMs: number;
   readonly security?: TransportSecurity;
 }
--- /dev/null
+++ b/test/platform/control_stops.test.ts
@@ -0,0 +1,65 @@
+/**
+ * The same cause as in gateway/planned_stop, at the calls of operators and backend
+ * servers: a control process that was told to stop closed every connection at
+ * once, those of calls that it had read and passed on among them. Their callers
+ * could not know whether they were carried out.
+ */
+import * as http from 'node:http';
+import {AddressInfo} from 'node:net';
+import {afterEach, expect, test} from 'vitest';
+import {OperatorApi} from '../../platform/operator_api';
+import {ControlClient} from '../../src/protocol/control_client';
+import {reservePort} from '../support/reserve_port';
+import {waitUntil} from '../support/wait_until';
+
+const closers: Array<() => unknown> = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) {
+    await close();
+  }
+});
+
+/** The calls of a control process that knows no leader, so each takes its whole time. */
+async function start() {
+  const client = ControlClient.create({
+    addresses: [`127.0.0.1:${await reservePort()}`],
+    identity: {program: 'operator', id: 'test', incarnation: 'i'},
+  });
+  const api = OperatorApi.create(client, 8_000);
+  let calls = 0;
+  const server = http.createServer((request, response) => {
+    calls += 1;
+    api.handle(request, response);
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  closers.push(
+    () => server.close(),
+    () => client.close(),
+  );
+  const {port} = server.address() as AddressInfo;
+  const read = () =>
+    fetch(`http://127.0.0.1:${port}/v1/config`).then(async answer => ({
+      status: answer.status,
+      connection: answer.headers.get('connection'),
+      body: await answer.text(),
+    }));
+  return {api, server, read, countCalls: () => calls};
+}
+
+test('a call that was read before a stop is answered before the process ends', async () => {
+  const {api, server, read, countCalls} = await start();
+  const called = read();
+  await waitUntil('the call', () => countCalls() === 1);
+  let isStopped = false;
+  const stopped = api
+    .drain(() => server.close())
+    .then(() => (isStopped = true));
+  const late = await read();
+
+  expect(late).toMatchObject({status: 503, connection: 'close'});
+  expect(late.body).toContain('stops');
+  expect(isStopped).toBe(false);
+  await stopped;
+  expect(await called).toMatchObject({status: 503});
+});
--- a/test/support/scenario.ts
+++ b/test/support/scenario.ts
@@ -70,7 +70,7 @@
     answer: Id,
     status: z.union([z.int(), z.array(z.int())]).optional(),
     outcome: z.union([z.string(), z.array(z.string())]).optional(),
-    end: z.enum(['mark', 'error', 'whole']).optional(),
+    end: z.enum(['mark', 'error', 'whole', 'broken']).optional(),
     tokens: z.int().optional(),
     contains: z.string().optional(),
   }),
@@ -122,6 +122,8 @@
   controls: z.int().default(3),
   entries: z.int().default(1),
   snapshotEvery: z.int().optional(),
+  /** How long an entry may take to stop; its own default otherwise. */
+  stopWithinMs: z.int().optional(),
   /** All processes talk mutual TLS. */
   isTls: z.boolean().default(false),
   hosts: z.record(z.string(), Host),
--- a/test/support/scenario_runner.ts
+++ b/test/support/scenario_runner.ts
@@ -43,7 +43,7 @@
 
   /** Starts the fleet, rolls out the bundle, plays every step, ends everything. */
   static async play(scenario: Scenario): Promise<void> {
-    const {controls, entries, snapshotEvery} = scenario;
+    const {controls, entries, snapshotEvery, stopWithinMs} = scenario;
     const hosts = Object.entries(scenario.hosts).map(([hostId, host]) => ({
       hostId,
       domain: host.domain,
@@ -55,11 +55,15 @@
     const controlArgs = snapshotEvery
       ? ['--snapshot-every', String(snapshotEvery)]
       : [];
+    const entryArgs = stopWithinMs
+      ? ['--stop-within-ms', String(stopWithinMs)]
+      : [];
     const fleet = await TestFleet.create({
       hosts,
       controls,
       entries,
       controlArgs,
+      entryArgs,
       hasRelays: true,
       isTls: scenario.isTls,
     });
@@ -308,6 +312,7 @@
       mark: hasMark && !hasError && !isBroken,
       error: hasError && !hasMark && !isBroken,
       whole: !isBroken,
+      broken: isBroken,
     };
     expect(value.end === undefined || ends[value.end], seen).toBe(true);
   }
--- a/test/support/test_fleet.ts
+++ b/test/support/test_fleet.ts
@@ -36,6 +36,7 @@
   readonly entries?: number;
   readonly hosts: readonly HostPlan[];
   readonly controlArgs?: readonly string[];
+  readonly entryArgs?: readonly string[];
   /** Every connection between processes goes through a relay that can be cut. */
   readonly hasRelays?: boolean;
   /** All processes talk mutual TLS with the keys in test/fixtures. */
@@ -249,6 +250,7 @@
         '--control',
         [...(await this.listControlAddresses(entryId)).values()].join(','),
       ],
+      ...(this.options.entryArgs ?? []),
       ...this.listTlsArgs(),
     ];
     const script = 'src/bin/whinreel_entry.js';
