feat(gateway): waits for a place and for a repair follow from what is measured

Cause: a request waited 0.12 of its objective for a place, a silent start was left after 0.9 of the objective, and what had begun waited 1.9 s for a repair: shares and figures that say nothing about when a place falls free. Change: a request waits in line, by model, while the pace at which places fall free at this gateway, those before it and the usual time of its route to a first event let it be served in time; else it is refused at once. A newcomer no longer overtakes those that wait. A silent start is left after the longest time to a first event lately. What has begun waits for as long as its caller bears a pause (told by the adapter), if the last repair of a lost group of its model was that short; else it breaks off at once.

--- a/src/gateway/caller_dialect.ts
+++ b/src/gateway/caller_dialect.ts
@@ -1,4 +1,5 @@
 import {IncomingMessage} from 'node:http';
+import {GatewayRules} from '../protocol/gateway_rules';
 import {AnswerHead} from './answer_head';
 import {GatewayRequest} from './gateway_request';
 
@@ -26,6 +27,13 @@
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ) => AnswerHead;
+  /** How long a caller bears a pause before it leaves a stream, in milliseconds. */
+  readonly computePatienceMs: (
+    route: Pick<
+      GatewayRules['routes'][number],
+      'objectiveMs' | 'pauseObjectiveMs'
+    >,
+  ) => number;
   /** The header with which an own answer names its request. */
   readonly requestIdHeader: string;
 }
--- a/src/gateway/flow_course.ts
+++ b/src/gateway/flow_course.ts
@@ -3,6 +3,7 @@
   private readonly tried: string[] = [];
   private eventCount = 0;
   private firstEventAt: number | undefined;
+  private sentAt = 0;
   private runningAtTarget = -1;
 
   private constructor(private readonly arrivedAt: number) {}
@@ -24,9 +25,18 @@
   }
 
   /** Notes where it is sent, and what is known to run there. */
-  recordTarget(incarnation: string, running: number): void {
+  recordTarget(incarnation: string, running: number, now: number): void {
     this.tried.push(incarnation);
     this.runningAtTarget = running;
+    this.sentAt = now;
+  }
+
+  /** From the only sending to the first event, in milliseconds; undefined where that says nothing of an engine's pace. */
+  get workMs(): number | undefined {
+    const wasSentOnce = this.tried.length === 1;
+    return wasSentOnce && this.firstEventAt !== undefined
+      ? this.firstEventAt - this.sentAt
+      : undefined;
   }
 
   /** Notes an event that was passed on. */
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -14,6 +14,7 @@
 import {GatewayRequest} from './gateway_request';
 import {GatewaySettings} from './gateway_settings';
 import {GatewayStop} from './gateway_stop';
+import {PlaceForecast} from './place_forecast';
 import {Refusal} from './refusal';
 import {RepeatBudget} from './repeat_budget';
 import {RequestFlow} from './request_flow';
@@ -41,6 +42,7 @@
   private readonly feed: RulesFeed;
   private readonly budgets = new Map<string, RepeatBudget>();
   private readonly flows = new Set<RequestFlow>();
+  private readonly forecast = PlaceForecast.create(systemClock);
   private readonly checkTimer: NodeJS.Timeout;
   private seeds: readonly string[];
   private controlAddresses: readonly string[];
@@ -238,6 +240,7 @@
       origins: this.origins,
       board: this.board,
       budget: this.findBudget(pool.name),
+      forecast: this.forecast,
       dialect: this.settings.dialect,
       clock: this.clock,
       onDone: result => {
--- /dev/null
+++ b/src/gateway/place_forecast.ts
@@ -0,0 +1,97 @@
+/** How soon a place at the engines of a model falls free, and how long their work takes. */
+import {Clock} from '../common/clock';
+import {LongestTimes} from './longest_times';
+
+/** Ends that the rate is taken from: enough to be steady, few enough to follow the load. */
+const ENDS_COUNTED = 16;
+/** Ends before that say nothing about now, in milliseconds. */
+const ENDS_COUNT_FOR_MS = 3_000;
+/** Weight of the newest time in the average; older ones fade over some ten requests. */
+const NEWEST_WEIGHT = 0.1;
+
+/** What this gateway has measured. */
+export class PlaceForecast {
+  /** When requests that held a place ended, by model, oldest first. */
+  private readonly ends = new Map<string, number[]>();
+  /** From sending to the first event, by route, averaged. */
+  private readonly workMs = new Map<string, number>();
+  /** Requests that wait for a place, by model, in order of their arrival. */
+  private readonly lines = new Map<string, Set<object>>();
+
+  private readonly longest: LongestTimes;
+
+  private constructor(private readonly clock: Clock) {
+    this.longest = LongestTimes.create(clock);
+  }
+
+  /**
+   * Creates a forecast that knows nothing.
+   *
+   * @example
+   * const forecast = PlaceForecast.create(clock);
+   */
+  static create(clock: Clock): PlaceForecast {
+    return new PlaceForecast(clock);
+  }
+
+  /** A request gave its place at an engine of this model free. */
+  recordEnd(model: string): void {
+    const ends = this.ends.get(model) ?? [];
+    ends.push(this.clock.now());
+    this.ends.set(model, ends.slice(-ENDS_COUNTED));
+  }
+
+  /** Notes how long an engine took for its first event, in milliseconds. */
+  recordWork(route: string, tookMs: number): void {
+    this.longest.record(route, tookMs);
+    const known = this.workMs.get(route) ?? tookMs;
+    this.workMs.set(route, known + (tookMs - known) * NEWEST_WEIGHT);
+  }
+
+  /** How long the first event of a route takes once it is sent; 0 when none was seen. */
+  findWorkMs(route: string): number {
+    return this.workMs.get(route) ?? 0;
+  }
+
+  /** The longest that a first event of a route took lately; 0 when none was seen. */
+  findLongestWorkMs(route: string): number {
+    return this.longest.find(route);
+  }
+
+  /** Puts a request at the end of the line for a model. */
+  join(model: string, request: object): void {
+    const line = this.lines.get(model) ?? new Set();
+    line.add(request);
+    this.lines.set(model, line);
+  }
+
+  leave(model: string, request: object): void {
+    this.lines.get(model)?.delete(request);
+  }
+
+  /** Requests that wait before this one; all, for one that does not wait yet. */
+  countAhead(model: string, request: object): number {
+    const line = [...(this.lines.get(model) ?? [])];
+    const at = line.indexOf(request);
+    return at < 0 ? line.length : at;
+  }
+
+  /**
+   * When a request gets a place, if those before it take one each; places that
+   * other gateways give free go to their own requests first.
+   *
+   * @returns milliseconds; Infinity when nothing ended here lately
+   */
+  computeWaitMs(model: string, request: object): number {
+    const now = this.clock.now();
+    const recent = (this.ends.get(model) ?? []).filter(
+      at => now - at < ENDS_COUNT_FOR_MS,
+    );
+    if (recent.length === 0) {
+      return Infinity;
+    }
+    // Up to now and not to the newest end, so that a stop shows at once.
+    const betweenEndsMs = (now - recent[0]) / recent.length;
+    return betweenEndsMs * (this.countAhead(model, request) + 1);
+  }
+}
--- /dev/null
+++ b/src/gateway/place_wait.ts
@@ -0,0 +1,104 @@
+/** One request's wait: for a place at an engine, or for somebody who goes on with what has begun. */
+import {Clock} from '../common/clock';
+import {PlaceForecast} from './place_forecast';
+
+/** Left for an event on its way to a caller, in milliseconds. */
+const PASS_ON_MS = 100;
+
+/** Whose wait it is. */
+interface PlaceWaitOptions {
+  readonly forecast: PlaceForecast;
+  readonly clock: Clock;
+  readonly model: string;
+  readonly route: {readonly name: string; readonly objectiveMs: number};
+  /** On this process's monotonic clock. */
+  readonly arrivedAt: number;
+  /** How long the caller bears a pause, in milliseconds. */
+  readonly patienceMs: number;
+  /** How long it took lately until a lost group of the model was replaced. */
+  readonly findRepairMs: () => number;
+}
+
+/** Knows whether waiting is of use, and when it must end. */
+export class PlaceWait {
+  private until: number | undefined;
+  private isForPlace = false;
+
+  private constructor(private readonly options: PlaceWaitOptions) {}
+
+  /**
+   * Creates a wait that has not begun.
+   *
+   * @example
+   * const wait = PlaceWait.create({forecast, clock, model, route, arrivedAt});
+   */
+  static create(options: PlaceWaitOptions): PlaceWait {
+    return new PlaceWait(options);
+  }
+
+  get isUnderWay(): boolean {
+    return this.until !== undefined;
+  }
+
+  /** Nobody waits for a place before this request. */
+  get isFirst(): boolean {
+    const {forecast, model} = this.options;
+    return forecast.countAhead(model, this) === 0;
+  }
+
+  /**
+   * By the pace at which places fall free here and those that wait before it, it
+   * gets one early enough to be served in time; a wait without hope would only
+   * keep its caller from coming back.
+   */
+  get hasHope(): boolean {
+    const {forecast, clock, model} = this.options;
+    const waitMs = forecast.computeWaitMs(model, this);
+    return clock.now() + waitMs <= this.latestStartAt;
+  }
+
+  /** Begins to wait for a place, in line. */
+  beginInLine(): void {
+    const {forecast, model} = this.options;
+    forecast.join(model, this);
+    this.isForPlace = true;
+    this.until = this.latestStartAt;
+  }
+
+  /**
+   * Begins to wait for a group that is formed anew, for as long as the caller
+   * bears the pause.
+   *
+   * @param quietSince when something of it was last sent or heard
+   * @returns false where the caller is gone by then, if the last repair tells
+   */
+  beginForRepair(quietSince: number): boolean {
+    const {clock, patienceMs, findRepairMs} = this.options;
+    const leavesAt = quietSince + patienceMs - PASS_ON_MS;
+    const readyAt = Math.max(clock.now(), quietSince + findRepairMs());
+    if (readyAt >= leavesAt) {
+      return false;
+    }
+    this.isForPlace = false;
+    this.until = leavesAt;
+    return true;
+  }
+
+  /** True when it may go on waiting. */
+  canGoOn(now: number): boolean {
+    const isInTime = this.until !== undefined && now < this.until;
+    return isInTime && (!this.isForPlace || this.hasHope);
+  }
+
+  end(): void {
+    const {forecast, model} = this.options;
+    forecast.leave(model, this);
+    this.until = undefined;
+  }
+
+  /** Sent later, its first event would miss the objective, by how long it takes lately. */
+  private get latestStartAt(): number {
+    const {forecast, route, arrivedAt} = this.options;
+    return arrivedAt + route.objectiveMs - forecast.findWorkMs(route.name);
+  }
+}
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -3,24 +3,19 @@
 import {AnswerHead} from './answer_head';
 import {Attempt} from './attempt';
 import {AttemptEnd} from './attempt_end';
-import {computeRetryAfterMs} from './compute_retry_after_ms';
 import {computeStallMs} from './compute_stall_ms';
 import {createTargetKey} from './create_target_key';
 import {EventSplitter} from './event_splitter';
 import {FlowCourse} from './flow_course';
 import {FlowResult} from './flow_result';
 import {HeldBody} from './held_body';
+import {PlaceWait} from './place_wait';
 import {RequestFlowOptions} from './request_flow_options';
+import {sendFinalAnswer} from './send_final_answer';
 import {StallJudge} from './stall_judge';
 
 /** Sendings that were refused as not run do not count as runs, but end here. */
 const MAX_REFUSALS = 3;
-/** Part of the objective for which a request waits for a place before it is refused: a refusal must come early to be of use. */
-const WAIT_SHARE = 0.12;
-
-/** How long what has begun waits for somebody to go on with it: a repair takes about a second and a half, and callers leave after a pause of two. */
-const REPAIR_WAIT_MS = 1_900;
-
 /** The status of a request that has not run and never will. */
 const NOT_RUN = 503;
 /** The status of one that may have run. */
@@ -44,21 +39,31 @@
   private readonly deadlineAt: number;
   private readonly timer: NodeJS.Timeout;
   private readonly stall: StallJudge;
-  /** Set while it waits for a place at a backend server. */
-  private waitingUntil: number | undefined;
+  private readonly wait: PlaceWait;
   /** When the last attempt was sent or heard from. */
   private quietSince = -Infinity;
   private isDone = false;
 
   private constructor(private readonly options: RequestFlowOptions) {
-    const {request, route, arrivedAt, clock, answer, pool, board} = options;
+    const {request, route, arrivedAt, clock, answer, pool} = options;
+    const {board, forecast, dialect} = options;
     const holdMs = Math.min(route.timeoutMs, request.waitMs ?? Infinity);
     this.deadlineAt = arrivedAt + holdMs;
     this.course = FlowCourse.create(arrivedAt);
     this.lastEventId = request.lastEventId;
     this.stall = StallJudge.create(board, {
       stallMs: computeStallMs(pool.engine, request.model),
-      objectiveMs: route.objectiveMs,
+      findStartMs: () =>
+        forecast.findLongestWorkMs(route.name) || route.objectiveMs,
+    });
+    this.wait = PlaceWait.create({
+      forecast,
+      clock,
+      model: request.model ?? '',
+      route,
+      arrivedAt,
+      patienceMs: dialect.computePatienceMs(route),
+      findRepairMs: () => board.findRepairMs(request.model ?? ''),
     });
     this.timer = setTimeout(
       () => this.abandon('the time for the request is over', TIMED_OUT),
@@ -87,8 +92,8 @@
 
   /** Looks whether it must go on waiting or go elsewhere; called every few milliseconds. */
   check(now: number): void {
-    if (this.waitingUntil !== undefined) {
-      this.checkWaiting(now, this.waitingUntil);
+    if (this.wait.isUnderWay) {
+      this.checkWaiting(now);
     } else if (this.isLeftBehind) {
       this.attempt?.stop('its backend server takes no new work');
     } else {
@@ -122,12 +127,14 @@
     );
   }
 
-  private checkWaiting(now: number, until: number): void {
-    const target = this.findTarget(this.course.wasSent);
-    if (!target && now < until) {
+  private checkWaiting(now: number): void {
+    const {wait} = this;
+    const isTurn = this.course.wasSent || wait.isFirst;
+    const target = isTurn ? this.findTarget(this.course.wasSent) : undefined;
+    if (!target && wait.canGoOn(now)) {
       return;
     }
-    this.waitingUntil = undefined;
+    wait.end();
     if (target) {
       this.sendTo(target);
     } else {
@@ -153,36 +160,34 @@
     }
   }
 
+  /** What an engine has begun may go on once a group of the model is formed anew. */
+  private get canAwaitRepair(): boolean {
+    return this.options.pool.engine !== undefined && this.runs > 0;
+  }
+
   /** Sends to the best target; the first time also waits a little for a place. */
   private sendOn(whyNot: string): void {
-    const {route, clock} = this.options;
+    const {wait} = this;
     // What has begun elsewhere is worth more than what has not begun at all.
     const mayQueue = this.course.wasSent;
-    const target = this.findTarget(mayQueue);
+    const isTurn = mayQueue || wait.isFirst;
+    const target = isTurn ? this.findTarget(mayQueue) : undefined;
     if (target) {
       this.sendTo(target);
-    } else if (!mayQueue && this.findTarget(true)) {
-      this.waitingUntil = clock.now() + route.objectiveMs * WAIT_SHARE;
-    } else if (this.canAwaitRepair) {
-      this.waitingUntil = this.quietSince + REPAIR_WAIT_MS;
-    } else {
+    } else if (!mayQueue && this.findTarget(true) && wait.hasHope) {
+      wait.beginInLine();
+    } else if (!this.canAwaitRepair || !wait.beginForRepair(this.quietSince)) {
       this.giveUp(whyNot);
     }
   }
 
-  /** What an engine has begun may go on once a group of the model is formed anew. */
-  private get canAwaitRepair(): boolean {
-    const {pool, clock} = this.options;
-    const isInTime = clock.now() < this.quietSince + REPAIR_WAIT_MS;
-    return pool.engine !== undefined && this.runs > 0 && isInTime;
-  }
-
   private sendTo(target: GatewayTarget): void {
     const {options} = this;
     const {request, board, clock} = options;
     this.tried.add(createTargetKey(target));
     const {incarnation} = target;
-    this.course.recordTarget(incarnation, board.countRunning(incarnation));
+    const running = board.countRunning(incarnation);
+    this.course.recordTarget(incarnation, running, clock.now());
     this.splitter = EventSplitter.create();
     this.held = HeldBody.create();
     this.attempt = Attempt.create({
@@ -257,6 +262,9 @@
   private handleEnd(end: AttemptEnd): void {
     this.quietSince = this.attempt?.quietSince ?? this.quietSince;
     this.attempt = undefined;
+    if (end.kind !== 'not-run') {
+      this.options.forecast.recordEnd(this.options.request.model ?? '');
+    }
     if (this.isDone) {
       return;
     }
@@ -333,19 +341,12 @@
     return this.runs > 0 || isSent ? FAILED : NOT_RUN;
   }
 
-  /** What has begun breaks off, since nothing else tells that it is not whole. */
   private sendFinal(reason: string, status: number): void {
     const {answer, request, clock} = this.options;
-    if (answer.hasBegun) {
-      answer.breakOff();
-      this.tell('failed', reason, 0);
-      return;
-    }
-    const isNotRun = status === NOT_RUN;
     const leftMs = this.deadlineAt - clock.now();
-    const retryAfterMs = isNotRun ? computeRetryAfterMs(leftMs) : undefined;
-    answer.sendOwn({status, reason, retryAfterMs}, request.id);
-    this.tell(isNotRun ? 'refused' : 'failed', reason, status);
+    const {id: requestId} = request;
+    const end = sendFinalAnswer({answer, requestId, reason, status, leftMs});
+    this.tell(end.outcome, reason, end.status);
   }
 
   private leave(): void {
@@ -365,12 +366,16 @@
 
   private markDone(): void {
     this.isDone = true;
-    this.waitingUntil = undefined;
+    this.wait.end();
     clearTimeout(this.timer);
   }
 
   private tell(outcome: Outcome, reason: string, status: number): void {
-    const {clock, onDone} = this.options;
+    const {clock, onDone, forecast, route} = this.options;
+    const {workMs} = this.course;
+    if (workMs !== undefined) {
+      forecast.recordWork(route.name, workMs);
+    }
     onDone({outcome, reason, status, ...this.course.describe(clock.now())});
   }
 }
--- a/src/gateway/request_flow_options.ts
+++ b/src/gateway/request_flow_options.ts
@@ -6,6 +6,7 @@
 import {CallerDialect} from './caller_dialect';
 import {FlowResult} from './flow_result';
 import {GatewayRequest} from './gateway_request';
+import {PlaceForecast} from './place_forecast';
 import {RepeatBudget} from './repeat_budget';
 import {TargetBoard} from './target_board';
 
@@ -24,6 +25,7 @@
   readonly origins: HttpOrigins;
   readonly board: TargetBoard;
   readonly budget: RepeatBudget;
+  readonly forecast: PlaceForecast;
   readonly dialect: CallerDialect;
   readonly clock: Clock;
   /** Told once, when the caller has its final answer or is gone. */
--- a/src/gateway/stall_judge.ts
+++ b/src/gateway/stall_judge.ts
@@ -2,15 +2,12 @@
 import {Attempt} from './attempt';
 import {TargetBoard} from './target_board';
 
-/** Part of the objective after which an unanswered request of a silent target is sent elsewhere. */
-const SILENT_START_SHARE = 0.9;
-
 /** The times that matter for one request. */
 interface StallTimes {
   /** The longest pause of a healthy stream. */
   readonly stallMs: number;
-  /** Time in which the first event should come. */
-  readonly objectiveMs: number;
+  /** The longest that a first event took lately, or should take where none was seen. */
+  readonly findStartMs: () => number;
 }
 
 /** Judges one request's attempts. */
@@ -24,7 +21,7 @@
    * Creates a judge for one request.
    *
    * @example
-   * const stall = StallJudge.create(board, {stallMs: 150, objectiveMs: 400});
+   * const stall = StallJudge.create(board, {stallMs: 150, findStartMs: () => 400});
    */
   static create(board: TargetBoard, times: StallTimes): StallJudge {
     return new StallJudge(board, times);
@@ -32,16 +29,15 @@
 
   /**
    * A stream that pauses for longer than a pass can take, while nothing else
-   * comes from there, has stopped. Before the first event a queue explains more.
+   * comes from there, has stopped. Before the first event a queue explains as
+   * much as it did for others lately.
    */
   isStalled(attempt: Attempt, now: number): boolean {
     const {board} = this;
-    const {stallMs, objectiveMs} = this.times;
+    const {stallMs, findStartMs} = this.times;
     const {incarnation} = attempt.target;
     const isExpected = attempt.hasStarted || board.isStalled(incarnation);
-    const limitMs = isExpected
-      ? stallMs
-      : Math.max(stallMs, objectiveMs * SILENT_START_SHARE);
+    const limitMs = isExpected ? stallMs : Math.max(stallMs, findStartMs());
     const isTargetSilent = now - board.findHeardAt(incarnation) > stallMs;
     return now - attempt.quietSince > limitMs && isTargetSilent;
   }
--- a/src/gateway/target_board.ts
+++ b/src/gateway/target_board.ts
@@ -40,6 +40,10 @@
 /** Chooses targets and remembers how they did. */
 export class TargetBoard {
   private standings = new Map<string, Standing>();
+  /** Since when a group is missing that was there, by model. */
+  private readonly missingSince = new Map<string, number>();
+  /** How long the last repair took, from the loss of a group to the next new one, by model. */
+  private readonly repairMs = new Map<string, number>();
 
   private constructor(
     private readonly zone: string,
@@ -67,6 +71,7 @@
 
   /** Takes the targets that control tells; what is known of those that stay is kept. */
   setTargets(targets: ReadonlyMap<string, GatewayTarget>): void {
+    const before = listGroups(this.standings);
     const standings = new Map<string, Standing>();
     for (const [incarnation, target] of targets) {
       const known = this.standings.get(incarnation);
@@ -80,9 +85,38 @@
       }
       standings.set(incarnation, standing);
     }
+    this.recordRepairs(before, listGroups(standings));
     this.standings = standings;
   }
 
+  /** How long it took lately until a lost group of a model was replaced; 0 when none was. */
+  findRepairMs(model: string): number {
+    return this.repairMs.get(model) ?? 0;
+  }
+
+  private recordRepairs(
+    before: ReadonlyMap<string, string>,
+    after: ReadonlyMap<string, string>,
+  ): void {
+    const now = this.clock.now();
+    for (const [key, model] of after) {
+      const since = this.missingSince.get(model);
+      if (!before.has(key) && since !== undefined) {
+        this.repairMs.set(model, now - since);
+        this.missingSince.delete(model);
+      }
+    }
+    for (const [key, model] of before) {
+      if (!after.has(key)) {
+        this.recordMissing(model, now);
+      }
+    }
+  }
+
+  private recordMissing(model: string, now: number): void {
+    this.missingSince.set(model, this.missingSince.get(model) ?? now);
+  }
+
   /** Notes what the other gateways have running. */
   setRunningElsewhere(running: Readonly<Record<string, number>>): void {
     for (const [incarnation, standing] of this.standings) {
@@ -188,6 +222,7 @@
     if (standing) {
       const isNews = !this.isStalled(incarnation);
       standing.stalledAt = this.clock.now();
+      this.recordMissing(standing.target.model ?? '', standing.stalledAt);
       if (isNews) {
         this.onStalled();
       }
@@ -247,6 +282,19 @@
   };
 }
 
+/** Models of the groups that serve, by the key of a group. */
+function listGroups(
+  standings: ReadonlyMap<string, Standing>,
+): Map<string, string> {
+  return new Map(
+    [...standings.values()].flatMap(({target}) =>
+      target.model === undefined
+        ? []
+        : [[createTargetKey(target), target.model] as const],
+    ),
+  );
+}
+
 /** Engines keep their pace up to their last place; beyond it requests queue there. */
 function hasPlace({target, running, runningElsewhere}: Standing): boolean {
   const isEngine = target.model !== undefined;
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -3,6 +3,7 @@
 import {choosePool} from '../../src/gateway/choose_pool';
 import {computeStallMs} from '../../src/gateway/compute_stall_ms';
 import {EventSplitter} from '../../src/gateway/event_splitter';
+import {PlaceForecast} from '../../src/gateway/place_forecast';
 import {RepeatBudget} from '../../src/gateway/repeat_budget';
 import {RouteIndex} from '../../src/gateway/route_index';
 import {TargetBoard} from '../../src/gateway/target_board';
@@ -78,6 +79,62 @@
   });
 });
 
+describe('the forecast of places', () => {
+  test('tells each in line when its place falls free, by the newest ends', () => {
+    const clock = new HandClock();
+    const forecast = PlaceForecast.create(clock);
+    const [first, second] = [{}, {}];
+    expect(forecast.computeWaitMs('m', first)).toBe(Infinity);
+    for (clock.time = 0; clock.time <= 300; clock.time += 100) {
+      forecast.recordEnd('m');
+    }
+    // Four ends in 400 ms.
+    expect(forecast.computeWaitMs('m', first)).toBe(100);
+    forecast.join('m', first);
+    expect(forecast.computeWaitMs('m', second)).toBe(200);
+    expect(forecast.computeWaitMs('m', first)).toBe(100);
+    forecast.leave('m', first);
+    expect(forecast.computeWaitMs('m', second)).toBe(100);
+  });
+
+  test('rises while nothing ends, until it knows nothing', () => {
+    const clock = new HandClock();
+    const forecast = PlaceForecast.create(clock);
+    forecast.recordEnd('m');
+    clock.time = 2_000;
+    expect(forecast.computeWaitMs('m', {})).toBe(2_000);
+    clock.time = 3_000;
+    expect(forecast.computeWaitMs('m', {})).toBe(Infinity);
+  });
+
+  test('knows how long the work of a route takes, on average and at most', () => {
+    const forecast = PlaceForecast.create(new HandClock());
+    expect(forecast.findWorkMs('r')).toBe(0);
+    forecast.recordWork('r', 100);
+    forecast.recordWork('r', 200);
+    expect(forecast.findWorkMs('r')).toBe(110);
+    expect(forecast.findLongestWorkMs('r')).toBe(200);
+  });
+});
+
+test('a board knows how long the last lost group of a model was missing', () => {
+  const clock = new HandClock();
+  const board = TargetBoard.create('z', clock, () => 0);
+  const place = {pool: 'p', address: 'a:1', zone: 'z', slots: 2, model: 'm'};
+  const tell = (epoch?: number) =>
+    board.setTargets(
+      new Map(
+        epoch === undefined ? [] : [['i', {incarnation: 'i', ...place, epoch}]],
+      ),
+    );
+  tell(1);
+  expect(board.findRepairMs('m')).toBe(0);
+  tell();
+  clock.time = 1_500;
+  tell(2);
+  expect(board.findRepairMs('m')).toBe(1_500);
+});
+
 describe('the budget of repeats', () => {
   const limits = {ratio: 0.5, windowMs: 1_000, slack: 10};
 
--- a/test/gateway/stream_flow.test.ts
+++ b/test/gateway/stream_flow.test.ts
@@ -117,12 +117,73 @@
     expect(backends[0].requests).toHaveLength(0);
   });
 
+  test('whose work would end too late if it waited is refused without a wait', async () => {
+    const {fixture, backends} = await start(
+      [stream('a', [1], 'whole')],
+      {...route, objectiveMs: 5_000},
+      model,
+    );
+    await fixture.ask();
+    for (let count = 0; count < 50; count += 1) {
+      fixture.forecast.recordWork('r', 60_000);
+    }
+    fixture.board.setRunningElsewhere({i0: 4});
+    const received = await fixture.ask();
+
+    expect(received.status).toBe(503);
+    expect(backends[0].requests).toHaveLength(1);
+    expect(fixture.results.map(({reason}) => reason)).toEqual([
+      'whole',
+      'no backend server can take it now',
+    ]);
+  });
+
+  test('of a model whose repairs outlast its caller is broken off at once', async () => {
+    const {fixture} = await start(
+      [stream('a', [1], 'reset')],
+      {...route, maxAttempts: 3},
+      {...model, epoch: 7},
+    );
+    const [[incarnation, target]] = fixture.targets;
+    const setEpoch = (epoch: number) =>
+      fixture.board.setTargets(new Map([[incarnation, {...target, epoch}]]));
+    fixture.board.setTargets(new Map());
+    // Callers bear pauses of 2 s.
+    await new Promise(resolve => setTimeout(resolve, 2_100));
+    setEpoch(8);
+    const received = await fixture.ask();
+
+    expect(received.isWhole).toBe(false);
+    expect(fixture.results[0].reason).toBe('the connection broke');
+  });
+
+  test('does not overtake those that wait before it', async () => {
+    const {fixture} = await start(
+      [stream('a', [1], 'whole')],
+      {...route, objectiveMs: 20_000},
+      model,
+    );
+    await fixture.ask();
+    const earlier = {};
+    fixture.forecast.join('m', earlier);
+    const asked = fixture.ask();
+    await waitUntil(
+      'its place in the line',
+      () => fixture.forecast.countAhead('m', {}) === 2,
+    );
+    fixture.forecast.leave('m', earlier);
+
+    expect((await asked).body).toBe(events(1));
+  });
+
   test('that waits for a place takes the first that gets free', async () => {
     const {fixture} = await start(
       [stream('a', [1], 'whole')],
       {...route, objectiveMs: 20_000},
       model,
     );
+    // A place has fallen free here lately, so there is hope.
+    await fixture.ask();
     fixture.board.setRunningElsewhere({i0: 4});
     const asked = fixture.ask();
     setTimeout(() => fixture.board.setRunningElsewhere({i0: 3}), 50);
--- a/test/support/flow_fixture.ts
+++ b/test/support/flow_fixture.ts
@@ -4,6 +4,7 @@
 import {systemClock} from '../../src/common/system_clock';
 import {CallerAnswer} from '../../src/gateway/caller_answer';
 import {FlowResult} from '../../src/gateway/flow_result';
+import {PlaceForecast} from '../../src/gateway/place_forecast';
 import {RepeatBudget} from '../../src/gateway/repeat_budget';
 import {RequestFlow} from '../../src/gateway/request_flow';
 import {TargetBoard} from '../../src/gateway/target_board';
@@ -47,6 +48,7 @@
   /** What the board was told at first. */
   targets: Array<[string, GatewayTarget]> = [];
   readonly board = TargetBoard.create('z', systemClock, () => 0);
+  readonly forecast = PlaceForecast.create(systemClock);
   private readonly origins = HttpOrigins.create();
   private readonly flows = new Set<RequestFlow>();
   private readonly timer: NodeJS.Timeout;
@@ -162,6 +164,7 @@
           systemClock,
           () => 1,
         ),
+        forecast: this.forecast,
         dialect: plainDialect,
         clock: systemClock,
         onDone: result => {
--- a/test/support/plain_dialect.ts
+++ b/test/support/plain_dialect.ts
@@ -36,6 +36,8 @@
     return headers;
   },
 
+  computePatienceMs: () => 2_000,
+
   readAnswer(status, raw) {
     const headers = Object.fromEntries(
       Object.entries(raw).flatMap(([name, value]) =>
