--- a/src/bin/run_daemon.ts
+++ b/src/bin/run_daemon.ts
@@ -37,6 +37,8 @@
 ): Promise<void> {
   try {
     const {logFormat, start} = prepare();
+    // Before the start, since a signal that nobody waits for ends the process.
+    const told = waitForSignal();
     const daemon = await start();
     const reporter = startLogReporter({
       program,
@@ -47,7 +49,7 @@
       `${JSON.stringify({ready: program, ...daemon.ports})}\n`,
     );
     void daemon.failed?.then(error => exitWith(program, error));
-    await stopOnSignal(program, daemon);
+    await stopOnSignal(program, daemon, told);
     await reporter.drain();
     process.exit(0);
   } catch (error) {
@@ -55,8 +57,12 @@
   }
 }
 
-async function stopOnSignal(program: string, daemon: Daemon): Promise<void> {
-  const signal = await waitForSignal();
+async function stopOnSignal(
+  program: string,
+  daemon: Daemon,
+  told: Promise<string>,
+): Promise<void> {
+  const signal = await told;
   const toldAt = performance.now();
   const record = (type: string, reason: string, tookMs: number) =>
     daemon.events.record({
--- a/src/common/run_stop.ts
+++ b/src/common/run_stop.ts
@@ -4,14 +4,14 @@
 
 /** Between two looks at what is under way. */
 const LOOK_EVERY_MS = 20;
-/** How long the last answers may take to leave, once nothing is worked on. */
-const LAST_ANSWERS_MS = 300;
+/** How long final answers may take to leave after the time was over, in milliseconds. */
+const LAST_ANSWERS_MS = 100;
 
 /** What a program does at each step. */
 interface StopSteps {
   readonly schedule: StopSchedule;
   readonly clock: Clock;
-  /** Requests that were taken and have no whole answer yet. */
+  /** Requests that were taken and whose answers have not left whole, to the last byte. */
   readonly countTaken: () => number;
   /** Requests that were read and not answered, those being refused among them. */
   readonly countOpen: () => number;
@@ -28,8 +28,9 @@
 }
 
 /**
- * Waits until what was taken is finished, or until the time is over; then until
- * the last answers have left. The caller closes what is left after that.
+ * Waits until what was taken has left whole, then until what else was read is
+ * answered, and gives up what is left when the time is over. The caller closes
+ * the rest after that.
  *
  * @returns how it ended
  * @example
@@ -38,11 +39,14 @@
 export async function runStop(steps: StopSteps): Promise<StopEnd> {
   const {schedule, clock, countTaken, countOpen} = steps;
   schedule.begin(clock.now());
+  const isOver = () => schedule.isOver(clock.now());
   const isFinished = () =>
     schedule.isNoticed(clock.now()) && countTaken() === 0;
-  await waitUntil(() => isFinished() || schedule.isOver(clock.now()));
-  const givenUp = countTaken();
+  // Refusals do not count here: callers that go on coming would hold the stop.
+  await waitUntil(() => isFinished() || isOver());
   steps.stopAccepting();
+  await waitUntil(() => countOpen() === 0 || isOver());
+  const givenUp = countTaken();
   steps.giveUp();
   const until = clock.now() + LAST_ANSWERS_MS;
   await waitUntil(() => countOpen() === 0 || clock.now() >= until);
--- a/src/common/stop_schedule.ts
+++ b/src/common/stop_schedule.ts
@@ -4,8 +4,8 @@
 const NOTICE_MS = 2_500;
 /** Kept for last answers on their way, between the end of work and the end by force. */
 const END_MARGIN_MS = 700;
-/** How much longer than the longest seen lately a request may take and still be finished. */
-const LENGTH_MARGIN = 2;
+/** Never more than this part of a short stop, so that work has most of it. */
+const END_MARGIN_SHARE = 1 / 8;
 
 /** How long a stop may take. */
 interface StopScheduleOptions {
@@ -44,13 +44,13 @@
    * True for work that will be finished before the end. Taking ends when callers
    * have noticed, since at a steady rate there would always be work under way.
    *
-   * @param longestMs the longest that such work took lately; 0 when not known
+   * @param longestMs the longest that such work took lately
    */
   canTake(now: number, longestMs: number): boolean {
     if (this.toldAt === undefined) {
       return true;
     }
-    const isInTime = now + longestMs * LENGTH_MARGIN < this.endsAt;
+    const isInTime = now + longestMs < this.endsAt;
     return isInTime && !this.isNoticed(now);
   }
 
@@ -67,6 +67,7 @@
 
   private get endsAt(): number {
     const {withinMs} = this.options;
-    return (this.toldAt ?? Infinity) + Math.max(0, withinMs - END_MARGIN_MS);
+    const marginMs = Math.min(END_MARGIN_MS, withinMs * END_MARGIN_SHARE);
+    return (this.toldAt ?? Infinity) + withinMs - marginMs;
   }
 }
--- a/src/entry/entry_server.ts
+++ b/src/entry/entry_server.ts
@@ -26,6 +26,26 @@
 const RETRY_WHEN_FULL_MS = 1_000;
 const RETRY_WHEN_STARTING_MS = 1_000;
 
+const NOT_CONFIRMED: Problem = {
+  status: 503,
+  title: 'Not ready',
+  detail: 'control did not confirm the bundle',
+  outcome: 'not-run',
+  retryAfterMs: RETRY_WHEN_STARTING_MS,
+};
+
+const STOPPING: Problem = {
+  ...NOT_CONFIRMED,
+  detail: 'this entry is stopping',
+};
+
+const GIVEN_UP: Problem = {
+  status: 502,
+  title: 'Given up',
+  detail: 'this entry stopped before the answer was whole',
+  outcome: 'unknown',
+};
+
 const UNKNOWN_KEY: Problem = {
   status: 401,
   title: 'Unknown key',
@@ -49,10 +69,10 @@
   private readonly runner: RequestRunner;
   private readonly claims: ControlClient;
   private readonly schedule: StopSchedule;
-  /** Answers that are not whole yet. */
+  /** Answers that have not left, to the last byte. */
   private readonly open = new Set<ServerResponse>();
-  /** Requests that were taken and have not ended. */
-  private taken = 0;
+  /** Those of requests that were taken. */
+  private readonly taken = new Set<ServerResponse>();
   private listener: HttpListener | undefined;
 
   private constructor(private readonly settings: EntrySettings) {
@@ -119,10 +139,11 @@
     const {givenUp} = await runStop({
       schedule: this.schedule,
       clock: this.clock,
-      countTaken: () => this.taken,
+      countTaken: () => this.taken.size,
       countOpen: () => this.open.size,
       stopAccepting: () => this.listener?.stopAccepting(),
-      giveUp: () => this.open.forEach(answer => giveUp(answer)),
+      giveUp: () =>
+        this.open.forEach(answer => giveUp(answer, this.taken.has(answer))),
     });
     this.events.record({
       type: 'entry-stopped',
@@ -169,8 +190,10 @@
     response: ServerResponse,
   ): Promise<void> {
     this.open.add(response);
-    response.once('close', () => this.open.delete(response));
-    response.shouldKeepAlive &&= !this.schedule.hasBegun;
+    response.once('close', () => {
+      this.open.delete(response);
+      this.taken.delete(response);
+    });
     try {
       const route = this.routes[`${request.method} ${request.url}`];
       await (route
@@ -188,18 +211,8 @@
     const requestId = randomBytes(12).toString('hex');
     response.setHeader('whinreel-request-id', requestId);
     const {bundle} = this.table;
-    const now = this.clock.now();
-    const isTooLate = !this.schedule.canTake(now, 0);
-    if (isTooLate || !bundle || !this.table.hasLease(now)) {
-      sendProblem(response, {
-        status: 503,
-        title: 'Not ready',
-        detail: isTooLate
-          ? 'this entry is stopping'
-          : 'control did not confirm the bundle',
-        outcome: 'not-run',
-        retryAfterMs: RETRY_WHEN_STARTING_MS,
-      });
+    if (!bundle || !this.table.hasLease(this.clock.now())) {
+      sendProblem(response, NOT_CONFIRMED);
       return;
     }
     const workspace = findWorkspace(request, bundle);
@@ -218,6 +231,12 @@
       requestId,
       now: this.clock.now(),
     };
+    response.shouldKeepAlive &&= !this.schedule.hasBegun;
+    // Asked once the body is here, which may have taken longer than the stop has left.
+    if (!this.schedule.canTake(input.now, 0)) {
+      sendProblem(response, STOPPING);
+      return;
+    }
     const parsed = parseCallerRequest(input);
     if ('status' in parsed) {
       sendProblem(response, parsed);
@@ -242,7 +261,7 @@
       });
       return;
     }
-    this.taken += 1;
+    this.taken.add(response);
     try {
       const end = await this.runner.run(
         request,
@@ -261,7 +280,6 @@
         });
       }
     } finally {
-      this.taken -= 1;
       this.admission.release(request.workspace);
     }
   }
@@ -292,16 +310,15 @@
   }
 }
 
-/** The final answer of a request that outlasts its entry: it may have run. */
-function giveUp(response: ServerResponse): void {
+/** The final answer of a request that outlasts its entry; one that was taken may have run. */
+function giveUp(response: ServerResponse, wasTaken: boolean): void {
+  if (response.writableEnded) {
+    return;
+  }
   if (response.headersSent || response.destroyed) {
     response.destroy();
     return;
   }
-  sendProblem(response, {
-    status: 502,
-    title: 'Given up',
-    detail: 'this entry stopped before the answer was whole',
-    outcome: 'unknown',
-  });
+  response.shouldKeepAlive = false;
+  sendProblem(response, wasTaken ? GIVEN_UP : STOPPING);
 }
--- a/src/gateway/caller_answer.ts
+++ b/src/gateway/caller_answer.ts
@@ -15,6 +15,7 @@
 /** Everything that leaves on one response. */
 export class CallerAnswer {
   private onRoom: (() => void) | undefined;
+  private isUnframed = false;
 
   private constructor(
     private readonly response: ServerResponse,
@@ -116,14 +117,26 @@
     this.response.end(body);
   }
 
-  /** Breaks a stream off: nothing else tells the caller that it is not whole. */
+  /**
+   * Breaks an answer off: nothing else tells the caller that it is not whole. One
+   * without a length or chunks ends with its connection, so only a reset tells.
+   */
   breakOff(): void {
+    if (this.isUnframed) {
+      this.response.socket?.resetAndDestroy();
+    }
     this.response.destroy();
   }
 
+  /** Calls back once when its last byte has left, or nothing more can. */
+  watchEnd(callback: () => void): void {
+    this.response.once('close', callback);
+  }
+
   /** What may not be whole is not given an end that says that it is. */
   private leaveUnframed(head: AnswerHead): void {
     if (!head.isFramed) {
+      this.isUnframed = true;
       this.response.useChunkedEncodingByDefault = false;
       this.response.shouldKeepAlive = false;
     }
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -48,6 +48,8 @@
   private controlAddresses: readonly string[];
   private listener: HttpListener | undefined;
   private openRequests = 0;
+  /** Answers of requests that were sent on, until their last byte has left. */
+  private readonly takenAnswers = new Set<CallerAnswer>();
   /** When a request was last refused for want of a place, by model. */
   private readonly pressedAt = new Map<string, number>();
   /** Connections on which a request came before. */
@@ -87,8 +89,6 @@
       }),
       onRunning: running => this.board.setRunningElsewhere(running),
       onTargets: targets => {
-        // The monotonic clock of a process begins with its start.
-        this.stop.recordStarted(clock.now());
         this.board.setTargets(targets);
         this.origins.retain(this.board.listAddresses());
       },
@@ -116,6 +116,8 @@
       port: settings.port,
       onRequest: (request, response) => void gateway.handle(request, response),
     });
+    // The monotonic clock of a process begins with its start.
+    gateway.stop.recordStarted(gateway.clock.now());
     return gateway;
   }
 
@@ -141,7 +143,7 @@
   /** Answers what comes until callers have noticed, then ends when what was taken is answered. */
   async drain(): Promise<void> {
     await this.stop.run({
-      countTaken: () => this.flows.size,
+      countTaken: () => this.takenAnswers.size,
       countOpen: () => this.openRequests,
       stopAccepting: () => this.listener?.stopAccepting(),
       giveUp: () => this.flows.forEach(flow => flow.abandon(STOPPED)),
@@ -153,6 +155,7 @@
   async close(): Promise<void> {
     clearInterval(this.checkTimer);
     this.flows.forEach(flow => flow.abandon(STOPPED));
+    this.takenAnswers.forEach(taken => taken.breakOff());
     this.feed.close();
     await this.listener?.close();
     await this.origins.close();
@@ -216,8 +219,8 @@
     }
     const {route, pool, workspace} = admitted;
     const tooLate = this.stop.admit({
-      route: route.name,
-      waitMs: Math.min(route.timeoutMs, request.waitMs ?? Infinity),
+      route,
+      leftMs: this.computeLeftMs(request, route, arrivedAt),
       isOnNewConnection,
     });
     if (tooLate) {
@@ -226,6 +229,8 @@
       return;
     }
     this.hasServed = true;
+    this.takenAnswers.add(answer);
+    answer.watchEnd(() => this.takenAnswers.delete(answer));
     const connections = pool.maxConnections / (this.feed.gateways + 1);
     const flow: {current?: RequestFlow} = {};
     flow.current = RequestFlow.create({
@@ -255,6 +260,15 @@
     }
   }
 
+  /** What is left of the time for which a request may be held. */
+  private computeLeftMs(
+    {waitMs = Infinity}: GatewayRequest,
+    {timeoutMs}: {timeoutMs: number},
+    arrivedAt: number,
+  ): number {
+    return Math.min(waitMs, timeoutMs) - (this.clock.now() - arrivedAt);
+  }
+
   private listPressed(): string[] {
     const since = this.clock.now() - PRESSED_MS;
     return [...this.pressedAt].flatMap(([model, at]) =>
--- a/src/gateway/gateway_stop.ts
+++ b/src/gateway/gateway_stop.ts
@@ -22,9 +22,9 @@
 
 /** What is known of a request that comes while the gateway stops. */
 interface LateRequest {
-  readonly route: string;
-  /** How long its caller waits for it, in milliseconds. */
-  readonly waitMs: number;
+  readonly route: {readonly name: string; readonly objectiveMs: number};
+  /** How long its caller still waits for it, in milliseconds. */
+  readonly leftMs: number;
   /** It is the first on its connection. */
   readonly isOnNewConnection: boolean;
 }
@@ -33,7 +33,7 @@
 export class GatewayStop {
   private readonly schedule: StopSchedule;
   private readonly longest: LongestTimes;
-  /** How long this process took from its start until control told it backend servers, in milliseconds. */
+  /** How long this process took from its start until it listened, in milliseconds. */
   private startMs = 0;
   private takenSince = 0;
   private refusedSince = 0;
@@ -58,9 +58,9 @@
     return this.schedule.hasBegun;
   }
 
-  /** Notes when control first told the gateway backend servers, in milliseconds after its process began. */
+  /** Notes when the gateway first listened, in milliseconds after its process began. */
   recordStarted(sinceStartMs: number): void {
-    this.startMs ||= sinceStartMs;
+    this.startMs = sinceStartMs;
   }
 
   /** Notes how long a request took that got its whole answer. */
@@ -70,13 +70,12 @@
 
   /** Takes a request, or tells why it is refused: it could not be finished here. */
   admit(request: LateRequest): Refusal | undefined {
-    const {schedule, longest} = this;
+    const {schedule} = this;
     if (!schedule.hasBegun) {
       return undefined;
     }
-    if (
-      schedule.canTake(this.options.clock.now(), longest.find(request.route))
-    ) {
+    const longestMs = this.findLongestMs(request);
+    if (schedule.canTake(this.options.clock.now(), longestMs)) {
       this.takenSince += 1;
       return undefined;
     }
@@ -115,18 +114,24 @@
   }
 
   /**
-   * Who comes on a connection that was made when all had noticed was sent here
-   * because few gateways are ready: a gateway that starts again is the one to
-   * wait for. Everybody else finds another one now.
+   * Whose first request on a connection comes when all have noticed was sent here
+   * because few gateways are ready. They are back when they have finished what
+   * they took and have started again. Everybody else finds another one now.
    */
   private computeRetryAfterMs(request: LateRequest): number {
     const isNoticed = this.schedule.isNoticed(this.options.clock.now());
     const areFewReady = isNoticed && request.isOnNewConnection;
-    const wantedMs = areFewReady ? this.startMs : ELSEWHERE_MS;
-    const mostMs = request.waitMs * RETRY_AFTER_SHARE;
+    const backMs = this.findLongestMs(request) + this.startMs;
+    const wantedMs = areFewReady ? backMs : ELSEWHERE_MS;
+    const mostMs = request.leftMs * RETRY_AFTER_SHARE;
     return Math.max(ELSEWHERE_MS, Math.min(wantedMs, mostMs));
   }
 
+  /** A route that was not seen lately may take as long as its answer should. */
+  private findLongestMs({route}: LateRequest): number {
+    return this.longest.find(route.name) || route.objectiveMs;
+  }
+
   private record(
     type: string,
     reason: string,
--- a/src/transport/http_listener.ts
+++ b/src/transport/http_listener.ts
@@ -1,6 +1,6 @@
 /** An HTTP server with bounded headers and times. */
 import * as http from 'node:http';
-import {AddressInfo} from 'node:net';
+import * as net from 'node:net';
 import {TransportError} from './transport_error';
 
 const MAX_HEADER_BYTES = 16 * 1024;
@@ -49,12 +49,15 @@
 
   /** The port that is listened on. */
   get port(): number {
-    return (this.server.address() as AddressInfo).port;
+    return (this.server.address() as net.AddressInfo).port;
   }
 
-  /** Stops listening; connections that stand stay. */
+  /**
+   * Stops listening; connections that stand stay. The HTTP server's own way to
+   * close also ends connections whose answer is written and has not left.
+   */
   stopAccepting(): void {
-    this.server.close();
+    net.Server.prototype.close.call(this.server);
   }
 
   /** Stops listening and waits for answers under way. */
--- a/src/transport/http_origins.ts
+++ b/src/transport/http_origins.ts
@@ -1,5 +1,5 @@
 /** Calls to many HTTP servers over kept connections; nothing is ever sent twice. */
-import {Dispatcher, Pool, errors} from 'undici';
+import {Dispatcher, Pool} from 'undici';
 import {createConnector} from './create_connector';
 import {TransportError} from './transport_error';
 
@@ -9,13 +9,6 @@
 const IDLE_TIMEOUT_MS = 10_000;
 /** Closed this long before the server says that it would close. */
 const IDLE_MARGIN_MS = 1_000;
-const CONNECT_CODES = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'EADDRNOTAVAIL',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
 
 /** One call. */
 interface OriginCall {
@@ -147,12 +140,8 @@
 }
 
 function wrapError(error: Error, isSent: boolean): TransportError {
-  const code = (error as NodeJS.ErrnoException).code ?? '';
-  const isNeverSent =
-    !isSent ||
-    CONNECT_CODES.has(code) ||
-    error instanceof errors.ConnectTimeoutError;
-  const name = isNeverSent ? 'NeverSent' : 'Broken';
+  // A connection that stands can end with the same codes as one that is not made.
+  const name = isSent ? 'Broken' : 'NeverSent';
   return new TransportError(
     {cause: error, name},
     'the call to the backend server ended early',
--- a/test/gateway/planned_stop.test.ts
+++ b/test/gateway/planned_stop.test.ts
@@ -13,6 +13,7 @@
  * within 3.3 s.
  */
 import * as http from 'node:http';
+import * as net from 'node:net';
 import {afterEach, expect, test} from 'vitest';
 import {GatewayServer} from '../../src/gateway/gateway_server';
 import {chunk, events} from '../support/backend_scripts';
@@ -162,3 +163,100 @@
     'the time for the stop is over',
   ]);
 });
+
+/** Beyond what the system keeps for a socket, so that a part of it stays in the gateway. */
+const LARGE_BYTES = 7 * 1024 * 1024;
+
+/** A caller that reads nothing until it is told to, and how its connection ends. */
+function openSlowly(port: number) {
+  const socket = net.connect(port, '127.0.0.1');
+  const seen = {bytes: 0, end: 'open'};
+  socket.pause();
+  socket.on('data', chunk => (seen.bytes += chunk.length));
+  socket.on('end', () => (seen.end = 'in order'));
+  socket.on('error', () => (seen.end = 'reset'));
+  socket.write(
+    'POST /x HTTP/1.1\r\nhost: h\r\nrequest-id: q\r\ncontent-length: 3\r\n\r\nask',
+  );
+  const closed = new Promise(resolve => socket.once('close', resolve));
+  return {socket, seen, closed};
+}
+
+test('an answer that is written and has not left is not cut by the end of a stop', async () => {
+  const fleet = await GatewayFleet.create({
+    gateways: 1,
+    stopWithinMs: STOP_WITHIN_MS,
+    route: {kind: 'unsafe', timeoutMs: 20_000},
+    handle: ({socket, headers}) => {
+      const id = headers.get('request-id');
+      socket.write(
+        `HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nseal: s\r\ncontent-length: ${LARGE_BYTES}\r\n\r\n`,
+      );
+      socket.write(Buffer.alloc(LARGE_BYTES, 'x'));
+    },
+  });
+  fleets.push(fleet);
+  const [gateway] = fleet.gateways;
+  const caller = openSlowly(gateway.port);
+  await waitUntil('its answer', () =>
+    gateway.events.listSince(0).some(({type}) => type === 'request-answered'),
+  );
+  const stopped = gateway.drain();
+  // Later than callers have noticed, so nothing but this answer holds the stop.
+  await new Promise(resolve => setTimeout(resolve, 3_000));
+  caller.socket.resume();
+  await Promise.all([stopped, caller.closed]);
+
+  expect(caller.seen.bytes).toBeGreaterThan(LARGE_BYTES);
+  expect(listStopReasons(gateway)).toEqual(['nothing is under way']);
+});
+
+test('a stream without a length that breaks off does not look whole', async () => {
+  const fleet = await GatewayFleet.create({
+    gateways: 1,
+    stopWithinMs: STOP_WITHIN_MS,
+    route: {},
+    handle: ({socket, headers}) => {
+      const id = headers.get('request-id');
+      socket.write(
+        `HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nseal: s\r\ncontent-type: text/event-stream\r\n\r\n${events(1)}`,
+      );
+      setTimeout(() => socket.resetAndDestroy(), 100);
+    },
+  });
+  fleets.push(fleet);
+  const caller = openSlowly(fleet.gateways[0].port);
+  caller.socket.resume();
+  await caller.closed;
+
+  expect(caller.seen.bytes).toBeGreaterThan(0);
+  expect(caller.seen.end).toBe('reset');
+});
+
+test('a request whose body comes after callers have noticed is refused, and the stop waits to say so', async () => {
+  const fleet = await GatewayFleet.create({
+    gateways: 1,
+    stopWithinMs: STOP_WITHIN_MS,
+    route: {},
+    handle: streamSlowly,
+  });
+  fleets.push(fleet);
+  const [gateway] = fleet.gateways;
+  const socket = net.connect(gateway.port, '127.0.0.1');
+  let text = '';
+  socket.on('data', chunk => (text += String(chunk)));
+  const closed = new Promise(resolve => socket.once('close', resolve));
+  socket.write(
+    'POST /x HTTP/1.1\r\nhost: h\r\nrequest-id: q\r\ncontent-length: 3\r\n\r\na',
+  );
+  // Its head must have come before the port is closed.
+  await new Promise(resolve => setTimeout(resolve, 500));
+  const stopped = gateway.drain();
+  await new Promise(resolve => setTimeout(resolve, 3_000));
+  socket.write('sk');
+  await Promise.all([stopped, closed]);
+
+  expect(text).toMatch(/^HTTP\/1.1 503 /);
+  expect(text.toLowerCase()).toContain('connection: close');
+  expect(fleet.backend.requests).toHaveLength(0);
+});
