fix(protocol,coordination): a process that stands still holds nobody up; a lease counts from a round's first sending

Cause, control client: the wait for a hello (2 s) and for a connection (1 s) had no part in the time of a try. Behind a frozen leader two such waits kept a gateway without news for up to 4.6 s, while it acted by its old rules, which a confirmation allows for 4.25 s. Class: a wait for one process without regard to what else could be learnt meanwhile. Cause, lease: a follower that is behind is sent more under the same round, and the time of the round was set anew, so that old answers counted as new contact. Change: connection and hello together get 400 ms, some hundred times a round trip between availability zones; each round's time is that of its first sending. Weighed, not done: letting a confirmation count for less than the time in which a change must be in force. It would close the gap by construction, and refuse requests through every longer change of leader.

--- a/src/coordination/raft_progress.ts
+++ b/src/coordination/raft_progress.ts
@@ -5,6 +5,7 @@
   /** When the newest answered round was sent; the follower was reachable then. */
   contactedAt = -Infinity;
   private readonly sentAt = new Map<number, number>();
+  private newestRound = 0;
 
   private constructor(public nextIndex: number) {}
 
@@ -18,9 +19,12 @@
     return new RaftProgress(nextIndex);
   }
 
-  /** Remembers when a round left. */
+  /** Remembers when a round first left: what follows under its number proves no later contact. */
   recordRound(round: number, now: number): void {
-    this.sentAt.set(round, now);
+    if (round > this.newestRound) {
+      this.newestRound = round;
+      this.sentAt.set(round, now);
+    }
   }
 
   /** Notes the answer to a round; its sending time is when contact is proved. */
--- a/src/protocol/connect_peer.ts
+++ b/src/protocol/connect_peer.ts
@@ -7,6 +7,7 @@
  * Connects to another process and exchanges hellos.
  *
  * @param address `host:port`
+ * @param timeoutMs for the connection and the hello together, in milliseconds
  * @throws TransportError when nobody answers there
  * @example
  * const peer = await connectPeer('127.0.0.1:7000', {program: 'entry', id: 'e1', incarnation});
@@ -15,10 +16,17 @@
   address: string,
   identity: Parameters<typeof Peer.create>[1],
   security?: TransportSecurity,
+  timeoutMs?: number,
 ): Promise<Peer> {
+  const startedAt = performance.now();
   const connection = await FrameConnection.connect({
     ...parseAddress(address),
     security,
+    timeoutMs,
   });
-  return Peer.create(connection, identity);
+  const leftMs =
+    timeoutMs === undefined
+      ? undefined
+      : Math.max(1, timeoutMs - (performance.now() - startedAt));
+  return Peer.create(connection, identity, leftMs);
 }
--- a/src/protocol/control_client.ts
+++ b/src/protocol/control_client.ts
@@ -10,6 +10,8 @@
 const DEFAULT_TIMEOUT_MS = 1_500;
 /** After each control process was tried once. */
 const ROUND_PAUSE_MS = 50;
+/** A process that says no hello within this time is left for another: its machine may take connections while it stands still. */
+const GREET_TIMEOUT_MS = 400;
 
 /** Answer types by the type of the call. */
 interface Answers {
@@ -181,7 +183,11 @@
     const {identity, security} = this.options;
     const {addresses} = this;
     const address = addresses[this.nextAddress++ % addresses.length];
-    const peer = await connectPeer(address, identity, security);
+    const timeoutMs = Math.min(
+      GREET_TIMEOUT_MS,
+      this.options.tryTimeoutMs ?? DEFAULT_TIMEOUT_MS,
+    );
+    const peer = await connectPeer(address, identity, security, timeoutMs);
     void peer.messages.observe(message => this.receive(message));
     void peer.closed.then(() => this.dropPeer(peer));
     this.peer = peer;
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -38,13 +38,14 @@
   static create(
     connection: FrameConnection,
     identity: Identity,
+    helloTimeoutMs = HELLO_TIMEOUT_MS,
   ): Promise<Peer> {
     const peer = new Peer(connection);
     peer.send({type: 'hello', protocol: 1, ...identity});
     return new Promise((resolve, reject) => {
       const timer = setTimeout(() => {
         connection.close(new TransportError('no hello in time'));
-      }, HELLO_TIMEOUT_MS);
+      }, helloTimeoutMs);
       void connection.closed.then(failure => {
         clearTimeout(timer);
         peer.received.end();
--- a/src/transport/frame_connection.ts
+++ b/src/transport/frame_connection.ts
@@ -18,6 +18,7 @@
   readonly host: string;
   readonly port: number;
   readonly security?: TransportSecurity;
+  readonly timeoutMs?: number;
 }
 
 /** Sends and receives frames over one socket. */
@@ -78,7 +79,7 @@
       };
       const timer = setTimeout(
         () => fail(new Error('timeout')),
-        CONNECT_TIMEOUT_MS,
+        Math.min(CONNECT_TIMEOUT_MS, options.timeoutMs ?? CONNECT_TIMEOUT_MS),
       );
       socket.once('error', fail);
       socket.once(options.security ? 'secureConnect' : 'connect', () => {
