feat(gateway): where even a start at once would be late, the first in line waits for the next place

With engines so busy that first events take longer than the objective, no wait had hope, and everything without a free place was refused at once. Change: then the first in line waits for the next place; nobody behind it does.

--- a/src/gateway/place_wait.ts
+++ b/src/gateway/place_wait.ts
@@ -49,12 +49,17 @@
   /**
    * By the pace at which places fall free here and those that wait before it, it
    * gets one early enough to be served in time; a wait without hope would only
-   * keep its caller from coming back.
+   * keep its caller from coming back. Where engines are so busy that even a start
+   * at once would be late, a late answer is still worth more than none: then the
+   * first in line waits for the next place, and nobody behind it.
    */
   get hasHope(): boolean {
-    const {forecast, clock, model} = this.options;
-    const waitMs = forecast.computeWaitMs(model, this);
-    return clock.now() + waitMs <= this.latestStartAt;
+    const {forecast, clock, model, route} = this.options;
+    const startsAt = clock.now() + forecast.computeWaitMs(model, this);
+    const isLateAnyway = forecast.findWorkMs(route.name) > route.objectiveMs;
+    const latestAt =
+      isLateAnyway && this.isFirst ? this.objectiveAt : this.latestStartAt;
+    return startsAt <= latestAt;
   }
 
   /** Begins to wait for a place, in line. */
@@ -62,7 +67,7 @@
     const {forecast, model} = this.options;
     forecast.join(model, this);
     this.isForPlace = true;
-    this.until = this.latestStartAt;
+    this.until = this.objectiveAt;
   }
 
   /**
@@ -98,7 +103,12 @@
 
   /** Sent later, its first event would miss the objective, by how long it takes lately. */
   private get latestStartAt(): number {
-    const {forecast, route, arrivedAt} = this.options;
-    return arrivedAt + route.objectiveMs - forecast.findWorkMs(route.name);
+    const {forecast, route} = this.options;
+    return this.objectiveAt - forecast.findWorkMs(route.name);
+  }
+
+  private get objectiveAt(): number {
+    const {route, arrivedAt} = this.options;
+    return arrivedAt + route.objectiveMs;
   }
 }
--- a/test/gateway/stream_flow.test.ts
+++ b/test/gateway/stream_flow.test.ts
@@ -124,9 +124,11 @@
       model,
     );
     await fixture.ask();
-    for (let count = 0; count < 50; count += 1) {
-      fixture.forecast.recordWork('r', 60_000);
+    for (let count = 0; count < 200; count += 1) {
+      fixture.forecast.recordWork('r', 4_990);
+      fixture.forecast.join('m', {});
     }
+    // 10 ms are left, and 200 others wait for a place before it.
     fixture.board.setRunningElsewhere({i0: 4});
     const received = await fixture.ask();
 
@@ -138,6 +140,26 @@
     ]);
   });
 
+  test('that would be late even at once waits as the first in line, and alone', async () => {
+    const {fixture} = await start(
+      [stream('a', [1], 'whole')],
+      {...route, objectiveMs: 5_000},
+      model,
+    );
+    await fixture.ask();
+    for (let count = 0; count < 100; count += 1) {
+      fixture.forecast.recordWork('r', 9_000);
+    }
+    fixture.board.setRunningElsewhere({i0: 4});
+    const first = fixture.ask();
+    await waitUntil('the line', () => fixture.forecast.countAhead('m', {}) > 0);
+    const second = await fixture.ask();
+    fixture.board.setRunningElsewhere({i0: 3});
+
+    expect(second.status).toBe(503);
+    expect((await first).body).toBe(events(1));
+  });
+
   test('of a model whose repairs outlast its caller is broken off at once', async () => {
     const {fixture} = await start(
       [stream('a', [1], 'reset')],
