fix(control): registrations passed over leave a line, and engines that are gone are forgotten

Cause: a late registration was dropped without a word; doubts about ended starts and orders to engines that are gone stayed until the lead changed. Change: backend-passed-over, once for each start; doubts expire like registrations, and the dispatcher keeps only engines that the registry knows. Tests: one each, of registry and dispatcher; both use what was added, so they were not run against the code before.

--- a/src/control/backend_registry.ts
+++ b/src/control/backend_registry.ts
@@ -14,6 +14,13 @@
 /** Starts that ended at an address; incarnations are never used again, so only the newest matter. */
 const MAX_REPLACED = 512;
 
+/** A registration that may be of a start that has ended. */
+interface LateRegistration {
+  readonly registration: BackendRegistration;
+  /** The start that holds the address. */
+  readonly holder: string;
+}
+
 /** The newest registration of each start of a backend server. */
 export class BackendRegistry {
   private readonly views = new Map<string, BackendView>();
@@ -23,17 +30,24 @@
   private readonly doubtfulSince = new Map<string, number>();
   private changes = 0;
 
-  private constructor(private readonly heartbeatMs: number) {}
+  private constructor(
+    private readonly heartbeatMs: number,
+    private readonly onLate: (late: LateRegistration) => void,
+  ) {}
 
   /**
    * Creates an empty registry.
    *
    * @param heartbeatMs interval of registrations
+   * @param onLate told once of each start whose registration is passed over
    * @example
    * const registry = BackendRegistry.create(1000);
    */
-  static create(heartbeatMs = DEFAULT_HEARTBEAT_MS): BackendRegistry {
-    return new BackendRegistry(heartbeatMs);
+  static create(
+    heartbeatMs = DEFAULT_HEARTBEAT_MS,
+    onLate: (late: LateRegistration) => void = () => undefined,
+  ): BackendRegistry {
+    return new BackendRegistry(heartbeatMs, onLate);
   }
 
   /** Rises with each change that gateways or the planner care about. */
@@ -93,8 +107,13 @@
     this.changes += this.views.delete(incarnation) ? 1 : 0;
   }
 
-  /** Forgets those that were silent for long. */
+  /** Forgets those that were silent for long, and the doubts about starts that call no more. */
   expire(now: number): void {
+    for (const [incarnation, since] of this.doubtfulSince) {
+      if (now - since > FORGET_AFTER_MS) {
+        this.doubtfulSince.delete(incarnation);
+      }
+    }
     for (const [incarnation, view] of this.views) {
       if (now - view.seenAt > FORGET_AFTER_MS) {
         this.remove(incarnation);
@@ -132,6 +151,10 @@
       return false;
     }
     const since = this.doubtfulSince.get(incarnation) ?? now;
+    if (!this.doubtfulSince.has(incarnation)) {
+      const {incarnation: held} = holder.registration;
+      this.onLate({registration, holder: held});
+    }
     const hasHolderSpoken = holder.seenAt >= since;
     this.doubtfulSince.set(incarnation, hasHolderSpoken ? now : since);
     return hasHolderSpoken || now - since < this.heartbeatMs * SILENT_INTERVALS;
--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -52,7 +52,17 @@
     private readonly disk: ControlDisk,
   ) {
     this.failed = new Promise(resolve => (this.fail = resolve));
-    this.registry = BackendRegistry.create(settings.pools?.heartbeatMs);
+    this.registry = BackendRegistry.create(
+      settings.pools?.heartbeatMs,
+      ({registration: {incarnation, address, sequence}, holder}) =>
+        this.events.record({
+          type: 'backend-passed-over',
+          subject: 'host',
+          id: incarnation,
+          reason: `${holder} holds its address: it may have ended`,
+          details: {address, sequence},
+        }),
+    );
   }
 
   /**
--- a/src/control/engine_planner_loop.ts
+++ b/src/control/engine_planner_loop.ts
@@ -95,6 +95,8 @@
       this.health.clear();
     }
     registry.expire(now);
+    const known = registry.list().map(view => view.registration.incarnation);
+    this.orders.retain(new Set(known));
     this.isCommitting = true;
     try {
       for (const pool of runtime.state.channel.rules?.pools ?? []) {
--- a/src/control/order_dispatcher.ts
+++ b/src/control/order_dispatcher.ts
@@ -101,6 +101,18 @@
     this.allowance.clear(this.options.clock.now());
   }
 
+  /** Forgets engines that are gone; incarnations are never used again. */
+  retain(incarnations: ReadonlySet<string>): void {
+    const {group, copy} = this.lastOrders;
+    for (const known of [group, copy, this.loads, this.ordersTaken]) {
+      for (const incarnation of known.keys()) {
+        if (!incarnations.has(incarnation)) {
+          known.delete(incarnation);
+        }
+      }
+    }
+  }
+
   /** The model that an engine was told to load lately. */
   findLoading(incarnation: string): string | undefined {
     return this.loads.get(incarnation)?.model;
--- a/test/control/backend_registry.test.ts
+++ b/test/control/backend_registry.test.ts
@@ -7,14 +7,19 @@
 const STALL_MS = 5_000;
 
 function create() {
-  const registry = BackendRegistry.create(HEARTBEAT_MS);
+  const passedOver: string[] = [];
+  const registry = BackendRegistry.create(
+    HEARTBEAT_MS,
+    ({registration, holder}) =>
+      passedOver.push(`${registration.incarnation} for ${holder}`),
+  );
   /** One call of a start at the same address as all others of a test. */
   const call = (incarnation: string, sequence: number, now: number) => {
     const {registration} = host(incarnation, {address: 'a:1', sequence});
     return registry.record(registration, now);
   };
   const list = () => registry.list().map(view => view.registration.incarnation);
-  return {registry, call, list};
+  return {registry, call, list, passedOver};
 }
 
 describe('the start of a backend server that is known at an address', () => {
@@ -52,6 +57,18 @@
     expect(list()).toEqual(['new']);
   });
 
+  test('is told once when another is passed over for it, and again when that was long ago', () => {
+    const {registry, call, passedOver} = create();
+    call('new', 1, 0);
+    call('old', 41, 100);
+    call('old', 42, 200);
+    expect(passedOver).toEqual(['old for new']);
+    call('new', 2, 60_000);
+    registry.expire(60_000);
+    call('old', 43, 60_100);
+    expect(passedOver).toEqual(['old for new', 'old for new']);
+  });
+
   test('gives way to one that calls alone, however many calls that one has made', () => {
     const {call, list} = create();
     call('late', 3, 0);
--- a/test/control/engine_orders.test.ts
+++ b/test/control/engine_orders.test.ts
@@ -104,6 +104,17 @@
     expect(sent).toEqual(['join a', 'open a']);
   });
 
+  test('to an engine that is gone are forgotten, to others not', async () => {
+    const {sent, give, dispatcher} = create(true);
+    await give(createOrder('join'));
+    dispatcher.retain(new Set(['a']));
+    await give(createOrder('join'));
+    expect(sent).toEqual(['join a']);
+    dispatcher.retain(new Set(['b']));
+    await give(createOrder('join'));
+    expect(sent).toEqual(['join a', 'join a']);
+  });
+
   test('one that does not fit yet is given again soon', async () => {
     const {clock, sent, answers, give} = create(true);
     answers.push({outcome: 'unfit'});
