feat(gateway,host,platform): silent connections are left; a host process stops in time

Silent connections. Cause: a stall was judged by what comes from a backend server on any connection, so a request on a connection that had gone silent for good waited until its time was over while others were served; plain requests had no judgement at all; and an engine that was asked on such a connection counted as lost. Host process: its stop ends in time, too; what still runs is given up and its entry is told (its wait was without a limit; by reading).

--- a/src/bin/whinreel_host.ts
+++ b/src/bin/whinreel_host.ts
@@ -4,9 +4,6 @@
 import {HostServer} from '../host/host_server';
 import {runDaemon} from './run_daemon';
 
-/** How long a stopping host waits for its release after its last request. */
-const RELEASE_TIMEOUT_MS = 10_000;
-
 void runDaemon('whinreel-host', () => {
   const {settings, logFormat} = resolveHostSettings(
     process.argv.slice(2),
@@ -19,7 +16,7 @@
       return {
         events: host.events,
         ports: {port: host.port, announcePort: host.announcePort},
-        stop: () => host.drain(RELEASE_TIMEOUT_MS),
+        stop: () => host.drain(),
       };
     },
   };
--- a/src/config/resolve_entry_settings.ts
+++ b/src/config/resolve_entry_settings.ts
@@ -2,15 +2,13 @@
 import {EntrySettings} from '../entry/entry_settings';
 import {addressListSetting} from './address_list_setting';
 import {addressSetting} from './address_setting';
-import {createCountSetting} from './create_count_setting';
 import {loadSecurity} from './load_security';
 import {nameSetting} from './name_setting';
 import {resolveSettings} from './resolve_settings';
 import {securitySettings} from './security_settings';
+import {stopWithinSetting} from './stop_within_setting';
 
 const LOOPBACK = '127.0.0.1';
-/** Below the 30 s that supervisors commonly wait before they kill. */
-const DEFAULT_STOP_WITHIN_MS = '25000';
 
 const schema = z.object({
   entryId: nameSetting.describe('name of this entry, unique in the fleet'),
@@ -21,9 +19,7 @@
   control: addressListSetting.describe(
     'addresses of the control processes, comma-separated',
   ),
-  stopWithinMs: createCountSetting(1_000, 600_000)
-    .prefault(DEFAULT_STOP_WITHIN_MS)
-    .describe('how long a stop may take, in milliseconds'),
+  stopWithinMs: stopWithinSetting,
   ...securitySettings.shape,
 });
 
--- a/src/config/resolve_host_settings.ts
+++ b/src/config/resolve_host_settings.ts
@@ -6,6 +6,7 @@
 import {nameSetting} from './name_setting';
 import {resolveSettings} from './resolve_settings';
 import {securitySettings} from './security_settings';
+import {stopWithinSetting} from './stop_within_setting';
 
 const schema = z.object({
   hostId: nameSetting.describe('name of this host, unique in the fleet'),
@@ -21,6 +22,7 @@
   control: addressListSetting.describe(
     'addresses of the control processes, comma-separated',
   ),
+  stopWithinMs: stopWithinSetting,
   ...securitySettings.shape,
 });
 
@@ -52,6 +54,7 @@
     announceListen,
     advertise,
     control,
+    stopWithinMs,
     logFormat,
   } = raw;
   const settings: HostSettings = {
@@ -64,6 +67,7 @@
     announceHost: announceListen.host,
     announcePort: announceListen.port,
     control,
+    stopWithinMs,
     security: loadSecurity(raw, listen.host),
   };
   return {settings, logFormat};
--- a/src/gateway/flow_course.ts
+++ b/src/gateway/flow_course.ts
@@ -42,6 +42,11 @@
   /** Notes an event that was passed on. */
   recordEvent(now: number): void {
     this.eventCount += 1;
+    this.recordFirst(now);
+  }
+
+  /** Notes a part of an answer; only the first one counts. */
+  recordFirst(now: number): void {
     this.firstEventAt ??= now;
   }
 
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -52,7 +52,10 @@
     this.course = FlowCourse.create(arrivedAt);
     this.lastEventId = request.lastEventId;
     this.stall = StallJudge.create(board, {
-      stallMs: computeStallMs(pool.engine, request.model),
+      stallMs:
+        route.kind === 'stream'
+          ? computeStallMs(pool.engine, request.model)
+          : 0,
       findStartMs: () =>
         forecast.findLongestWorkMs(route.name) || route.objectiveMs,
     });
@@ -142,21 +145,26 @@
     }
   }
 
-  /** A stream that stopped goes on elsewhere, if it may and somebody can take it. */
+  /** What stopped goes on elsewhere, if it may and somebody can take it. */
   private checkStall(now: number): void {
     const {attempt} = this;
-    const {route, board} = this.options;
+    const {route, board, origins} = this.options;
     const canGoElsewhere =
-      route.kind === 'stream' &&
-      route.isResumable &&
-      this.runs + 1 < route.maxAttempts;
-    if (!attempt || !canGoElsewhere || !this.stall.isStalled(attempt, now)) {
+      this.isRepeatable && this.runs + 1 < route.maxAttempts;
+    const stalled =
+      attempt && canGoElsewhere && this.stall.findStalled(attempt, now);
+    if (!stalled) {
       return;
     }
-    board.recordStalled(attempt.target.incarnation);
+    const {incarnation, address} = attempt.target;
+    if (stalled === 'target' && route.kind === 'stream') {
+      board.recordStalled(incarnation);
+    } else {
+      origins.renew(address);
+    }
     if (this.findTarget(true)) {
       const quietMs = Math.round(now - attempt.quietSince);
-      attempt.stop(`silent for ${quietMs} ms`);
+      attempt.stop(`silent ${stalled} for ${quietMs} ms`);
     }
   }
 
@@ -237,6 +245,7 @@
         .forEach(event => this.passEvent(event.bytes, event.id));
       return;
     }
+    this.course.recordFirst(this.options.clock.now());
     if (!this.held.add(chunk)) {
       this.attempt?.stop('the answer is too large to hold');
     }
--- a/src/gateway/stall_judge.ts
+++ b/src/gateway/stall_judge.ts
@@ -1,10 +1,13 @@
-/** Decides whether a backend server stopped in the middle of a stream. */
+/** Decides whether a backend server, or the connection to it, has stopped. */
 import {Attempt} from './attempt';
 import {TargetBoard} from './target_board';
 
+/** How much longer than the longest start lately the silence of one connection must last. */
+const CONNECTION_MARGIN = 2;
+
 /** The times that matter for one request. */
 interface StallTimes {
-  /** The longest pause of a healthy stream. */
+  /** The longest pause of a healthy stream; 0 where answers are no streams. */
   readonly stallMs: number;
   /** The longest that a first event took lately, or should take where none was seen. */
   readonly findStartMs: () => number;
@@ -30,15 +33,27 @@
   /**
    * A stream that pauses for longer than a pass can take, while nothing else
    * comes from there, has stopped. Before the first event a queue explains as
-   * much as it did for others lately.
+   * much as it did for others lately. Where others do hear from there, an engine
+   * may have put the request back, which takes as long as a start; a pause much
+   * longer than that means that its connection carries nothing any more.
+   *
+   * @returns what seems to have stopped; undefined for nothing
    */
-  isStalled(attempt: Attempt, now: number): boolean {
+  findStalled(
+    attempt: Attempt,
+    now: number,
+  ): 'target' | 'connection' | undefined {
     const {board} = this;
     const {stallMs, findStartMs} = this.times;
     const {incarnation} = attempt.target;
+    const quietMs = now - attempt.quietSince;
     const isExpected = attempt.hasStarted || board.isStalled(incarnation);
-    const limitMs = isExpected ? stallMs : Math.max(stallMs, findStartMs());
+    const startMs = Math.max(stallMs, findStartMs());
     const isTargetSilent = now - board.findHeardAt(incarnation) > stallMs;
-    return now - attempt.quietSince > limitMs && isTargetSilent;
+    if (isTargetSilent && quietMs > (isExpected ? stallMs : startMs)) {
+      return 'target';
+    }
+    const isTooLong = quietMs > startMs * CONNECTION_MARGIN;
+    return isTooLong && !isTargetSilent ? 'connection' : undefined;
   }
 }
--- a/src/host/host_server.ts
+++ b/src/host/host_server.ts
@@ -1,6 +1,7 @@
 /** The process beside one backend server: member of a group, fence, runner of work. */
 import {randomBytes} from 'node:crypto';
 import {EventRing} from '../common/event_ring';
+import {StopSchedule} from '../common/stop_schedule';
 import {systemClock} from '../common/system_clock';
 import {checkDispatch} from '../coordination/check_dispatch';
 import {Bundle} from '../protocol/bundle';
@@ -24,6 +25,8 @@
 import {WorkRunner} from './work_runner';
 
 const CHECK_EVERY_MS = 50;
+/** How long a stopping host waits for its release after its last request. */
+const RELEASE_TIMEOUT_MS = 10_000;
 const DRAIN_POLL_MS = 50;
 
 /** A running host process. */
@@ -94,25 +97,39 @@
 
   /**
    * Leaves: takes no new work, lets what runs finish, waits until control
-   * released the host, then stops.
-   *
-   * @param timeoutMs milliseconds to wait for the release once nothing runs
+   * released the host, then stops. What still runs when the time is over is
+   * given up, and its entry is told so.
    */
-  async drain(timeoutMs: number): Promise<void> {
+  async drain(): Promise<void> {
+    const {clock, runner} = this;
     this.isLeaving = true;
     this.record('leaving', 'the process was told to stop');
     this.session?.reportSoon();
-    let deadline = this.clock.now() + timeoutMs;
+    const schedule = StopSchedule.create({
+      withinMs: this.settings.stopWithinMs,
+    });
+    schedule.begin(clock.now());
+    let releaseBy = clock.now() + RELEASE_TIMEOUT_MS;
     const isReleased = () => this.member.group === null;
     while (
-      this.runner.runningCount > 0 ||
-      (!isReleased() && this.clock.now() < deadline)
+      !schedule.isOver(clock.now()) &&
+      (runner.runningCount > 0 || (!isReleased() && clock.now() < releaseBy))
     ) {
-      if (this.runner.runningCount > 0) {
-        deadline = this.clock.now() + timeoutMs;
+      if (runner.runningCount > 0) {
+        releaseBy = clock.now() + RELEASE_TIMEOUT_MS;
       }
       await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS));
     }
+    if (runner.runningCount > 0) {
+      const reason = 'the time for the stop is over';
+      this.record(
+        'work-given-up',
+        `${runner.runningCount} requests: ${reason}`,
+      );
+      runner.stopAll(reason);
+      // Entries are told before their connections close.
+      await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS));
+    }
     await this.close();
   }
 
--- a/src/host/host_settings.ts
+++ b/src/host/host_settings.ts
@@ -15,5 +15,7 @@
   readonly announceHost: string;
   readonly announcePort: number;
   readonly control: readonly string[];
+  /** From the signal to stop to the end by force, in milliseconds. */
+  readonly stopWithinMs: number;
   readonly security?: TransportSecurity;
 }
--- a/src/host/work_runner.ts
+++ b/src/host/work_runner.ts
@@ -93,6 +93,13 @@
     }
   }
 
+  /** Stops everything that runs; what was begun may have run in part. */
+  stopAll(reason: string): void {
+    for (const attempt of [...this.running.keys()]) {
+      attempt.stop({outcome: 'failed', reason});
+    }
+  }
+
   close(): void {
     clearInterval(this.timer);
     for (const {peer} of this.connections) {
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -1,11 +1,13 @@
 import {describe, expect, test} from 'vitest';
 import {Clock} from '../../src/common/clock';
+import {Attempt} from '../../src/gateway/attempt';
 import {choosePool} from '../../src/gateway/choose_pool';
 import {computeStallMs} from '../../src/gateway/compute_stall_ms';
 import {EventSplitter} from '../../src/gateway/event_splitter';
 import {PlaceForecast} from '../../src/gateway/place_forecast';
 import {RepeatBudget} from '../../src/gateway/repeat_budget';
 import {RouteIndex} from '../../src/gateway/route_index';
+import {StallJudge} from '../../src/gateway/stall_judge';
 import {TargetBoard} from '../../src/gateway/target_board';
 import {computeDigest} from '../../src/protocol/compute_digest';
 import {GatewayRules} from '../../src/protocol/gateway_rules';
@@ -79,6 +81,47 @@
   });
 });
 
+describe('what has stopped', () => {
+  function create(quietMs: number, heardMsAgo: number, hasStarted = true) {
+    const clock = new HandClock();
+    clock.time = 10_000;
+    const board = TargetBoard.create('z', clock, () => 0);
+    const target = {
+      incarnation: 'i',
+      pool: 'p',
+      address: 'a:1',
+      zone: 'z',
+      slots: 2,
+    };
+    board.setTargets(new Map([['i', target]]));
+    clock.time -= heardMsAgo;
+    board.recordHeard('i');
+    clock.time = 10_000;
+    const attempt = {
+      target,
+      hasStarted,
+      quietSince: clock.time - quietMs,
+    } as unknown as Attempt;
+    const times = {stallMs: 100, findStartMs: () => 300};
+    return StallJudge.create(board, times).findStalled(attempt, clock.time);
+  }
+
+  test('is the backend server when nothing else comes from there either', () => {
+    expect(create(150, 150)).toBe('target');
+    expect(create(90, 150)).toBeUndefined();
+  });
+
+  test('is not the backend server when a first event may still be in its queue', () => {
+    expect(create(250, 250, false)).toBeUndefined();
+    expect(create(350, 350, false)).toBe('target');
+  });
+
+  test('is the connection when others hear from there, and no engine would take that long', () => {
+    expect(create(500, 10)).toBeUndefined();
+    expect(create(650, 10)).toBe('connection');
+  });
+});
+
 describe('the forecast of places', () => {
   test('tells each in line when its place falls free, by the newest ends', () => {
     const clock = new HandClock();
--- a/test/gateway/request_flow.test.ts
+++ b/test/gateway/request_flow.test.ts
@@ -22,6 +22,32 @@
     expect(backends.map(({requests}) => requests.length)).toEqual([1, 1]);
   });
 
+  test('whose connection went silent for good goes elsewhere, and no other is sent on such a connection', async () => {
+    const {fixture, backends} = await start(
+      [
+        // The first answer shows how long this takes; nothing comes after it on that connection.
+        ({socket, headers}) => {
+          if (headers.get('request-id') === 'first') {
+            socket.write(
+              'HTTP/1.1 200 OK\r\nrequest-id: first\r\nseal: s\r\ncontent-length: 1\r\n\r\na',
+            );
+          }
+        },
+        answer('elsewhere'),
+      ],
+      {objectiveMs: 60},
+    );
+    const [silent, other] = fixture.targets;
+    fixture.board.setTargets(new Map([silent]));
+    await fixture.ask({'request-id': 'first'});
+    const asked = fixture.ask();
+    await waitUntil('its way', () => backends[0].requests.length === 2);
+    fixture.board.setTargets(new Map([silent, other]));
+
+    expect((await asked).body).toBe('elsewhere');
+    await waitUntil('closed', () => backends[0].openConnections === 0);
+  });
+
   test('that may not run again is told 502 when it may have run', async () => {
     const {fixture, backends} = await start([reset, answer('second')], {
       kind: 'unsafe',
--- a/test/support/scenario.ts
+++ b/test/support/scenario.ts
@@ -122,7 +122,7 @@
   controls: z.int().default(3),
   entries: z.int().default(1),
   snapshotEvery: z.int().optional(),
-  /** How long an entry may take to stop; its own default otherwise. */
+  /** How long an entry or a host process may take to stop; its own default otherwise. */
   stopWithinMs: z.int().optional(),
   /** All processes talk mutual TLS. */
   isTls: z.boolean().default(false),
--- a/test/support/scenario_runner.ts
+++ b/test/support/scenario_runner.ts
@@ -55,7 +55,7 @@
     const controlArgs = snapshotEvery
       ? ['--snapshot-every', String(snapshotEvery)]
       : [];
-    const entryArgs = stopWithinMs
+    const stopArgs = stopWithinMs
       ? ['--stop-within-ms', String(stopWithinMs)]
       : [];
     const fleet = await TestFleet.create({
@@ -63,7 +63,8 @@
       controls,
       entries,
       controlArgs,
-      entryArgs,
+      entryArgs: stopArgs,
+      hostArgs: stopArgs,
       hasRelays: true,
       isTls: scenario.isTls,
     });
--- a/test/support/test_fleet.ts
+++ b/test/support/test_fleet.ts
@@ -37,6 +37,7 @@
   readonly hosts: readonly HostPlan[];
   readonly controlArgs?: readonly string[];
   readonly entryArgs?: readonly string[];
+  readonly hostArgs?: readonly string[];
   /** Every connection between processes goes through a relay that can be cut. */
   readonly hasRelays?: boolean;
   /** All processes talk mutual TLS with the keys in test/fixtures. */
@@ -275,6 +276,7 @@
         [...(await this.listControlAddresses(hostId)).values()].join(','),
       ],
       ...(await this.createAdvertiseArgs(hostId)),
+      ...(this.options.hostArgs ?? []),
       ...this.listTlsArgs(),
     ];
     const script = 'src/bin/whinreel_host.js';
