fix(gateway): a silent backend server is left after twice the usual start, not the longest

Change: twice the usual time of the route to a first part of an answer; the longest stays the measure for a connection on which others hear from there. Tests: gateway and platform 84 passed.

--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -3,7 +3,7 @@
 import {AnswerHead} from './answer_head';
 import {Attempt} from './attempt';
 import {AttemptEnd} from './attempt_end';
-import {computeStallMs} from './compute_stall_ms';
+import {createStallTimes} from './create_stall_times';
 import {createTargetKey} from './create_target_key';
 import {EventSplitter} from './event_splitter';
 import {FlowCourse} from './flow_course';
@@ -51,14 +51,9 @@
     this.deadlineAt = arrivedAt + holdMs;
     this.course = FlowCourse.create(arrivedAt);
     this.lastEventId = request.lastEventId;
-    this.stall = StallJudge.create(board, {
-      stallMs:
-        route.kind === 'stream'
-          ? computeStallMs(pool.engine, request.model)
-          : 0,
-      findStartMs: () =>
-        forecast.findLongestWorkMs(route.name) || route.objectiveMs,
-    });
+    const {model} = request;
+    const times = createStallTimes({route, pool, model, forecast});
+    this.stall = StallJudge.create(board, times);
     this.wait = PlaceWait.create({
       forecast,
       clock,
