fix(gateway,bin): a gateway that was frozen judges after it has read; a hang-up never ends a program

Cause: timers run before what came is read, so after a pause of its own a gateway took every stream for stalled and passed over all their backend servers for 3 s; and until the last step of a start the system's answer to SIGHUP was to end the process. Found by the soak (an entry frozen for 1.0 s refused everything for 3.0 s). Change: the look that comes late by more than four intervals is left out, never two in a row; SIGHUP is taken from the first step of every program.

--- a/src/bin/run_daemon.ts
+++ b/src/bin/run_daemon.ts
@@ -38,6 +38,7 @@
   try {
     const {logFormat, start} = prepare();
     // Before the start, since a signal that nobody waits for ends the process.
+    process.on('SIGHUP', () => undefined);
     const told = waitForSignal();
     const daemon = await start();
     const reporter = startLogReporter({
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -23,6 +23,8 @@
 
 /** Between two looks at requests that wait or stall; well under the pauses that matter. */
 const CHECK_MS = 20;
+/** Some looks that did not happen; well under the shortest pause that counts as a stall. */
+const OWN_PAUSE_MS = 4 * CHECK_MS;
 /** Why a request is given up when the time for a stop is over. */
 const STOPPED = 'this gateway stopped';
 /** What a caller may send before any rules are known. */
@@ -44,6 +46,9 @@
   private readonly flows = new Set<RequestFlow>();
   private readonly forecast = PlaceForecast.create(systemClock);
   private readonly checkTimer: NodeJS.Timeout;
+  /** When requests were last looked at, or should have been. */
+  private checkedAt: number;
+  private isLookLeftOut = false;
   private seeds: readonly string[];
   private controlAddresses: readonly string[];
   private listener: HttpListener | undefined;
@@ -96,10 +101,23 @@
         this.controlAddresses = [...new Set([...addresses, ...this.seeds])];
       },
     });
-    this.checkTimer = setInterval(() => {
-      const now = clock.now();
+    this.checkedAt = clock.now();
+    this.checkTimer = setInterval(() => this.checkFlows(), CHECK_MS);
+  }
+
+  /**
+   * A process that did not run for a while wakes with its timers, before it reads
+   * what has come meanwhile: its own pause is not that of its backend servers.
+   * Never two looks in a row are left out, so that a slow process judges, too.
+   */
+  private checkFlows(): void {
+    const now = this.clock.now();
+    const hasPaused = now - this.checkedAt > OWN_PAUSE_MS;
+    this.checkedAt = now;
+    this.isLookLeftOut = hasPaused && !this.isLookLeftOut;
+    if (!this.isLookLeftOut) {
       this.flows.forEach(flow => flow.check(now));
-    }, CHECK_MS);
+    }
   }
 
   /**
