--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -18,6 +18,8 @@
 import {SoakOperator} from './soak_operator';
 import {soakRoutes} from './soak_routes';
 
+const REFUSED = 503;
+
 /** What one run is given. */
 interface SoakRunOptions {
   readonly seed: number;
@@ -67,14 +69,20 @@
   describe() {
     const {seed} = this.options;
     const statuses: Record<string, number> = {};
+    const refusals: Record<string, number> = {};
     for (const {reply} of this.callers.requests) {
       const key = reply.isWhole ? `${reply.status}` : `${reply.status} broken`;
       statuses[key] = (statuses[key] ?? 0) + 1;
+      if (reply.status === REFUSED) {
+        const reason = reply.body.trim();
+        refusals[reason] = (refusals[reason] ?? 0) + 1;
+      }
     }
     const faults = Object.values(this.faults.counts);
     return {
       seed,
       statuses,
+      refusals,
       answered: statuses['200'] ?? 0,
       acknowledged: this.operator.acknowledged,
       faults: faults.reduce((sum, count) => sum + count, 0),
