--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -152,15 +152,18 @@
       return;
     }
     const {incarnation, address} = attempt.target;
-    if (stalled === 'target' && route.kind === 'stream') {
+    const isEngineStalled = stalled === 'target' && route.kind === 'stream';
+    if (isEngineStalled) {
       board.recordStalled(incarnation);
-    } else {
-      origins.renew(address);
     }
-    if (this.findTarget(true)) {
-      const quietMs = Math.round(now - attempt.quietSince);
-      attempt.stop(`silent ${stalled} for ${quietMs} ms`);
+    if (!this.findTarget(true)) {
+      return;
+    }
+    if (!isEngineStalled) {
+      origins.renew(address);
     }
+    const quietMs = Math.round(now - attempt.quietSince);
+    attempt.stop(`silent ${stalled} for ${quietMs} ms`);
   }
 
   /** What an engine has begun may go on once a group of the model is formed anew. */
