--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -37,6 +37,7 @@
   private hasBytes = false;
   private isSent = false;
   private isEnded = false;
+  private isHeldBack = false;
 
   private constructor(private readonly options: AttemptOptions) {
     this.quietSince = options.clock.now();
@@ -76,10 +77,17 @@
 
   /** Stops reading until the caller has room. */
   pause(): void {
+    this.isHeldBack = true;
     this.handle?.pause();
   }
 
+  /** Nothing is read, because the caller has no room. */
+  get isPaused(): boolean {
+    return this.isHeldBack;
+  }
+
   resume(): void {
+    this.isHeldBack = false;
     this.quietSince = this.options.clock.now();
     this.handle?.resume();
   }
--- a/src/gateway/create_stall_times.ts
+++ b/src/gateway/create_stall_times.ts
@@ -3,11 +3,16 @@
 import {PlaceForecast} from './place_forecast';
 import {StallJudge} from './stall_judge';
 
+const MS_PER_SECOND = 1_000;
+
 /** Whose times they are. */
 interface StallTimesInput {
   readonly route: GatewayRules['routes'][number];
   readonly pool: GatewayRules['pools'][number];
   readonly model: string | undefined;
+  readonly promptTokens: number;
+  /** As the forecast names it. */
+  readonly work: string;
   readonly forecast: PlaceForecast;
 }
 
@@ -21,12 +26,14 @@
 export function createStallTimes(
   input: StallTimesInput,
 ): Parameters<typeof StallJudge.create>[1] {
-  const {route, pool, model, forecast} = input;
-  const isStream = route.kind === 'stream';
+  const {route, pool, model, promptTokens, work, forecast} = input;
+  // A prompt far above the usual ones takes its own time to read.
+  const tokensPerSecond = pool.engine?.promptTokensPerSecond ?? Infinity;
+  const promptMs = (promptTokens / tokensPerSecond) * MS_PER_SECOND;
   return {
-    stallMs: isStream ? computeStallMs(pool.engine, model) : 0,
+    stallMs: computeStallMs(pool.engine, model),
     findUsualStartMs: () =>
-      forecast.findWorkMs(route.name) || route.objectiveMs,
-    findLongestStartMs: () => forecast.findLongestWorkMs(route.name),
+      (forecast.findWorkMs(work) || route.objectiveMs) + promptMs,
+    findLongestStartMs: () => forecast.findLongestWorkMs(work) + promptMs,
   };
 }
--- a/src/gateway/flow_course.ts
+++ b/src/gateway/flow_course.ts
@@ -4,9 +4,13 @@
   private eventCount = 0;
   private firstEventAt: number | undefined;
   private sentAt = 0;
+  /** When its caller last got something; its arrival before that. */
+  passedAt: number;
   private runningAtTarget = -1;
 
-  private constructor(private readonly arrivedAt: number) {}
+  private constructor(private readonly arrivedAt: number) {
+    this.passedAt = arrivedAt;
+  }
 
   /**
    * Creates the course of a request that was sent nowhere yet.
@@ -42,12 +46,8 @@
   /** Notes an event that was passed on. */
   recordEvent(now: number): void {
     this.eventCount += 1;
-    this.recordFirst(now);
-  }
-
-  /** Notes a part of an answer; only the first one counts. */
-  recordFirst(now: number): void {
     this.firstEventAt ??= now;
+    this.passedAt = now;
   }
 
   /** All of it, at its end. */
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -53,7 +53,7 @@
   private controlAddresses: readonly string[];
   private listener: HttpListener | undefined;
   private openRequests = 0;
-  /** Answers of requests that were sent on, until their last byte has left. */
+  /** Answers of requests that were admitted, until their last byte has left. */
   private readonly takenAnswers = new Set<CallerAnswer>();
   /** When a request was last refused for want of a place, by model. */
   private readonly pressedAt = new Map<string, number>();
--- a/src/gateway/longest_times.ts
+++ b/src/gateway/longest_times.ts
@@ -24,7 +24,7 @@
     return new LongestTimes(clock);
   }
 
-  /** Notes how long a request took that got its whole answer, in milliseconds. */
+  /** Notes how long something took that came to its end, in milliseconds. */
   record(route: string, tookMs: number): void {
     this.advance();
     this.current.set(route, Math.max(tookMs, this.current.get(route) ?? 0));
--- a/src/gateway/place_forecast.ts
+++ b/src/gateway/place_forecast.ts
@@ -11,11 +11,11 @@
 
 /** What this gateway has measured. */
 export class PlaceForecast {
-  /** When requests that held a place ended, by model, oldest first. */
+  /** When requests that held a place ended, by line, oldest first. */
   private readonly ends = new Map<string, number[]>();
-  /** From sending to the first event, by route, averaged. */
+  /** From sending to the first event, by kind of work, averaged. */
   private readonly workMs = new Map<string, number>();
-  /** Requests that wait for a place, by model, in order of their arrival. */
+  /** Requests that wait for a place, by line, in order of their arrival. */
   private readonly lines = new Map<string, Set<object>>();
 
   private readonly longest: LongestTimes;
@@ -34,46 +34,46 @@
     return new PlaceForecast(clock);
   }
 
-  /** A request gave its place at an engine of this model free. */
-  recordEnd(model: string): void {
-    const ends = this.ends.get(model) ?? [];
+  /** A request gave its place at the engines of a line free. */
+  recordEnd(line: string): void {
+    const ends = this.ends.get(line) ?? [];
     ends.push(this.clock.now());
-    this.ends.set(model, ends.slice(-ENDS_COUNTED));
+    this.ends.set(line, ends.slice(-ENDS_COUNTED));
   }
 
   /** Notes how long an engine took for its first event, in milliseconds. */
-  recordWork(route: string, tookMs: number): void {
-    this.longest.record(route, tookMs);
-    const known = this.workMs.get(route) ?? tookMs;
-    this.workMs.set(route, known + (tookMs - known) * NEWEST_WEIGHT);
+  recordWork(work: string, tookMs: number): void {
+    this.longest.record(work, tookMs);
+    const known = this.workMs.get(work) ?? tookMs;
+    this.workMs.set(work, known + (tookMs - known) * NEWEST_WEIGHT);
   }
 
-  /** How long the first event of a route takes once it is sent; 0 when none was seen. */
-  findWorkMs(route: string): number {
-    return this.workMs.get(route) ?? 0;
+  /** How long the first event of such work takes once it is sent; 0 when none was seen. */
+  findWorkMs(work: string): number {
+    return this.workMs.get(work) ?? 0;
   }
 
-  /** The longest that a first event of a route took lately; 0 when none was seen. */
-  findLongestWorkMs(route: string): number {
-    return this.longest.find(route);
+  /** The longest that a first event of such work took lately; 0 when none was seen. */
+  findLongestWorkMs(work: string): number {
+    return this.longest.find(work);
   }
 
-  /** Puts a request at the end of the line for a model. */
-  join(model: string, request: object): void {
-    const line = this.lines.get(model) ?? new Set();
-    line.add(request);
-    this.lines.set(model, line);
+  /** Puts a request at the end of a line. */
+  join(line: string, request: object): void {
+    const waiting = this.lines.get(line) ?? new Set();
+    waiting.add(request);
+    this.lines.set(line, waiting);
   }
 
-  leave(model: string, request: object): void {
-    this.lines.get(model)?.delete(request);
+  leave(line: string, request: object): void {
+    this.lines.get(line)?.delete(request);
   }
 
   /** Requests that wait before this one; all, for one that does not wait yet. */
-  countAhead(model: string, request: object): number {
-    const line = [...(this.lines.get(model) ?? [])];
-    const at = line.indexOf(request);
-    return at < 0 ? line.length : at;
+  countAhead(line: string, request: object): number {
+    const waiting = [...(this.lines.get(line) ?? [])];
+    const at = waiting.indexOf(request);
+    return at < 0 ? waiting.length : at;
   }
 
   /**
@@ -82,9 +82,9 @@
    *
    * @returns milliseconds; Infinity when nothing ended here lately
    */
-  computeWaitMs(model: string, request: object): number {
+  computeWaitMs(line: string, request: object): number {
     const now = this.clock.now();
-    const recent = (this.ends.get(model) ?? []).filter(
+    const recent = (this.ends.get(line) ?? []).filter(
       at => now - at < ENDS_COUNT_FOR_MS,
     );
     if (recent.length === 0) {
@@ -92,6 +92,6 @@
     }
     // Up to now and not to the newest end, so that a stop shows at once.
     const betweenEndsMs = (now - recent[0]) / recent.length;
-    return betweenEndsMs * (this.countAhead(model, request) + 1);
+    return betweenEndsMs * (this.countAhead(line, request) + 1);
   }
 }
--- a/src/gateway/place_wait.ts
+++ b/src/gateway/place_wait.ts
@@ -9,8 +9,11 @@
 interface PlaceWaitOptions {
   readonly forecast: PlaceForecast;
   readonly clock: Clock;
-  readonly model: string;
-  readonly route: {readonly name: string; readonly objectiveMs: number};
+  /** Where it waits for a place; undefined where nobody does. */
+  readonly line: string | undefined;
+  /** The work that its engine does, as the forecast names it. */
+  readonly work: string;
+  readonly objectiveMs: number;
   /** On this process's monotonic clock. */
   readonly arrivedAt: number;
   /** How long the caller bears a pause, in milliseconds. */
@@ -30,7 +33,7 @@
    * Creates a wait that has not begun.
    *
    * @example
-   * const wait = PlaceWait.create({forecast, clock, model, route, arrivedAt});
+   * const wait = PlaceWait.create({forecast, clock, line, work, objectiveMs, arrivedAt, patienceMs, findRepairMs});
    */
   static create(options: PlaceWaitOptions): PlaceWait {
     return new PlaceWait(options);
@@ -42,8 +45,8 @@
 
   /** Nobody waits for a place before this request. */
   get isFirst(): boolean {
-    const {forecast, model} = this.options;
-    return forecast.countAhead(model, this) === 0;
+    const {forecast, line} = this.options;
+    return line === undefined || forecast.countAhead(line, this) === 0;
   }
 
   /**
@@ -54,9 +57,12 @@
    * first in line waits for the next place, and nobody behind it.
    */
   get hasHope(): boolean {
-    const {forecast, clock, model, route} = this.options;
-    const startsAt = clock.now() + forecast.computeWaitMs(model, this);
-    const isLateAnyway = forecast.findWorkMs(route.name) > route.objectiveMs;
+    const {forecast, clock, line, work, objectiveMs} = this.options;
+    if (line === undefined) {
+      return false;
+    }
+    const startsAt = clock.now() + forecast.computeWaitMs(line, this);
+    const isLateAnyway = forecast.findWorkMs(work) > objectiveMs;
     const latestAt =
       isLateAnyway && this.isFirst ? this.objectiveAt : this.latestStartAt;
     return startsAt <= latestAt;
@@ -64,23 +70,25 @@
 
   /** Begins to wait for a place, in line. */
   beginInLine(): void {
-    const {forecast, model} = this.options;
-    forecast.join(model, this);
-    this.isForPlace = true;
-    this.until = this.objectiveAt;
+    const {forecast, line} = this.options;
+    if (line !== undefined) {
+      forecast.join(line, this);
+      this.isForPlace = true;
+      this.until = this.objectiveAt;
+    }
   }
 
   /**
    * Begins to wait for a group that is formed anew, for as long as the caller
    * bears the pause.
    *
-   * @param quietSince when something of it was last sent or heard
+   * @param passedAt when the caller last got something, or came
    * @returns false where the caller is gone by then, if the last repair tells
    */
-  beginForRepair(quietSince: number): boolean {
+  beginForRepair(passedAt: number): boolean {
     const {clock, patienceMs, findRepairMs} = this.options;
-    const leavesAt = quietSince + patienceMs - PASS_ON_MS;
-    const readyAt = Math.max(clock.now(), quietSince + findRepairMs());
+    const leavesAt = passedAt + patienceMs - PASS_ON_MS;
+    const readyAt = Math.max(clock.now(), passedAt + findRepairMs());
     if (readyAt >= leavesAt) {
       return false;
     }
@@ -95,20 +103,30 @@
     return isInTime && (!this.isForPlace || this.hasHope);
   }
 
+  /** Its engine is done with it. */
+  recordPlaceFree(): void {
+    const {forecast, line} = this.options;
+    if (line !== undefined) {
+      forecast.recordEnd(line);
+    }
+  }
+
   end(): void {
-    const {forecast, model} = this.options;
-    forecast.leave(model, this);
+    const {forecast, line} = this.options;
+    if (line !== undefined) {
+      forecast.leave(line, this);
+    }
     this.until = undefined;
   }
 
   /** Sent later, its first event would miss the objective, by how long it takes lately. */
   private get latestStartAt(): number {
-    const {forecast, route} = this.options;
-    return this.objectiveAt - forecast.findWorkMs(route.name);
+    const {forecast, work} = this.options;
+    return this.objectiveAt - forecast.findWorkMs(work);
   }
 
   private get objectiveAt(): number {
-    const {route, arrivedAt} = this.options;
-    return arrivedAt + route.objectiveMs;
+    const {objectiveMs, arrivedAt} = this.options;
+    return arrivedAt + objectiveMs;
   }
 }
--- a/src/gateway/repeat_budget.ts
+++ b/src/gateway/repeat_budget.ts
@@ -42,7 +42,14 @@
 
   /** Takes one repeat; false when none is left. */
   takeRepeat(): boolean {
-    const current = this.findBucket();
+    const isLeft = this.hasRepeat();
+    this.findBucket().repeats += isLeft ? 1 : 0;
+    return isLeft;
+  }
+
+  /** True while one is left. */
+  hasRepeat(): boolean {
+    this.findBucket();
     let requests = 0;
     let repeats = 0;
     for (const bucket of this.buckets.values()) {
@@ -51,11 +58,7 @@
     }
     const {ratio, slack} = this.limits;
     const allowed = (ratio * requests + slack / this.countGateways()) * SAFETY;
-    if (repeats + 1 > allowed) {
-      return false;
-    }
-    current.repeats += 1;
-    return true;
+    return repeats + 1 <= allowed;
   }
 
   private findBucket(): Bucket {
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -5,6 +5,7 @@
 import {AttemptEnd} from './attempt_end';
 import {createStallTimes} from './create_stall_times';
 import {createTargetKey} from './create_target_key';
+import {createWorkNames} from './create_work_names';
 import {EventSplitter} from './event_splitter';
 import {FlowCourse} from './flow_course';
 import {FlowResult} from './flow_result';
@@ -40,8 +41,7 @@
   private readonly timer: NodeJS.Timeout;
   private readonly stall: StallJudge;
   private readonly wait: PlaceWait;
-  /** When the last attempt was sent or heard from. */
-  private quietSince = -Infinity;
+  private readonly names: ReturnType<typeof createWorkNames>;
   private isDone = false;
 
   private constructor(private readonly options: RequestFlowOptions) {
@@ -52,13 +52,17 @@
     this.course = FlowCourse.create(arrivedAt);
     this.lastEventId = request.lastEventId;
     const {model} = request;
-    const times = createStallTimes({route, pool, model, forecast});
+    this.names = createWorkNames({route, pool, model});
+    const {work} = this.names;
+    const {promptTokens} = request;
+    const judged = {route, pool, model, promptTokens, work, forecast};
+    const times = createStallTimes(judged);
     this.stall = StallJudge.create(board, times);
     this.wait = PlaceWait.create({
       forecast,
       clock,
-      model: request.model ?? '',
-      route,
+      ...this.names,
+      objectiveMs: route.objectiveMs,
       arrivedAt,
       patienceMs: dialect.computePatienceMs(route),
       findRepairMs: () => board.findRepairMs(request.model ?? ''),
@@ -140,30 +144,27 @@
     }
   }
 
-  /** What stopped goes on elsewhere, if it may and somebody can take it. */
+  /** A stream that stopped goes on elsewhere, if it may and somebody can take it. */
   private checkStall(now: number): void {
     const {attempt} = this;
-    const {route, board, origins} = this.options;
+    const {route, board, budget} = this.options;
     const canGoElsewhere =
-      this.isRepeatable && this.runs + 1 < route.maxAttempts;
+      route.kind === 'stream' &&
+      route.isResumable &&
+      this.runs + 1 < route.maxAttempts;
     const stalled =
       attempt && canGoElsewhere && this.stall.findStalled(attempt, now);
     if (!stalled) {
       return;
     }
-    const {incarnation, address} = attempt.target;
-    const isEngineStalled = stalled === 'target' && route.kind === 'stream';
-    if (isEngineStalled) {
-      board.recordStalled(incarnation);
+    if (stalled === 'target') {
+      board.recordStalled(attempt.target.incarnation);
     }
-    if (!this.findTarget(true)) {
-      return;
-    }
-    if (!isEngineStalled) {
-      origins.renew(address);
+    // Without a repeat left it is better to wait on than to break off.
+    if (this.findTarget(true) && budget.hasRepeat()) {
+      const quietMs = Math.round(now - attempt.quietSince);
+      attempt.stop(`silent ${stalled} for ${quietMs} ms`);
     }
-    const quietMs = Math.round(now - attempt.quietSince);
-    attempt.stop(`silent ${stalled} for ${quietMs} ms`);
   }
 
   /** What an engine has begun may go on once a group of the model is formed anew. */
@@ -182,7 +183,10 @@
       this.sendTo(target);
     } else if (!mayQueue && this.findTarget(true) && wait.hasHope) {
       wait.beginInLine();
-    } else if (!this.canAwaitRepair || !wait.beginForRepair(this.quietSince)) {
+    } else if (
+      !this.canAwaitRepair ||
+      !wait.beginForRepair(this.course.passedAt)
+    ) {
       this.giveUp(whyNot);
     }
   }
@@ -243,7 +247,6 @@
         .forEach(event => this.passEvent(event.bytes, event.id));
       return;
     }
-    this.course.recordFirst(this.options.clock.now());
     if (!this.held.add(chunk)) {
       this.attempt?.stop('the answer is too large to hold');
     }
@@ -267,10 +270,9 @@
   }
 
   private handleEnd(end: AttemptEnd): void {
-    this.quietSince = this.attempt?.quietSince ?? this.quietSince;
     this.attempt = undefined;
     if (end.kind !== 'not-run') {
-      this.options.forecast.recordEnd(this.options.request.model ?? '');
+      this.wait.recordPlaceFree();
     }
     if (this.isDone) {
       return;
@@ -378,10 +380,10 @@
   }
 
   private tell(outcome: Outcome, reason: string, status: number): void {
-    const {clock, onDone, forecast, route} = this.options;
+    const {clock, onDone, forecast} = this.options;
     const {workMs} = this.course;
     if (workMs !== undefined) {
-      forecast.recordWork(route.name, workMs);
+      forecast.recordWork(this.names.work, workMs);
     }
     onDone({outcome, reason, status, ...this.course.describe(clock.now())});
   }
--- a/src/gateway/target_board.ts
+++ b/src/gateway/target_board.ts
@@ -7,6 +7,8 @@
 const UNREACHABLE_MS = 1_000;
 /** How long one that stopped in the middle is passed over: longer than a load takes to move. */
 const STALLED_MS = 3_000;
+/** A group that comes later than this after a loss replaces nothing: hosts were moved, or have come back. */
+const NO_REPAIR_MS = 10_000;
 /** What this gateway tells control as heard "lately"; a few event intervals. */
 const HEARD_LATELY_MS = 600;
 /** Work that another zone must have less of to be chosen, in tokens: a hop is short against a prompt. */
@@ -99,18 +101,24 @@
     after: ReadonlyMap<string, string>,
   ): void {
     const now = this.clock.now();
-    for (const [key, model] of after) {
-      const since = this.missingSince.get(model);
-      if (!before.has(key) && since !== undefined) {
-        this.repairMs.set(model, now - since);
-        this.missingSince.delete(model);
-      }
-    }
     for (const [key, model] of before) {
       if (!after.has(key)) {
         this.recordMissing(model, now);
       }
     }
+    for (const [key, model] of after) {
+      if (!before.has(key)) {
+        this.recordFormed(model, now);
+      }
+    }
+  }
+
+  private recordFormed(model: string, now: number): void {
+    const tookMs = now - (this.missingSince.get(model) ?? -Infinity);
+    this.missingSince.delete(model);
+    if (tookMs < NO_REPAIR_MS) {
+      this.repairMs.set(model, tookMs);
+    }
   }
 
   private recordMissing(model: string, now: number): void {
@@ -189,6 +197,10 @@
   recordHeard(incarnation: string): void {
     const standing = this.standings.get(incarnation);
     if (standing) {
+      if (this.isStalled(incarnation)) {
+        // It was not lost after all.
+        this.missingSince.delete(standing.target.model ?? '');
+      }
       standing.heardAt = this.clock.now();
     }
   }
--- a/src/protocol/control_client.ts
+++ b/src/protocol/control_client.ts
@@ -12,6 +12,8 @@
 const ROUND_PAUSE_MS = 50;
 /** A process that says no hello within this time is left for another: its machine may take connections while it stands still. */
 const GREET_TIMEOUT_MS = 400;
+/** Beyond it a process counts as standing still, however slow its link is. */
+const LONGEST_GREET_MS = 2_000;
 
 /** Answer types by the type of the call. */
 interface Answers {
@@ -56,6 +58,9 @@
   >();
   private lastCall = 0;
   private nextAddress = 0;
+  /** Connections in a row that came to no hello. */
+  private ungreeted = 0;
+  private greetMs = GREET_TIMEOUT_MS;
   /** Addresses told by processes that do not lead. */
   private hints: readonly string[] = [];
   private isClosed = false;
@@ -183,17 +188,31 @@
     const {identity, security} = this.options;
     const {addresses} = this;
     const address = addresses[this.nextAddress++ % addresses.length];
-    const timeoutMs = Math.min(
-      GREET_TIMEOUT_MS,
-      this.options.tryTimeoutMs ?? DEFAULT_TIMEOUT_MS,
-    );
-    const peer = await connectPeer(address, identity, security, timeoutMs);
+    const peer = await connectPeer(
+      address,
+      identity,
+      security,
+      this.greetMs,
+    ).catch(error => {
+      this.recordUngreeted(addresses.length);
+      throw error;
+    });
+    this.ungreeted = 0;
+    this.greetMs = GREET_TIMEOUT_MS;
     void peer.messages.observe(message => this.receive(message));
     void peer.closed.then(() => this.dropPeer(peer));
     this.peer = peer;
     return peer;
   }
 
+  /** A whole round in vain: the leader may be slow, or its link, so the next round has more patience. */
+  private recordUngreeted(roundLength: number): void {
+    this.ungreeted += 1;
+    if (this.ungreeted % roundLength === 0) {
+      this.greetMs = Math.min(this.greetMs * 2, LONGEST_GREET_MS);
+    }
+  }
+
   private receive(message: Message): void {
     if ('call' in message) {
       this.pending.get(message.call)?.(message);
--- a/src/transport/http_origins.ts
+++ b/src/transport/http_origins.ts
@@ -113,17 +113,6 @@
     }
   }
 
-  /**
-   * Lets the kept connections to a server go, once their calls are over: one that
-   * went silent for good shows only by a call that gets no answer, and others may
-   * have gone with it.
-   */
-  renew(address: string): void {
-    const pool = this.pools.get(address);
-    this.pools.delete(address);
-    void pool?.close().catch(() => undefined);
-  }
-
   /** Closes everything at once. */
   async close(): Promise<void> {
     const pools = [...this.pools.values()];
