--- a/test/gateway/gateway_wakes.test.ts
+++ b/test/gateway/gateway_wakes.test.ts
@@ -7,7 +7,7 @@
  * each backend server with a resumable stream, and passes over all of them.
  */
 import {afterEach, expect, test} from 'vitest';
-import {chunk, events} from '../support/backend_scripts';
+import {streamSteadily} from '../support/backend_scripts';
 import {GatewayFleet} from '../support/gateway_fleet';
 import {waitUntil} from '../support/wait_until';
 
@@ -23,20 +23,7 @@
 });
 
 /** A stream that never pauses for longer than this process does. */
-const streamSteadily: Parameters<typeof GatewayFleet.create>[0]['handle'] = ({
-  socket,
-  headers,
-}) => {
-  const id = headers.get('request-id');
-  const head = `HTTP/1.1 200 OK\nrequest-id: ${id}\nseal: s\ncontent-type: text/event-stream\ntransfer-encoding: chunked\n\n`;
-  socket.write(head.replaceAll('\n', '\r\n'));
-  for (let at = 1; at <= EVENTS; at += 1) {
-    setTimeout(() => {
-      const last = at === EVENTS ? '0\r\n\r\n' : '';
-      socket.write(chunk(events(at)) + last);
-    }, at * BETWEEN_EVENTS_MS);
-  }
-};
+const stream = streamSteadily(EVENTS, BETWEEN_EVENTS_MS);
 
 function freezeThisProcess(): void {
   Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, FROZEN_MS);
@@ -50,7 +37,7 @@
     route: {isResumable: true, maxAttempts: 2},
     handle: request => {
       begun += 1;
-      streamSteadily(request);
+      stream(request);
     },
   });
   fleets.push(fleet);
--- a/test/gateway/planned_stop.test.ts
+++ b/test/gateway/planned_stop.test.ts
@@ -16,7 +16,7 @@
 import * as net from 'node:net';
 import {afterEach, expect, test} from 'vitest';
 import {GatewayServer} from '../../src/gateway/gateway_server';
-import {chunk, events} from '../support/backend_scripts';
+import {events, streamSteadily} from '../support/backend_scripts';
 import {GatewayFleet} from '../support/gateway_fleet';
 import {waitUntil} from '../support/wait_until';
 
@@ -29,7 +29,6 @@
 
 type Fleet = GatewayFleet;
 type View = Awaited<ReturnType<Fleet['call']>> & {id: string};
-type Handler = Parameters<typeof GatewayFleet.create>[0]['handle'];
 
 const fleets: Fleet[] = [];
 
@@ -38,17 +37,7 @@
 });
 
 /** A stream of a second. */
-const streamSlowly: Handler = ({socket, headers}) => {
-  const id = headers.get('request-id');
-  const head = `HTTP/1.1 200 OK\nrequest-id: ${id}\nseal: s\ncontent-type: text/event-stream\ntransfer-encoding: chunked\n\n`;
-  socket.write(head.replaceAll('\n', '\r\n'));
-  for (let at = 1; at <= EVENTS; at += 1) {
-    setTimeout(() => {
-      const last = at === EVENTS ? '0\r\n\r\n' : '';
-      socket.write(chunk(events(at)) + last);
-    }, at * BETWEEN_EVENTS_MS);
-  }
-};
+const streamSlowly = streamSteadily(EVENTS, BETWEEN_EVENTS_MS);
 
 /** Callers on new connections, at a steady rate, and on kept ones. */
 class Callers {
--- a/test/support/backend_scripts.ts
+++ b/test/support/backend_scripts.ts
@@ -75,3 +75,22 @@
     }
   };
 }
+
+/** A stream under its own request's id, with an event after each pause. */
+export function streamSteadily(count: number, betweenMs: number): Handler {
+  return ({socket, headers}) => {
+    const id = headers.get('request-id') ?? '';
+    socket.write(
+      STREAM_HEAD.replace('request-id: q', `request-id: ${id}`).replaceAll(
+        '\n',
+        '\r\n',
+      ),
+    );
+    for (let at = 1; at <= count; at += 1) {
+      setTimeout(() => {
+        const last = at === count ? '0\r\n\r\n' : '';
+        socket.write(chunk(events(at)) + last);
+      }, at * betweenMs);
+    }
+  };
+}
