feat(control): a new leader tells the heads of its log before they register

Cause: after a kill of all processes gateways had rules at 46.35 s and no engine until these registered again, up to 1.2 s later, although the log holds each group with its head's address. Ruled out: heads that ended: a request names the incarnation and is refused as not run; a head that registers is told by its own word. Change: for 15 s a leader also tells heads of whole groups that it has not heard.

--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -266,7 +266,10 @@
     const {registry, runtime} = this.options;
     const {engines} = runtime.state;
     const views = registry.list();
-    const targets = views.flatMap(view => this.findTarget(view) ?? []);
+    const targets = [
+      ...this.listUnheardTargets(),
+      ...views.flatMap(view => this.findTarget(view) ?? []),
+    ];
     const serving = new Set(targets.map(target => target.incarnation));
     const closed = views
       .map(view => view.registration.incarnation)
@@ -274,6 +277,33 @@
     return {targets, closed, retired: [...engines.listRetired()]};
   }
 
+  /**
+   * Heads of the log's groups that a new leader has not heard yet. After all
+   * processes were killed gateways know nobody, and waiting for registrations
+   * would cost about one interval of them; a head that serves no more refuses.
+   */
+  private listUnheardTargets(): GatewayTarget[] {
+    const {registry, runtime, clock} = this.options;
+    const {engines, channel} = runtime.state;
+    if (this.isTableComplete(clock.now())) {
+      return [];
+    }
+    const heard = new Set(
+      registry.list().map(({registration}) => registration.address),
+    );
+    return engines.list().flatMap(({pool, model, epoch, members, isEnding}) => {
+      const [{incarnation, address}] = members;
+      const slots = channel.rules?.pools.find(({name}) => name === pool)?.engine
+        ?.slots;
+      const isWhole = members.every(
+        member => !engines.isRetired(member.incarnation),
+      );
+      return isEnding || !isWhole || slots === undefined || heard.has(address)
+        ? []
+        : [{incarnation, pool, address, zone: '', slots, model, epoch}];
+    });
+  }
+
   /** What a gateway may send there; undefined for nothing. */
   private findTarget({registration}: BackendView): GatewayTarget | undefined {
     const {engines, channel} = this.options.runtime.state;
--- /dev/null
+++ b/test/control/gateway_desk.test.ts
@@ -0,0 +1,89 @@
+/**
+ * Load: all processes are killed at the same moment. The leader knows the groups
+ * from its log, and backend servers register only an interval later.
+ */
+import {describe, expect, test} from 'vitest';
+import {EventRing} from '../../src/common/event_ring';
+import {BackendRegistry} from '../../src/control/backend_registry';
+import {ChangeSignal} from '../../src/control/change_signal';
+import {ControlSettings} from '../../src/control/control_settings';
+import {GatewayDesk} from '../../src/control/gateway_desk';
+import {RaftRuntime} from '../../src/control/raft_runtime';
+import {EngineGroupTable} from '../../src/state/engine_group_table';
+import {PROFILE, group, host} from '../support/engine_plan';
+
+const NOW = 20_000;
+const POOL = {name: 'p', maxConnections: 10, engine: PROFILE};
+
+function create(ledMs: number) {
+  const engines = EngineGroupTable.create();
+  const registry = BackendRegistry.create();
+  const runtime = {
+    state: {engines, channel: {version: 1, rules: {pools: [POOL]}}},
+    raft: {term: 1, commitIndex: 1, listVotersAt: () => new Map()},
+    leadingSince: NOW - ledMs,
+  } as unknown as RaftRuntime;
+  const desk = GatewayDesk.create({
+    settings: {} as ControlSettings,
+    runtime,
+    registry,
+    clock: {now: () => NOW},
+    signal: ChangeSignal.create(),
+    events: EventRing.create(),
+    identity: 'c/1',
+  });
+  const listTargets = async () => {
+    const answer = await desk.handlers['gateway-ask']({
+      type: 'gateway-ask',
+      call: 1,
+      gatewayId: 'g',
+      rulesVersion: 0,
+      tableTag: '',
+      stalled: [],
+      answering: [],
+      running: {},
+      pressed: [],
+      hasServed: false,
+      isUrgent: true,
+    });
+    const targets = 'targets' in answer ? (answer.targets ?? []) : [];
+    return targets.map(({incarnation, model}) => `${incarnation} ${model}`);
+  };
+  return {engines, registry, listTargets};
+}
+
+describe('a leader that has just begun', () => {
+  test('tells heads of its log that it has not heard yet', async () => {
+    const {engines, listTargets} = create(100);
+    engines.set(group(['a', 'b']));
+    expect(await listTargets()).toEqual(['a low']);
+  });
+
+  test('tells no head that says itself that it serves nobody', async () => {
+    const {engines, registry, listTargets} = create(100);
+    engines.set(group(['a', 'b']));
+    registry.record(host('a').registration, NOW);
+    expect(await listTargets()).toEqual([]);
+  });
+
+  test('tells no head whose address another start has taken', async () => {
+    const {engines, registry, listTargets} = create(100);
+    engines.set(group(['a', 'b']));
+    registry.record(host('c', {address: 'a:1'}).registration, NOW);
+    expect(await listTargets()).toEqual([]);
+  });
+
+  test('tells no head of a group that ends or has a member that leaves', async () => {
+    const {engines, listTargets} = create(100);
+    engines.set(group(['a', 'b'], {isEnding: true}));
+    engines.set(group(['c', 'd'], {name: 'low-2', epoch: 8}));
+    engines.retire('d');
+    expect(await listTargets()).toEqual([]);
+  });
+});
+
+test('a leader that has led for long tells only heads that it hears', async () => {
+  const {engines, listTargets} = create(16_000);
+  engines.set(group(['a', 'b']));
+  expect(await listTargets()).toEqual([]);
+});
