feat(protocol,control,gateway): how the leader was searched for, and why the leader refused, stand in the log

Cause: a change that the leader does not carry out (copies, lease, time) became "does not lead" without a line anywhere, and nothing told which control process was tried for how long. Change: lines leader-found, leader-not-found (each try, its time and outcome), call-not-carried-out (reason, voters, term) and bundle-taken, bundle-refused (routes, bytes, time).

--- /dev/null
+++ b/src/common/throttled_lines.ts
@@ -0,0 +1,43 @@
+/** Keeps a kind of event that may come in storms down to a bounded number of lines. */
+import {Clock} from './clock';
+import {EventRing} from './event_ring';
+import {SystemEvent} from './system_event';
+
+/** Storms last for seconds: a line for each second shows how one goes on. */
+const EVERY_MS = 1_000;
+
+/** Records the first event of a kind at once, and later ones at most once a second with the number left out. */
+export class ThrottledLines {
+  private readonly recordedAt = new Map<string, number>();
+  private readonly leftOut = new Map<string, number>();
+
+  private constructor(
+    private readonly events: EventRing,
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * Creates lines that write into `events`.
+   *
+   * @example
+   * const lines = ThrottledLines.create(events, clock);
+   * lines.record('registration-ask no lease', event);
+   */
+  static create(events: EventRing, clock: Clock): ThrottledLines {
+    return new ThrottledLines(events, clock);
+  }
+
+  /** @param kind events of one kind share their limit; kinds must be few */
+  record(kind: string, event: SystemEvent): void {
+    const now = this.clock.now();
+    if (now - (this.recordedAt.get(kind) ?? -Infinity) < EVERY_MS) {
+      this.leftOut.set(kind, (this.leftOut.get(kind) ?? 0) + 1);
+      return;
+    }
+    const leftOut = this.leftOut.get(kind) ?? 0;
+    this.recordedAt.set(kind, now);
+    this.leftOut.delete(kind);
+    const details = leftOut > 0 ? {...event.details, leftOut} : event.details;
+    this.events.record({...event, details});
+  }
+}
--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -2,6 +2,7 @@
 import {randomBytes} from 'node:crypto';
 import {EventRing} from '../common/event_ring';
 import {systemClock} from '../common/system_clock';
+import {ThrottledLines} from '../common/throttled_lines';
 import {defaultRaftTiming} from '../coordination/default_raft_timing';
 import {Message} from '../protocol/message';
 import {MessageOf} from '../protocol/message_of';
@@ -35,6 +36,7 @@
   /** Settles when the process must stop because its disk failed. */
   readonly failed: Promise<Error>;
   private fail: (error: Error) => void = () => undefined;
+  private readonly lines = ThrottledLines.create(this.events, systemClock);
   private readonly fleet = Fleet.create();
   private readonly signal = ChangeSignal.create();
   private readonly incarnation = randomBytes(8).toString('hex');
@@ -206,6 +208,12 @@
       : undefined;
     const refuse = () => reply({type: 'not-leader', call: ask.call, control});
     if (!runtime?.canAnswer() || !handlers?.[ask.type]) {
+      if (runtime?.raft.role === 'leader') {
+        this.recordRefusal(
+          ask,
+          'it leads, but no quorum confirmed that lately',
+        );
+      }
       refuse();
       return;
     }
@@ -215,16 +223,39 @@
       if (runtime.canAnswer()) {
         reply(answer);
       } else {
+        this.recordRefusal(ask, 'the lead was lost before the answer left');
         refuse();
       }
     } catch (error) {
       if (!(error instanceof ControlError)) {
         throw error;
       }
+      this.recordRefusal(ask, error.message);
       refuse();
     }
   }
 
+  /** A call that the leader itself did not carry out looks to its caller as if this process did not lead. */
+  private recordRefusal(
+    {type}: MessageOf<Message, keyof Handlers>,
+    reason: string,
+  ): void {
+    const {runtime} = this;
+    this.lines.record(`${type} ${reason}`, {
+      type: 'call-not-carried-out',
+      subject: 'control',
+      id: this.disk.identity,
+      reason,
+      details: {
+        ask: type,
+        term: runtime?.raft.term ?? 0,
+        committed: runtime?.raft.commitIndex ?? 0,
+        voters: Object.keys(this.keeper?.listVoters() ?? {}).join(' '),
+        isChangingVoters: runtime?.raft.isChangingVoters ?? false,
+      },
+    });
+  }
+
   private startRaft(): void {
     const {settings, disk, fleet} = this;
     const runtime = RaftRuntime.create({
--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -108,13 +108,15 @@
     call,
     bundle,
   }: Ask<'channel-bundle-ask'>): Promise<ControlMessage> {
-    const {settings, runtime} = this.options;
+    const {settings, runtime, clock} = this.options;
+    const startedAt = clock.now();
     if (!settings.trustedChannels?.includes(bundle.channel)) {
       throw new ControlError('the channel %s is not trusted', bundle.channel);
     }
     const wrong = findWrongRules(bundle);
     if (wrong !== undefined) {
       const {version} = runtime.state.channel;
+      this.recordBundle(bundle, 'bundle-refused', wrong, startedAt);
       return {type: 'channel-bundle-answer', call, version, reason: wrong};
     }
     this.checkCopies();
@@ -125,9 +127,29 @@
       bundle,
     });
     const {version} = runtime.state.channel;
+    this.recordBundle(bundle, 'bundle-taken', reason, startedAt);
     return {type: 'channel-bundle-answer', call, version, reason};
   }
 
+  private recordBundle(
+    {rules, source}: ChannelBundle,
+    type: 'bundle-taken' | 'bundle-refused',
+    reason: string,
+    startedAt: number,
+  ): void {
+    this.options.events.record({
+      type,
+      subject: 'bundle',
+      id: String(rules.version),
+      reason,
+      details: {
+        routes: rules.routes.length,
+        bytes: source.length,
+        tookMs: Math.round(this.options.clock.now() - startedAt),
+      },
+    });
+  }
+
   private async register({
     call,
     registration,
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -4,7 +4,9 @@
 import {Socket} from 'node:net';
 import {EventRing} from '../common/event_ring';
 import {systemClock} from '../common/system_clock';
+import {ThrottledLines} from '../common/throttled_lines';
 import {ControlClient} from '../protocol/control_client';
+import {recordSearch} from '../reporting/record_search';
 import {HttpListener} from '../transport/http_listener';
 import {HttpOrigins} from '../transport/http_origins';
 import {readHttpBody} from '../transport/read_http_body';
@@ -77,12 +79,14 @@
       this.feed.tellNow(),
     );
     const incarnation = randomBytes(8).toString('hex');
+    const lines = ThrottledLines.create(events, clock);
     this.feed = RulesFeed.create({
       gatewayId,
       client: ControlClient.create({
         addresses: () => this.controlAddresses,
         tryTimeoutMs: CONTROL_TRY_MS,
         identity: {program: 'gateway', id: gatewayId, incarnation},
+        onSearched: search => recordSearch(lines, gatewayId, search),
       }),
       clock,
       events,
--- a/src/protocol/control_client.ts
+++ b/src/protocol/control_client.ts
@@ -34,6 +34,21 @@
 type Ask = MessageOf<ControlMessage, keyof Answers>;
 type WithoutCall<T> = T extends unknown ? Omit<T, 'call'> : never;
 
+/** One control process that was tried, and what came of it. */
+interface SearchTry {
+  readonly address: string;
+  readonly outcome: 'answered' | 'does not lead' | 'silent' | 'unreached';
+  readonly tookMs: number;
+}
+
+/** How the leader was found, or not. */
+interface LeaderSearch {
+  readonly ask: keyof Answers;
+  readonly tookMs: number;
+  readonly isAnswered: boolean;
+  readonly tries: readonly SearchTry[];
+}
+
 /** How to reach control and who asks. */
 interface ControlClientOptions {
   /** Where control processes are; a function where they may change. */
@@ -42,6 +57,8 @@
   readonly tryTimeoutMs?: number;
   readonly identity: Parameters<typeof Peer.create>[1];
   readonly security?: TransportSecurity;
+  /** Told of each call that the first process tried did not answer. */
+  readonly onSearched?: (search: LeaderSearch) => void;
 }
 
 /**
@@ -58,6 +75,7 @@
   >();
   private lastCall = 0;
   private nextAddress = 0;
+  private lastAddress = '';
   /** Connections in a row that came to no hello. */
   private ungreeted = 0;
   private greetMs = GREET_TIMEOUT_MS;
@@ -89,12 +107,31 @@
     ask: WithoutCall<MessageOf<ControlMessage, T>> & {type: T},
     timeoutMs = DEFAULT_TIMEOUT_MS,
   ): Promise<MessageOf<ControlMessage, Answers[T]>> {
-    const deadline = performance.now() + timeoutMs;
+    const startedAt = performance.now();
+    const deadline = startedAt + timeoutMs;
+    const search: SearchTry[] = [];
+    const report = (isAnswered: boolean) => {
+      if (search.length > 1 || !isAnswered) {
+        const tookMs = Math.round(performance.now() - startedAt);
+        const {type} = ask;
+        this.options.onSearched?.({
+          ask: type,
+          tookMs,
+          isAnswered,
+          tries: search,
+        });
+      }
+    };
     let lastError: Error | undefined;
     for (let tries = 1; performance.now() < deadline; tries += 1) {
       try {
-        const answer = await this.askOnce(ask as WithoutCall<Ask>, deadline);
+        const answer = await this.askOnce(
+          ask as WithoutCall<Ask>,
+          deadline,
+          search,
+        );
         if (answer) {
+          report(true);
           return answer as unknown as MessageOf<ControlMessage, Answers[T]>;
         }
       } catch (error) {
@@ -107,6 +144,7 @@
         await new Promise(resolve => setTimeout(resolve, ROUND_PAUSE_MS));
       }
     }
+    report(false);
     const message = `no control leader answered at ${this.addresses.join(', ')}`;
     throw lastError
       ? new ProtocolError(lastError, message)
@@ -139,9 +177,27 @@
   private async askOnce(
     ask: WithoutCall<Ask>,
     deadline: number,
+    search: SearchTry[],
   ): Promise<ControlMessage | undefined> {
-    const peer = await this.getPeer();
+    const triedAt = performance.now();
+    const record = (outcome: SearchTry['outcome']) =>
+      search.push({
+        address: this.lastAddress,
+        outcome,
+        tookMs: Math.round(performance.now() - triedAt),
+      });
+    const peer = await this.getPeer().catch(error => {
+      record('unreached');
+      throw error;
+    });
     const answer = await this.waitForAnswer(peer, ask, deadline);
+    record(
+      answer === undefined
+        ? 'silent'
+        : answer.type === 'not-leader'
+          ? 'does not lead'
+          : 'answered',
+    );
     if (answer && answer.type !== 'not-leader') {
       return answer;
     }
@@ -188,6 +244,7 @@
     const {identity, security} = this.options;
     const {addresses} = this;
     const address = addresses[this.nextAddress++ % addresses.length];
+    this.lastAddress = address;
     const peer = await connectPeer(
       address,
       identity,
