test(protocol,gateway): a search led in circles, a search held up by machines that stand still, a refusal for good by old rules

The setting changesWithinMs and its value from the platform come with the test; nothing reads it yet.

--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -12,6 +12,8 @@
   readonly dialect: CallerDialect;
   /** How long a confirmation by control lets requests through, in milliseconds. */
   readonly confirmationMs: number;
+  /** Within which a change of rules is in force everywhere, in milliseconds: what a refusal for good may be based on. */
+  readonly changesWithinMs: number;
   /** Repeats of requests, over all gateways. */
   readonly retries: {
     /** Per request to the pool. */
--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -22,6 +22,8 @@
   readonly gateways: number;
   /** How long a gateway may take to stop, in milliseconds. */
   readonly stopWithinMs: number;
+  /** Within which a change of rules is in force everywhere, in milliseconds. */
+  readonly changesWithinMs?: number;
   readonly route: Partial<GatewayRules['routes'][number]>;
   readonly handle: Parameters<typeof BackendStandIn.create>[0];
   /** Connections that the backend server takes from all gateways and one more. */
@@ -83,6 +85,7 @@
           control: [address],
           dialect: plainDialect,
           confirmationMs: 4_000,
+          changesWithinMs: options.changesWithinMs ?? 2_000,
           retries: {ratio: 1, windowMs: 10_000, slack: 100},
           stopWithinMs: options.stopWithinMs,
         }),
@@ -99,10 +102,11 @@
     gateway: number,
     id: string,
     agent: http.Agent | false = false,
+    host = 'h',
   ): Promise<CallerView> {
     return new Promise(resolve => {
       const port = this.ports[gateway];
-      const headers = {'request-id': id, host: 'h'};
+      const headers = {'request-id': id, host};
       const request = http.request({
         host: '127.0.0.1',
         port,
@@ -133,6 +137,13 @@
     });
   }
 
+  /** Takes the only control process away. */
+  async stopControl(): Promise<void> {
+    clearInterval(this.timer);
+    this.client.close();
+    await this.control.close();
+  }
+
   async close(): Promise<void> {
     clearInterval(this.timer);
     await Promise.all(this.gateways.map(gateway => gateway.close()));
