feat(control,platform): id and start together are the identity of a backend server; another writer's records change nothing

Cause: the users' new words: a backend server may start again under its id, with its counts anew, and registrations may come from another writer. The identity was the id alone, so a new start with a count of 1 would have been passed over as late, and a group, a proof of loss or a count of orders of its former life would have counted for the new one. A record that the adapter took and the leader's schema did not (a negative rank, an id over 200 signs) ended the leader's connection and every call on it. Ruled out: ordering starts by their times alone (clocks jump back); holding a goodbye back for good where its start is not known. What cannot be read is 400, with a line. Registrations left the gateway desk for a desk of their own.

--- a/src/common/throttled_lines.ts
+++ b/src/common/throttled_lines.ts
@@ -5,6 +5,8 @@
 
 /** Storms last for seconds: a line for each second shows how one goes on. */
 const EVERY_MS = 1_000;
+/** Beyond it the oldest are forgotten: kinds are few, unless somebody outside makes them up. */
+const MAX_KINDS = 100;
 
 /** Records the first event of a kind at once, and later ones at most once a second with the number left out. */
 export class ThrottledLines {
@@ -35,8 +37,15 @@
       return;
     }
     const leftOut = this.leftOut.get(kind) ?? 0;
+    // The newest stands last, so that the oldest is the first.
+    this.recordedAt.delete(kind);
     this.recordedAt.set(kind, now);
     this.leftOut.delete(kind);
+    const [oldest] = this.recordedAt.keys();
+    if (this.recordedAt.size > MAX_KINDS) {
+      this.recordedAt.delete(oldest);
+      this.leftOut.delete(oldest);
+    }
     const details = leftOut > 0 ? {...event.details, leftOut} : event.details;
     this.events.record({...event, details});
   }
--- a/src/control/backend_health.ts
+++ b/src/control/backend_health.ts
@@ -127,7 +127,7 @@
     doubt.isAsking = true;
     doubt.askedAt = now;
     const {orders} = this.options.duties;
-    void (orders?.probe(address) ?? Promise.resolve(true)).then(
+    void (orders?.probe(address, incarnation) ?? Promise.resolve(true)).then(
       isAnswering => {
         doubt.isAsking = false;
         const wasLost = this.isLost(incarnation);
--- a/src/control/backend_registry.ts
+++ b/src/control/backend_registry.ts
@@ -125,6 +125,16 @@
     return [...this.views.values()];
   }
 
+  /** The newest start of the backend server with this name. */
+  findByName(name: string): BackendView | undefined {
+    return this.list().find(({registration}) => registration.name === name);
+  }
+
+  /** True once some backend server told when it started: then all of them do. */
+  get tellsStarts(): boolean {
+    return this.list().some(({registration}) => registration.startedAt);
+  }
+
   find(incarnation: string): BackendView | undefined {
     return this.views.get(incarnation);
   }
@@ -139,15 +149,16 @@
 
   /**
    * A call that a cut held up may come after its sender crashed and another
-   * start took its address. It is told from a new start by its count of calls,
-   * and from a start that lives by the holder of the address, which goes on
-   * calling.
+   * start took its address or its name. It is told from a new start by its count of
+   * calls and its time of start, and from a start that lives by the holder, which
+   * goes on calling.
    */
   private isLate(registration: BackendRegistration, now: number): boolean {
-    const {incarnation, sequence} = registration;
-    const holder = this.findHolder(registration);
-    const isDoubtful = this.replaced.has(incarnation) || sequence > FIRST_CALLS;
-    if (!holder || !isDoubtful) {
+    const {incarnation} = registration;
+    const holder = this.listHolders(registration).find(
+      view => !isLaterStart(registration, view.registration),
+    );
+    if (!holder || !this.isDoubtful(registration, holder.registration)) {
       return false;
     }
     const since = this.doubtfulSince.get(incarnation) ?? now;
@@ -160,28 +171,39 @@
     return hasHolderSpoken || now - since < this.heartbeatMs * SILENT_INTERVALS;
   }
 
-  private findHolder({
+  private isDoubtful(
+    registration: BackendRegistration,
+    holder: BackendRegistration,
+  ): boolean {
+    return (
+      this.replaced.has(registration.incarnation) ||
+      registration.sequence > FIRST_CALLS ||
+      isLaterStart(holder, registration)
+    );
+  }
+
+  /** Other starts that stand where this one would: at its address, or under its name. */
+  private listHolders({
     incarnation,
     address,
-  }: BackendRegistration): BackendView | undefined {
-    return this.list().find(
+    name,
+  }: BackendRegistration): BackendView[] {
+    return this.list().filter(
       ({registration}) =>
-        registration.address === address &&
-        registration.incarnation !== incarnation,
+        registration.incarnation !== incarnation &&
+        (registration.address === address ||
+          (name !== undefined && registration.name === name)),
     );
   }
 
-  /** A new start at the same address ends the one before. */
+  /** A new start at the same address, or under the same name, ends the one before. */
   private dropPredecessors(registration: BackendRegistration): void {
     this.replaced.delete(registration.incarnation);
     this.doubtfulSince.delete(registration.incarnation);
-    const holder = this.findHolder(registration);
-    if (!holder) {
-      return;
+    for (const holder of this.listHolders(registration)) {
+      this.remove(holder.registration.incarnation);
+      this.replaced.add(holder.registration.incarnation);
     }
-    const {incarnation} = holder.registration;
-    this.remove(incarnation);
-    this.replaced.add(incarnation);
     for (const oldest of this.replaced) {
       if (this.replaced.size <= MAX_REPLACED) {
         break;
@@ -191,6 +213,19 @@
   }
 }
 
+/** Two starts of one backend server: a clock may jump back between them, so only the later one is sure to be newer. */
+function isLaterStart(
+  {name, startedAt}: BackendRegistration,
+  other: BackendRegistration,
+): boolean {
+  return (
+    name !== undefined &&
+    name === other.name &&
+    startedAt !== undefined &&
+    startedAt > (other.startedAt ?? Infinity)
+  );
+}
+
 /** Joining puts another model into memory; until it is told, nothing is sure. */
 function findHeldModel(
   {model, group}: BackendRegistration,
--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -2,7 +2,6 @@
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
 import {BackendView} from '../coordination/backend_view';
-import {BackendRegistration} from '../protocol/backend_registration';
 import {ChannelBundle} from '../protocol/channel_bundle';
 import {checkGatewayRules} from '../protocol/check_gateway_rules';
 import {ControlMessage} from '../protocol/control_message';
@@ -10,10 +9,12 @@
 import {MessageOf} from '../protocol/message_of';
 import {splitIdentity} from '../protocol/split_identity';
 import {BackendRegistry} from './backend_registry';
+import {checkCopies} from './check_copies';
 import {ChangeSignal} from './change_signal';
 import {ControlError} from './control_error';
 import {ControlSettings} from './control_settings';
 import {RaftRuntime} from './raft_runtime';
+import {RegistrationDesk} from './registration_desk';
 
 /** How long a gateway's question is held while there is nothing new to tell. */
 const HOLD_MS = 250;
@@ -21,8 +22,6 @@
 const GATEWAY_PRESENT_MS = 3_000;
 /** What a gateway says about a backend server counts for this long. */
 const WORD_MS = 2_000;
-/** Voters that were to come have come after this long; a start takes two seconds. */
-const GROWTH_MS = 6_000;
 /** After this long as leader every backend server that lives has been heard. */
 const COMPLETE_AFTER_MS = 15_000;
 
@@ -54,8 +53,14 @@
   /** When a gateway last lacked places, by model. */
   private readonly pressedAt = new Map<string, number>();
   private hasServedRequests = false;
+  private readonly registrations: RegistrationDesk;
 
-  private constructor(private readonly options: GatewayDeskOptions) {}
+  private constructor(private readonly options: GatewayDeskOptions) {
+    this.registrations = RegistrationDesk.create({
+      ...options,
+      announce: () => this.announce(),
+    });
+  }
 
   /**
    * Creates a desk that knows no gateway.
@@ -99,8 +104,10 @@
       const source = this.options.runtime.state.channel.source ?? null;
       return {type: 'source-answer', call, source};
     },
-    'registration-ask': (ask: Ask<'registration-ask'>) => this.register(ask),
-    'departure-ask': (ask: Ask<'departure-ask'>) => this.depart(ask),
+    'registration-ask': (ask: Ask<'registration-ask'>) =>
+      this.registrations.register(ask),
+    'departure-ask': (ask: Ask<'departure-ask'>) =>
+      this.registrations.depart(ask),
     'gateway-ask': (ask: Ask<'gateway-ask'>) => this.answerGateway(ask),
   };
 
@@ -119,7 +126,7 @@
       this.recordBundle(bundle, 'bundle-refused', wrong, startedAt);
       return {type: 'channel-bundle-answer', call, version, reason: wrong};
     }
-    this.checkCopies();
+    checkCopies(this.options);
     const time = Date.now();
     const {reason} = await runtime.propose({
       type: 'accept-channel-bundle',
@@ -150,62 +157,6 @@
     });
   }
 
-  private async register({
-    call,
-    registration,
-  }: Ask<'registration-ask'>): Promise<ControlMessage> {
-    const {registry, clock} = this.options;
-    if (registry.record(registration, clock.now())) {
-      this.announce();
-      this.recordNews(registration);
-    }
-    if (registration.isLeaving) {
-      await this.retire(registration.incarnation, 'it says that it is leaving');
-    }
-    return {type: 'registration-answer', call};
-  }
-
-  private recordNews(registration: BackendRegistration): void {
-    const {incarnation, pool, address, isLeaving, model, stagedModels, group} =
-      registration;
-    const {sequence} = registration;
-    this.options.events.record({
-      type: 'backend-told',
-      subject: 'host',
-      id: incarnation,
-      reason: isLeaving ? 'it says that it is leaving' : 'it registered',
-      details: {
-        pool,
-        address,
-        sequence,
-        model: model ?? '',
-        staged: stagedModels.join(' '),
-        group: group?.name ?? '',
-        epoch: group?.epoch ?? 0,
-        state: group?.state ?? '',
-      },
-    });
-  }
-
-  private async depart({
-    call,
-    incarnation,
-  }: Ask<'departure-ask'>): Promise<ControlMessage> {
-    await this.retire(incarnation, 'it said goodbye');
-    return {type: 'registration-answer', call};
-  }
-
-  /** An acknowledged departure must outlive this leader, so it goes into the log. */
-  private async retire(incarnation: string, reason: string): Promise<void> {
-    const {runtime} = this.options;
-    if (runtime.state.engines.isRetired(incarnation)) {
-      return;
-    }
-    this.checkCopies();
-    const time = Date.now();
-    await runtime.propose({type: 'retire-backend', time, incarnation, reason});
-  }
-
   private async answerGateway(
     ask: Ask<'gateway-ask'>,
   ): Promise<ControlMessage> {
@@ -314,27 +265,27 @@
       registry.list().map(({registration}) => registration.address),
     );
     return engines.list().flatMap(({pool, model, epoch, members, isEnding}) => {
-      const [{incarnation, address}] = members;
-      const slots = channel.rules?.pools.find(({name}) => name === pool)?.engine
-        ?.slots;
+      const [{incarnation, name, address}] = members;
+      const slots = channel.rules?.pools.find(other => other.name === pool)
+        ?.engine?.slots;
       const isWhole = members.every(
         member => !engines.isRetired(member.incarnation),
       );
       return isEnding || !isWhole || slots === undefined || heard.has(address)
         ? []
-        : [{incarnation, pool, address, zone: '', slots, model, epoch}];
+        : [{incarnation, name, pool, address, zone: '', slots, model, epoch}];
     });
   }
 
   /** What a gateway may send there; undefined for nothing. */
   private findTarget({registration}: BackendView): GatewayTarget | undefined {
     const {engines, channel} = this.options.runtime.state;
-    const {incarnation, pool, address, zone, slots, group} = registration;
-    const known = channel.rules?.pools.find(({name}) => name === pool);
+    const {incarnation, name, pool, address, zone, slots, group} = registration;
+    const known = channel.rules?.pools.find(other => other.name === pool);
     if (!known || engines.isRetired(incarnation)) {
       return undefined;
     }
-    const target = {incarnation, pool, address, zone, slots};
+    const target = {incarnation, name, pool, address, zone, slots};
     if (!known.engine) {
       return target;
     }
@@ -352,30 +303,6 @@
       ? {...target, model: wanted?.model, epoch: wanted?.epoch}
       : undefined;
   }
-
-  /**
-   * Before the quorum has its size, a loss that is to be survived could take
-   * every copy, or leave no majority. Where no more voters come, the copies decide.
-   */
-  private checkCopies(): void {
-    const {settings, runtime, clock} = this.options;
-    const {raft} = runtime;
-    const voters = raft.listVotersAt(raft.commitIndex).size;
-    const {voters: wanted = 1, minCopies = 1} = settings.seeded ?? {};
-    const copies = Math.floor(voters / 2) + 1;
-    const ledMs = clock.now() - runtime.leadingSince;
-    const isEnough =
-      voters >= wanted || (ledMs > GROWTH_MS && copies >= minCopies);
-    if (!isEnough || raft.isChangingVoters) {
-      throw new ControlError(
-        'the quorum has %d of %d voters, so an entry has %d sure copies of the %d needed',
-        voters,
-        wanted,
-        copies,
-        minCopies,
-      );
-    }
-  }
 }
 
 function findWrongRules({rules}: ChannelBundle): string | undefined {
--- a/src/control/head_release.ts
+++ b/src/control/head_release.ts
@@ -49,8 +49,9 @@
       .list()
       .some(
         ({registration}) =>
-          registration.address === head.address &&
-          registration.incarnation !== head.incarnation,
+          registration.incarnation !== head.incarnation &&
+          (registration.address === head.address ||
+            (head.name !== undefined && registration.name === head.name)),
       );
     const releasedAt = this.releasedAt.get(createKey(group)) ?? Infinity;
     return isReplaced || now - releasedAt > this.stallMs + MARGIN_MS;
--- a/src/coordination/plan_engine_formation.ts
+++ b/src/coordination/plan_engine_formation.ts
@@ -79,6 +79,7 @@
     free = free.filter(host => !hosts.includes(host));
     const members = hosts.map(({registration}) => ({
       incarnation: registration.incarnation,
+      ...(registration.name === undefined ? {} : {name: registration.name}),
       address: registration.address,
     }));
     const {pool} = input;
--- a/src/gateway/rules_feed.ts
+++ b/src/gateway/rules_feed.ts
@@ -180,6 +180,13 @@
   /** A leader that is new has not heard everybody, so it only adds and retires. */
   private applyTargets(answer: Answer, told: readonly GatewayTarget[]): void {
     const targets = new Map(answer.isComplete ? [] : this.targets);
+    const retired = new Set(answer.retired);
+    // A goodbye that names no start is that of the one known here; a new start is told.
+    for (const [incarnation, {name}] of targets) {
+      if (name !== undefined && retired.has(name)) {
+        targets.delete(incarnation);
+      }
+    }
     told.forEach(target => targets.set(target.incarnation, target));
     answer.retired?.forEach(incarnation => targets.delete(incarnation));
     answer.closed?.forEach(incarnation => targets.delete(incarnation));
--- a/src/protocol/backend_registration.ts
+++ b/src/protocol/backend_registration.ts
@@ -1,6 +1,8 @@
 /** What one start of a backend server says about itself, again and again. */
 import {z} from 'zod';
 
+const MAX_NAME_LENGTH = 200;
+
 const GroupMembership = z.object({
   name: z.string(),
   epoch: z.int(),
@@ -11,7 +13,11 @@
 
 export const BackendRegistration = z.object({
   /** New with every start. */
-  incarnation: z.string().min(1).max(200),
+  incarnation: z.string().min(1).max(MAX_NAME_LENGTH),
+  /** Shared by all starts of one backend server; absent where each start has a name of its own. */
+  name: z.string().max(MAX_NAME_LENGTH).optional(),
+  /** When it started, in milliseconds of its own clock: tells its starts apart, and may jump. */
+  startedAt: z.int().optional(),
   pool: z.string(),
   /** `host:port` for requests. */
   address: z.string(),
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -141,9 +141,15 @@
   z.object({
     type: z.literal('departure-ask'),
     call: Call,
-    incarnation: z.string(),
+    /** Shared by all starts of a backend server. */
+    name: z.string(),
+  }),
+  z.object({
+    type: z.literal('registration-answer'),
+    call: Call,
+    /** Why nothing was taken; absent when it was. */
+    refusal: z.string().optional(),
   }),
-  z.object({type: z.literal('registration-answer'), call: Call}),
   z.object({
     type: z.literal('gateway-ask'),
     call: Call,
--- a/src/protocol/engine_group.ts
+++ b/src/protocol/engine_group.ts
@@ -12,6 +12,8 @@
     .array(
       z.object({
         incarnation: z.string(),
+        /** Shared by all starts of this backend server. */
+        name: z.string().optional(),
         /** `host:port`, so that a new leader can ask members it has not heard. */
         address: z.string(),
       }),
--- a/src/protocol/engine_orders.ts
+++ b/src/protocol/engine_orders.ts
@@ -36,6 +36,6 @@
 /** Gives orders to engines. */
 export interface EngineOrders {
   readonly send: (call: OrderCall) => Promise<OrderAnswer>;
-  /** Asks whether an engine answers at all. */
-  readonly probe: (address: string) => Promise<boolean>;
+  /** Asks whether this very start of an engine answers. */
+  readonly probe: (address: string, incarnation: string) => Promise<boolean>;
 }
--- a/src/protocol/gateway_target.ts
+++ b/src/protocol/gateway_target.ts
@@ -3,6 +3,8 @@
 /** A backend server that a gateway may send requests to. */
 export const GatewayTarget = z.object({
   incarnation: z.string(),
+  /** Shared by all starts of this backend server. */
+  name: z.string().optional(),
   pool: z.string(),
   /** `host:port` for requests. */
   address: z.string(),
--- a/test/control/seeded_quorum.test.ts
+++ b/test/control/seeded_quorum.test.ts
@@ -294,7 +294,7 @@
     const first = await start(name, [name], options);
     const client = createClient([name]);
     await rollOutPool(client);
-    const departure = {type: 'departure-ask' as const, incarnation: 'i1'};
+    const departure = {type: 'departure-ask' as const, name: 'i1'};
     await client.ask<'departure-ask'>(departure, ASK_MS);
     await first.close();
     await start(name, [name], options);
--- a/test/platform/control_stops.test.ts
+++ b/test/platform/control_stops.test.ts
@@ -8,6 +8,9 @@
 import * as net from 'node:net';
 import {afterEach, expect, test} from 'vitest';
 import {OperatorApi} from '../../platform/operator_api';
+import {EventRing} from '../../src/common/event_ring';
+import {systemClock} from '../../src/common/system_clock';
+import {ThrottledLines} from '../../src/common/throttled_lines';
 import {ControlClient} from '../../src/protocol/control_client';
 import {reservePort} from '../support/reserve_port';
 import {waitUntil} from '../support/wait_until';
@@ -26,7 +29,10 @@
     addresses: [`127.0.0.1:${await reservePort()}`],
     identity: {program: 'operator', id: 'test', incarnation: 'i'},
   });
-  const api = OperatorApi.create(client);
+  const api = OperatorApi.create(
+    client,
+    ThrottledLines.create(EventRing.create(), systemClock),
+  );
   let calls = 0;
   const server = http.createServer((request, response) => {
     calls += 1;
--- a/test/platform/translation.test.ts
+++ b/test/platform/translation.test.ts
@@ -123,6 +123,7 @@
 
   test('becomes what the product knows of a backend server', () => {
     expect(decodeRegistration('i', JSON.stringify(wire))).toEqual({
+      name: 'i',
       incarnation: 'i',
       pool: 's',
       address: '10.0.0.1:80',
