test(control): a change that is sent again is written again

Fails on the code as it is: two calls with one change make two entries, each with the whole configuration, and so does a version that is in force already.

--- /dev/null
+++ b/test/control/repeated_change.test.ts
@@ -0,0 +1,96 @@
+/**
+ * Whoever changes the rules sends the same change again while no answer came, to any
+ * control process. The leader wrote it into its log once more each time: a change
+ * that took longer than a call was written and copied again and again, which made
+ * the next call take longer still. Two calls with one change made two entries.
+ */
+import {expect, test} from 'vitest';
+import {EventRing} from '../../src/common/event_ring';
+import {BackendRegistry} from '../../src/control/backend_registry';
+import {ChangeSignal} from '../../src/control/change_signal';
+import {ControlSettings} from '../../src/control/control_settings';
+import {GatewayDesk} from '../../src/control/gateway_desk';
+import {RaftRuntime} from '../../src/control/raft_runtime';
+import {ChannelBundle} from '../../src/protocol/channel_bundle';
+import {CommandResult} from '../../src/state/command_result';
+
+const BUNDLE: ChannelBundle = {
+  channel: 'operators',
+  source: 'source',
+  rules: {
+    version: 3,
+    routes: [],
+    pools: [],
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+  },
+};
+
+function create() {
+  const proposed: Array<(result: CommandResult) => void> = [];
+  const runtime = {
+    state: {channel: {version: 2}},
+    raft: {commitIndex: 1, listVotersAt: () => new Map([['c', 'c/1']])},
+    leadingSince: 0,
+    propose: () => new Promise(resolve => proposed.push(resolve)),
+  } as unknown as RaftRuntime;
+  const desk = GatewayDesk.create({
+    settings: {trustedChannels: ['operators']} as unknown as ControlSettings,
+    runtime,
+    registry: BackendRegistry.create(),
+    clock: {now: () => 10_000},
+    signal: ChangeSignal.create(),
+    events: EventRing.create(),
+    identity: 'c/1',
+  });
+  const accept = (call: number, bundle = BUNDLE) =>
+    desk.handlers['channel-bundle-ask']({
+      type: 'channel-bundle-ask',
+      call,
+      bundle,
+    });
+  return {proposed, accept};
+}
+
+test('a change that is sent again while it is under way is written once, and each call is answered', async () => {
+  const {proposed, accept} = create();
+
+  const answers = [accept(1), accept(2)];
+  await Promise.resolve();
+  const written = proposed.length;
+  proposed.forEach(settle => settle({isAccepted: true, reason: 'in force'}));
+
+  expect(written).toBe(1);
+  expect(
+    (await Promise.all(answers)).map(answer => 'call' in answer && answer.call),
+  ).toEqual([1, 2]);
+});
+
+test('other content under the same version is a change of its own', async () => {
+  const {proposed, accept} = create();
+
+  const answers = [accept(1), accept(2, {...BUNDLE, source: 'other'})];
+  await Promise.resolve();
+  const written = proposed.length;
+  proposed.forEach(settle => settle({isAccepted: true, reason: 'in force'}));
+  await Promise.all(answers);
+
+  expect(written).toBe(2);
+});
+
+test('a version that is not above the one in force is acknowledged and not written', async () => {
+  const {proposed, accept} = create();
+  const older = {...BUNDLE, rules: {...BUNDLE.rules, version: 2}};
+
+  const answer = accept(1, older);
+  await Promise.resolve();
+  const written = proposed.length;
+  proposed.forEach(settle => settle({isAccepted: false, reason: ''}));
+
+  expect(written).toBe(0);
+  expect(await answer).toMatchObject({version: 2});
+});
