fix(control): one change makes one entry of the log, however often it is sent

Cause: the leader proposed each call of a change, with the whole configuration, also while the same change was under way and when its version was in force. A change that took longer than a call made itself slower. Ruled out: refusing the second call (it must be acknowledged). Change: calls with one change wait for one entry; a version that is not above the one in force is acknowledged as it was, and nothing is written. Before: two entries for two calls, one for a version in force; after: one and none (control/repeated_change). 101 tests of control/ and platform/ passed. Also: a head that has started again under its name elsewhere is not told from the log.

--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -8,6 +8,7 @@
 import {GatewayTarget} from '../protocol/gateway_target';
 import {MessageOf} from '../protocol/message_of';
 import {splitIdentity} from '../protocol/split_identity';
+import {CommandResult} from '../state/command_result';
 import {BackendRegistry} from './backend_registry';
 import {checkCopies} from './check_copies';
 import {ChangeSignal} from './change_signal';
@@ -53,6 +54,10 @@
   /** When a gateway last lacked places, by model. */
   private readonly pressedAt = new Map<string, number>();
   private hasServedRequests = false;
+  /** Changes that are written and not committed yet. */
+  private readonly underWay: Array<
+    ChannelBundle & {readonly written: Promise<CommandResult>}
+  > = [];
   private readonly registrations: RegistrationDesk;
 
   private constructor(private readonly options: GatewayDeskOptions) {
@@ -126,18 +131,44 @@
       this.recordBundle(bundle, 'bundle-refused', wrong, startedAt);
       return {type: 'channel-bundle-answer', call, version, reason: wrong};
     }
-    checkCopies(this.options);
-    const time = Date.now();
-    const {reason} = await runtime.propose({
-      type: 'accept-channel-bundle',
-      time,
-      bundle,
-    });
+    const reason = await this.writeOnce(bundle);
     const {version} = runtime.state.channel;
     this.recordBundle(bundle, 'bundle-taken', reason, startedAt);
     return {type: 'channel-bundle-answer', call, version, reason};
   }
 
+  /** One change that came in several calls makes one entry of the log, not one for each. */
+  private async writeOnce(bundle: ChannelBundle): Promise<string> {
+    const {runtime} = this.options;
+    const {version} = bundle.rules;
+    const inForce = runtime.state.channel.version;
+    if (version <= inForce) {
+      return `version ${inForce} is in force, so ${version} changes nothing`;
+    }
+    const known = this.underWay.find(
+      ({source, channel, rules}) =>
+        rules.version === version &&
+        channel === bundle.channel &&
+        source === bundle.source,
+    );
+    if (known) {
+      return (await known.written).reason;
+    }
+    checkCopies(this.options);
+    const command = {
+      type: 'accept-channel-bundle' as const,
+      time: Date.now(),
+      bundle,
+    };
+    const change = {...bundle, written: runtime.propose(command)};
+    this.underWay.push(change);
+    try {
+      return (await change.written).reason;
+    } finally {
+      this.underWay.splice(this.underWay.indexOf(change), 1);
+    }
+  }
+
   private recordBundle(
     {rules, source}: ChannelBundle,
     type: 'bundle-taken' | 'bundle-refused',
@@ -262,7 +293,9 @@
       return [];
     }
     const heard = new Set(
-      registry.list().map(({registration}) => registration.address),
+      registry
+        .list()
+        .flatMap(({registration: {address, name}}) => [address, name]),
     );
     return engines.list().flatMap(({pool, model, epoch, members, isEnding}) => {
       const [{incarnation, name, address}] = members;
@@ -271,7 +304,11 @@
       const isWhole = members.every(
         member => !engines.isRetired(member.incarnation),
       );
-      return isEnding || !isWhole || slots === undefined || heard.has(address)
+      return isEnding ||
+        !isWhole ||
+        slots === undefined ||
+        heard.has(address) ||
+        heard.has(name ?? address)
         ? []
         : [{incarnation, name, pool, address, zone: '', slots, model, epoch}];
     });
