fix(protocol): calls that wait for a leader search for it together

Cause: each call searched for the leader by itself, so dozens of waiting calls made the control processes answer each other's questions while they should elect. Ruled out: the first waiting call as a scout for the others (a change that the leader may not take yet would hold up registrations for its whole time). Change: a client has one search, with a question of its own (leader-ask, answered by the leader like every call); calls wait for its outcome and go straight to the leader; a leader that is slow is searched for anew beside the call under way.

--- a/src/control/call_handlers.ts
+++ b/src/control/call_handlers.ts
@@ -30,6 +30,7 @@
   | 'status-ask'
   | 'journal-ask'
   | 'drain-ask'
+  | 'leader-ask'
   | keyof GatewayDesk['handlers'];
 type Handlers = {
   [T in Asks]: (
@@ -120,6 +121,7 @@
       return {type: 'claim-resolved', call};
     },
     'roll-out-ask': ask => rollOut(ask, context),
+    'leader-ask': ({call}) => ({type: 'leader-answer', call}),
     'status-ask': ({call}) => ({
       type: 'status-answer',
       call,
--- a/src/protocol/control_calls.ts
+++ b/src/protocol/control_calls.ts
@@ -16,6 +16,7 @@
   'registration-ask': 'registration-answer';
   'departure-ask': 'registration-answer';
   'gateway-ask': 'gateway-answer';
+  'leader-ask': 'leader-answer';
 }
 type WithoutCall<T> = T extends unknown ? Omit<T, 'call'> : never;
 
--- a/src/protocol/control_client.ts
+++ b/src/protocol/control_client.ts
@@ -3,7 +3,8 @@
 import {ControlCalls} from './control_calls';
 import {ControlLines} from './control_lines';
 import {ControlMessage} from './control_message';
-import {LeaderSearch} from './leader_search';
+import {LeaderCall} from './leader_call';
+import {LeaderFinder} from './leader_finder';
 import {MessageOf} from './message_of';
 import {Peer} from './peer';
 import {ProtocolError} from './protocol_error';
@@ -17,29 +18,29 @@
   readonly ask: ControlCalls['type'];
   readonly tookMs: number;
   readonly isAnswered: boolean;
-  readonly tries: LeaderSearch['tries'];
+  readonly tries: LeaderFinder['tries'];
 }
 
 /** How to reach control and who asks. */
 interface ControlClientOptions {
   /** Where control processes are; a function where they may change. */
   readonly addresses: readonly string[] | (() => readonly string[]);
-  /** How long one control process may take to answer before the next is asked beside it, in milliseconds. */
+  /** How long the leader may take to answer before it is searched for anew beside it, in milliseconds. */
   readonly tryTimeoutMs?: number;
   readonly identity: Parameters<typeof Peer.create>[1];
   readonly security?: TransportSecurity;
-  /** Told of each call that the first process tried did not answer. */
+  /** Told of each call that had to search, or found no leader. */
   readonly onSearched?: (search: SearchReport) => void;
 }
 
 /**
- * Asks the leader, staying with the process that answered last. Where control
- * processes are named by their addresses, one that does not lead tells where the
- * others are.
+ * Asks the leader, staying with it while it answers. Where control processes are
+ * named by their addresses, one that does not lead tells where the others are.
  */
 export class ControlClient {
   private readonly lines: ControlLines;
-  private readonly searches = new Set<LeaderSearch>();
+  private readonly finder: LeaderFinder;
+  private readonly calls = new Set<LeaderCall>();
   /** Addresses told by processes that do not lead. */
   private hints: readonly string[] = [];
   private isClosed = false;
@@ -47,6 +48,11 @@
   private constructor(private readonly options: ControlClientOptions) {
     const {identity, security} = options;
     this.lines = ControlLines.create({identity, security});
+    this.finder = LeaderFinder.create({
+      lines: this.lines,
+      listAddresses: () => this.listAddresses(),
+      onTold: hints => this.recordHints(hints),
+    });
   }
 
   /**
@@ -75,39 +81,42 @@
       throw new ProtocolError('this client is closed');
     }
     const startedAt = performance.now();
-    const search = LeaderSearch.create({
+    const hadLeader = this.lines.leader !== undefined;
+    const call = LeaderCall.create({
       question,
-      addresses: this.listAddresses(),
       lines: this.lines,
+      finder: this.finder,
       timeoutMs,
       besideMs: this.options.tryTimeoutMs ?? DEFAULT_TIMEOUT_MS,
       onTold: hints => this.recordHints(hints),
     });
-    this.searches.add(search);
+    this.calls.add(call);
     let isAnswered = false;
     try {
-      const answer = await search.run();
+      const answer = await call.run();
       isAnswered = true;
       return answer as MessageOf<ControlMessage, Answers[T]>;
     } finally {
-      this.searches.delete(search);
-      this.report(search, question.type, isAnswered, startedAt);
+      this.calls.delete(call);
+      if (!hadLeader || !isAnswered) {
+        this.report(question.type, isAnswered, startedAt);
+      }
     }
   }
 
   /** Closes the connections and gives up what is pending. */
   close(): void {
     this.isClosed = true;
-    this.searches.forEach(search => search.abandon());
+    this.calls.forEach(call => call.abandon('this client is closed'));
+    this.finder.stop();
     this.lines.close();
   }
 
-  /** The one that answered last, then those that were told, then those that were always known. */
+  /** Those that were told, then those that were always known. */
   private listAddresses(): readonly string[] {
     const {addresses} = this.options;
     const known = typeof addresses === 'function' ? addresses() : addresses;
-    const kept = this.lines.keptAddress;
-    return [...new Set([...(kept ? [kept] : []), ...this.hints, ...known])];
+    return [...new Set([...this.hints, ...known])];
   }
 
   private recordHints(hints: readonly string[]): void {
@@ -117,15 +126,12 @@
   }
 
   private report(
-    {tries}: LeaderSearch,
     ask: ControlCalls['type'],
     isAnswered: boolean,
     startedAt: number,
   ): void {
-    if (isAnswered && tries.length <= 1) {
-      return;
-    }
     const tookMs = Math.round(performance.now() - startedAt);
+    const {tries} = this.finder;
     this.options.onSearched?.({ask, tookMs, isAnswered, tries});
   }
 }
--- a/src/protocol/control_lines.ts
+++ b/src/protocol/control_lines.ts
@@ -3,7 +3,7 @@
 
 type LineOptions = Omit<Parameters<typeof ControlLine.create>[0], 'address'>;
 
-/** Opens lines when they are asked for; keeps the one that answered last. */
+/** Opens lines when they are asked for; keeps the one to the leader. */
 export class ControlLines {
   private readonly lines = new Map<string, ControlLine>();
   private kept: ControlLine | undefined;
@@ -22,9 +22,9 @@
     return new ControlLines(options);
   }
 
-  /** Address of the process that answered last. */
-  get keptAddress(): string | undefined {
-    return this.kept?.address;
+  /** The line to the process that leads, as far as is known. */
+  get leader(): ControlLine | undefined {
+    return this.kept?.isUsable ? this.kept : undefined;
   }
 
   /** The line to an address, for one more user. */
@@ -38,7 +38,12 @@
     return line;
   }
 
-  /** Keeps a line whose process answered as leader, also without users. */
+  /** Keeps a line open for one more user. */
+  addUser(line: ControlLine): void {
+    line.users += 1;
+  }
+
+  /** Keeps a line whose process leads, also without users. */
   recordLeader(line: ControlLine): void {
     const before = this.kept;
     this.kept = line;
@@ -47,6 +52,14 @@
     }
   }
 
+  /** Its process does not lead, or its connection has ended. */
+  recordNoLeader(line: ControlLine): void {
+    if (this.kept === line) {
+      this.kept = undefined;
+      this.closeUnused(line);
+    }
+  }
+
   /** Opens another connection the next time: this one may have gone silent for good. */
   abandon(line: ControlLine): void {
     if (this.lines.get(line.address) === line) {
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -192,6 +192,9 @@
     /** Addresses of the control processes that vote. */
     control: z.array(z.string()),
   }),
+  /** Answered by the leader alone, like every call: finds it. */
+  z.object({type: z.literal('leader-ask'), call: Call}),
+  z.object({type: z.literal('leader-answer'), call: Call}),
   z.object({
     type: z.literal('not-leader'),
     call: Call,
--- a/src/reporting/record_search.ts
+++ b/src/reporting/record_search.ts
@@ -6,8 +6,8 @@
 >[0];
 
 /**
- * Writes a line about a call that the first control process tried did not
- * answer: who was tried, how long for, and what each said.
+ * Writes a line about a call for which the leader had to be searched for, or that
+ * found none: who was tried last, how long for, and what each said.
  *
  * @param id the process that asked
  * @example
@@ -23,7 +23,7 @@
     subject: 'control',
     id,
     reason: isAnswered
-      ? 'the first control process tried did not answer, another one did'
+      ? 'the leader was searched for'
       : 'no control process answered as leader in time',
     details: {
       ask,
