feat(gateway): refused callers come back when there will be places, and not together

Cause: callers refused for want of a place were told 2.5 s, or 0.3 of what was left of their time: a fixed share, which brought those refused together back together. Ruled out: the pace of places alone (in an overload that lasts new requests take every place that falls free, so an early return is a second refusal). Change: the time follows from places that fall free beyond the requests that come, with those in line and those told before counted; while there are none to spare a caller stays away as long as it honours, a third of its time by the platform's page. The stop of a gateway uses the same part.

--- a/src/gateway/caller_dialect.ts
+++ b/src/gateway/caller_dialect.ts
@@ -34,6 +34,8 @@
       'objectiveMs' | 'pauseObjectiveMs'
     >,
   ) => number;
+  /** Part of what is left of its time within which a caller comes back as it is told. */
+  readonly honouredPart: number;
   /** The header with which an own answer names its request. */
   readonly requestIdHeader: string;
 }
--- a/src/gateway/compute_retry_after_ms.ts
+++ b/src/gateway/compute_retry_after_ms.ts
@@ -1,16 +1,33 @@
-/** When a caller may come again after a refusal: about the repair of a group. */
-const RETRY_AFTER_MS = 2_500;
-/** Never later than this part of the caller's time, beyond which it would not come. */
-const RETRY_AFTER_SHARE = 0.3;
+import {PlaceForecast} from './place_forecast';
+
+/** Who is refused. */
+interface ReturnInput {
+  readonly forecast: PlaceForecast;
+  /** Where it would wait for a place; undefined for plain services. */
+  readonly line: string | undefined;
+  /** Milliseconds that the caller still waits. */
+  readonly leftMs: number;
+  /** Part of that time within which callers come back as they are told. */
+  readonly honouredPart: number;
+}
 
 /**
- * When a caller whose request has not run should come again.
+ * When a caller whose request has not run should come again: when there will be a
+ * place, after those told before it, so that they do not come back together. While
+ * more requests come than places fall free nobody can tell, and the longer it stays
+ * away the likelier it is that the load is over or a group is formed again.
  *
- * @param leftMs milliseconds that the caller still waits
  * @returns milliseconds from now
  * @example
- * const retryAfterMs = computeRetryAfterMs(8000);
+ * const retryAfterMs = computeRetryAfterMs({forecast, line, leftMs: 8000, honouredPart: 1 / 3});
  */
-export function computeRetryAfterMs(leftMs: number): number {
-  return Math.min(RETRY_AFTER_MS, leftMs * RETRY_AFTER_SHARE);
+export function computeRetryAfterMs(input: ReturnInput): number {
+  const {forecast, line, leftMs, honouredPart} = input;
+  const latestMs = leftMs * honouredPart;
+  if (line === undefined) {
+    return latestMs;
+  }
+  const returnMs = Math.min(forecast.computeReturnMs(line), latestMs);
+  forecast.recordReturn(line, returnMs);
+  return returnMs;
 }
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -73,6 +73,7 @@
       clock,
       events,
       withinMs: stopWithinMs,
+      honouredPart: settings.dialect.honouredPart,
     });
     this.seeds = control;
     this.controlAddresses = control;
--- a/src/gateway/gateway_stop.ts
+++ b/src/gateway/gateway_stop.ts
@@ -8,8 +8,6 @@
 
 /** Another gateway can take it now: as soon as a caller can connect anew. */
 const ELSEWHERE_MS = 20;
-/** Never later than this part of the caller's time, beyond which it would not come. */
-const RETRY_AFTER_SHARE = 0.3;
 
 /** What a stop works with. */
 interface GatewayStopOptions {
@@ -18,6 +16,8 @@
   readonly events: EventRing;
   /** From the signal to the end by force, in milliseconds. */
   readonly withinMs: number;
+  /** Part of what is left of its time within which a caller comes back as it is told. */
+  readonly honouredPart: number;
 }
 
 /** What is known of a request that comes while the gateway stops. */
@@ -48,7 +48,7 @@
    * Creates the stop of a gateway that was not told to.
    *
    * @example
-   * const stop = GatewayStop.create({gatewayId, clock, events, withinMs: 8000});
+   * const stop = GatewayStop.create({gatewayId, clock, events, withinMs: 8000, honouredPart: 1 / 3});
    */
   static create(options: GatewayStopOptions): GatewayStop {
     return new GatewayStop(options);
@@ -123,7 +123,7 @@
     const areFewReady = isNoticed && request.isOnNewConnection;
     const backMs = this.findLongestMs(request) + this.startMs;
     const wantedMs = areFewReady ? backMs : ELSEWHERE_MS;
-    const mostMs = request.leftMs * RETRY_AFTER_SHARE;
+    const mostMs = request.leftMs * this.options.honouredPart;
     return Math.max(ELSEWHERE_MS, Math.min(wantedMs, mostMs));
   }
 
--- a/src/gateway/place_forecast.ts
+++ b/src/gateway/place_forecast.ts
@@ -2,6 +2,8 @@
 import {Clock} from '../common/clock';
 import {LongestTimes} from './longest_times';
 
+/** Arrivals that are remembered: several times the ends that they are compared with. */
+const ARRIVALS_COUNTED = 128;
 /** Ends that the rate is taken from: enough to be steady, few enough to follow the load. */
 const ENDS_COUNTED = 16;
 /** Ends before that say nothing about now, in milliseconds. */
@@ -15,6 +17,10 @@
   private readonly ends = new Map<string, number[]>();
   /** From sending to the first event, by kind of work, averaged. */
   private readonly workMs = new Map<string, number>();
+  /** When requests came for a place, by line, oldest first. */
+  private readonly arrivals = new Map<string, number[]>();
+  /** When refused callers come back, by line, as they were told. */
+  private readonly returns = new Map<string, number[]>();
   /** Requests that wait for a place, by line, in order of their arrival. */
   private readonly lines = new Map<string, Set<object>>();
 
@@ -41,6 +47,21 @@
     this.ends.set(line, ends.slice(-ENDS_COUNTED));
   }
 
+  /** A request came for a place at the engines of a line. */
+  recordArrival(line: string): void {
+    const now = this.clock.now();
+    const recent = (this.arrivals.get(line) ?? []).filter(
+      at => now - at < ENDS_COUNT_FOR_MS,
+    );
+    this.arrivals.set(line, [...recent, now].slice(-ARRIVALS_COUNTED));
+  }
+
+  /** A refused caller was told to come back in so many milliseconds. */
+  recordReturn(line: string, inMs: number): void {
+    const due = this.listReturns(line);
+    this.returns.set(line, [...due, this.clock.now() + inMs]);
+  }
+
   /** Notes how long an engine took for its first event, in milliseconds. */
   recordWork(work: string, tookMs: number): void {
     this.longest.record(work, tookMs);
@@ -84,9 +105,7 @@
    */
   computeWaitMs(line: string, request: object): number {
     const now = this.clock.now();
-    const recent = (this.ends.get(line) ?? []).filter(
-      at => now - at < ENDS_COUNT_FOR_MS,
-    );
+    const recent = this.listRecentEnds(line, now);
     if (recent.length === 0) {
       return Infinity;
     }
@@ -94,4 +113,37 @@
     const betweenEndsMs = (now - recent[0]) / recent.length;
     return betweenEndsMs * (this.countAhead(line, request) + 1);
   }
+
+  /**
+   * When a refused caller finds a place: once those before it, the ones told
+   * earlier to come back among them, have had theirs, at the pace at which more
+   * places fall free than requests come.
+   *
+   * @returns milliseconds; Infinity while more come than go, or nothing ended lately
+   */
+  computeReturnMs(line: string): number {
+    const now = this.clock.now();
+    const ends = this.listRecentEnds(line, now);
+    const [since] = ends;
+    const came = (this.arrivals.get(line) ?? []).filter(at => at >= since);
+    const spare = ends.length - came.length;
+    if (spare <= 0) {
+      return Infinity;
+    }
+    const betweenSparesMs = (now - since) / spare;
+    const waiting = this.lines.get(line)?.size ?? 0;
+    const before = waiting + this.listReturns(line).length;
+    return betweenSparesMs * (before + 1);
+  }
+
+  private listReturns(line: string): number[] {
+    const now = this.clock.now();
+    return (this.returns.get(line) ?? []).filter(at => at > now);
+  }
+
+  private listRecentEnds(line: string, now: number): number[] {
+    return (this.ends.get(line) ?? []).filter(
+      at => now - at < ENDS_COUNT_FOR_MS,
+    );
+  }
 }
--- a/src/gateway/place_wait.ts
+++ b/src/gateway/place_wait.ts
@@ -1,5 +1,6 @@
 /** One request's wait: for a place at an engine, or for somebody who goes on with what has begun. */
 import {Clock} from '../common/clock';
+import {computeRetryAfterMs} from './compute_retry_after_ms';
 import {PlaceForecast} from './place_forecast';
 
 /** Left for an event on its way to a caller, in milliseconds. */
@@ -16,6 +17,10 @@
   readonly objectiveMs: number;
   /** On this process's monotonic clock. */
   readonly arrivedAt: number;
+  /** When the caller gives up, on the same clock. */
+  readonly deadlineAt: number;
+  /** Part of what is left of its time within which it comes back as it is told. */
+  readonly honouredPart: number;
   /** How long the caller bears a pause, in milliseconds. */
   readonly patienceMs: number;
   /** How long it took lately until a lost group of the model was replaced. */
@@ -33,9 +38,12 @@
    * Creates a wait that has not begun.
    *
    * @example
-   * const wait = PlaceWait.create({forecast, clock, line, work, objectiveMs, arrivedAt, patienceMs, findRepairMs});
+   * const wait = PlaceWait.create({forecast, clock, line, work, objectiveMs, arrivedAt, deadlineAt, honouredPart, patienceMs, findRepairMs});
    */
   static create(options: PlaceWaitOptions): PlaceWait {
+    if (options.line !== undefined) {
+      options.forecast.recordArrival(options.line);
+    }
     return new PlaceWait(options);
   }
 
@@ -103,6 +111,13 @@
     return isInTime && (!this.isForPlace || this.hasHope);
   }
 
+  /** When its caller should come again, refused now: milliseconds from now. */
+  computeReturnMs(): number {
+    const {forecast, line, clock, deadlineAt, honouredPart} = this.options;
+    const leftMs = deadlineAt - clock.now();
+    return computeRetryAfterMs({forecast, line, leftMs, honouredPart});
+  }
+
   /** Its engine is done with it. */
   recordPlaceFree(): void {
     const {forecast, line} = this.options;
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -51,10 +51,9 @@
     this.deadlineAt = arrivedAt + holdMs;
     this.course = FlowCourse.create(arrivedAt);
     this.lastEventId = request.lastEventId;
-    const {model} = request;
+    const {model, promptTokens} = request;
     this.names = createWorkNames({route, pool, model});
     const {work} = this.names;
-    const {promptTokens} = request;
     const judged = {route, pool, model, promptTokens, work, forecast};
     const times = createStallTimes(judged);
     this.stall = StallJudge.create(board, times);
@@ -64,6 +63,8 @@
       ...this.names,
       objectiveMs: route.objectiveMs,
       arrivedAt,
+      deadlineAt: this.deadlineAt,
+      honouredPart: dialect.honouredPart,
       patienceMs: dialect.computePatienceMs(route),
       findRepairMs: () => board.findRepairMs(request.model ?? ''),
     });
@@ -351,10 +352,9 @@
   }
 
   private sendFinal(reason: string, status: number): void {
-    const {answer, request, clock} = this.options;
-    const leftMs = this.deadlineAt - clock.now();
-    const {id: requestId} = request;
-    const end = sendFinalAnswer({answer, requestId, reason, status, leftMs});
+    const {answer, request} = this.options;
+    const told = {requestId: request.id, reason, status, wait: this.wait};
+    const end = sendFinalAnswer({answer, ...told});
     this.tell(end.outcome, reason, end.status);
   }
 
--- a/src/gateway/send_final_answer.ts
+++ b/src/gateway/send_final_answer.ts
@@ -1,6 +1,6 @@
 import {CallerAnswer} from './caller_answer';
-import {computeRetryAfterMs} from './compute_retry_after_ms';
 import {FlowResult} from './flow_result';
+import {PlaceWait} from './place_wait';
 
 /** The status of a request that has not run and never will. */
 const NOT_RUN = 503;
@@ -12,8 +12,8 @@
   readonly reason: string;
   /** Told where the answer has not begun; 503 only for what has not run. */
   readonly status: number;
-  /** What is left of the caller's time, in milliseconds. */
-  readonly leftMs: number;
+  /** Knows when the caller may come again, for a request that has not run. */
+  readonly wait: Pick<PlaceWait, 'computeReturnMs'>;
 }
 
 /**
@@ -22,18 +22,18 @@
  *
  * @returns the outcome, and the status that the caller was told; 0 for none
  * @example
- * const {outcome, status} = sendFinalAnswer({answer, requestId, reason, status: 502, leftMs});
+ * const {outcome, status} = sendFinalAnswer({answer, requestId, reason, status: 502, wait});
  */
 export function sendFinalAnswer(
   final: FinalAnswer,
 ): Pick<FlowResult, 'outcome' | 'status'> {
-  const {answer, requestId, reason, status, leftMs} = final;
+  const {answer, requestId, reason, status, wait} = final;
   if (answer.hasBegun) {
     answer.breakOff();
     return {outcome: 'failed', status: 0};
   }
   const isNotRun = status === NOT_RUN;
-  const retryAfterMs = isNotRun ? computeRetryAfterMs(leftMs) : undefined;
+  const retryAfterMs = isNotRun ? wait.computeReturnMs() : undefined;
   answer.sendOwn({status, reason, retryAfterMs}, requestId);
   return {outcome: isNotRun ? 'refused' : 'failed', status};
 }
--- a/test/gateway/gateway_stop.test.ts
+++ b/test/gateway/gateway_stop.test.ts
@@ -7,7 +7,13 @@
 function create(withinMs = 8_000) {
   const clock = {time: 0, now: () => clock.time};
   const events = EventRing.create();
-  const stop = GatewayStop.create({gatewayId: 'g', clock, events, withinMs});
+  const stop = GatewayStop.create({
+    gatewayId: 'g',
+    clock,
+    events,
+    withinMs,
+    honouredPart: 0.3,
+  });
   stop.recordStarted(700);
   let left = false;
   const begin = () => {
--- a/test/support/plain_dialect.ts
+++ b/test/support/plain_dialect.ts
@@ -3,6 +3,7 @@
 
 export const plainDialect: CallerDialect = {
   requestIdHeader: 'request-id',
+  honouredPart: 1 / 3,
 
   readRequest(message) {
     const {headers} = message;
