feat(control,bin): a quorum without a leader can be explained from its logs

Change: state-recovered, vote-refused (from whom, why) and message-failed; the reporter writes what came before it. ControlServer's lines moved to ControlLog.

--- a/src/bin/run_daemon.ts
+++ b/src/bin/run_daemon.ts
@@ -44,6 +44,7 @@
       program,
       format: logFormat,
       events: daemon.events.stream,
+      earlier: daemon.events.listSince(0),
     });
     process.stdout.write(
       `${JSON.stringify({ready: program, ...daemon.ports})}\n`,
--- a/src/control/control_links.ts
+++ b/src/control/control_links.ts
@@ -25,6 +25,8 @@
     message: Message,
     reply: (message: Message) => void,
   ) => void;
+  /** A message could not be handled; its connection ends. */
+  readonly onFailure: (from: string, error: Error) => void;
 }
 
 interface Link {
@@ -49,7 +51,7 @@
    * Starts connecting, and reconnects for as long as it is open.
    *
    * @example
-   * const links = ControlLinks.create({identity, addresses, clock, onMessage});
+   * const links = ControlLinks.create({identity, addresses, clock, onMessage, onFailure});
    */
   static create(options: ControlLinksOptions): ControlLinks {
     const links = new ControlLinks(options);
@@ -114,7 +116,7 @@
   }
 
   private async connectOnce(name: string, address: string): Promise<void> {
-    const {identity, security, onMessage, clock} = this.options;
+    const {identity, security, onMessage, onFailure, clock} = this.options;
     const peer = await connectPeer(address, identity, security);
     if (this.isClosed) {
       peer.close();
@@ -123,11 +125,16 @@
     const link = {peer, heardAt: clock.now()};
     this.links.set(name, link);
     const reply = (message: Message) => peer.send(message);
-    void peer.messages.observe(message => {
-      link.heardAt = clock.now();
-      this.heardAt.set(peer.remote.id, link.heardAt);
-      onMessage(peer.remote.id, message, reply);
-    });
+    void peer.messages
+      .observe(message => {
+        link.heardAt = clock.now();
+        this.heardAt.set(peer.remote.id, link.heardAt);
+        onMessage(peer.remote.id, message, reply);
+      })
+      .catch((error: Error) => {
+        onFailure(peer.remote.id, error);
+        peer.close();
+      });
     await peer.closed;
     this.links.delete(name);
   }
--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -2,7 +2,6 @@
 import {randomBytes} from 'node:crypto';
 import {EventRing} from '../common/event_ring';
 import {systemClock} from '../common/system_clock';
-import {ThrottledLines} from '../common/throttled_lines';
 import {defaultRaftTiming} from '../coordination/default_raft_timing';
 import {Message} from '../protocol/message';
 import {MessageOf} from '../protocol/message_of';
@@ -17,6 +16,7 @@
 import {ChangeSignal} from './change_signal';
 import {ControlError} from './control_error';
 import {ControlLinks} from './control_links';
+import {ControlLog} from './control_log';
 import {ControlSettings} from './control_settings';
 import {createStatus} from './create_status';
 import {Fleet} from './fleet';
@@ -36,7 +36,7 @@
   /** Settles when the process must stop because its disk failed. */
   readonly failed: Promise<Error>;
   private fail: (error: Error) => void = () => undefined;
-  private readonly lines = ThrottledLines.create(this.events, systemClock);
+  private readonly log: ControlLog;
   private readonly fleet = Fleet.create();
   private readonly signal = ChangeSignal.create();
   private readonly incarnation = randomBytes(8).toString('hex');
@@ -54,6 +54,7 @@
     private readonly disk: ControlDisk,
   ) {
     this.failed = new Promise(resolve => (this.fail = resolve));
+    this.log = ControlLog.create(disk.identity, this.events, systemClock);
     this.registry = BackendRegistry.create(
       settings.pools?.heartbeatMs,
       ({registration: {incarnation, address, sequence}, holder}) =>
@@ -126,6 +127,7 @@
 
   private async start(): Promise<void> {
     const {settings, disk} = this;
+    this.log.recordRecovered(disk);
     const cut = disk.log.recovered.cutBytes;
     if (cut > 0) {
       this.record(
@@ -148,6 +150,7 @@
       clock: systemClock,
       security: settings.security,
       onMessage: (from, message, reply) => this.receive(from, message, reply),
+      onFailure: (from, error) => this.log.recordFailure(from, error),
     });
     this.keeper = QuorumKeeper.create({
       settings,
@@ -180,7 +183,10 @@
     const reply = (message: Message) => peer.send(message);
     void peer.messages
       .observe(message => this.receive(peer.remote.id, message, reply))
-      .catch(() => peer.close());
+      .catch((error: Error) => {
+        this.log.recordFailure(peer.remote.id, error);
+        peer.close();
+      });
   }
 
   private receive(from: string, message: Message, reply: Reply): void {
@@ -194,6 +200,7 @@
     } else if ('call' in message) {
       void this.answer(message as MessageOf<Message, keyof Handlers>, reply);
     } else if ('term' in message) {
+      this.log.recordRefusedVote(from, message as RaftMessage);
       this.runtime?.receive(from, message as RaftMessage);
     }
   }
@@ -210,7 +217,7 @@
     if (!runtime?.canAnswer() || !handlers?.[ask.type]) {
       if (runtime?.raft.role === 'leader') {
         this.recordRefusal(
-          ask,
+          ask.type,
           'it leads, but no quorum confirmed that lately',
         );
       }
@@ -223,37 +230,24 @@
       if (runtime.canAnswer()) {
         reply(answer);
       } else {
-        this.recordRefusal(ask, 'the lead was lost before the answer left');
+        this.recordRefusal(
+          ask.type,
+          'the lead was lost before the answer left',
+        );
         refuse();
       }
     } catch (error) {
       if (!(error instanceof ControlError)) {
         throw error;
       }
-      this.recordRefusal(ask, error.message);
+      this.recordRefusal(ask.type, error.message);
       refuse();
     }
   }
 
-  /** A call that the leader itself did not carry out looks to its caller as if this process did not lead. */
-  private recordRefusal(
-    {type}: MessageOf<Message, keyof Handlers>,
-    reason: string,
-  ): void {
-    const {runtime} = this;
-    this.lines.record(`${type} ${reason}`, {
-      type: 'call-not-carried-out',
-      subject: 'control',
-      id: this.disk.identity,
-      reason,
-      details: {
-        ask: type,
-        term: runtime?.raft.term ?? 0,
-        committed: runtime?.raft.commitIndex ?? 0,
-        voters: Object.keys(this.keeper?.listVoters() ?? {}).join(' '),
-        isChangingVoters: runtime?.raft.isChangingVoters ?? false,
-      },
-    });
+  private recordRefusal(ask: string, reason: string): void {
+    const voters = Object.keys(this.keeper?.listVoters() ?? {});
+    this.log.recordRefusal({ask, reason, voters, raft: this.runtime?.raft});
   }
 
   private startRaft(): void {
@@ -327,12 +321,7 @@
   }
 
   private record(type: string, reason: string): void {
-    this.events.record({
-      type,
-      subject: 'control',
-      id: this.disk.identity,
-      reason,
-    });
+    this.log.record(type, reason);
   }
 }
 
--- a/src/coordination/raft_election.ts
+++ b/src/coordination/raft_election.ts
@@ -37,10 +37,8 @@
   /** Answers a candidate. */
   handleAsk(from: string, ask: VoteAsk): void {
     const {state} = this;
-    const isGranted =
-      this.isFreeFor(from, ask) &&
-      this.isUpToDate(ask) &&
-      !state.hasRecentLeader();
+    const refusal = this.findRefusal(from, ask);
+    const isGranted = refusal === undefined;
     if (isGranted && !ask.isPreVote) {
       state.setHardState(state.term, from);
       state.electionAt = state.computeElectionTime();
@@ -51,9 +49,26 @@
       term,
       isGranted,
       isPreVote: ask.isPreVote,
+      refusal,
     });
   }
 
+  /** Why a vote is not given; undefined when it is. */
+  private findRefusal(from: string, ask: VoteAsk): string | undefined {
+    const {state} = this;
+    if (!state.others.includes(from)) {
+      return 'the asker is no voter here';
+    }
+    if (!this.isFreeFor(from, ask)) {
+      return `term ${state.term}, voted for ${state.votedFor ?? 'nobody'}`;
+    }
+    if (!this.isUpToDate(ask)) {
+      const {lastIndex, lastTerm} = state.log;
+      return `the log here goes on to ${lastIndex} of term ${lastTerm}`;
+    }
+    return state.hasRecentLeader() ? 'a leader was heard lately' : undefined;
+  }
+
   /** Counts an answer, if it belongs to the election under way. */
   handleAnswer(from: string, answer: VoteAnswer): void {
     const {state} = this;
@@ -124,9 +139,6 @@
 
   private isFreeFor(from: string, ask: VoteAsk): boolean {
     const {state} = this;
-    if (!state.others.includes(from)) {
-      return false;
-    }
     if (ask.isPreVote) {
       return ask.term > state.term;
     }
--- a/src/protocol/raft_message.ts
+++ b/src/protocol/raft_message.ts
@@ -19,6 +19,8 @@
     term: Term,
     isGranted: z.boolean(),
     isPreVote: z.boolean(),
+    /** Why it is not granted, for the asker's log. */
+    refusal: z.string().optional(),
   }),
   z.object({
     type: z.literal('append-ask'),
--- a/src/reporting/log_reporter.ts
+++ b/src/reporting/log_reporter.ts
@@ -11,6 +11,8 @@
   readonly program: string;
   readonly format: 'json' | 'pretty';
   readonly events: Stream<SystemEvent>;
+  /** What happened before there was a reporter, oldest first. */
+  readonly earlier?: readonly SystemEvent[];
 }
 
 /** A reporter that writes. */
@@ -40,14 +42,16 @@
         writer.write([meta, ...parts, ...errors].join(' ')),
     },
   });
-  void options.events.observe(event => {
+  const report = (event: SystemEvent) => {
     const {type, subject, id, reason, details} = event;
     if (options.format === 'json') {
       logger.info({event: type, subject, id, reason, ...details});
     } else {
       logger.info(`${type} ${subject} ${id}: ${reason}`);
     }
-  });
+  };
+  options.earlier?.forEach(report);
+  void options.events.observe(report);
   return {drain: () => writer.drain()};
 }
 
