--- a/src/protocol/leader_call.ts
+++ b/src/protocol/leader_call.ts
@@ -67,9 +67,11 @@
     }
   }
 
-  /** Ends without an answer. */
+  /** Ends without an answer; the next call asks over other connections, as these may be silent for good. */
   abandon(reason: string): void {
-    const {lastError} = this.options.finder;
+    const {lines, finder} = this.options;
+    const {lastError} = finder;
+    this.taken.forEach(line => lines.abandon(line));
     this.fail(
       lastError
         ? new ProtocolError(lastError, reason)
