test(coordination): a voter that another one has not heard of gets no vote, ever

Survivors of a tolerated loss (two of five disks, all power) are one that holds the change of voters, one that lagged, and the replacement, which alone holds the acknowledged entry. The one that lagged answers 'the asker is no voter here'.

--- a/test/support/raft_net.ts
+++ b/test/support/raft_net.ts
@@ -19,6 +19,8 @@
   term: number;
   votedFor: string | undefined;
   entries: LogEntry[];
+  /** Entries up to here were known to be committed when they were written. */
+  commitIndex?: number;
 }
 
 /** One node, its disk, and what it applied. */
@@ -58,6 +60,19 @@
     return new RaftNet(identities, random);
   }
 
+  /** Puts a node with this disk in, one that was there before or a new one. */
+  place(identity: string, disk: Disk): void {
+    this.members.set(identity, this.startMember(identity, disk));
+  }
+
+  /** Lets time pass, syncs at once and delivers everything. */
+  run(ms: number): void {
+    for (let passed = 0; passed < ms; passed += 20) {
+      this.tick(20);
+      for (let count = 0; count < 50 && this.deliverAll(); count += 1);
+    }
+  }
+
   get identities(): string[] {
     return [...this.members.keys()];
   }
@@ -167,6 +182,16 @@
     return member;
   }
 
+  /** False when nothing was under way or on its way to a disk. */
+  private deliverAll(): boolean {
+    this.identities.forEach(identity => this.sync(identity));
+    const count = this.flights.length;
+    for (let done = 0; done < count; done += 1) {
+      this.deliver(0);
+    }
+    return count > 0;
+  }
+
   private startMember(identity: string, disk: Disk): Member {
     const voters = new Map(this.voters.map(name => [name, name]));
     const node = RaftNode.create({
@@ -175,6 +200,7 @@
       term: disk.term,
       votedFor: disk.votedFor,
       commitIndex: 0,
+      knownCommitted: disk.commitIndex,
       timing: TIMING,
       random: this.random,
       readSnapshot: () => new Uint8Array(),
