fix(control): a restarted process connects to the voters that its log names

Cause: a process of a seeded quorum connected to its seeds and to whom others told it of; a process without a leader told of the founders only, since it answered with the voters as of its applied entries (none after a restart). Two voters that were no seeds so never met when the disks of two seeds were lost, and where the third seed lagged neither could be elected: no leader for good, with everything acknowledged on disk. Change: links to every voter of the newest sets in the own log, from the start on; answers about the quorum count on what the disk knows to be committed.

--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -265,6 +265,7 @@
       onDiskFull: error => this.record('disk-full', error.message),
     });
     this.runtime = runtime;
+    this.keeper?.connectVoters();
     void runtime.roleChanges.observe(({role, reason}) => {
       fleet.clear();
       this.registry.clear();
--- a/src/control/quorum_keeper.ts
+++ b/src/control/quorum_keeper.ts
@@ -41,7 +41,7 @@
 
   private constructor(private readonly options: QuorumKeeperOptions) {
     this.startedAt = options.clock.now();
-    this.timer = setInterval(() => void this.changeVoters(), ADMIT_EVERY_MS);
+    this.timer = setInterval(() => this.tick(), ADMIT_EVERY_MS);
   }
 
   /**
@@ -61,8 +61,17 @@
     if (!runtime) {
       return disk.snapshots.current?.voters ?? null;
     }
-    const {raft} = runtime;
-    return Object.fromEntries(raft.listVotersAt(raft.commitIndex));
+    return Object.fromEntries(runtime.raft.listKnownVoters());
+  }
+
+  /**
+   * Connects to every voter that the log names. A restarted process that knew its
+   * seeds only left three of five voters without a leader for good when the disks of
+   * two seeds were lost.
+   */
+  connectVoters(): void {
+    const others = this.options.findRuntime()?.raft.others ?? [];
+    this.connect(others.map(identity => splitIdentity(identity).name));
   }
 
   /** Answers who asks for the quorum; in a growing quorum it may become a voter. */
@@ -138,6 +147,11 @@
     }
   }
 
+  private tick(): void {
+    this.connectVoters();
+    void this.changeVoters();
+  }
+
   private async changeVoters(): Promise<void> {
     const {links, settings, findRuntime, clock} = this.options;
     const runtime = findRuntime();
--- a/src/control/raft_runtime.ts
+++ b/src/control/raft_runtime.ts
@@ -127,6 +127,7 @@
     | 'commitIndex'
     | 'findVoter'
     | 'listVotersAt'
+    | 'listKnownVoters'
     | 'isCaughtUp'
     | 'isChangingVoters'
   > {
--- a/src/coordination/raft_node.ts
+++ b/src/coordination/raft_node.ts
@@ -85,6 +85,11 @@
     return this.replication.findMatch(identity) >= this.state.commitIndex;
   }
 
+  /** The newest voters that are known to be committed, from this disk or since. */
+  listKnownVoters(): VoterSet {
+    return this.state.voterSets[0];
+  }
+
   /** Committed voters as of an entry. */
   listVotersAt(index: number): VoterSet {
     return this.state.log.listVoterSets(index)[0];
