perf(gateway): requests are spread over engines by what nobody has told yet

Cause: each gateway sent to the engine that was least busy when it last heard of the others, and all heard the same. Ruled out as the cause: places (a third stood empty), 5 gateways with the same load (none late). Change: a gateway estimates what the others began since (their number, its own starts of the last 2 s, the measured age of what it was told) and draws among the engines in proportion to what each lacks to the level that this work fills up.

--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -99,7 +99,8 @@
         pressed: this.listPressed(),
         hasServed: this.hasServed,
       }),
-      onRunning: running => this.board.setRunningElsewhere(running),
+      onRunning: (running, others) =>
+        this.board.setRunningElsewhere(running, others),
       onTargets: targets => {
         this.board.setTargets(targets);
         this.origins.retain(this.board.listAddresses());
--- a/src/gateway/rules_feed.ts
+++ b/src/gateway/rules_feed.ts
@@ -35,7 +35,10 @@
   readonly changesWithinMs: number;
   readonly collectNews: () => BackendNews;
   /** Requests that other gateways have at each backend server. */
-  readonly onRunning: (running: Readonly<Record<string, number>>) => void;
+  readonly onRunning: (
+    running: Readonly<Record<string, number>>,
+    otherGateways: number,
+  ) => void;
   readonly onTargets: (targets: ReadonlyMap<string, GatewayTarget>) => void;
   /** Addresses of the control processes, whenever they are told. */
   readonly onControl: (addresses: readonly string[]) => void;
@@ -172,8 +175,8 @@
     if (answer.targets) {
       this.applyTargets(answer, answer.targets);
     }
-    this.options.onRunning(answer.runningElsewhere);
     this.gatewayCount = answer.gateways;
+    this.options.onRunning(answer.runningElsewhere, answer.gateways - 1);
     this.options.onControl(answer.control);
   }
 
--- a/src/gateway/target_board.ts
+++ b/src/gateway/target_board.ts
@@ -1,7 +1,9 @@
 /** What this gateway knows about backend servers: its own work there, and who stalls. */
 import {Clock} from '../common/clock';
 import {GatewayTarget} from '../protocol/gateway_target';
+import {chooseByLevel} from './choose_by_level';
 import {createTargetKey} from './create_target_key';
+import {UnseenWork} from './unseen_work';
 
 /** How long a backend server that did not take a connection is passed over. */
 const UNREACHABLE_MS = 1_000;
@@ -47,12 +49,16 @@
   /** How long the last repair took, from the loss of a group to the next new one, by model. */
   private readonly repairMs = new Map<string, number>();
 
+  private readonly unseen: UnseenWork;
+
   private constructor(
     private readonly zone: string,
     private readonly clock: Clock,
     private readonly random: () => number,
     private readonly onStalled: () => void,
-  ) {}
+  ) {
+    this.unseen = UnseenWork.create(clock);
+  }
 
   /**
    * Creates a board without targets.
@@ -125,8 +131,16 @@
     this.missingSince.set(model, this.missingSince.get(model) ?? now);
   }
 
-  /** Notes what the other gateways have running. */
-  setRunningElsewhere(running: Readonly<Record<string, number>>): void {
+  /**
+   * Notes what the other gateways have running.
+   *
+   * @param others how many they are
+   */
+  setRunningElsewhere(
+    running: Readonly<Record<string, number>>,
+    others = 0,
+  ): void {
+    this.unseen.recordTold(others);
     for (const [incarnation, standing] of this.standings) {
       standing.runningElsewhere = running[incarnation] ?? 0;
     }
@@ -137,26 +151,20 @@
     return this.standings.has(incarnation);
   }
 
-  /** The least busy target; undefined when none is fit. */
+  /** One of the least busy targets; undefined when none is fit. */
   choose(want: Want): GatewayTarget | undefined {
     const now = this.clock.now();
-    let best: Standing | undefined;
-    let bestCost = Infinity;
-    for (const standing of this.standings.values()) {
-      const {target} = standing;
-      const isFit =
-        target.pool === want.pool &&
-        target.model === want.model &&
-        !want.excluded.has(createTargetKey(target)) &&
+    const fit = [...this.standings.values()].filter(
+      standing =>
+        standing.target.pool === want.pool &&
+        standing.target.model === want.model &&
+        !want.excluded.has(createTargetKey(standing.target)) &&
         standing.avoidUntil <= now &&
-        (want.mayQueue || hasPlace(standing));
-      const cost = isFit ? this.computeCost(standing) : Infinity;
-      if (cost < bestCost) {
-        best = standing;
-        bestCost = cost;
-      }
-    }
-    return best?.target;
+        (want.mayQueue || hasPlace(standing)),
+    );
+    const loads = fit.map(standing => this.computeWork(standing));
+    const unseen = this.unseen.estimate(createLine(want));
+    return fit[chooseByLevel(loads, unseen, this.random())]?.target;
   }
 
   /** Addresses of all targets. */
@@ -169,6 +177,8 @@
   recordStart(incarnation: string, promptTokens: number): void {
     const standing = this.standings.get(incarnation);
     if (standing) {
+      const line = createLine(standing.target);
+      this.unseen.recordStart(line, RUNNING_TOKENS + promptTokens);
       standing.running += 1;
       standing.waitingTokens += promptTokens;
     }
@@ -273,15 +283,19 @@
     }
   }
 
-  private computeCost(standing: Standing): number {
+  private computeWork(standing: Standing): number {
     const {target, running, runningElsewhere, waitingTokens} = standing;
     const distance = target.zone === this.zone ? 0 : OTHER_ZONE_TOKENS;
-    const work = (running + runningElsewhere) * RUNNING_TOKENS + waitingTokens;
-    // Gateways see only their own work; chance keeps them from choosing alike.
-    return (work + distance) * (1 + this.random() / 2) + this.random();
+    const total = running + runningElsewhere;
+    return total * RUNNING_TOKENS + waitingTokens + distance;
   }
 }
 
+/** Targets of one model of one pool stand for each other. */
+function createLine({pool, model = ''}: Pick<GatewayTarget, 'pool' | 'model'>) {
+  return `${pool} ${model}`;
+}
+
 function createStanding(target: GatewayTarget): Standing {
   return {
     target,
--- a/test/support/gateway_crowd.ts
+++ b/test/support/gateway_crowd.ts
@@ -177,7 +177,7 @@
         }
       }
     });
-    board.setRunningElsewhere(sums);
+    board.setRunningElsewhere(sums, this.boards.length - 1);
     this.plan(this.clock.time + this.options.tellEveryMs, () =>
       this.exchange(at),
     );
