perf(control): a registration looks at those with its address or name, not at all

Cause: each registration looked through all backend servers for a holder of its address or name and for one that tells its start, and each goodbye for its start: with 370 that register every 1.2 s, 300 such walks a second at the leader. Change: indexes by address and by name, and a count of starts told.

--- a/src/control/backend_registry.ts
+++ b/src/control/backend_registry.ts
@@ -1,6 +1,7 @@
 /** What the leader has heard from backend servers lately; never replicated. */
 import {BackendView} from '../coordination/backend_view';
 import {BackendRegistration} from '../protocol/backend_registration';
+import {ValueIndex} from './value_index';
 
 /** Silence after which a backend server is forgotten: it said no goodbye. */
 const FORGET_AFTER_MS = 30_000;
@@ -24,6 +25,11 @@
 /** The newest registration of each start of a backend server. */
 export class BackendRegistry {
   private readonly views = new Map<string, BackendView>();
+  /** Incarnations of the views, by address and by name: a call looks at few others. */
+  private readonly byAddress = ValueIndex.create();
+  private readonly byName = ValueIndex.create();
+  /** Views that told when they started. */
+  private startsTold = 0;
   /** Starts whose address another one has taken. */
   private readonly replaced = new Set<string>();
   /** Calls of starts that may be late ones: when each first came. */
@@ -65,6 +71,7 @@
       return false;
     }
     const isNews = !known || describe(known) !== describe({registration});
+    this.index(known?.registration, registration);
     this.views.set(registration.incarnation, {
       registration,
       seenAt: now,
@@ -104,7 +111,12 @@
   }
 
   remove(incarnation: string): void {
-    this.changes += this.views.delete(incarnation) ? 1 : 0;
+    const known = this.views.get(incarnation);
+    if (known) {
+      this.index(known.registration, undefined);
+      this.views.delete(incarnation);
+      this.changes += 1;
+    }
   }
 
   /** Forgets those that were silent for long, and the doubts about starts that call no more. */
@@ -127,12 +139,13 @@
 
   /** The newest start of the backend server with this name. */
   findByName(name: string): BackendView | undefined {
-    return this.list().find(({registration}) => registration.name === name);
+    const [incarnation] = this.byName.list(name);
+    return this.views.get(incarnation);
   }
 
   /** True once some backend server told when it started: then all of them do. */
   get tellsStarts(): boolean {
-    return this.list().some(({registration}) => registration.startedAt);
+    return this.startsTold > 0;
   }
 
   find(incarnation: string): BackendView | undefined {
@@ -142,6 +155,9 @@
   /** Forgets everything: another process may lead now. */
   clear(): void {
     this.views.clear();
+    this.byAddress.clear();
+    this.byName.clear();
+    this.startsTold = 0;
     this.replaced.clear();
     this.doubtfulSince.clear();
     this.changes += 1;
@@ -188,12 +204,26 @@
     address,
     name,
   }: BackendRegistration): BackendView[] {
-    return this.list().filter(
-      ({registration}) =>
-        registration.incarnation !== incarnation &&
-        (registration.address === address ||
-          (name !== undefined && registration.name === name)),
-    );
+    const named = name === undefined ? [] : this.byName.list(name);
+    const holders = new Set([...this.byAddress.list(address), ...named]);
+    holders.delete(incarnation);
+    return [...holders].flatMap(holder => this.views.get(holder) ?? []);
+  }
+
+  private index(
+    before: BackendRegistration | undefined,
+    after: BackendRegistration | undefined,
+  ): void {
+    if (before) {
+      this.byAddress.remove(before.address, before.incarnation);
+      this.byName.remove(before.name, before.incarnation);
+      this.startsTold -= before.startedAt ? 1 : 0;
+    }
+    if (after) {
+      this.byAddress.add(after.address, after.incarnation);
+      this.byName.add(after.name, after.incarnation);
+      this.startsTold += after.startedAt ? 1 : 0;
+    }
   }
 
   /** A new start at the same address, or under the same name, ends the one before. */
