perf(control): a backend server that answered is asked again only after a second

Cause: a doubt lasts as long as the gateway's word that began it (2 s), and each member of the group was asked every 150 ms all the while, also after it had answered. Change: one that answered, like one that counts as lost, is asked again after 1 s; one that did not answer after 150 ms, as before. Test: 13 questions in 2 s before, 2 after.

--- a/src/control/backend_health.ts
+++ b/src/control/backend_health.ts
@@ -14,14 +14,19 @@
 const FAILED_PROBES_STALLED = 1;
 /** Between two questions to one backend server that is in doubt. */
 const PROBE_EVERY_MS = 150;
-/** The same once it counts as lost: only a return would be news. */
-const PROBE_LOST_EVERY_MS = 1_000;
+/**
+ * The same once it answered, or counts as lost: only a change would be news. Asked
+ * every 150 ms, 247 doubts made 3,200 checks in 12 s, each on a new connection.
+ */
+const PROBE_SETTLED_EVERY_MS = 1_000;
 
 interface Doubt {
   failures: number;
   /** A gateway says that its group has stalled. */
   isStalled: boolean;
   isAsking: boolean;
+  /** It answered the last question. */
+  hasAnswered: boolean;
   askedAt: number;
 }
 
@@ -105,6 +110,7 @@
       failures: 0,
       isStalled: false,
       isAsking: false,
+      hasAnswered: false,
       askedAt: -Infinity,
     };
     this.doubts.set(incarnation, doubt);
@@ -117,9 +123,8 @@
     address: string,
     now: number,
   ): void {
-    const everyMs = this.isLost(incarnation)
-      ? PROBE_LOST_EVERY_MS
-      : PROBE_EVERY_MS;
+    const isSettled = doubt.hasAnswered || this.isLost(incarnation);
+    const everyMs = isSettled ? PROBE_SETTLED_EVERY_MS : PROBE_EVERY_MS;
     const isDue = now - doubt.askedAt >= everyMs;
     if (doubt.isAsking || !isDue) {
       return;
@@ -130,6 +135,7 @@
     void (orders?.probe(address, incarnation) ?? Promise.resolve(true)).then(
       isAnswering => {
         doubt.isAsking = false;
+        doubt.hasAnswered = isAnswering;
         const wasLost = this.isLost(incarnation);
         doubt.failures = isAnswering ? 0 : doubt.failures + 1;
         if (!wasLost && this.isLost(incarnation)) {
