--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -2,7 +2,6 @@
 import {randomBytes} from 'node:crypto';
 import {EventRing} from '../common/event_ring';
 import {systemClock} from '../common/system_clock';
-import {defaultRaftTiming} from '../coordination/default_raft_timing';
 import {Message} from '../protocol/message';
 import {MessageOf} from '../protocol/message_of';
 import {Peer} from '../protocol/peer';
@@ -23,7 +22,7 @@
 import {EnginePlannerLoop} from './engine_planner_loop';
 import {GatewayDesk} from './gateway_desk';
 import {PlannerLoop} from './planner_loop';
-import {QuorumKeeper} from './quorum_keeper';
+import {QuorumMember} from './quorum_member';
 import {RaftRuntime} from './raft_runtime';
 
 type Handlers = ReturnType<typeof createCallHandlers>;
@@ -42,10 +41,9 @@
   private readonly incarnation = randomBytes(8).toString('hex');
   private server: FrameServer | undefined;
   private links: ControlLinks | undefined;
-  private keeper: QuorumKeeper | undefined;
+  private member: QuorumMember | undefined;
   private enginePlanner: EnginePlannerLoop | undefined;
   private readonly registry: BackendRegistry;
-  private runtime: RaftRuntime | undefined;
   private planner: PlannerLoop | undefined;
   private handlers: Handlers | undefined;
 
@@ -77,11 +75,9 @@
    * const control = await ControlServer.create(settings);
    */
   static async create(settings: ControlSettings): Promise<ControlServer> {
-    const disk = await ControlDisk.create(
-      settings.dataFolder,
-      settings.name,
-      settings.locksFolder,
-    );
+    const disk = await ControlDisk.create(settings.dataFolder, settings.name, {
+      locksFolder: settings.locksFolder,
+    });
     const control = new ControlServer(settings, disk);
     await control.start().catch(async error => {
       await disk.close();
@@ -98,7 +94,7 @@
   /** Addresses at which the leader may be found, the likeliest first. */
   listControlAddresses(): string[] {
     const leader = this.runtime?.raft.leader;
-    const voters = Object.keys(this.keeper?.listVoters() ?? {});
+    const voters = Object.keys(this.member?.keeper.listVoters() ?? {});
     const seeds = this.settings.seeded?.seeds ?? [];
     const known = leader ? [splitIdentity(leader).name] : [];
     return [...new Set([...known, ...voters, ...seeds])];
@@ -106,7 +102,7 @@
 
   /** Takes other places to find control processes at, as the settings changed. */
   addSeeds(seeds: readonly string[]): void {
-    this.keeper?.addSeeds(seeds);
+    this.member?.keeper.addSeeds(seeds);
   }
 
   /** True while this process may answer for the whole system. */
@@ -116,12 +112,11 @@
 
   /** Stops without waiting for anything but the disk. */
   async close(): Promise<void> {
-    this.keeper?.close();
     this.planner?.close();
     this.enginePlanner?.close();
     this.links?.close();
     await this.server?.close();
-    await this.runtime?.close();
+    await this.member?.close();
     await this.disk.close();
   }
 
@@ -152,22 +147,24 @@
       onMessage: (from, message, reply) => this.receive(from, message, reply),
       onFailure: (from, error) => this.log.recordFailure(from, error),
     });
-    this.keeper = QuorumKeeper.create({
+    this.member = QuorumMember.create({
       settings,
       disk,
       links: this.links,
       clock: systemClock,
-      findRuntime: () => this.runtime,
-      onQuorum: ({type, reason}) => {
-        this.record(type, reason);
-        this.startRaft();
-      },
+      random: Math.random,
+      send: (to, message) => this.sendRaft(to, message),
+      onQuorum: ({type, reason}) => this.record(type, reason),
+      onRuntime: runtime => this.startLeading(runtime),
+      onFailure: error => this.fail(error),
+      onChange: () => this.signal.announce(),
+      onDiskFull: error => this.record('disk-full', error.message),
     });
-    if (disk.snapshots.current) {
-      this.startRaft();
-    } else {
-      void this.keeper.runFormation().catch((error: Error) => this.fail(error));
-    }
+    this.member.start();
+  }
+
+  private get runtime(): RaftRuntime | undefined {
+    return this.member?.runtime;
   }
 
   private get identity() {
@@ -190,19 +187,14 @@
   }
 
   private receive(from: string, message: Message, reply: Reply): void {
-    if (message.type === 'formation-ask') {
-      const answer = this.keeper?.handleAsk(message);
-      if (answer) {
-        reply(answer);
-      }
-    } else if (message.type === 'formation-answer') {
-      this.keeper?.handleAnswer(from, message);
-    } else if ('call' in message) {
+    if ('call' in message) {
       void this.answer(message as MessageOf<Message, keyof Handlers>, reply);
-    } else if ('term' in message) {
+      return;
+    }
+    if ('term' in message) {
       this.log.recordRefusedVote(from, message as RaftMessage);
-      this.runtime?.receive(from, message as RaftMessage);
     }
+    this.member?.receive(from, message, reply);
   }
 
   private async answer(
@@ -246,26 +238,13 @@
   }
 
   private recordRefusal(ask: string, reason: string): void {
-    const voters = Object.keys(this.keeper?.listVoters() ?? {});
+    const voters = Object.keys(this.member?.keeper.listVoters() ?? {});
     this.log.recordRefusal({ask, reason, voters, raft: this.runtime?.raft});
   }
 
-  private startRaft(): void {
+  /** Sets up what the leader does, beside the agreement. */
+  private startLeading(runtime: RaftRuntime): void {
     const {settings, disk, fleet} = this;
-    const runtime = RaftRuntime.create({
-      disk,
-      clock: systemClock,
-      timing: defaultRaftTiming,
-      random: Math.random,
-      startedAt: settings.startedAt,
-      send: (to, message) => this.sendRaft(to, message),
-      onFailure: error => this.fail(error),
-      snapshotEvery: settings.snapshotEvery,
-      onChange: () => this.signal.announce(),
-      onDiskFull: error => this.record('disk-full', error.message),
-    });
-    this.runtime = runtime;
-    this.keeper?.connectVoters();
     void runtime.roleChanges.observe(({role, reason}) => {
       fleet.clear();
       this.registry.clear();
--- a/src/control/quorum_keeper.ts
+++ b/src/control/quorum_keeper.ts
@@ -1,5 +1,8 @@
 /** Brings the first quorum together and changes its voters one at a time. */
 import {Clock} from '../common/clock';
+import {systemTimers} from '../common/system_timers';
+import {Cancel, Timers} from '../common/timers';
+import {waitFor} from '../common/wait_for';
 import {decideVoterChange} from '../coordination/decide_voter_change';
 import {FormationMessage} from '../protocol/formation_message';
 import {MessageOf} from '../protocol/message_of';
@@ -23,8 +26,12 @@
 interface QuorumKeeperOptions {
   readonly settings: ControlSettings;
   readonly disk: ControlDisk;
-  readonly links: ControlLinks;
+  readonly links: Pick<
+    ControlLinks,
+    'add' | 'send' | 'listIdentities' | 'findHeardAt'
+  >;
   readonly clock: Clock;
+  readonly timers?: Timers;
   readonly findRuntime: () => RaftRuntime | undefined;
   /** Called once, when the data folder knows the quorum. */
   readonly onQuorum: (reason: {type: string; reason: string}) => void;
@@ -35,13 +42,15 @@
   private readonly answers = new Map<string, Answer>();
   /** When a process last asked, by identity. */
   private readonly askedAt = new Map<string, number>();
-  private readonly timer: NodeJS.Timeout;
+  private readonly timers: Timers;
+  private readonly stopTicking: Cancel;
   private readonly startedAt: number;
   private isClosed = false;
 
   private constructor(private readonly options: QuorumKeeperOptions) {
     this.startedAt = options.clock.now();
-    this.timer = setInterval(() => this.tick(), ADMIT_EVERY_MS);
+    this.timers = options.timers ?? systemTimers;
+    this.stopTicking = this.timers.every(ADMIT_EVERY_MS, () => this.tick());
   }
 
   /**
@@ -98,13 +107,13 @@
   async runFormation(): Promise<void> {
     while (!this.options.findRuntime() && !this.isClosed) {
       await this.formOrJoin();
-      await new Promise(resolve => setTimeout(resolve, FORMATION_EVERY_MS));
+      await waitFor(this.timers, FORMATION_EVERY_MS);
     }
   }
 
   close(): void {
     this.isClosed = true;
-    clearInterval(this.timer);
+    this.stopTicking();
   }
 
   private async formOrJoin(): Promise<void> {
--- a/src/control/raft_runtime.ts
+++ b/src/control/raft_runtime.ts
@@ -1,6 +1,9 @@
 /** Drives the agreement: feeds it events and performs its effects on disk and network. */
 import {Clock} from '../common/clock';
 import {PushSource} from '../common/push_source';
+import {systemTimers} from '../common/system_timers';
+import {Cancel, Timers} from '../common/timers';
+import {waitFor} from '../common/wait_for';
 import {RaftEffects} from '../coordination/raft_effects';
 import {RaftEvent} from '../coordination/raft_event';
 import {RaftLog} from '../coordination/raft_log';
@@ -13,6 +16,7 @@
 import {ControlDisk} from '../state/control_disk';
 import {LogRecord} from '../state/log_record';
 import {ControlError} from './control_error';
+import {createLogRecords} from './create_log_records';
 import {PendingProposals} from './pending_proposals';
 
 const TICK_MS = 20;
@@ -36,6 +40,7 @@
 interface RaftRuntimeOptions {
   readonly disk: ControlDisk;
   readonly clock: Clock;
+  readonly timers?: Timers;
   readonly timing: RaftTiming;
   readonly random: () => number;
   /** When this process began, on its clock. */
@@ -72,7 +77,8 @@
   private readonly pending = PendingProposals.create();
   private appliedTerm = 0;
   private ledSince = 0;
-  private readonly timer: NodeJS.Timeout;
+  private readonly timers: Timers;
+  private readonly stopTicking: Cancel;
   private isClosed = false;
 
   private constructor(private readonly options: RaftRuntimeOptions) {
@@ -98,7 +104,10 @@
       now: clock.now(),
       startedAt: options.startedAt,
     });
-    this.timer = setInterval(() => this.step({type: 'tick'}), TICK_MS);
+    this.timers = options.timers ?? systemTimers;
+    this.stopTicking = this.timers.every(TICK_MS, () =>
+      this.step({type: 'tick'}),
+    );
   }
 
   /**
@@ -165,7 +174,7 @@
   propose(command: ControlCommand): Promise<CommandResult> {
     const settled = this.pending.add(command);
     if (this.pending.queuedCount === 1) {
-      setImmediate(() => this.flushProposals());
+      this.timers.soon(() => this.flushProposals());
     }
     return settled;
   }
@@ -173,10 +182,10 @@
   /** Stops; resolves when the disk is idle. */
   async close(): Promise<void> {
     this.isClosed = true;
-    clearInterval(this.timer);
+    this.stopTicking();
     this.pending.reject('control is stopping');
     while (this.isDiskBusy) {
-      await new Promise(resolve => setTimeout(resolve, 1));
+      await waitFor(this.timers, 1);
     }
   }
 
@@ -273,7 +282,7 @@
       }
     } catch (error) {
       this.isClosed = true;
-      clearInterval(this.timer);
+      this.stopTicking();
       this.options.onFailure(error as Error);
     } finally {
       this.isDiskBusy = false;
@@ -282,7 +291,7 @@
 
   /** Writes all jobs that piled up with one sync. */
   private async runDiskJobs(jobs: readonly DiskJob[]): Promise<void> {
-    const records = jobs.flatMap(createRecords);
+    const records = jobs.flatMap(createLogRecords);
     if (records.length > 0) {
       await this.retryWhileFull(() => this.options.disk.log.append(records));
     }
@@ -319,7 +328,7 @@
           throw error;
         }
         this.options.onDiskFull?.(error as Error);
-        await new Promise(resolve => setTimeout(resolve, DISK_RETRY_MS));
+        await waitFor(this.timers, DISK_RETRY_MS);
       }
     }
   }
@@ -356,24 +365,6 @@
   }
 }
 
-function createRecords({persist, commitIndex}: DiskJob): LogRecord[] {
-  const records: LogRecord[] = [];
-  if (persist?.hardState) {
-    records.push({type: 'hard-state', ...persist.hardState});
-  }
-  if (persist?.truncateFrom !== undefined) {
-    records.push({type: 'truncate', from: persist.truncateFrom});
-  }
-  const entries = persist?.entries ?? [];
-  if (entries.length > 0) {
-    records.push({type: 'commit', index: commitIndex});
-  }
-  return [
-    ...records,
-    ...entries.map(entry => ({type: 'entry' as const, entry})),
-  ];
-}
-
 function createLogStart(snapshot: {
   index: number;
   term: number;
--- a/src/state/control_disk.ts
+++ b/src/state/control_disk.ts
@@ -1,17 +1,27 @@
 /** The data folder of a control process: lock, identity, snapshot and log. */
 import {randomBytes} from 'node:crypto';
-import {mkdir, readFile, rm, writeFile} from 'node:fs/promises';
+import {readFile, rm, writeFile} from 'node:fs/promises';
 import * as path from 'node:path';
-import {readIfPresent} from './read_if_present';
+import {nodeStorage} from './node_storage';
 import {replaceFile} from './replace_file';
 import {SnapshotStore} from './snapshot_store';
 import {StateError} from './state_error';
+import {Storage} from './storage';
 import {WriteAheadLog} from './write_ahead_log';
 
 const LOCK_FILE = 'lock';
 const IDENTITY_FILE = 'identity';
 const DISK_ID_BYTES = 8;
 
+/** How a data folder is opened. */
+interface ControlDiskOptions {
+  /** False where no other process can come to the folder; true without it. */
+  readonly locksFolder?: boolean;
+  readonly storage?: Storage;
+  /** Names a new disk; never twice alike. */
+  readonly createDiskId?: () => string;
+}
+
 /** An opened data folder. */
 export class ControlDisk {
   private constructor(
@@ -26,7 +36,6 @@
    * Opens a data folder, creating it when it is not there.
    *
    * @param name the name of this control process
-   * @param locksFolder false where no other process can come to the folder
    * @throws StateError when the folder is in use or damaged
    * @example
    * const disk = await ControlDisk.create('data', 'control-a');
@@ -34,15 +43,22 @@
   static async create(
     folder: string,
     name: string,
-    locksFolder = true,
+    options: ControlDiskOptions = {},
   ): Promise<ControlDisk> {
-    await mkdir(folder, {recursive: true});
+    const {locksFolder = true, storage = nodeStorage} = options;
+    const {createDiskId = drawDiskId} = options;
+    await storage.makeFolder(folder);
     if (locksFolder) {
       await takeLock(folder);
     }
-    const identity = await readOrCreateIdentity(folder, name);
-    const snapshots = await SnapshotStore.create(folder);
-    const log = await WriteAheadLog.create(folder);
+    const identity = await readOrCreateIdentity(
+      storage,
+      folder,
+      name,
+      createDiskId,
+    );
+    const snapshots = await SnapshotStore.create(folder, storage);
+    const log = await WriteAheadLog.create(folder, storage);
     return new ControlDisk(folder, identity, snapshots, log);
   }
 
@@ -53,15 +69,21 @@
   }
 }
 
+function drawDiskId(): string {
+  return randomBytes(DISK_ID_BYTES).toString('hex');
+}
+
 async function readOrCreateIdentity(
+  storage: Storage,
   folder: string,
   name: string,
+  createDiskId: () => string,
 ): Promise<string> {
   const file = path.join(folder, IDENTITY_FILE);
-  const known = await readIfPresent(file);
+  const known = await storage.read(file);
   if (!known) {
-    const identity = `${name}/${randomBytes(DISK_ID_BYTES).toString('hex')}`;
-    await replaceFile(file, Buffer.from(identity));
+    const identity = `${name}/${createDiskId()}`;
+    await replaceFile(storage, file, Buffer.from(identity));
     return identity;
   }
   const identity = known.toString();
@@ -79,7 +101,7 @@
 /** The lock names a process and its start time, since process ids are used again. */
 async function takeLock(folder: string): Promise<void> {
   const file = path.join(folder, LOCK_FILE);
-  const owner = (await readIfPresent(file))?.toString();
+  const owner = (await nodeStorage.read(file))?.toString();
   if (owner) {
     const [pid, startTime] = owner.split(' ');
     if (
--- a/src/state/replace_file.ts
+++ b/src/state/replace_file.ts
@@ -1,25 +1,26 @@
-import {open, rename} from 'node:fs/promises';
 import * as path from 'node:path';
-import {syncFolder} from './sync_folder';
+import {Storage} from './storage';
+import {writeWhole} from './write_whole';
 
 /**
  * Writes a file so that after a crash either the old or the new content stands.
  *
  * @example
- * await replaceFile('data/identity.json', bytes);
+ * await replaceFile(nodeStorage, 'data/identity.json', bytes);
  */
 export async function replaceFile(
+  storage: Storage,
   file: string,
   bytes: Uint8Array,
 ): Promise<void> {
   const temporary = `${file}.new`;
-  const handle = await open(temporary, 'w', 0o600);
+  const handle = await storage.open(temporary, 'replace');
   try {
-    await handle.writeFile(bytes);
+    await writeWhole(handle, Buffer.from(bytes));
     await handle.sync();
   } finally {
     await handle.close();
   }
-  await rename(temporary, file);
-  await syncFolder(path.dirname(file));
+  await storage.rename(temporary, file);
+  await storage.syncFolder(path.dirname(file));
 }
--- a/src/state/snapshot_store.ts
+++ b/src/state/snapshot_store.ts
@@ -2,10 +2,11 @@
 import * as path from 'node:path';
 import {Decoder, Encoder} from 'cbor-x';
 import {z} from 'zod';
-import {readIfPresent} from './read_if_present';
+import {nodeStorage} from './node_storage';
 import {recordFile} from './record_file';
 import {replaceFile} from './replace_file';
 import {StateError} from './state_error';
+import {Storage} from './storage';
 
 const FILE_NAME = 'snapshot';
 const encoder = new Encoder({useRecords: false});
@@ -22,6 +23,7 @@
 /** Keeps one snapshot, replaced as a whole. */
 export class SnapshotStore {
   private constructor(
+    private readonly storage: Storage,
     private readonly file: string,
     private snapshot: Snapshot | undefined,
   ) {}
@@ -33,10 +35,13 @@
    * @example
    * const store = await SnapshotStore.create('data');
    */
-  static async create(folder: string): Promise<SnapshotStore> {
+  static async create(
+    folder: string,
+    storage: Storage = nodeStorage,
+  ): Promise<SnapshotStore> {
     const file = path.join(folder, FILE_NAME);
-    const bytes = await readIfPresent(file);
-    return new SnapshotStore(file, bytes && readSnapshot(bytes, file));
+    const bytes = await storage.read(file);
+    return new SnapshotStore(storage, file, bytes && readSnapshot(bytes, file));
   }
 
   /** The newest snapshot; undefined in a folder that never had one. */
@@ -51,7 +56,11 @@
    */
   async save(snapshot: Snapshot): Promise<void> {
     try {
-      await replaceFile(this.file, recordFile.encode(encoder.encode(snapshot)));
+      await replaceFile(
+        this.storage,
+        this.file,
+        recordFile.encode(encoder.encode(snapshot)),
+      );
     } catch (error) {
       const isFull = (error as NodeJS.ErrnoException).code === 'ENOSPC';
       throw new StateError(
--- a/src/state/write_ahead_log.ts
+++ b/src/state/write_ahead_log.ts
@@ -1,14 +1,13 @@
 /** The replicated log and the node's vote on disk. */
-import {FileHandle, open} from 'node:fs/promises';
 import * as path from 'node:path';
 import {Decoder, Encoder} from 'cbor-x';
 import {LogEntry} from '../protocol/log_entry';
 import {LogRecord} from './log_record';
-import {readIfPresent} from './read_if_present';
+import {nodeStorage} from './node_storage';
 import {recordFile} from './record_file';
 import {replaceFile} from './replace_file';
 import {StateError} from './state_error';
-import {syncFolder} from './sync_folder';
+import {Storage, StorageFile} from './storage';
 import {writeWhole} from './write_whole';
 
 const FILE_NAME = 'log.wal';
@@ -29,8 +28,9 @@
 /** Appends records and returns only when they are on disk. */
 export class WriteAheadLog {
   private constructor(
+    private readonly storage: Storage,
     private readonly folder: string,
-    private file: FileHandle,
+    private file: StorageFile,
     /** What was found when the log was opened. */
     readonly recovered: RecoveredLog,
     /** Bytes that are known to be whole records on disk. */
@@ -44,18 +44,21 @@
    * @example
    * const log = await WriteAheadLog.create('data');
    */
-  static async create(folder: string): Promise<WriteAheadLog> {
+  static async create(
+    folder: string,
+    storage: Storage = nodeStorage,
+  ): Promise<WriteAheadLog> {
     const name = path.join(folder, FILE_NAME);
-    const bytes = (await readIfPresent(name)) ?? Buffer.alloc(0);
+    const bytes = (await storage.read(name)) ?? Buffer.alloc(0);
     const {payloads, wholeBytes} = recordFile.decode(bytes, name);
     const records = payloads.map(payload => decodeRecord(payload, name));
-    const file = await open(name, 'a', 0o600);
+    const file = await storage.open(name, 'add');
     await file.truncate(wholeBytes);
     await file.sync();
-    await syncFolder(folder);
+    await storage.syncFolder(folder);
     const cutBytes = bytes.length - wholeBytes;
     const recovered = {...replay(records), cutBytes};
-    return new WriteAheadLog(folder, file, recovered, wholeBytes);
+    return new WriteAheadLog(storage, folder, file, recovered, wholeBytes);
   }
 
   /**
@@ -96,9 +99,9 @@
     const name = path.join(this.folder, FILE_NAME);
     try {
       const bytes = Buffer.concat(records.map(encodeRecord));
-      await replaceFile(name, bytes);
+      await replaceFile(this.storage, name, bytes);
       await this.file.close();
-      this.file = await open(name, 'a', 0o600);
+      this.file = await this.storage.open(name, 'add');
       this.size = bytes.length;
     } catch (error) {
       throw new StateError(
