--- /dev/null
+++ b/test/simulation/play_day.ts
@@ -0,0 +1,443 @@
+/** Plays one day on the real quorum code and checks its promises all the while. */
+import {ChannelBundle} from '../../src/protocol/channel_bundle';
+import {splitIdentity} from '../../src/protocol/split_identity';
+import {createRandom} from '../support/create_random';
+import {LossLedger} from './loss_ledger';
+import {DAY_MS, DayEvent, QuorumDay} from './quorum_day';
+import {CHANNEL, VirtualFleet, VirtualMachine} from './virtual_machine';
+import {VirtualTime} from './virtual_time';
+
+const VOTERS = 5;
+const LOSSES = 2;
+const SEEDS = 3;
+const LOOK_EVERY_MS = 100;
+/** A leader is back, and a change is taken, within this once all machines run. */
+const RECOVER_MS = 12_000;
+/** How long the day waits for an acknowledgement to end after. */
+const CLOSING_WAIT_MS = 8_000;
+/** Between two changes of the operator, at most. */
+const CHANGE_EVERY_MS = 300;
+const LIMITS = {
+  maxHeaderBytes: 1,
+  maxBodyBytes: 1,
+  headerTimeoutMs: 1,
+  idleTimeoutMs: 1,
+};
+
+/** How a day went. */
+export interface DayResult {
+  readonly seed: number;
+  /** What broke; undefined when all promises held. */
+  readonly broken?: string;
+  /** What happened, as sentences, for the reader of a broken day. */
+  readonly story: readonly string[];
+  readonly acknowledged: number;
+  /** From the end of the last fault until a leader could answer. */
+  readonly leaderAfterMs?: number;
+}
+
+/**
+ * Plays a day.
+ *
+ * @example
+ * const {broken} = await playDay(drawDay(7));
+ */
+export function playDay(day: QuorumDay): Promise<DayResult> {
+  return new Day(day).play();
+}
+
+class Day {
+  private readonly time = VirtualTime.create();
+  private readonly random: () => number;
+  private readonly fleet: VirtualFleet;
+  private machines: VirtualMachine[] = [];
+  private removed = new Set<string>();
+  private readonly cuts = new Map<string, number>();
+  private readonly troubledUntil = new Map<string, number>();
+  private readonly ledger = LossLedger.create(LOSSES + 1);
+  private readonly leaders = new Map<number, string>();
+  private readonly story: string[] = [];
+  private broken: string | undefined;
+  private seedsFrom = 0;
+  private version = 0;
+  private acked = 0;
+  private ackedCount = 0;
+  private isClosing = false;
+  private isClosed = false;
+  private closedAt = 0;
+  private leaderAfterMs: number | undefined;
+
+  constructor(private readonly day: QuorumDay) {
+    this.random = createRandom(day.seed + 1_000_003);
+    this.fleet = {
+      net: {
+        time: this.time,
+        random: this.random,
+        find: name => this.find(name)?.station,
+        isCut: (from, to) => this.isCut(from, to),
+      },
+      random: this.random,
+      voters: VOTERS,
+      losses: LOSSES,
+      onFailure: (name, error) =>
+        this.fail(`${name} ended by itself: ${error.message}`),
+      onRole: (name, {raft}) => {
+        if (raft.role === 'leader') {
+          this.recordLeader(this.find(name)?.station?.identity, raft.term);
+        }
+      },
+    };
+    for (let at = 0; at < VOTERS; at += 1) {
+      this.machines.push(VirtualMachine.create(`m${at}`, this.fleet));
+    }
+  }
+
+  async play(): Promise<DayResult> {
+    const {time, day} = this;
+    this.machines.forEach(machine => this.boot(machine, true));
+    day.events.forEach(event => time.after(event.at, () => this.act(event)));
+    time.after(LOOK_EVERY_MS, () => this.look());
+    time.after(500, () => this.change());
+    time.after(DAY_MS, () => (this.isClosing = true));
+    time.after(DAY_MS + CLOSING_WAIT_MS, () => this.close());
+    await time.runUntil(
+      DAY_MS + CLOSING_WAIT_MS,
+      () => this.isClosed || this.broken !== undefined,
+    );
+    if (this.broken === undefined) {
+      await this.recover();
+    }
+    // Nothing of this day goes on.
+    this.machines.forEach(machine => machine.kill());
+    return {
+      seed: day.seed,
+      broken: this.broken,
+      story: this.story,
+      acknowledged: this.ackedCount,
+      leaderAfterMs: this.leaderAfterMs,
+    };
+  }
+
+  /** All machines run again: a leader comes, knows all that was acknowledged, and takes changes. */
+  private async recover(): Promise<void> {
+    const {time} = this;
+    const before = this.acked;
+    const isOver = () =>
+      this.broken !== undefined ||
+      (this.leaderAfterMs !== undefined && this.acked > before);
+    await time.runUntil(time.now() + RECOVER_MS, isOver);
+    if (this.broken !== undefined) {
+      return;
+    }
+    if (this.leaderAfterMs === undefined) {
+      this.fail(`no leader within ${RECOVER_MS} ms after all machines ran`);
+    } else if (this.acked === before) {
+      this.fail(`no change was taken within ${RECOVER_MS} ms`);
+    }
+  }
+
+  private act(event: DayEvent): void {
+    if (!this.isClosed && this.broken === undefined) {
+      this.handlers[event.kind](event as never);
+    }
+  }
+
+  private readonly handlers: {
+    [T in DayEvent['kind']]: (event: Extract<DayEvent, {kind: T}>) => void;
+  } = {
+    kill: ({machine, downMs}) =>
+      this.stop([this.pick(machine)], downMs, 'kill'),
+    power: ({machine, downMs}) =>
+      this.stop([this.pick(machine)], downMs, 'power'),
+    'power-all': ({downMs}) => this.stop(this.machines, downMs, 'power'),
+    'kill-all': ({downMs}) => this.stop(this.machines, downMs, 'kill'),
+    wipe: ({machine, downMs, isAimed}) => {
+      if (this.ledger.count < LOSSES) {
+        this.stop([this.pick(machine, isAimed)], downMs, 'wipe');
+      }
+    },
+    replace: ({machine, afterMs}) => {
+      if (this.ledger.count < LOSSES) {
+        this.replace(this.pick(machine), afterMs);
+      }
+    },
+    freeze: ({machine, forMs, isAimed}) => {
+      const frozen = this.pick(machine, isAimed);
+      this.tell(`${frozen.name} stands still for ${forMs} ms`);
+      this.trouble(frozen, forMs);
+      frozen.freeze(forMs);
+    },
+    cut: ({machine, forMs, how}) => {
+      const cut = this.pick(machine);
+      this.tell(`${cut.name} is cut off (${how}) for ${forMs} ms`);
+      this.trouble(cut, forMs);
+      for (const {name} of this.machines.filter(other => other !== cut)) {
+        this.cut(how === 'in' ? [] : [[cut.name, name]], forMs);
+        this.cut(how === 'out' ? [] : [[name, cut.name]], forMs);
+      }
+    },
+    split: ({machine, forMs}) => {
+      const side = [this.pick(machine), this.pick(machine + 1)];
+      const others = this.machines.filter(other => !side.includes(other));
+      this.tell(
+        `${side.map(({name}) => name).join(' and ')} are cut from the others for ${forMs} ms`,
+      );
+      for (const {name} of side) {
+        for (const other of others) {
+          this.cut(
+            [
+              [name, other.name],
+              [other.name, name],
+            ],
+            forMs,
+          );
+        }
+      }
+      side.forEach(cut => this.trouble(cut, forMs));
+    },
+    stall: ({machine, forMs}) => {
+      const slow = this.pick(machine);
+      this.tell(`the disk of ${slow.name} stalls for ${forMs} ms`);
+      this.trouble(slow, forMs);
+      slow.stallDisk(forMs);
+    },
+    full: ({machine, forMs}) => {
+      const full = this.pick(machine);
+      this.tell(`the disk of ${full.name} has no room for ${forMs} ms`);
+      this.trouble(full, forMs);
+      full.fillDisk(true);
+      this.time.after(forMs, () => full.fillDisk(false));
+    },
+    seeds: ({machine}) => {
+      this.seedsFrom = machine;
+      const seeds = this.listSeeds();
+      this.tell(`the seeds are ${seeds.join(', ')} now`);
+    },
+  };
+
+  private stop(
+    machines: readonly VirtualMachine[],
+    downMs: number,
+    how: 'kill' | 'power' | 'wipe',
+  ): void {
+    const words = {
+      kill: 'the process ends',
+      power: 'loses power',
+      wipe: 'loses its disk',
+    };
+    for (const machine of machines) {
+      this.tell(`${machine.name}: ${words[how]}, back after ${downMs} ms`);
+      this.end(machine, how);
+      this.time.after(downMs, () => this.boot(machine, false));
+    }
+  }
+
+  private end(machine: VirtualMachine, how: 'kill' | 'power' | 'wipe'): void {
+    if (how === 'wipe') {
+      this.ledger.recordLoss(machine.name);
+      machine.wipe();
+    } else if (how === 'power') {
+      machine.losePower();
+    } else {
+      machine.kill();
+    }
+  }
+
+  private replace(old: VirtualMachine, afterMs: number): void {
+    const name = `m${VOTERS + this.removed.size}`;
+    this.tell(`${old.name} is removed, ${name} comes after ${afterMs} ms`);
+    const next = VirtualMachine.create(name, this.fleet);
+    old.kill();
+    this.removed.add(old.name);
+    this.ledger.recordSuccessor(old.name, name);
+    this.machines = this.machines.map(other => (other === old ? next : other));
+    this.time.after(afterMs, () => this.boot(next, false));
+  }
+
+  private boot(machine: VirtualMachine, isFirstStart: boolean): void {
+    if (!machine.isUp && !this.removed.has(machine.name)) {
+      // All start within 300 ms of each other, in any order.
+      const delayMs = this.random() * (isFirstStart ? 300 : 20);
+      this.time.after(delayMs, () => {
+        if (!machine.isUp && !this.removed.has(machine.name)) {
+          void machine.boot(this.listSeeds(), isFirstStart);
+        }
+      });
+    }
+  }
+
+  private listSeeds(): string[] {
+    return Array.from(
+      {length: SEEDS},
+      (_, at) => this.machines[(this.seedsFrom + at) % VOTERS].name,
+    );
+  }
+
+  /** The operator sends a change to the leader, whoever that is. */
+  private change(): void {
+    this.time.after(50 + this.random() * CHANGE_EVERY_MS, () => this.change());
+    const leader = this.machines.find(({runtime}) => runtime?.canAnswer());
+    const {desk, runtime, station} = leader ?? {};
+    if (!leader || !desk || !runtime || leader.isFrozen) {
+      return;
+    }
+    this.version += 1;
+    const version = this.version;
+    desk.handlers['channel-bundle-ask']({
+      type: 'channel-bundle-ask',
+      call: version,
+      bundle: createBundle(version),
+    })
+      .then(() => {
+        const isAnswered = leader.station === station && runtime.canAnswer();
+        if (isAnswered) {
+          this.recordAcked(version);
+        }
+      })
+      .catch(() => undefined);
+  }
+
+  private recordAcked(version: number): void {
+    this.acked = Math.max(this.acked, version);
+    this.ackedCount += 1;
+    if (this.isClosing && !this.isClosed) {
+      this.close();
+    }
+  }
+
+  private close(): void {
+    if (this.isClosed) {
+      return;
+    }
+    this.isClosed = true;
+    const {closing, isAimed} = this.day;
+    this.tell(
+      `version ${this.acked} was acknowledged; the day ends: ${closing}`,
+    );
+    this.cuts.clear();
+    const wiped = closing.startsWith('wipe') ? this.chooseWiped(isAimed) : [];
+    const others = this.machines.filter(machine => !wiped.includes(machine));
+    this.stop(wiped, 600, 'wipe');
+    if (closing !== 'wipe') {
+      this.stop(others, 600, closing === 'kill-all' ? 'kill' : 'power');
+    }
+    this.machines.forEach(machine => {
+      machine.freeze(0);
+      machine.stallDisk(0);
+      machine.fillDisk(false);
+      this.time.after(700, () => this.boot(machine, false));
+    });
+    this.closedAt = this.time.now() + 700;
+  }
+
+  /** As many as may still be lost; aimed at those that hold the newest entries. */
+  private chooseWiped(isAimed: boolean): VirtualMachine[] {
+    const count = Math.max(0, LOSSES - this.ledger.count);
+    const weigh = (machine: VirtualMachine) =>
+      isAimed ? (machine.runtime?.raft.commitIndex ?? -1) : 0;
+    return this.machines
+      .map(machine => ({machine, weight: weigh(machine) + this.random()}))
+      .sort((left, right) => right.weight - left.weight)
+      .slice(0, count)
+      .map(({machine}) => machine);
+  }
+
+  /** What must hold at every moment. */
+  private look(): void {
+    this.time.after(LOOK_EVERY_MS, () => this.look());
+    const now = this.time.now();
+    for (const machine of this.machines) {
+      const {runtime, name} = machine;
+      if (!runtime?.canAnswer() || machine.isFrozen) {
+        continue;
+      }
+      const {version, source} = runtime.state.channel;
+      if (version < this.acked) {
+        this.fail(
+          `${name} answers with version ${version}; ${this.acked} was acknowledged`,
+        );
+      } else if (version > 0 && source !== createBundle(version).source) {
+        this.fail(`${name} holds another version ${version} than was sent`);
+      }
+      if (this.isClosed && now >= this.closedAt) {
+        this.leaderAfterMs ??= now - this.closedAt;
+      }
+    }
+    this.ledger.look(
+      this.machines.map(machine => ({
+        name: machine.name,
+        isWell:
+          machine.runtime !== undefined &&
+          now >= (this.troubledUntil.get(machine.name) ?? 0),
+      })),
+    );
+  }
+
+  private recordLeader(identity = '', term: number): void {
+    const known = this.leaders.get(term) ?? identity;
+    if (known !== identity) {
+      this.fail(`${known} and ${identity} both lead term ${term}`);
+    }
+    this.leaders.set(term, identity);
+    this.tell(`${identity} leads term ${term}`);
+  }
+
+  private find(name: string): VirtualMachine | undefined {
+    return this.machines.find(machine => machine.name === name);
+  }
+
+  private pick(at: number, isLeader = false): VirtualMachine {
+    const leader = this.machines.find(({runtime}) => runtime?.canAnswer());
+    return (isLeader && leader) || this.machines[at % VOTERS];
+  }
+
+  private trouble({name}: VirtualMachine, forMs: number): void {
+    const until = this.time.now() + forMs;
+    this.troubledUntil.set(
+      name,
+      Math.max(until, this.troubledUntil.get(name) ?? 0),
+    );
+  }
+
+  private cut(pairs: ReadonlyArray<[string, string]>, forMs: number): void {
+    for (const [from, to] of pairs) {
+      this.cuts.set(`${from}>${to}`, this.time.now() + forMs);
+    }
+  }
+
+  private isCut(from: string, to: string): boolean {
+    return this.time.now() < (this.cuts.get(`${from}>${to}`) ?? 0);
+  }
+
+  private tell(what: string): void {
+    this.story.push(`${(this.time.now() / 1_000).toFixed(3)} s  ${what}`);
+  }
+
+  private fail(what: string): void {
+    if (this.broken === undefined) {
+      this.broken = what;
+      this.tell(`BROKEN: ${what}`);
+      this.describeMachines().forEach(line => this.tell(line));
+    }
+  }
+
+  private describeMachines(): string[] {
+    return this.machines.map(({name, runtime, station}) => {
+      if (!runtime) {
+        return `${name}: ${station ? 'knows no quorum' : 'does not run'}`;
+      }
+      const {role, term, commitIndex, others} = runtime.raft;
+      const voters = others.map(other => splitIdentity(other).name).join(' ');
+      return `${station?.identity}: ${role} of term ${term}, committed ${commitIndex}, with ${voters}`;
+    });
+  }
+}
+
+function createBundle(version: number): ChannelBundle {
+  return {
+    channel: CHANNEL,
+    // Some are large, so that snapshots and messages have something to carry.
+    source: `${version}`.padEnd(version % 7 === 0 ? 30_000 : 20, '.'),
+    rules: {version, routes: [], pools: [], limits: LIMITS},
+  };
+}
--- /dev/null
+++ b/test/simulation/virtual_machine.ts
@@ -0,0 +1,247 @@
+/** One machine: its disk, and one start after the other of the real control process's quorum part. */
+import {EventRing} from '../../src/common/event_ring';
+import {Timers} from '../../src/common/timers';
+import {BackendRegistry} from '../../src/control/backend_registry';
+import {ChangeSignal} from '../../src/control/change_signal';
+import {ControlSettings} from '../../src/control/control_settings';
+import {GatewayDesk} from '../../src/control/gateway_desk';
+import {QuorumMember} from '../../src/control/quorum_member';
+import {RaftRuntime} from '../../src/control/raft_runtime';
+import {Message} from '../../src/protocol/message';
+import {ControlDisk} from '../../src/state/control_disk';
+import {VirtualDisk} from './virtual_disk';
+import {Station, VirtualLinks, VirtualNet} from './virtual_links';
+
+export const CHANNEL = 'operators';
+
+/** What the machines of a day share. */
+export interface VirtualFleet {
+  readonly net: VirtualNet;
+  readonly random: () => number;
+  /** Voters that the quorum should have, and losses that it must bear. */
+  readonly voters: number;
+  readonly losses: number;
+  /** A process ended by itself, or refused its own disk. */
+  readonly onFailure: (name: string, error: Error) => void;
+  readonly onRole: (name: string, runtime: RaftRuntime) => void;
+}
+
+interface Process {
+  readonly station: Station;
+  readonly links: VirtualLinks;
+  readonly member: QuorumMember;
+  readonly desk: () => GatewayDesk | undefined;
+}
+
+/** A machine at one address. */
+export class VirtualMachine {
+  private disk: VirtualDisk;
+  private process: Process | undefined;
+  private start: object | undefined;
+  private frozenUntil = 0;
+  private disksUsed = 0;
+  /** Entries behind the snapshot after which a new one is taken. */
+  private readonly snapshotEvery: number;
+
+  private constructor(
+    readonly name: string,
+    private readonly fleet: VirtualFleet,
+  ) {
+    this.disk = VirtualDisk.create(fleet.net.time, fleet.random);
+    this.snapshotEvery = 2 + Math.floor(fleet.random() * 30);
+  }
+
+  static create(name: string, fleet: VirtualFleet): VirtualMachine {
+    return new VirtualMachine(name, fleet);
+  }
+
+  get isUp(): boolean {
+    return this.start !== undefined;
+  }
+
+  get isFrozen(): boolean {
+    return this.fleet.net.time.now() < this.frozenUntil;
+  }
+
+  /** The process that listens here, once its disk is opened. */
+  get station(): Station | undefined {
+    return this.process?.station;
+  }
+
+  get runtime(): RaftRuntime | undefined {
+    return this.process?.member.runtime;
+  }
+
+  get desk(): GatewayDesk | undefined {
+    return this.process?.desk();
+  }
+
+  /** Starts the process; its files may be those of the start before. */
+  async boot(seeds: readonly string[], isFirstStart: boolean): Promise<void> {
+    const start = {};
+    this.start = start;
+    const isAlive = () => this.start === start;
+    const startedAt = this.fleet.net.time.now();
+    try {
+      const disk = await ControlDisk.create('/data', this.name, {
+        locksFolder: false,
+        storage: this.disk.open(isAlive),
+        createDiskId: () => `${this.disksUsed}`,
+      });
+      this.process = this.run(disk, isAlive, start, {
+        ...this.createSettings(seeds, isFirstStart),
+        startedAt,
+      });
+      this.process.member.start();
+    } catch (error) {
+      this.fleet.onFailure(this.name, error as Error);
+    }
+  }
+
+  /** The process ends; what it wrote stays as it is. */
+  kill(): void {
+    this.start = undefined;
+    this.process = undefined;
+    this.frozenUntil = 0;
+  }
+
+  losePower(): void {
+    this.kill();
+    this.disk.losePower();
+  }
+
+  /** The disk is lost with the power; an empty one takes its place. */
+  wipe(): void {
+    this.kill();
+    this.disksUsed += 1;
+    this.disk = VirtualDisk.create(this.fleet.net.time, this.fleet.random);
+  }
+
+  freeze(ms: number): void {
+    this.frozenUntil = this.fleet.net.time.now() + ms;
+  }
+
+  stallDisk(ms: number): void {
+    this.disk.stalledUntil = this.fleet.net.time.now() + ms;
+  }
+
+  fillDisk(isFull: boolean): void {
+    this.disk.isFull = isFull;
+  }
+
+  private createSettings(
+    seeds: readonly string[],
+    isFirstStart: boolean,
+  ): ControlSettings {
+    const {voters, losses} = this.fleet;
+    return {
+      name: this.name,
+      host: this.name,
+      port: 1,
+      dataFolder: '/data',
+      peers: new Map(),
+      trustedKeys: [],
+      trustedChannels: [CHANNEL],
+      leaseMs: 5_000,
+      snapshotEvery: this.snapshotEvery,
+      seeded: {seeds, isFirstStart, voters, minCopies: losses + 1},
+    };
+  }
+
+  private run(
+    disk: ControlDisk,
+    isAlive: () => boolean,
+    start: object,
+    settings: ControlSettings,
+  ): Process {
+    const {net, random, onFailure, onRole} = this.fleet;
+    const clock = net.time;
+    const timers = this.createTimers(isAlive);
+    let desk: GatewayDesk | undefined;
+    const station: Station = {
+      name: this.name,
+      identity: disk.identity,
+      start,
+      receive: (from, message, reply) =>
+        this.whenAwake(isAlive, () => member.receive(from, message, reply)),
+    };
+    const links = VirtualLinks.create(net, station, timers, isAlive);
+    (settings.seeded?.seeds ?? [])
+      .filter(seed => seed !== this.name)
+      .forEach(seed => links.add(seed));
+    const member = QuorumMember.create({
+      settings,
+      disk,
+      links,
+      clock,
+      timers,
+      random,
+      send: (to: string, message: Message) => links.send(to, message),
+      onQuorum: () => undefined,
+      onRuntime: runtime => {
+        void runtime.roleChanges.observe(() => onRole(this.name, runtime));
+        desk = GatewayDesk.create({
+          settings,
+          runtime,
+          registry: BackendRegistry.create(),
+          clock,
+          signal: ChangeSignal.create(),
+          events: EventRing.create(),
+          identity: disk.identity,
+        });
+      },
+      onFailure: error => {
+        if (isAlive()) {
+          onFailure(this.name, error);
+        }
+      },
+      onChange: () => undefined,
+    });
+    return {station, links, member, desk: () => desk};
+  }
+
+  private createTimers(isAlive: () => boolean): Timers {
+    const {time} = this.fleet.net;
+    const after = (ms: number, act: () => void) => {
+      let isOff = false;
+      time.after(ms, () =>
+        this.whenAwake(isAlive, () => (isOff ? undefined : act())),
+      );
+      return () => {
+        isOff = true;
+      };
+    };
+    return {
+      after,
+      soon: act => void after(0, act),
+      every(ms, act) {
+        let isOff = false;
+        const next = () => {
+          if (!isOff) {
+            act();
+            after(ms, next);
+          }
+        };
+        after(ms, next);
+        return () => {
+          isOff = true;
+        };
+      },
+    };
+  }
+
+  /** A frozen process does what is due once it runs again; one that ended does nothing. */
+  private whenAwake(isAlive: () => boolean, act: () => void): void {
+    if (!isAlive()) {
+      return;
+    }
+    const {time} = this.fleet.net;
+    if (this.isFrozen) {
+      time.after(this.frozenUntil - time.now(), () =>
+        this.whenAwake(isAlive, act),
+      );
+      return;
+    }
+    act();
+  }
+}
