fix(control,state): a process that comes back to a full disk waits for room

Class: a step of the start that counts on a disk as it should be. The log's opening only cuts and syncs, which needs no room. Change: both try again every 200 ms, and say so (disk-full).

--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -75,10 +75,14 @@
    * const control = await ControlServer.create(settings);
    */
   static async create(settings: ControlSettings): Promise<ControlServer> {
-    const disk = await ControlDisk.create(settings.dataFolder, settings.name, {
-      locksFolder: settings.locksFolder,
+    const refusals: string[] = [];
+    const {name, dataFolder, locksFolder} = settings;
+    const disk = await ControlDisk.create(dataFolder, name, {
+      locksFolder,
+      onDiskFull: error => refusals.push(error.message),
     });
     const control = new ControlServer(settings, disk);
+    refusals.forEach(reason => control.record('disk-full', reason));
     await control.start().catch(async error => {
       await disk.close();
       throw error;
--- a/src/control/quorum_keeper.ts
+++ b/src/control/quorum_keeper.ts
@@ -33,6 +33,8 @@
   readonly clock: Clock;
   readonly timers?: Timers;
   readonly findRuntime: () => RaftRuntime | undefined;
+  /** The disk has no room; the write is tried again until it has. */
+  readonly onDiskFull?: (error: Error) => void;
   /** Called once, when the data folder knows the quorum. */
   readonly onQuorum: (reason: {type: string; reason: string}) => void;
 }
@@ -106,7 +108,7 @@
   /** One try after the other: two that overlap would write the same file. */
   async runFormation(): Promise<void> {
     while (!this.options.findRuntime() && !this.isClosed) {
-      await this.formOrJoin();
+      await this.formOrJoin().catch((error: Error) => this.handleFull(error));
       await waitFor(this.timers, FORMATION_EVERY_MS);
     }
   }
@@ -116,6 +118,14 @@
     this.stopTicking();
   }
 
+  /** Without room for its first snapshot a process tries again like one that runs: a quorum does without it. */
+  private handleFull(error: Error): void {
+    if (error.name !== 'DiskFull') {
+      throw error;
+    }
+    this.options.onDiskFull?.(error);
+  }
+
   private async formOrJoin(): Promise<void> {
     const {disk, links, settings} = this.options;
     for (const identity of links.listIdentities()) {
--- a/src/control/quorum_member.ts
+++ b/src/control/quorum_member.ts
@@ -46,6 +46,7 @@
       clock,
       timers,
       findRuntime: () => this.raftRuntime,
+      onDiskFull: options.onDiskFull,
       onQuorum: reason => {
         options.onQuorum(reason);
         this.startRaft();
--- a/src/state/control_disk.ts
+++ b/src/state/control_disk.ts
@@ -2,6 +2,9 @@
 import {randomBytes} from 'node:crypto';
 import {readFile, rm, writeFile} from 'node:fs/promises';
 import * as path from 'node:path';
+import {systemTimers} from '../common/system_timers';
+import {Timers} from '../common/timers';
+import {waitFor} from '../common/wait_for';
 import {nodeStorage} from './node_storage';
 import {replaceFile} from './replace_file';
 import {SnapshotStore} from './snapshot_store';
@@ -12,12 +15,17 @@
 const LOCK_FILE = 'lock';
 const IDENTITY_FILE = 'identity';
 const DISK_ID_BYTES = 8;
+/** Between two tries on a disk that has no room. */
+const DISK_RETRY_MS = 200;
 
 /** How a data folder is opened. */
 interface ControlDiskOptions {
   /** False where no other process can come to the folder; true without it. */
   readonly locksFolder?: boolean;
   readonly storage?: Storage;
+  /** The disk has no room for a new identity; the write is tried again until it has. */
+  readonly onDiskFull?: (error: Error) => void;
+  readonly timers?: Timers;
   /** Names a new disk; never twice alike. */
   readonly createDiskId?: () => string;
 }
@@ -46,16 +54,15 @@
     options: ControlDiskOptions = {},
   ): Promise<ControlDisk> {
     const {locksFolder = true, storage = nodeStorage} = options;
-    const {createDiskId = drawDiskId} = options;
+    const {createDiskId = drawDiskId, timers = systemTimers} = options;
     await storage.makeFolder(folder);
     if (locksFolder) {
       await takeLock(folder);
     }
-    const identity = await readOrCreateIdentity(
-      storage,
-      folder,
-      name,
-      createDiskId,
+    const identity = await retryWhileFull(
+      () => readOrCreateIdentity(storage, folder, name, createDiskId),
+      timers,
+      options.onDiskFull,
     );
     const snapshots = await SnapshotStore.create(folder, storage);
     const log = await WriteAheadLog.create(folder, storage);
@@ -69,6 +76,25 @@
   }
 }
 
+/** A process that came back to a full disk waits for room, as one that runs does. */
+async function retryWhileFull(
+  write: () => Promise<string>,
+  timers: Timers,
+  onDiskFull?: (error: Error) => void,
+): Promise<string> {
+  for (;;) {
+    try {
+      return await write();
+    } catch (error) {
+      if ((error as NodeJS.ErrnoException).code !== 'ENOSPC') {
+        throw error;
+      }
+      onDiskFull?.(error as Error);
+      await waitFor(timers, DISK_RETRY_MS);
+    }
+  }
+}
+
 function drawDiskId(): string {
   return randomBytes(DISK_ID_BYTES).toString('hex');
 }
--- a/test/simulation/play_day.ts
+++ b/test/simulation/play_day.ts
@@ -1,10 +1,14 @@
 /** Plays one day on the real quorum code and checks its promises all the while. */
-import {ChannelBundle} from '../../src/protocol/channel_bundle';
-import {splitIdentity} from '../../src/protocol/split_identity';
 import {createRandom} from '../support/create_random';
+import {chooseWiped} from './choose_wiped';
+import {createBundle} from './create_bundle';
+import {describeMachine} from './describe_machine';
 import {LossLedger} from './loss_ledger';
+import {DayResult} from './day_result';
 import {DAY_MS, DayEvent, QuorumDay} from './quorum_day';
-import {CHANNEL, VirtualFleet, VirtualMachine} from './virtual_machine';
+import {STOPS} from './stops';
+import {VirtualFleet, VirtualMachine} from './virtual_machine';
+import {VirtualCuts} from './virtual_cuts';
 import {VirtualTime} from './virtual_time';
 
 const VOTERS = 5;
@@ -15,27 +19,8 @@
 const RECOVER_MS = 12_000;
 /** How long the day waits for an acknowledgement to end after. */
 const CLOSING_WAIT_MS = 8_000;
-/** Between two changes of the operator, at most. */
+/** Between two changes, at most. */
 const CHANGE_EVERY_MS = 300;
-const LIMITS = {
-  maxHeaderBytes: 1,
-  maxBodyBytes: 1,
-  headerTimeoutMs: 1,
-  idleTimeoutMs: 1,
-};
-
-/** How a day went. */
-export interface DayResult {
-  readonly seed: number;
-  /** What broke; undefined when all promises held. */
-  readonly broken?: string;
-  /** What happened, as sentences, for the reader of a broken day. */
-  readonly story: readonly string[];
-  readonly acknowledged: number;
-  /** From the end of the last fault until a leader could answer. */
-  readonly leaderAfterMs?: number;
-}
-
 /**
  * Plays a day.
  *
@@ -52,7 +37,7 @@
   private readonly fleet: VirtualFleet;
   private machines: VirtualMachine[] = [];
   private removed = new Set<string>();
-  private readonly cuts = new Map<string, number>();
+  private readonly cuts: VirtualCuts;
   private readonly troubledUntil = new Map<string, number>();
   private readonly ledger = LossLedger.create(LOSSES + 1);
   private readonly leaders = new Map<number, string>();
@@ -69,12 +54,13 @@
 
   constructor(private readonly day: QuorumDay) {
     this.random = createRandom(day.seed + 1_000_003);
+    this.cuts = VirtualCuts.create(this.time);
     this.fleet = {
       net: {
         time: this.time,
         random: this.random,
         find: name => this.find(name)?.station,
-        isCut: (from, to) => this.isCut(from, to),
+        isCut: (from, to) => this.cuts.isCut(from, to),
       },
       random: this.random,
       voters: VOTERS,
@@ -172,8 +158,12 @@
       this.tell(`${cut.name} is cut off (${how}) for ${forMs} ms`);
       this.trouble(cut, forMs);
       for (const {name} of this.machines.filter(other => other !== cut)) {
-        this.cut(how === 'in' ? [] : [[cut.name, name]], forMs);
-        this.cut(how === 'out' ? [] : [[name, cut.name]], forMs);
+        if (how !== 'in') {
+          this.cuts.add(cut.name, name, forMs);
+        }
+        if (how !== 'out') {
+          this.cuts.add(name, cut.name, forMs);
+        }
       }
     },
     split: ({machine, forMs}) => {
@@ -184,13 +174,8 @@
       );
       for (const {name} of side) {
         for (const other of others) {
-          this.cut(
-            [
-              [name, other.name],
-              [other.name, name],
-            ],
-            forMs,
-          );
+          this.cuts.add(name, other.name, forMs);
+          this.cuts.add(other.name, name, forMs);
         }
       }
       side.forEach(cut => this.trouble(cut, forMs));
@@ -218,31 +203,20 @@
   private stop(
     machines: readonly VirtualMachine[],
     downMs: number,
-    how: 'kill' | 'power' | 'wipe',
+    how: keyof typeof STOPS,
   ): void {
-    const words = {
-      kill: 'the process ends',
-      power: 'loses power',
-      wipe: 'loses its disk',
-    };
     for (const machine of machines) {
-      this.tell(`${machine.name}: ${words[how]}, back after ${downMs} ms`);
-      this.end(machine, how);
+      this.tell(
+        `${machine.name}: ${STOPS[how].words}, back after ${downMs} ms`,
+      );
+      if (how === 'wipe') {
+        this.ledger.recordLoss(machine.name);
+      }
+      STOPS[how].act(machine);
       this.time.after(downMs, () => this.boot(machine, false));
     }
   }
 
-  private end(machine: VirtualMachine, how: 'kill' | 'power' | 'wipe'): void {
-    if (how === 'wipe') {
-      this.ledger.recordLoss(machine.name);
-      machine.wipe();
-    } else if (how === 'power') {
-      machine.losePower();
-    } else {
-      machine.kill();
-    }
-  }
-
   private replace(old: VirtualMachine, afterMs: number): void {
     const name = `m${VOTERS + this.removed.size}`;
     this.tell(`${old.name} is removed, ${name} comes after ${afterMs} ms`);
@@ -300,7 +274,7 @@
   private recordAcked(version: number): void {
     this.acked = Math.max(this.acked, version);
     this.ackedCount += 1;
-    if (this.isClosing && !this.isClosed) {
+    if (this.isClosing) {
       this.close();
     }
   }
@@ -315,7 +289,14 @@
       `version ${this.acked} was acknowledged; the day ends: ${closing}`,
     );
     this.cuts.clear();
-    const wiped = closing.startsWith('wipe') ? this.chooseWiped(isAimed) : [];
+    const wiped = closing.startsWith('wipe')
+      ? chooseWiped({
+          machines: this.machines,
+          count: LOSSES - this.ledger.count,
+          isAimed,
+          random: this.random,
+        })
+      : [];
     const others = this.machines.filter(machine => !wiped.includes(machine));
     this.stop(wiped, 600, 'wipe');
     if (closing !== 'wipe') {
@@ -330,18 +311,6 @@
     this.closedAt = this.time.now() + 700;
   }
 
-  /** As many as may still be lost; aimed at those that hold the newest entries. */
-  private chooseWiped(isAimed: boolean): VirtualMachine[] {
-    const count = Math.max(0, LOSSES - this.ledger.count);
-    const weigh = (machine: VirtualMachine) =>
-      isAimed ? (machine.runtime?.raft.commitIndex ?? -1) : 0;
-    return this.machines
-      .map(machine => ({machine, weight: weigh(machine) + this.random()}))
-      .sort((left, right) => right.weight - left.weight)
-      .slice(0, count)
-      .map(({machine}) => machine);
-  }
-
   /** What must hold at every moment. */
   private look(): void {
     this.time.after(LOOK_EVERY_MS, () => this.look());
@@ -393,20 +362,8 @@
 
   private trouble({name}: VirtualMachine, forMs: number): void {
     const until = this.time.now() + forMs;
-    this.troubledUntil.set(
-      name,
-      Math.max(until, this.troubledUntil.get(name) ?? 0),
-    );
-  }
-
-  private cut(pairs: ReadonlyArray<[string, string]>, forMs: number): void {
-    for (const [from, to] of pairs) {
-      this.cuts.set(`${from}>${to}`, this.time.now() + forMs);
-    }
-  }
-
-  private isCut(from: string, to: string): boolean {
-    return this.time.now() < (this.cuts.get(`${from}>${to}`) ?? 0);
+    const known = this.troubledUntil.get(name) ?? 0;
+    this.troubledUntil.set(name, Math.max(until, known));
   }
 
   private tell(what: string): void {
@@ -417,27 +374,7 @@
     if (this.broken === undefined) {
       this.broken = what;
       this.tell(`BROKEN: ${what}`);
-      this.describeMachines().forEach(line => this.tell(line));
+      this.machines.map(describeMachine).forEach(line => this.tell(line));
     }
   }
-
-  private describeMachines(): string[] {
-    return this.machines.map(({name, runtime, station}) => {
-      if (!runtime) {
-        return `${name}: ${station ? 'knows no quorum' : 'does not run'}`;
-      }
-      const {role, term, commitIndex, others} = runtime.raft;
-      const voters = others.map(other => splitIdentity(other).name).join(' ');
-      return `${station?.identity}: ${role} of term ${term}, committed ${commitIndex}, with ${voters}`;
-    });
-  }
-}
-
-function createBundle(version: number): ChannelBundle {
-  return {
-    channel: CHANNEL,
-    // Some are large, so that snapshots and messages have something to carry.
-    source: `${version}`.padEnd(version % 7 === 0 ? 30_000 : 20, '.'),
-    rules: {version, routes: [], pools: [], limits: LIMITS},
-  };
 }
--- a/test/simulation/virtual_machine.ts
+++ b/test/simulation/virtual_machine.ts
@@ -87,6 +87,7 @@
         locksFolder: false,
         storage: this.disk.open(isAlive),
         createDiskId: () => `${this.disksUsed}`,
+        timers: this.createTimers(isAlive),
       });
       this.process = this.run(disk, isAlive, start, {
         ...this.createSettings(seeds, isFirstStart),
