test(coordination): that a change of voters is over is known to nobody's disk

The replaced voter is gone for good, nothing was written after the change, all power and two disks were lost.

--- a/test/support/raft_net.ts
+++ b/test/support/raft_net.ts
@@ -3,6 +3,7 @@
 import {RaftEvent} from '../../src/coordination/raft_event';
 import {RaftLog} from '../../src/coordination/raft_log';
 import {RaftNode} from '../../src/coordination/raft_node';
+import {ControlCommand} from '../../src/protocol/control_command';
 import {LogEntry} from '../../src/protocol/log_entry';
 import {RaftMessage} from '../../src/protocol/raft_message';
 
@@ -30,6 +31,8 @@
   unsynced: Array<{
     persist: RaftEffects['persist'];
     messages: RaftEffects['messages'];
+    /** Known to be committed then: it is written beside entries. */
+    commitIndex: number;
   }>;
   applied: LogEntry[];
   isUp: boolean;
@@ -85,11 +88,12 @@
     }
   }
 
-  propose(identity: string, time: number): void {
-    this.step(identity, {
-      type: 'propose',
-      commands: [{type: 'start-term', time}],
-    });
+  propose(identity: string, command: ControlCommand | number): void {
+    const isTime = typeof command === 'number';
+    const commands = [
+      isTime ? {type: 'start-term' as const, time: command} : command,
+    ];
+    this.step(identity, {type: 'propose', commands});
   }
 
   /** Delivers one message under way; a cut link loses it. */
@@ -109,8 +113,8 @@
     const member = this.get(identity);
     const jobs = member.unsynced;
     member.unsynced = [];
-    for (const {persist, messages} of jobs) {
-      write(member.disk, persist);
+    for (const {persist, messages, commitIndex} of jobs) {
+      write(member.disk, persist, commitIndex);
       this.sendAll(identity, messages);
     }
     const last = jobs.flatMap(job => job.persist?.entries ?? []).at(-1);
@@ -220,6 +224,7 @@
       member.unsynced.push({
         persist: effects.persist,
         messages: effects.messagesAfterPersist,
+        commitIndex: member.node.commitIndex,
       });
     }
     member.applied.push(...effects.committed);
@@ -257,7 +262,11 @@
   }
 }
 
-function write(disk: Disk, persist: RaftEffects['persist']): void {
+function write(
+  disk: Disk,
+  persist: RaftEffects['persist'],
+  commitIndex: number,
+): void {
   if (!persist) {
     return;
   }
@@ -269,5 +278,8 @@
   if (from !== undefined) {
     disk.entries = disk.entries.filter(entry => entry.index < from);
   }
+  if (persist.entries.length > 0) {
+    disk.commitIndex = Math.max(disk.commitIndex ?? 0, commitIndex);
+  }
   disk.entries.push(...persist.entries);
 }
