fix(coordination): the end of a change of voters is an entry of its own

Cause: that a change is committed was written beside the next entry only; before it, survivors of a loss of all power and two disks asked the old voters for a majority, too, one of which may be gone for good. Change: the leader writes an entry that settles the changes once they are committed; whoever holds it asks the new voters alone. Nothing is acknowledged and no next change begins until a majority holds it (isChangingVoters, asked by checkCopies and the keeper).

--- a/src/coordination/raft_log.ts
+++ b/src/coordination/raft_log.ts
@@ -18,6 +18,8 @@
 export class RaftLog {
   /** The few entries that change voters, kept apart: they are asked for at every step. */
   private voterEntries: VoterEntry[] = [];
+  /** Place of the newest entry that settles changes of voters; 0 for none. */
+  private settledAt = 0;
 
   private constructor(
     private start: LogStart,
@@ -85,6 +87,8 @@
       this.entries.push(entry);
       if (isVoterEntry(entry)) {
         this.voterEntries.push(entry);
+      } else if (entry.command.type === 'settle-voters') {
+        this.settledAt = entry.index;
       }
     }
   }
@@ -101,7 +105,7 @@
     if (term === undefined || index <= this.start.index) {
       return;
     }
-    const voters = this.listVoterSets(index)[0];
+    const voters = this.findVotersAt(index);
     this.entries = this.entries.slice(index - this.start.index);
     this.start = {index, term, voters};
     this.indexVoters();
@@ -112,13 +116,23 @@
     this.start = start;
     this.entries = [];
     this.voterEntries = [];
+    this.settledAt = 0;
   }
 
   /**
    * The voter sets in force: the committed one, then those of entries that are
-   * not committed yet.
+   * not committed yet. What an entry settles is committed, whether it is itself or not.
    */
   listVoterSets(commitIndex: number): VoterSet[] {
+    return this.computeSets(Math.max(commitIndex, this.settledAt));
+  }
+
+  /** The committed voters as of an entry, whatever was settled since. */
+  findVotersAt(index: number): VoterSet {
+    return this.computeSets(index)[0];
+  }
+
+  private computeSets(committed: number): VoterSet[] {
     const sets: VoterSet[] = [this.start.voters];
     for (const {index, command} of this.voterEntries) {
       const voters = new Map(sets[sets.length - 1]);
@@ -126,7 +140,7 @@
         voters.delete(command.replaces);
       }
       voters.set(command.name, command.identity);
-      if (index <= commitIndex) {
+      if (index <= committed) {
         sets.length = 0;
       }
       sets.push(voters);
@@ -134,8 +148,27 @@
     return sets;
   }
 
+  /** The newest change of voters that no entry settles; undefined when all are settled. */
+  findUnsettled(): number | undefined {
+    const index = this.voterEntries.at(-1)?.index ?? 0;
+    return index > this.settledAt ? index : undefined;
+  }
+
+  /** True when a committed entry settles every change of voters: a majority has it on disk. */
+  isSettled(commitIndex: number): boolean {
+    const isChanging = this.voterEntries.length > 0;
+    return (
+      this.findUnsettled() === undefined &&
+      (!isChanging || this.settledAt <= commitIndex)
+    );
+  }
+
   private indexVoters(): void {
     this.voterEntries = this.entries.filter(isVoterEntry);
+    const settling = this.entries.filter(
+      ({command}) => command.type === 'settle-voters',
+    );
+    this.settledAt = settling.at(-1)?.index ?? 0;
   }
 }
 
--- a/src/coordination/raft_node.ts
+++ b/src/coordination/raft_node.ts
@@ -92,7 +92,7 @@
 
   /** Committed voters as of an entry. */
   listVotersAt(index: number): VoterSet {
-    return this.state.log.listVoterSets(index)[0];
+    return this.state.log.findVotersAt(index);
   }
 
   /** Every entry behind the snapshot. */
@@ -101,9 +101,14 @@
     return log.slice(log.firstIndex, log.lastIndex);
   }
 
-  /** A replacement of a voter is proposed and not committed yet. */
+  /**
+   * A change of voters is proposed, and that it is over is not on a majority of disks
+   * yet. Whoever holds nothing that says so would ask the old voters for a majority,
+   * too: after a loss of all power and two disks no leader came.
+   */
   get isChangingVoters(): boolean {
-    return this.state.voterSets.length > 1;
+    const {log, commitIndex, voterSets} = this.state;
+    return voterSets.length > 1 || !log.isSettled(commitIndex);
   }
 
   /** True while no other node can have become leader. Ask right before answering. */
--- a/src/coordination/raft_replication.ts
+++ b/src/coordination/raft_replication.ts
@@ -261,11 +261,16 @@
     if (reached === undefined) {
       return;
     }
-    const wasChangingVoters = state.voterSets.length > 1;
     state.advanceCommit(reached);
-    if (wasChangingVoters && state.voterSets.length === 1) {
-      // Until the others know, they would still ask the voters that went.
-      this.sendRound();
+    this.settleVoters();
+  }
+
+  /** Tells in the log that the changes of voters in it are committed, so that disks know it. */
+  private settleVoters(): void {
+    const {log, commitIndex} = this.state;
+    const unsettled = log.findUnsettled();
+    if (unsettled !== undefined && unsettled <= commitIndex) {
+      this.propose([{type: 'settle-voters', time: 0}]);
     }
   }
 
--- a/src/protocol/control_command.ts
+++ b/src/protocol/control_command.ts
@@ -25,6 +25,8 @@
     /** Name of a voter that goes in the same step. */
     replaces: z.string().optional(),
   }),
+  /** Every change of voters before it is committed: whoever holds this knows so. */
+  z.object({type: z.literal('settle-voters'), time: Time}),
   z.object({
     type: z.literal('accept-channel-bundle'),
     time: Time,
--- a/src/state/cluster_state.ts
+++ b/src/state/cluster_state.ts
@@ -131,6 +131,7 @@
 
   private readonly handlers: Handlers = {
     'start-term': () => ({isAccepted: true, reason: 'started'}),
+    'settle-voters': () => ({isAccepted: true, reason: 'settled'}),
     'set-voter': (command, index) => {
       const reason = command.replaces
         ? `${command.identity} takes the place of ${command.replaces}`
