--- /dev/null
+++ b/test/simulation/day_limits.ts
@@ -0,0 +1,11 @@
+/** Sizes and times of every simulated day. */
+export const VOTERS = 5;
+export const LOSSES = 2;
+export const SEEDS = 3;
+export const LOOK_EVERY_MS = 100;
+/** A leader is back, and a change is taken, within this once all machines run. */
+export const RECOVER_MS = 12_000;
+/** Between two changes once the day is over, on average. */
+export const BUSY_EVERY_MS = 200;
+/** How long the day waits for an acknowledgement to end after. */
+export const CLOSING_WAIT_MS = 8_000;
--- a/test/simulation/play_day.ts
+++ b/test/simulation/play_day.ts
@@ -1,9 +1,18 @@
-/** Plays one day on the real quorum code and checks its promises all the while. */
+/** Plays one day on the real quorum code and checks its promises. */
 import {createRandom} from '../support/create_random';
 import {chooseWiped} from './choose_wiped';
 import {createBundle} from './create_bundle';
 import {describeMachine} from './describe_machine';
 import {LossLedger} from './loss_ledger';
+import {
+  BUSY_EVERY_MS,
+  CLOSING_WAIT_MS,
+  LOOK_EVERY_MS,
+  LOSSES,
+  RECOVER_MS,
+  SEEDS,
+  VOTERS,
+} from './day_limits';
 import {DayResult} from './day_result';
 import {DAY_MS, DayEvent, QuorumDay} from './quorum_day';
 import {STOPS} from './stops';
@@ -11,16 +20,6 @@
 import {VirtualCuts} from './virtual_cuts';
 import {VirtualTime} from './virtual_time';
 
-const VOTERS = 5;
-const LOSSES = 2;
-const SEEDS = 3;
-const LOOK_EVERY_MS = 100;
-/** A leader is back, and a change is taken, within this once all machines run. */
-const RECOVER_MS = 12_000;
-/** How long the day waits for an acknowledgement to end after. */
-const CLOSING_WAIT_MS = 8_000;
-/** Between two changes, at most. */
-const CHANGE_EVERY_MS = 300;
 /**
  * Plays a day.
  *
@@ -84,7 +83,9 @@
     day.events.forEach(event => time.after(event.at, () => this.act(event)));
     time.after(LOOK_EVERY_MS, () => this.look());
     time.after(500, () => this.change());
-    time.after(DAY_MS, () => (this.isClosing = true));
+    time.after(DAY_MS, () => {
+      this.isClosing = day.endsOnAck;
+    });
     time.after(DAY_MS + CLOSING_WAIT_MS, () => this.close());
     await time.runUntil(
       DAY_MS + CLOSING_WAIT_MS,
@@ -108,13 +109,10 @@
   private async recover(): Promise<void> {
     const {time} = this;
     const before = this.acked;
-    const isOver = () =>
-      this.broken !== undefined ||
-      (this.leaderAfterMs !== undefined && this.acked > before);
+    const isBack = () =>
+      this.leaderAfterMs !== undefined && this.acked > before;
+    const isOver = () => this.broken !== undefined || isBack();
     await time.runUntil(time.now() + RECOVER_MS, isOver);
-    if (this.broken !== undefined) {
-      return;
-    }
     if (this.leaderAfterMs === undefined) {
       this.fail(`no leader within ${RECOVER_MS} ms after all machines ran`);
     } else if (this.acked === before) {
@@ -123,9 +121,9 @@
   }
 
   private act(event: DayEvent): void {
-    if (!this.isClosed && this.broken === undefined) {
-      this.handlers[event.kind](event as never);
-    }
+    return this.isClosed
+      ? undefined
+      : this.handlers[event.kind](event as never);
   }
 
   private readonly handlers: {
@@ -195,8 +193,7 @@
     },
     seeds: ({machine}) => {
       this.seedsFrom = machine;
-      const seeds = this.listSeeds();
-      this.tell(`the seeds are ${seeds.join(', ')} now`);
+      this.tell(`the seeds are ${this.listSeeds().join(', ')} now`);
     },
   };
 
@@ -249,7 +246,8 @@
 
   /** The operator sends a change to the leader, whoever that is. */
   private change(): void {
-    this.time.after(50 + this.random() * CHANGE_EVERY_MS, () => this.change());
+    const everyMs = this.isClosed ? BUSY_EVERY_MS : this.day.changeEveryMs;
+    this.time.after(everyMs * (0.5 + this.random()), () => this.change());
     const leader = this.machines.find(({runtime}) => runtime?.canAnswer());
     const {desk, runtime, station} = leader ?? {};
     if (!leader || !desk || !runtime || leader.isFrozen) {
@@ -309,6 +307,7 @@
       this.time.after(700, () => this.boot(machine, false));
     });
     this.closedAt = this.time.now() + 700;
+    this.time.after(700, () => this.change());
   }
 
   /** What must hold at every moment. */
--- a/test/simulation/quorum_day.ts
+++ b/test/simulation/quorum_day.ts
@@ -68,7 +68,10 @@
 export interface QuorumDay {
   readonly seed: number;
   readonly events: readonly DayEvent[];
-  /** Right after the last acknowledgement of the day. */
+  /** Between two changes of the operator, on average; at most days it has little to do. */
+  readonly changeEveryMs: number;
+  /** It ends right after an acknowledgement, or while nothing goes on. */
+  readonly endsOnAck: boolean;
   readonly closing: 'power-all' | 'kill-all' | 'wipe' | 'wipe-and-power';
   /** The disks that the closing loses are those of voters that hold the newest change, or any. */
   readonly isAimed: boolean;
@@ -176,5 +179,7 @@
     events: events.sort((left, right) => left.at - right.at),
     closing: closings[random() < 0.5 ? 3 : pick(0, 3)],
     isAimed: random() < 0.7,
+    changeEveryMs: random() < 0.6 ? 200 : pick(2_000, 20_000),
+    endsOnAck: random() < 0.7,
   };
 }
