perf(coordination): spares grow with the square root of a domain's hosts

Cause: a quarter of each domain was kept as spares: 9 of 37, and with groups of 16 and 8 four more had no use, so 264 of 370 hosts served, in 8 groups of the larger model that were overloaded whenever some were lost. Change: floor(sqrt(hosts / 2)) spares (2 of 8, 2 of 11, 3 of 27, 4 of 37); the usual groups follow from the hosts of each domain.

--- a/bench/run_engine_policy.ts
+++ b/bench/run_engine_policy.ts
@@ -23,8 +23,21 @@
   'held hosts not reserved': {reservesHeld: false},
 };
 
-/** Fleets of several sizes: hosts of a domain, hosts of each model, groups that the demand takes, time between losses. */
-const FLEETS = {
+interface Fleet {
+  /** Hosts of each domain. */
+  readonly domain: number;
+  /** Three without it. */
+  readonly domains?: number;
+  /** Hosts of a group of each model. */
+  readonly sizes: readonly [number, number];
+  /** Groups that the demand takes. */
+  readonly demand: Readonly<Record<string, number>>;
+  /** Between two losses. */
+  readonly everyMs: number;
+}
+
+/** Fleets of several sizes. */
+const FLEETS: Readonly<Record<string, Fleet>> = {
   'three domains of 8, groups of 4 and 2': {
     domain: 8,
     sizes: [4, 2],
@@ -43,13 +56,20 @@
     demand: {big: 1.8, low: 3.5},
     everyMs: 1_500,
   },
+  'ten domains of 37, groups of 16 and 8': {
+    domain: 37,
+    domains: 10,
+    sizes: [16, 8],
+    demand: {big: 6, low: 10},
+    everyMs: 1_000,
+  },
 };
 
-type Fleet = (typeof FLEETS)[keyof typeof FLEETS];
-
 function play(fleet: Fleet, seed: number, policy: EnginePolicy) {
   const {domain, sizes, demand, everyMs} = fleet;
-  const domains = {a: domain, b: domain, c: domain};
+  const domains = Object.fromEntries(
+    Array.from({length: fleet.domains ?? 3}, (_, at) => [`d${at}`, domain]),
+  );
   const models = PROFILE.models.map((model, at) => ({
     ...model,
     size: sizes[at],
--- /dev/null
+++ b/src/common/cancel.ts
@@ -0,0 +1,2 @@
+/** Ends what was set going. */
+export type Cancel = () => void;
--- a/src/common/system_timers.ts
+++ b/src/common/system_timers.ts
@@ -2,17 +2,17 @@
 
 /** The timers of this process. */
 export const systemTimers: Timers = {
-  every(ms, act) {
+  repeat(ms, act) {
     const timer = setInterval(act, ms);
     return () => clearInterval(timer);
   },
 
-  after(ms, act) {
+  delay(ms, act) {
     const timer = setTimeout(act, ms);
     return () => clearTimeout(timer);
   },
 
-  soon(act) {
+  defer(act) {
     setImmediate(act);
   },
 };
--- a/src/common/wait_for.ts
+++ b/src/common/wait_for.ts
@@ -7,5 +7,5 @@
  * await waitFor(systemTimers, 100);
  */
 export function waitFor(timers: Timers, ms: number): Promise<void> {
-  return new Promise(resolve => timers.after(ms, resolve));
+  return new Promise(resolve => timers.delay(ms, resolve));
 }
--- a/src/control/engine_planner_loop.ts
+++ b/src/control/engine_planner_loop.ts
@@ -2,6 +2,7 @@
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
 import {BackendView} from '../coordination/backend_view';
+import {countByDomain} from '../coordination/count_by_domain';
 import {EngineAction} from '../coordination/engine_action';
 import {planEngineGroups} from '../coordination/plan_engine_groups';
 import {computeUsualGroups} from '../coordination/compute_usual_groups';
@@ -127,7 +128,10 @@
       profile: pool.engine,
       groups,
       backends,
-      usual: computeUsualGroups(pool.engine, this.countWell(backends)),
+      usual: computeUsualGroups(
+        pool.engine,
+        countByDomain(this.listWell(backends)),
+      ),
       isFirstStart: groups.length === 0 && backends.every(isEmpty),
       now,
       silentAfterMs: duties.heartbeatMs * SILENT_INTERVALS,
@@ -169,14 +173,12 @@
     }
   }
 
-  private countWell(backends: readonly BackendView[]): number {
+  private listWell(backends: readonly BackendView[]): BackendView[] {
     const {engines} = this.options.runtime.state;
     return backends.filter(
-      ({registration: {incarnation, domain}}) =>
-        domain !== undefined &&
-        !engines.isRetired(incarnation) &&
-        !this.health.isLost(incarnation),
-    ).length;
+      ({registration: {incarnation}}) =>
+        !engines.isRetired(incarnation) && !this.health.isLost(incarnation),
+    );
   }
 
   private async commitChanges(actions: readonly EngineAction[]): Promise<void> {
--- a/src/control/quorum_keeper.ts
+++ b/src/control/quorum_keeper.ts
@@ -1,7 +1,8 @@
 /** Brings the first quorum together and changes its voters one at a time. */
 import {Clock} from '../common/clock';
 import {systemTimers} from '../common/system_timers';
-import {Cancel, Timers} from '../common/timers';
+import {Cancel} from '../common/cancel';
+import {Timers} from '../common/timers';
 import {waitFor} from '../common/wait_for';
 import {decideVoterChange} from '../coordination/decide_voter_change';
 import {FormationMessage} from '../protocol/formation_message';
@@ -52,7 +53,7 @@
   private constructor(private readonly options: QuorumKeeperOptions) {
     this.startedAt = options.clock.now();
     this.timers = options.timers ?? systemTimers;
-    this.stopTicking = this.timers.every(ADMIT_EVERY_MS, () => this.tick());
+    this.stopTicking = this.timers.repeat(ADMIT_EVERY_MS, () => this.tick());
   }
 
   /**
--- a/src/control/raft_runtime.ts
+++ b/src/control/raft_runtime.ts
@@ -2,7 +2,8 @@
 import {Clock} from '../common/clock';
 import {PushSource} from '../common/push_source';
 import {systemTimers} from '../common/system_timers';
-import {Cancel, Timers} from '../common/timers';
+import {Cancel} from '../common/cancel';
+import {Timers} from '../common/timers';
 import {waitFor} from '../common/wait_for';
 import {RaftEffects} from '../coordination/raft_effects';
 import {RaftEvent} from '../coordination/raft_event';
@@ -105,7 +106,7 @@
       startedAt: options.startedAt,
     });
     this.timers = options.timers ?? systemTimers;
-    this.stopTicking = this.timers.every(TICK_MS, () =>
+    this.stopTicking = this.timers.repeat(TICK_MS, () =>
       this.step({type: 'tick'}),
     );
   }
@@ -174,7 +175,7 @@
   propose(command: ControlCommand): Promise<CommandResult> {
     const settled = this.pending.add(command);
     if (this.pending.queuedCount === 1) {
-      this.timers.soon(() => this.flushProposals());
+      this.timers.defer(() => this.flushProposals());
     }
     return settled;
   }
--- a/src/coordination/plan_engine_formation.ts
+++ b/src/coordination/plan_engine_formation.ts
@@ -2,12 +2,12 @@
 import {EngineProfile} from '../protocol/engine_profile';
 import {BackendView} from './backend_view';
 import {computeReadyMs} from './compute_ready_ms';
+import {computeSpares} from './compute_spares';
 import {EngineAction} from './engine_action';
 import {EngineCounts} from './engine_counts';
 import {EnginePlanInput} from './engine_plan_input';
 import {EngineReservation} from './engine_reservation';
 import {listFreeEngines} from './list_free_engines';
-import {SPARE_SHARE} from './spare_share';
 import {isHeldBySilentHead} from './is_held_by_silent_head';
 import {reserveEngines} from './reserve_engines';
 
@@ -270,7 +270,7 @@
   const hosts = input.backends.filter(
     host => host.registration.domain === domain,
   );
-  return Math.floor(hosts.length * SPARE_SHARE);
+  return computeSpares(hosts.length);
 }
 
 function findFreeName(model: string, names: ReadonlySet<string>): string {
--- a/src/gateway/target_board.ts
+++ b/src/gateway/target_board.ts
@@ -163,7 +163,7 @@
         (want.mayQueue || hasPlace(standing)),
     );
     const loads = fit.map(standing => this.computeWork(standing));
-    const unseen = this.unseen.estimate(createLine(want));
+    const unseen = this.unseen.compute(createLine(want));
     return fit[chooseByLevel(loads, unseen, this.random())]?.target;
   }
 
--- a/src/gateway/unseen_work.ts
+++ b/src/gateway/unseen_work.ts
@@ -46,7 +46,7 @@
   }
 
   /** What the others began at the engines of a line and nobody told yet, in tokens. */
-  estimate(line: string): number {
+  compute(line: string): number {
     const tokens = this.listRecent(line).reduce(
       (sum, start) => sum + start.tokens,
       0,
--- a/src/state/control_disk.ts
+++ b/src/state/control_disk.ts
@@ -54,8 +54,8 @@
     options: ControlDiskOptions = {},
   ): Promise<ControlDisk> {
     const {locksFolder = true, storage = nodeStorage} = options;
-    const {createDiskId = drawDiskId, timers = systemTimers} = options;
-    await storage.makeFolder(folder);
+    const {createDiskId = createNewDiskId, timers = systemTimers} = options;
+    await storage.createFolder(folder);
     if (locksFolder) {
       await takeLock(folder);
     }
@@ -95,7 +95,7 @@
   }
 }
 
-function drawDiskId(): string {
+function createNewDiskId(): string {
   return randomBytes(DISK_ID_BYTES).toString('hex');
 }
 
--- a/src/state/node_storage.ts
+++ b/src/state/node_storage.ts
@@ -24,7 +24,7 @@
 
   rename,
 
-  async makeFolder(folder) {
+  async createFolder(folder) {
     await mkdir(folder, {recursive: true});
   },
 
--- a/src/state/write_ahead_log.ts
+++ b/src/state/write_ahead_log.ts
@@ -7,7 +7,8 @@
 import {recordFile} from './record_file';
 import {replaceFile} from './replace_file';
 import {StateError} from './state_error';
-import {Storage, StorageFile} from './storage';
+import {Storage} from './storage';
+import {StorageFile} from './storage_file';
 import {writeWhole} from './write_whole';
 
 const FILE_NAME = 'log.wal';
