--- a/test/control/gateway_desk.test.ts
+++ b/test/control/gateway_desk.test.ts
@@ -9,17 +9,19 @@
 import {ControlSettings} from '../../src/control/control_settings';
 import {GatewayDesk} from '../../src/control/gateway_desk';
 import {RaftRuntime} from '../../src/control/raft_runtime';
+import {ControlMessage} from '../../src/protocol/control_message';
+import {MessageOf} from '../../src/protocol/message_of';
 import {EngineGroupTable} from '../../src/state/engine_group_table';
 import {PROFILE, group, host} from '../support/engine_plan';
 
 const NOW = 20_000;
 const POOL = {name: 'p', maxConnections: 10, engine: PROFILE};
 
-function create(ledMs: number) {
+function create(ledMs: number, rules: unknown = {pools: [POOL]}) {
   const engines = EngineGroupTable.create();
   const registry = BackendRegistry.create();
   const runtime = {
-    state: {engines, channel: {version: 1, rules: {pools: [POOL]}}},
+    state: {engines, channel: {version: 1, rules}},
     raft: {term: 1, commitIndex: 1, listVotersAt: () => new Map()},
     leadingSince: NOW - ledMs,
   } as unknown as RaftRuntime;
@@ -32,7 +34,7 @@
     events: EventRing.create(),
     identity: 'c/1',
   });
-  const listTargets = async () => {
+  const ask = async () => {
     const answer = await desk.handlers['gateway-ask']({
       type: 'gateway-ask',
       call: 1,
@@ -46,10 +48,13 @@
       hasServed: false,
       isUrgent: true,
     });
-    const targets = 'targets' in answer ? (answer.targets ?? []) : [];
+    return answer as MessageOf<ControlMessage, 'gateway-answer'>;
+  };
+  const listTargets = async () => {
+    const {targets = []} = await ask();
     return targets.map(({incarnation, model}) => `${incarnation} ${model}`);
   };
-  return {engines, registry, listTargets};
+  return {engines, registry, ask, listTargets};
 }
 
 describe('a leader that has just begun', () => {
@@ -87,3 +92,36 @@
   engines.set(group(['a', 'b']));
   expect(await listTargets()).toEqual([]);
 });
+
+// Rules of 1,400 routes went to 36 gateways, and each answer was encoded by itself: the
+// leader stood still for half a second after each change, "the lead was lost before the
+// answer left", and three versions later it had lost the lead, "no quorum answered in
+// time". A valid change had no acknowledgement for 10 s of calm.
+test('rules are encoded once for all gateways', async () => {
+  const routes = Array.from({length: 1_400}, (_, at) => ({
+    name: `route-${at}`,
+    host: 'host.example',
+    pathPrefix: `/prefix-${at}/`,
+    kind: 'stream' as const,
+    timeoutMs: 8_000,
+    objectiveMs: 500,
+    priority: 1,
+    targets: [{pool: 'p', weight: 1}],
+    maxAttempts: 2,
+    isAnonymous: false,
+    isResumable: true,
+  }));
+  const limits = {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  };
+  const {ask} = create(16_000, {version: 1, routes, pools: [POOL], limits});
+  const answers = await Promise.all([1, 2, 3].map(() => ask()));
+  const told = answers.map(({rules}) => rules);
+
+  expect(told[0]).toBeInstanceOf(Uint8Array);
+  expect(told[1]).toBe(told[0]);
+  expect(told[2]).toBe(told[0]);
+});
