feat(gateway): lines tell the same request under another id, and an end from a broken connection

Sight for the incident, no change of logic: logs could not tell whether two attempts are the same request, nor whether a connection that broke was its backend server's end. A request whose connection broke now has an identity in its line (a digest of caller, path and body, worked out only then), and the gateway makes one new connection to that backend server and writes what it met.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -186,7 +186,11 @@
       this.finish({kind: 'not-run', reason: 'refused, then broken off'});
       return;
     }
-    this.finish({kind: 'broken', reason: 'the connection broke'});
+    this.finish({
+      kind: 'broken',
+      reason: 'the connection broke',
+      isConnectionLost: true,
+    });
   }
 
   /** False for an answer that says that nothing ran. */
--- a/src/gateway/attempt_end.ts
+++ b/src/gateway/attempt_end.ts
@@ -6,4 +6,6 @@
    */
   readonly kind: 'whole' | 'not-run' | 'broken';
   readonly reason: string;
+  /** It broke because the backend server's end of the connection did. */
+  readonly isConnectionLost?: boolean;
 }
--- a/src/gateway/flow_course.ts
+++ b/src/gateway/flow_course.ts
@@ -7,6 +7,7 @@
   /** When its caller last got something; its arrival before that. */
   passedAt: number;
   private runningAtTarget = -1;
+  private identity: string | undefined;
 
   private constructor(private readonly arrivedAt: number) {
     this.passedAt = arrivedAt;
@@ -50,6 +51,11 @@
     this.passedAt = now;
   }
 
+  /** Notes that a connection broke under it, and what tells it apart when it comes again. */
+  recordBroken(identity: string): void {
+    this.identity = identity;
+  }
+
   /** All of it, at its end. */
   describe(now: number) {
     const {arrivedAt, firstEventAt} = this;
@@ -61,6 +67,7 @@
       firstEventMs,
       runningAtTarget: this.runningAtTarget,
       tookMs: Math.round(now - arrivedAt),
+      identity: this.identity,
     };
   }
 }
--- a/src/gateway/flow_result.ts
+++ b/src/gateway/flow_result.ts
@@ -13,4 +13,6 @@
   /** Requests known to run at the last target when it was chosen; -1 when none was. */
   readonly runningAtTarget: number;
   readonly tookMs: number;
+  /** What tells it as the same request when its caller repeats it; only where a connection broke. */
+  readonly identity?: string;
 }
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -10,16 +10,18 @@
 import {HttpListener} from '../transport/http_listener';
 import {HttpOrigins} from '../transport/http_origins';
 import {readHttpBody} from '../transport/read_http_body';
+import {BreakWitness} from './break_witness';
 import {CallerAnswer} from './caller_answer';
 import {decideAdmission} from './decide_admission';
 import {FlowResult} from './flow_result';
+import {GatewayLog} from './gateway_log';
 import {GatewayRequest} from './gateway_request';
 import {GatewaySettings} from './gateway_settings';
 import {GatewayStop} from './gateway_stop';
 import {PlaceForecast} from './place_forecast';
-import {Refusal} from './refusal';
 import {RepeatBudget} from './repeat_budget';
 import {RequestFlow} from './request_flow';
+import {RequestIdentity} from './request_identity';
 import {RulesFeed} from './rules_feed';
 import {TargetBoard} from './target_board';
 
@@ -44,9 +46,11 @@
   private readonly origins = HttpOrigins.create();
   private readonly board: TargetBoard;
   private readonly feed: RulesFeed;
+  private readonly log: GatewayLog;
   private readonly budgets = new Map<string, RepeatBudget>();
   private readonly flows = new Set<RequestFlow>();
   private readonly forecast = PlaceForecast.create(systemClock);
+  private readonly witness: BreakWitness;
   private readonly checkTimer: NodeJS.Timeout;
   /** When requests were last looked at, or should have been. */
   private checkedAt: number;
@@ -75,6 +79,7 @@
       withinMs: stopWithinMs,
       honouredPart: settings.dialect.honouredPart,
     });
+    this.witness = BreakWitness.create({clock, events});
     this.seeds = control;
     this.controlAddresses = control;
     this.board = TargetBoard.create(zone, clock, Math.random, () =>
@@ -109,6 +114,7 @@
         this.controlAddresses = [...new Set([...addresses, ...this.seeds])];
       },
     });
+    this.log = GatewayLog.create(events, this.feed);
     this.checkedAt = clock.now();
     this.checkTimer = setInterval(() => this.checkFlows(), CHECK_MS);
   }
@@ -237,7 +243,7 @@
     });
     if ('status' in admitted) {
       answer.sendOwn(admitted, request.id);
-      this.recordRefusal(request, admitted);
+      this.log.recordRefusal(request, admitted);
       return;
     }
     if (answer.isGone) {
@@ -252,7 +258,7 @@
     });
     if (tooLate) {
       answer.sendOwn(tooLate, request.id);
-      this.recordRefusal(request, tooLate);
+      this.log.recordRefusal(request, tooLate);
       return;
     }
     this.hasServed = true;
@@ -262,6 +268,7 @@
     const flow: {current?: RequestFlow} = {};
     flow.current = RequestFlow.create({
       request,
+      identity: RequestIdentity.create({request, workspace, body}),
       body,
       route,
       pool,
@@ -273,6 +280,7 @@
       board: this.board,
       budget: this.findBudget(pool.name),
       forecast: this.forecast,
+      witness: this.witness,
       dialect: this.settings.dialect,
       clock: this.clock,
       onDone: result => {
@@ -325,50 +333,18 @@
     return budget;
   }
 
-  private recordRefusal(request: GatewayRequest, refusal: Refusal): void {
-    this.events.record({
-      type: 'request-refused',
-      subject: 'request',
-      id: request.id,
-      reason: refusal.reason,
-      details: {
-        status: refusal.status,
-        rules: this.feed.index?.rules.version ?? 0,
-        confirmedMsAgo: Math.round(Math.min(this.feed.ageMs, 1e9)),
-      },
-    });
-  }
-
   private recordResult(
     request: GatewayRequest,
     route: string,
     result: FlowResult,
   ): void {
-    const {outcome, reason, status, targets, events, tookMs} = result;
-    const {firstEventMs, runningAtTarget} = result;
+    const {outcome, tookMs} = result;
     if (outcome === 'answered') {
       this.stop.recordAnswered(route, tookMs);
     }
     if (outcome === 'refused' && request.model !== undefined) {
       this.recordPressed(request.model);
     }
-    this.events.record({
-      type: `request-${outcome}`,
-      subject: 'request',
-      id: request.id,
-      reason,
-      details: {
-        route,
-        status,
-        targets: targets.join(' '),
-        events,
-        firstEventMs,
-        runningAtTarget,
-        tookMs,
-        model: request.model ?? '',
-        promptTokens: request.promptTokens,
-        rules: this.feed.index?.rules.version ?? 0,
-      },
-    });
+    this.log.recordResult(request, route, result);
   }
 }
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -1,15 +1,14 @@
 /** Carries one request through: attempts, repeats, resumed streams, its final answer. */
 import {GatewayTarget} from '../protocol/gateway_target';
 import {AnswerHead} from './answer_head';
+import {AnswerRelay} from './answer_relay';
 import {Attempt} from './attempt';
 import {AttemptEnd} from './attempt_end';
 import {createStallTimes} from './create_stall_times';
 import {createTargetKey} from './create_target_key';
 import {createWorkNames} from './create_work_names';
-import {EventSplitter} from './event_splitter';
 import {FlowCourse} from './flow_course';
 import {FlowResult} from './flow_result';
-import {HeldBody} from './held_body';
 import {PlaceWait} from './place_wait';
 import {RequestFlowOptions} from './request_flow_options';
 import {sendFinalAnswer} from './send_final_answer';
@@ -29,10 +28,7 @@
 /** One request under way. */
 export class RequestFlow {
   private attempt: Attempt | undefined;
-  private head: AnswerHead | undefined;
-  private splitter = EventSplitter.create();
-  private held = HeldBody.create();
-  private lastEventId: string | undefined;
+  private readonly relay: AnswerRelay;
   private runs = 0;
   private refusals = 0;
   private readonly tried = new Set<string>();
@@ -50,7 +46,11 @@
     const holdMs = Math.min(route.timeoutMs, request.waitMs ?? Infinity);
     this.deadlineAt = arrivedAt + holdMs;
     this.course = FlowCourse.create(arrivedAt);
-    this.lastEventId = request.lastEventId;
+    this.relay = AnswerRelay.create({
+      answer,
+      lastEventId: request.lastEventId,
+      onPassed: hasRoom => this.recordPassed(hasRoom),
+    });
     const {model, promptTokens} = request;
     this.names = createWorkNames({route, pool, model});
     const {work} = this.names;
@@ -199,15 +199,14 @@
     const {incarnation} = target;
     const running = board.countRunning(incarnation);
     this.course.recordTarget(incarnation, running, clock.now());
-    this.splitter = EventSplitter.create();
-    this.held = HeldBody.create();
+    this.relay.reset();
     this.attempt = Attempt.create({
       request,
       body: options.body,
       target,
       workspace: options.workspace,
       remainingMs: Math.max(1, Math.floor(this.deadlineAt - clock.now())),
-      lastEventId: this.lastEventId,
+      lastEventId: this.relay.lastEventId,
       maxConnections: options.maxConnections,
       origins: options.origins,
       board,
@@ -230,48 +229,35 @@
   }
 
   private handleHead(head: AnswerHead): void {
-    const {answer} = this.options;
-    if (answer.hasBegun && !(head.isEventStream && head.isFramed)) {
-      this.attempt?.stop(`status ${head.status} in place of the rest`);
-      return;
-    }
-    // A resumed stream keeps the head of its first backend server.
-    if (!answer.hasBegun) {
-      this.head = head;
+    const wrong = this.relay.acceptHead(head);
+    if (wrong) {
+      this.attempt?.stop(wrong);
     }
   }
 
   private handleData(chunk: Buffer): void {
-    if (this.head?.isEventStream) {
-      this.splitter
-        .split(chunk)
-        .forEach(event => this.passEvent(event.bytes, event.id));
-      return;
-    }
-    if (!this.held.add(chunk)) {
-      this.attempt?.stop('the answer is too large to hold');
+    const wrong = this.isDone ? undefined : this.relay.acceptData(chunk);
+    if (wrong) {
+      this.attempt?.stop(wrong);
     }
   }
 
-  private passEvent(bytes: Buffer, id: string | undefined): void {
+  private recordPassed(hasRoom: boolean): void {
     const {answer, clock} = this.options;
-    if (this.isDone || !this.head) {
-      return;
-    }
-    if (!answer.hasBegun) {
-      answer.begin(this.head);
-    }
-    this.course.recordEvent(clock.now());
-    this.lastEventId = id ?? this.lastEventId;
     const {attempt} = this;
-    if (!answer.write(bytes) && attempt) {
+    this.course.recordEvent(clock.now());
+    if (!hasRoom && attempt) {
       attempt.pause();
       answer.watchRoom(() => attempt.resume());
     }
   }
 
   private handleEnd(end: AttemptEnd): void {
+    const {attempt} = this;
     this.attempt = undefined;
+    if (end.isConnectionLost && attempt) {
+      this.recordBreak(attempt);
+    }
     if (end.kind !== 'not-run') {
       this.wait.recordPlaceFree();
     }
@@ -293,22 +279,25 @@
     this.finishWhole(mayRepeat);
   }
 
+  private recordBreak({target, hasStarted}: Attempt): void {
+    const {name} = this.options.identity;
+    this.course.recordBroken(name);
+    void this.options.witness.findFate({target, name, hasBegun: hasStarted});
+  }
+
   private finishWhole(mayRepeat: boolean): void {
-    const {answer} = this.options;
-    const {head} = this;
+    const {relay} = this;
+    const {head} = relay;
     if (!head) {
       this.giveUp('an answer without a head');
       return;
     }
     if (head.isEventStream) {
-      if (this.splitter.pendingBytes > 0) {
+      if (relay.isWithinEvent) {
         this.repeat('the stream ends within an event', mayRepeat);
         return;
       }
-      if (!answer.hasBegun) {
-        answer.begin(head);
-      }
-      answer.end();
+      relay.endStream(head);
       this.finish('answered', 'whole', head.status);
       return;
     }
@@ -317,7 +306,7 @@
       this.sendOn('no other backend server');
       return;
     }
-    answer.sendWhole(head, this.held.copyWhole());
+    relay.sendHeld(head);
     this.finish('answered', 'whole', head.status);
   }
 
--- a/src/gateway/request_flow_options.ts
+++ b/src/gateway/request_flow_options.ts
@@ -2,17 +2,20 @@
 import {Clock} from '../common/clock';
 import {GatewayRules} from '../protocol/gateway_rules';
 import {HttpOrigins} from '../transport/http_origins';
+import {BreakWitness} from './break_witness';
 import {CallerAnswer} from './caller_answer';
 import {CallerDialect} from './caller_dialect';
 import {FlowResult} from './flow_result';
 import {GatewayRequest} from './gateway_request';
 import {PlaceForecast} from './place_forecast';
 import {RepeatBudget} from './repeat_budget';
+import {RequestIdentity} from './request_identity';
 import {TargetBoard} from './target_board';
 
 /** What a flow needs. */
 export interface RequestFlowOptions {
   readonly request: GatewayRequest;
+  readonly identity: RequestIdentity;
   readonly body: Buffer;
   readonly route: GatewayRules['routes'][number];
   readonly pool: GatewayRules['pools'][number];
@@ -26,6 +29,7 @@
   readonly board: TargetBoard;
   readonly budget: RepeatBudget;
   readonly forecast: PlaceForecast;
+  readonly witness: BreakWitness;
   readonly dialect: CallerDialect;
   readonly clock: Clock;
   /** Told once, when the caller has its final answer or is gone. */
--- /dev/null
+++ b/src/gateway/request_identity.ts
@@ -0,0 +1,56 @@
+/** What makes a request the same one when its caller sends it again. */
+import {createHash} from 'node:crypto';
+import {GatewayRequest} from './gateway_request';
+
+/** Hexadecimal digits that tell callers apart, and requests of one caller. */
+const CALLER_DIGITS = 8;
+const REQUEST_DIGITS = 24;
+
+/** What an identity is made from. */
+interface IdentityInput {
+  readonly request: Pick<GatewayRequest, 'host' | 'method' | 'path'>;
+  /** Whose request it is; undefined for callers who need no key. */
+  readonly workspace?: string;
+  readonly body: Buffer;
+}
+
+/**
+ * Names a request by caller, path and body, under whatever id and at whichever
+ * gateway it comes. It is worked out when it is first wanted, since most
+ * requests never need it.
+ */
+export class RequestIdentity {
+  private text: string | undefined;
+
+  private constructor(private readonly input: IdentityInput) {}
+
+  /**
+   * Creates the identity of a request whose body is there.
+   *
+   * @example
+   * const identity = RequestIdentity.create({request, workspace: 'w', body});
+   * identity.name; // '0b5e…', which begins with a digest of the caller
+   */
+  static create(input: IdentityInput): RequestIdentity {
+    return new RequestIdentity(input);
+  }
+
+  /** The digest of the caller, then that of the request: nobody can have another caller's request refused. */
+  get name(): string {
+    this.text ??= this.compute();
+    return this.text;
+  }
+
+  private compute(): string {
+    const {request, workspace, body} = this.input;
+    const caller = createHash('sha256')
+      .update(workspace === undefined ? 'nobody' : `workspace ${workspace}`)
+      .digest('hex');
+    const {host, method, path} = request;
+    const whole = createHash('sha256')
+      .update(JSON.stringify([caller, host, method, path]))
+      .update(body)
+      .digest('hex');
+    return caller.slice(0, CALLER_DIGITS) + whole.slice(0, REQUEST_DIGITS);
+  }
+}
--- a/test/support/flow_fixture.ts
+++ b/test/support/flow_fixture.ts
@@ -2,11 +2,14 @@
 import * as http from 'node:http';
 import {AddressInfo} from 'node:net';
 import {systemClock} from '../../src/common/system_clock';
+import {EventRing} from '../../src/common/event_ring';
+import {BreakWitness} from '../../src/gateway/break_witness';
 import {CallerAnswer} from '../../src/gateway/caller_answer';
 import {FlowResult} from '../../src/gateway/flow_result';
 import {PlaceForecast} from '../../src/gateway/place_forecast';
 import {RepeatBudget} from '../../src/gateway/repeat_budget';
 import {RequestFlow} from '../../src/gateway/request_flow';
+import {RequestIdentity} from '../../src/gateway/request_identity';
 import {TargetBoard} from '../../src/gateway/target_board';
 import {GatewayRules} from '../../src/protocol/gateway_rules';
 import {GatewayTarget} from '../../src/protocol/gateway_target';
@@ -49,6 +52,11 @@
   targets: Array<[string, GatewayTarget]> = [];
   readonly board = TargetBoard.create('z', systemClock, () => 0);
   readonly forecast = PlaceForecast.create(systemClock);
+  readonly events = EventRing.create();
+  private readonly witness = BreakWitness.create({
+    clock: systemClock,
+    events: this.events,
+  });
   private readonly origins = HttpOrigins.create();
   private readonly flows = new Set<RequestFlow>();
   private readonly timer: NodeJS.Timeout;
@@ -145,9 +153,12 @@
       if (typeof request === 'string') {
         throw new Error(request);
       }
+      const body = Buffer.concat(chunks);
       const flow = RequestFlow.create({
         request: {...request, model: this.model},
-        body: Buffer.concat(chunks),
+        identity: RequestIdentity.create({request, body}),
+        witness: this.witness,
+        body,
         route: this.route,
         pool: {
           name: 'p',
