--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -7,6 +7,7 @@
 import {GatewayServer} from '../../src/gateway/gateway_server';
 import {ControlClient} from '../../src/protocol/control_client';
 import {GatewayRules} from '../../src/protocol/gateway_rules';
+import {BackendSlots} from './backend_slots';
 import {BackendStandIn} from './backend_stand_in';
 import {plainDialect} from './plain_dialect';
 import {reservePort} from './reserve_port';
@@ -26,6 +27,8 @@
   readonly changesWithinMs?: number;
   readonly route: Partial<GatewayRules['routes'][number]>;
   readonly handle: Parameters<typeof BackendStandIn.create>[0];
+  /** Backend servers in place of the only one that never ends; `handle` is passed over. */
+  readonly slots?: BackendSlots;
   /** Connections that the backend server takes from all gateways and one more. */
   readonly maxConnections?: number;
 }
@@ -53,6 +56,7 @@
     private readonly client: ControlClient,
     readonly gateways: readonly GatewayServer[],
     readonly backend: BackendStandIn,
+    private readonly slots: BackendSlots | undefined,
   ) {
     this.ports = gateways.map(({port}) => port);
   }
@@ -92,7 +96,8 @@
       ),
     );
     const backend = await BackendStandIn.create(options.handle);
-    const fleet = new GatewayFleet(control, client, gateways, backend);
+    const {slots} = options;
+    const fleet = new GatewayFleet(control, client, gateways, backend, slots);
     await fleet.begin(createRules(options));
     return fleet;
   }
@@ -103,6 +108,7 @@
     id: string,
     agent: http.Agent | false = false,
     host = 'h',
+    body = 'ask',
   ): Promise<CallerView> {
     return new Promise(resolve => {
       const port = this.ports[gateway];
@@ -124,16 +130,16 @@
         resolve({...nothing, isUnread});
       });
       request.on('response', answer => {
-        let body = '';
-        answer.on('data', chunk => (body += String(chunk)));
+        let text = '';
+        answer.on('data', chunk => (text += String(chunk)));
         answer.on('error', () => undefined);
         answer.on('close', () => {
           const {statusCode: status = 0, headers: told, complete} = answer;
-          const seen = {status, headers: told, body, isWhole: complete};
+          const seen = {status, headers: told, body: text, isWhole: complete};
           resolve({...seen, isUnread: false});
         });
       });
-      request.end('ask');
+      request.end(body);
     });
   }
 
@@ -149,6 +155,7 @@
     await Promise.all(this.gateways.map(gateway => gateway.close()));
     this.client.close();
     this.backend.close();
+    this.slots?.close();
     await this.control.close();
   }
 
@@ -164,10 +171,15 @@
   }
 
   private register(): void {
+    const {address} = this.backend;
+    const alone = [{incarnation: 'i0', address}];
+    (this.slots?.list() ?? alone).forEach(start => this.registerOne(start));
+  }
+
+  private registerOne(start: {incarnation: string; address: string}): void {
     const registration = {
-      incarnation: 'i0',
+      ...start,
       pool: POOL,
-      address: this.backend.address,
       zone: 'z',
       isLeaving: false,
       sequence: 1,
