fix(gateway,control,state): what ends backend servers is known to all gateways and not sent again

Cause: what a request was tried on, and what broke under it, was known to one attempt at one gateway and forgotten with its final answer. Ruled out: a gateway that repeats too often within one attempt (each stayed within its route's limit).

Change: a request has an identity of caller, path and body. A run whose connection broke is looked into before it is repeated: only a backend server that takes no new connection has ended.

--- a/src/control/call_handlers.ts
+++ b/src/control/call_handlers.ts
@@ -4,6 +4,7 @@
 import {computeKeyId} from '../protocol/compute_key_id';
 import {ControlMessage} from '../protocol/control_message';
 import {describeDrainOrder} from '../protocol/describe_drain_order';
+import {describeLiftOrder} from '../protocol/describe_lift_order';
 import {FleetStatus} from '../protocol/fleet_status';
 import {Group} from '../protocol/group';
 import {HostReport} from '../protocol/host_report';
@@ -14,6 +15,7 @@
 import {Fleet} from './fleet';
 import {GatewayDesk} from './gateway_desk';
 import {RaftRuntime} from './raft_runtime';
+import {SuspectDesk} from './suspect_desk';
 
 /** How long an operator's order may travel. */
 const MAX_ORDER_AGE_MS = 60_000;
@@ -31,6 +33,8 @@
   | 'journal-ask'
   | 'drain-ask'
   | 'leader-ask'
+  | 'lift-ask'
+  | keyof SuspectDesk['handlers']
   | keyof GatewayDesk['handlers'];
 type Handlers = {
   [T in Asks]: (
@@ -41,6 +45,7 @@
 /** What the handlers work on. */
 interface CallContext {
   readonly desk: GatewayDesk;
+  readonly suspects: SuspectDesk;
   readonly runtime: RaftRuntime;
   readonly fleet: Fleet;
   readonly clock: Clock;
@@ -136,7 +141,9 @@
       };
     },
     'drain-ask': ask => drain(ask, context),
+    'lift-ask': ask => revokeVerdict(ask, context),
     ...context.desk.handlers,
+    ...context.suspects.handlers,
   };
 }
 
@@ -192,7 +199,8 @@
 ): Promise<ControlMessage> {
   const {call, hostId, isDraining, keyId} = ask;
   try {
-    checkOrder(ask, context.trustedKeys);
+    const text = describeDrainOrder(hostId, isDraining, ask.time);
+    checkOrder(ask, text, context.trustedKeys);
   } catch (error) {
     return {
       type: 'drain-answer',
@@ -217,8 +225,30 @@
   };
 }
 
+async function revokeVerdict(
+  ask: MessageOf<ControlMessage, 'lift-ask'>,
+  context: CallContext,
+): Promise<ControlMessage> {
+  const {call, name, keyId} = ask;
+  const answer = {type: 'lift-answer' as const, call};
+  try {
+    checkOrder(ask, describeLiftOrder(name, ask.time), context.trustedKeys);
+  } catch (error) {
+    return {...answer, isAccepted: false, reason: (error as Error).message};
+  }
+  const time = Date.now();
+  const command = {type: 'lift-verdict' as const, time, name, keyId};
+  const {isAccepted, reason} = await context.runtime.propose(command);
+  return {...answer, isAccepted, reason};
+}
+
 function checkOrder(
-  order: MessageOf<ControlMessage, 'drain-ask'>,
+  order: {
+    readonly keyId: string;
+    readonly time: number;
+    readonly signature: string;
+  },
+  text: string,
   trustedKeys: readonly KeyObject[],
 ): void {
   const key = trustedKeys.find(
@@ -230,7 +260,6 @@
       order.keyId,
     );
   }
-  const text = describeDrainOrder(order.hostId, order.isDraining, order.time);
   if (
     !verify(
       null,
--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -24,6 +24,7 @@
 import {PlannerLoop} from './planner_loop';
 import {QuorumMember} from './quorum_member';
 import {RaftRuntime} from './raft_runtime';
+import {SuspectDesk} from './suspect_desk';
 
 type Handlers = ReturnType<typeof createCallHandlers>;
 type Reply = (message: Message) => void;
@@ -277,6 +278,7 @@
     }
     this.handlers = createCallHandlers({
       desk,
+      suspects: SuspectDesk.create({runtime, events: this.events}),
       runtime,
       fleet,
       clock: systemClock,
--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -214,6 +214,9 @@
     const tag = this.table.readTag(now);
     const isNewTable = ask.tableTag !== tag;
     const isNewRules = ask.rulesVersion !== state.channel.version;
+    const {suspects} = state;
+    const {suspectsVersion = 0} = ask;
+    const isNewList = suspectsVersion !== suspects.version;
     return {
       type: 'gateway-answer',
       call: ask.call,
@@ -227,6 +230,7 @@
       runningElsewhere: this.countRunning(ask.gatewayId),
       gateways: Math.max(1, this.gateways.size),
       control: [...raft.listVotersAt(raft.commitIndex).keys()],
+      suspects: isNewList ? suspects.describeSince(suspectsVersion) : undefined,
     };
   }
 
@@ -238,6 +242,7 @@
       const now = clock.now();
       const isUpToDate =
         ask.rulesVersion === runtime.state.channel.version &&
+        (ask.suspectsVersion ?? 0) === runtime.state.suspects.version &&
         ask.tableTag === this.table.readTag(now);
       if (!isUpToDate || now >= until) {
         return;
--- /dev/null
+++ b/src/gateway/create_flow_parts.ts
@@ -0,0 +1,42 @@
+import {createStallTimes} from './create_stall_times';
+import {createWorkNames} from './create_work_names';
+import {FlowCourse} from './flow_course';
+import {PlaceWait} from './place_wait';
+import {RepeatPolicy} from './repeat_policy';
+import {RequestFlowOptions} from './request_flow_options';
+import {StallJudge} from './stall_judge';
+
+/**
+ * Creates what decides about one request and needs nothing of its flow.
+ *
+ * @example
+ * const {policy, wait, stall} = createFlowParts(options);
+ */
+export function createFlowParts(options: RequestFlowOptions) {
+  const {request, route, pool, arrivedAt, clock, budget} = options;
+  const {board, forecast, dialect} = options;
+  const {model, promptTokens} = request;
+  const holdMs = Math.min(route.timeoutMs, request.waitMs ?? Infinity);
+  const deadlineAt = arrivedAt + holdMs;
+  const names = createWorkNames({route, pool, model});
+  const {work} = names;
+  const judged = {route, pool, model, promptTokens, work, forecast};
+  return {
+    deadlineAt,
+    names,
+    course: FlowCourse.create(arrivedAt),
+    policy: RepeatPolicy.create({route, budget, clock, deadlineAt}),
+    stall: StallJudge.create(board, createStallTimes(judged)),
+    wait: PlaceWait.create({
+      forecast,
+      clock,
+      ...names,
+      objectiveMs: route.objectiveMs,
+      arrivedAt,
+      deadlineAt,
+      honouredPart: dialect.honouredPart,
+      patienceMs: dialect.computePatienceMs(route),
+      findRepairMs: () => board.findRepairMs(model ?? ''),
+    }),
+  };
+}
--- /dev/null
+++ b/src/gateway/create_suspect_calls.ts
@@ -0,0 +1,30 @@
+import {ControlClient} from '../protocol/control_client';
+import {Containment} from './containment';
+
+/** Several rounds of the agreement; a leader that does not answer in that time is searched for anew. */
+const REPORT_MS = 1_500;
+/** A trial that is not granted in this time is asked for again. */
+const TRIAL_MS = 800;
+
+/**
+ * Creates the calls to control about suspected requests.
+ *
+ * @example
+ * const calls = createSuspectCalls('gateway-a', client);
+ */
+export function createSuspectCalls(
+  gatewayId: string,
+  client: Pick<ControlClient, 'ask'>,
+): Parameters<typeof Containment.create>[0]['calls'] {
+  return {
+    report: report =>
+      client.ask<'suspects-ask'>(
+        {type: 'suspects-ask', gatewayId, ...report},
+        REPORT_MS,
+      ),
+    async askTrial(name, incarnation) {
+      const ask = {type: 'trial-ask' as const, name, incarnation};
+      return (await client.ask<'trial-ask'>(ask, TRIAL_MS)).verdict;
+    },
+  };
+}
--- a/src/gateway/flow_result.ts
+++ b/src/gateway/flow_result.ts
@@ -1,6 +1,6 @@
 /** What became of a request, for the log. */
 export interface FlowResult {
-  readonly outcome: 'answered' | 'refused' | 'failed' | 'gone';
+  readonly outcome: 'answered' | 'refused' | 'failed' | 'gone' | 'contained';
   readonly reason: string;
   /** 0 when no status could be told any more. */
   readonly status: number;
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -12,6 +12,8 @@
 import {readHttpBody} from '../transport/read_http_body';
 import {BreakWitness} from './break_witness';
 import {CallerAnswer} from './caller_answer';
+import {Containment} from './containment';
+import {createSuspectCalls} from './create_suspect_calls';
 import {decideAdmission} from './decide_admission';
 import {FlowResult} from './flow_result';
 import {GatewayLog} from './gateway_log';
@@ -50,7 +52,7 @@
   private readonly budgets = new Map<string, RepeatBudget>();
   private readonly flows = new Set<RequestFlow>();
   private readonly forecast = PlaceForecast.create(systemClock);
-  private readonly witness: BreakWitness;
+  private readonly containment: Containment;
   private readonly checkTimer: NodeJS.Timeout;
   /** When requests were last looked at, or should have been. */
   private checkedAt: number;
@@ -79,7 +81,6 @@
       withinMs: stopWithinMs,
       honouredPart: settings.dialect.honouredPart,
     });
-    this.witness = BreakWitness.create({clock, events});
     this.seeds = control;
     this.controlAddresses = control;
     this.board = TargetBoard.create(zone, clock, Math.random, () =>
@@ -87,14 +88,20 @@
     );
     const incarnation = randomBytes(8).toString('hex');
     const lines = ThrottledLines.create(events, clock);
+    const client = ControlClient.create({
+      addresses: () => this.controlAddresses,
+      tryTimeoutMs: CONTROL_TRY_MS,
+      identity: {program: 'gateway', id: gatewayId, incarnation},
+      onSearched: search => recordSearch(lines, gatewayId, search),
+    });
+    this.containment = Containment.create({
+      witness: BreakWitness.create({clock, events}),
+      calls: createSuspectCalls(gatewayId, client),
+      onEnded: ended => this.board.recordUnreachable(ended),
+    });
     this.feed = RulesFeed.create({
       gatewayId,
-      client: ControlClient.create({
-        addresses: () => this.controlAddresses,
-        tryTimeoutMs: CONTROL_TRY_MS,
-        identity: {program: 'gateway', id: gatewayId, incarnation},
-        onSearched: search => recordSearch(lines, gatewayId, search),
-      }),
+      client,
       clock,
       events,
       confirmationMs,
@@ -106,6 +113,8 @@
       }),
       onRunning: (running, others) =>
         this.board.setRunningElsewhere(running, others),
+      readSuspectsVersion: () => this.containment.version,
+      onSuspects: news => this.containment.apply(news),
       onTargets: targets => {
         this.board.setTargets(targets);
         this.origins.retain(this.board.listAddresses());
@@ -188,6 +197,7 @@
     clearInterval(this.checkTimer);
     this.flows.forEach(flow => flow.abandon(STOPPED));
     this.takenAnswers.forEach(taken => taken.breakOff());
+    this.containment.close();
     this.feed.close();
     await this.listener?.close();
     await this.origins.close();
@@ -280,7 +290,7 @@
       board: this.board,
       budget: this.findBudget(pool.name),
       forecast: this.forecast,
-      witness: this.witness,
+      containment: this.containment,
       dialect: this.settings.dialect,
       clock: this.clock,
       onDone: result => {
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -4,24 +4,21 @@
 import {AnswerRelay} from './answer_relay';
 import {Attempt} from './attempt';
 import {AttemptEnd} from './attempt_end';
-import {createStallTimes} from './create_stall_times';
+import {createFlowParts} from './create_flow_parts';
 import {createTargetKey} from './create_target_key';
-import {createWorkNames} from './create_work_names';
+import {FINAL_STATUS} from './final_status';
 import {FlowCourse} from './flow_course';
 import {FlowResult} from './flow_result';
 import {PlaceWait} from './place_wait';
+import {RepeatPolicy} from './repeat_policy';
 import {RequestFlowOptions} from './request_flow_options';
 import {sendFinalAnswer} from './send_final_answer';
 import {StallJudge} from './stall_judge';
+import {SuspectTrial} from './suspect_trial';
 
-/** Sendings that were refused as not run do not count as runs, but end here. */
-const MAX_REFUSALS = 3;
-/** The status of a request that has not run and never will. */
-const NOT_RUN = 503;
-/** The status of one that may have run. */
-const FAILED = 502;
-/** The status of one whose time is over. */
-const TIMED_OUT = 504;
+/** Told to the caller of a request that is never sent again, too. */
+const CONVICTED =
+  'backend servers end when they begin this request: it is not sent again';
 
 type Outcome = FlowResult['outcome'];
 
@@ -29,47 +26,37 @@
 export class RequestFlow {
   private attempt: Attempt | undefined;
   private readonly relay: AnswerRelay;
-  private runs = 0;
-  private refusals = 0;
   private readonly tried = new Set<string>();
   private readonly course: FlowCourse;
+  private readonly policy: RepeatPolicy;
+  private readonly trial: SuspectTrial;
   private readonly deadlineAt: number;
   private readonly timer: NodeJS.Timeout;
   private readonly stall: StallJudge;
   private readonly wait: PlaceWait;
-  private readonly names: ReturnType<typeof createWorkNames>;
+  private readonly names: ReturnType<typeof createFlowParts>['names'];
   private isDone = false;
+  /** It is being found out whether its backend server has ended. */
+  private isInDoubt = false;
 
   private constructor(private readonly options: RequestFlowOptions) {
-    const {request, route, arrivedAt, clock, answer, pool} = options;
-    const {board, forecast, dialect} = options;
-    const holdMs = Math.min(route.timeoutMs, request.waitMs ?? Infinity);
-    this.deadlineAt = arrivedAt + holdMs;
-    this.course = FlowCourse.create(arrivedAt);
+    const {request, clock, answer} = options;
+    const parts = createFlowParts(options);
+    this.deadlineAt = parts.deadlineAt;
+    this.course = parts.course;
+    this.policy = parts.policy;
+    this.names = parts.names;
+    this.stall = parts.stall;
+    this.wait = parts.wait;
+    this.trial = SuspectTrial.create(options);
     this.relay = AnswerRelay.create({
       answer,
       lastEventId: request.lastEventId,
       onPassed: hasRoom => this.recordPassed(hasRoom),
     });
-    const {model, promptTokens} = request;
-    this.names = createWorkNames({route, pool, model});
-    const {work} = this.names;
-    const judged = {route, pool, model, promptTokens, work, forecast};
-    const times = createStallTimes(judged);
-    this.stall = StallJudge.create(board, times);
-    this.wait = PlaceWait.create({
-      forecast,
-      clock,
-      ...this.names,
-      objectiveMs: route.objectiveMs,
-      arrivedAt,
-      deadlineAt: this.deadlineAt,
-      honouredPart: dialect.honouredPart,
-      patienceMs: dialect.computePatienceMs(route),
-      findRepairMs: () => board.findRepairMs(request.model ?? ''),
-    });
     this.timer = setTimeout(
-      () => this.abandon('the time for the request is over', TIMED_OUT),
+      () =>
+        this.abandon('the time for the request is over', FINAL_STATUS.timedOut),
       Math.max(0, this.deadlineAt - clock.now()),
     );
     answer.watchGone(() => this.leave());
@@ -95,7 +82,17 @@
 
   /** Looks whether it must go on waiting or go elsewhere; called every few milliseconds. */
   check(now: number): void {
-    if (this.wait.isUnderWay) {
+    const {containment, identity} = this.options;
+    const hasBegun = this.attempt?.hasStarted ?? false;
+    const standing = hasBegun ? 'free' : containment.find(identity);
+    if (standing === 'convicted') {
+      this.abandon(CONVICTED, FINAL_STATUS.cannotBeRun);
+    } else if (this.trial.isUnderWay) {
+      this.checkTrial(now);
+    } else if (this.wait.isUnderWay && standing === 'suspected') {
+      this.wait.end();
+      this.trial.begin(now);
+    } else if (this.wait.isUnderWay) {
       this.checkWaiting(now);
     } else if (this.isLeftBehind) {
       this.attempt?.stop('its backend server takes no new work');
@@ -145,37 +142,45 @@
     }
   }
 
+  /** Alone of all suspects at its backend server, or not at all. */
+  private checkTrial(now: number): void {
+    const step = this.trial.check(now, this.canAwaitRepair, () =>
+      this.findTarget(this.course.wasSent),
+    );
+    if (step.kind === 'send') {
+      this.sendTo(step.target);
+    } else if (step.kind === 'free') {
+      this.sendOn('no backend server can take it now');
+    } else if (step.kind === 'over') {
+      this.giveUp('a backend server ended under it, and no other is free');
+    }
+  }
+
   /** A stream that stopped goes on elsewhere, if it may and somebody can take it. */
   private checkStall(now: number): void {
-    const {attempt} = this;
-    const {route, board, budget} = this.options;
-    const canGoElsewhere =
-      route.kind === 'stream' &&
-      route.isResumable &&
-      this.runs + 1 < route.maxAttempts;
-    const stalled =
-      attempt && canGoElsewhere && this.stall.findStalled(attempt, now);
-    if (!stalled) {
+    const {attempt, policy} = this;
+    if (!attempt || !policy.canGoElsewhere) {
       return;
     }
-    if (stalled === 'target') {
-      board.recordStalled(attempt.target.incarnation);
-    }
+    const reason = this.stall.findReasonToLeave(attempt, now);
     // Without a repeat left it is better to wait on than to break off.
-    if (this.findTarget(true) && budget.hasRepeat()) {
-      const quietMs = Math.round(now - attempt.quietSince);
-      attempt.stop(`silent ${stalled} for ${quietMs} ms`);
-    }
+    const canMove = reason && this.findTarget(true) && policy.hasRepeat;
+    return canMove ? attempt.stop(reason) : undefined;
   }
 
   /** What an engine has begun may go on once a group of the model is formed anew. */
   private get canAwaitRepair(): boolean {
-    return this.options.pool.engine !== undefined && this.runs > 0;
+    return this.options.pool.engine !== undefined && this.policy.hasRun;
   }
 
   /** Sends to the best target; the first time also waits a little for a place. */
   private sendOn(whyNot: string): void {
     const {wait} = this;
+    const {containment, identity, clock} = this.options;
+    if (containment.find(identity) !== 'free') {
+      this.trial.begin(clock.now());
+      return this.check(clock.now());
+    }
     // What has begun elsewhere is worth more than what has not begun at all.
     const mayQueue = this.course.wasSent;
     const isTurn = mayQueue || wait.isFirst;
@@ -194,24 +199,17 @@
 
   private sendTo(target: GatewayTarget): void {
     const {options} = this;
-    const {request, board, clock} = options;
+    const {board, clock} = options;
     this.tried.add(createTargetKey(target));
     const {incarnation} = target;
     const running = board.countRunning(incarnation);
     this.course.recordTarget(incarnation, running, clock.now());
     this.relay.reset();
     this.attempt = Attempt.create({
-      request,
-      body: options.body,
+      ...options,
       target,
-      workspace: options.workspace,
       remainingMs: Math.max(1, Math.floor(this.deadlineAt - clock.now())),
       lastEventId: this.relay.lastEventId,
-      maxConnections: options.maxConnections,
-      origins: options.origins,
-      board,
-      dialect: options.dialect,
-      clock,
       onHead: head => this.handleHead(head),
       onData: chunk => this.handleData(chunk),
       onEnd: end => this.handleEnd(end),
@@ -236,6 +234,7 @@
   }
 
   private handleData(chunk: Buffer): void {
+    this.trial.recordBegun();
     const wrong = this.isDone ? undefined : this.relay.acceptData(chunk);
     if (wrong) {
       this.attempt?.stop(wrong);
@@ -255,34 +254,53 @@
   private handleEnd(end: AttemptEnd): void {
     const {attempt} = this;
     this.attempt = undefined;
-    if (end.isConnectionLost && attempt) {
-      this.recordBreak(attempt);
-    }
+    this.trial.end();
     if (end.kind !== 'not-run') {
       this.wait.recordPlaceFree();
     }
-    if (this.isDone) {
-      return;
+    if (end.isConnectionLost && attempt) {
+      void this.handleBreak(attempt, end.reason);
+    } else if (!this.isDone) {
+      this.handleOutcome(end);
     }
+  }
+
+  private handleOutcome(end: AttemptEnd): void {
+    const {policy} = this;
     if (end.kind === 'not-run') {
-      this.refusals += 1;
-      this.repeat(end.reason, this.refusals <= MAX_REFUSALS);
+      policy.recordRefusal();
+      this.repeat(end.reason, policy.canBeRefusedAgain);
       return;
     }
-    this.runs += 1;
-    const mayRepeat =
-      this.isRepeatable && this.runs < this.options.route.maxAttempts;
+    policy.recordRun();
     if (end.kind === 'broken') {
-      this.repeat(end.reason, mayRepeat);
+      this.repeat(end.reason, policy.canRunAgain);
       return;
     }
-    this.finishWhole(mayRepeat);
+    this.finishWhole(policy.canRunAgain);
   }
 
-  private recordBreak({target, hasStarted}: Attempt): void {
-    const {name} = this.options.identity;
+  /**
+   * What had not begun may be what ended its backend server, so it waits until
+   * that is known; what had begun goes on elsewhere at once.
+   */
+  private async handleBreak(
+    {target, hasStarted: hasBegun}: Attempt,
+    reason: string,
+  ): Promise<void> {
+    const {containment, identity, clock} = this.options;
+    const {name} = identity;
     this.course.recordBroken(name);
-    void this.options.witness.findFate({target, name, hasBegun: hasStarted});
+    this.trial.recordBreak(clock.now());
+    const judged = containment.recordBreak({target, name, hasBegun});
+    if (!hasBegun) {
+      this.isInDoubt = true;
+      await judged;
+      this.isInDoubt = false;
+    }
+    if (!this.isDone) {
+      this.handleOutcome({kind: 'broken', reason});
+    }
   }
 
   private finishWhole(mayRepeat: boolean): void {
@@ -298,11 +316,13 @@
         return;
       }
       relay.endStream(head);
+      this.trial.recordWhole();
       this.finish('answered', 'whole', head.status);
       return;
     }
     const isFailure = head.status >= 500;
-    if (isFailure && mayRepeat && this.takeRepeat()) {
+    this.trial.recordWhole();
+    if (isFailure && mayRepeat && this.policy.takeRepeat()) {
       this.sendOn('no other backend server');
       return;
     }
@@ -311,23 +331,13 @@
   }
 
   private repeat(reason: string, isAllowed: boolean): void {
-    if (isAllowed && this.takeRepeat()) {
+    if (isAllowed && this.policy.takeRepeat()) {
       this.sendOn(reason);
     } else {
       this.giveUp(reason);
     }
   }
 
-  private takeRepeat(): boolean {
-    const {clock, budget} = this.options;
-    return clock.now() < this.deadlineAt && budget.takeRepeat();
-  }
-
-  private get isRepeatable(): boolean {
-    const {route} = this.options;
-    return route.kind === 'safe' || route.isResumable;
-  }
-
   /** The final answer, at once. */
   private giveUp(reason: string): void {
     this.markDone();
@@ -337,7 +347,8 @@
   /** Only what has not run may be called so. */
   private get unansweredStatus(): number {
     const isSent = this.attempt !== undefined && !this.attempt.isWaiting;
-    return this.runs > 0 || isSent ? FAILED : NOT_RUN;
+    const mayHaveRun = this.policy.hasRun || isSent || this.isInDoubt;
+    return mayHaveRun ? FINAL_STATUS.failed : FINAL_STATUS.notRun;
   }
 
   private sendFinal(reason: string, status: number): void {
@@ -365,6 +376,7 @@
   private markDone(): void {
     this.isDone = true;
     this.wait.end();
+    this.trial.end();
     clearTimeout(this.timer);
   }
 
--- a/src/gateway/request_flow_options.ts
+++ b/src/gateway/request_flow_options.ts
@@ -2,9 +2,9 @@
 import {Clock} from '../common/clock';
 import {GatewayRules} from '../protocol/gateway_rules';
 import {HttpOrigins} from '../transport/http_origins';
-import {BreakWitness} from './break_witness';
 import {CallerAnswer} from './caller_answer';
 import {CallerDialect} from './caller_dialect';
+import {Containment} from './containment';
 import {FlowResult} from './flow_result';
 import {GatewayRequest} from './gateway_request';
 import {PlaceForecast} from './place_forecast';
@@ -29,7 +29,7 @@
   readonly board: TargetBoard;
   readonly budget: RepeatBudget;
   readonly forecast: PlaceForecast;
-  readonly witness: BreakWitness;
+  readonly containment: Containment;
   readonly dialect: CallerDialect;
   readonly clock: Clock;
   /** Told once, when the caller has its final answer or is gone. */
--- a/src/gateway/request_identity.ts
+++ b/src/gateway/request_identity.ts
@@ -21,6 +21,7 @@
  */
 export class RequestIdentity {
   private text: string | undefined;
+  private callerText: string | undefined;
 
   private constructor(private readonly input: IdentityInput) {}
 
@@ -35,6 +36,17 @@
     return new RequestIdentity(input);
   }
 
+  /** The part of a name that tells its caller. */
+  static readCaller(this: void, name: string): string {
+    return name.slice(0, CALLER_DIGITS);
+  }
+
+  /** A digest of the caller alone, which costs nothing of the body. */
+  get caller(): string {
+    this.callerText ??= computeCaller(this.input.workspace);
+    return this.callerText;
+  }
+
   /** The digest of the caller, then that of the request: nobody can have another caller's request refused. */
   get name(): string {
     this.text ??= this.compute();
@@ -42,15 +54,21 @@
   }
 
   private compute(): string {
-    const {request, workspace, body} = this.input;
-    const caller = createHash('sha256')
-      .update(workspace === undefined ? 'nobody' : `workspace ${workspace}`)
-      .digest('hex');
+    const {request, body} = this.input;
+    const {caller} = this;
     const {host, method, path} = request;
     const whole = createHash('sha256')
       .update(JSON.stringify([caller, host, method, path]))
       .update(body)
       .digest('hex');
-    return caller.slice(0, CALLER_DIGITS) + whole.slice(0, REQUEST_DIGITS);
+    return caller + whole.slice(0, REQUEST_DIGITS);
   }
 }
+
+function computeCaller(workspace: string | undefined): string {
+  const text = workspace === undefined ? 'nobody' : `workspace ${workspace}`;
+  return createHash('sha256')
+    .update(text)
+    .digest('hex')
+    .slice(0, CALLER_DIGITS);
+}
--- a/src/gateway/rules_feed.ts
+++ b/src/gateway/rules_feed.ts
@@ -5,6 +5,7 @@
 import {ControlMessage} from '../protocol/control_message';
 import {GatewayTarget} from '../protocol/gateway_target';
 import {MessageOf} from '../protocol/message_of';
+import {SuspectNews} from '../protocol/suspect_news';
 import {rulesCodec} from '../protocol/rules_codec';
 import {RouteIndex} from './route_index';
 
@@ -40,6 +41,9 @@
     running: Readonly<Record<string, number>>,
     otherGateways: number,
   ) => void;
+  /** The newest list of suspected requests that is held here. */
+  readonly readSuspectsVersion: () => number;
+  readonly onSuspects: (news: SuspectNews) => void;
   readonly onTargets: (targets: ReadonlyMap<string, GatewayTarget>) => void;
   /** Addresses of the control processes, whenever they are told. */
   readonly onControl: (addresses: readonly string[]) => void;
@@ -146,6 +150,7 @@
         pressed: [...news.pressed],
         hasServed: news.hasServed,
         isUrgent,
+        suspectsVersion: this.options.readSuspectsVersion(),
       },
       ASK_TIMEOUT_MS,
     );
@@ -180,6 +185,9 @@
     if (answer.targets && fits) {
       this.applyTargets(answer, answer.targets);
     }
+    if (answer.suspects) {
+      this.options.onSuspects(answer.suspects);
+    }
     this.gatewayCount = answer.gateways;
     this.options.onRunning(answer.runningElsewhere, answer.gateways - 1);
     this.options.onControl(answer.control);
--- a/src/gateway/send_final_answer.ts
+++ b/src/gateway/send_final_answer.ts
@@ -1,10 +1,8 @@
 import {CallerAnswer} from './caller_answer';
+import {FINAL_STATUS} from './final_status';
 import {FlowResult} from './flow_result';
 import {PlaceWait} from './place_wait';
 
-/** The status of a request that has not run and never will. */
-const NOT_RUN = 503;
-
 /** What a caller is told that gets no answer of a backend server. */
 interface FinalAnswer {
   readonly answer: CallerAnswer;
@@ -32,8 +30,10 @@
     answer.breakOff();
     return {outcome: 'failed', status: 0};
   }
-  const isNotRun = status === NOT_RUN;
+  const isNotRun = status === FINAL_STATUS.notRun;
+  const isContained = status === FINAL_STATUS.cannotBeRun;
   const retryAfterMs = isNotRun ? wait.computeReturnMs() : undefined;
   answer.sendOwn({status, reason, retryAfterMs}, requestId);
-  return {outcome: isNotRun ? 'refused' : 'failed', status};
+  const outcome = isNotRun ? 'refused' : isContained ? 'contained' : 'failed';
+  return {outcome, status};
 }
--- a/src/gateway/stall_judge.ts
+++ b/src/gateway/stall_judge.ts
@@ -34,6 +34,23 @@
     return new StallJudge(board, times);
   }
 
+  /**
+   * Why a stream should go on elsewhere; a target that has stopped is noted.
+   *
+   * @example
+   * const reason = stall.findReasonToLeave(attempt, clock.now());
+   */
+  findReasonToLeave(attempt: Attempt, now: number): string | undefined {
+    const stalled = this.findStalled(attempt, now);
+    if (!stalled) {
+      return undefined;
+    }
+    if (stalled === 'target') {
+      this.board.recordStalled(attempt.target.incarnation);
+    }
+    return `silent ${stalled} for ${Math.round(now - attempt.quietSince)} ms`;
+  }
+
   /**
    * A stream that pauses for longer than a pass can take, while nothing else
    * comes from there, has stopped. Before the first event a queue explains more,
--- a/src/protocol/control_calls.ts
+++ b/src/protocol/control_calls.ts
@@ -16,6 +16,10 @@
   'registration-ask': 'registration-answer';
   'departure-ask': 'registration-answer';
   'gateway-ask': 'gateway-answer';
+  'suspects-ask': 'suspects-answer';
+  'trial-ask': 'trial-answer';
+  'verdicts-ask': 'verdicts-answer';
+  'lift-ask': 'lift-answer';
   'leader-ask': 'leader-answer';
 }
 type WithoutCall<T> = T extends unknown ? Omit<T, 'call'> : never;
--- a/src/protocol/control_command.ts
+++ b/src/protocol/control_command.ts
@@ -1,6 +1,7 @@
 /** Commands of the replicated log. Every table of control is derived from them. */
 import {z} from 'zod';
 import {ChannelBundle} from './channel_bundle';
+import {CrashReport} from './crash_report';
 import {EngineGroup} from './engine_group';
 import {Group} from './group';
 import {Outcome} from './outcome';
@@ -97,6 +98,29 @@
     isDraining: z.boolean(),
     keyId: z.string(),
   }),
+  /** What gateways saw of requests under which backend servers ended. */
+  z.object({
+    type: z.literal('record-suspects'),
+    time: Time,
+    crashes: z.array(CrashReport),
+    /** Their trials are over. */
+    released: z.array(z.string()),
+    /** They ran to their end. */
+    cleared: z.array(z.string()),
+  }),
+  z.object({
+    type: z.literal('begin-trial'),
+    time: Time,
+    name: z.string(),
+    incarnation: z.string(),
+  }),
+  /** An operator lets a convicted request run again. */
+  z.object({
+    type: z.literal('lift-verdict'),
+    time: Time,
+    name: z.string(),
+    keyId: z.string(),
+  }),
   Claim.extend({
     type: z.literal('claim'),
     time: Time,
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -3,11 +3,14 @@
 import {BackendRegistration} from './backend_registration';
 import {ChannelBundle} from './channel_bundle';
 import {ClaimVerdict} from './claim_verdict';
+import {CrashReport} from './crash_report';
 import {GatewayTarget} from './gateway_target';
 import {Group} from './group';
 import {HostReport} from './host_report';
 import {Outcome} from './outcome';
 import {SignedBundle} from './signed_bundle';
+import {SuspectNews} from './suspect_news';
+import {TrialVerdict} from './trial_verdict';
 
 const Call = z.int().nonnegative();
 
@@ -168,6 +171,8 @@
     hasServed: z.boolean(),
     /** The asker has news: the answer must not wait for any in return. */
     isUrgent: z.boolean().default(false),
+    /** The newest list of suspected requests that the gateway holds; 0 for none. */
+    suspectsVersion: z.int().nonnegative().optional(),
   }),
   z.object({
     type: z.literal('gateway-answer'),
@@ -194,6 +199,51 @@
     gateways: z.int().positive(),
     /** Addresses of the control processes that vote. */
     control: z.array(z.string()),
+    /** Present when the asker holds another list. */
+    suspects: SuspectNews.optional(),
+  }),
+  z.object({
+    type: z.literal('suspects-ask'),
+    call: Call,
+    gatewayId: z.string().max(128),
+    crashes: z.array(CrashReport),
+    /** Requests whose trials are over. */
+    released: z.array(z.string()),
+    /** Requests that ran to their end. */
+    cleared: z.array(z.string()),
+  }),
+  z.object({type: z.literal('suspects-answer'), call: Call}),
+  z.object({
+    type: z.literal('trial-ask'),
+    call: Call,
+    name: z.string().max(64),
+    incarnation: z.string(),
+  }),
+  z.object({
+    type: z.literal('trial-answer'),
+    call: Call,
+    verdict: TrialVerdict,
+  }),
+  z.object({type: z.literal('verdicts-ask'), call: Call}),
+  z.object({
+    type: z.literal('verdicts-answer'),
+    call: Call,
+    suspects: z.array(z.unknown()),
+  }),
+  z.object({
+    type: z.literal('lift-ask'),
+    call: Call,
+    name: z.string(),
+    /** Wall-clock milliseconds at the operator's machine. */
+    time: z.number(),
+    keyId: z.string(),
+    signature: z.string(),
+  }),
+  z.object({
+    type: z.literal('lift-answer'),
+    call: Call,
+    isAccepted: z.boolean(),
+    reason: z.string(),
   }),
   /** Answered by the leader alone, like every call: finds it. */
   z.object({type: z.literal('leader-ask'), call: Call}),
--- a/src/state/cluster_state.ts
+++ b/src/state/cluster_state.ts
@@ -11,6 +11,7 @@
 import {EngineGroupTable} from './engine_group_table';
 import {GroupTable} from './group_table';
 import {JournalEntry} from './journal_entry';
+import {SuspectTable} from './suspect_table';
 
 const MAX_JOURNAL_ENTRIES = 10_000;
 const MS_PER_MINUTE = 60_000;
@@ -26,6 +27,7 @@
   journal: z.array(JournalEntry),
   channel: z.unknown().optional(),
   engines: z.unknown().optional(),
+  suspects: z.unknown().optional(),
 });
 
 type Handlers = {
@@ -45,6 +47,7 @@
   readonly claims: ClaimTable;
   readonly channel: ChannelBundleTable;
   readonly engines: EngineGroupTable;
+  readonly suspects: SuspectTable;
   private readonly drained: Set<string>;
   private journal: JournalEntry[];
   private committedTime: number;
@@ -55,6 +58,7 @@
     this.claims = ClaimTable.create(snapshot?.claims);
     this.channel = ChannelBundleTable.create(snapshot?.channel ?? undefined);
     this.engines = EngineGroupTable.create(snapshot?.engines ?? undefined);
+    this.suspects = SuspectTable.create(snapshot?.suspects ?? undefined);
     this.drained = new Set(snapshot?.drained);
     this.journal = snapshot?.journal ?? [];
     this.committedTime = snapshot?.time ?? 0;
@@ -85,7 +89,8 @@
       this.groups.version +
       this.bundles.version +
       this.channel.version +
-      this.engines.version
+      this.engines.version +
+      this.suspects.version
     );
   }
 
@@ -126,6 +131,7 @@
       journal: this.journal,
       channel: this.channel.save(),
       engines: this.engines.save(),
+      suspects: this.suspects.save(),
     });
   }
 
@@ -203,6 +209,21 @@
       return this.recordGroupChange(index, 'group-draining', command, result);
     },
     'drain-host': (command, index) => this.drainHost(command, index),
+    'record-suspects': (command, index) => this.recordSuspects(command, index),
+    'begin-trial': ({name, incarnation}) => {
+      const trial = this.suspects.beginTrial(
+        name,
+        incarnation,
+        this.committedTime,
+      );
+      return {isAccepted: trial === 'granted', reason: trial, trial};
+    },
+    'lift-verdict': ({name, keyId}, index) => {
+      const reason = `ordered by the operator with key ${keyId}`;
+      const isAccepted = this.suspects.revoke(name, reason);
+      this.recordVerdicts(index);
+      return {isAccepted, reason: isAccepted ? reason : 'no such verdict'};
+    },
     claim: command => {
       const keepMs =
         (this.bundles.bundle?.onceOnly.keepMinutes ?? 0) * MS_PER_MINUTE;
@@ -223,6 +244,28 @@
     },
   };
 
+  private recordSuspects(
+    command: MessageOf<ControlCommand, 'record-suspects'>,
+    index: number,
+  ): CommandResult {
+    for (const crash of command.crashes) {
+      // What ends after a goodbye was not ended by what ran there.
+      if (!this.engines.isRetired(crash.incarnation)) {
+        this.suspects.recordCrash(crash, this.committedTime);
+      }
+    }
+    command.released.forEach(name => this.suspects.release(name));
+    command.cleared.forEach(name => this.suspects.clear(name));
+    this.recordVerdicts(index);
+    return {isAccepted: true, reason: 'recorded'};
+  }
+
+  private recordVerdicts(index: number): void {
+    for (const {name: id, type, reason} of this.suspects.takeNotes()) {
+      this.record(index, {type, subject: 'request', id, reason});
+    }
+  }
+
   private rollOut(
     command: MessageOf<ControlCommand, 'roll-out'>,
     index: number,
--- a/src/state/command_result.ts
+++ b/src/state/command_result.ts
@@ -1,4 +1,5 @@
 import {ClaimVerdict} from '../protocol/claim_verdict';
+import {TrialVerdict} from '../protocol/trial_verdict';
 
 /** What applying a command to the tables led to. */
 export interface CommandResult {
@@ -12,4 +13,6 @@
   };
   /** For claims. */
   readonly verdict?: ClaimVerdict;
+  /** For trials of suspected requests. */
+  readonly trial?: TrialVerdict;
 }
--- a/test/control/gateway_desk.test.ts
+++ b/test/control/gateway_desk.test.ts
@@ -12,6 +12,7 @@
 import {ControlMessage} from '../../src/protocol/control_message';
 import {MessageOf} from '../../src/protocol/message_of';
 import {EngineGroupTable} from '../../src/state/engine_group_table';
+import {SuspectTable} from '../../src/state/suspect_table';
 import {PROFILE, group, host} from '../support/engine_plan';
 
 const NOW = 20_000;
@@ -21,7 +22,11 @@
   const engines = EngineGroupTable.create();
   const registry = BackendRegistry.create();
   const runtime = {
-    state: {engines, channel: {version: 1, rules}},
+    state: {
+      engines,
+      channel: {version: 1, rules},
+      suspects: SuspectTable.create(),
+    },
     raft: {term: 1, commitIndex: 1, listVotersAt: () => new Map()},
     leadingSince: NOW - ledMs,
   } as unknown as RaftRuntime;
--- /dev/null
+++ b/test/state/suspect_table.test.ts
@@ -0,0 +1,235 @@
+import * as fc from 'fast-check';
+import {describe, expect, test} from 'vitest';
+import {SuspectTable} from '../../src/state/suspect_table';
+
+const CALLER = 'aaaaaaaa';
+const LONG_MS = 60_000;
+
+/** A table, and a clock that only goes on when it is told. */
+function start() {
+  const table = SuspectTable.create();
+  let time = 1_000;
+  return {
+    table,
+    wait: (ms: number) => (time += ms),
+    end: (incarnation: string, notBegun: string[], begun: string[] = []) =>
+      table.recordCrash({incarnation, notBegun, begun}, time),
+    grant: (name: string, incarnation: string) =>
+      table.beginTrial(name, incarnation, time),
+    standing: (name: string) => table.find(name)?.standing,
+  };
+}
+
+describe('a request', () => {
+  test('is suspected after one end and convicted after two', () => {
+    const {end, wait, standing} = start();
+    end('i1', ['p', 'h1', 'h2']);
+    expect(standing('p')).toBe('suspected');
+    wait(500);
+    end('i2', ['p', 'h3']);
+    expect(standing('p')).toBe('convicted');
+  });
+
+  test('that was only near is free once it is known who did it', () => {
+    const {end, wait, standing} = start();
+    end('i1', ['p', 'h1'], ['h2']);
+    wait(500);
+    end('i2', ['p'], ['h2']);
+    end('i1', ['h4'], ['h5']);
+    expect(['h1', 'h2', 'h4', 'h5'].map(standing)).toEqual(
+      Array(4).fill(undefined),
+    );
+  });
+
+  test('is not convicted while another was there each time', () => {
+    const {end, wait, standing} = start();
+    end('i1', ['p', 'q']);
+    wait(500);
+    end('i2', ['p', 'q']);
+    expect([standing('p'), standing('q')]).toEqual(['suspected', 'suspected']);
+    wait(500);
+    end('i3', ['p']);
+    expect([standing('p'), standing('q')]).toEqual(['convicted', undefined]);
+  });
+
+  test('that met two ends of a wave is not convicted, and after three it is', () => {
+    const {end, wait, standing} = start();
+    end('i1', ['p']);
+    end('i9', ['h1']);
+    wait(500);
+    end('i2', ['p']);
+    expect(standing('p')).toBe('suspected');
+    wait(500);
+    end('i3', ['p']);
+    expect(standing('p')).toBe('convicted');
+  });
+
+  test('is doubted again when others end right after its second end', () => {
+    const {table, end, wait, standing} = start();
+    end('i1', ['p']);
+    wait(500);
+    end('i2', ['p']);
+    expect(standing('p')).toBe('convicted');
+    wait(500);
+    end('i3', ['h1']);
+    expect(standing('p')).toBe('suspected');
+    expect(table.takeNotes().map(({type}) => type)).toEqual([
+      'request-convicted',
+      'request-doubted-again',
+    ]);
+  });
+
+  test('that had begun to answer each time is convicted after three ends', () => {
+    const {end, wait, standing} = start();
+    for (const incarnation of ['i1', 'i2', 'i3']) {
+      expect(standing('p')).not.toBe('convicted');
+      end(incarnation, [], ['p']);
+      wait(LONG_MS);
+    }
+    expect(standing('p')).toBe('convicted');
+  });
+
+  test('that ran to its end is cleared, and a convicted one only by an operator', () => {
+    const {table, end, wait, standing} = start();
+    end('i1', ['p', 'h1']);
+    table.clear('h1');
+    expect(standing('h1')).toBeUndefined();
+    wait(500);
+    end('i2', ['p']);
+    table.clear('p');
+    expect(standing('p')).toBe('convicted');
+    expect(table.revoke('p', 'ordered')).toBe(true);
+    expect(standing('p')).toBeUndefined();
+    expect(table.revoke('p', 'ordered')).toBe(false);
+  });
+
+  test('stays convicted however long it is ago', () => {
+    const {end, wait, standing} = start();
+    end('i1', ['p']);
+    wait(500);
+    end('i2', ['p']);
+    wait(1_000 * LONG_MS);
+    end('i3', ['h1']);
+    expect(standing('p')).toBe('convicted');
+  });
+});
+
+describe('a trial', () => {
+  test('is given to one suspect at a backend server, and to a suspect at one only', () => {
+    const {table, end, grant} = start();
+    end('i1', ['p', 'q']);
+    expect(grant('p', 'i2')).toBe('granted');
+    expect(grant('p', 'i3')).toBe('busy');
+    expect(grant('q', 'i2')).toBe('busy');
+    expect(grant('q', 'i1')).toBe('busy');
+    expect(grant('q', 'i3')).toBe('granted');
+    table.release('p');
+    expect(grant('p', 'i2')).toBe('granted');
+  });
+
+  test('is not needed by those against whom nothing is held, and never given to a convicted one', () => {
+    const {end, wait, grant} = start();
+    expect(grant('h1', 'i1')).toBe('free');
+    end('i1', ['p']);
+    wait(500);
+    end('i2', ['p']);
+    expect(grant('p', 'i3')).toBe('convicted');
+  });
+
+  test('of a gateway that never came back ends by itself', () => {
+    const {end, wait, grant} = start();
+    end('i1', ['p', 'q']);
+    expect(grant('p', 'i2')).toBe('granted');
+    wait(LONG_MS);
+    expect(grant('q', 'i2')).toBe('granted');
+  });
+});
+
+describe('the list', () => {
+  test('tells changes to those that follow, and everything to others', () => {
+    const {table, end, wait} = start();
+    end('i1', ['p', 'h1']);
+    const {version} = table;
+    wait(500);
+    end('i2', ['p']);
+    expect(table.describeSince(version)).toEqual({
+      version: table.version,
+      isWhole: false,
+      suspected: [],
+      convicted: ['p'],
+      freed: ['h1'],
+    });
+    const copy = SuspectTable.create(table.save());
+    expect(copy.describeSince(0)).toEqual(table.describeSince(0));
+    expect(copy.describeSince(version)).toEqual(table.describeSince(version));
+  });
+
+  test('forgets of a caller with too many first, mere presence before verdicts', () => {
+    const {end, wait, standing, table} = start();
+    end('i1', ['bbbbbbbb-other']);
+    wait(LONG_MS);
+    end('i2', [`${CALLER}-p`]);
+    wait(500);
+    end('i3', [`${CALLER}-p`]);
+    wait(LONG_MS);
+    for (let at = 0; at < 100; at += 1) {
+      end(`f${at}`, [`${CALLER}-${at}`]);
+      wait(LONG_MS);
+    }
+    expect(standing(`${CALLER}-p`)).toBe('convicted');
+    expect(standing('bbbbbbbb-other')).toBe('suspected');
+    expect(standing(`${CALLER}-0`)).toBeUndefined();
+    expect(standing(`${CALLER}-99`)).toBe('suspected');
+    expect(table.list().length).toBe(65);
+  });
+});
+
+/** A step that some gateway or the fleet takes. */
+const step = fc.record({
+  kind: fc.constantFrom('end', 'clear', 'release', 'trial'),
+  server: fc.nat(30),
+  names: fc.uniqueArray(fc.nat(20), {minLength: 1, maxLength: 5}),
+  begun: fc.boolean(),
+  waitMs: fc.nat(3_000),
+});
+
+test('nobody is convicted without two ends, and followers always hold what the table holds', () => {
+  fc.assert(
+    fc.property(fc.array(step, {maxLength: 60}), steps => {
+      const {table, wait, end, grant} = start();
+      const held = new Map<string, string>();
+      let version = 0;
+      for (const {kind, server, names, begun, waitMs} of steps) {
+        wait(waitMs);
+        const callers = names.map(name => `${CALLER}${name}`);
+        const acts = {
+          end: () =>
+            begun ? end(`i${server}`, [], callers) : end(`i${server}`, callers),
+          clear: () => table.clear(callers[0]),
+          release: () => table.release(callers[0]),
+          trial: () => grant(callers[0], `i${server}`),
+        };
+        acts[kind]();
+        const news = table.describeSince(version);
+        if (news.isWhole) {
+          held.clear();
+        }
+        news.suspected.forEach(name => held.set(name, 'suspected'));
+        news.convicted.forEach(name => held.set(name, 'convicted'));
+        news.freed.forEach(name => held.delete(name));
+        ({version} = news);
+        const expected = table
+          .list()
+          .flatMap(([name, {standing}]) =>
+            standing === 'watched' ? [] : [[name, standing]],
+          );
+        expect([...held].sort()).toEqual(expected.sort());
+        for (const [, {crashes, standing}] of table.list()) {
+          const servers = new Set(crashes.map(({incarnation}) => incarnation));
+          expect(standing !== 'convicted' || servers.size >= 2).toBe(true);
+        }
+      }
+    }),
+    {seed: 31, numRuns: 300},
+  );
+});
--- a/test/support/flow_fixture.ts
+++ b/test/support/flow_fixture.ts
@@ -5,6 +5,7 @@
 import {EventRing} from '../../src/common/event_ring';
 import {BreakWitness} from '../../src/gateway/break_witness';
 import {CallerAnswer} from '../../src/gateway/caller_answer';
+import {Containment} from '../../src/gateway/containment';
 import {FlowResult} from '../../src/gateway/flow_result';
 import {PlaceForecast} from '../../src/gateway/place_forecast';
 import {RepeatBudget} from '../../src/gateway/repeat_budget';
@@ -53,9 +54,13 @@
   readonly board = TargetBoard.create('z', systemClock, () => 0);
   readonly forecast = PlaceForecast.create(systemClock);
   readonly events = EventRing.create();
-  private readonly witness = BreakWitness.create({
-    clock: systemClock,
-    events: this.events,
+  private readonly containment = Containment.create({
+    witness: BreakWitness.create({clock: systemClock, events: this.events}),
+    calls: {
+      report: () => Promise.resolve(),
+      askTrial: () => Promise.resolve('free'),
+    },
+    onEnded: () => undefined,
   });
   private readonly origins = HttpOrigins.create();
   private readonly flows = new Set<RequestFlow>();
@@ -157,7 +162,7 @@
       const flow = RequestFlow.create({
         request: {...request, model: this.model},
         identity: RequestIdentity.create({request, body}),
-        witness: this.witness,
+        containment: this.containment,
         body,
         route: this.route,
         pool: {
