fix(common,control,gateway,entry,host): a suspension ends leases

Cause: all ages were counted on the steady clock, which stands still while a machine is suspended. Weighed: the uptime (another machine's where the users play it: 1,000 to 3,000 ms for 500 ms of steady time; 4.8 microseconds a reading), a native library for CLOCK_BOOTTIME (a build step on every machine for one call), the time of day against the steady clock (0.2 microseconds). Taken: the last. It cannot tell a suspension from a step of the time of day, so the safe reading goes first: a step forward counts as time that passed, a step back as more than any lease, and what was confirmed before is confirmed anew, one round. Requests' own times stay on the steady clock. Who promises goes by the steady clock, which never counts too long; who relies on a promise by the new one, which never counts too short.

Before: three tests failed (lease of 450 ms held after 5 s, rules of 4 s served by after 5 s, heartbeats of 0.7 s counted after 5 s). After: they pass; the leader is confirmed again without an election.

--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -1,6 +1,8 @@
 /** One control process: forms or joins the quorum, decides, answers. */
 import {randomBytes} from 'node:crypto';
 import {EventRing} from '../common/event_ring';
+import {LeaseClock} from '../common/lease_clock';
+import {recordPause} from '../common/record_pause';
 import {systemClock} from '../common/system_clock';
 import {Message} from '../protocol/message';
 import {MessageOf} from '../protocol/message_of';
@@ -157,6 +159,12 @@
       disk,
       links: this.links,
       clock: systemClock,
+      leaseClock: LeaseClock.create({
+        steady: systemClock,
+        wall: () => Date.now(),
+        onPause: pause =>
+          recordPause(this.events, 'control', disk.identity, pause),
+      }),
       random: Math.random,
       send: (to, message) => this.sendRaft(to, message),
       onQuorum: ({type, reason}) => this.record(type, reason),
--- a/src/control/quorum_member.ts
+++ b/src/control/quorum_member.ts
@@ -15,7 +15,7 @@
 /** What a member works with. */
 interface QuorumMemberOptions extends Pick<
   RaftRuntimeOptions,
-  'send' | 'onFailure' | 'onDiskFull' | 'onChange'
+  'send' | 'onFailure' | 'onDiskFull' | 'onChange' | 'leaseClock'
 > {
   readonly settings: ControlSettings;
   readonly disk: ControlDisk;
@@ -107,9 +107,11 @@
   private startRaft(): void {
     const {settings, disk, clock, timers, random, send} = this.options;
     const {onFailure, onDiskFull, onChange, onRuntime} = this.options;
+    const {leaseClock} = this.options;
     this.raftRuntime = RaftRuntime.create({
       disk,
       clock,
+      leaseClock,
       timers,
       timing: defaultRaftTiming,
       random,
--- a/src/control/raft_runtime.ts
+++ b/src/control/raft_runtime.ts
@@ -1,5 +1,6 @@
 /** Drives the agreement: feeds it events and performs its effects on disk and network. */
 import {Clock} from '../common/clock';
+import {LeaseClock} from '../common/lease_clock';
 import {PushSource} from '../common/push_source';
 import {systemTimers} from '../common/system_timers';
 import {Cancel} from '../common/cancel';
@@ -41,6 +42,8 @@
 interface RaftRuntimeOptions {
   readonly disk: ControlDisk;
   readonly clock: Clock;
+  /** Tells of suspensions, which `clock` does not count. */
+  readonly leaseClock?: Pick<LeaseClock, 'pausedAt'>;
   readonly timers?: Timers;
   readonly timing: RaftTiming;
   readonly random: () => number;
@@ -150,9 +153,12 @@
    * before an answer leaves.
    */
   canAnswer(): boolean {
+    const {clock, leaseClock} = this.options;
+    // A leader that was suspended for 5 s held a lease of 450 ms: its round was 20 ms old.
+    const trustedSince = leaseClock?.pausedAt;
     return (
       this.appliedTerm === this.node.term &&
-      this.node.hasLease(this.options.clock.now())
+      this.node.hasLease(clock.now(), trustedSince)
     );
   }
 
--- a/src/coordination/raft_node.ts
+++ b/src/coordination/raft_node.ts
@@ -112,8 +112,8 @@
   }
 
   /** True while no other node can have become leader. Ask right before answering. */
-  hasLease(now: number): boolean {
-    return this.state.hasLease(now);
+  hasLease(now: number, trustedSince?: number): boolean {
+    return this.state.hasLease(now, trustedSince);
   }
 
   /** Handles one event and returns what to do about it. */
--- a/src/coordination/raft_state.ts
+++ b/src/coordination/raft_state.ts
@@ -172,9 +172,14 @@
     });
   }
 
-  /** True while no other node can have become leader. */
-  hasLease(now: number): boolean {
-    const since = now - this.options.timing.leaseMs;
+  /**
+   * True while no other node can have become leader.
+   *
+   * @param trustedSince rounds that left before it prove nothing
+   */
+  hasLease(now: number, trustedSince = -Infinity): boolean {
+    const leaseBegan = now - this.options.timing.leaseMs;
+    const since = Math.max(leaseBegan, trustedSince);
     return this.role === 'leader' && this.isQuorumContactedSince(since);
   }
 
--- a/src/entry/entry_server.ts
+++ b/src/entry/entry_server.ts
@@ -2,6 +2,8 @@
 import {randomBytes} from 'node:crypto';
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {EventRing} from '../common/event_ring';
+import {LeaseClock} from '../common/lease_clock';
+import {recordPause} from '../common/record_pause';
 import {runStop} from '../common/run_stop';
 import {StopSchedule} from '../common/stop_schedule';
 import {systemClock} from '../common/system_clock';
@@ -63,6 +65,13 @@
   /** What happened here, newest in memory. */
   readonly events = EventRing.create();
   private readonly clock = systemClock;
+  /** For the right to act on the bundle, which a suspension ends. */
+  private readonly leaseClock = LeaseClock.create({
+    steady: systemClock,
+    wall: () => Date.now(),
+    onPause: pause =>
+      recordPause(this.events, 'control', this.settings.entryId, pause),
+  });
   private readonly admission = Admission.create();
   private readonly links: HostLinks;
   private readonly table: RouteTable;
@@ -93,7 +102,7 @@
     this.table = RouteTable.create({
       entryId,
       client: ControlClient.create({addresses: control, identity, security}),
-      clock,
+      clock: this.leaseClock,
       onGroups: groups =>
         this.links.setWanted(groups.map(group => group.members[0].address)),
       onBundle: bundle => this.recordBundle(bundle),
@@ -168,7 +177,7 @@
 
   private readonly routes: Readonly<Record<string, Handler>> = {
     'GET /healthz': (_request, response) => {
-      const hasLease = this.table.hasLease(this.clock.now());
+      const hasLease = this.table.hasLease(this.leaseClock.now());
       const isReady = hasLease && !this.schedule.hasBegun;
       response.writeHead(isReady ? 200 : 503, {'content-type': 'text/plain'});
       response.end(isReady ? 'ready\n' : 'not ready\n');
@@ -211,7 +220,7 @@
     const requestId = randomBytes(12).toString('hex');
     response.setHeader('whinreel-request-id', requestId);
     const {bundle} = this.table;
-    if (!bundle || !this.table.hasLease(this.clock.now())) {
+    if (!bundle || !this.table.hasLease(this.leaseClock.now())) {
       sendProblem(response, NOT_CONFIRMED);
       return;
     }
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -3,6 +3,8 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
 import {EventRing} from '../common/event_ring';
+import {LeaseClock} from '../common/lease_clock';
+import {recordPause} from '../common/record_pause';
 import {systemClock} from '../common/system_clock';
 import {ThrottledLines} from '../common/throttled_lines';
 import {ControlClient} from '../protocol/control_client';
@@ -102,7 +104,16 @@
     this.feed = RulesFeed.create({
       gatewayId,
       client,
-      clock,
+      // A key that was taken away while this machine was suspended must not be taken.
+      clock: LeaseClock.create({
+        steady: clock,
+        wall: () => Date.now(),
+        onPause: pause => {
+          recordPause(events, 'control', gatewayId, pause);
+          // Nothing is confirmed any more; what control says now is one round trip away.
+          setImmediate(() => this.feed.tellNow());
+        },
+      }),
       events,
       confirmationMs,
       changesWithinMs,
--- a/src/host/group_member.ts
+++ b/src/host/group_member.ts
@@ -1,6 +1,7 @@
 /** This host's part in its group: membership, the engine's orders, and the lease if it is first. */
 import {Clock} from '../common/clock';
 import {GroupLease} from '../coordination/group_lease';
+import {HEARTBEAT_LEASE_MS} from '../coordination/heartbeat_lease_ms';
 import {Membership} from '../coordination/membership';
 import {Group} from '../protocol/group';
 import {HostReport} from '../protocol/host_report';
@@ -15,7 +16,10 @@
 interface GroupMemberOptions {
   readonly hostId: string;
   readonly identity: Parameters<typeof Peer.create>[1];
+  /** For what this host has promised others: it never counts too long. */
   readonly clock: Clock;
+  /** For what others have promised this host: it never counts too short. */
+  readonly leaseClock: Clock;
   readonly orders: EngineOrders;
   readonly security?: TransportSecurity;
 }
@@ -30,16 +34,22 @@
   private readonly membership: Membership;
   private lease: GroupLease | undefined;
   private asker: HeartbeatAsker | undefined;
+  /** How far the clock of leases is ahead of the other. */
+  private aheadMs = 0;
+  /** When this process last found that it was away, on its steady clock. */
+  private wokeAt = -Infinity;
 
   private constructor(private readonly options: GroupMemberOptions) {
-    this.membership = Membership.create(options.clock.now());
+    const {clock, leaseClock} = options;
+    this.membership = Membership.create(clock.now());
+    this.aheadMs = leaseClock.now() - clock.now();
   }
 
   /**
    * Creates the part of a process that has just started and belongs to no group.
    *
    * @example
-   * const member = GroupMember.create({hostId, identity, clock, orders});
+   * const member = GroupMember.create({hostId, identity, clock, leaseClock, orders});
    */
   static create(options: GroupMemberOptions): GroupMember {
     return new GroupMember(options);
@@ -98,7 +108,8 @@
 
   /** Members without which the group must not serve. */
   listMissing(now: number): string[] {
-    const missing = this.lease?.listMissing(now) ?? [];
+    const leaseNow = this.options.leaseClock.now();
+    const missing = this.lease?.listMissing(leaseNow) ?? [];
     // The old group may still count this host, so the new one cannot yet.
     return this.membership.isBoundElsewhere(now)
       ? [this.options.hostId, ...missing]
@@ -130,7 +141,9 @@
       assignment: this.membership.describe(now),
       told: group && {fencing: group.fencing, isDraining: group.isDraining},
       isServing: this.isServing(now),
-      missing: this.lease?.listSilent(now) ?? [],
+      missing: this.isBackLately(now)
+        ? []
+        : (this.lease?.listSilent(this.options.leaseClock.now()) ?? []),
     };
   }
 
@@ -141,14 +154,24 @@
     this.lease = undefined;
   }
 
+  /** After an own pause everybody has been silent, and nobody is lost for that. */
+  private isBackLately(now: number): boolean {
+    const aheadMs = this.options.leaseClock.now() - now;
+    if (aheadMs - this.aheadMs > HEARTBEAT_LEASE_MS) {
+      this.wokeAt = now;
+    }
+    this.aheadMs = aheadMs;
+    return now - this.wokeAt < HEARTBEAT_LEASE_MS;
+  }
+
   private startLease(group: Group): void {
-    const {hostId, identity, clock, security} = this.options;
-    this.lease = GroupLease.create(group, hostId, clock.now());
+    const {hostId, identity, leaseClock, security} = this.options;
+    this.lease = GroupLease.create(group, hostId, leaseClock.now());
     this.asker = HeartbeatAsker.create({
       group,
       lease: this.lease,
       identity,
-      clock,
+      clock: leaseClock,
       security,
     });
   }
--- a/src/host/host_server.ts
+++ b/src/host/host_server.ts
@@ -1,6 +1,8 @@
 /** The process beside one backend server: member of a group, fence, runner of work. */
 import {randomBytes} from 'node:crypto';
 import {EventRing} from '../common/event_ring';
+import {LeaseClock} from '../common/lease_clock';
+import {recordPause} from '../common/record_pause';
 import {StopSchedule} from '../common/stop_schedule';
 import {systemClock} from '../common/system_clock';
 import {checkDispatch} from '../coordination/check_dispatch';
@@ -35,6 +37,13 @@
   readonly events = EventRing.create();
   private readonly incarnation = randomBytes(8).toString('hex');
   private readonly clock = systemClock;
+  /** For leases and start-by times, which a suspension ends. */
+  private readonly leaseClock = LeaseClock.create({
+    steady: systemClock,
+    wall: () => Date.now(),
+    onPause: pause =>
+      recordPause(this.events, 'host', this.settings.hostId, pause),
+  });
   private readonly backend = HttpBackend.create();
   private readonly slot = BackendSlot.create(this.clock);
   private readonly orders: EngineOrders;
@@ -58,12 +67,13 @@
       hostId: settings.hostId,
       identity: this.identity,
       clock: this.clock,
+      leaseClock: this.leaseClock,
       orders: this.orders,
       security: settings.security,
     });
     this.runner = WorkRunner.create({
       incarnation: this.incarnation,
-      clock: this.clock,
+      clock: this.leaseClock,
       events: this.events,
       backend: this.backend,
       findBackendUrl: () => this.slot.current?.url,
@@ -175,7 +185,7 @@
         identity: this.identity,
         security: settings.security,
       }),
-      clock: this.clock,
+      clock: this.leaseClock,
       createReport: () => this.createReport(),
       onDirective: directive => this.applyDirective(directive),
     });
@@ -239,7 +249,7 @@
         hostId: this.settings.hostId,
         incarnation: this.incarnation,
         group: member.group ?? undefined,
-        missing: member.listMissing(now),
+        missing: member.listMissing(this.clock.now()),
         hasBundleLease: this.session?.hasLease(now) ?? false,
         hasBackend: member.hasOrders(),
         isLeaving: this.isLeaving || (this.slot.current?.isLeaving ?? false),
