feat(control,operator,state): an end that was none is taken back; suspects are listed and lifted

An end is evidence by a broken connection and a refused one; a backend server that goes on speaking under the same start 5 s later and more had not ended, and what is held against requests for it is dropped. One request that runs to its end clears every one like it, since callers send alike ones on purpose (a status that is polled). whinreel suspects list, suspects lift, explain request.

--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -286,7 +286,12 @@
     }
     this.handlers = createCallHandlers({
       desk,
-      suspects: SuspectDesk.create({runtime, events: this.events}),
+      suspects: SuspectDesk.create({
+        runtime,
+        events: this.events,
+        registry: this.registry,
+        clock: systemClock,
+      }),
       runtime,
       fleet,
       clock: systemClock,
--- a/src/control/suspect_desk.ts
+++ b/src/control/suspect_desk.ts
@@ -1,15 +1,30 @@
 /** The leader's answers about requests under which backend servers ended. */
+import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
+import {systemTimers} from '../common/system_timers';
+import {Timers} from '../common/timers';
 import {ControlMessage} from '../protocol/control_message';
 import {MessageOf} from '../protocol/message_of';
+import {BackendRegistry} from './backend_registry';
 import {RaftRuntime} from './raft_runtime';
 
+/**
+ * Words of a backend server may travel for seconds; one that goes on speaking later
+ * than this after its end was seen has not ended.
+ */
+const LAST_WORDS_MS = 5_000;
+/** A backend server that lives speaks again within this. */
+const SPEAKS_WITHIN_MS = 5_000;
+
 type Ask<T extends ControlMessage['type']> = MessageOf<ControlMessage, T>;
 
 /** What the desk works on. */
 interface SuspectDeskOptions {
   readonly runtime: Pick<RaftRuntime, 'state' | 'propose'>;
   readonly events: EventRing;
+  readonly registry: Pick<BackendRegistry, 'find'>;
+  readonly clock: Clock;
+  readonly timers?: Timers;
 }
 
 /** Answers calls; the caller makes sure that this process leads. */
@@ -20,7 +35,7 @@
    * Creates a desk.
    *
    * @example
-   * const desk = SuspectDesk.create({runtime, events});
+   * const desk = SuspectDesk.create({runtime, events, registry, clock});
    */
   static create(options: SuspectDeskOptions): SuspectDesk {
     return new SuspectDesk(options);
@@ -46,11 +61,42 @@
     crashes.forEach(crash => this.recordCrash(gatewayId, crash));
     const before = runtime.state.suspects.version;
     const told = {time, crashes, released, cleared};
+    const fresh = crashes.filter(
+      ({incarnation}) => !runtime.state.suspects.hasEnded(incarnation),
+    );
     await runtime.propose({type: 'record-suspects', ...told});
+    fresh.forEach(({incarnation}) => this.watch(incarnation));
     this.recordChanges(before);
     return {type: 'suspects-answer', call};
   }
 
+  /** Takes an end back if its backend server goes on speaking under the same start. */
+  private watch(incarnation: string): void {
+    const {registry, clock, timers = systemTimers} = this.options;
+    const endedAt = clock.now();
+    timers.delay(LAST_WORDS_MS + SPEAKS_WITHIN_MS, () => {
+      const seenAt = registry.find(incarnation)?.seenAt ?? -Infinity;
+      if (seenAt > endedAt + LAST_WORDS_MS) {
+        // A leader that lost the lead leaves it to the next end to be judged anew.
+        this.withdraw(incarnation).catch(() => undefined);
+      }
+    });
+  }
+
+  private async withdraw(incarnation: string): Promise<void> {
+    const {runtime, events} = this.options;
+    const time = Date.now();
+    const before = runtime.state.suspects.version;
+    await runtime.propose({type: 'withdraw-crash', time, incarnation});
+    events.record({
+      type: 'end-withdrawn',
+      subject: 'host',
+      id: incarnation,
+      reason: 'it goes on speaking under the same start',
+    });
+    this.recordChanges(before);
+  }
+
   /** Only the log makes sure that no two leaders grant the same place. */
   private async grantTrial(ask: Ask<'trial-ask'>): Promise<ControlMessage> {
     const {call, name, incarnation} = ask;
--- a/src/gateway/suspect_list.ts
+++ b/src/gateway/suspect_list.ts
@@ -77,9 +77,7 @@
   /** Control holds nothing against it, or it ran to its end. */
   remove(name: string): void {
     this.own.delete(name);
-    if (this.told.get(name) === 'suspected') {
-      this.told.delete(name);
-    }
+    this.told.delete(name);
     this.indexCallers();
   }
 
--- a/src/operator/add_fleet_commands.ts
+++ b/src/operator/add_fleet_commands.ts
@@ -8,7 +8,7 @@
 import {readPrivateKey} from './read_private_key';
 
 const POLL_MS = 200;
-const SUBJECTS = ['group', 'host', 'bundle', 'control'];
+const SUBJECTS = ['group', 'host', 'bundle', 'control', 'request'];
 
 /**
  * Adds `status`, `watch`, `explain`, `drain` and `undrain`.
@@ -47,7 +47,7 @@
     .addArgument(new Argument('<subject>').choices(SUBJECTS))
     .argument('<id>')
     .description(
-      'what happened to a group, host, bundle or control process, and why',
+      'what happened to a group, host, bundle, control process or suspected request, and why',
     )
     .addHelpText('after', '\nExample:\n  whinreel explain group assistant-1')
     .action((subject: string, id: string) =>
--- a/src/operator/create_program.ts
+++ b/src/operator/create_program.ts
@@ -6,6 +6,7 @@
 import {addFleetCommands} from './add_fleet_commands';
 import {addKeyCommands} from './add_key_commands';
 import {addLogCommands} from './add_log_commands';
+import {addSuspectCommands} from './add_suspect_commands';
 import {JsonReporter} from './json_reporter';
 import {OperatorClient} from './operator_client';
 import {OperatorError} from './operator_error';
@@ -79,6 +80,7 @@
   addLogCommands(context);
   addBundleCommands(context);
   addFleetCommands(context);
+  addSuspectCommands(context);
   return program;
 }
 
--- a/src/operator/operator_client.ts
+++ b/src/operator/operator_client.ts
@@ -1,14 +1,19 @@
 /** The operator's calls to control. */
 import {KeyObject, randomBytes, sign} from 'node:crypto';
+import {z} from 'zod';
 import {computeKeyId} from '../protocol/compute_key_id';
 import {ControlClient} from '../protocol/control_client';
 import {describeDrainOrder} from '../protocol/describe_drain_order';
+import {describeLiftOrder} from '../protocol/describe_lift_order';
 import {FleetStatus} from '../protocol/fleet_status';
 import {SignedBundle} from '../protocol/signed_bundle';
 import {JournalEntry} from '../state/journal_entry';
+import {Suspect} from '../state/suspect';
 import {TransportSecurity} from '../transport/transport_security';
 import {OperatorError} from './operator_error';
 
+const ListedSuspect = Suspect.extend({name: z.string()});
+
 /** How to reach control. */
 interface OperatorClientOptions {
   readonly addresses: readonly string[];
@@ -90,6 +95,23 @@
     return this.waitFor(this.client.ask(order, this.timeoutMs));
   }
 
+  /** @throws OperatorError when no leader answers */
+  async listSuspects(): Promise<Array<z.infer<typeof ListedSuspect>>> {
+    const ask = this.client.ask({type: 'verdicts-ask'}, this.timeoutMs);
+    const answer = await this.waitFor(ask);
+    return answer.suspects.map(suspect => ListedSuspect.parse(suspect));
+  }
+
+  /** @throws OperatorError when no leader answers */
+  async revokeVerdict(name: string, key: KeyObject) {
+    const time = Date.now();
+    const text = describeLiftOrder(name, time);
+    const signature = sign(null, Buffer.from(text), key).toString('base64');
+    const keyId = computeKeyId(key);
+    const order = {type: 'lift-ask' as const, name, time, keyId, signature};
+    return this.waitFor(this.client.ask(order, this.timeoutMs));
+  }
+
   close(): void {
     this.client.close();
   }
--- a/src/operator/operator_event.ts
+++ b/src/operator/operator_event.ts
@@ -1,6 +1,7 @@
 import {Bundle} from '../protocol/bundle';
 import {FleetStatus} from '../protocol/fleet_status';
 import {JournalEntry} from '../state/journal_entry';
+import {Suspect} from '../state/suspect';
 
 /** What a command of `whinreel` has to tell; reporters turn it into text or JSON. */
 export type OperatorEvent =
@@ -55,6 +56,16 @@
     }
   | {readonly type: 'status'; readonly status: FleetStatus}
   | {readonly type: 'journal'; readonly entries: readonly JournalEntry[]}
+  | {
+      readonly type: 'suspects';
+      readonly suspects: ReadonlyArray<Suspect & {readonly name: string}>;
+    }
+  | {
+      readonly type: 'verdict-lifted';
+      readonly name: string;
+      readonly isAccepted: boolean;
+      readonly reason: string;
+    }
   | {
       readonly type: 'drain-ordered';
       readonly hostId: string;
--- a/src/operator/text_reporter.ts
+++ b/src/operator/text_reporter.ts
@@ -66,6 +66,20 @@
     entries.length === 0
       ? 'nothing is recorded about it\n'
       : entries.map(formatJournalEntry).join(''),
+  suspects: ({suspects}) =>
+    suspects.length === 0
+      ? 'no backend server ended under any request that is remembered\n'
+      : formatTable(
+          ['REQUEST', 'STANDING', 'LAST END', 'ENDED UNDER IT'],
+          suspects.map(({name, standing, crashes}) => [
+            name,
+            standing,
+            new Date(Math.max(...crashes.map(({time}) => time))).toISOString(),
+            crashes.map(({incarnation}) => incarnation).join(' '),
+          ]),
+        ),
+  'verdict-lifted': ({name, isAccepted, reason}) =>
+    `${isAccepted ? '' : 'refused: '}${name} ${isAccepted ? 'may run again' : 'stays as it is'}: ${reason}\n`,
   'drain-ordered': ({hostId, isDraining, isAccepted, reason}) =>
     `${isAccepted ? '' : 'refused: '}${hostId} ${isDraining ? 'drains' : 'is back'}: ${reason}\n`,
 };
--- a/src/protocol/control_command.ts
+++ b/src/protocol/control_command.ts
@@ -114,6 +114,12 @@
     name: z.string(),
     incarnation: z.string(),
   }),
+  /** A backend server that was taken for ended lives. */
+  z.object({
+    type: z.literal('withdraw-crash'),
+    time: Time,
+    incarnation: z.string(),
+  }),
   /** An operator lets a convicted request run again. */
   z.object({
     type: z.literal('lift-verdict'),
--- a/src/state/cluster_state.ts
+++ b/src/state/cluster_state.ts
@@ -218,6 +218,11 @@
       );
       return {isAccepted: trial === 'granted', reason: trial, trial};
     },
+    'withdraw-crash': ({incarnation}, index) => {
+      this.suspects.withdraw(incarnation);
+      this.recordVerdicts(index);
+      return {isAccepted: true, reason: 'it lives'};
+    },
     'lift-verdict': ({name, keyId}, index) => {
       const reason = `ordered by the operator with key ${keyId}`;
       const isAccepted = this.suspects.revoke(name, reason);
--- a/src/state/suspect_table.ts
+++ b/src/state/suspect_table.ts
@@ -104,6 +104,21 @@
     this.expire();
   }
 
+  /** It had not ended after all: what ran there has nothing to do with it. */
+  withdraw(incarnation: string): void {
+    if (!this.ends.delete(incarnation)) {
+      return;
+    }
+    for (const name of [...this.suspects.keys()]) {
+      this.dropEvidence(name, [incarnation]);
+    }
+  }
+
+  /** True while an end is remembered and not withdrawn. */
+  hasEnded(incarnation: string): boolean {
+    return this.ends.has(incarnation);
+  }
+
   /** Gives the right to send a suspect to one backend server, alone of all suspects. */
   beginTrial(name: string, incarnation: string, time: number): TrialVerdict {
     const suspect = this.suspects.get(name);
@@ -136,9 +151,11 @@
 
   /** It ran to its end elsewhere: nothing is held against it any more. */
   clear(name: string): void {
-    if (this.suspects.get(name)?.standing !== 'convicted') {
-      this.drop(name);
+    if (this.suspects.get(name)?.standing === 'convicted') {
+      const reason = 'one like it ran to its end';
+      this.notes.push({name, type: 'verdict-lifted', reason});
     }
+    this.drop(name);
   }
 
   /** An operator wants it sent again. */
@@ -251,7 +268,7 @@
       this.notes.push({name, type: 'request-convicted', reason: ended});
       this.explain(name, servers);
     } else if (before === 'convicted') {
-      const reason = `others ended near: ${ended}`;
+      const reason = `not enough any more, as others ended near or one lives: ${ended}`;
       this.notes.push({name, type: 'request-doubted-again', reason});
       servers.forEach(server => this.setExplained(server, undefined));
     }
@@ -278,23 +295,30 @@
     servers.forEach(server => this.setExplained(server, name));
     for (const other of [...this.suspects.keys()]) {
       // A verdict that follows from this one may have changed it meanwhile.
-      const suspect = this.suspects.get(other);
-      const isOpen = suspect && suspect.standing !== 'convicted';
-      if (!isOpen || other === name) {
-        continue;
-      }
-      const crashes = suspect.crashes.filter(
-        ({incarnation}) => !servers.includes(incarnation),
-      );
-      if (crashes.length === 0) {
-        this.drop(other);
-      } else if (crashes.length < suspect.crashes.length) {
-        this.suspects.set(other, {...suspect, crashes});
-        this.decide(other);
+      const isConvicted = this.suspects.get(other)?.standing === 'convicted';
+      if (!isConvicted && other !== name) {
+        this.dropEvidence(other, servers);
       }
     }
   }
 
+  private dropEvidence(name: string, servers: readonly string[]): void {
+    const suspect = this.suspects.get(name);
+    const before = suspect?.crashes ?? [];
+    const crashes = before.filter(
+      ({incarnation}) => !servers.includes(incarnation),
+    );
+    if (!suspect || crashes.length === before.length) {
+      return;
+    }
+    if (crashes.length === 0) {
+      this.drop(name);
+    } else {
+      this.suspects.set(name, {...suspect, crashes});
+      this.decide(name);
+    }
+  }
+
   private setExplained(server: string, by: string | undefined): void {
     const end = this.ends.get(server);
     if (end) {
