test(simulation): machines are suspended, and verdicts are carried through lost disks

A machine is looked at as it wakes. A request is convicted with every fourth change and must be known to whoever answers.

--- a/test/simulation/day_limits.ts
+++ b/test/simulation/day_limits.ts
@@ -9,3 +9,5 @@
 export const BUSY_EVERY_MS = 200;
 /** How long the day waits for an acknowledgement to end after. */
 export const CLOSING_WAIT_MS = 8_000;
+/** A request is convicted with every so manieth change. */
+export const CHANGES_PER_VERDICT = 4;
--- a/test/simulation/play_day.ts
+++ b/test/simulation/play_day.ts
@@ -6,6 +6,7 @@
 import {LossLedger} from './loss_ledger';
 import {
   BUSY_EVERY_MS,
+  CHANGES_PER_VERDICT,
   CLOSING_WAIT_MS,
   LOOK_EVERY_MS,
   LOSSES,
@@ -14,8 +15,11 @@
   VOTERS,
 } from './day_limits';
 import {DayResult} from './day_result';
+import {DayStory} from './day_story';
 import {DAY_MS, DayEvent, QuorumDay} from './quorum_day';
+import {findBrokenPromise} from './find_broken_promise';
 import {STOPS} from './stops';
+import {VerdictLedger} from './verdict_ledger';
 import {VirtualFleet, VirtualMachine} from './virtual_machine';
 import {VirtualCuts} from './virtual_cuts';
 import {VirtualTime} from './virtual_time';
@@ -40,8 +44,10 @@
   private readonly troubledUntil = new Map<string, number>();
   private readonly ledger = LossLedger.create(LOSSES + 1);
   private readonly leaders = new Map<number, string>();
-  private readonly story: string[] = [];
-  private broken: string | undefined;
+  private readonly story = DayStory.create(this.time, () =>
+    this.machines.map(describeMachine),
+  );
+  private readonly verdicts = VerdictLedger.create();
   private seedsFrom = 0;
   private version = 0;
   private acked = 0;
@@ -65,7 +71,7 @@
       voters: VOTERS,
       losses: LOSSES,
       onFailure: (name, error) =>
-        this.fail(`${name} ended by itself: ${error.message}`),
+        this.story.fail(`${name} ended by itself: ${error.message}`),
       onRole: (name, {raft}) => {
         if (raft.role === 'leader') {
           this.recordLeader(this.find(name)?.station?.identity, raft.term);
@@ -89,17 +95,17 @@
     time.after(DAY_MS + CLOSING_WAIT_MS, () => this.close());
     await time.runUntil(
       DAY_MS + CLOSING_WAIT_MS,
-      () => this.isClosed || this.broken !== undefined,
+      () => this.isClosed || this.story.broken !== undefined,
     );
-    if (this.broken === undefined) {
+    if (this.story.broken === undefined) {
       await this.recover();
     }
     // Nothing of this day goes on.
     this.machines.forEach(machine => machine.kill());
     return {
       seed: day.seed,
-      broken: this.broken,
-      story: this.story,
+      broken: this.story.broken,
+      story: this.story.lines,
       acknowledged: this.ackedCount,
       leaderAfterMs: this.leaderAfterMs,
     };
@@ -111,12 +117,14 @@
     const before = this.acked;
     const isBack = () =>
       this.leaderAfterMs !== undefined && this.acked > before;
-    const isOver = () => this.broken !== undefined || isBack();
+    const isOver = () => this.story.broken !== undefined || isBack();
     await time.runUntil(time.now() + RECOVER_MS, isOver);
     if (this.leaderAfterMs === undefined) {
-      this.fail(`no leader within ${RECOVER_MS} ms after all machines ran`);
+      this.story.fail(
+        `no leader within ${RECOVER_MS} ms after all machines ran`,
+      );
     } else if (this.acked === before) {
-      this.fail(`no change was taken within ${RECOVER_MS} ms`);
+      this.story.fail(`no change was taken within ${RECOVER_MS} ms`);
     }
   }
 
@@ -147,53 +155,51 @@
     },
     freeze: ({machine, forMs, isAimed}) => {
       const frozen = this.pick(machine, isAimed);
-      this.tell(`${frozen.name} stands still for ${forMs} ms`);
+      const {suspends, stepPart} = this.day;
+      const how = suspends
+        ? `is suspended (time set by ${stepPart})`
+        : 'stands still';
+      this.story.tell(`${frozen.name} ${how} for ${forMs} ms`);
       this.trouble(frozen, forMs);
-      frozen.freeze(forMs);
+      if (suspends) {
+        frozen.suspend(forMs, forMs * stepPart);
+      } else {
+        frozen.freeze(forMs);
+      }
+      // Before it does anything else, so that what it believes as it wakes is seen.
+      this.time.after(forMs, () => this.checkAnswers(frozen));
     },
     cut: ({machine, forMs, how}) => {
       const cut = this.pick(machine);
-      this.tell(`${cut.name} is cut off (${how}) for ${forMs} ms`);
+      this.story.tell(`${cut.name} is cut off (${how}) for ${forMs} ms`);
       this.trouble(cut, forMs);
-      for (const {name} of this.machines.filter(other => other !== cut)) {
-        if (how !== 'in') {
-          this.cuts.add(cut.name, name, forMs);
-        }
-        if (how !== 'out') {
-          this.cuts.add(name, cut.name, forMs);
-        }
-      }
+      this.cuts.separate([cut.name], this.listOthers([cut]), forMs, how);
     },
     split: ({machine, forMs}) => {
       const side = [this.pick(machine), this.pick(machine + 1)];
-      const others = this.machines.filter(other => !side.includes(other));
-      this.tell(
+      this.story.tell(
         `${side.map(({name}) => name).join(' and ')} are cut from the others for ${forMs} ms`,
       );
-      for (const {name} of side) {
-        for (const other of others) {
-          this.cuts.add(name, other.name, forMs);
-          this.cuts.add(other.name, name, forMs);
-        }
-      }
+      const names = side.map(({name}) => name);
+      this.cuts.separate(names, this.listOthers(side), forMs);
       side.forEach(cut => this.trouble(cut, forMs));
     },
     stall: ({machine, forMs}) => {
       const slow = this.pick(machine);
-      this.tell(`the disk of ${slow.name} stalls for ${forMs} ms`);
+      this.story.tell(`the disk of ${slow.name} stalls for ${forMs} ms`);
       this.trouble(slow, forMs);
       slow.stallDisk(forMs);
     },
     full: ({machine, forMs}) => {
       const full = this.pick(machine);
-      this.tell(`the disk of ${full.name} has no room for ${forMs} ms`);
+      this.story.tell(`the disk of ${full.name} has no room for ${forMs} ms`);
       this.trouble(full, forMs);
       full.fillDisk(true);
       this.time.after(forMs, () => full.fillDisk(false));
     },
     seeds: ({machine}) => {
       this.seedsFrom = machine;
-      this.tell(`the seeds are ${this.listSeeds().join(', ')} now`);
+      this.story.tell(`the seeds are ${this.listSeeds().join(', ')} now`);
     },
   };
 
@@ -203,7 +209,7 @@
     how: keyof typeof STOPS,
   ): void {
     for (const machine of machines) {
-      this.tell(
+      this.story.tell(
         `${machine.name}: ${STOPS[how].words}, back after ${downMs} ms`,
       );
       if (how === 'wipe') {
@@ -216,7 +222,9 @@
 
   private replace(old: VirtualMachine, afterMs: number): void {
     const name = `m${VOTERS + this.removed.size}`;
-    this.tell(`${old.name} is removed, ${name} comes after ${afterMs} ms`);
+    this.story.tell(
+      `${old.name} is removed, ${name} comes after ${afterMs} ms`,
+    );
     const next = VirtualMachine.create(name, this.fleet);
     old.kill();
     this.removed.add(old.name);
@@ -253,16 +261,19 @@
     if (!leader || !desk || !runtime || leader.isFrozen) {
       return;
     }
+    const isAnswered = () => leader.station === station && runtime.canAnswer();
     this.version += 1;
     const version = this.version;
+    if (version % CHANGES_PER_VERDICT === 0) {
+      this.verdicts.convict(runtime, isAnswered);
+    }
     desk.handlers['channel-bundle-ask']({
       type: 'channel-bundle-ask',
       call: version,
       bundle: createBundle(version),
     })
       .then(() => {
-        const isAnswered = leader.station === station && runtime.canAnswer();
-        if (isAnswered) {
+        if (isAnswered()) {
           this.recordAcked(version);
         }
       })
@@ -283,7 +294,7 @@
     }
     this.isClosed = true;
     const {closing, isAimed} = this.day;
-    this.tell(
+    this.story.tell(
       `version ${this.acked} was acknowledged; the day ends: ${closing}`,
     );
     this.cuts.clear();
@@ -315,19 +326,8 @@
     this.time.after(LOOK_EVERY_MS, () => this.look());
     const now = this.time.now();
     for (const machine of this.machines) {
-      const {runtime, name} = machine;
-      if (!runtime?.canAnswer() || machine.isFrozen) {
-        continue;
-      }
-      const {version, source} = runtime.state.channel;
-      if (version < this.acked) {
-        this.fail(
-          `${name} answers with version ${version}; ${this.acked} was acknowledged`,
-        );
-      } else if (version > 0 && source !== createBundle(version).source) {
-        this.fail(`${name} holds another version ${version} than was sent`);
-      }
-      if (this.isClosed && now >= this.closedAt) {
+      const isAnswering = this.checkAnswers(machine);
+      if (isAnswering && this.isClosed && now >= this.closedAt) {
         this.leaderAfterMs ??= now - this.closedAt;
       }
     }
@@ -341,19 +341,35 @@
     );
   }
 
+  private checkAnswers(machine: VirtualMachine): boolean {
+    if (!machine.runtime?.canAnswer() || machine.isFrozen) {
+      return false;
+    }
+    const broken = findBrokenPromise(machine, this.acked, this.verdicts);
+    if (broken) {
+      this.story.fail(broken);
+    }
+    return true;
+  }
+
   private recordLeader(identity = '', term: number): void {
     const known = this.leaders.get(term) ?? identity;
     if (known !== identity) {
-      this.fail(`${known} and ${identity} both lead term ${term}`);
+      this.story.fail(`${known} and ${identity} both lead term ${term}`);
     }
     this.leaders.set(term, identity);
-    this.tell(`${identity} leads term ${term}`);
+    this.story.tell(`${identity} leads term ${term}`);
   }
 
   private find(name: string): VirtualMachine | undefined {
     return this.machines.find(machine => machine.name === name);
   }
 
+  private listOthers(side: readonly VirtualMachine[]): string[] {
+    const others = this.machines.filter(other => !side.includes(other));
+    return others.map(({name}) => name);
+  }
+
   private pick(at: number, isLeader = false): VirtualMachine {
     const leader = this.machines.find(({runtime}) => runtime?.canAnswer());
     return (isLeader && leader) || this.machines[at % VOTERS];
@@ -364,16 +380,4 @@
     const known = this.troubledUntil.get(name) ?? 0;
     this.troubledUntil.set(name, Math.max(until, known));
   }
-
-  private tell(what: string): void {
-    this.story.push(`${(this.time.now() / 1_000).toFixed(3)} s  ${what}`);
-  }
-
-  private fail(what: string): void {
-    if (this.broken === undefined) {
-      this.broken = what;
-      this.tell(`BROKEN: ${what}`);
-      this.machines.map(describeMachine).forEach(line => this.tell(line));
-    }
-  }
 }
--- a/test/simulation/quorum_day.ts
+++ b/test/simulation/quorum_day.ts
@@ -75,6 +75,10 @@
   readonly closing: 'power-all' | 'kill-all' | 'wipe' | 'wipe-and-power';
   /** The disks that the closing loses are those of voters that hold the newest change, or any. */
   readonly isAimed: boolean;
+  /** Machines that stand still do so by a suspension: their steady clocks do not count it. */
+  readonly suspends: boolean;
+  /** How far the time of day is set when a machine wakes, as a part of its suspension. */
+  readonly stepPart: number;
 }
 
 type Draw = {
@@ -86,6 +90,8 @@
 
 export const DAY_MS = 14_000;
 const FIRST_AT_MS = 2_500;
+/** Not set, set forward, set back by half and by more than was missed. */
+const STEP_PARTS = [0, 0, 1, -0.5, -2] as const;
 const MAX_EVENTS = 7;
 const MACHINES = 5;
 
@@ -181,5 +187,8 @@
     isAimed: random() < 0.7,
     changeEveryMs: random() < 0.6 ? 200 : pick(2_000, 20_000),
     endsOnAck: random() < 0.7,
+    // Drawn last, so that what is drawn before stays as it was.
+    suspends: random() < 0.5,
+    stepPart: STEP_PARTS[pick(0, STEP_PARTS.length - 1)],
   };
 }
--- a/test/simulation/virtual_cuts.ts
+++ b/test/simulation/virtual_cuts.ts
@@ -15,6 +15,25 @@
     this.endsAt.set(`${from}>${to}`, this.time.now() + forMs);
   }
 
+  /** Cuts both ways between each of one side and each of the other. */
+  separate(
+    side: readonly string[],
+    others: readonly string[],
+    forMs: number,
+    how: 'both' | 'in' | 'out' = 'both',
+  ): void {
+    for (const name of side) {
+      for (const other of others) {
+        if (how !== 'in') {
+          this.add(name, other, forMs);
+        }
+        if (how !== 'out') {
+          this.add(other, name, forMs);
+        }
+      }
+    }
+  }
+
   isCut(from: string, to: string): boolean {
     return this.time.now() < (this.endsAt.get(`${from}>${to}`) ?? 0);
   }
--- a/test/simulation/virtual_machine.ts
+++ b/test/simulation/virtual_machine.ts
@@ -1,5 +1,7 @@
 /** One machine: its disk, and one start after the other of the real control process's quorum part. */
+import {Clock} from '../../src/common/clock';
 import {EventRing} from '../../src/common/event_ring';
+import {LeaseClock} from '../../src/common/lease_clock';
 import {Timers} from '../../src/common/timers';
 import {BackendRegistry} from '../../src/control/backend_registry';
 import {ChangeSignal} from '../../src/control/change_signal';
@@ -9,6 +11,7 @@
 import {RaftRuntime} from '../../src/control/raft_runtime';
 import {Message} from '../../src/protocol/message';
 import {ControlDisk} from '../../src/state/control_disk';
+import {VirtualClocks} from './virtual_clocks';
 import {VirtualDisk} from './virtual_disk';
 import {Station, VirtualLinks, VirtualNet} from './virtual_links';
 
@@ -39,6 +42,7 @@
   private process: Process | undefined;
   private start: object | undefined;
   private frozenUntil = 0;
+  private readonly clocks: VirtualClocks;
   private disksUsed = 0;
   /** Entries behind the snapshot after which a new one is taken. */
   private readonly snapshotEvery: number;
@@ -48,6 +52,7 @@
     private readonly fleet: VirtualFleet,
   ) {
     this.disk = VirtualDisk.create(fleet.net.time, fleet.random);
+    this.clocks = VirtualClocks.create(fleet.net.time);
     this.snapshotEvery = 2 + Math.floor(fleet.random() * 30);
   }
 
@@ -81,7 +86,7 @@
     const start = {};
     this.start = start;
     const isAlive = () => this.start === start;
-    const startedAt = this.fleet.net.time.now();
+    const startedAt = this.clocks.steady.now();
     try {
       const disk = await ControlDisk.create('/data', this.name, {
         locksFolder: false,
@@ -122,6 +127,16 @@
     this.frozenUntil = this.fleet.net.time.now() + ms;
   }
 
+  /**
+   * The machine stands still, and its steady clock with it.
+   *
+   * @param stepMs how far its time of day is set when it wakes
+   */
+  suspend(ms: number, stepMs: number): void {
+    this.freeze(ms);
+    this.clocks.suspend(ms, stepMs);
+  }
+
   stallDisk(ms: number): void {
     this.disk.stalledUntil = this.fleet.net.time.now() + ms;
   }
@@ -156,7 +171,11 @@
     settings: ControlSettings,
   ): Process {
     const {net, random, onFailure, onRole} = this.fleet;
-    const clock = net.time;
+    const clock: Clock = this.clocks.steady;
+    const leaseClock = LeaseClock.create({
+      steady: clock,
+      wall: this.clocks.readWall,
+    });
     const timers = this.createTimers(isAlive);
     let desk: GatewayDesk | undefined;
     const station: Station = {
@@ -175,6 +194,7 @@
       disk,
       links,
       clock,
+      leaseClock,
       timers,
       random,
       send: (to: string, message: Message) => links.send(to, message),
