--- a/test/simulation/day_story.ts
+++ b/test/simulation/day_story.ts
@@ -23,11 +23,12 @@
   }
 
   /** Only the first break is kept: the others may follow from it. */
-  fail(what: string): void {
+  fail(what: string): false {
     if (this.broken === undefined) {
       this.broken = what;
       this.tell(`BROKEN: ${what}`);
       this.describeMachines().forEach(line => this.tell(line));
     }
+    return false;
   }
 }
--- a/test/simulation/play_day.ts
+++ b/test/simulation/play_day.ts
@@ -341,15 +341,13 @@
     );
   }
 
+  /** True while a machine answers, and keeps its promises. */
   private checkAnswers(machine: VirtualMachine): boolean {
     if (!machine.runtime?.canAnswer() || machine.isFrozen) {
       return false;
     }
     const broken = findBrokenPromise(machine, this.acked, this.verdicts);
-    if (broken) {
-      this.story.fail(broken);
-    }
-    return true;
+    return broken ? this.story.fail(broken) : true;
   }
 
   private recordLeader(identity = '', term: number): void {
