--- /dev/null
+++ b/test/operator/suspects.test.ts
@@ -0,0 +1,103 @@
+import {generateKeyPairSync} from 'node:crypto';
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import * as path from 'node:path';
+import {afterEach, expect, test} from 'vitest';
+import {ControlServer} from '../../src/control/control_server';
+import {OperatorClient} from '../../src/operator/operator_client';
+import {TextReporter} from '../../src/operator/text_reporter';
+import {ControlClient} from '../../src/protocol/control_client';
+import {reservePort} from '../support/reserve_port';
+import {waitUntil} from '../support/wait_until';
+
+const NAME = '0123456789abcdef';
+const ASK_MS = 10_000;
+const closers: Array<() => unknown> = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) {
+    await close();
+  }
+});
+
+/** One control process that has convicted a request. */
+async function start() {
+  const {privateKey, publicKey} = generateKeyPairSync('ed25519');
+  const address = `127.0.0.1:${await reservePort()}`;
+  const [host, port] = address.split(':');
+  const control = await ControlServer.create({
+    name: address,
+    host,
+    port: Number(port),
+    dataFolder: mkdtempSync(path.join(tmpdir(), 'whinreel-suspects-')),
+    peers: new Map(),
+    trustedKeys: [publicKey],
+    leaseMs: 5_000,
+    seeded: {seeds: [address], isFirstStart: true, voters: 1, minCopies: 1},
+  });
+  closers.push(() => control.close());
+  await waitUntil('a leader', () => control.isLeading);
+  const gateway = ControlClient.create({
+    addresses: [address],
+    identity: {program: 'gateway', id: 'g', incarnation: 'i'},
+  });
+  closers.push(() => gateway.close());
+  const end = (incarnation: string) => {
+    return {incarnation, notBegun: [NAME], begun: []};
+  };
+  await gateway.ask<'suspects-ask'>(
+    {
+      type: 'suspects-ask',
+      gatewayId: 'g',
+      crashes: ['i1', 'i2', 'i3'].map(end),
+      released: [],
+      cleared: [],
+    },
+    ASK_MS,
+  );
+  const operator = OperatorClient.create({
+    addresses: [address],
+    timeoutMs: ASK_MS,
+  });
+  closers.push(() => operator.close());
+  return {operator, privateKey};
+}
+
+test('an operator sees what is held against a request, and why', async () => {
+  const {operator} = await start();
+  const suspects = await operator.listSuspects();
+  expect(suspects).toMatchObject([{name: NAME, standing: 'convicted'}]);
+
+  const lines: string[] = [];
+  TextReporter.create(text => lines.push(text)).report({
+    type: 'suspects',
+    suspects,
+  });
+  expect(lines.join('')).toMatch(
+    /^REQUEST +STANDING +LAST END +ENDED UNDER IT\n0123456789abcdef +convicted +20\S+ +i1 i2 i3\n$/,
+  );
+  const journal = await operator.readJournal({
+    subject: 'request',
+    id: NAME,
+    after: 0,
+  });
+  expect(journal).toMatchObject([{type: 'request-convicted'}]);
+});
+
+test('an operator lets it run again with a key that is trusted, and with no other', async () => {
+  const {operator, privateKey} = await start();
+  const stranger = generateKeyPairSync('ed25519').privateKey;
+  expect(await operator.revokeVerdict(NAME, stranger)).toMatchObject({
+    isAccepted: false,
+  });
+  expect(await operator.listSuspects()).toHaveLength(1);
+
+  expect(await operator.revokeVerdict(NAME, privateKey)).toMatchObject({
+    isAccepted: true,
+  });
+  expect(await operator.listSuspects()).toEqual([]);
+  expect(await operator.revokeVerdict(NAME, privateKey)).toMatchObject({
+    isAccepted: false,
+    reason: 'no such verdict',
+  });
+});
