--- /dev/null
+++ b/test/entry/suspended_entry.test.ts
@@ -0,0 +1,51 @@
+/**
+ * A machine may be suspended for seconds, and its steady clock does not count them.
+ * An entry that had lost control and was away for 6 s still took work by a bundle
+ * that it may act on for 5 s after control has confirmed it.
+ */
+import {generateKeyPairSync} from 'node:crypto';
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import * as path from 'node:path';
+import {expect, test} from 'vitest';
+import {ControlServer} from '../../src/control/control_server';
+import {EntryServer} from '../../src/entry/entry_server';
+import {reservePort} from '../support/reserve_port';
+import {suspend} from '../support/suspension';
+import {waitUntil} from '../support/wait_until';
+
+const LEASE_MS = 5_000;
+const AWAY_MS = 6_000;
+
+test('an entry that was suspended takes no work by what control said before', async () => {
+  const address = `127.0.0.1:${await reservePort()}`;
+  const [host, port] = address.split(':');
+  const control = await ControlServer.create({
+    name: address,
+    host,
+    port: Number(port),
+    dataFolder: mkdtempSync(path.join(tmpdir(), 'whinreel-entry-lease-')),
+    peers: new Map(),
+    trustedKeys: [generateKeyPairSync('ed25519').publicKey],
+    leaseMs: LEASE_MS,
+    seeded: {seeds: [address], isFirstStart: true, voters: 1, minCopies: 1},
+  });
+  const entry = await EntryServer.create({
+    entryId: 'e1',
+    zone: 'z',
+    host: '127.0.0.1',
+    port: 0,
+    control: [address],
+    stopWithinMs: 1_000,
+  });
+  const ask = async () =>
+    (await fetch(`http://127.0.0.1:${entry.port}/healthz`)).status;
+  await waitUntil('a lease', async () => (await ask()) === 200);
+  await control.close();
+  expect(await ask()).toBe(200);
+
+  const wake = suspend(AWAY_MS);
+  expect(await ask()).toBe(503);
+  wake();
+  await entry.close();
+});
