fix(gateway): a report of ends that waits stays within what control takes

Cause: reports that were not acknowledged were joined without a limit, while control refuses an end with more than 512 requests of a kind: such a report would have been sent again for good, and everything behind it never told. Ruled out: that it happens while control answers (one report of an end has 256 of a kind at most).

Change: 64 ends in a report and 256 requests of a kind for each, the oldest are given up. Read as a newcomer, beside it: calls are named after what they carry (ends-ask tells ends, suspects-ask asks for the list); an attempt knows itself whether it is left behind; a look at a stalled stream returns nothing.

--- a/src/control/suspect_desk.ts
+++ b/src/control/suspect_desk.ts
@@ -42,19 +42,17 @@
   }
 
   readonly handlers = {
-    'suspects-ask': (ask: Ask<'suspects-ask'>) => this.recordSuspects(ask),
+    'ends-ask': (ask: Ask<'ends-ask'>) => this.recordSuspects(ask),
     'trial-ask': (ask: Ask<'trial-ask'>) => this.grantTrial(ask),
-    'verdicts-ask': ({call}: Ask<'verdicts-ask'>): ControlMessage => {
+    'suspects-ask': ({call}: Ask<'suspects-ask'>): ControlMessage => {
       const {suspects} = this.options.runtime.state;
       const list = suspects.list();
       const told = list.map(([name, suspect]) => ({name, ...suspect}));
-      return {type: 'verdicts-answer', call, suspects: told};
+      return {type: 'suspects-answer', call, suspects: told};
     },
   };
 
-  private async recordSuspects(
-    ask: Ask<'suspects-ask'>,
-  ): Promise<ControlMessage> {
+  private async recordSuspects(ask: Ask<'ends-ask'>): Promise<ControlMessage> {
     const {call, gatewayId, crashes, released, cleared} = ask;
     const {runtime} = this.options;
     const time = Date.now();
@@ -67,7 +65,7 @@
     await runtime.propose({type: 'record-suspects', ...told});
     fresh.forEach(({incarnation}) => this.watch(incarnation));
     this.recordChanges(before);
-    return {type: 'suspects-answer', call};
+    return {type: 'ends-answer', call};
   }
 
   /** Takes an end back if its backend server goes on speaking under the same start. */
@@ -125,7 +123,7 @@
 
   private recordCrash(
     gatewayId: string,
-    {incarnation, notBegun, begun}: Ask<'suspects-ask'>['crashes'][number],
+    {incarnation, notBegun, begun}: Ask<'ends-ask'>['crashes'][number],
   ): void {
     this.options.events.record({
       type: 'backend-ended',
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -69,6 +69,12 @@
     return !this.isSent && !this.isEnded;
   }
 
+  /** It waits for a connection to a backend server that control no longer tells. */
+  get isLeftBehind(): boolean {
+    const {board, target} = this.options;
+    return this.isWaiting && !board.has(target.incarnation);
+  }
+
   /** Gives up; the backend server sees its connection close. */
   stop(reason: string): void {
     this.finish({kind: this.isSent ? 'broken' : 'not-run', reason});
--- a/src/gateway/create_suspect_calls.ts
+++ b/src/gateway/create_suspect_calls.ts
@@ -18,8 +18,8 @@
 ): Parameters<typeof Containment.create>[0]['calls'] {
   return {
     report: report =>
-      client.ask<'suspects-ask'>(
-        {type: 'suspects-ask', gatewayId, ...report},
+      client.ask<'ends-ask'>(
+        {type: 'ends-ask', gatewayId, ...report},
         REPORT_MS,
       ),
     async askTrial(name, incarnation) {
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -20,8 +20,6 @@
 const CONVICTED =
   'backend servers end when they begin this request: it is not sent again';
 
-type Outcome = FlowResult['outcome'];
-
 /** One request under way. */
 export class RequestFlow {
   private attempt: Attempt | undefined;
@@ -94,8 +92,8 @@
       this.trial.begin(now);
     } else if (this.wait.isUnderWay) {
       this.checkWaiting(now);
-    } else if (this.isLeftBehind) {
-      this.attempt?.stop('its backend server takes no new work');
+    } else if (this.attempt?.isLeftBehind) {
+      this.attempt.stop('its backend server takes no new work');
     } else {
       this.checkStall(now);
     }
@@ -116,17 +114,6 @@
     this.sendFinal(reason, status);
   }
 
-  /** It waits for a connection to a backend server that control no longer tells. */
-  private get isLeftBehind(): boolean {
-    const {attempt} = this;
-    const {board} = this.options;
-    return (
-      attempt !== undefined &&
-      attempt.isWaiting &&
-      !board.has(attempt.target.incarnation)
-    );
-  }
-
   private checkWaiting(now: number): void {
     const {wait} = this;
     const isTurn = this.course.wasSent || wait.isFirst;
@@ -164,8 +151,9 @@
     }
     const reason = this.stall.findReasonToLeave(attempt, now);
     // Without a repeat left it is better to wait on than to break off.
-    const canMove = reason && this.findTarget(true) && policy.hasRepeat;
-    return canMove ? attempt.stop(reason) : undefined;
+    if (reason && policy.hasRepeat && this.findTarget(true)) {
+      attempt.stop(reason);
+    }
   }
 
   /** What an engine has begun may go on once a group of the model is formed anew. */
@@ -317,7 +305,7 @@
       }
       relay.endStream(head);
       this.trial.recordWhole();
-      this.finish('answered', 'whole', head.status);
+      this.finish(head.status);
       return;
     }
     const isFailure = head.status >= 500;
@@ -327,7 +315,7 @@
       return;
     }
     relay.sendHeld(head);
-    this.finish('answered', 'whole', head.status);
+    this.finish(head.status);
   }
 
   private repeat(reason: string, isAllowed: boolean): void {
@@ -368,9 +356,9 @@
     this.tell('gone', 'the caller left', 0);
   }
 
-  private finish(outcome: Outcome, reason: string, status: number): void {
+  private finish(status: number): void {
     this.markDone();
-    this.tell(outcome, reason, status);
+    this.tell('answered', 'whole', status);
   }
 
   private markDone(): void {
@@ -380,7 +368,11 @@
     clearTimeout(this.timer);
   }
 
-  private tell(outcome: Outcome, reason: string, status: number): void {
+  private tell(
+    outcome: FlowResult['outcome'],
+    reason: string,
+    status: number,
+  ): void {
     const {clock, onDone, forecast} = this.options;
     const {workMs} = this.course;
     if (workMs !== undefined) {
--- a/src/gateway/suspect_reporter.ts
+++ b/src/gateway/suspect_reporter.ts
@@ -6,10 +6,12 @@
 const JOIN_MS = 5;
 /** Between two tries while control does not answer. */
 const RETRY_MS = 200;
-/** What one gateway tells of one end; more can hardly have run there. */
+/** What one gateway tells of one end, of each kind; control takes twice as many, and more can hardly have run there. */
 const MAX_RUNS = 256;
-/** Ends and names that wait for control to come back; the oldest are given up. */
-const MAX_WAITING = 1_024;
+/** Ends in one report, some 2 MB at the most; while control is away the oldest are given up. */
+const MAX_ENDS = 64;
+/** Names of trials and of requests that ran, the same. */
+const MAX_NAMES = 1_024;
 
 /** One call. */
 interface SuspectReport {
@@ -43,7 +45,7 @@
    *
    * @param send resolves once control has written it down
    * @example
-   * const reporter = SuspectReporter.create(report => client.ask({type: 'suspects-ask', gatewayId, ...report}));
+   * const reporter = SuspectReporter.create(report => client.ask({type: 'ends-ask', gatewayId, ...report}));
    */
   static create(
     send: (report: SuspectReport) => Promise<unknown>,
@@ -56,6 +58,7 @@
     const known = this.crashes.get(target.incarnation);
     const crash = known ?? {notBegun: new Set(), begun: new Set()};
     this.crashes.set(target.incarnation, crash);
+    this.crashes = new Map([...this.crashes].slice(-MAX_ENDS));
     const names = hasBegun ? crash.begun : crash.notBegun;
     if (names.size < MAX_RUNS) {
       names.add(name);
@@ -133,16 +136,17 @@
     released: ReadonlySet<string>,
     cleared: ReadonlySet<string>,
   ): void {
+    const joined = new Map([...crashes, ...this.crashes]);
     for (const [incarnation, {notBegun, begun}] of crashes) {
       const newer = this.crashes.get(incarnation);
-      this.crashes.set(incarnation, {
-        notBegun: new Set([...notBegun, ...(newer?.notBegun ?? [])]),
-        begun: new Set([...begun, ...(newer?.begun ?? [])]),
+      joined.set(incarnation, {
+        notBegun: joinNewest(notBegun, newer?.notBegun, MAX_RUNS),
+        begun: joinNewest(begun, newer?.begun, MAX_RUNS),
       });
     }
-    this.crashes = new Map([...this.crashes].slice(-MAX_WAITING));
-    this.released = joinNewest(released, this.released);
-    this.cleared = joinNewest(cleared, this.cleared);
+    this.crashes = new Map([...joined].slice(-MAX_ENDS));
+    this.released = joinNewest(released, this.released, MAX_NAMES);
+    this.cleared = joinNewest(cleared, this.cleared, MAX_NAMES);
   }
 }
 
@@ -152,7 +156,8 @@
 
 function joinNewest(
   older: ReadonlySet<string>,
-  newer: ReadonlySet<string>,
+  newer: ReadonlySet<string> | undefined,
+  most: number,
 ): Set<string> {
-  return new Set([...older, ...newer].slice(-MAX_WAITING));
+  return new Set([...new Set([...older, ...(newer ?? [])])].slice(-most));
 }
--- a/src/operator/operator_client.ts
+++ b/src/operator/operator_client.ts
@@ -97,7 +97,7 @@
 
   /** @throws OperatorError when no leader answers */
   async listSuspects(): Promise<Array<z.infer<typeof ListedSuspect>>> {
-    const ask = this.client.ask({type: 'verdicts-ask'}, this.timeoutMs);
+    const ask = this.client.ask({type: 'suspects-ask'}, this.timeoutMs);
     const answer = await this.waitFor(ask);
     return answer.suspects.map(suspect => ListedSuspect.parse(suspect));
   }
--- a/src/protocol/control_calls.ts
+++ b/src/protocol/control_calls.ts
@@ -16,9 +16,9 @@
   'registration-ask': 'registration-answer';
   'departure-ask': 'registration-answer';
   'gateway-ask': 'gateway-answer';
-  'suspects-ask': 'suspects-answer';
+  'ends-ask': 'ends-answer';
   'trial-ask': 'trial-answer';
-  'verdicts-ask': 'verdicts-answer';
+  'suspects-ask': 'suspects-answer';
   'lift-ask': 'lift-answer';
   'leader-ask': 'leader-answer';
 }
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -203,7 +203,7 @@
     suspects: SuspectNews.optional(),
   }),
   z.object({
-    type: z.literal('suspects-ask'),
+    type: z.literal('ends-ask'),
     call: Call,
     gatewayId: z.string().max(128),
     crashes: z.array(CrashReport),
@@ -212,7 +212,7 @@
     /** Requests that ran to their end. */
     cleared: z.array(z.string()),
   }),
-  z.object({type: z.literal('suspects-answer'), call: Call}),
+  z.object({type: z.literal('ends-answer'), call: Call}),
   z.object({
     type: z.literal('trial-ask'),
     call: Call,
@@ -224,9 +224,9 @@
     call: Call,
     verdict: TrialVerdict,
   }),
-  z.object({type: z.literal('verdicts-ask'), call: Call}),
+  z.object({type: z.literal('suspects-ask'), call: Call}),
   z.object({
-    type: z.literal('verdicts-answer'),
+    type: z.literal('suspects-answer'),
     call: Call,
     suspects: z.array(z.unknown()),
   }),
--- a/test/control/suspect_desk.test.ts
+++ b/test/control/suspect_desk.test.ts
@@ -59,8 +59,8 @@
         time,
       ),
     tellEnd: (incarnation: string, notBegun: string[]) =>
-      desk.handlers['suspects-ask']({
-        type: 'suspects-ask',
+      desk.handlers['ends-ask']({
+        type: 'ends-ask',
         call: 1,
         gatewayId: 'g',
         crashes: [{incarnation, notBegun, begun: []}],
--- a/test/operator/suspects.test.ts
+++ b/test/operator/suspects.test.ts
@@ -45,9 +45,9 @@
   const end = (incarnation: string) => {
     return {incarnation, notBegun: [NAME], begun: []};
   };
-  await gateway.ask<'suspects-ask'>(
+  await gateway.ask<'ends-ask'>(
     {
-      type: 'suspects-ask',
+      type: 'ends-ask',
       gatewayId: 'g',
       crashes: ['i1', 'i2', 'i3'].map(end),
       released: [],
