--- a/bench/run_containment.ts
+++ b/bench/run_containment.ts
@@ -38,6 +38,17 @@
     perSecond: 300,
     newsMs: 300,
   },
+  'one, gateways killed every second': {...BASE, killEveryMs: 1_000},
+  'one, the leader lost every two seconds': {
+    ...BASE,
+    leaderLostEveryMs: 2_000,
+  },
+  'one, gateways killed and the leader lost': {
+    ...BASE,
+    killEveryMs: 1_000,
+    leaderLostEveryMs: 2_000,
+  },
+  'twenty requests, each repeated': {...BASE, marked: 20},
   'one, and a series of losses': {...BASE, losses: SERIES},
   'no such request, a wave of four': {
     ...BASE,
--- a/test/gateway/containment_aims.test.ts
+++ b/test/gateway/containment_aims.test.ts
@@ -57,6 +57,9 @@
   test.each([
     ['with two others like it', {marked: 3}],
     ['beside a series of losses', {losses: SERIES}],
+    ['beside kills of gateways', {killEveryMs: 1_000}],
+    ['beside losses of the leader', {leaderLostEveryMs: 2_000}],
+    ['beside both', {killEveryMs: 1_000, leaderLostEveryMs: 2_000}],
     [
       'at 36 gateways with late news',
       {gateways: 36, servers: 30, perSecond: 300, newsMs: 300},
--- /dev/null
+++ b/test/support/crash_control.ts
@@ -0,0 +1,122 @@
+/** Control, as far as gateways of `playCrashes` ask it: the real table, news that take their time, and moments without a leader. */
+import {SuspectTable} from '../../src/state/suspect_table';
+import {Containment} from '../../src/gateway/containment';
+import {VirtualTime} from '../simulation/virtual_time';
+import {CrashFleetOptions} from './crash_fleet_options';
+import {Gateway} from './crash_fleet_parts';
+
+type Calls = Parameters<typeof Containment.create>[0]['calls'];
+
+const CONTROL_MS = 6;
+/** From the loss of a leader until another one answers. */
+const LEADERLESS_MS = 800;
+
+export class CrashControl {
+  /** From the end that decided to the last gateway that knew, by request. */
+  readonly knownAt = new Map<string, number>();
+  private readonly table = SuspectTable.create();
+  private readonly decidedAt = new Map<string, number>();
+  private readonly knowing = new Map<string, Set<Gateway>>();
+  private leaderlessUntil = 0;
+
+  private constructor(
+    private readonly time: VirtualTime,
+    private readonly options: CrashFleetOptions,
+    private readonly listGateways: () => readonly Gateway[],
+  ) {}
+
+  static create(
+    time: VirtualTime,
+    options: CrashFleetOptions,
+    listGateways: () => readonly Gateway[],
+  ): CrashControl {
+    return new CrashControl(time, options, listGateways);
+  }
+
+  /** How long it took until all knew, in milliseconds. */
+  listKnownAfterMs(): number[] {
+    return [...this.knownAt].map(
+      ([name, at]) => at - (this.decidedAt.get(name) ?? at),
+    );
+  }
+
+  loseLeader(): void {
+    this.leaderlessUntil = this.time.now() + LEADERLESS_MS;
+  }
+
+  /** What a gateway hears that has just started. */
+  tell(gateway: Gateway): void {
+    const {random, newsMs} = this.options;
+    this.time.after(random() * newsMs, () => {
+      gateway.containment.apply(this.table.describeSince(0));
+      gateway.isReady = true;
+    });
+  }
+
+  createCalls(): Calls {
+    return {
+      report: ({crashes, released, cleared}) =>
+        this.answer(() => {
+          const now = this.time.now();
+          crashes.forEach(crash => this.table.recordCrash(crash, now));
+          released.forEach(name => this.table.release(name));
+          cleared.forEach(name => this.table.clear(name));
+          this.recordVerdicts();
+        }),
+      askTrial: (name, incarnation) =>
+        this.options.without
+          ? Promise.resolve('free')
+          : this.answer(() => {
+              const now = this.time.now();
+              const verdict = this.table.beginTrial(name, incarnation, now);
+              this.recordVerdicts();
+              return verdict;
+            }),
+    };
+  }
+
+  /** Answers if there is a leader when the question comes. */
+  private answer<T>(act: () => T): Promise<T> {
+    return new Promise((resolve, reject) =>
+      this.time.after(CONTROL_MS, () => {
+        if (this.time.now() < this.leaderlessUntil) {
+          reject(new Error('no leader'));
+        } else {
+          resolve(act());
+        }
+      }),
+    );
+  }
+
+  private recordVerdicts(): void {
+    for (const {name, type} of this.table.takeNotes()) {
+      if (type === 'request-convicted') {
+        this.decidedAt.set(name, this.time.now());
+      }
+    }
+    if (this.options.without !== 'sharing') {
+      this.tellAll();
+    }
+  }
+
+  private tellAll(): void {
+    const {random, newsMs} = this.options;
+    for (const gateway of this.listGateways()) {
+      this.time.after(1 + random() * newsMs, () => {
+        gateway.containment.apply(this.table.describeSince(0));
+        this.recordKnown(gateway);
+      });
+    }
+  }
+
+  private recordKnown(gateway: Gateway): void {
+    const count = this.listGateways().length;
+    for (const name of this.decidedAt.keys()) {
+      const knowing = this.knowing.get(name) ?? new Set();
+      this.knowing.set(name, knowing.add(gateway));
+      if (knowing.size === count && !this.knownAt.has(name)) {
+        this.knownAt.set(name, this.time.now());
+      }
+    }
+  }
+}
--- a/test/support/crash_fleet.ts
+++ b/test/support/crash_fleet.ts
@@ -8,8 +8,8 @@
 import {Containment} from '../../src/gateway/containment';
 import {RequestIdentity} from '../../src/gateway/request_identity';
 import {SuspectTrial} from '../../src/gateway/suspect_trial';
-import {SuspectTable} from '../../src/state/suspect_table';
 import {VirtualTime} from '../simulation/virtual_time';
+import {CrashControl} from './crash_control';
 import {CrashFleetOptions} from './crash_fleet_options';
 import {Flow, Gateway, Run, Server} from './crash_fleet_parts';
 import {CrashFleetResult} from './crash_fleet_result';
@@ -19,7 +19,6 @@
 const ENDS_AFTER_MS = 60;
 const FIRST_EVENT_MS = 150;
 const BACK_AFTER_MS = 2_500;
-const CONTROL_MS = 6;
 const CHECK_MS = 20;
 
 const MAX_RUNS = 3;
@@ -43,13 +42,10 @@
 }
 
 class CrashFleet {
-  private readonly table = SuspectTable.create();
+  private readonly control: CrashControl;
   private readonly servers: Server[];
   private readonly gateways: Gateway[];
   private readonly ended: number[];
-  private readonly decidedAt = new Map<string, number>();
-  private readonly knownAt = new Map<string, number>();
-  private readonly knowing = new Map<string, Set<Gateway>>();
   private readonly delays: number[] = [];
   private starts = 0;
   private healthy = 0;
@@ -60,6 +56,7 @@
     private readonly time: VirtualTime,
     private readonly options: CrashFleetOptions,
   ) {
+    this.control = CrashControl.create(time, options, () => this.gateways);
     this.ended = Array.from({length: options.marked}, () => 0);
     this.servers = Array.from({length: options.servers}, () => ({
       incarnation: this.nameStart(),
@@ -68,12 +65,16 @@
     }));
     this.gateways = Array.from({length: options.gateways}, () => ({
       containment: this.createContainment(),
+      isReady: true,
       flows: new Set(),
     }));
   }
 
   async play(): Promise<CrashFleetResult> {
-    const {forMs, losses, marked} = this.options;
+    const {forMs, losses, marked, killEveryMs, leaderLostEveryMs} =
+      this.options;
+    this.repeatEvery(killEveryMs, () => this.killGateway());
+    this.repeatEvery(leaderLostEveryMs, () => this.control.loseLeader());
     this.arrive();
     this.check();
     losses.forEach(({at, count}) =>
@@ -84,9 +85,7 @@
     }
     await this.time.runUntil(forMs, () => false);
     this.gateways.forEach(({containment}) => containment.close());
-    const knownAfterMs = [...this.knownAt].map(
-      ([name, at]) => at - (this.decidedAt.get(name) ?? at),
-    );
+    const knownAfterMs = this.control.listKnownAfterMs();
     return {
       endedByMarked: this.ended,
       sentAfterKnown: this.sentAfterKnown,
@@ -97,78 +96,45 @@
     };
   }
 
+  private repeatEvery(everyMs: number | undefined, act: () => void): void {
+    if (everyMs !== undefined) {
+      const {random} = this.options;
+      this.time.after(everyMs * (0.5 + random()), () => {
+        act();
+        this.repeatEvery(everyMs, act);
+      });
+    }
+  }
+
+  /** What it saw and did not tell yet is lost, and what it sent runs on without anybody who hears of its end. */
+  private killGateway(): void {
+    const {random} = this.options;
+    const gateway = this.gateways[Math.floor(random() * this.gateways.length)];
+    gateway.containment.close();
+    gateway.flows.forEach(flow => (flow.isForgotten = true));
+    gateway.flows.clear();
+    gateway.containment = this.createContainment();
+    gateway.isReady = false;
+    this.control.tell(gateway);
+  }
+
   private nameStart(): string {
     this.starts += 1;
     return `s${this.starts}`;
   }
 
-  private delayed<T>(ms: number, act: () => T): Promise<T> {
-    return new Promise(resolve => this.time.after(ms, () => resolve(act())));
-  }
-
   private createContainment(): Containment {
-    const isShared = this.options.without !== 'sharing';
     return Containment.create({
       witness: BreakWitness.create({
         clock: this.time,
         events: EventRing.create(10),
         probe: () => Promise.resolve('refuses'),
       }),
-      calls: {
-        report: ({crashes, released, cleared}) =>
-          this.delayed(CONTROL_MS, () => {
-            const now = this.time.now();
-            crashes.forEach(crash => this.table.recordCrash(crash, now));
-            released.forEach(name => this.table.release(name));
-            cleared.forEach(name => this.table.clear(name));
-            this.recordVerdicts();
-            if (isShared) {
-              this.tellAll();
-            }
-          }),
-        askTrial: (name, incarnation) =>
-          this.options.without
-            ? Promise.resolve('free')
-            : this.delayed(CONTROL_MS, () => {
-                const now = this.time.now();
-                const verdict = this.table.beginTrial(name, incarnation, now);
-                this.recordVerdicts();
-                this.tellAll();
-                return verdict;
-              }),
-      },
+      calls: this.control.createCalls(),
       onEnded: () => undefined,
     });
   }
 
-  private recordVerdicts(): void {
-    for (const {name, type} of this.table.takeNotes()) {
-      if (type === 'request-convicted') {
-        this.decidedAt.set(name, this.time.now());
-      }
-    }
-  }
-
-  private tellAll(): void {
-    const {random, newsMs} = this.options;
-    for (const gateway of this.gateways) {
-      this.time.after(1 + random() * newsMs, () => {
-        gateway.containment.apply(this.table.describeSince(0));
-        this.recordKnown(gateway);
-      });
-    }
-  }
-
-  private recordKnown(gateway: Gateway): void {
-    for (const name of this.decidedAt.keys()) {
-      const knowing = this.knowing.get(name) ?? new Set();
-      this.knowing.set(name, knowing.add(gateway));
-      if (knowing.size === this.gateways.length && !this.knownAt.has(name)) {
-        this.knownAt.set(name, this.time.now());
-      }
-    }
-  }
-
   private arrive(): void {
     const {random, perSecond} = this.options;
     this.time.after((-Math.log(1 - random()) * 1_000) / perSecond, () => {
@@ -187,7 +153,11 @@
 
   private begin(text: string, marked: number): void {
     const {random} = this.options;
-    const gateway = this.gateways[Math.floor(random() * this.gateways.length)];
+    const ready = this.gateways.filter(({isReady}) => isReady);
+    const gateway = ready[Math.floor(random() * ready.length)];
+    if (!gateway) {
+      return;
+    }
     const identity = RequestIdentity.create({
       request: {host: 'h', method: 'POST', path: '/'},
       workspace: marked < 0 ? `w${this.healthy % 10}` : 'marked',
@@ -201,6 +171,7 @@
       marked,
       trial: SuspectTrial.create({containment, identity, clock: this.time}),
       tried: new Set(),
+      isForgotten: false,
       runs: 0,
       run: undefined,
       brokeAt: undefined,
@@ -280,7 +251,7 @@
     if (flow.brokeAt !== undefined && !flow.isMarked) {
       this.delays.push(now - flow.brokeAt);
     }
-    if (flow.isMarked && this.knownAt.has(flow.identity.name)) {
+    if (flow.isMarked && this.control.knownAt.has(flow.identity.name)) {
       this.sentAfterKnown += 1;
     }
     flow.tried.add(server.incarnation);
@@ -343,6 +314,9 @@
     {flow, hasBegun}: Run,
     incarnation: string,
   ): Promise<void> {
+    if (flow.isForgotten) {
+      return;
+    }
     const now = this.time.now();
     flow.run = undefined;
     flow.runs += 1;
--- a/test/support/crash_fleet_options.ts
+++ b/test/support/crash_fleet_options.ts
@@ -11,6 +11,10 @@
   readonly repeatEveryMs: number;
   /** When backend servers end by themselves, and how many. */
   readonly losses: ReadonlyArray<{readonly at: number; readonly count: number}>;
+  /** Between two kills of a gateway, which forgets everything; none without it. */
+  readonly killEveryMs?: number;
+  /** Between two losses of the leader; control answers nothing for a while then. */
+  readonly leaderLostEveryMs?: number;
   /** The longest way of news from control to a gateway. */
   readonly newsMs: number;
   /** Mechanisms that are switched off. */
--- a/test/support/crash_fleet_parts.ts
+++ b/test/support/crash_fleet_parts.ts
@@ -10,7 +10,9 @@
 }
 
 export interface Gateway {
-  readonly containment: Containment;
+  containment: Containment;
+  /** It takes requests once it has rules, and the list of suspects comes with them. */
+  isReady: boolean;
   readonly flows: Set<Flow>;
 }
 
@@ -27,6 +29,8 @@
   readonly marked: number;
   readonly trial: SuspectTrial;
   readonly tried: Set<string>;
+  /** Its gateway was killed. */
+  isForgotten: boolean;
   runs: number;
   run: Run | undefined;
   brokeAt: number | undefined;
