fix(control,gateway): a group whose head is heard by gateways is kept, and an ended head is told at once

Cause: a gateway's word that a head has stalled made one failed question of control enough, for each member, whatever other gateways heard; so servers cut off from control and not from gateways lost their groups, with all streams. Ruled out: that the members were gone (their heads gave whole answers 0.26 s before). Class: one witness's word taken for all witnesses' word.

Change: gateways tell how long ago they heard a head; a head that is heard speaks for its members, since one that lacks a member sends nothing (within 300 ms, about one telling, where a gateway says that it stalled; within 2 s otherwise). And the other error: a gateway that knows the end of a backend server tells control at once in place of waiting for two missed registrations.

--- a/src/control/backend_health.ts
+++ b/src/control/backend_health.ts
@@ -12,6 +12,13 @@
 const FAILED_PROBES = 2;
 /** The same where a gateway says that the group has stalled: one more witness. */
 const FAILED_PROBES_STALLED = 1;
+/**
+ * A group speaks for its members while a gateway hears its head. Where another says
+ * that it has stalled, by bytes that came within one telling of the gateways: then only
+ * the way to one of them is bad, or the leader's own.
+ */
+const SPEAKS_FOR_MS = 2_000;
+const SPEAKS_FOR_STALLED_MS = 300;
 /** Between two questions to one backend server that is in doubt. */
 const PROBE_EVERY_MS = 150;
 /**
@@ -22,12 +29,16 @@
 
 interface Doubt {
   failures: number;
+  /** The first member of its group; undefined while it is in none that is in doubt. */
+  head: string | undefined;
   /** A gateway says that its group has stalled. */
   isStalled: boolean;
   isAsking: boolean;
   /** It answered the last question. */
   hasAnswered: boolean;
   askedAt: number;
+  /** It was told as lost. */
+  isLost: boolean;
 }
 
 /** What the judgement rests on. */
@@ -36,7 +47,7 @@
   readonly clock: Clock;
   readonly registry: BackendRegistry;
   readonly events: EventRing;
-  readonly desk: Pick<GatewayDesk, 'isStalled' | 'isAnswering'>;
+  readonly desk: Pick<GatewayDesk, 'isStalled' | 'isAnswering' | 'findHeardAt'>;
 }
 
 /** Judges by silence, by the gateways' word and by asking. */
@@ -63,7 +74,10 @@
   /** Asks the members of groups about which there is doubt. */
   refresh(groups: readonly EngineGroup[], now: number): void {
     const {desk, registry, duties} = this.options;
-    const doubted = new Map<string, {address: string; isStalled: boolean}>();
+    const doubted = new Map<
+      string,
+      {address: string; head: string; isStalled: boolean}
+    >();
     for (const {members} of groups) {
       const head = members[0].incarnation;
       const isStalled = desk.isStalled(head);
@@ -72,17 +86,34 @@
         const isSilent = now - seenAt > duties.heartbeatMs * DOUBT_INTERVALS;
         // A group whose head gives answers has all its members.
         if (isStalled || (isSilent && !desk.isAnswering(head))) {
-          doubted.set(incarnation, {address, isStalled});
+          doubted.set(incarnation, {address, head, isStalled});
         }
       }
     }
     this.clearAnswered(doubted);
-    doubted.forEach(({address, isStalled}, incarnation) => {
+    for (const [incarnation, doubt] of this.doubts) {
+      doubt.head = doubted.get(incarnation)?.head;
+      doubt.isStalled = doubted.get(incarnation)?.isStalled ?? false;
+    }
+    doubted.forEach(({address, head, isStalled}, incarnation) => {
       const doubt =
         this.doubts.get(incarnation) ?? this.startDoubt(incarnation);
-      doubt.isStalled ||= isStalled;
+      doubt.head = head;
+      doubt.isStalled = isStalled;
       this.ask(incarnation, doubt, address, now);
     });
+    this.recordLosses();
+  }
+
+  /** It also becomes one by the time for which nobody spoke for it. */
+  private recordLosses(): void {
+    for (const [incarnation, doubt] of this.doubts) {
+      const wasLost = doubt.isLost;
+      doubt.isLost = this.isLost(incarnation);
+      if (!wasLost && doubt.isLost) {
+        this.tell('backend-lost', incarnation, 'it did not answer');
+      }
+    }
   }
 
   /** A doubt ends with a word of the backend server itself, not with its group. */
@@ -101,17 +132,32 @@
   isLost(incarnation: string): boolean {
     const doubt = this.doubts.get(incarnation);
     const needed = doubt?.isStalled ? FAILED_PROBES_STALLED : FAILED_PROBES;
-    return doubt !== undefined && doubt.failures >= needed;
+    return (
+      doubt !== undefined &&
+      doubt.failures >= needed &&
+      !this.isSpokenFor(doubt)
+    );
+  }
+
+  /** A head that lacks a member sends nothing, so one that is heard has them all. */
+  private isSpokenFor({head, isStalled}: Doubt): boolean {
+    const {desk, clock} = this.options;
+    const withinMs = isStalled ? SPEAKS_FOR_STALLED_MS : SPEAKS_FOR_MS;
+    return (
+      head !== undefined && clock.now() - desk.findHeardAt(head) < withinMs
+    );
   }
 
   private startDoubt(incarnation: string): Doubt {
     this.tell('backend-doubted', incarnation, 'it or its head is silent');
     const doubt = {
       failures: 0,
+      head: undefined,
       isStalled: false,
       isAsking: false,
       hasAnswered: false,
       askedAt: -Infinity,
+      isLost: false,
     };
     this.doubts.set(incarnation, doubt);
     return doubt;
@@ -136,11 +182,7 @@
       isAnswering => {
         doubt.isAsking = false;
         doubt.hasAnswered = isAnswering;
-        const wasLost = this.isLost(incarnation);
         doubt.failures = isAnswering ? 0 : doubt.failures + 1;
-        if (!wasLost && this.isLost(incarnation)) {
-          this.tell('backend-lost', incarnation, 'it did not answer');
-        }
       },
       () => {
         doubt.isAsking = false;
@@ -150,10 +192,17 @@
   }
 
   private tell(type: string, id: string, reason: string): void {
-    const {events, registry, clock} = this.options;
+    const {events, registry, clock, desk} = this.options;
     const seenAt = registry.find(id)?.seenAt;
     const silentMs = seenAt === undefined ? -1 : clock.now() - seenAt;
-    const details = {silentMs: Math.round(silentMs)};
+    const head = this.doubts.get(id)?.head;
+    const heardAt = head === undefined ? -Infinity : desk.findHeardAt(head);
+    const details = {
+      silentMs: Math.round(silentMs),
+      headHeardMsAgo: Number.isFinite(heardAt)
+        ? Math.round(clock.now() - heardAt)
+        : -1,
+    };
     events.record({type, subject: 'host', id, reason, details});
   }
 }
--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -54,6 +54,8 @@
   /** When a gateway last said so, by incarnation. */
   private readonly stalledAt = new Map<string, number>();
   private readonly answeringAt = new Map<string, number>();
+  /** When bytes of its answers last came to a gateway, by incarnation. */
+  private readonly heardAt = new Map<string, number>();
   /** When a gateway last lacked places, by model. */
   private readonly pressedAt = new Map<string, number>();
   private hasServedRequests = false;
@@ -105,6 +107,11 @@
     return this.isRecent(this.answeringAt.get(incarnation));
   }
 
+  /** When bytes of its answers last came to any gateway, as far as they told. */
+  findHeardAt(incarnation: string): number {
+    return this.heardAt.get(incarnation) ?? -Infinity;
+  }
+
   /** Some gateway refused requests for want of a place at this model. */
   isPressed(model: string): boolean {
     return this.isRecent(this.pressedAt.get(model));
@@ -299,9 +306,12 @@
       }
     }
     ask.stalled.forEach(incarnation => this.stalledAt.set(incarnation, now));
-    ask.answering.forEach(incarnation =>
-      this.answeringAt.set(incarnation, now),
-    );
+    ask.answering.forEach((incarnation, at) => {
+      this.answeringAt.set(incarnation, now);
+      const msAgo = ask.answeringMsAgo?.[at] ?? Infinity;
+      const heardAt = Math.max(this.findHeardAt(incarnation), now - msAgo);
+      this.heardAt.set(incarnation, heardAt);
+    });
     ask.pressed.forEach(model => this.pressedAt.set(model, now));
     this.hasServedRequests ||= ask.hasServed;
   }
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -99,7 +99,7 @@
     this.containment = Containment.create({
       witness: BreakWitness.create({clock, events}),
       calls: createSuspectCalls(gatewayId, client),
-      onEnded: ended => this.board.recordUnreachable(ended),
+      onEnded: ended => this.board.recordEnded(ended),
     });
     this.feed = RulesFeed.create({
       gatewayId,
--- a/src/gateway/rules_feed.ts
+++ b/src/gateway/rules_feed.ts
@@ -19,6 +19,8 @@
 interface BackendNews {
   readonly stalled: readonly string[];
   readonly answering: readonly string[];
+  /** How long ago each of them was heard, in the same order, in milliseconds. */
+  readonly answeringMsAgo: readonly number[];
   readonly running: Readonly<Record<string, number>>;
   /** Models of which requests were refused lately for want of a place. */
   readonly pressed: readonly string[];
@@ -146,6 +148,7 @@
         tableTag,
         stalled: [...news.stalled],
         answering: [...news.answering],
+        answeringMsAgo: [...news.answeringMsAgo],
         running: {...news.running},
         pressed: [...news.pressed],
         hasServed: news.hasServed,
--- a/src/gateway/target_board.ts
+++ b/src/gateway/target_board.ts
@@ -237,9 +237,21 @@
     this.avoid(incarnation, UNREACHABLE_MS);
   }
 
+  /**
+   * Its process has ended: control is told at once, which would else take two
+   * intervals of registrations to miss it, and its group as long to be formed anew.
+   */
+  recordEnded(incarnation: string): void {
+    this.recordStopped(incarnation, UNREACHABLE_MS);
+  }
+
   /** Passes over a target that stopped in the middle of its answers. */
   recordStalled(incarnation: string): void {
-    this.avoid(incarnation, STALLED_MS);
+    this.recordStopped(incarnation, STALLED_MS);
+  }
+
+  private recordStopped(incarnation: string, avoidMs: number): void {
+    this.avoid(incarnation, avoidMs);
     const standing = this.standings.get(incarnation);
     if (standing) {
       const isNews = !this.isStalled(incarnation);
@@ -261,6 +273,7 @@
     const now = this.clock.now();
     const stalled: string[] = [];
     const answering: string[] = [];
+    const answeringMsAgo: number[] = [];
     const counts: Record<string, number> = {};
     for (const [incarnation, standing] of this.standings) {
       const {heardAt, stalledAt, running} = standing;
@@ -271,9 +284,10 @@
         stalled.push(incarnation);
       } else if (now - heardAt < HEARD_LATELY_MS) {
         answering.push(incarnation);
+        answeringMsAgo.push(Math.ceil(now - heardAt));
       }
     }
-    return {stalled, answering, running: counts};
+    return {stalled, answering, answeringMsAgo, running: counts};
   }
 
   private avoid(incarnation: string, forMs: number): void {
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -163,6 +163,8 @@
     stalled: z.array(z.string()),
     /** Backend servers that answered this gateway lately. */
     answering: z.array(z.string()),
+    /** Milliseconds since bytes of an answer last came from each of them, in the same order. */
+    answeringMsAgo: z.array(z.int().nonnegative()).optional(),
     /** Requests that this gateway has at backend servers now, by incarnation. */
     running: z.record(z.string(), z.int()),
     /** Models of which requests were refused lately for want of a place. */
--- a/test/control/engine_orders.test.ts
+++ b/test/control/engine_orders.test.ts
@@ -220,6 +220,7 @@
       desk: {
         isStalled: incarnation => incarnation === words.stalled,
         isAnswering: incarnation => incarnation === words.answering,
+        findHeardAt: () => -Infinity,
       },
     });
     const refresh = async () => {
