--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -47,6 +47,17 @@
         pathNot: '^src/$1/',
       },
     },
+    {
+      name: 'rooms-stand-apart',
+      comment:
+        'decisions about requests, groups of hosts and agreement do not know each other',
+      severity: 'error',
+      from: {path: '^src/coordination/(agreement|groups|requests)/'},
+      to: {
+        path: '^src/coordination/(agreement|groups|requests)/',
+        pathNot: '^src/coordination/$1/',
+      },
+    },
     {
       name: 'nothing-knows-the-platform',
       comment: 'platform/ translates; the product does not know it',
--- a/bench/baseline_policies.ts
+++ b/bench/baseline_policies.ts
@@ -1,12 +1,12 @@
 /** The two simple ways to repair that the planner has to beat. */
-import {createMember} from '../src/coordination/create_member';
-import {FreeHosts} from '../src/coordination/free_hosts';
-import {GroupAction} from '../src/coordination/group_action';
-import {GroupPlanInput} from '../src/coordination/group_plan_input';
-import {hostLoss} from '../src/coordination/host_loss';
-import {listDemands} from '../src/coordination/list_demands';
-import {PlanContext} from '../src/coordination/plan_context';
-import {planFormation} from '../src/coordination/plan_formation';
+import {createMember} from '../src/coordination/groups/create_member';
+import {FreeHosts} from '../src/coordination/groups/free_hosts';
+import {GroupAction} from '../src/coordination/groups/group_action';
+import {GroupPlanInput} from '../src/coordination/groups/group_plan_input';
+import {hostLoss} from '../src/coordination/groups/host_loss';
+import {listDemands} from '../src/coordination/groups/list_demands';
+import {PlanContext} from '../src/coordination/groups/plan_context';
+import {planFormation} from '../src/coordination/groups/plan_formation';
 import {Group} from '../src/protocol/group';
 import {RepairPolicy} from './virtual_fleet';
 
--- a/bench/run_engine_policy.ts
+++ b/bench/run_engine_policy.ts
@@ -4,7 +4,7 @@
  *
  * Usage: `npm run bench:policy -- [SEEDS]`
  */
-import {EnginePolicy} from '../src/coordination/engine_policy';
+import {EnginePolicy} from '../src/coordination/groups/engine_policy';
 import {EngineFleet} from '../test/support/engine_fleet';
 import {createRandom} from '../test/support/create_random';
 import {drawLosses} from '../test/support/draw_losses';
--- a/bench/score_repairs.ts
+++ b/bench/score_repairs.ts
@@ -1,5 +1,5 @@
-import {planGroups} from '../src/coordination/plan_groups';
-import {planStandby} from '../src/coordination/plan_standby';
+import {planGroups} from '../src/coordination/groups/plan_groups';
+import {planStandby} from '../src/coordination/groups/plan_standby';
 import {Bundle} from '../src/protocol/bundle';
 import {computeDigest} from '../src/protocol/compute_digest';
 import {baselinePolicies} from './baseline_policies';
--- a/bench/virtual_fleet.ts
+++ b/bench/virtual_fleet.ts
@@ -4,9 +4,9 @@
  * requests; control sees reports, and groups serve when every member is up and
  * has loaded.
  */
-import {GroupAction} from '../src/coordination/group_action';
-import {GroupPlanInput} from '../src/coordination/group_plan_input';
-import {HostView} from '../src/coordination/host_view';
+import {GroupAction} from '../src/coordination/groups/group_action';
+import {GroupPlanInput} from '../src/coordination/groups/group_plan_input';
+import {HostView} from '../src/coordination/groups/host_view';
 import {Bundle} from '../src/protocol/bundle';
 import {Group} from '../src/protocol/group';
 import {HostReport} from '../src/protocol/host_report';
--- a/src/control/backend_registry.ts
+++ b/src/control/backend_registry.ts
@@ -1,5 +1,5 @@
 /** What the leader has heard from backend servers lately; never replicated. */
-import {BackendView} from '../coordination/backend_view';
+import {BackendView} from '../coordination/groups/backend_view';
 import {BackendRegistration} from '../protocol/backend_registration';
 import {ValueIndex} from './value_index';
 
--- a/src/control/create_log_records.ts
+++ b/src/control/create_log_records.ts
@@ -1,4 +1,4 @@
-import {RaftEffects} from '../coordination/raft_effects';
+import {RaftEffects} from '../coordination/agreement/raft_effects';
 import {LogRecord} from '../state/log_record';
 
 /** What one step of the agreement has for the disk. */
--- a/src/control/create_status.ts
+++ b/src/control/create_status.ts
@@ -1,4 +1,4 @@
-import {HostView} from '../coordination/host_view';
+import {HostView} from '../coordination/groups/host_view';
 import {FleetStatus} from '../protocol/fleet_status';
 import {Group} from '../protocol/group';
 import {Fleet} from './fleet';
--- a/src/control/fleet.ts
+++ b/src/control/fleet.ts
@@ -1,5 +1,5 @@
 /** What the leader has heard from hosts and entries lately; never replicated. */
-import {HostView} from '../coordination/host_view';
+import {HostView} from '../coordination/groups/host_view';
 import {HostReport} from '../protocol/host_report';
 
 /** Silence after which a host or entry no longer counts as part of the fleet. */
--- a/src/control/order_dispatcher.ts
+++ b/src/control/order_dispatcher.ts
@@ -1,7 +1,7 @@
 /** Gives the plan's orders to engines: one at a time to each, loads within the pool's limits. */
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
-import {EngineAction} from '../coordination/engine_action';
+import {EngineAction} from '../coordination/groups/engine_action';
 import {EngineOrders} from '../protocol/engine_orders';
 import {EngineProfile} from '../protocol/engine_profile';
 import {listMemberNames} from '../protocol/list_member_names';
--- a/src/control/planner_loop.ts
+++ b/src/control/planner_loop.ts
@@ -1,7 +1,7 @@
 /** Lets the leader plan groups again and again. */
 import {Clock} from '../common/clock';
-import {planGroups} from '../coordination/plan_groups';
-import {planStandby} from '../coordination/plan_standby';
+import {planGroups} from '../coordination/groups/plan_groups';
+import {planStandby} from '../coordination/groups/plan_standby';
 import {Fleet} from './fleet';
 import {RaftRuntime} from './raft_runtime';
 
--- a/src/control/quorum_keeper.ts
+++ b/src/control/quorum_keeper.ts
@@ -4,7 +4,7 @@
 import {Cancel} from '../common/cancel';
 import {Timers} from '../common/timers';
 import {waitFor} from '../common/wait_for';
-import {decideVoterChange} from '../coordination/decide_voter_change';
+import {decideVoterChange} from '../coordination/agreement/decide_voter_change';
 import {FormationMessage} from '../protocol/formation_message';
 import {MessageOf} from '../protocol/message_of';
 import {splitIdentity} from '../protocol/split_identity';
--- a/src/control/quorum_member.ts
+++ b/src/control/quorum_member.ts
@@ -1,7 +1,7 @@
 /** One process's part in the quorum: it forms or joins it, keeps its voters, and runs the agreement. */
 import {Clock} from '../common/clock';
 import {Timers} from '../common/timers';
-import {defaultRaftTiming} from '../coordination/default_raft_timing';
+import {defaultRaftTiming} from '../coordination/agreement/default_raft_timing';
 import {Message} from '../protocol/message';
 import {RaftMessage} from '../protocol/raft_message';
 import {ControlDisk} from '../state/control_disk';
--- a/src/control/target_table.ts
+++ b/src/control/target_table.ts
@@ -2,7 +2,7 @@
  * What gateways may send requests to, kept by changes: each change is worked out once
  * and told to every gateway, and a gateway gets what changed since it last asked.
  */
-import {BackendView} from '../coordination/backend_view';
+import {BackendView} from '../coordination/groups/backend_view';
 import {EngineGroup} from '../protocol/engine_group';
 import {GatewayTarget} from '../protocol/gateway_target';
 import {BackendRegistry} from './backend_registry';
--- a/src/coordination/compute_entry_bytes.ts
+++ b/src/coordination/agreement/compute_entry_bytes.ts
@@ -1,4 +1,4 @@
-import {LogEntry} from '../protocol/log_entry';
+import {LogEntry} from '../../protocol/log_entry';
 
 /** Everything but a bundle: names, members, a reason. */
 const SMALL_ENTRY_BYTES = 1_000;
--- a/src/coordination/raft_effects.ts
+++ b/src/coordination/agreement/raft_effects.ts
@@ -1,5 +1,5 @@
-import {LogEntry} from '../protocol/log_entry';
-import {RaftMessage} from '../protocol/raft_message';
+import {LogEntry} from '../../protocol/log_entry';
+import {RaftMessage} from '../../protocol/raft_message';
 
 /** A message to one other node. */
 interface Outgoing {
--- a/src/coordination/raft_election.ts
+++ b/src/coordination/agreement/raft_election.ts
@@ -1,6 +1,6 @@
 /** The half of the agreement that elects a leader. */
-import {MessageOf} from '../protocol/message_of';
-import {RaftMessage} from '../protocol/raft_message';
+import {MessageOf} from '../../protocol/message_of';
+import {RaftMessage} from '../../protocol/raft_message';
 import {hasQuorum} from './has_quorum';
 import {RaftState} from './raft_state';
 
--- a/src/coordination/raft_event.ts
+++ b/src/coordination/agreement/raft_event.ts
@@ -1,5 +1,5 @@
-import {ControlCommand} from '../protocol/control_command';
-import {RaftMessage} from '../protocol/raft_message';
+import {ControlCommand} from '../../protocol/control_command';
+import {RaftMessage} from '../../protocol/raft_message';
 
 /** What happens to a node of the agreement. */
 export type RaftEvent =
--- a/src/coordination/raft_log.ts
+++ b/src/coordination/agreement/raft_log.ts
@@ -1,8 +1,8 @@
 /** The replicated log in memory, from the newest snapshot on. */
-import {ControlCommand} from '../protocol/control_command';
-import {LogEntry} from '../protocol/log_entry';
-import {MessageOf} from '../protocol/message_of';
-import {CoordinationError} from './coordination_error';
+import {ControlCommand} from '../../protocol/control_command';
+import {LogEntry} from '../../protocol/log_entry';
+import {MessageOf} from '../../protocol/message_of';
+import {CoordinationError} from '../coordination_error';
 import {VoterSet} from './voter_set';
 
 /** Where the log starts: everything up to `index` lies in a snapshot. */
--- a/src/coordination/raft_node.ts
+++ b/src/coordination/agreement/raft_node.ts
@@ -7,9 +7,9 @@
  * out, and nothing else is touched. It is an object and not a fold, because a
  * log copied at every event would cost more than the agreement itself.
  */
-import {LogEntry} from '../protocol/log_entry';
-import {MessageOf} from '../protocol/message_of';
-import {RaftMessage} from '../protocol/raft_message';
+import {LogEntry} from '../../protocol/log_entry';
+import {MessageOf} from '../../protocol/message_of';
+import {RaftMessage} from '../../protocol/raft_message';
 import {RaftEffects} from './raft_effects';
 import {RaftElection} from './raft_election';
 import {RaftEvent} from './raft_event';
--- a/src/coordination/raft_replication.ts
+++ b/src/coordination/agreement/raft_replication.ts
@@ -1,8 +1,8 @@
 /** The half of the agreement that copies the log and commits it. */
-import {ControlCommand} from '../protocol/control_command';
-import {LogEntry} from '../protocol/log_entry';
-import {MessageOf} from '../protocol/message_of';
-import {RaftMessage} from '../protocol/raft_message';
+import {ControlCommand} from '../../protocol/control_command';
+import {LogEntry} from '../../protocol/log_entry';
+import {MessageOf} from '../../protocol/message_of';
+import {RaftMessage} from '../../protocol/raft_message';
 import {computeEntryBytes} from './compute_entry_bytes';
 import {hasQuorum} from './has_quorum';
 import {RaftProgress} from './raft_progress';
--- a/src/coordination/raft_state.ts
+++ b/src/coordination/agreement/raft_state.ts
@@ -1,6 +1,6 @@
 /** What a node of the agreement knows, and the steps that both of its halves share. */
-import {LogEntry} from '../protocol/log_entry';
-import {RaftMessage} from '../protocol/raft_message';
+import {LogEntry} from '../../protocol/log_entry';
+import {RaftMessage} from '../../protocol/raft_message';
 import {hasQuorum} from './has_quorum';
 import {RaftEffects} from './raft_effects';
 import {RaftLog} from './raft_log';
--- a/src/coordination/backend_view.ts
+++ b/src/coordination/groups/backend_view.ts
@@ -1,4 +1,4 @@
-import {BackendRegistration} from '../protocol/backend_registration';
+import {BackendRegistration} from '../../protocol/backend_registration';
 
 /** What control knows about one start of a backend server right now. */
 export interface BackendView {
--- a/src/coordination/compute_crowding.ts
+++ b/src/coordination/groups/compute_crowding.ts
@@ -1,5 +1,5 @@
-import {EngineProfile} from '../protocol/engine_profile';
-import {ModelDemand} from '../protocol/model_demand';
+import {EngineProfile} from '../../protocol/engine_profile';
+import {ModelDemand} from '../../protocol/model_demand';
 
 const MS_PER_SECOND = 1_000;
 /**
--- a/src/coordination/compute_ready_ms.ts
+++ b/src/coordination/groups/compute_ready_ms.ts
@@ -1,4 +1,4 @@
-import {EngineProfile} from '../protocol/engine_profile';
+import {EngineProfile} from '../../protocol/engine_profile';
 import {BackendView} from './backend_view';
 
 /** A join of a model that the engine held last; the engines' own figure. */
--- a/src/coordination/compute_usual_groups.ts
+++ b/src/coordination/groups/compute_usual_groups.ts
@@ -1,4 +1,4 @@
-import {EngineProfile} from '../protocol/engine_profile';
+import {EngineProfile} from '../../protocol/engine_profile';
 import {computeSpares} from './compute_spares';
 
 /**
--- a/src/coordination/create_member.ts
+++ b/src/coordination/groups/create_member.ts
@@ -1,4 +1,4 @@
-import {Group} from '../protocol/group';
+import {Group} from '../../protocol/group';
 import {HostView} from './host_view';
 
 /**
--- a/src/coordination/demand_follower.ts
+++ b/src/coordination/groups/demand_follower.ts
@@ -3,8 +3,8 @@
  * for. The load that it answers: one model's callers become more, or a fabric domain
  * is lost, and that model's groups are full while the other's stand half empty.
  */
-import {EngineProfile} from '../protocol/engine_profile';
-import {ModelDemand} from '../protocol/model_demand';
+import {EngineProfile} from '../../protocol/engine_profile';
+import {ModelDemand} from '../../protocol/model_demand';
 import {computeCrowding} from './compute_crowding';
 import {computeUsualGroups} from './compute_usual_groups';
 
--- a/src/coordination/engine_action.ts
+++ b/src/coordination/groups/engine_action.ts
@@ -1,4 +1,4 @@
-import {EngineGroup} from '../protocol/engine_group';
+import {EngineGroup} from '../../protocol/engine_group';
 
 /** The kinds of order that an engine takes. */
 type OrderKind = 'join' | 'open' | 'close' | 'leave' | 'stage';
--- a/src/coordination/engine_counts.ts
+++ b/src/coordination/groups/engine_counts.ts
@@ -1,5 +1,5 @@
 /** How many groups each model has, and which model lacks hosts most. */
-import {EngineProfile} from '../protocol/engine_profile';
+import {EngineProfile} from '../../protocol/engine_profile';
 import {EnginePlanInput} from './engine_plan_input';
 import {isHeldBySilentHead} from './is_held_by_silent_head';
 
--- a/src/coordination/engine_plan_input.ts
+++ b/src/coordination/groups/engine_plan_input.ts
@@ -1,5 +1,5 @@
-import {EngineGroup} from '../protocol/engine_group';
-import {EngineProfile} from '../protocol/engine_profile';
+import {EngineGroup} from '../../protocol/engine_group';
+import {EngineProfile} from '../../protocol/engine_profile';
 import {BackendView} from './backend_view';
 import {EnginePolicy} from './engine_policy';
 
--- a/src/coordination/engine_reservation.ts
+++ b/src/coordination/groups/engine_reservation.ts
@@ -1,4 +1,4 @@
-import {EngineProfile} from '../protocol/engine_profile';
+import {EngineProfile} from '../../protocol/engine_profile';
 import {BackendView} from './backend_view';
 
 /** Free hosts of one domain that wait to become a group of a model. */
--- a/src/coordination/free_hosts.ts
+++ b/src/coordination/groups/free_hosts.ts
@@ -1,5 +1,5 @@
 /** Hosts that may join a group, given out one by one while a plan is made. */
-import {Group} from '../protocol/group';
+import {Group} from '../../protocol/group';
 import {computeProbation} from './compute_probation';
 import {GroupPlanInput} from './group_plan_input';
 import {hostLoss} from './host_loss';
--- a/src/coordination/group_action.ts
+++ b/src/coordination/groups/group_action.ts
@@ -1,4 +1,4 @@
-import {Group} from '../protocol/group';
+import {Group} from '../../protocol/group';
 
 /** A change of groups that the planner wants committed. */
 export type GroupAction =
--- a/src/coordination/group_lease.ts
+++ b/src/coordination/groups/group_lease.ts
@@ -1,5 +1,5 @@
 /** The first member's right to serve: a fresh heartbeat from every other member. */
-import {Group} from '../protocol/group';
+import {Group} from '../../protocol/group';
 import {HEARTBEAT_LEASE_MS} from './heartbeat_lease_ms';
 
 /** Tracks the heartbeats of one group under one epoch. */
--- a/src/coordination/group_plan_input.ts
+++ b/src/coordination/groups/group_plan_input.ts
@@ -1,5 +1,5 @@
-import {Bundle} from '../protocol/bundle';
-import {Group} from '../protocol/group';
+import {Bundle} from '../../protocol/bundle';
+import {Group} from '../../protocol/group';
 import {HostView} from './host_view';
 
 /** What a plan of groups is made from. */
--- a/src/coordination/host_loss.ts
+++ b/src/coordination/groups/host_loss.ts
@@ -1,4 +1,4 @@
-import {Group} from '../protocol/group';
+import {Group} from '../../protocol/group';
 import {HostView} from './host_view';
 
 /** Silence after which a host counts as lost; several report intervals. */
--- a/src/coordination/host_view.ts
+++ b/src/coordination/groups/host_view.ts
@@ -1,4 +1,4 @@
-import {HostReport} from '../protocol/host_report';
+import {HostReport} from '../../protocol/host_report';
 
 /** What control knows about one host process right now. */
 export interface HostView {
--- a/src/coordination/is_held_by_silent_head.ts
+++ b/src/coordination/groups/is_held_by_silent_head.ts
@@ -1,4 +1,4 @@
-import {EngineGroup} from '../protocol/engine_group';
+import {EngineGroup} from '../../protocol/engine_group';
 import {EnginePlanInput} from './engine_plan_input';
 
 /**
--- a/src/coordination/list_demands.ts
+++ b/src/coordination/groups/list_demands.ts
@@ -1,4 +1,4 @@
-import {Bundle} from '../protocol/bundle';
+import {Bundle} from '../../protocol/bundle';
 import {ReplicaDemand} from './replica_demand';
 
 /**
--- a/src/coordination/membership.ts
+++ b/src/coordination/groups/membership.ts
@@ -1,5 +1,5 @@
 /** A host's own part in its group: which one it belongs to, and what it may answer for. */
-import {Group} from '../protocol/group';
+import {Group} from '../../protocol/group';
 import {HEARTBEAT_LEASE_MS} from './heartbeat_lease_ms';
 
 /** A process, told apart from its earlier lives. */
--- a/src/coordination/plan_engine_formation.ts
+++ b/src/coordination/groups/plan_engine_formation.ts
@@ -1,5 +1,5 @@
 /** Decides which free engines form new groups. */
-import {EngineProfile} from '../protocol/engine_profile';
+import {EngineProfile} from '../../protocol/engine_profile';
 import {BackendView} from './backend_view';
 import {computeReadyMs} from './compute_ready_ms';
 import {computeSpares} from './compute_spares';
--- a/src/coordination/plan_engine_groups.ts
+++ b/src/coordination/groups/plan_engine_groups.ts
@@ -1,5 +1,5 @@
 /** Decides the next steps for the engines of one pool. */
-import {EngineGroup} from '../protocol/engine_group';
+import {EngineGroup} from '../../protocol/engine_group';
 import {BackendView} from './backend_view';
 import {EngineAction} from './engine_action';
 import {EnginePlanInput} from './engine_plan_input';
--- a/src/coordination/plan_formation.ts
+++ b/src/coordination/groups/plan_formation.ts
@@ -1,5 +1,5 @@
 /** Forms the groups that a bundle asks for and that are not there. */
-import {Group} from '../protocol/group';
+import {Group} from '../../protocol/group';
 import {createMember} from './create_member';
 import {GroupAction} from './group_action';
 import {PlanContext} from './plan_context';
--- a/src/coordination/plan_groups.ts
+++ b/src/coordination/groups/plan_groups.ts
@@ -1,5 +1,5 @@
 /** Decides which groups to form, repair, drain and remove. */
-import {Group} from '../protocol/group';
+import {Group} from '../../protocol/group';
 import {FreeHosts} from './free_hosts';
 import {GroupAction} from './group_action';
 import {GroupPlanInput} from './group_plan_input';
--- a/src/coordination/plan_rebalance.ts
+++ b/src/coordination/groups/plan_rebalance.ts
@@ -1,6 +1,6 @@
 /** Decides when a group gives up its hosts for a model that lacks them more. */
-import {EngineGroup} from '../protocol/engine_group';
-import {EngineProfile} from '../protocol/engine_profile';
+import {EngineGroup} from '../../protocol/engine_group';
+import {EngineProfile} from '../../protocol/engine_profile';
 import {BackendView} from './backend_view';
 import {computeReadyMs} from './compute_ready_ms';
 import {EngineAction} from './engine_action';
--- a/src/coordination/plan_repair.ts
+++ b/src/coordination/groups/plan_repair.ts
@@ -1,5 +1,5 @@
 /** Decides what to do about a group that lost members. */
-import {Group} from '../protocol/group';
+import {Group} from '../../protocol/group';
 import {BrokenGroup} from './broken_group';
 import {createMember} from './create_member';
 import {GroupAction} from './group_action';
--- a/src/coordination/plan_standby.ts
+++ b/src/coordination/groups/plan_standby.ts
@@ -1,5 +1,5 @@
 /** Decides what free hosts load in advance, so that a repair need not wait for the weight store. */
-import {Group} from '../protocol/group';
+import {Group} from '../../protocol/group';
 import {GroupPlanInput} from './group_plan_input';
 import {HostView} from './host_view';
 import {listDemands} from './list_demands';
--- a/src/coordination/plan_upgrades.ts
+++ b/src/coordination/groups/plan_upgrades.ts
@@ -1,5 +1,5 @@
 /** Decides when a slow group over several domains can give way to a near one. */
-import {EngineGroup} from '../protocol/engine_group';
+import {EngineGroup} from '../../protocol/engine_group';
 import {computeReadyMs} from './compute_ready_ms';
 import {EngineAction} from './engine_action';
 import {EnginePlanInput} from './engine_plan_input';
--- a/src/coordination/plan_weights.ts
+++ b/src/coordination/groups/plan_weights.ts
@@ -4,7 +4,7 @@
  * within a second or two: whatever is lost, those that are left can be arranged
  * anew without reading from the store.
  */
-import {EngineProfile} from '../protocol/engine_profile';
+import {EngineProfile} from '../../protocol/engine_profile';
 import {BackendView} from './backend_view';
 import {EngineAction} from './engine_action';
 import {EngineCounts} from './engine_counts';
--- a/src/coordination/replica_demand.ts
+++ b/src/coordination/groups/replica_demand.ts
@@ -1,4 +1,4 @@
-import {Group} from '../protocol/group';
+import {Group} from '../../protocol/group';
 
 /** One kind of replica that the bundle asks for. */
 export interface ReplicaDemand {
--- a/src/coordination/reserve_engines.ts
+++ b/src/coordination/groups/reserve_engines.ts
@@ -3,7 +3,7 @@
  * model on few hosts finds a place almost anywhere and would otherwise take
  * each free host before a model on many has enough of them in one domain.
  */
-import {EngineProfile} from '../protocol/engine_profile';
+import {EngineProfile} from '../../protocol/engine_profile';
 import {BackendView} from './backend_view';
 import {computeReadyMs} from './compute_ready_ms';
 import {EnginePlanInput} from './engine_plan_input';
--- a/src/coordination/check_dispatch.ts
+++ b/src/coordination/requests/check_dispatch.ts
@@ -1,7 +1,7 @@
 /** Decides whether a host process may start what an entry sent. */
-import {Group} from '../protocol/group';
-import {MessageOf} from '../protocol/message_of';
-import {WorkMessage} from '../protocol/work_message';
+import {Group} from '../../protocol/group';
+import {MessageOf} from '../../protocol/message_of';
+import {WorkMessage} from '../../protocol/work_message';
 
 /** What the host process knows when a dispatch arrives. */
 interface DispatchSituation {
--- a/src/coordination/decide_retry.ts
+++ b/src/coordination/requests/decide_retry.ts
@@ -1,5 +1,5 @@
 /** Decides what follows an attempt that did not answer. */
-import {Outcome} from '../protocol/outcome';
+import {Outcome} from '../../protocol/outcome';
 
 /** What is known after an attempt. */
 interface RetrySituation {
--- a/src/coordination/dispatch_ledger.ts
+++ b/src/coordination/requests/dispatch_ledger.ts
@@ -1,5 +1,5 @@
 /** What a host process remembers of the attempts it was sent. */
-import {Outcome} from '../protocol/outcome';
+import {Outcome} from '../../protocol/outcome';
 
 /** Far longer than any start-by time, so that no late frame outlives its tombstone. */
 const KEEP_MS = 10 * 60_000;
--- a/src/entry/entry_server.ts
+++ b/src/entry/entry_server.ts
@@ -7,7 +7,7 @@
 import {runStop} from '../common/run_stop';
 import {StopSchedule} from '../common/stop_schedule';
 import {systemClock} from '../common/system_clock';
-import {Admission} from '../coordination/admission';
+import {Admission} from '../coordination/requests/admission';
 import {Bundle} from '../protocol/bundle';
 import {ControlClient} from '../protocol/control_client';
 import {HttpListener} from '../transport/http_listener';
--- a/src/entry/request_runner.ts
+++ b/src/entry/request_runner.ts
@@ -1,8 +1,8 @@
 /** Carries one request through its attempts to one final outcome. */
 import {Clock} from '../common/clock';
-import {chooseReplica} from '../coordination/choose_replica';
-import {decideRetry} from '../coordination/decide_retry';
-import {RetryBudget} from '../coordination/retry_budget';
+import {chooseReplica} from '../coordination/requests/choose_replica';
+import {decideRetry} from '../coordination/requests/decide_retry';
+import {RetryBudget} from '../coordination/requests/retry_budget';
 import {Group} from '../protocol/group';
 import {Outcome} from '../protocol/outcome';
 import {AttemptEvents} from './attempt_events';
--- a/src/entry/route_table.ts
+++ b/src/entry/route_table.ts
@@ -1,6 +1,6 @@
 /** The entry's copy of what control decided: bundle, groups, lease. */
 import {Clock} from '../common/clock';
-import {BundleLease} from '../coordination/bundle_lease';
+import {BundleLease} from '../coordination/requests/bundle_lease';
 import {Bundle} from '../protocol/bundle';
 import {ControlClient} from '../protocol/control_client';
 import {ControlMessage} from '../protocol/control_message';
--- a/src/host/control_session.ts
+++ b/src/host/control_session.ts
@@ -1,6 +1,6 @@
 /** Reports to control a few times a second and takes its directives. */
 import {Clock} from '../common/clock';
-import {BundleLease} from '../coordination/bundle_lease';
+import {BundleLease} from '../coordination/requests/bundle_lease';
 import {ControlClient} from '../protocol/control_client';
 import {ControlMessage} from '../protocol/control_message';
 import {HostReport} from '../protocol/host_report';
--- a/src/host/group_member.ts
+++ b/src/host/group_member.ts
@@ -1,8 +1,8 @@
 /** This host's part in its group: membership, the engine's orders, and the lease if it is first. */
 import {Clock} from '../common/clock';
-import {GroupLease} from '../coordination/group_lease';
-import {HEARTBEAT_LEASE_MS} from '../coordination/heartbeat_lease_ms';
-import {Membership} from '../coordination/membership';
+import {GroupLease} from '../coordination/groups/group_lease';
+import {HEARTBEAT_LEASE_MS} from '../coordination/groups/heartbeat_lease_ms';
+import {Membership} from '../coordination/groups/membership';
 import {Group} from '../protocol/group';
 import {HostReport} from '../protocol/host_report';
 import {MembershipMessage} from '../protocol/membership_message';
--- a/src/host/heartbeat_asker.ts
+++ b/src/host/heartbeat_asker.ts
@@ -1,6 +1,6 @@
 /** The first member's side of heartbeats: asks every other member, again and again. */
 import {Clock} from '../common/clock';
-import {GroupLease} from '../coordination/group_lease';
+import {GroupLease} from '../coordination/groups/group_lease';
 import {connectPeer} from '../protocol/connect_peer';
 import {Group} from '../protocol/group';
 import {MembershipMessage} from '../protocol/membership_message';
--- a/src/host/host_server.ts
+++ b/src/host/host_server.ts
@@ -5,7 +5,7 @@
 import {recordPause} from '../common/record_pause';
 import {StopSchedule} from '../common/stop_schedule';
 import {systemClock} from '../common/system_clock';
-import {checkDispatch} from '../coordination/check_dispatch';
+import {checkDispatch} from '../coordination/requests/check_dispatch';
 import {Bundle} from '../protocol/bundle';
 import {ControlClient} from '../protocol/control_client';
 import {ControlMessage} from '../protocol/control_message';
--- a/src/host/work_runner.ts
+++ b/src/host/work_runner.ts
@@ -1,7 +1,7 @@
 /** Takes dispatches from entries, runs them, answers for their fate. */
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
-import {DispatchLedger} from '../coordination/dispatch_ledger';
+import {DispatchLedger} from '../coordination/requests/dispatch_ledger';
 import {Message} from '../protocol/message';
 import {MessageOf} from '../protocol/message_of';
 import {Peer} from '../protocol/peer';
--- a/src/state/suspect_table.ts
+++ b/src/state/suspect_table.ts
@@ -1,8 +1,8 @@
 /** Requests under which backend servers ended: what is held against each, and what gateways may do with it. */
 import {z} from 'zod';
-import {CrashEvidence} from '../coordination/crash_evidence';
-import {decideVerdict} from '../coordination/decide_verdict';
-import {WAVE_MS} from '../coordination/wave_ms';
+import {CrashEvidence} from '../coordination/requests/crash_evidence';
+import {decideVerdict} from '../coordination/requests/decide_verdict';
+import {WAVE_MS} from '../coordination/requests/wave_ms';
 import {CrashReport} from '../protocol/crash_report';
 import {SuspectNews} from '../protocol/suspect_news';
 import {TrialVerdict} from '../protocol/trial_verdict';
--- a/test/control/engine_orders.test.ts
+++ b/test/control/engine_orders.test.ts
@@ -7,7 +7,7 @@
 import {LoadAllowance} from '../../src/control/load_allowance';
 import {OrderDispatcher} from '../../src/control/order_dispatcher';
 import {RaftRuntime} from '../../src/control/raft_runtime';
-import {EngineAction} from '../../src/coordination/engine_action';
+import {EngineAction} from '../../src/coordination/groups/engine_action';
 import {EngineOrders} from '../../src/protocol/engine_orders';
 import {PROFILE, group, host, told} from '../support/engine_plan';
 
--- a/test/control/raft_runtime.test.ts
+++ b/test/control/raft_runtime.test.ts
@@ -4,7 +4,7 @@
 import {expect, test} from 'vitest';
 import {systemClock} from '../../src/common/system_clock';
 import {RaftRuntime} from '../../src/control/raft_runtime';
-import {defaultRaftTiming} from '../../src/coordination/default_raft_timing';
+import {defaultRaftTiming} from '../../src/coordination/agreement/default_raft_timing';
 import {ControlDisk} from '../../src/state/control_disk';
 import {waitUntil} from '../support/wait_until';
 
--- a/test/coordination/check_dispatch.test.ts
+++ b/test/coordination/check_dispatch.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, test} from 'vitest';
-import {checkDispatch} from '../../src/coordination/check_dispatch';
-import {DispatchLedger} from '../../src/coordination/dispatch_ledger';
+import {checkDispatch} from '../../src/coordination/requests/check_dispatch';
+import {DispatchLedger} from '../../src/coordination/requests/dispatch_ledger';
 import {Group} from '../../src/protocol/group';
 
 const group: Group = {
--- a/test/coordination/demand_follower.test.ts
+++ b/test/coordination/demand_follower.test.ts
@@ -5,8 +5,8 @@
  * them, while the large model's three groups answered 23 to 31 and none late.
  */
 import {describe, expect, test} from 'vitest';
-import {computeUsualGroups} from '../../src/coordination/compute_usual_groups';
-import {DemandFollower} from '../../src/coordination/demand_follower';
+import {computeUsualGroups} from '../../src/coordination/groups/compute_usual_groups';
+import {DemandFollower} from '../../src/coordination/groups/demand_follower';
 import {createDemand} from '../support/create_demand';
 import {createRandom} from '../support/create_random';
 import {EngineFleet} from '../support/engine_fleet';
--- a/test/coordination/membership.test.ts
+++ b/test/coordination/membership.test.ts
@@ -1,8 +1,8 @@
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
-import {GroupLease} from '../../src/coordination/group_lease';
-import {HEARTBEAT_LEASE_MS} from '../../src/coordination/heartbeat_lease_ms';
-import {Membership} from '../../src/coordination/membership';
+import {GroupLease} from '../../src/coordination/groups/group_lease';
+import {HEARTBEAT_LEASE_MS} from '../../src/coordination/groups/heartbeat_lease_ms';
+import {Membership} from '../../src/coordination/groups/membership';
 import {Group} from '../../src/protocol/group';
 import {GroupTable} from '../../src/state/group_table';
 
--- a/test/coordination/plan_groups.test.ts
+++ b/test/coordination/plan_groups.test.ts
@@ -1,9 +1,9 @@
 import {describe, expect, test} from 'vitest';
-import {computeProbation} from '../../src/coordination/compute_probation';
-import {computeRepairCosts} from '../../src/coordination/compute_repair_costs';
-import {HostView} from '../../src/coordination/host_view';
-import {planGroups} from '../../src/coordination/plan_groups';
-import {planStandby} from '../../src/coordination/plan_standby';
+import {computeProbation} from '../../src/coordination/groups/compute_probation';
+import {computeRepairCosts} from '../../src/coordination/groups/compute_repair_costs';
+import {HostView} from '../../src/coordination/groups/host_view';
+import {planGroups} from '../../src/coordination/groups/plan_groups';
+import {planStandby} from '../../src/coordination/groups/plan_standby';
 import {Bundle} from '../../src/protocol/bundle';
 import {Group} from '../../src/protocol/group';
 
--- a/test/coordination/plan_needier_model.test.ts
+++ b/test/coordination/plan_needier_model.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, test} from 'vitest';
-import {computeUsualGroups} from '../../src/coordination/compute_usual_groups';
+import {computeUsualGroups} from '../../src/coordination/groups/compute_usual_groups';
 import {EngineGroup} from '../../src/protocol/engine_group';
-import {BackendView} from '../../src/coordination/backend_view';
+import {BackendView} from '../../src/coordination/groups/backend_view';
 import {
   PROFILE,
   describeActions,
--- a/test/coordination/raft_lease.test.ts
+++ b/test/coordination/raft_lease.test.ts
@@ -1,7 +1,7 @@
 import {expect, test} from 'vitest';
-import {defaultRaftTiming} from '../../src/coordination/default_raft_timing';
-import {RaftLog} from '../../src/coordination/raft_log';
-import {RaftNode} from '../../src/coordination/raft_node';
+import {defaultRaftTiming} from '../../src/coordination/agreement/default_raft_timing';
+import {RaftLog} from '../../src/coordination/agreement/raft_log';
+import {RaftNode} from '../../src/coordination/agreement/raft_node';
 import {ControlCommand} from '../../src/protocol/control_command';
 import {RaftMessage} from '../../src/protocol/raft_message';
 
--- a/test/coordination/raft_node.test.ts
+++ b/test/coordination/raft_node.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
-import {RaftLog} from '../../src/coordination/raft_log';
-import {RaftNode} from '../../src/coordination/raft_node';
+import {RaftLog} from '../../src/coordination/agreement/raft_log';
+import {RaftNode} from '../../src/coordination/agreement/raft_node';
 import {RaftMessage} from '../../src/protocol/raft_message';
 import {RaftNet} from '../support/raft_net';
 
--- a/test/coordination/raft_restart.test.ts
+++ b/test/coordination/raft_restart.test.ts
@@ -4,9 +4,9 @@
  * when its process began, made callers wait for as long as the start had taken.
  */
 import {expect, test} from 'vitest';
-import {defaultRaftTiming} from '../../src/coordination/default_raft_timing';
-import {RaftLog} from '../../src/coordination/raft_log';
-import {RaftNode} from '../../src/coordination/raft_node';
+import {defaultRaftTiming} from '../../src/coordination/agreement/default_raft_timing';
+import {RaftLog} from '../../src/coordination/agreement/raft_log';
+import {RaftNode} from '../../src/coordination/agreement/raft_node';
 
 const voters = new Map(['a', 'b', 'c'].map(name => [name, `${name}/1`]));
 const {electionMs} = defaultRaftTiming;
--- a/test/coordination/raft_voters.test.ts
+++ b/test/coordination/raft_voters.test.ts
@@ -1,7 +1,7 @@
 import {describe, expect, test} from 'vitest';
-import {RaftLog} from '../../src/coordination/raft_log';
-import {RaftNode} from '../../src/coordination/raft_node';
-import {decideVoterChange} from '../../src/coordination/decide_voter_change';
+import {RaftLog} from '../../src/coordination/agreement/raft_log';
+import {RaftNode} from '../../src/coordination/agreement/raft_node';
+import {decideVoterChange} from '../../src/coordination/agreement/decide_voter_change';
 import {LogEntry} from '../../src/protocol/log_entry';
 
 const TIMING = {heartbeatMs: 50, electionMs: 300, leaseMs: 225};
--- a/test/host/heartbeat_asker.test.ts
+++ b/test/host/heartbeat_asker.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from 'vitest';
-import {GroupLease} from '../../src/coordination/group_lease';
+import {GroupLease} from '../../src/coordination/groups/group_lease';
 import {HeartbeatAsker} from '../../src/host/heartbeat_asker';
 import {MembershipMessage} from '../../src/protocol/membership_message';
 import {MessageOf} from '../../src/protocol/message_of';
--- a/test/state/suspect_table.test.ts
+++ b/test/state/suspect_table.test.ts
@@ -1,6 +1,6 @@
 import * as fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
-import {WAVE_MS} from '../../src/coordination/wave_ms';
+import {WAVE_MS} from '../../src/coordination/requests/wave_ms';
 import {SuspectTable} from '../../src/state/suspect_table';
 
 const CALLER = 'aaaaaaaa';
--- a/test/support/engine_fleet.ts
+++ b/test/support/engine_fleet.ts
@@ -4,11 +4,11 @@
  * weights that are loaded side by side. It tells what part of the demand the open
  * groups could have served, without any real time or process.
  */
-import {countByDomain} from '../../src/coordination/count_by_domain';
-import {computeUsualGroups} from '../../src/coordination/compute_usual_groups';
-import {DemandFollower} from '../../src/coordination/demand_follower';
-import {EngineAction} from '../../src/coordination/engine_action';
-import {planEngineGroups} from '../../src/coordination/plan_engine_groups';
+import {countByDomain} from '../../src/coordination/groups/count_by_domain';
+import {computeUsualGroups} from '../../src/coordination/groups/compute_usual_groups';
+import {DemandFollower} from '../../src/coordination/groups/demand_follower';
+import {EngineAction} from '../../src/coordination/groups/engine_action';
+import {planEngineGroups} from '../../src/coordination/groups/plan_engine_groups';
 import {EngineGroup} from '../../src/protocol/engine_group';
 import {EngineProfile} from '../../src/protocol/engine_profile';
 import {createDemand} from './create_demand';
--- a/test/support/engine_fleet_options.ts
+++ b/test/support/engine_fleet_options.ts
@@ -1,4 +1,4 @@
-import {EnginePolicy} from '../../src/coordination/engine_policy';
+import {EnginePolicy} from '../../src/coordination/groups/engine_policy';
 import {EngineProfile} from '../../src/protocol/engine_profile';
 import {FleetEvent} from './fleet_event';
 
--- a/test/support/engine_host.ts
+++ b/test/support/engine_host.ts
@@ -1,6 +1,6 @@
 /** One host of the fleet model, by the rules that engines keep. */
-import {BackendView} from '../../src/coordination/backend_view';
-import {computeReadyMs} from '../../src/coordination/compute_ready_ms';
+import {BackendView} from '../../src/coordination/groups/backend_view';
+import {computeReadyMs} from '../../src/coordination/groups/compute_ready_ms';
 import {BackendRegistration} from '../../src/protocol/backend_registration';
 import {EngineGroup} from '../../src/protocol/engine_group';
 import {EngineProfile} from '../../src/protocol/engine_profile';
--- a/test/support/engine_plan.ts
+++ b/test/support/engine_plan.ts
@@ -1,8 +1,8 @@
 /** Hosts, groups and plans of engines with few words. */
-import {BackendView} from '../../src/coordination/backend_view';
-import {EngineAction} from '../../src/coordination/engine_action';
-import {EnginePlanInput} from '../../src/coordination/engine_plan_input';
-import {planEngineGroups} from '../../src/coordination/plan_engine_groups';
+import {BackendView} from '../../src/coordination/groups/backend_view';
+import {EngineAction} from '../../src/coordination/groups/engine_action';
+import {EnginePlanInput} from '../../src/coordination/groups/engine_plan_input';
+import {planEngineGroups} from '../../src/coordination/groups/plan_engine_groups';
 import {BackendRegistration} from '../../src/protocol/backend_registration';
 import {EngineGroup} from '../../src/protocol/engine_group';
 import {EngineProfile} from '../../src/protocol/engine_profile';
--- a/test/support/raft_net.ts
+++ b/test/support/raft_net.ts
@@ -1,8 +1,8 @@
 /** A few agreement nodes with a network and disks made of plain values and a virtual clock. */
-import {RaftEffects} from '../../src/coordination/raft_effects';
-import {RaftEvent} from '../../src/coordination/raft_event';
-import {RaftLog} from '../../src/coordination/raft_log';
-import {RaftNode} from '../../src/coordination/raft_node';
+import {RaftEffects} from '../../src/coordination/agreement/raft_effects';
+import {RaftEvent} from '../../src/coordination/agreement/raft_event';
+import {RaftLog} from '../../src/coordination/agreement/raft_log';
+import {RaftNode} from '../../src/coordination/agreement/raft_node';
 import {ControlCommand} from '../../src/protocol/control_command';
 import {LogEntry} from '../../src/protocol/log_entry';
 import {RaftMessage} from '../../src/protocol/raft_message';
