--- a/src/gateway/demand_meter.ts
+++ b/src/gateway/demand_meter.ts
@@ -44,7 +44,7 @@
     engine: EngineProfile | undefined,
   ): void {
     if (engine && model !== undefined) {
-      const recent = this.fade(model);
+      const recent = this.computeRecent(model);
       recent.requests += 1;
       recent.promptTokens += promptTokens;
       this.recent.set(model, recent);
@@ -71,7 +71,7 @@
     const seconds =
       (MEMORY_MS * (1 - Math.exp(-ageMs / MEMORY_MS))) / MS_PER_SECOND;
     const models = [...this.recent.keys()].map(model => {
-      const {requests, promptTokens} = this.fade(model);
+      const {requests, promptTokens} = this.computeRecent(model);
       const requestsPerSecond = requests / seconds;
       const demand = {
         requestsPerSecond,
@@ -85,7 +85,7 @@
   }
 
   /** What came lately, as much as it counts now. */
-  private fade(model: string): Recent {
+  private computeRecent(model: string): Recent {
     const now = this.clock.now();
     const {requests, promptTokens, at} = this.recent.get(model) ?? {
       requests: 0,
