fix(control): a lost member stays lost until it answers or registers

Cause: whether one failed question is enough hung on a gateway's word about its group, and that is over with the group; so the dead member was free again and taken into the next group. Change: what was proved stays so until the backend server answers or registers.

--- a/src/control/backend_health.ts
+++ b/src/control/backend_health.ts
@@ -37,7 +37,7 @@
   /** It answered the last question. */
   hasAnswered: boolean;
   askedAt: number;
-  /** It was told as lost. */
+  /** It stays lost until it answers or registers. */
   isLost: boolean;
 }
 
@@ -74,6 +74,7 @@
   /** Asks the members of groups about which there is doubt. */
   refresh(groups: readonly EngineGroup[], now: number): void {
     const {desk, registry, duties} = this.options;
+    this.recordLosses();
     const doubted = new Map<
       string,
       {address: string; head: string; isStalled: boolean}
@@ -102,15 +103,15 @@
       doubt.isStalled = isStalled;
       this.ask(incarnation, doubt, address, now);
     });
-    this.recordLosses();
   }
 
-  /** It also becomes one by the time for which nobody spoke for it. */
+  /** Keeps what was found since the last look, before the groups that it was found for change. */
   private recordLosses(): void {
     for (const [incarnation, doubt] of this.doubts) {
-      const wasLost = doubt.isLost;
-      doubt.isLost = this.isLost(incarnation);
-      if (!wasLost && doubt.isLost) {
+      const isNews = !doubt.isLost && this.isProved(doubt);
+      // What gateways said of its group is over with the group, and it is still dead.
+      doubt.isLost ||= isNews;
+      if (isNews) {
         this.tell('backend-lost', incarnation, 'it did not answer');
       }
     }
@@ -131,12 +132,12 @@
   /** It does not answer, and nobody hears from its group. */
   isLost(incarnation: string): boolean {
     const doubt = this.doubts.get(incarnation);
-    const needed = doubt?.isStalled ? FAILED_PROBES_STALLED : FAILED_PROBES;
-    return (
-      doubt !== undefined &&
-      doubt.failures >= needed &&
-      !this.isSpokenFor(doubt)
-    );
+    return doubt !== undefined && (doubt.isLost || this.isProved(doubt));
+  }
+
+  private isProved(doubt: Doubt): boolean {
+    const needed = doubt.isStalled ? FAILED_PROBES_STALLED : FAILED_PROBES;
+    return doubt.failures >= needed && !this.isSpokenFor(doubt);
   }
 
   /** A head that lacks a member sends nothing, so one that is heard has them all. */
@@ -182,6 +183,7 @@
       isAnswering => {
         doubt.isAsking = false;
         doubt.hasAnswered = isAnswering;
+        doubt.isLost &&= !isAnswering;
         doubt.failures = isAnswering ? 0 : doubt.failures + 1;
       },
       () => {
