feat(coordination,control): hosts are moved only where that takes no load, and as soon as it pays

Shares that nobody can follow leave free hosts waiting. Change: a split changes only if a group can move by it now; a move costs what its model lacks until the hosts serve again (what runs at the group is finished first), so it comes early, while the copies are there. The split is made by one function for the leader and the model of the fleet.

--- a/src/control/engine_planner_loop.ts
+++ b/src/control/engine_planner_loop.ts
@@ -5,11 +5,11 @@
 import {countByDomain} from '../coordination/groups/count_by_domain';
 import {DemandFollower} from '../coordination/groups/demand_follower';
 import {EngineAction} from '../coordination/groups/engine_action';
+import {EnginePlanInput} from '../coordination/groups/engine_plan_input';
 import {planEngineGroups} from '../coordination/groups/plan_engine_groups';
-import {computeUsualGroups} from '../coordination/groups/compute_usual_groups';
+import {splitHosts} from '../coordination/groups/split_hosts';
 import {ControlCommand} from '../protocol/control_command';
 import {EngineGroup} from '../protocol/engine_group';
-import {EngineProfile} from '../protocol/engine_profile';
 import {listMemberNames} from '../protocol/list_member_names';
 import {GatewayRules} from '../protocol/gateway_rules';
 import {BackendHealth} from './backend_health';
@@ -129,27 +129,27 @@
     this.recordHeld(groups);
     this.health.refresh(groups, now);
     const domains = countByDomain(this.listWell(backends));
-    const profile = this.followDemand(pool.name, pool.engine, domains, now);
-    const actions = planEngineGroups({
+    const input = {
       pool: pool.name,
-      profile,
+      profile: pool.engine,
       groups,
       backends,
-      usual: computeUsualGroups(profile, domains),
       isFirstStart: groups.length === 0 && backends.every(isEmpty),
       now,
       silentAfterMs: duties.heartbeatMs * SILENT_INTERVALS,
       isStillListening:
         now - runtime.leadingSince < duties.heartbeatMs * SILENT_INTERVALS,
-      isRetired: incarnation => engines.isRetired(incarnation),
+      isRetired: (incarnation: string) => engines.isRetired(incarnation),
       mayRebalance: now - this.rebalancedAt > REBALANCE_EVERY_MS,
       epoch: runtime.raft.commitIndex,
-      findLoading: incarnation => this.orders.findLoading(incarnation),
-      isPressed: model => desk.isPressed(model),
-      isLost: incarnation => this.health.isLost(incarnation),
-      isLetGo: group => this.release.isLetGo(group, now),
-      hasLeaver: group => this.release.hasLeaver(group),
-    });
+      findLoading: (incarnation: string) =>
+        this.orders.findLoading(incarnation),
+      isPressed: (model: string) => desk.isPressed(model),
+      isLost: (incarnation: string) => this.health.isLost(incarnation),
+      isLetGo: (group: EngineGroup) => this.release.isLetGo(group, now),
+      hasLeaver: (group: EngineGroup) => this.release.hasLeaver(group),
+    };
+    const actions = planEngineGroups(this.followDemand(input, domains));
     if (actions.some(action => 'isMove' in action && action.isMove)) {
       this.rebalancedAt = now;
     }
@@ -161,22 +161,21 @@
     }
   }
 
-  /** The profile with shares that follow what callers ask for. */
+  /** Plans by shares that follow what callers ask for. */
   private followDemand(
-    pool: string,
-    configured: EngineProfile,
+    configured: Omit<EnginePlanInput, 'usual'>,
     domains: readonly number[],
-    now: number,
-  ): EngineProfile {
+  ): EnginePlanInput {
     const {desk, events} = this.options;
+    const {pool} = configured;
     const follower = this.followers.get(pool) ?? DemandFollower.create();
     this.followers.set(pool, follower);
     const demand = desk.computeDemand();
-    const {profile, shifted} = follower.follow({
-      profile: configured,
+    const {input, shifted} = splitHosts({
+      follower,
+      input: configured,
       domains,
       demand,
-      now,
     });
     if (shifted) {
       const {from, to, missed} = shifted;
@@ -193,11 +192,11 @@
               Math.round(requestsPerSecond),
             ]),
           ),
-          ...Object.fromEntries(computeUsualGroups(profile, domains)),
+          ...Object.fromEntries(input.usual),
         },
       });
     }
-    return profile;
+    return input;
   }
 
   /** The first groups are planned once, with every host: no more are coming in. */
--- a/src/coordination/groups/demand_follower.ts
+++ b/src/coordination/groups/demand_follower.ts
@@ -11,8 +11,8 @@
 const MS_PER_SECOND = 1_000;
 /** Part of the time that a model does without one of its groups, so that a split must bear the next loss. */
 const GROUP_AWAY_SHARE = 0.1;
-/** Fewer late answers than this are no sign of anything. */
-const LEAST_MISSED = 10;
+/** A move that costs nothing by the figures still needs a reason. */
+const LEAST_COST = 1;
 /** With fewer groups the next loss would leave a model without any. */
 const LEAST_GROUPS = 2;
 /** What is moved may have to be moved back. */
@@ -31,6 +31,8 @@
   readonly domains: readonly number[];
   readonly demand: Demand;
   readonly now: number;
+  /** Hosts could be moved by these shares now, without a load: one takes longer than most bursts. */
+  readonly canMove: (profile: EngineProfile) => boolean;
 }
 
 /** Hosts of one model that another may get. */
@@ -67,7 +69,7 @@
    *
    * @example
    * const follower = DemandFollower.create();
-   * const {profile} = follower.follow({profile: pool.engine, domains, demand, now});
+   * const {profile} = follower.follow({profile: pool.engine, domains, demand, now, canMove});
    */
   static create(): DemandFollower {
     return new DemandFollower();
@@ -93,7 +95,8 @@
       const before = this.missed.get(shift.key) ?? 0;
       const missed = Math.max(0, before + (gain * stepMs) / MS_PER_SECOND);
       this.missed.set(shift.key, missed);
-      return gain > 0 && missed > computeCost(shift, view);
+      const isWorthIt = gain > 0 && missed > computeCost(shift, view);
+      return isWorthIt && input.canMove(shift.profile);
     });
     const [best] = due.sort(
       (left, right) =>
@@ -163,30 +166,20 @@
   );
 }
 
-/** Late answers that a shift brings about until its hosts serve again, there and back. */
+/**
+ * Late answers that a shift brings about until its hosts serve again, there and back.
+ * What runs at the groups that end is finished before they do.
+ */
 function computeCost({from, to}: Shift, view: FollowInput): number {
   const {profile, domains, demand} = view;
   const usual = computeUsualGroups(profile, domains);
   const own = usual.get(from.name) ?? 0;
   const given = Math.max(1, Math.ceil(to.size / from.size));
-  const heldPerGroup = countHeld(from, view) / Math.max(1, own);
   const without = new Map(usual).set(from.name, own - given);
   const lostPerSecond =
     computeLate(profile, demand, without) - computeLate(profile, demand, usual);
   const seconds = (to.warmMs + profile.openMs) / MS_PER_SECOND;
-  return (
-    MOVES_TO_PAY *
-    Math.max(LEAST_MISSED, heldPerGroup * given + seconds * lostPerSecond)
-  );
-}
-
-/** Requests of a model that hold a place at any moment. */
-function countHeld(
-  {name, pace}: Model,
-  {profile, demand}: FollowInput,
-): number {
-  const tokens = demand[name]?.answerTokensPerSecond ?? 0;
-  return (tokens * pace * profile.stepMs) / MS_PER_SECOND;
+  return MOVES_TO_PAY * Math.max(LEAST_COST, seconds * lostPerSecond);
 }
 
 function computeLateOf({profile, domains, demand}: FollowInput): number {
--- a/test/coordination/demand_follower.test.ts
+++ b/test/coordination/demand_follower.test.ts
@@ -51,6 +51,7 @@
           ]),
         ),
         now,
+        canMove: () => true,
       });
       const counts = computeUsualGroups(profile, domains);
       const told = `${counts.get('big')} and ${counts.get('low')}`;
@@ -113,6 +114,7 @@
         domains: DOMAINS,
         demand: {...demand, big: unknown},
         now,
+        canMove: () => true,
       }),
     );
     expect(results.map(({shifted}) => shifted)).toEqual(
--- a/test/support/engine_fleet.ts
+++ b/test/support/engine_fleet.ts
@@ -8,14 +8,16 @@
 import {computeUsualGroups} from '../../src/coordination/groups/compute_usual_groups';
 import {DemandFollower} from '../../src/coordination/groups/demand_follower';
 import {EngineAction} from '../../src/coordination/groups/engine_action';
+import {EnginePlanInput} from '../../src/coordination/groups/engine_plan_input';
+import {splitHosts} from '../../src/coordination/groups/split_hosts';
 import {planEngineGroups} from '../../src/coordination/groups/plan_engine_groups';
 import {EngineGroup} from '../../src/protocol/engine_group';
-import {EngineProfile} from '../../src/protocol/engine_profile';
 import {createDemand} from './create_demand';
 import {EngineFleetOptions} from './engine_fleet_options';
 import {EngineFleetResult} from './engine_fleet_result';
 import {EngineHost} from './engine_host';
 import {FleetEvent} from './fleet_event';
+import {listGroupsWanted} from './list_groups_wanted';
 import {StoreLoads} from './store_loads';
 
 const PLAN_EVERY_MS = 40;
@@ -160,59 +162,54 @@
       ({registration}) => !this.isLost(registration.incarnation),
     );
     const domains = countByDomain(well);
-    const profile = this.followDemand(domains);
-    const actions = planEngineGroups({
-      pool: 'p',
-      profile,
-      groups: this.groups,
-      backends,
-      usual: computeUsualGroups(profile, domains),
-      isFirstStart: this.groups.length === 0,
-      now,
-      silentAfterMs: SILENT_AFTER_MS,
-      isStillListening: false,
-      mayRebalance: now - this.rebalancedAt > REBALANCE_EVERY_MS,
-      epoch: this.epoch,
-      findLoading: id => this.hosts.get(id)?.loading,
-      isPressed: model =>
-        now - (this.pressedAt.get(model) ?? -Infinity) < PRESSED_MS,
-      isRetired: () => false,
-      isLost: id => this.isLost(id),
-      isLetGo: ({epoch}) =>
-        now - (this.releasedAt.get(epoch) ?? Infinity) > LET_GO_MS,
-      hasLeaver: group =>
-        group.members
-          .slice(1)
-          .some(({incarnation}) => !this.hosts.get(incarnation)?.isIn(group)),
-      policy,
-    });
+    const {profile} = this.options;
+    const actions = planEngineGroups(
+      this.followDemand(domains, {
+        pool: 'p',
+        profile,
+        groups: this.groups,
+        backends,
+        isFirstStart: this.groups.length === 0,
+        now,
+        silentAfterMs: SILENT_AFTER_MS,
+        isStillListening: false,
+        mayRebalance: now - this.rebalancedAt > REBALANCE_EVERY_MS,
+        epoch: this.epoch,
+        findLoading: id => this.hosts.get(id)?.loading,
+        isPressed: model =>
+          now - (this.pressedAt.get(model) ?? -Infinity) < PRESSED_MS,
+        isRetired: () => false,
+        isLost: id => this.isLost(id),
+        isLetGo: ({epoch}) =>
+          now - (this.releasedAt.get(epoch) ?? Infinity) > LET_GO_MS,
+        hasLeaver: group =>
+          group.members
+            .slice(1)
+            .some(({incarnation}) => !this.hosts.get(incarnation)?.isIn(group)),
+        policy,
+      }),
+    );
     if (actions.some(action => 'isMove' in action && action.isMove)) {
       this.rebalancedAt = now;
     }
     actions.forEach(action => this.carryOut(action));
   }
 
-  private followDemand(domains: readonly number[]): EngineProfile {
-    const {profile, followsDemand = true} = this.options;
+  private followDemand(
+    domains: readonly number[],
+    configured: Omit<EnginePlanInput, 'usual'>,
+  ): EnginePlanInput {
+    const {followsDemand = true} = this.options;
+    const {profile} = configured;
     if (!followsDemand || this.now < 0) {
-      return profile;
+      return {...configured, usual: computeUsualGroups(profile, domains)};
     }
-    const demand = createDemand(profile, this.listDemand());
-    const {now} = this;
-    return this.follower.follow({profile, domains, demand, now}).profile;
-  }
-
-  /** Groups of each model that the demand takes now. */
-  private listDemand(): Map<string, number> {
-    const {profile, demand, burst} = this.options;
-    const isBurst =
-      burst && this.now >= burst.fromMs && this.now < burst.untilMs;
-    return new Map(
-      profile.models.map(({name}) => {
-        const factor = isBurst ? (burst.factors[name] ?? 1) : 1;
-        return [name, (demand[name] ?? 1) * factor];
-      }),
+    const {follower} = this;
+    const demand = createDemand(
+      profile,
+      listGroupsWanted(this.options, this.now),
     );
+    return splitHosts({follower, input: configured, domains, demand}).input;
   }
 
   private isLost(id: string): boolean {
@@ -294,7 +291,7 @@
   /** The part of each model's demand that its open, whole groups can serve now. */
   private measure(): Map<string, number> {
     const {profile} = this.options;
-    const demand = this.listDemand();
+    const demand = listGroupsWanted(this.options, this.now);
     return new Map(
       profile.models.map(({name}) => {
         const supply = this.groups
--- /dev/null
+++ b/test/support/list_groups_wanted.ts
@@ -0,0 +1,20 @@
+import {EngineFleetOptions} from './engine_fleet_options';
+
+/**
+ * Lists how many groups of each model the demand takes at a moment of the story.
+ *
+ * @example
+ * const wanted = listGroupsWanted(options, 6_000);
+ */
+export function listGroupsWanted(
+  {profile, demand, burst}: EngineFleetOptions,
+  now: number,
+): Map<string, number> {
+  const isBurst = burst && now >= burst.fromMs && now < burst.untilMs;
+  return new Map(
+    profile.models.map(({name}) => {
+      const factor = isBurst ? (burst.factors[name] ?? 1) : 1;
+      return [name, (demand[name] ?? 1) * factor];
+    }),
+  );
+}
