--- a/src/coordination/groups/demand_follower.ts
+++ b/src/coordination/groups/demand_follower.ts
@@ -117,17 +117,25 @@
   }
 
   /** Shares that an operator changed hold at once; a new leader goes on with the split that it finds. */
-  private takeConfigured({profile, domains, countGroups}: FollowInput): void {
+  private takeConfigured(input: FollowInput): void {
     const configured = JSON.stringify(
-      profile.models.map(({name, size, share}) => [name, size, share]),
+      input.profile.models.map(({name, size, share}) => [name, size, share]),
     );
     if (configured === this.configured) {
       return;
     }
+    const isNew = this.configured === undefined;
     this.configured = configured;
     this.shares = undefined;
     this.move = undefined;
     this.missed.clear();
+    if (isNew) {
+      this.takeOver(input);
+    }
+  }
+
+  /** Makes the shifts that the groups which are there show to have been made. */
+  private takeOver({profile, domains, countGroups}: FollowInput): void {
     const total = profile.models.reduce(
       (sum, {name}) => sum + countGroups(name),
       0,
@@ -141,7 +149,7 @@
           countGroups(to.name) > (usual.get(to.name) ?? 0),
       );
       if (!made) {
-        break;
+        return;
       }
       split = made.profile;
       this.setShares(split);
--- a/test/coordination/demand_follower.test.ts
+++ b/test/coordination/demand_follower.test.ts
@@ -176,12 +176,11 @@
       demand: createDemand(PROFILE_12_6, new Map([['low', 12]])),
       now,
       canMove: () => true,
-      countGroups: () => 0,
+      countGroups: model => (model === 'big' ? 2 : 8),
     }).profile.models[0].share;
   };
-  look(0.5, 0);
-  expect(look(0.5, 1_000)).toBeCloseTo(0.33);
-  expect(look(0.6, 1_000)).toBe(0.6);
+  expect(look(0.5, 0)).toBeCloseTo(0.33);
+  expect(look(0.6, 0)).toBe(0.6);
 });
 
 describe('a fleet whose callers become half as many more for a while', () => {
