--- a/bench/run_engine_policy.ts
+++ b/bench/run_engine_policy.ts
@@ -13,9 +13,13 @@
 const DEFAULT_SEEDS = 24;
 const LENGTH_MS = 56_000;
 
+/** A mechanism of the plan, or the split of the hosts, switched off. */
+type Variant = EnginePolicy & {readonly followsDemand?: boolean};
+
 /** The mechanisms; without none the plan is as it is made. */
-const VARIANTS: Readonly<Record<string, EnginePolicy>> = {
+const VARIANTS: Readonly<Record<string, Variant>> = {
   'as it is': {},
+  'hosts split as configured': {followsDemand: false},
   'no slow groups': {formsFar: false},
   'no moves': {moves: false},
   'held groups not counted before moves': {countsHeldBeforeMoves: false},
@@ -65,7 +69,8 @@
   },
 };
 
-function play(fleet: Fleet, seed: number, policy: EnginePolicy) {
+function play(fleet: Fleet, seed: number, variant: Variant) {
+  const {followsDemand, ...policy} = variant;
   const {domain, sizes, demand, everyMs} = fleet;
   const domains = Object.fromEntries(
     Array.from({length: fleet.domains ?? 3}, (_, at) => [`d${at}`, domain]),
@@ -82,6 +87,7 @@
     lengthMs: LENGTH_MS,
     random: createRandom(seed),
     policy,
+    followsDemand,
   });
 }
 
@@ -99,9 +105,9 @@
 for (const [title, fleet] of Object.entries(FLEETS)) {
   console.log(`${title}, ${seeds.length} seeds`);
   const full = seeds.map(seed => play(fleet, seed, {}));
-  for (const [name, policy] of Object.entries(VARIANTS)) {
+  for (const [name, variant] of Object.entries(VARIANTS)) {
     const results = seeds.map((seed, at) =>
-      name === 'as it is' ? full[at] : play(fleet, seed, policy),
+      name === 'as it is' ? full[at] : play(fleet, seed, variant),
     );
     const {mean} = compute(results.map(({covered}) => covered));
     const worst = compute(results.map(result => result.worst)).mean;
