perf(coordination): a plan looks up members and domains in place of searching all backend servers

A plan's time grew with groups times backend servers (plan_upgrades, plan_rebalance). Change: one index a plan.

--- a/src/coordination/groups/plan_rebalance.ts
+++ b/src/coordination/groups/plan_rebalance.ts
@@ -14,6 +14,15 @@
 
 type Model = EngineProfile['models'][number];
 
+/** What is looked at for each fabric domain, found once for all of them. */
+interface Domain {
+  readonly name: string;
+  readonly groups: readonly EngineGroup[];
+  readonly free: readonly BackendView[];
+  /** All backend servers, by incarnation. */
+  readonly views: ReadonlyMap<string, BackendView>;
+}
+
 /**
  * Ends groups of models that have more of them than they should for the one that the
  * split was changed for, or more hosts for their share of the work than one of which
@@ -74,9 +83,21 @@
   counts: EngineCounts,
   input: EnginePlanInput,
 ): readonly EngineGroup[] | undefined {
-  const domains = [...new Set(input.groups.map(group => group.domain))];
-  return domains
-    .flatMap(domain => {
+  const views = new Map(
+    input.backends.map(view => [view.registration.incarnation, view]),
+  );
+  const free = new Map<string, BackendView[]>();
+  for (const host of listFreeEngines(input)) {
+    const {domain = ''} = host.registration;
+    free.set(domain, [...(free.get(domain) ?? []), host]);
+  }
+  const groups = new Map<string, EngineGroup[]>();
+  for (const group of input.groups) {
+    groups.set(group.domain, [...(groups.get(group.domain) ?? []), group]);
+  }
+  return [...groups]
+    .flatMap(([name, own]) => {
+      const domain = {name, groups: own, free: free.get(name) ?? [], views};
       const donors = listDonors(model, domain, counts, input);
       return donors ? [donors] : [];
     })
@@ -85,22 +106,24 @@
 
 function listDonors(
   model: Model,
-  domain: string,
+  domain: Domain,
   counts: EngineCounts,
   input: EnginePlanInput,
 ): readonly EngineGroup[] | undefined {
   const donors: EngineGroup[] = [];
-  let ready = countReady(listFreeEngines(input), domain, model);
-  for (const group of input.groups) {
+  let ready = countReady(domain.free, domain, model);
+  for (const group of domain.groups) {
     const isDonor =
       ready < model.size &&
-      isServing(group, input) &&
-      group.domain === domain &&
+      isServing(group, domain) &&
       group.model !== model.name &&
       isBetterOff(group, donors, model, counts, input);
     if (isDonor) {
       donors.push(group);
-      ready += countReady(listMembers(group, input), domain, model);
+      const members = group.members.flatMap(
+        ({incarnation}) => domain.views.get(incarnation) ?? [],
+      );
+      ready += countReady(members, domain, model);
     }
   }
   return donors.length > 0 && ready >= model.size ? donors : undefined;
@@ -109,31 +132,20 @@
 /** One that is being formed is about to help by itself. */
 function isServing(
   {isEnding, members, name}: EngineGroup,
-  {backends}: EnginePlanInput,
+  {views}: Domain,
 ): boolean {
-  const [head] = members;
-  const told = backends.find(
-    ({registration}) => registration.incarnation === head.incarnation,
-  )?.registration.group;
+  const told = views.get(members[0].incarnation)?.registration.group;
   return !isEnding && told?.name === name && told.state === 'open';
 }
 
-function listMembers(
-  {members}: EngineGroup,
-  {backends}: EnginePlanInput,
-): BackendView[] {
-  const own = new Set(members.map(member => member.incarnation));
-  return backends.filter(({registration}) => own.has(registration.incarnation));
-}
-
 function countReady(
   hosts: readonly BackendView[],
-  domain: string,
+  {name}: Domain,
   model: Model,
 ): number {
   return hosts.filter(
     host =>
-      host.registration.domain === domain &&
+      host.registration.domain === name &&
       computeReadyMs(host, model) < model.loadMs,
   ).length;
 }
--- a/src/coordination/groups/plan_upgrades.ts
+++ b/src/coordination/groups/plan_upgrades.ts
@@ -5,6 +5,9 @@
 import {EnginePlanInput} from './engine_plan_input';
 import {listFreeEngines} from './list_free_engines';
 
+/** Fabric domains of backend servers, by incarnation. */
+type Domains = ReadonlyMap<string, string | undefined>;
+
 /**
  * Ends groups over several domains whose hosts, with the free ones, could form
  * a group of the same model within one domain and without a load.
@@ -13,12 +16,18 @@
  * const actions = planUpgrades(input);
  */
 export function planUpgrades(input: EnginePlanInput): EngineAction[] {
+  const domains = new Map(
+    input.backends.map(({registration}) => [
+      registration.incarnation,
+      registration.domain,
+    ]),
+  );
   const far = input.groups.find(
     group =>
       !group.isEnding &&
-      isFar(group, input) &&
+      isFar(group, domains) &&
       !isNeeded(group, input) &&
-      canBeNear(group, input),
+      canBeNear(group, input, domains),
   );
   if (!far) {
     return [];
@@ -39,20 +48,19 @@
   return !hasOther && isPressed(model);
 }
 
-function listDomains(group: EngineGroup, input: EnginePlanInput): string[] {
-  return group.members.flatMap(({incarnation}) => {
-    const view = input.backends.find(
-      known => known.registration.incarnation === incarnation,
-    );
-    return view?.registration.domain ?? [];
-  });
+function listDomains({members}: EngineGroup, domains: Domains): string[] {
+  return members.flatMap(({incarnation}) => domains.get(incarnation) ?? []);
 }
 
-function isFar(group: EngineGroup, input: EnginePlanInput): boolean {
-  return new Set(listDomains(group, input)).size > 1;
+function isFar(group: EngineGroup, domains: Domains): boolean {
+  return new Set(listDomains(group, domains)).size > 1;
 }
 
-function canBeNear(group: EngineGroup, input: EnginePlanInput): boolean {
+function canBeNear(
+  group: EngineGroup,
+  input: EnginePlanInput,
+  known: Domains,
+): boolean {
   const model = input.profile.models.find(({name}) => name === group.model);
   if (!model) {
     return false;
@@ -60,7 +68,7 @@
   const ready = listFreeEngines(input)
     .filter(host => computeReadyMs(host, model) < model.loadMs)
     .map(host => host.registration.domain ?? '');
-  const domains = [...ready, ...listDomains(group, input)];
+  const domains = [...ready, ...listDomains(group, known)];
   return domains.some(
     domain => domains.filter(other => other === domain).length >= model.size,
   );
