--- a/src/control/engine_planner_loop.ts
+++ b/src/control/engine_planner_loop.ts
@@ -22,12 +22,6 @@
 
 /** A repair takes half a dozen steps, each of which waits for the next plan. */
 const PLAN_EVERY_MS = 40;
-/**
- * A plan is followed by this many times its own time without one, so that planning for
- * thousands of hosts leaves the leader its time for callers. A plan of 10 ms rests for
- * less than the time between two plans.
- */
-const REST_FACTOR = 3;
 /** A new leader first listens for this many registration intervals. */
 const LISTEN_INTERVALS = 1.1;
 /** Silence in registration intervals after which a backend server counts as away. */
@@ -62,7 +56,6 @@
   private readonly followers = new Map<string, DemandFollower>();
   private plannedTerm = -1;
   private isCommitting = false;
-  private restsUntil = -Infinity;
 
   private constructor(private readonly options: EnginePlannerOptions) {
     const {duties, clock, registry, desk, events} = options;
@@ -98,8 +91,7 @@
     this.release.refresh(runtime.state.engines.list(), now);
     const listenMs = duties.heartbeatMs * LISTEN_INTERVALS;
     const isListening = now - runtime.leadingSince < listenMs;
-    const isResting = this.isCommitting || now < this.restsUntil;
-    if (!runtime.canAnswer() || isResting || isListening) {
+    if (!runtime.canAnswer() || this.isCommitting || isListening) {
       return;
     }
     if (this.plannedTerm !== runtime.raft.term) {
@@ -122,9 +114,8 @@
   }
 
   private async planPool(pool: Pool, now: number): Promise<void> {
-    const {runtime, registry, duties, desk, clock} = this.options;
+    const {runtime, registry, duties, desk} = this.options;
     const {engines} = runtime.state;
-    const startedAt = clock.now();
     if (!pool.engine) {
       return;
     }
@@ -159,8 +150,6 @@
       hasLeaver: (group: EngineGroup) => this.release.hasLeaver(group),
     };
     const actions = planEngineGroups(this.followDemand(input, domains));
-    const plannedAt = clock.now();
-    this.restsUntil = plannedAt + (plannedAt - startedAt) * REST_FACTOR;
     if (actions.some(action => 'isMove' in action && action.isMove)) {
       this.rebalancedAt = now;
     }
--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -76,12 +76,7 @@
   private constructor(private readonly options: GatewayDeskOptions) {
     const {registry, runtime, identity, signal} = options;
     const leaderName = splitIdentity(identity).name;
-    this.table = TargetTable.create({
-      registry,
-      runtime,
-      leaderName,
-      clock: options.clock,
-    });
+    this.table = TargetTable.create({registry, runtime, leaderName});
     signal.subscribe(() => this.joinChanges());
     this.registrations = RegistrationDesk.create({
       ...options,
@@ -281,18 +276,10 @@
       return;
     }
     this.isJoining = true;
-    const restMs = this.table.computeRestMs(this.options.clock.now());
-    setTimeout(
-      () => {
-        this.isJoining = false;
-        this.joinedChanges.announce();
-        // What came while the table rested is not in it yet.
-        if (this.table.computeRestMs(this.options.clock.now()) > 0) {
-          this.joinChanges();
-        }
-      },
-      Math.max(JOIN_MS, restMs),
-    );
+    setTimeout(() => {
+      this.isJoining = false;
+      this.joinedChanges.announce();
+    }, JOIN_MS);
   }
 
   private countRunning(exceptId: string): Record<string, number> {
--- a/src/control/target_table.ts
+++ b/src/control/target_table.ts
@@ -2,7 +2,6 @@
  * What gateways may send requests to, kept by changes: each change is worked out once
  * and told to every gateway, and a gateway gets what changed since it last asked.
  */
-import {Clock} from '../common/clock';
 import {BackendView} from '../coordination/groups/backend_view';
 import {EngineGroup} from '../protocol/engine_group';
 import {GatewayTarget} from '../protocol/gateway_target';
@@ -14,14 +13,6 @@
  * loss of a domain of 37 hosts makes fewer than 100.
  */
 const MAX_CHANGES = 1_024;
-/**
- * A walk over all backend servers is followed by this many times its own time without
- * one: hundreds of gateways ask between two changes, and with thousands of backend
- * servers the leader would do nothing else.
- */
-const REST_FACTOR = 4;
-/** Walks that are shorter than this cost nothing that matters, in milliseconds. */
-const SHORT_WALK_MS = 1;
 /** After this long as leader every backend server that lives has been heard. */
 const COMPLETE_AFTER_MS = 15_000;
 
@@ -47,7 +38,6 @@
   readonly runtime: Pick<RaftRuntime, 'state' | 'raft' | 'leadingSince'>;
   /** Told to gateways, so that tables of two leaders never look alike. */
   readonly leaderName: string;
-  readonly clock: Clock;
 }
 
 /** The table of one leader. */
@@ -60,7 +50,6 @@
   private count = 0;
   private era = '';
   private isEraComplete = false;
-  private restsUntil = -Infinity;
   private seen = '';
 
   private constructor(private readonly options: TargetTableOptions) {}
@@ -86,11 +75,6 @@
     return now - this.options.runtime.leadingSince > COMPLETE_AFTER_MS;
   }
 
-  /** How long until the next change is looked at, in milliseconds. */
-  computeRestMs(now: number): number {
-    return Math.max(0, this.restsUntil - now);
-  }
-
   /** What a gateway needs that holds the table with this tag. */
   describeSince(tag: string, now: number): TableNews {
     this.refresh(now);
@@ -124,11 +108,9 @@
     const isComplete = this.isComplete(now);
     const era = `${leaderName}/${term}/${isComplete ? 'all' : 'some'}`;
     const seen = `${registry.version}/${engines.version}/${channel.version}`;
-    const isResting = now < this.restsUntil && era === this.era;
-    if (isResting || (era === this.era && seen === this.seen)) {
+    if (era === this.era && seen === this.seen) {
       return;
     }
-    const startedAt = this.options.clock.now();
     if (era !== this.era) {
       this.known.clear();
       this.retired.clear();
@@ -139,9 +121,6 @@
     this.seen = seen;
     this.recordRetired(engines.listRetired());
     this.recordTargets();
-    const tookMs = this.options.clock.now() - startedAt;
-    const restMs = tookMs < SHORT_WALK_MS ? 0 : tookMs * REST_FACTOR;
-    this.restsUntil = startedAt + tookMs + restMs;
   }
 
   private recordRetired(retired: readonly string[]): void {
--- a/test/control/target_table.test.ts
+++ b/test/control/target_table.test.ts
@@ -24,23 +24,14 @@
     raft,
     leadingSince: 0,
   } as unknown as RaftRuntime;
-  /** Each look at the clock finds that so much time has passed. */
-  const walk = {ms: 0};
-  let time = 0;
-  const table = TargetTable.create({
-    registry,
-    runtime,
-    leaderName: 'c',
-    clock: {now: () => (time += walk.ms)},
-  });
+  const table = TargetTable.create({registry, runtime, leaderName: 'c'});
   let sequence = 1;
   const register = (name: string, told?: Told) => {
     sequence += 1;
     const changes = {sequence, group: told};
     registry.record(host(name, changes).registration, 0);
   };
-  const startAt = (ms: number) => (time = ms);
-  return {engines, registry, raft, table, register, walk, startAt};
+  return {engines, registry, raft, table, register};
 }
 
 function open(name: string, epoch: number): Told {
@@ -73,24 +64,6 @@
     expect(table.readTag(COMPLETE_AT)).toBe(tag);
   });
 
-  // With 3,000 backend servers and 250 gateways that ask four times a second, a walk
-  // for each question took all of the leader's time, and 7 in 100 requests were served.
-  test('rests after a long walk, and then has every change', () => {
-    const {table, engines, register, walk, startAt} = create();
-    walk.ms = 5;
-    startAt(COMPLETE_AT);
-    register('a');
-    const tag = table.readTag(COMPLETE_AT);
-    engines.set(group(['a', 'b'], {name: 'g', epoch: 3}));
-    register('a', open('g', 3));
-    expect(table.readTag(COMPLETE_AT + 15)).toBe(tag);
-    expect(table.computeRestMs(COMPLETE_AT + 15)).toBeGreaterThan(0);
-
-    const later = COMPLETE_AT + 50;
-    const {targets} = table.describeSince(tag, later);
-    expect(targets.map(({incarnation}) => incarnation)).toEqual(['a']);
-  });
-
   test('tells that a head closed', () => {
     const {table, engines, register} = create();
     engines.set(group(['a', 'b'], {name: 'g', epoch: 3}));
