--- a/src/control/backend_health.ts
+++ b/src/control/backend_health.ts
@@ -12,18 +12,18 @@
 const FAILED_PROBES = 2;
 /** The same where a gateway says that the group has stalled: one more witness. */
 const FAILED_PROBES_STALLED = 1;
+/** How long bytes that a gateway got from a head speak for all members of its group. */
+const SPEAKS_FOR_MS = 2_000;
 /**
- * A group speaks for its members while a gateway hears its head. Where another says
- * that it has stalled, by bytes that came within one telling of the gateways: then only
- * the way to one of them is bad, or the leader's own.
+ * The same where a gateway says that the head has stalled: one telling of the others,
+ * after which they would have heard it if only the way to that one were bad.
  */
-const SPEAKS_FOR_MS = 2_000;
 const SPEAKS_FOR_STALLED_MS = 300;
 /** Between two questions to one backend server that is in doubt. */
 const PROBE_EVERY_MS = 150;
 /**
- * The same once it answered, or counts as lost: only a change would be news. Asked
- * every 150 ms, 247 doubts made 3,200 checks in 12 s, each on a new connection.
+ * The same once it answered, or counts as lost: only a change would be news, and each
+ * question takes a new connection.
  */
 const PROBE_SETTLED_EVERY_MS = 1_000;
 
--- a/src/control/raft_runtime.ts
+++ b/src/control/raft_runtime.ts
@@ -154,7 +154,7 @@
    */
   canAnswer(): boolean {
     const {clock, leaseClock} = this.options;
-    // A leader that was suspended for 5 s held a lease of 450 ms: its round was 20 ms old.
+    // A leader that was suspended would hold a lease by a round from before.
     const trustedSince = leaseClock?.pausedAt;
     return (
       this.appliedTerm === this.node.term &&
--- a/src/coordination/groups/reserve_engines.ts
+++ b/src/coordination/groups/reserve_engines.ts
@@ -87,8 +87,6 @@
 /**
  * Members of groups whose silent head is about to let go, for some five seconds:
  * less than the load that a host needs which went to another model meanwhile.
- * On replayed losses (bench/run_engine_policy, 12 seeds) a fleet of 81 hosts
- * serves 0.005 less of its demand without this, one of 24 hosts 0.004 more.
  */
 function listHeld(input: EnginePlanInput): BackendView[] {
   const held = new Set(
--- a/src/coordination/requests/decide_verdict.ts
+++ b/src/coordination/requests/decide_verdict.ts
@@ -35,8 +35,8 @@
   const isInWave = own.some(({time}) =>
     otherEnds.some(other => Math.abs(other - time) <= WAVE_MS),
   );
-  // Judged at once, two ends refused 3 of 9,524 healthy requests beside a series of six losses
-  // (bench/run_containment, six seeds); none of 9,494 with the wait.
+  // Losses that come together end healthy requests twice, too: judged at once, these
+  // would be refused for good.
   const isWaveOver = own.every(({time}) => now - time >= WAVE_MS);
   const isAlone = isWaveOver && !isInWave;
   const isGuilty =
--- a/src/gateway/choose_by_level.ts
+++ b/src/gateway/choose_by_level.ts
@@ -5,9 +5,7 @@
  * Chooses where a request goes while others choose beside it, unseen.
  *
  * All who know the same old loads and each take the least one come to the same
- * place together: 36 gateways that heard of each other every 250 ms made up to 14 in
- * 100 streams late (virtual clock, three seeds) where 5 with the same load made none.
- * So each draws in proportion to what a place lacks to the level that all would have
+ * place together, the more so the more they are. So each draws in proportion to what a place lacks to the level that all would have
  * once the unseen work is spread over the lowest of them.
  *
  * @param loads known work of each place
--- a/src/gateway/decide_admission.ts
+++ b/src/gateway/decide_admission.ts
@@ -34,8 +34,8 @@
       createPostponement('control did not confirm the rules lately'),
     );
   }
-  // A route that was added 2.2 s before was refused with 404 by rules confirmed
-  // 2.2 s ago: serving needs less knowledge than saying that there is nothing.
+  // Rules that do not have a new route yet would refuse its callers for good: serving
+  // needs less knowledge than saying that there is nothing.
   const refuseForGood = (status: number, reason: string) =>
     isCurrent
       ? refuse({status, reason})
