--- a/test/control/groups_cut_from_control.test.ts
+++ b/test/control/groups_cut_from_control.test.ts
@@ -143,6 +143,17 @@
     expect(lostAt.get('b')).toBeLessThanOrEqual(1_500);
   });
 
+  test('is lost as soon when it is the head itself that died', async () => {
+    const lostAt = await play({
+      headSendsUntil: 1_000,
+      unreachable: new Set(['a']),
+      stalledFrom: 1_200,
+      forMs: 8_000,
+    });
+    expect([...lostAt.keys()]).toEqual(['a']);
+    expect(lostAt.get('a')).toBeLessThanOrEqual(1_500);
+  });
+
   test('is lost when nobody has work there and it answers no question', async () => {
     const lostAt = await play({
       headSendsUntil: -Infinity,
--- a/test/coordination/demand_follower.test.ts
+++ b/test/coordination/demand_follower.test.ts
@@ -125,6 +125,77 @@
   });
 });
 
+describe('a pool of three models', () => {
+  const models = [12, 6, 6].map((size, at) => ({
+    ...LOW,
+    name: `m${at}`,
+    size,
+    share: 1 / 3,
+  }));
+  const profile = {...PROFILE, models};
+  const follow3 = (phases: ReadonlyArray<readonly number[]>) => {
+    const follower = DemandFollower.create();
+    let now = 0;
+    return phases.map(demand => {
+      let counts: number[] = [];
+      for (const until = now + 20_000; now < until; now += STEP_MS) {
+        const wanted = new Map(demand.map((groups, at) => [`m${at}`, groups]));
+        const followed = follower.follow({
+          profile,
+          domains: DOMAINS,
+          demand: createDemand(profile, wanted),
+          now,
+          canMove: () => true,
+          countGroups: () => 0,
+        });
+        const usual = computeUsualGroups(followed.profile, DOMAINS);
+        counts = models.map(({name}) => usual.get(name) ?? 0);
+      }
+      return counts;
+    });
+  };
+
+  test('gives hosts to the one that needs them, from the one that can spare most', () => {
+    const [before, after] = follow3([
+      [0.8, 1.5, 1.5],
+      [0.8, 5.2, 0.6],
+    ]);
+    expect(before).toEqual([2, 4, 4]);
+    expect(after[0]).toBe(2);
+    expect(after[1]).toBeGreaterThanOrEqual(6);
+    expect(after[2]).toBeGreaterThanOrEqual(2);
+  });
+
+  test('turns round when the demand does', () => {
+    const [, one, other] = follow3([
+      [0.8, 1.5, 1.5],
+      [0.8, 5.2, 0.6],
+      [0.8, 0.6, 5.2],
+    ]);
+    expect(one[1]).toBeGreaterThan(one[2]);
+    expect(other[2]).toBeGreaterThan(other[1]);
+    expect(other[2]).toBeGreaterThanOrEqual(6);
+  });
+});
+
+describe('a demand that turns round in the middle of a day', () => {
+  test('takes the hosts back', () => {
+    const changes = follow(
+      [
+        {forMs: 20_000, ...BURST},
+        {forMs: 20_000, big: 2.6, low: 1.5},
+      ],
+      0.2,
+    );
+    expect(changes.map(({counts}) => counts)).toEqual([
+      '3 and 6',
+      '2 and 8',
+      '3 and 6',
+      '4 and 4',
+    ]);
+  });
+});
+
 describe('a leader that has just begun', () => {
   const begin = (big: number, low: number, share = 0.5) => {
     const [first, second] = PROFILE_12_6.models;
