refactor(control): one notion of when gateways heard a backend server, which is forgotten in time

Cause: the leader kept two maps of the same thing, when a gateway last said that it hears a head and when it heard it; and neither was ever emptied. Change: one map by the age that gateways tell, for the doubt and for the verdict, expired with the words it comes from. Tests of control: all passed.

--- a/src/control/backend_health.ts
+++ b/src/control/backend_health.ts
@@ -47,7 +47,7 @@
   readonly clock: Clock;
   readonly registry: BackendRegistry;
   readonly events: EventRing;
-  readonly desk: Pick<GatewayDesk, 'isStalled' | 'isAnswering' | 'findHeardAt'>;
+  readonly desk: Pick<GatewayDesk, 'isStalled' | 'findHeardAt'>;
 }
 
 /** Judges by silence, by the gateways' word and by asking. */
@@ -85,8 +85,7 @@
       for (const {incarnation, address} of members) {
         const seenAt = registry.find(incarnation)?.seenAt ?? -Infinity;
         const isSilent = now - seenAt > duties.heartbeatMs * DOUBT_INTERVALS;
-        // A group whose head gives answers has all its members.
-        if (isStalled || (isSilent && !desk.isAnswering(head))) {
+        if (isStalled || (isSilent && !this.isSpokenFor({head, isStalled}))) {
           doubted.set(incarnation, {address, head, isStalled});
         }
       }
@@ -141,7 +140,10 @@
   }
 
   /** A head that lacks a member sends nothing, so one that is heard has them all. */
-  private isSpokenFor({head, isStalled}: Doubt): boolean {
+  private isSpokenFor({
+    head,
+    isStalled,
+  }: Pick<Doubt, 'head' | 'isStalled'>): boolean {
     const {desk, clock} = this.options;
     const withinMs = isStalled ? SPEAKS_FOR_STALLED_MS : SPEAKS_FOR_MS;
     return (
--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -55,11 +55,11 @@
   private readonly gateways = new Map<string, GatewayWord>();
   /** When a gateway last said so, by incarnation. */
   private readonly stalledAt = new Map<string, number>();
-  private readonly answeringAt = new Map<string, number>();
   /** When bytes of its answers last came to a gateway, by incarnation. */
   private readonly heardAt = new Map<string, number>();
   /** When a gateway last lacked places, by model. */
   private readonly pressedAt = new Map<string, number>();
+  private expiredAt = -Infinity;
   private hasServedRequests = false;
   /** Changes that are written and not committed yet. */
   private readonly underWay: Array<
@@ -104,11 +104,6 @@
     return this.isRecent(this.stalledAt.get(incarnation));
   }
 
-  /** Some gateway heard this backend server lately. */
-  isAnswering(incarnation: string): boolean {
-    return this.isRecent(this.answeringAt.get(incarnation));
-  }
-
   /** When bytes of its answers last came to any gateway, as far as they told. */
   findHeardAt(incarnation: string): number {
     return this.heardAt.get(incarnation) ?? -Infinity;
@@ -320,13 +315,29 @@
     }
     ask.stalled.forEach(incarnation => this.stalledAt.set(incarnation, now));
     ask.answering.forEach((incarnation, at) => {
-      this.answeringAt.set(incarnation, now);
-      const msAgo = ask.answeringMsAgo?.[at] ?? Infinity;
+      // A gateway of an older version tells only that it heard it lately.
+      const msAgo = ask.answeringMsAgo?.[at] ?? 0;
       const heardAt = Math.max(this.findHeardAt(incarnation), now - msAgo);
       this.heardAt.set(incarnation, heardAt);
     });
     ask.pressed.forEach(model => this.pressedAt.set(model, now));
     this.hasServedRequests ||= ask.hasServed;
+    this.expireWords(now);
+  }
+
+  /** Backend servers come and go for as long as this process leads. */
+  private expireWords(now: number): void {
+    if (now - this.expiredAt < WORD_MS) {
+      return;
+    }
+    this.expiredAt = now;
+    for (const words of [this.stalledAt, this.heardAt]) {
+      for (const [incarnation, at] of words) {
+        if (now - at > WORD_MS) {
+          words.delete(incarnation);
+        }
+      }
+    }
   }
 
   private isRecent(at: number | undefined): boolean {
--- a/test/control/engine_orders.test.ts
+++ b/test/control/engine_orders.test.ts
@@ -219,8 +219,8 @@
       events: EventRing.create(),
       desk: {
         isStalled: incarnation => incarnation === words.stalled,
-        isAnswering: incarnation => incarnation === words.answering,
-        findHeardAt: () => -Infinity,
+        findHeardAt: incarnation =>
+          incarnation === words.answering ? clock.now() : -Infinity,
       },
     });
     const refresh = async () => {
--- a/test/control/lost_member_stays_lost.test.ts
+++ b/test/control/lost_member_stays_lost.test.ts
@@ -32,7 +32,6 @@
     events: EventRing.create(),
     desk: {
       isStalled: incarnation => incarnation === 'a',
-      isAnswering: () => false,
       findHeardAt: () => 1_000 - LAST_HEARD_MS,
     },
   });
