feat(gateway): what backend servers name in their answers is read and written down

Cause: no log line can tell whether a limit was heard, by whom and when, so the hypotheses of the incident (nobody reads it, each keeps to it alone, what was placed before comes late) look alike. Change: the head of an answer carries the limit; each gateway writes limit-named, -changed and -ended, and a line for a value that is no number. No decision is changed by it.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -52,9 +52,9 @@
       comment:
         'decisions about requests, groups of hosts and agreement do not know each other',
       severity: 'error',
-      from: {path: '^src/coordination/(agreement|groups|requests)/'},
+      from: {path: '^src/coordination/(agreement|groups|limits|requests)/'},
       to: {
-        path: '^src/coordination/(agreement|groups|requests)/',
+        path: '^src/coordination/(agreement|groups|limits|requests)/',
         pathNot: '^src/coordination/$1/',
       },
     },
--- a/src/gateway/answer_head.ts
+++ b/src/gateway/answer_head.ts
@@ -18,4 +18,8 @@
   readonly isFramed: boolean;
   /** The body is a series of events. */
   readonly isEventStream: boolean;
+  /** Requests a second that the backend server takes from all gateways together. */
+  readonly limitPerSecond?: number;
+  /** A header that cannot mean what its name says, with its value. */
+  readonly unread?: string;
 }
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -4,6 +4,7 @@
 import {HttpOrigins} from '../transport/http_origins';
 import {AnswerHead} from './answer_head';
 import {AttemptEnd} from './attempt_end';
+import {BackendSignals} from './backend_signals';
 import {CallerDialect} from './caller_dialect';
 import {GatewayRequest} from './gateway_request';
 import {TargetBoard} from './target_board';
@@ -19,6 +20,7 @@
   readonly maxConnections: number;
   readonly origins: HttpOrigins;
   readonly board: TargetBoard;
+  readonly signals: BackendSignals;
   readonly dialect: CallerDialect;
   readonly clock: Clock;
   /** The head of an answer that is the backend server's own. */
@@ -36,6 +38,7 @@
   private head: AnswerHead | undefined;
   private hasBytes = false;
   private isSent = false;
+  private sentAt = -Infinity;
   private isEnded = false;
   private isHeldBack = false;
 
@@ -121,6 +124,7 @@
       {
         onSent: () => {
           this.isSent = true;
+          this.sentAt = this.options.clock.now();
         },
         onHead: (status, raw) =>
           this.handleHead(dialect.readAnswer(status, raw)),
@@ -132,10 +136,15 @@
   }
 
   private handleHead(head: AnswerHead): void {
-    const {request, board, target} = this.options;
+    const {request, board, target, signals} = this.options;
     if (this.isEnded) {
       return;
     }
+    const isOwn = head.isNotRun || head.requestId === request.id;
+    if (isOwn && !head.isOtherIncarnation) {
+      const {incarnation} = target;
+      signals.recordHead({incarnation, head, sentAt: this.sentAt});
+    }
     // A head says nothing about progress: it may leave before any work begins.
     if (head.isOtherIncarnation) {
       board.drop(target.incarnation);
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -12,6 +12,7 @@
 import {HttpListener} from '../transport/http_listener';
 import {HttpOrigins} from '../transport/http_origins';
 import {readHttpBody} from '../transport/read_http_body';
+import {BackendSignals} from './backend_signals';
 import {BreakWitness} from './break_witness';
 import {CallerAnswer} from './caller_answer';
 import {Containment} from './containment';
@@ -24,6 +25,7 @@
 import {GatewaySettings} from './gateway_settings';
 import {GatewayStop} from './gateway_stop';
 import {PlaceForecast} from './place_forecast';
+import {PressedModels} from './pressed_models';
 import {RepeatBudget} from './repeat_budget';
 import {RequestFlow} from './request_flow';
 import {RequestIdentity} from './request_identity';
@@ -38,8 +40,6 @@
 const STOPPED = 'this gateway stopped';
 /** What a caller may send before any rules are known. */
 const UNKNOWN_LIMIT_BYTES = 1024 * 1024;
-/** A refusal speaks for more hosts this long. */
-const PRESSED_MS = 1_000;
 /** A control process that is silent for this long is left for another. */
 const CONTROL_TRY_MS = 1_000;
 
@@ -67,8 +67,11 @@
   private openRequests = 0;
   /** Answers of requests that were admitted, until their last byte has left. */
   private readonly takenAnswers = new Set<CallerAnswer>();
-  /** When a request was last refused for want of a place, by model. */
-  private readonly pressedAt = new Map<string, number>();
+  private readonly pressed = PressedModels.create(systemClock);
+  private readonly signals = BackendSignals.create({
+    clock: systemClock,
+    events: this.events,
+  });
   /** Connections on which a request came before. */
   private readonly knownConnections = new WeakSet<Socket>();
   private readonly stop: GatewayStop;
@@ -121,7 +124,7 @@
       changesWithinMs,
       collectNews: () => ({
         ...this.board.listNews(),
-        pressed: this.listPressed(),
+        pressed: this.pressed.list(),
         hasServed: this.hasServed,
         demand: this.demand.describe(),
       }),
@@ -306,6 +309,7 @@
       budget: this.findBudget(pool.name),
       forecast: this.forecast,
       containment: this.containment,
+      signals: this.signals,
       dialect: this.settings.dialect,
       clock: this.clock,
       onDone: result => {
@@ -330,22 +334,6 @@
     return Math.min(waitMs, timeoutMs) - (this.clock.now() - arrivedAt);
   }
 
-  private listPressed(): string[] {
-    const since = this.clock.now() - PRESSED_MS;
-    return [...this.pressedAt].flatMap(([model, at]) =>
-      at > since ? [model] : [],
-    );
-  }
-
-  private recordPressed(model: string): void {
-    const now = this.clock.now();
-    const isNews = now - (this.pressedAt.get(model) ?? -Infinity) > PRESSED_MS;
-    this.pressedAt.set(model, now);
-    if (isNews) {
-      this.feed.tellNow();
-    }
-  }
-
   private findBudget(pool: string): RepeatBudget {
     const known = this.budgets.get(pool);
     const budget =
@@ -368,8 +356,11 @@
     if (outcome === 'answered') {
       this.stop.recordAnswered(route, tookMs);
     }
-    if (outcome === 'refused' && request.model !== undefined) {
-      this.recordPressed(request.model);
+    const {model} = request;
+    if (outcome === 'refused' && model !== undefined) {
+      if (this.pressed.record(model)) {
+        this.feed.tellNow();
+      }
     }
     this.log.recordResult(request, route, result);
   }
--- a/src/gateway/request_flow_options.ts
+++ b/src/gateway/request_flow_options.ts
@@ -2,6 +2,7 @@
 import {Clock} from '../common/clock';
 import {GatewayRules} from '../protocol/gateway_rules';
 import {HttpOrigins} from '../transport/http_origins';
+import {BackendSignals} from './backend_signals';
 import {CallerAnswer} from './caller_answer';
 import {CallerDialect} from './caller_dialect';
 import {Containment} from './containment';
@@ -30,6 +31,7 @@
   readonly budget: RepeatBudget;
   readonly forecast: PlaceForecast;
   readonly containment: Containment;
+  readonly signals: BackendSignals;
   readonly dialect: CallerDialect;
   readonly clock: Clock;
   /** Told once, when the caller has its final answer or is gone. */
--- a/test/support/flow_fixture.ts
+++ b/test/support/flow_fixture.ts
@@ -3,6 +3,7 @@
 import {AddressInfo} from 'node:net';
 import {systemClock} from '../../src/common/system_clock';
 import {EventRing} from '../../src/common/event_ring';
+import {BackendSignals} from '../../src/gateway/backend_signals';
 import {BreakWitness} from '../../src/gateway/break_witness';
 import {CallerAnswer} from '../../src/gateway/caller_answer';
 import {Containment} from '../../src/gateway/containment';
@@ -54,6 +55,10 @@
   readonly board = TargetBoard.create('z', systemClock, () => 0);
   readonly forecast = PlaceForecast.create(systemClock);
   readonly events = EventRing.create();
+  readonly signals = BackendSignals.create({
+    clock: systemClock,
+    events: this.events,
+  });
   private readonly containment = Containment.create({
     witness: BreakWitness.create({clock: systemClock, events: this.events}),
     calls: {
@@ -163,6 +168,7 @@
         request: {...request, model: this.model},
         identity: RequestIdentity.create({request, body}),
         containment: this.containment,
+        signals: this.signals,
         body,
         route: this.route,
         pool: {
--- a/test/support/plain_dialect.ts
+++ b/test/support/plain_dialect.ts
@@ -52,6 +52,8 @@
       headers,
       requestId: headers['request-id'],
       isSealed: 'seal' in headers,
+      limitPerSecond:
+        headers['limit'] === undefined ? undefined : Number(headers['limit']),
       isNotRun: 'not-run' in headers,
       isOtherIncarnation: status === 421,
       isFramed: 'content-length' in raw || 'transfer-encoding' in raw,
