test(gateway): a backend server that names a limit gets as many requests as before (fails)

Two backend servers, one of which names 5 requests a second; 67 requests a second at one and at three gateways. On the code as it is it gets 143 in 4 s with three gateways, where 35 are allowed, and no fewer with one: nobody heeds the limit, so it is not a matter of gateways that each keep to it alone (second hypothesis).

--- /dev/null
+++ b/test/gateway/limited_backend.test.ts
@@ -0,0 +1,85 @@
+// A backend server that named a limit got as many requests as before, from gateways that had passed on its answers.
+import {afterEach, expect, test} from 'vitest';
+import {BackendSlots} from '../support/backend_slots';
+import {GatewayFleet} from '../support/gateway_fleet';
+import {waitUntil} from '../support/wait_until';
+
+const PER_SECOND = 5;
+const WINDOW_MS = 4_000;
+/** What a backend server bears of its limit in a window, and requests beyond that. */
+const BORNE_PART = 1.5;
+const BORNE_REQUESTS = 5;
+/** Within which every gateway knows a limit that one of them heard. */
+const KNOWN_WITHIN_MS = 1_000;
+const BETWEEN_CALLS_MS = 15;
+
+const closers: Array<() => Promise<void>> = [];
+
+afterEach(async () => {
+  await Promise.all(closers.splice(0).map(close => close()));
+});
+
+function countMost(times: readonly number[]): number {
+  const counts = times.map(
+    from => times.filter(at => at >= from && at < from + WINDOW_MS).length,
+  );
+  return Math.max(0, ...counts);
+}
+
+test.each([1, 3])(
+  'a backend server that names a limit gets no more than it bears from %d gateways together',
+  async gateways => {
+    const reached: number[] = [];
+    const slots = await BackendSlots.create({
+      count: 2,
+      handle: ({headers, socket}) => {
+        const isLimited = headers.get('incarnation')?.startsWith('s0');
+        if (isLimited) {
+          reached.push(performance.now());
+        }
+        const limit = isLimited ? `limit: ${PER_SECOND}\r\n` : '';
+        const id = headers.get('request-id') ?? '';
+        socket.write(
+          `HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nseal: s\r\n${limit}content-length: 2\r\n\r\nok`,
+        );
+      },
+      endsUnder: () => false,
+      endsAfterMs: 0,
+      backAfterMs: 0,
+    });
+    const fleet = await GatewayFleet.create({
+      gateways,
+      stopWithinMs: 8_000,
+      route: {kind: 'safe', maxAttempts: 2},
+      handle: () => undefined,
+      slots,
+    });
+    closers.push(async () => {
+      slots.close();
+      await fleet.close();
+    });
+
+    const statuses: number[] = [];
+    let calls = 0;
+    const timer = setInterval(() => {
+      calls += 1;
+      void fleet
+        .call(calls % gateways, `c${calls}`)
+        .then(({status}) => statuses.push(status));
+    }, BETWEEN_CALLS_MS);
+    const firstAt = await waitUntil('a limit', async () => reached[0]);
+    const known = () => reached.filter(at => at > firstAt + KNOWN_WITHIN_MS);
+    await waitUntil(
+      'a window and more',
+      async () =>
+        performance.now() > firstAt + KNOWN_WITHIN_MS + WINDOW_MS + 500,
+    );
+    clearInterval(timer);
+
+    const borne = PER_SECOND * 4 * BORNE_PART + BORNE_REQUESTS;
+    expect(countMost(known())).toBeLessThanOrEqual(borne);
+    expect(known().length).toBeGreaterThan(0);
+    await waitUntil('answers', async () => statuses.length === calls);
+    expect(statuses.filter(status => status !== 200)).toEqual([]);
+  },
+);
