fix(gateway,control): requests to a backend server that names a limit need a permit of the leader

Cause: nobody read the limit. Ruled out by the failing test: gateways that each keep to it alone (one gateway broke it as well: 131 in 4 s).

Change: every request to such a backend server needs a permit, which the leader issues at the pace of the limit and never beyond the limit and one in a window of 4 s; it is used within 100 ms of the question or not at all, by the clock that counts suspensions. A share for each gateway was weighed: at 0.5 a second and 340 gateways a share is no whole request, and demand moves. A gateway that is denied sends elsewhere at once; where nothing else is there it refuses, with the time of the next place. Limits go to all gateways with the answers they wait for anyway; a new leader learns them from gateways and issues nothing for a window, since the one before may have. An answer ends a limit only if its request was sent after the limit was last named. A limit of nothing still lets one request in a window through, or it could never be seen to end.

Before: gateway/limited_backend failed (131 and 143 against 35). After: passes. control/limit_aims, on a virtual clock with 3, 16 and 340 gateways at 0.5, 3.7 and 50 a second: at most 4 s of the limit and one request, nine tenths used, known to all within 1 s, beside restarts, freezes, suspensions, cuts and changes of leader; it fails without the window, without the new leader's pause, and without the look at a permit's age. Whole suite: 584 passed.

--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -14,6 +14,7 @@
 import {ControlError} from './control_error';
 import {ControlSettings} from './control_settings';
 import {EncodedRules} from './encoded_rules';
+import {LimitDesk} from './limit_desk';
 import {RaftRuntime} from './raft_runtime';
 import {RegistrationDesk} from './registration_desk';
 import {TargetTable} from './target_table';
@@ -67,6 +68,7 @@
   > = [];
   private readonly registrations: RegistrationDesk;
   private readonly table: TargetTable;
+  private readonly limits: LimitDesk;
   private readonly encodedRules = EncodedRules.create();
   /** Requests of all gateways, by incarnation. */
   private readonly running = new Map<string, number>();
@@ -77,11 +79,11 @@
     const {registry, runtime, identity, signal} = options;
     const leaderName = splitIdentity(identity).name;
     this.table = TargetTable.create({registry, runtime, leaderName});
+    const announce = () => this.announce();
+    this.limits = LimitDesk.create({...options, leaderName, announce});
     signal.subscribe(() => this.joinChanges());
-    this.registrations = RegistrationDesk.create({
-      ...options,
-      announce: () => this.announce(),
-    });
+    this.registrations = RegistrationDesk.create({...options, announce});
+    this.handlers = {...this.createHandlers(), ...this.limits.handlers};
   }
 
   /**
@@ -130,19 +132,23 @@
     this.options.signal.announce();
   }
 
-  readonly handlers = {
-    'channel-bundle-ask': (ask: Ask<'channel-bundle-ask'>) =>
-      this.acceptBundle(ask),
-    'source-ask': ({call}: Ask<'source-ask'>): ControlMessage => {
-      const source = this.options.runtime.state.channel.source ?? null;
-      return {type: 'source-answer', call, source};
-    },
-    'registration-ask': (ask: Ask<'registration-ask'>) =>
-      this.registrations.register(ask),
-    'departure-ask': (ask: Ask<'departure-ask'>) =>
-      this.registrations.depart(ask),
-    'gateway-ask': (ask: Ask<'gateway-ask'>) => this.answerGateway(ask),
-  };
+  readonly handlers;
+
+  private createHandlers() {
+    return {
+      'channel-bundle-ask': (ask: Ask<'channel-bundle-ask'>) =>
+        this.acceptBundle(ask),
+      'source-ask': ({call}: Ask<'source-ask'>): ControlMessage => {
+        const source = this.options.runtime.state.channel.source ?? null;
+        return {type: 'source-answer', call, source};
+      },
+      'registration-ask': (ask: Ask<'registration-ask'>) =>
+        this.registrations.register(ask),
+      'departure-ask': (ask: Ask<'departure-ask'>) =>
+        this.registrations.depart(ask),
+      'gateway-ask': (ask: Ask<'gateway-ask'>) => this.answerGateway(ask),
+    };
+  }
 
   private async acceptBundle({
     call,
@@ -230,7 +236,8 @@
     const isNewTable = ask.tableTag !== tag;
     const isNewRules = ask.rulesVersion !== state.channel.version;
     const {suspects} = state;
-    const {suspectsVersion = 0} = ask;
+    const {suspectsVersion = 0, limitsTag} = ask;
+    const newLimitsTag = this.limits.readTag();
     const isNewList = suspectsVersion !== suspects.version;
     return {
       type: 'gateway-answer',
@@ -246,6 +253,11 @@
       gateways: Math.max(1, this.gateways.size),
       control: [...raft.listVotersAt(raft.commitIndex).keys()],
       suspects: isNewList ? suspects.describeSince(suspectsVersion) : undefined,
+      limitsTag: newLimitsTag,
+      limits:
+        limitsTag === undefined || limitsTag === newLimitsTag
+          ? undefined
+          : this.limits.describeSince(limitsTag),
     };
   }
 
@@ -258,6 +270,7 @@
       const isUpToDate =
         ask.rulesVersion === runtime.state.channel.version &&
         (ask.suspectsVersion ?? 0) === runtime.state.suspects.version &&
+        (ask.limitsTag ?? this.limits.readTag()) === this.limits.readTag() &&
         ask.tableTag === this.table.readTag(now);
       if (!isUpToDate || now >= until) {
         return;
@@ -320,6 +333,7 @@
       const heardAt = Math.max(this.findHeardAt(incarnation), now - msAgo);
       this.heardAt.set(incarnation, heardAt);
     });
+    this.limits.recordWords(gatewayId, ask.limits ?? []);
     ask.pressed.forEach(model => this.pressedAt.set(model, now));
     this.hasServedRequests ||= ask.hasServed;
     this.expireWords(now);
--- /dev/null
+++ b/src/coordination/limits/permit_timing.ts
@@ -0,0 +1,9 @@
+/** Times of permits that the leader and the gateways have to agree on, in milliseconds. */
+export const permitTiming = {
+  /** Backend servers count what they get over about so long. */
+  windowMs: 4_000,
+  /** A permit is used this soon after it was asked for, or not at all. */
+  useWithinMs: 100,
+  /** From the issue of a permit until nothing can be sent by it any more: a send that waits for its connection is called back within some looks at it. */
+  lifeMs: 150,
+} as const;
--- /dev/null
+++ b/src/gateway/backend_limits.ts
@@ -0,0 +1,226 @@
+/** Limits that backend servers name, as this gateway knows them, and its permits to send in spite of them. */
+import {Clock} from '../common/clock';
+import {EventRing} from '../common/event_ring';
+import {NamedLimits} from '../coordination/limits/named_limits';
+import {PermitPacing} from '../coordination/limits/permit_pacing';
+import {permitTiming} from '../coordination/limits/permit_timing';
+import {LimitWord} from '../protocol/limit_word';
+import {PermitVerdict} from '../protocol/permit_verdict';
+
+/** Words in one message to control; the rest follows with the next. */
+const MAX_WORDS = 64;
+
+/** Between two questions while no leader answers, in milliseconds: each costs a request the wait for it. */
+const SILENT_MS = 200;
+
+/** What the limits work with. */
+interface BackendLimitsOptions {
+  readonly clock: Clock;
+  /** Permits run out by it, so it counts the time for which this machine was suspended. */
+  readonly leaseClock: Clock;
+  readonly events: EventRing;
+  readonly askPermit: (limit: LimitWord) => Promise<PermitVerdict>;
+  /** Control should hear of a limit at once. */
+  readonly onNews: () => void;
+}
+
+/** One for all requests of a gateway. */
+export class BackendLimits {
+  private readonly limits = NamedLimits.create();
+  private readonly pacings = new Map<string, PermitPacing>();
+  /** The last word on each backend server that a leader has, with that leader's name. */
+  private readonly told = new Map<string, string>();
+  private tag = '';
+  /** No leader answered: nobody asks before. */
+  private silentUntil = -Infinity;
+
+  private constructor(private readonly options: BackendLimitsOptions) {}
+
+  /**
+   * Creates a table without limits.
+   *
+   * @example
+   * const limits = BackendLimits.create({clock, leaseClock, events, askPermit, onNews});
+   */
+  static create(options: BackendLimitsOptions): BackendLimits {
+    return new BackendLimits(options);
+  }
+
+  /** Takes the limit that an answer names, or that it names none. */
+  record(
+    incarnation: string,
+    perSecond: number | undefined,
+    sentAt: number,
+  ): void {
+    const {clock, onNews} = this.options;
+    const isNews = this.apply({
+      incarnation,
+      perSecond: perSecond ?? null,
+      at: perSecond === undefined ? sentAt : clock.now(),
+      reason: 'its answer says so',
+    });
+    if (isNews) {
+      onNews();
+    }
+  }
+
+  /** True while each request there needs a permit. */
+  isLimited(incarnation: string): boolean {
+    return this.limits.find(incarnation) !== undefined;
+  }
+
+  /** False while it is of no use to ask for a permit. */
+  isOpen(incarnation: string): boolean {
+    const now = this.options.clock.now();
+    const canAsk = this.pacings.get(incarnation)?.canAsk(now) ?? true;
+    return !this.isLimited(incarnation) || (canAsk && now >= this.silentUntil);
+  }
+
+  /** Asks for the right to send one request at once. */
+  async askPermit(incarnation: string): Promise<boolean> {
+    const {clock, leaseClock, askPermit} = this.options;
+    const [limit] = this.describe([incarnation]);
+    if (!limit || limit.perSecond === null) {
+      return true;
+    }
+    const pacing = this.findPacing(incarnation);
+    const askedAt = leaseClock.now();
+    pacing.begin();
+    const verdict = await askPermit(limit).catch(() => undefined);
+    pacing.settle(verdict, clock.now());
+    if (!verdict) {
+      this.silentUntil = clock.now() + SILENT_MS;
+    }
+    if (verdict?.kind === 'free') {
+      const at = clock.now();
+      const reason = 'control knows of no limit any more';
+      this.apply({incarnation, perSecond: null, at, reason});
+      return true;
+    }
+    const isFresh = leaseClock.now() - askedAt < permitTiming.useWithinMs;
+    return verdict?.kind === 'granted' && isFresh;
+  }
+
+  /**
+   * When a caller that is refused now finds a place at one of these; it counts as
+   * told so.
+   *
+   * @returns milliseconds; Infinity where none of them has a limit
+   */
+  takeReturnMs(incarnations: readonly string[]): number {
+    const now = this.options.clock.now();
+    const pacings = incarnations
+      .filter(incarnation => this.isLimited(incarnation))
+      .map(incarnation => this.findPacing(incarnation));
+    const times = pacings.map(pacing => pacing.computeReturnMs(now));
+    const inMs = Math.max(0, Math.min(Infinity, ...times));
+    pacings[times.indexOf(Math.min(...times))]?.recordReturn(inMs, now);
+    return inMs;
+  }
+
+  /** What control should know: the table that is held here, and what its leader was not told. */
+  describeNews(): {limitsTag: string; limits: LimitWord[]} {
+    const held = [...this.limits.list(), ...this.limits.listEnded()];
+    const untold = this.describe(held).filter(
+      word => this.told.get(word.incarnation) !== formatTold(this.tag, word),
+    );
+    return {limitsTag: this.tag, limits: untold.slice(0, MAX_WORDS)};
+  }
+
+  /**
+   * Takes the leader's answer.
+   *
+   * @param told what it was asked with
+   */
+  applyNews(
+    told: readonly LimitWord[],
+    tag: string,
+    news: readonly LimitWord[],
+  ): void {
+    const now = this.options.clock.now();
+    this.tag = tag;
+    told.forEach(word =>
+      this.told.set(word.incarnation, formatTold(tag, word)),
+    );
+    for (const word of news) {
+      const {incarnation, perSecond, msAgo} = word;
+      const reason = 'another gateway heard it';
+      this.apply({incarnation, perSecond, at: now - msAgo, reason});
+      this.told.set(incarnation, formatTold(tag, word));
+    }
+  }
+
+  /** Forgets what is over, and limits of backend servers that control no longer tells. */
+  expire(isKnown: (incarnation: string) => boolean): void {
+    this.limits.expire(this.options.clock.now(), isKnown);
+    const held = new Set([...this.limits.list(), ...this.limits.listEnded()]);
+    for (const table of [this.pacings, this.told]) {
+      for (const incarnation of table.keys()) {
+        if (!held.has(incarnation)) {
+          table.delete(incarnation);
+        }
+      }
+    }
+  }
+
+  /** Tells whether it changes anything. */
+  private apply(word: {
+    readonly incarnation: string;
+    readonly perSecond: number | null;
+    readonly at: number;
+    readonly reason: string;
+  }): boolean {
+    const {incarnation, perSecond, at} = word;
+    const before = this.limits.find(incarnation);
+    const isNews =
+      perSecond === null
+        ? this.limits.end(incarnation, at)
+        : this.limits.add(incarnation, perSecond, at);
+    if (!isNews) {
+      return false;
+    }
+    this.told.delete(incarnation);
+    this.pacings.delete(incarnation);
+    const isEnd = perSecond === null;
+    const kind = isEnd ? 'ended' : before === undefined ? 'named' : 'changed';
+    const saidAt = isEnd ? (before?.namedAt ?? at) : at;
+    this.options.events.record({
+      type: `limit-${kind}`,
+      subject: 'host',
+      id: incarnation,
+      reason: word.reason,
+      details: {
+        ...(perSecond === null ? {} : {perSecond}),
+        ...(before === undefined ? {} : {before: before.perSecond}),
+        ageMs: Math.round(this.options.clock.now() - saidAt),
+      },
+    });
+    return true;
+  }
+
+  private describe(incarnations: readonly string[]): LimitWord[] {
+    const now = this.options.clock.now();
+    return incarnations.flatMap(incarnation => {
+      const known = this.limits.find(incarnation);
+      const at = known?.namedAt ?? this.limits.findEnd(incarnation);
+      const perSecond = known?.perSecond ?? null;
+      return at === undefined
+        ? []
+        : [{incarnation, perSecond, msAgo: Math.max(0, now - at)}];
+    });
+  }
+
+  private findPacing(incarnation: string): PermitPacing {
+    const pacing = this.pacings.get(incarnation) ?? PermitPacing.create();
+    this.pacings.set(incarnation, pacing);
+    return pacing;
+  }
+}
+
+/** A leader's name is all of its tag but the count of changes. */
+function formatTold(
+  tag: string,
+  {perSecond}: Pick<LimitWord, 'perSecond'>,
+): string {
+  return `${tag.slice(0, tag.lastIndexOf('/'))} ${perSecond}`;
+}
--- a/src/gateway/backend_signals.ts
+++ b/src/gateway/backend_signals.ts
@@ -1,9 +1,7 @@
 /** What backend servers say of themselves in their answers, beside the answer. */
-import {Clock} from '../common/clock';
-import {EventRing} from '../common/event_ring';
 import {ThrottledLines} from '../common/throttled_lines';
-import {NamedLimits} from '../coordination/limits/named_limits';
 import {AnswerHead} from './answer_head';
+import {BackendLimits} from './backend_limits';
 
 /** A head of an answer, and where it came from. */
 interface HeardHead {
@@ -13,18 +11,18 @@
   readonly sentAt: number;
 }
 
-/** What the signals work with. */
-interface BackendSignalsOptions {
-  readonly clock: Clock;
-  readonly events: EventRing;
-}
+type BackendSignalsOptions = Parameters<typeof BackendLimits.create>[0];
+
+/** Names in one reason of a refusal. */
+const MAX_NAMED = 3;
 
 /** One for all requests of a gateway. */
 export class BackendSignals {
-  private readonly limits = NamedLimits.create();
+  readonly limits: BackendLimits;
   private readonly lines: ThrottledLines;
 
-  private constructor(private readonly options: BackendSignalsOptions) {
+  private constructor(options: BackendSignalsOptions) {
+    this.limits = BackendLimits.create(options);
     this.lines = ThrottledLines.create(options.events, options.clock);
   }
 
@@ -32,7 +30,7 @@
    * Creates signals of backend servers that said nothing yet.
    *
    * @example
-   * const signals = BackendSignals.create({clock, events});
+   * const signals = BackendSignals.create({clock, leaseClock, events, askPermit, onNews});
    */
   static create(options: BackendSignalsOptions): BackendSignals {
     return new BackendSignals(options);
@@ -40,47 +38,27 @@
 
   /** Takes the head of an answer that is the backend server's own. */
   recordHead({incarnation, head, sentAt}: HeardHead): void {
-    const now = this.options.clock.now();
     const {limitPerSecond, unread} = head;
     if (unread !== undefined) {
       this.recordUnread(incarnation, unread);
     }
-    const before = this.limits.find(incarnation);
-    if (limitPerSecond !== undefined) {
-      if (this.limits.add(incarnation, limitPerSecond, now)) {
-        this.recordLimit(incarnation, limitPerSecond, before?.perSecond);
-      }
-    } else if (before && this.limits.end(incarnation, sentAt)) {
-      this.recordLimitEnd(incarnation, before.perSecond, now - before.namedAt);
-    }
+    this.limits.record(incarnation, limitPerSecond, sentAt);
   }
 
-  private recordLimit(
-    incarnation: string,
-    perSecond: number,
-    before: number | undefined,
-  ): void {
-    this.options.events.record({
-      type: before === undefined ? 'limit-named' : 'limit-changed',
-      subject: 'host',
-      id: incarnation,
-      reason: 'an answer names the requests a second that it takes in all',
-      details: {perSecond, ...(before === undefined ? {} : {before})},
-    });
-  }
+  /** What those who choose among backend servers have to know. */
+  readonly openness = {
+    isOpen: (incarnation: string) => this.limits.isOpen(incarnation),
+    isLimited: (incarnation: string) => this.limits.isLimited(incarnation),
+  };
 
-  private recordLimitEnd(
-    incarnation: string,
-    before: number,
-    ageMs: number,
-  ): void {
-    this.options.events.record({
-      type: 'limit-ended',
-      subject: 'host',
-      id: incarnation,
-      reason: 'an answer names no limit any more',
-      details: {before, ageMs: Math.round(ageMs)},
-    });
+  /** Why none of these takes a request; undefined where none said anything. */
+  explainClosed(incarnations: readonly string[]): string | undefined {
+    const limited = incarnations.filter(incarnation =>
+      this.limits.isLimited(incarnation),
+    );
+    return limited.length === 0
+      ? undefined
+      : `${formatNames(limited)} take no more by the limits that they name`;
   }
 
   private recordUnread(incarnation: string, unread: string): void {
@@ -92,3 +70,9 @@
     });
   }
 }
+
+function formatNames(names: readonly string[]): string {
+  const more = names.length - MAX_NAMED;
+  const named = names.slice(0, MAX_NAMED).join(' ');
+  return more > 0 ? `${named} and ${more} more` : named;
+}
--- a/src/gateway/compute_retry_after_ms.ts
+++ b/src/gateway/compute_retry_after_ms.ts
@@ -9,6 +9,8 @@
   readonly leftMs: number;
   /** Part of that time within which callers come back as they are told. */
   readonly honouredPart: number;
+  /** When a place falls free that a limit keeps back; Infinity without one. */
+  readonly openingMs: number;
 }
 
 /**
@@ -19,11 +21,11 @@
  *
  * @returns milliseconds from now
  * @example
- * const retryAfterMs = computeRetryAfterMs({forecast, line, leftMs: 8000, honouredPart: 1 / 3});
+ * const retryAfterMs = computeRetryAfterMs({forecast, line, leftMs: 8000, honouredPart: 1 / 3, openingMs: Infinity});
  */
 export function computeRetryAfterMs(input: ReturnInput): number {
-  const {forecast, line, leftMs, honouredPart} = input;
-  const latestMs = leftMs * honouredPart;
+  const {forecast, line, leftMs, honouredPart, openingMs} = input;
+  const latestMs = Math.min(leftMs * honouredPart, openingMs);
   if (line === undefined) {
     return latestMs;
   }
--- a/src/gateway/create_flow_parts.ts
+++ b/src/gateway/create_flow_parts.ts
@@ -14,7 +14,7 @@
  */
 export function createFlowParts(options: RequestFlowOptions) {
   const {request, route, pool, arrivedAt, clock, budget} = options;
-  const {board, forecast, dialect} = options;
+  const {board, forecast, dialect, signals} = options;
   const {model, promptTokens} = request;
   const holdMs = Math.min(route.timeoutMs, request.waitMs ?? Infinity);
   const deadlineAt = arrivedAt + holdMs;
@@ -36,6 +36,13 @@
       deadlineAt,
       honouredPart: dialect.honouredPart,
       patienceMs: dialect.computePatienceMs(route),
+      takeOpeningMs: () =>
+        signals.limits.takeReturnMs(
+          board.listIncarnations({
+            pool: pool.name,
+            model: pool.engine ? model : undefined,
+          }),
+        ),
       findRepairMs: () => board.findRepairMs(model ?? ''),
     }),
   };
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -16,6 +16,7 @@
 import {BreakWitness} from './break_witness';
 import {CallerAnswer} from './caller_answer';
 import {Containment} from './containment';
+import {createBackendSignals} from './create_backend_signals';
 import {createSuspectCalls} from './create_suspect_calls';
 import {decideAdmission} from './decide_admission';
 import {DemandMeter} from './demand_meter';
@@ -68,10 +69,7 @@
   /** Answers of requests that were admitted, until their last byte has left. */
   private readonly takenAnswers = new Set<CallerAnswer>();
   private readonly pressed = PressedModels.create(systemClock);
-  private readonly signals = BackendSignals.create({
-    clock: systemClock,
-    events: this.events,
-  });
+  private readonly signals: BackendSignals;
   /** Connections on which a request came before. */
   private readonly knownConnections = new WeakSet<Socket>();
   private readonly stop: GatewayStop;
@@ -90,9 +88,6 @@
     });
     this.seeds = control;
     this.controlAddresses = control;
-    this.board = TargetBoard.create(zone, clock, Math.random, () =>
-      this.feed.tellNow(),
-    );
     const incarnation = randomBytes(8).toString('hex');
     const lines = ThrottledLines.create(events, clock);
     const client = ControlClient.create({
@@ -101,6 +96,16 @@
       identity: {program: 'gateway', id: gatewayId, incarnation},
       onSearched: search => recordSearch(lines, gatewayId, search),
     });
+    const tellNow = () => this.feed.tellNow();
+    const source = {gatewayId, client, events, onNews: tellNow};
+    this.signals = createBackendSignals(source);
+    this.board = TargetBoard.create(
+      zone,
+      clock,
+      Math.random,
+      tellNow,
+      this.signals.openness,
+    );
     this.containment = Containment.create({
       witness: BreakWitness.create({clock, events}),
       calls: createSuspectCalls(gatewayId, client),
@@ -116,7 +121,7 @@
         onPause: pause => {
           recordPause(events, 'control', gatewayId, pause);
           // Nothing is confirmed any more; what control says now is one round trip away.
-          setImmediate(() => this.feed.tellNow());
+          setImmediate(tellNow);
         },
       }),
       events,
@@ -132,8 +137,10 @@
         this.board.setRunningElsewhere(running, others),
       readSuspectsVersion: () => this.containment.version,
       onSuspects: news => this.containment.apply(news),
+      limits: this.signals.limits,
       onTargets: targets => {
         this.board.setTargets(targets);
+        this.signals.limits.expire(name => this.board.has(name));
         this.origins.retain(this.board.listAddresses());
       },
       onControl: addresses => {
--- a/src/gateway/place_wait.ts
+++ b/src/gateway/place_wait.ts
@@ -23,6 +23,11 @@
   readonly honouredPart: number;
   /** How long the caller bears a pause, in milliseconds. */
   readonly patienceMs: number;
+  /**
+   * When a place falls free that a limit keeps back, in milliseconds; Infinity
+   * without one. It counts as told to a caller.
+   */
+  readonly takeOpeningMs: () => number;
   /** How long it took lately until a lost group of the model was replaced. */
   readonly findRepairMs: () => number;
 }
@@ -115,7 +120,14 @@
   computeReturnMs(): number {
     const {forecast, line, clock, deadlineAt, honouredPart} = this.options;
     const leftMs = deadlineAt - clock.now();
-    return computeRetryAfterMs({forecast, line, leftMs, honouredPart});
+    const openingMs = this.options.takeOpeningMs();
+    return computeRetryAfterMs({
+      forecast,
+      line,
+      leftMs,
+      honouredPart,
+      openingMs,
+    });
   }
 
   /** Its engine is done with it. */
--- a/src/gateway/request_flow.ts
+++ b/src/gateway/request_flow.ts
@@ -1,14 +1,13 @@
 /** Carries one request through: attempts, repeats, resumed streams, its final answer. */
-import {GatewayTarget} from '../protocol/gateway_target';
 import {AnswerHead} from './answer_head';
 import {AnswerRelay} from './answer_relay';
 import {Attempt} from './attempt';
 import {AttemptEnd} from './attempt_end';
 import {createFlowParts} from './create_flow_parts';
-import {createTargetKey} from './create_target_key';
 import {FINAL_STATUS} from './final_status';
 import {FlowCourse} from './flow_course';
 import {FlowResult} from './flow_result';
+import {FlowSender} from './flow_sender';
 import {PlaceWait} from './place_wait';
 import {RepeatPolicy} from './repeat_policy';
 import {RequestFlowOptions} from './request_flow_options';
@@ -22,9 +21,8 @@
 
 /** One request under way. */
 export class RequestFlow {
-  private attempt: Attempt | undefined;
+  private readonly sender: FlowSender;
   private readonly relay: AnswerRelay;
-  private readonly tried = new Set<string>();
   private readonly course: FlowCourse;
   private readonly policy: RepeatPolicy;
   private readonly trial: SuspectTrial;
@@ -52,6 +50,20 @@
       lastEventId: request.lastEventId,
       onPassed: hasRoom => this.recordPassed(hasRoom),
     });
+    this.sender = FlowSender.create({
+      ...parts,
+      flow: options,
+      readLastEventId: () => this.relay.lastEventId,
+      maySend: () => this.maySend,
+      onSending: () => {
+        this.wait.end();
+        this.relay.reset();
+      },
+      onDenied: () => this.handleDenied(),
+      onHead: head => this.handleHead(head),
+      onData: chunk => this.handleData(chunk),
+      onEnd: end => this.handleEnd(end),
+    });
     this.timer = setTimeout(
       () =>
         this.abandon('the time for the request is over', FINAL_STATUS.timedOut),
@@ -81,7 +93,8 @@
   /** Looks whether it must go on waiting or go elsewhere; called every few milliseconds. */
   check(now: number): void {
     const {containment, identity} = this.options;
-    const hasBegun = this.attempt?.hasStarted ?? false;
+    const {attempt} = this.sender;
+    const hasBegun = attempt?.hasStarted ?? false;
     const standing = hasBegun ? 'free' : containment.find(identity);
     if (standing === 'convicted') {
       this.abandon(CONVICTED, FINAL_STATUS.cannotBeRun);
@@ -92,8 +105,8 @@
       this.trial.begin(now);
     } else if (this.wait.isUnderWay) {
       this.checkWaiting(now);
-    } else if (this.attempt?.isLeftBehind) {
-      this.attempt.stop('its backend server takes no new work');
+    } else if (attempt?.isLeftBehind) {
+      attempt.stop('its backend server takes no new work');
     } else {
       this.checkStall(now);
     }
@@ -108,34 +121,32 @@
     if (this.isDone) {
       return;
     }
-    const {attempt} = this;
+    const {attempt} = this.sender;
     this.markDone();
     attempt?.stop(reason);
     this.sendFinal(reason, status);
   }
 
   private checkWaiting(now: number): void {
-    const {wait} = this;
-    const isTurn = this.course.wasSent || wait.isFirst;
-    const target = isTurn ? this.findTarget(this.course.wasSent) : undefined;
-    if (!target && wait.canGoOn(now)) {
-      return;
-    }
-    wait.end();
+    const {wait, sender} = this;
+    const {wasSent} = this.course;
+    const isTurn = (wasSent || wait.isFirst) && !sender.isAskingPermit;
+    const target = isTurn ? sender.findTarget(wasSent) : undefined;
     if (target) {
-      this.sendTo(target);
-    } else {
-      this.giveUp('nobody had a place for it in time');
+      sender.send(target);
+    } else if (!sender.isAskingPermit && !wait.canGoOn(now)) {
+      wait.end();
+      this.giveUp(sender.explainNoTarget('nobody had a place for it in time'));
     }
   }
 
   /** Alone of all suspects at its backend server, or not at all. */
   private checkTrial(now: number): void {
     const step = this.trial.check(now, this.canAwaitRepair, () =>
-      this.findTarget(this.course.wasSent),
+      this.sender.findTarget(this.course.wasSent),
     );
     if (step.kind === 'send') {
-      this.sendTo(step.target);
+      this.sender.send(step.target);
     } else if (step.kind === 'free') {
       this.sendOn('no backend server can take it now');
     } else if (step.kind === 'over') {
@@ -145,13 +156,14 @@
 
   /** A stream that stopped goes on elsewhere, if it may and somebody can take it. */
   private checkStall(now: number): void {
-    const {attempt, policy} = this;
+    const {policy, sender} = this;
+    const {attempt} = sender;
     if (!attempt || !policy.canGoElsewhere) {
       return;
     }
     const reason = this.stall.findReasonToLeave(attempt, now);
     // Without a repeat left it is better to wait on than to break off.
-    if (reason && policy.hasRepeat && this.findTarget(true)) {
+    if (reason && policy.hasRepeat && sender.findTarget(true, true)) {
       attempt.stop(reason);
     }
   }
@@ -163,7 +175,7 @@
 
   /** Sends to the best target; the first time also waits a little for a place. */
   private sendOn(whyNot: string): void {
-    const {wait} = this;
+    const {wait, sender} = this;
     const {containment, identity, clock} = this.options;
     if (containment.find(identity) !== 'free') {
       this.trial.begin(clock.now());
@@ -172,52 +184,38 @@
     // What has begun elsewhere is worth more than what has not begun at all.
     const mayQueue = this.course.wasSent;
     const isTurn = mayQueue || wait.isFirst;
-    const target = isTurn ? this.findTarget(mayQueue) : undefined;
+    const target = isTurn ? sender.findTarget(mayQueue) : undefined;
     if (target) {
-      this.sendTo(target);
-    } else if (!mayQueue && this.findTarget(true) && wait.hasHope) {
+      sender.send(target);
+    } else if (!mayQueue && sender.findTarget(true) && wait.hasHope) {
       wait.beginInLine();
     } else if (
       !this.canAwaitRepair ||
       !wait.beginForRepair(this.course.passedAt)
     ) {
-      this.giveUp(whyNot);
+      this.giveUp(sender.explainNoTarget(whyNot));
     }
   }
 
-  private sendTo(target: GatewayTarget): void {
-    const {options} = this;
-    const {board, clock} = options;
-    this.tried.add(createTargetKey(target));
-    const {incarnation} = target;
-    const running = board.countRunning(incarnation);
-    this.course.recordTarget(incarnation, running, clock.now());
-    this.relay.reset();
-    this.attempt = Attempt.create({
-      ...options,
-      target,
-      remainingMs: Math.max(1, Math.floor(this.deadlineAt - clock.now())),
-      lastEventId: this.relay.lastEventId,
-      onHead: head => this.handleHead(head),
-      onData: chunk => this.handleData(chunk),
-      onEnd: end => this.handleEnd(end),
-    });
+  /** Nothing was held against it while it waited for a permit, and its caller is there. */
+  private get maySend(): boolean {
+    const {containment, identity} = this.options;
+    const isFree = this.trial.hasPlace || containment.find(identity) === 'free';
+    return !this.isDone && isFree;
   }
 
-  private findTarget(mayQueue: boolean): GatewayTarget | undefined {
-    const {request, pool, board} = this.options;
-    return board.choose({
-      pool: pool.name,
-      mayQueue,
-      model: pool.engine ? request.model : undefined,
-      excluded: this.tried,
-    });
+  private handleDenied(): void {
+    if (this.isDone || this.wait.isUnderWay || this.trial.isUnderWay) {
+      return;
+    }
+    this.trial.end();
+    this.sendOn('no backend server can take it now');
   }
 
   private handleHead(head: AnswerHead): void {
     const wrong = this.relay.acceptHead(head);
     if (wrong) {
-      this.attempt?.stop(wrong);
+      this.sender.attempt?.stop(wrong);
     }
   }
 
@@ -225,13 +223,13 @@
     this.trial.recordBegun();
     const wrong = this.isDone ? undefined : this.relay.acceptData(chunk);
     if (wrong) {
-      this.attempt?.stop(wrong);
+      this.sender.attempt?.stop(wrong);
     }
   }
 
   private recordPassed(hasRoom: boolean): void {
     const {answer, clock} = this.options;
-    const {attempt} = this;
+    const {attempt} = this.sender;
     this.course.recordEvent(clock.now());
     if (!hasRoom && attempt) {
       attempt.pause();
@@ -240,8 +238,8 @@
   }
 
   private handleEnd(end: AttemptEnd): void {
-    const {attempt} = this;
-    this.attempt = undefined;
+    const {attempt} = this.sender;
+    this.sender.attempt = undefined;
     this.trial.end();
     if (end.kind !== 'not-run') {
       this.wait.recordPlaceFree();
@@ -334,7 +332,8 @@
 
   /** Only what has not run may be called so. */
   private get unansweredStatus(): number {
-    const isSent = this.attempt !== undefined && !this.attempt.isWaiting;
+    const {attempt} = this.sender;
+    const isSent = attempt !== undefined && !attempt.isWaiting;
     const mayHaveRun = this.policy.hasRun || isSent || this.isInDoubt;
     return mayHaveRun ? FINAL_STATUS.failed : FINAL_STATUS.notRun;
   }
@@ -350,7 +349,7 @@
     if (this.isDone) {
       return;
     }
-    const {attempt} = this;
+    const {attempt} = this.sender;
     this.markDone();
     attempt?.stop('the caller left');
     this.tell('gone', 'the caller left', 0);
--- a/src/gateway/rules_feed.ts
+++ b/src/gateway/rules_feed.ts
@@ -8,6 +8,7 @@
 import {ModelDemand} from '../protocol/model_demand';
 import {SuspectNews} from '../protocol/suspect_news';
 import {rulesCodec} from '../protocol/rules_codec';
+import {BackendLimits} from './backend_limits';
 import {RouteIndex} from './route_index';
 
 /** Above the time for which control holds a question. */
@@ -49,6 +50,8 @@
   /** The newest list of suspected requests that is held here. */
   readonly readSuspectsVersion: () => number;
   readonly onSuspects: (news: SuspectNews) => void;
+  /** Limits of backend servers, which gateways tell each other through control. */
+  readonly limits: Pick<BackendLimits, 'describeNews' | 'applyNews'>;
   readonly onTargets: (targets: ReadonlyMap<string, GatewayTarget>) => void;
   /** Addresses of the control processes, whenever they are told. */
   readonly onControl: (addresses: readonly string[]) => void;
@@ -142,6 +145,7 @@
     const {client, clock, gatewayId, collectNews} = this.options;
     const askedAt = clock.now();
     const news = collectNews();
+    const known = this.options.limits.describeNews();
     const {tableTag} = this;
     const answer = await client.ask<'gateway-ask'>(
       {
@@ -158,10 +162,15 @@
         isUrgent,
         suspectsVersion: this.options.readSuspectsVersion(),
         demand: {...news.demand},
+        ...known,
       },
       ASK_TIMEOUT_MS,
     );
     this.apply(answer, askedAt, tableTag);
+    if (answer.limitsTag !== undefined) {
+      const {limitsTag, limits = []} = answer;
+      this.options.limits.applyNews(known.limits, limitsTag, limits);
+    }
   }
 
   private apply(answer: Answer, askedAt: number, askedTag: string): void {
--- a/src/gateway/suspect_trial.ts
+++ b/src/gateway/suspect_trial.ts
@@ -55,6 +55,11 @@
     return this.waitsSince !== undefined;
   }
 
+  /** It may be sent, in spite of what is held against it. */
+  get hasPlace(): boolean {
+    return this.isGranted;
+  }
+
   /** A backend server may have ended under it just now. */
   recordBreak(now: number): void {
     this.wasSuspected = true;
--- a/src/gateway/target_board.ts
+++ b/src/gateway/target_board.ts
@@ -36,11 +36,22 @@
   readonly pool: string;
   /** Also targets that have no place free: they queue. */
   readonly mayQueue: boolean;
+  /** None that may still deny the request. */
+  readonly isSure?: boolean;
   readonly model?: string;
   /** Keys of targets that were tried in vain. */
   readonly excluded: ReadonlySet<string>;
 }
 
+/** What targets say of themselves. */
+interface Openness {
+  readonly isOpen: (incarnation: string) => boolean;
+  /** It takes a request by permit only. */
+  readonly isLimited: (incarnation: string) => boolean;
+}
+
+const ALWAYS_OPEN: Openness = {isOpen: () => true, isLimited: () => false};
+
 /** Chooses targets and remembers how they did. */
 export class TargetBoard {
   private standings = new Map<string, Standing>();
@@ -56,6 +67,7 @@
     private readonly clock: Clock,
     private readonly random: () => number,
     private readonly onStalled: () => void,
+    private readonly openness: Openness,
   ) {
     this.unseen = UnseenWork.create(clock);
   }
@@ -64,6 +76,7 @@
    * Creates a board without targets.
    *
    * @param onStalled told when a target is newly known to have stopped
+   * @param openness what targets say of themselves
    *
    * @example
    * const board = TargetBoard.create('zone-a', clock, Math.random);
@@ -73,8 +86,9 @@
     clock: Clock,
     random: () => number,
     onStalled: () => void = () => undefined,
+    openness = ALWAYS_OPEN,
   ): TargetBoard {
-    return new TargetBoard(zone, clock, random, onStalled);
+    return new TargetBoard(zone, clock, random, onStalled, openness);
   }
 
   /** Takes the targets that control tells; what is known of those that stay is kept. */
@@ -160,6 +174,7 @@
         standing.target.model === want.model &&
         !want.excluded.has(createTargetKey(standing.target)) &&
         standing.avoidUntil <= now &&
+        this.isOpen(standing.target, want) &&
         (want.mayQueue || hasPlace(standing)),
     );
     const loads = fit.map(standing => this.computeWork(standing));
@@ -167,6 +182,15 @@
     return fit[chooseByLevel(loads, unseen, this.random())]?.target;
   }
 
+  /** Starts of backend servers that serve a model of a pool. */
+  listIncarnations({pool, model}: Pick<Want, 'pool' | 'model'>): string[] {
+    return [...this.standings.values()].flatMap(({target}) =>
+      target.pool === pool && target.model === model
+        ? [target.incarnation]
+        : [],
+    );
+  }
+
   /** Addresses of all targets. */
   listAddresses(): Set<string> {
     return new Set(
@@ -290,6 +314,12 @@
     return {stalled, answering, answeringMsAgo, running: counts};
   }
 
+  private isOpen({incarnation}: GatewayTarget, {isSure}: Want): boolean {
+    const {openness} = this;
+    const isDoubtful = isSure && openness.isLimited(incarnation);
+    return !isDoubtful && openness.isOpen(incarnation);
+  }
+
   private avoid(incarnation: string, forMs: number): void {
     const standing = this.standings.get(incarnation);
     if (standing) {
--- a/src/operator/explain_request.ts
+++ b/src/operator/explain_request.ts
@@ -16,7 +16,7 @@
 
 /**
  * Picks the request's own lines, those about the backend servers that it was
- * sent to, those about their groups and, for a request that was sent nowhere,
+ * sent to or that its reason names, those about their groups and, for a request that was sent nowhere,
  * those about groups of its model and about control.
  *
  * @param text lines of any number of processes; what stands before the `{` of a
@@ -38,6 +38,7 @@
   const isRelated = (line: LogLine) =>
     targets.has(line.id) ||
     groups.has(line.id) ||
+    (line.subject === 'host' && last.reason.includes(line.id)) ||
     (targets.size === 0 && isAboutPlaces(line, model));
   const isNear = (line: LogLine) => {
     const before = endedAt - Date.parse(line.time);
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -7,8 +7,10 @@
 import {GatewayTarget} from './gateway_target';
 import {Group} from './group';
 import {HostReport} from './host_report';
+import {LimitWord} from './limit_word';
 import {ModelDemand} from './model_demand';
 import {Outcome} from './outcome';
+import {PermitVerdict} from './permit_verdict';
 import {SignedBundle} from './signed_bundle';
 import {SuspectNews} from './suspect_news';
 import {TrialVerdict} from './trial_verdict';
@@ -178,6 +180,10 @@
     suspectsVersion: z.int().nonnegative().optional(),
     /** What callers ask for here, by model. */
     demand: z.record(z.string(), ModelDemand).optional(),
+    /** Names the leader's table of limits that the gateway holds; absent at one that knows of none. */
+    limitsTag: z.string().optional(),
+    /** Limits that this leader was not told from here. */
+    limits: z.array(LimitWord).optional(),
   }),
   z.object({
     type: z.literal('gateway-answer'),
@@ -206,6 +212,21 @@
     control: z.array(z.string()),
     /** Present when the asker holds another list. */
     suspects: SuspectNews.optional(),
+    limitsTag: z.string().optional(),
+    /** What changed in the table of limits; present when the asker holds another. */
+    limits: z.array(LimitWord).optional(),
+  }),
+  z.object({
+    type: z.literal('permit-ask'),
+    call: Call,
+    gatewayId: z.string().max(128),
+    /** The limit as the gateway knows it. */
+    limit: LimitWord,
+  }),
+  z.object({
+    type: z.literal('permit-answer'),
+    call: Call,
+    verdict: PermitVerdict,
   }),
   z.object({
     type: z.literal('ends-ask'),
--- a/test/gateway/return_times.test.ts
+++ b/test/gateway/return_times.test.ts
@@ -30,6 +30,7 @@
       line: place.line,
       leftMs: LEFT_MS,
       honouredPart: HONOURED_PART,
+      openingMs: Infinity,
     });
   return {forecast, refuse};
 }
--- a/test/support/flow_fixture.ts
+++ b/test/support/flow_fixture.ts
@@ -57,7 +57,10 @@
   readonly events = EventRing.create();
   readonly signals = BackendSignals.create({
     clock: systemClock,
+    leaseClock: systemClock,
     events: this.events,
+    askPermit: () => Promise.reject(new Error('nobody leads')),
+    onNews: () => undefined,
   });
   private readonly containment = Containment.create({
     witness: BreakWitness.create({clock: systemClock, events: this.events}),
