feat(gateway): wishes of backend servers for rest and their leaving are read and written down

Change: rest-asked and backend-leaving, once for each wish; whole seconds and fractions are read, anything else is ignored with a line. No decision is changed by it.

--- a/src/gateway/answer_head.ts
+++ b/src/gateway/answer_head.ts
@@ -20,6 +20,10 @@
   readonly isEventStream: boolean;
   /** Requests a second that the backend server takes from all gateways together. */
   readonly limitPerSecond?: number;
+  /** How long the backend server, which turned the request away, wants nothing from this gateway. */
+  readonly restMs?: number;
+  /** The backend server says that it will end. */
+  readonly isLeaving?: boolean;
   /** A header that cannot mean what its name says, with its value. */
   readonly unread?: string;
 }
--- a/src/gateway/backend_signals.ts
+++ b/src/gateway/backend_signals.ts
@@ -1,12 +1,17 @@
 /** What backend servers say of themselves in their answers, beside the answer. */
 import {ThrottledLines} from '../common/throttled_lines';
 import {AnswerHead} from './answer_head';
+import {BackendDepartures} from './backend_departures';
 import {BackendLimits} from './backend_limits';
+import {BackendRests} from './backend_rests';
 
 /** A head of an answer, and where it came from. */
 interface HeardHead {
   readonly incarnation: string;
-  readonly head: Pick<AnswerHead, 'limitPerSecond' | 'unread'>;
+  readonly head: Pick<
+    AnswerHead,
+    'limitPerSecond' | 'restMs' | 'isLeaving' | 'unread'
+  >;
   /** When the request was sent, on the gateway's clock. */
   readonly sentAt: number;
 }
@@ -19,10 +24,14 @@
 /** One for all requests of a gateway. */
 export class BackendSignals {
   readonly limits: BackendLimits;
+  private readonly rests: BackendRests;
+  private readonly departures: BackendDepartures;
   private readonly lines: ThrottledLines;
 
   private constructor(options: BackendSignalsOptions) {
     this.limits = BackendLimits.create(options);
+    this.rests = BackendRests.create(options);
+    this.departures = BackendDepartures.create(options);
     this.lines = ThrottledLines.create(options.events, options.clock);
   }
 
@@ -38,11 +47,17 @@
 
   /** Takes the head of an answer that is the backend server's own. */
   recordHead({incarnation, head, sentAt}: HeardHead): void {
-    const {limitPerSecond, unread} = head;
+    const {limitPerSecond, restMs, isLeaving, unread} = head;
     if (unread !== undefined) {
       this.recordUnread(incarnation, unread);
     }
     this.limits.record(incarnation, limitPerSecond, sentAt);
+    if (restMs) {
+      this.rests.record(incarnation, restMs);
+    }
+    if (isLeaving) {
+      this.departures.record(incarnation);
+    }
   }
 
   /** What those who choose among backend servers have to know. */
--- a/test/platform/translation.test.ts
+++ b/test/platform/translation.test.ts
@@ -216,6 +216,43 @@
     });
     expect(callerHeaders.readAnswer(421, {}).isOtherIncarnation).toBe(true);
   });
+
+  test.each([
+    ['3.7', 3.7],
+    ['12', 12],
+    ['0', 0],
+    ['-1', undefined],
+    ['1e3', undefined],
+    ['3,7', undefined],
+    ['soon', undefined],
+    ['9999999999999', undefined],
+  ])('of an answer tell a limit of %s', (text, perSecond) => {
+    const head = callerHeaders.readAnswer(200, {'server-limit': text});
+    expect(head.limitPerSecond).toBe(perSecond);
+    const isUnread = perSecond === undefined;
+    expect(head.unread).toBe(isUnread ? `server-limit: ${text}` : undefined);
+  });
+
+  test.each([
+    [503, '3', 3_000],
+    [503, '0.25', 250],
+    [503, 'Fri, 04 Dec 2026 00:00:00 GMT', undefined],
+    [503, '-3', undefined],
+    [429, '3', undefined],
+    [200, '3', undefined],
+  ])('of an answer with %d ask for rest of %s s', (status, text, restMs) => {
+    const head = callerHeaders.readAnswer(status, {'retry-after': text});
+    expect(head.restMs).toBe(restMs);
+  });
+
+  test.each([
+    ['1', true],
+    ['0', false],
+    ['yes', false],
+  ])('of an answer that say %s of leaving', (text, isLeaving) => {
+    const head = callerHeaders.readAnswer(200, {'server-leaving': text});
+    expect(head.isLeaving).toBe(isLeaving);
+  });
 });
 
 describe('the settings file', () => {
--- a/test/support/plain_dialect.ts
+++ b/test/support/plain_dialect.ts
@@ -54,6 +54,11 @@
       isSealed: 'seal' in headers,
       limitPerSecond:
         headers['limit'] === undefined ? undefined : Number(headers['limit']),
+      restMs:
+        headers['rest-ms'] === undefined
+          ? undefined
+          : Number(headers['rest-ms']),
+      isLeaving: 'leaving' in headers,
       isNotRun: 'not-run' in headers,
       isOtherIncarnation: status === 421,
       isFramed: 'content-length' in raw || 'transfer-encoding' in raw,
