--- /dev/null
+++ b/test/gateway/leaving_backend.test.ts
@@ -0,0 +1,81 @@
+// A backend server that said in its answers that it leaves got new requests until control heard it from the backend server itself.
+import {afterEach, expect, test} from 'vitest';
+import {chunk, events} from '../support/backend_scripts';
+import {BackendSlots} from '../support/backend_slots';
+import {GatewayFleet} from '../support/gateway_fleet';
+import {waitUntil} from '../support/wait_until';
+
+const GATEWAYS = 3;
+/** Within which every gateway knows what one of them heard. */
+const KNOWN_WITHIN_MS = 1_000;
+const WATCHED_MS = 1_000;
+const EVENTS = 6;
+const BETWEEN_EVENTS_MS = 250;
+const BETWEEN_CALLS_MS = 30;
+
+const closers: Array<() => Promise<void>> = [];
+
+afterEach(async () => {
+  await Promise.all(closers.splice(0).map(close => close()));
+});
+
+test('a backend server that says that it leaves gets no new request and ends what it has', async () => {
+  const reached: number[] = [];
+  const slots = await BackendSlots.create({
+    count: 2,
+    handle: ({headers, socket}) => {
+      const id = headers.get('request-id') ?? '';
+      const isLeaving = headers.get('incarnation')?.startsWith('s0');
+      if (isLeaving) {
+        reached.push(performance.now());
+      }
+      const told = isLeaving ? 'leaving: 1\r\n' : '';
+      socket.write(
+        `HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nseal: s\r\n${told}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n`,
+      );
+      for (let at = 1; at <= EVENTS; at += 1) {
+        const last = at === EVENTS ? '0\r\n\r\n' : '';
+        setTimeout(
+          () => socket.write(chunk(events(at)) + last),
+          (at - 1) * BETWEEN_EVENTS_MS,
+        );
+      }
+    },
+    endsUnder: () => false,
+    endsAfterMs: 0,
+    backAfterMs: 0,
+  });
+  const fleet = await GatewayFleet.create({
+    gateways: GATEWAYS,
+    stopWithinMs: 8_000,
+    route: {},
+    handle: () => undefined,
+    slots,
+  });
+  closers.push(async () => {
+    slots.close();
+    await fleet.close();
+  });
+
+  const views: Array<{status: number; isWhole: boolean}> = [];
+  let calls = 0;
+  const timer = setInterval(() => {
+    calls += 1;
+    void fleet
+      .call(calls % GATEWAYS, `c${calls}`)
+      .then(view => views.push(view));
+  }, BETWEEN_CALLS_MS);
+  const firstAt = await waitUntil('a stream there', async () => reached[0]);
+  const watchedFrom = firstAt + KNOWN_WITHIN_MS;
+  await waitUntil(
+    'the end of the watch',
+    async () => performance.now() > watchedFrom + WATCHED_MS,
+  );
+  clearInterval(timer);
+
+  expect(reached.filter(at => at > watchedFrom)).toEqual([]);
+  await waitUntil('answers', async () => views.length === calls);
+  expect(
+    views.filter(({status, isWhole}) => status !== 200 || !isWhole),
+  ).toEqual([]);
+});
