fix(gateway): a backend server that asks for rest gets none

What callers saw: nothing worse than a detour; each request was turned away once and then answered elsewhere.

Cause: a refusal was forgotten as soon as its request was sent on. Ruled out by the failing test: that the table of targets forgets it (the table does not change there).

Change: the wish is kept by start of a backend server, apart from the table of targets, which drops and renews its entries. What waits for a connection there is called back. Where nobody else is there the refusal tells when the rest is over, in place of a forecast from places that are none.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -40,10 +40,13 @@
   private isSent = false;
   private sentAt = -Infinity;
   private isEnded = false;
+  private readonly recordTaken: ReturnType<BackendSignals['begin']>;
   private isHeldBack = false;
 
   private constructor(private readonly options: AttemptOptions) {
+    const {signals, target} = options;
     this.quietSince = options.clock.now();
+    this.recordTaken = signals.begin(target.incarnation);
   }
 
   /**
@@ -72,10 +75,12 @@
     return !this.isSent && !this.isEnded;
   }
 
-  /** It waits for a connection to a backend server that control no longer tells. */
+  /** It waits for a connection to a backend server that control no longer tells, or that takes nothing now. */
   get isLeftBehind(): boolean {
-    const {board, target} = this.options;
-    return this.isWaiting && !board.has(target.incarnation);
+    const {board, signals, target} = this.options;
+    const {incarnation} = target;
+    const isOpen = board.has(incarnation) && signals.isWelcome(incarnation);
+    return this.isWaiting && !isOpen;
   }
 
   /** Gives up; the backend server sees its connection close. */
@@ -144,6 +149,7 @@
     if (isOwn && !head.isOtherIncarnation) {
       const {incarnation} = target;
       signals.recordHead({incarnation, head, sentAt: this.sentAt});
+      this.recordTaken?.(!head.isNotRun && head.restMs === undefined);
     }
     // A head says nothing about progress: it may leave before any work begins.
     if (head.isOtherIncarnation) {
@@ -219,6 +225,7 @@
       return;
     }
     this.isEnded = true;
+    this.recordTaken?.(false);
     const {board, target, request} = this.options;
     if (!this.hasBytes) {
       board.recordFirst(target.incarnation, request.promptTokens);
--- a/src/gateway/backend_signals.ts
+++ b/src/gateway/backend_signals.ts
@@ -16,7 +16,8 @@
   readonly sentAt: number;
 }
 
-type BackendSignalsOptions = Parameters<typeof BackendLimits.create>[0];
+type BackendSignalsOptions = Parameters<typeof BackendLimits.create>[0] &
+  Parameters<typeof BackendRests.create>[0];
 
 /** Names in one reason of a refusal. */
 const MAX_NAMED = 3;
@@ -39,7 +40,7 @@
    * Creates signals of backend servers that said nothing yet.
    *
    * @example
-   * const signals = BackendSignals.create({clock, leaseClock, events, askPermit, onNews});
+   * const signals = BackendSignals.create({clock, leaseClock, events, random, askPermit, onNews});
    */
   static create(options: BackendSignalsOptions): BackendSignals {
     return new BackendSignals(options);
@@ -62,18 +63,67 @@
 
   /** What those who choose among backend servers have to know. */
   readonly openness = {
-    isOpen: (incarnation: string) => this.limits.isOpen(incarnation),
+    isOpen: (incarnation: string) =>
+      this.limits.isOpen(incarnation) && this.rests.isOpen(incarnation),
     isLimited: (incarnation: string) => this.limits.isLimited(incarnation),
   };
 
+  /** False for a backend server to which even what waits for a connection must not go. */
+  isWelcome(incarnation: string): boolean {
+    return !this.rests.isResting(incarnation);
+  }
+
+  /**
+   * Notes a request that is sent there.
+   *
+   * @returns to be told once whether the backend server took it
+   */
+  begin(incarnation: string): ((isTaken: boolean) => void) | undefined {
+    return this.rests.begin(incarnation);
+  }
+
+  /**
+   * When a caller that is refused now finds a place that backend servers keep back
+   * by their own word; it counts as told so.
+   *
+   * @returns milliseconds, Infinity where they keep nothing back; and whether there is no other place
+   */
+  takeOpening(incarnations: readonly string[]) {
+    const rests = incarnations.flatMap(
+      incarnation => this.rests.findOpeningMs(incarnation) ?? [],
+    );
+    const limitedMs = this.limits.takeReturnMs(incarnations);
+    return {
+      inMs: Math.min(limitedMs, ...rests),
+      isOnlyWay:
+        incarnations.length > 0 &&
+        incarnations.every(
+          incarnation =>
+            this.limits.isLimited(incarnation) ||
+            !this.rests.isOpen(incarnation),
+        ),
+    };
+  }
+
+  /** Forgets what is said of backend servers that control no longer tells. */
+  expire(isKnown: (incarnation: string) => boolean): void {
+    this.limits.expire(isKnown);
+    this.rests.expire(isKnown);
+  }
+
   /** Why none of these takes a request; undefined where none said anything. */
   explainClosed(incarnations: readonly string[]): string | undefined {
     const limited = incarnations.filter(incarnation =>
       this.limits.isLimited(incarnation),
     );
-    return limited.length === 0
-      ? undefined
-      : `${formatNames(limited)} take no more by the limits that they name`;
+    const resting = incarnations.filter(
+      incarnation => !this.rests.isOpen(incarnation),
+    );
+    const reasons = [
+      ...formatReason(limited, 'by the limit that it names'),
+      ...formatReason(resting, 'since it asked for rest'),
+    ];
+    return reasons.length === 0 ? undefined : reasons.join(', ');
   }
 
   private recordUnread(incarnation: string, unread: string): void {
@@ -86,8 +136,9 @@
   }
 }
 
-function formatNames(names: readonly string[]): string {
+function formatReason(names: readonly string[], why: string): string[] {
   const more = names.length - MAX_NAMED;
   const named = names.slice(0, MAX_NAMED).join(' ');
-  return more > 0 ? `${named} and ${more} more` : named;
+  const all = more > 0 ? `${named} and ${more} more` : named;
+  return names.length === 0 ? [] : [`nothing more to ${all} ${why}`];
 }
--- a/src/gateway/compute_retry_after_ms.ts
+++ b/src/gateway/compute_retry_after_ms.ts
@@ -9,7 +9,7 @@
   readonly leftMs: number;
   /** Part of that time within which callers come back as they are told. */
   readonly honouredPart: number;
-  /** When a place falls free that a limit keeps back; Infinity without one. */
+  /** When a place falls free that backend servers keep back by their own word; Infinity without one. */
   readonly openingMs: number;
 }
 
--- a/src/gateway/create_backend_signals.ts
+++ b/src/gateway/create_backend_signals.ts
@@ -32,6 +32,7 @@
     clock: systemClock,
     leaseClock: LeaseClock.create({steady: systemClock, wall}),
     events,
+    random: Math.random,
     onNews,
     async askPermit(limit) {
       const ask = {type: 'permit-ask' as const, gatewayId, limit};
--- a/src/gateway/create_flow_parts.ts
+++ b/src/gateway/create_flow_parts.ts
@@ -36,8 +36,8 @@
       deadlineAt,
       honouredPart: dialect.honouredPart,
       patienceMs: dialect.computePatienceMs(route),
-      takeOpeningMs: () =>
-        signals.limits.takeReturnMs(
+      takeOpening: () =>
+        signals.takeOpening(
           board.listIncarnations({
             pool: pool.name,
             model: pool.engine ? model : undefined,
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -140,7 +140,7 @@
       limits: this.signals.limits,
       onTargets: targets => {
         this.board.setTargets(targets);
-        this.signals.limits.expire(name => this.board.has(name));
+        this.signals.expire(name => this.board.has(name));
         this.origins.retain(this.board.listAddresses());
       },
       onControl: addresses => {
--- a/src/gateway/place_wait.ts
+++ b/src/gateway/place_wait.ts
@@ -24,10 +24,13 @@
   /** How long the caller bears a pause, in milliseconds. */
   readonly patienceMs: number;
   /**
-   * When a place falls free that a limit keeps back, in milliseconds; Infinity
-   * without one. It counts as told to a caller.
+   * When a place falls free that backend servers keep back by their own word, in
+   * milliseconds, and whether there is no other. It counts as told to a caller.
    */
-  readonly takeOpeningMs: () => number;
+  readonly takeOpening: () => {
+    readonly inMs: number;
+    readonly isOnlyWay: boolean;
+  };
   /** How long it took lately until a lost group of the model was replaced. */
   readonly findRepairMs: () => number;
 }
@@ -120,10 +123,11 @@
   computeReturnMs(): number {
     const {forecast, line, clock, deadlineAt, honouredPart} = this.options;
     const leftMs = deadlineAt - clock.now();
-    const openingMs = this.options.takeOpeningMs();
+    const {inMs: openingMs, isOnlyWay} = this.options.takeOpening();
     return computeRetryAfterMs({
       forecast,
-      line,
+      // Places that fall free at engines which take nothing now are no places.
+      line: isOnlyWay ? undefined : line,
       leftMs,
       honouredPart,
       openingMs,
--- a/test/support/flow_fixture.ts
+++ b/test/support/flow_fixture.ts
@@ -59,6 +59,7 @@
     clock: systemClock,
     leaseClock: systemClock,
     events: this.events,
+    random: () => 0,
     askPermit: () => Promise.reject(new Error('nobody leads')),
     onNews: () => undefined,
   });
