fix(gateway,control): a backend server that says in its answers that it leaves gets no new request

What callers saw: nothing yet; requests sent to a backend server that is about to end break with it.

Cause: leaving was heard only by control, from the backend server's registrations. A gateway that had the word in its hands, in an answer, did not read it; one out of touch never heard it. Ruled out: that the retired table is slow (it reaches gateways with the answer they wait for; the word never got there).

Change: the gateway that reads it sends nothing there any more, for as long as it lives and whatever control tells of that start; what waits for a connection is called back, streams under way end. It tells control until control has it in the log, where it counts like a goodbye: other gateways get it, and the plan replaces the group.

--- a/src/control/gateway_desk.ts
+++ b/src/control/gateway_desk.ts
@@ -146,6 +146,8 @@
         this.registrations.register(ask),
       'departure-ask': (ask: Ask<'departure-ask'>) =>
         this.registrations.depart(ask),
+      'leaving-ask': (ask: Ask<'leaving-ask'>) =>
+        this.registrations.recordLeaving(ask),
       'gateway-ask': (ask: Ask<'gateway-ask'>) => this.answerGateway(ask),
     };
   }
--- a/src/control/registration_desk.ts
+++ b/src/control/registration_desk.ts
@@ -85,6 +85,29 @@
     return {type: 'registration-answer', call};
   }
 
+  /** Takes the goodbye that backend servers say in their answers to callers. */
+  async recordLeaving({
+    call,
+    gatewayId,
+    incarnations,
+  }: Ask<'leaving-ask'>): Promise<ControlMessage> {
+    const {runtime, events} = this.options;
+    const isNews = (incarnation: string) =>
+      !runtime.state.engines.isRetired(incarnation);
+    for (const incarnation of incarnations.filter(isNews)) {
+      const reason = 'it says in its answers that it leaves';
+      events.record({
+        type: 'backend-leaving',
+        subject: 'host',
+        id: incarnation,
+        reason,
+        details: {gatewayId},
+      });
+      await this.retire(incarnation, reason);
+    }
+    return {type: 'leaving-answer', call};
+  }
+
   /** Why a registration names no backend server to use: nothing may be changed by it. */
   private findRefusal({
     pool,
--- a/src/gateway/backend_signals.ts
+++ b/src/gateway/backend_signals.ts
@@ -17,7 +17,8 @@
 }
 
 type BackendSignalsOptions = Parameters<typeof BackendLimits.create>[0] &
-  Parameters<typeof BackendRests.create>[0];
+  Parameters<typeof BackendRests.create>[0] &
+  Parameters<typeof BackendDepartures.create>[0];
 
 /** Names in one reason of a refusal. */
 const MAX_NAMED = 3;
@@ -40,7 +41,7 @@
    * Creates signals of backend servers that said nothing yet.
    *
    * @example
-   * const signals = BackendSignals.create({clock, leaseClock, events, random, askPermit, onNews});
+   * const signals = BackendSignals.create({clock, leaseClock, events, random, askPermit, reportLeaving, onNews});
    */
   static create(options: BackendSignalsOptions): BackendSignals {
     return new BackendSignals(options);
@@ -64,13 +65,16 @@
   /** What those who choose among backend servers have to know. */
   readonly openness = {
     isOpen: (incarnation: string) =>
-      this.limits.isOpen(incarnation) && this.rests.isOpen(incarnation),
+      !this.departures.has(incarnation) &&
+      this.limits.isOpen(incarnation) &&
+      this.rests.isOpen(incarnation),
     isLimited: (incarnation: string) => this.limits.isLimited(incarnation),
   };
 
   /** False for a backend server to which even what waits for a connection must not go. */
   isWelcome(incarnation: string): boolean {
-    return !this.rests.isResting(incarnation);
+    const {rests, departures} = this;
+    return !rests.isResting(incarnation) && !departures.has(incarnation);
   }
 
   /**
@@ -99,6 +103,7 @@
         incarnations.length > 0 &&
         incarnations.every(
           incarnation =>
+            this.departures.has(incarnation) ||
             this.limits.isLimited(incarnation) ||
             !this.rests.isOpen(incarnation),
         ),
@@ -111,6 +116,11 @@
     this.rests.expire(isKnown);
   }
 
+  /** Tells control nothing any more. */
+  close(): void {
+    this.departures.close();
+  }
+
   /** Why none of these takes a request; undefined where none said anything. */
   explainClosed(incarnations: readonly string[]): string | undefined {
     const limited = incarnations.filter(incarnation =>
@@ -119,7 +129,11 @@
     const resting = incarnations.filter(
       incarnation => !this.rests.isOpen(incarnation),
     );
+    const leaving = incarnations.filter(incarnation =>
+      this.departures.has(incarnation),
+    );
     const reasons = [
+      ...formatReason(leaving, 'since it leaves'),
       ...formatReason(limited, 'by the limit that it names'),
       ...formatReason(resting, 'since it asked for rest'),
     ];
--- a/src/gateway/create_backend_signals.ts
+++ b/src/gateway/create_backend_signals.ts
@@ -34,6 +34,10 @@
     events,
     random: Math.random,
     onNews,
+    reportLeaving(incarnations) {
+      const ask = {type: 'leaving-ask' as const, gatewayId, incarnations};
+      return client.ask<'leaving-ask'>(ask);
+    },
     async askPermit(limit) {
       const ask = {type: 'permit-ask' as const, gatewayId, limit};
       const {useWithinMs} = permitTiming;
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -222,6 +222,7 @@
     this.flows.forEach(flow => flow.abandon(STOPPED));
     this.takenAnswers.forEach(taken => taken.breakOff());
     this.containment.close();
+    this.signals.close();
     this.feed.close();
     await this.listener?.close();
     await this.origins.close();
--- a/src/protocol/control_calls.ts
+++ b/src/protocol/control_calls.ts
@@ -16,6 +16,7 @@
   'registration-ask': 'registration-answer';
   'departure-ask': 'registration-answer';
   'gateway-ask': 'gateway-answer';
+  'leaving-ask': 'leaving-answer';
   'permit-ask': 'permit-answer';
   'ends-ask': 'ends-answer';
   'trial-ask': 'trial-answer';
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -216,6 +216,14 @@
     /** What changed in the table of limits; present when the asker holds another. */
     limits: z.array(LimitWord).optional(),
   }),
+  z.object({
+    type: z.literal('leaving-ask'),
+    call: Call,
+    gatewayId: z.string().max(128),
+    /** Starts of backend servers that said in an answer that they leave. */
+    incarnations: z.array(z.string()),
+  }),
+  z.object({type: z.literal('leaving-answer'), call: Call}),
   z.object({
     type: z.literal('permit-ask'),
     call: Call,
--- a/test/control/gateway_desk.test.ts
+++ b/test/control/gateway_desk.test.ts
@@ -27,8 +27,10 @@
       channel: {version: 1, rules},
       suspects: SuspectTable.create(),
     },
-    raft: {term: 1, commitIndex: 1, listVotersAt: () => new Map()},
+    raft: {term: 1, commitIndex: 1, listVotersAt: () => new Map([['c', 'c']])},
     leadingSince: NOW - ledMs,
+    propose: ({incarnation}: {incarnation: string}) =>
+      Promise.resolve(engines.retire(incarnation)),
   } as unknown as RaftRuntime;
   const desk = GatewayDesk.create({
     settings: {} as ControlSettings,
@@ -59,7 +61,7 @@
     const {targets = []} = await ask();
     return targets.map(({incarnation, model}) => `${incarnation} ${model}`);
   };
-  return {engines, registry, ask, listTargets};
+  return {engines, registry, desk, ask, listTargets};
 }
 
 describe('a leader that has just begun', () => {
@@ -130,3 +132,17 @@
   expect(told[1]).toBe(told[0]);
   expect(told[2]).toBe(told[0]);
 });
+
+test('a head that said in an answer that it leaves is told to nobody, whatever it registers', async () => {
+  const {engines, registry, desk, listTargets} = create(100);
+  engines.set(group(['a', 'b']));
+  expect(await listTargets()).toEqual(['a low']);
+  const ask = {type: 'leaving-ask' as const, call: 1, gatewayId: 'g'};
+  await desk.handlers['leaving-ask']({...ask, incarnations: ['a']});
+  expect(await listTargets()).toEqual([]);
+
+  // Registrations that do not say so yet change nothing.
+  registry.record(host('a').registration, NOW);
+  expect(await listTargets()).toEqual([]);
+  expect(engines.isRetired('a')).toBe(true);
+});
--- a/test/support/flow_fixture.ts
+++ b/test/support/flow_fixture.ts
@@ -60,6 +60,7 @@
     leaseClock: systemClock,
     events: this.events,
     random: () => 0,
+    reportLeaving: () => Promise.resolve(),
     askPermit: () => Promise.reject(new Error('nobody leads')),
     onNews: () => undefined,
   });
