--- a/test/soak/soak_backend.ts
+++ b/test/soak/soak_backend.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import {AddressInfo} from 'node:net';
 import {sendCall} from './send_call';
+import {SoakSignals} from './soak_signals';
 import {SoakWork} from './soak_work';
 
 const HEARTBEAT_MS = 300;
@@ -22,6 +23,7 @@
   /** Where registrations go. */
   readonly control: () => string;
   readonly random: () => number;
+  readonly signals: SoakSignals;
 }
 
 /** Answers after a while, or as a stream; refuses and breaks off now and then. */
@@ -81,8 +83,13 @@
       response.end();
       return;
     }
+    const {signals} = this.options;
+    signals.recordReached();
     if (chance < REFUSED_SHARE) {
-      response.writeHead(503, {'x-whinreel-not-executed': '1'});
+      response.writeHead(503, {
+        'x-whinreel-not-executed': '1',
+        ...signals.createRefusal(),
+      });
       response.end();
       return;
     }
@@ -108,7 +115,7 @@
         this.breakOff(id, response);
         return;
       }
-      response.writeHead(200, createHead(id, 'text/plain'));
+      response.writeHead(200, this.createHead(id, 'text/plain'));
       response.end(`ran ${id}`);
     }, this.options.random() * ANSWER_WITHIN_MS);
   }
@@ -141,7 +148,7 @@
       response.write(text);
       setTimeout(() => writeFrom(at + 1), pauseMs);
     };
-    response.writeHead(200, createHead(id, 'text/event-stream'));
+    response.writeHead(200, this.createHead(id, 'text/event-stream'));
     response.flushHeaders();
     setTimeout(() => writeFrom(after + 1), pauseMs);
   }
@@ -151,6 +158,15 @@
     response.socket?.resetAndDestroy();
   }
 
+  private createHead(id: string, type: string): Record<string, string> {
+    return {
+      'content-type': type,
+      'x-whinreel-request-id': id,
+      'x-whinreel-response-seal': 's',
+      ...this.options.signals.createHeaders(),
+    };
+  }
+
   private findWork(id: string): SoakWork {
     const {work} = this.options;
     const known = work.get(id) ?? {runs: 0, hasBroken: false, at: new Set()};
@@ -177,11 +193,3 @@
     });
   }
 }
-
-function createHead(id: string, type: string): Record<string, string> {
-  return {
-    'content-type': type,
-    'x-whinreel-request-id': id,
-    'x-whinreel-response-seal': 's',
-  };
-}
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -7,6 +7,7 @@
 import {createRandom} from './create_random';
 import {SoakBackend} from './soak_backend';
 import {SoakMachine} from './soak_machine';
+import {SoakSignals} from './soak_signals';
 import {SoakWork} from './soak_work';
 
 /** One more than twice the one machine that may be lost. */
@@ -15,6 +16,9 @@
 const BACKENDS = 3;
 /** Runs beside each other use addresses of their own, as far as there are. */
 const BLOCKS = 200;
+const SIGNAL_SEEDS = 1_000_000;
+/** Backend servers that name limits; the last one always takes what the others do not. */
+const LIMITED_BACKENDS = BACKENDS - 1;
 /** Stands for all entries at a link to a backend server. */
 const ENTRY_SIDE = 'entries';
 
@@ -23,6 +27,7 @@
   readonly controls: SoakMachine[] = [];
   readonly entries: SoakMachine[] = [];
   readonly backends: SoakBackend[] = [];
+  readonly signals: SoakSignals[] = [];
   /** What backend servers did, by request id. */
   readonly work = new Map<string, SoakWork>();
   readonly relays = RelayNet.create();
@@ -69,6 +74,7 @@
         work: this.work,
         control: () => this.choose(this.controls, 'control'),
         random: this.random,
+        signals: this.createSignals(`i${at}`, at),
       });
       const {port} = backend;
       backend.toldPort = await this.relays.open(ENTRY_SIDE, `i${at}`, port);
@@ -90,6 +96,15 @@
     rmSync(this.folder, {recursive: true, force: true});
   }
 
+  /** Drawn apart, so that what else a seed draws stays as it is. */
+  private createSignals(name: string, at: number): SoakSignals {
+    const random = createRandom(this.seed + SIGNAL_SEEDS + at);
+    const isEverLimited = at < LIMITED_BACKENDS;
+    const signals = SoakSignals.create({name, random, isEverLimited});
+    this.signals.push(signals);
+    return signals;
+  }
+
   private async addMachines(
     ports: SoakMachine['options']['ports'],
   ): Promise<void> {
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -4,7 +4,8 @@
  * may not run again runs once at most; one that was refused has not run, ever;
  * one that a backend server began ends with a whole answer; a success is the
  * backend server's own, and a stream has no gap; what was acknowledged is never
- * read back older, and is there at the end; no process ends by itself.
+ * read back older, and is there at the end; a backend server that names a limit
+ * gets no more than it bears; no process ends by itself.
  */
 import {writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
@@ -125,6 +126,7 @@
       broken.push(...checkRequest(request, fleet.work.get(request.id), faults));
     }
     broken.push(...operator.broken);
+    broken.push(...fleet.signals.flatMap(signals => signals.broken));
     broken.push(
       ...fleet.machines.flatMap(({unexpectedEnd}) => unexpectedEnd ?? []),
     );
