test(gateway): what callers get where backend servers take nothing by their own word

Denied, granted, ended limits, no leader, rests and departures at one and two backend servers: elsewhere at once, or refused at once with the time of the next place.

--- /dev/null
+++ b/test/gateway/closed_backends.test.ts
@@ -0,0 +1,93 @@
+import {describe, expect, test} from 'vitest';
+import {PermitVerdict} from '../../src/protocol/permit_verdict';
+import {answer, notRun, start, write} from '../support/backend_scripts';
+
+const LATER: PermitVerdict = {kind: 'later', pauseMs: 400, intervalMs: 1_000};
+const GRANTED: PermitVerdict = {kind: 'granted', pauseMs: 0, intervalMs: 0};
+const FREE: PermitVerdict = {kind: 'free', pauseMs: 0, intervalMs: 0};
+/** Callers come back as told within this part of their time. */
+const HONOURED_PART = 1 / 3;
+const HELD_MS = 3_000;
+
+/** Two backend servers, the first with a limit; what the leader says of it. */
+async function startLimited(verdict: PermitVerdict | undefined, count = 2) {
+  const handlers = ['first', 'second'].map(text => answer(text));
+  const {fixture, backends} = await start(handlers.slice(0, count));
+  if (verdict) {
+    fixture.answerPermit = () => Promise.resolve(verdict);
+  }
+  fixture.signals.limits.record('i0', 5, 0);
+  return {fixture, backends};
+}
+
+describe('a request for a backend server with a limit', () => {
+  test('goes there by a permit', async () => {
+    const {fixture} = await startLimited(GRANTED);
+    expect(await fixture.ask()).toMatchObject({status: 200, body: 'first'});
+  });
+
+  test('goes there freely once control knows of no limit', async () => {
+    const {fixture} = await startLimited(FREE);
+    expect(await fixture.ask()).toMatchObject({status: 200, body: 'first'});
+    expect(fixture.signals.limits.isLimited('i0')).toBe(false);
+  });
+
+  test.each([
+    ['the leader denies it', LATER],
+    ['nobody leads', undefined],
+  ])('goes elsewhere at once where %s', async (_why, verdict) => {
+    const {fixture, backends} = await startLimited(verdict);
+    expect(await fixture.ask()).toMatchObject({status: 200, body: 'second'});
+    expect(backends[0].requests).toEqual([]);
+  });
+
+  test('is refused at once where there is no other, with the time of the next place', async () => {
+    const {fixture, backends} = await startLimited(LATER, 1);
+    const {status, headers, body} = await fixture.ask();
+    expect(status).toBe(503);
+    expect(body).toContain('nothing more to i0 by the limit that it names');
+    const retryMs = Number(headers['retry-after']) * 1_000;
+    expect(retryMs).toBeGreaterThan(0);
+    expect(retryMs).toBeLessThanOrEqual(LATER.pauseMs);
+    expect(backends[0].requests).toEqual([]);
+
+    // The next caller is told to come after the one before it.
+    const next = await fixture.ask();
+    const nextMs = Number(next.headers['retry-after']) * 1_000;
+    expect(nextMs).toBeGreaterThan(retryMs);
+    expect(nextMs).toBeLessThanOrEqual(HELD_MS * HONOURED_PART);
+  });
+});
+
+describe('a request whose backend servers take nothing', () => {
+  test('is refused at once while the only one rests, until it has rested', async () => {
+    const rest = write(
+      'HTTP/1.1 503 Busy\nrequest-id: q\nnot-run: 1\nrest-ms: 700\ncontent-length: 0\n\n',
+    );
+    const {fixture, backends} = await start([rest]);
+    const first = await fixture.ask();
+    const second = await fixture.ask();
+    for (const {status, headers, body} of [first, second]) {
+      expect(status).toBe(503);
+      expect(body).toContain('nothing more to i0 since it asked for rest');
+      expect(Number(headers['retry-after'])).toBeLessThanOrEqual(0.7);
+    }
+    expect(backends[0].requests.length).toBe(1);
+  });
+
+  test('is refused once the only one has said that it leaves', async () => {
+    const {fixture, backends} = await start([answer('bye', 'leaving: 1\n')]);
+    expect(await fixture.ask()).toMatchObject({status: 200, body: 'bye'});
+    const {status, body} = await fixture.ask();
+    expect(status).toBe(503);
+    expect(body).toContain('nothing more to i0 since it leaves');
+    expect(backends[0].requests.length).toBe(1);
+  });
+
+  test('is sent on as before after a refusal that asks for nothing', async () => {
+    const {fixture, backends} = await start([notRun, answer('second')]);
+    expect(await fixture.ask()).toMatchObject({status: 200, body: 'second'});
+    expect(await fixture.ask()).toMatchObject({status: 200, body: 'second'});
+    expect(backends[0].requests.length).toBe(2);
+  });
+});
--- a/test/support/flow_fixture.ts
+++ b/test/support/flow_fixture.ts
@@ -15,6 +15,7 @@
 import {TargetBoard} from '../../src/gateway/target_board';
 import {GatewayRules} from '../../src/protocol/gateway_rules';
 import {GatewayTarget} from '../../src/protocol/gateway_target';
+import {PermitVerdict} from '../../src/protocol/permit_verdict';
 import {HttpOrigins} from '../../src/transport/http_origins';
 import {BackendStandIn} from './backend_stand_in';
 import {plainDialect} from './plain_dialect';
@@ -52,18 +53,27 @@
   readonly results: FlowResult[] = [];
   /** What the board was told at first. */
   targets: Array<[string, GatewayTarget]> = [];
-  readonly board = TargetBoard.create('z', systemClock, () => 0);
   readonly forecast = PlaceForecast.create(systemClock);
   readonly events = EventRing.create();
+  /** What the leader answers a question for a permit; at first nobody leads. */
+  answerPermit: () => Promise<PermitVerdict> = () =>
+    Promise.reject(new Error('nobody leads'));
   readonly signals = BackendSignals.create({
     clock: systemClock,
     leaseClock: systemClock,
     events: this.events,
     random: () => 0,
     reportLeaving: () => Promise.resolve(),
-    askPermit: () => Promise.reject(new Error('nobody leads')),
+    askPermit: () => this.answerPermit(),
     onNews: () => undefined,
   });
+  readonly board = TargetBoard.create(
+    'z',
+    systemClock,
+    () => 0,
+    () => undefined,
+    this.signals.openness,
+  );
   private readonly containment = Containment.create({
     witness: BreakWitness.create({clock: systemClock, events: this.events}),
     calls: {
