fix(gateway): an answer that its backend server does not vouch for ends no limit

Cause: any answer without the limit ended it, also a refusal that another part of a backend server, or something in between, may have written; its requests would have rushed in. Found by reading the change again. The test (closed_backends, 'a limit stands after …') failed before. Only sealed answers end one.

--- a/src/gateway/backend_signals.ts
+++ b/src/gateway/backend_signals.ts
@@ -10,7 +10,7 @@
   readonly incarnation: string;
   readonly head: Pick<
     AnswerHead,
-    'limitPerSecond' | 'restMs' | 'isLeaving' | 'unread'
+    'limitPerSecond' | 'restMs' | 'isLeaving' | 'isSealed' | 'unread'
   >;
   /** When the request was sent, on the gateway's clock. */
   readonly sentAt: number;
@@ -53,7 +53,10 @@
     if (unread !== undefined) {
       this.recordUnread(incarnation, unread);
     }
-    this.limits.record(incarnation, limitPerSecond, sentAt);
+    // What a backend server does not vouch for may lack more than its limit.
+    if (limitPerSecond !== undefined || head.isSealed) {
+      this.limits.record(incarnation, limitPerSecond, sentAt);
+    }
     if (restMs) {
       this.rests.record(incarnation, restMs);
     }
--- a/test/gateway/closed_backends.test.ts
+++ b/test/gateway/closed_backends.test.ts
@@ -59,6 +59,25 @@
   });
 });
 
+describe('a limit', () => {
+  test('stands after an answer that its backend server does not vouch for', async () => {
+    const unsealed = write(
+      'HTTP/1.1 503 Full\nrequest-id: q\nnot-run: 1\ncontent-length: 0\n\n',
+    );
+    const {fixture} = await start([unsealed, answer('second')]);
+    fixture.answerPermit = () => Promise.resolve(GRANTED);
+    fixture.signals.limits.record('i0', 5, 0);
+    await fixture.ask();
+    expect(fixture.signals.limits.isLimited('i0')).toBe(true);
+  });
+
+  test('ends with an answer that names none', async () => {
+    const {fixture} = await startLimited(GRANTED);
+    await fixture.ask();
+    expect(fixture.signals.limits.isLimited('i0')).toBe(false);
+  });
+});
+
 describe('a request whose backend servers take nothing', () => {
   test('is refused at once while the only one rests, until it has rested', async () => {
     const rest = write(
