fix(gateway,control): what waits for its connection heeds a limit, and a new figure wakes nobody

A request that had been given to a backend server and still waited for a connection went out when the connection came, whatever the backend server had said since, and a permit could be used long after its 100 ms. Now the permit goes with the request, and it is looked at when the request is about to be written. Test closed_backends 'goes elsewhere once its backend server names a limit': fails without (checked by taking the look out), passes now. 2. A backend server whose figure changes with each answer made the leader wake every gateway each time, and write a line. Test limit_aims 'a figure that changes …': fails without, passes now.

--- a/src/control/limit_desk.ts
+++ b/src/control/limit_desk.ts
@@ -1,6 +1,7 @@
 /** The leader's table of the limits that backend servers name, and its permits to send to them. */
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
+import {LimitLines} from '../common/limit_lines';
 import {NamedLimits} from '../coordination/limits/named_limits';
 import {PermitIssuer} from '../coordination/limits/permit_issuer';
 import {permitTiming} from '../coordination/limits/permit_timing';
@@ -42,7 +43,11 @@
   private term = -1;
   private expiredAt = -Infinity;
 
-  private constructor(private readonly options: LimitDeskOptions) {}
+  private readonly lines: LimitLines;
+
+  private constructor(private readonly options: LimitDeskOptions) {
+    this.lines = LimitLines.create(options.events, options.clock);
+  }
 
   /**
    * Creates a desk that knows no limit.
@@ -112,32 +117,21 @@
       const now = clock.now();
       this.findIssuer(incarnation, perSecond, now).setLimit(perSecond, now);
     }
-    this.changes = [...this.changes, incarnation].slice(-MAX_CHANGES);
-    this.count += 1;
-    announce();
-    this.recordNews(gatewayId, word, before);
-  }
-
-  private recordNews(
-    gatewayId: string,
-    {incarnation, perSecond, msAgo}: LimitWord,
-    before: number | undefined,
-  ): void {
-    const isEnd = perSecond === null;
-    const kind = isEnd ? 'ended' : before === undefined ? 'named' : 'changed';
-    this.options.events.record({
-      type: `limit-${kind}`,
-      subject: 'host',
-      id: incarnation,
-      reason: isEnd
-        ? 'a gateway got an answer that names no limit any more'
-        : 'a gateway got an answer that names it',
-      details: {
-        gatewayId,
-        ageMs: Math.round(msAgo),
-        ...(perSecond === null ? {} : {perSecond}),
-        ...(before === undefined ? {} : {before}),
-      },
+    // Gateways need not know the figure, only whether there is a limit.
+    if (perSecond === null || before === undefined) {
+      this.changes = [...this.changes, incarnation].slice(-MAX_CHANGES);
+      this.count += 1;
+      announce();
+    }
+    this.lines.record({
+      incarnation,
+      perSecond,
+      before,
+      reason:
+        perSecond === null
+          ? 'a gateway got an answer that names no limit any more'
+          : 'a gateway got an answer that names it',
+      details: {gatewayId, ageMs: Math.round(msAgo)},
     });
   }
 
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -7,6 +7,7 @@
 import {BackendSignals} from './backend_signals';
 import {CallerDialect} from './caller_dialect';
 import {GatewayRequest} from './gateway_request';
+import {SendPermit} from './send_permit';
 import {TargetBoard} from './target_board';
 
 /** What an attempt needs. */
@@ -14,6 +15,8 @@
   readonly request: GatewayRequest;
   readonly body: Buffer;
   readonly target: GatewayTarget;
+  /** Where the target has a limit. */
+  readonly permit?: SendPermit;
   readonly workspace?: string;
   readonly remainingMs: number;
   readonly lastEventId?: string;
@@ -77,12 +80,21 @@
 
   /** It waits for a connection to a backend server that control no longer tells, or that takes nothing now. */
   get isLeftBehind(): boolean {
-    const {board, signals, target} = this.options;
-    const {incarnation} = target;
-    const isOpen = board.has(incarnation) && signals.isWelcome(incarnation);
+    const {board, target} = this.options;
+    const isOpen = board.has(target.incarnation) && this.isWelcome;
     return this.isWaiting && !isOpen;
   }
 
+  /** The backend server wants it still, and what allowed it to go there holds. */
+  private get isWelcome(): boolean {
+    const {signals, target, permit} = this.options;
+    const {incarnation} = target;
+    const isAllowed = permit
+      ? !permit.hasExpired()
+      : !signals.limits.isLimited(incarnation);
+    return isAllowed && signals.isWelcome(incarnation);
+  }
+
   /** Gives up; the backend server sees its connection close. */
   stop(reason: string): void {
     this.finish({kind: this.isSent ? 'broken' : 'not-run', reason});
@@ -127,10 +139,7 @@
         maxConnections,
       },
       {
-        onSent: () => {
-          this.isSent = true;
-          this.sentAt = this.options.clock.now();
-        },
+        onSent: () => this.handleSent(),
         onHead: (status, raw) =>
           this.handleHead(dialect.readAnswer(status, raw)),
         onData: chunk => this.handleData(chunk),
@@ -140,6 +149,16 @@
     );
   }
 
+  /** It waited for its connection until now, and its backend server may have spoken since. */
+  private handleSent(): void {
+    if (!this.isWelcome) {
+      this.stop('its backend server takes no new work');
+      return;
+    }
+    this.isSent = true;
+    this.sentAt = this.options.clock.now();
+  }
+
   private handleHead(head: AnswerHead): void {
     const {request, board, target, signals} = this.options;
     if (this.isEnded) {
--- a/src/gateway/backend_limits.ts
+++ b/src/gateway/backend_limits.ts
@@ -1,11 +1,13 @@
 /** Limits that backend servers name, as this gateway knows them, and its permits to send in spite of them. */
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
+import {LimitLines} from '../common/limit_lines';
 import {NamedLimits} from '../coordination/limits/named_limits';
 import {PermitPacing} from '../coordination/limits/permit_pacing';
 import {permitTiming} from '../coordination/limits/permit_timing';
 import {LimitWord} from '../protocol/limit_word';
 import {PermitVerdict} from '../protocol/permit_verdict';
+import {SendPermit} from './send_permit';
 
 /** Words in one message to control; the rest follows with the next. */
 const MAX_WORDS = 64;
@@ -24,6 +26,9 @@
   readonly onNews: () => void;
 }
 
+/** For a backend server without a limit. */
+const ALWAYS: SendPermit = {hasExpired: () => false};
+
 /** One for all requests of a gateway. */
 export class BackendLimits {
   private readonly limits = NamedLimits.create();
@@ -34,7 +39,11 @@
   /** No leader answered: nobody asks before. */
   private silentUntil = -Infinity;
 
-  private constructor(private readonly options: BackendLimitsOptions) {}
+  private readonly lines: LimitLines;
+
+  private constructor(private readonly options: BackendLimitsOptions) {
+    this.lines = LimitLines.create(options.events, options.clock);
+  }
 
   /**
    * Creates a table without limits.
@@ -53,13 +62,15 @@
     sentAt: number,
   ): void {
     const {clock, onNews} = this.options;
-    const isNews = this.apply({
+    const wasLimited = this.isLimited(incarnation);
+    this.apply({
       incarnation,
       perSecond: perSecond ?? null,
       at: perSecond === undefined ? sentAt : clock.now(),
       reason: 'its answer says so',
     });
-    if (isNews) {
+    // Only the leader needs a new figure, and gets it with the next question.
+    if (wasLimited !== this.isLimited(incarnation)) {
       onNews();
     }
   }
@@ -76,12 +87,12 @@
     return !this.isLimited(incarnation) || (canAsk && now >= this.silentUntil);
   }
 
-  /** Asks for the right to send one request at once. */
-  async askPermit(incarnation: string): Promise<boolean> {
+  /** Asks for the right to send one request at once; undefined where it is denied. */
+  async askPermit(incarnation: string): Promise<SendPermit | undefined> {
     const {clock, leaseClock, askPermit} = this.options;
     const [limit] = this.describe([incarnation]);
     if (!limit || limit.perSecond === null) {
-      return true;
+      return ALWAYS;
     }
     const pacing = this.findPacing(incarnation);
     const askedAt = leaseClock.now();
@@ -95,10 +106,12 @@
       const at = clock.now();
       const reason = 'control knows of no limit any more';
       this.apply({incarnation, perSecond: null, at, reason});
-      return true;
+      return ALWAYS;
     }
-    const isFresh = leaseClock.now() - askedAt < permitTiming.useWithinMs;
-    return verdict?.kind === 'granted' && isFresh;
+    const hasExpired = () =>
+      leaseClock.now() - askedAt >= permitTiming.useWithinMs;
+    const isUsable = verdict?.kind === 'granted' && !hasExpired();
+    return isUsable ? {hasExpired} : undefined;
   }
 
   /**
@@ -163,39 +176,33 @@
     }
   }
 
-  /** Tells whether it changes anything. */
   private apply(word: {
     readonly incarnation: string;
     readonly perSecond: number | null;
     readonly at: number;
     readonly reason: string;
-  }): boolean {
-    const {incarnation, perSecond, at} = word;
+  }): void {
+    const {incarnation, perSecond, at, reason} = word;
     const before = this.limits.find(incarnation);
     const isNews =
       perSecond === null
         ? this.limits.end(incarnation, at)
         : this.limits.add(incarnation, perSecond, at);
     if (!isNews) {
-      return false;
+      return;
     }
     this.told.delete(incarnation);
-    this.pacings.delete(incarnation);
-    const isEnd = perSecond === null;
-    const kind = isEnd ? 'ended' : before === undefined ? 'named' : 'changed';
-    const saidAt = isEnd ? (before?.namedAt ?? at) : at;
-    this.options.events.record({
-      type: `limit-${kind}`,
-      subject: 'host',
-      id: incarnation,
-      reason: word.reason,
-      details: {
-        ...(perSecond === null ? {} : {perSecond}),
-        ...(before === undefined ? {} : {before: before.perSecond}),
-        ageMs: Math.round(this.options.clock.now() - saidAt),
-      },
+    if (perSecond === null) {
+      this.pacings.delete(incarnation);
+    }
+    const saidAt = perSecond === null ? (before?.namedAt ?? at) : at;
+    this.lines.record({
+      incarnation,
+      perSecond,
+      before: before?.perSecond,
+      reason,
+      details: {ageMs: Math.round(this.options.clock.now() - saidAt)},
     });
-    return true;
   }
 
   private describe(incarnations: readonly string[]): LimitWord[] {
--- a/src/gateway/flow_sender.ts
+++ b/src/gateway/flow_sender.ts
@@ -4,6 +4,7 @@
 import {createTargetKey} from './create_target_key';
 import {FlowCourse} from './flow_course';
 import {RequestFlowOptions} from './request_flow_options';
+import {SendPermit} from './send_permit';
 
 type AttemptHooks = Pick<
   Parameters<typeof Attempt.create>[0],
@@ -85,16 +86,16 @@
   private async sendByPermit(target: GatewayTarget): Promise<void> {
     const {flow, maySend, onDenied} = this.options;
     this.isAsking = true;
-    const isGranted = await flow.signals.limits.askPermit(target.incarnation);
+    const permit = await flow.signals.limits.askPermit(target.incarnation);
     this.isAsking = false;
-    if (isGranted && flow.board.has(target.incarnation) && maySend()) {
-      this.begin(target);
+    if (permit && flow.board.has(target.incarnation) && maySend()) {
+      this.begin(target, permit);
     } else {
       onDenied();
     }
   }
 
-  private begin(target: GatewayTarget): void {
+  private begin(target: GatewayTarget, permit?: SendPermit): void {
     const {flow, course, deadlineAt, readLastEventId, onSending} = this.options;
     const {board, clock} = flow;
     onSending();
@@ -106,6 +107,7 @@
       ...flow,
       ...this.options,
       target,
+      permit,
       remainingMs: Math.max(1, Math.floor(deadlineAt - clock.now())),
       lastEventId: readLastEventId(),
     });
--- a/test/control/limit_aims.test.ts
+++ b/test/control/limit_aims.test.ts
@@ -112,6 +112,18 @@
   });
 });
 
+test('a figure that changes with each answer wakes no other gateway', async () => {
+  let figure = 5;
+  const limitAt = () => (figure += 0.1);
+  const crowd = create(16, 5, {limitAt});
+  await crowd.run(FROM_MS);
+  const {limitsTag} = crowd.gateways[0].limits.describeNews();
+  await crowd.run(FROM_MS + 10_000);
+
+  expect(figure).toBeGreaterThan(6);
+  expect(crowd.gateways[0].limits.describeNews().limitsTag).toBe(limitsTag);
+});
+
 describe('beside faults a limit is kept', () => {
   test.each(CASES)(
     'by %d gateways, at %d a second',
@@ -174,7 +186,7 @@
     });
     limits.record(BACKEND, 5, -1);
 
-    expect(await limits.askPermit(BACKEND)).toBe(false);
+    expect(await limits.askPermit(BACKEND)).toBeUndefined();
   });
 
   test('and a new start of the backend server has none', async () => {
--- a/test/gateway/closed_backends.test.ts
+++ b/test/gateway/closed_backends.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, test} from 'vitest';
 import {PermitVerdict} from '../../src/protocol/permit_verdict';
 import {answer, notRun, start, write} from '../support/backend_scripts';
+import {waitUntil} from '../support/wait_until';
 
 const LATER: PermitVerdict = {kind: 'later', pauseMs: 400, intervalMs: 1_000};
 const GRANTED: PermitVerdict = {kind: 'granted', pauseMs: 0, intervalMs: 0};
@@ -8,6 +9,8 @@
 /** Callers come back as told within this part of their time. */
 const HONOURED_PART = 1 / 3;
 const HELD_MS = 3_000;
+/** To one backend server, from the gateway of these tests. */
+const CONNECTIONS = 4;
 
 /** Two backend servers, the first with a limit; what the leader says of it. */
 async function startLimited(verdict: PermitVerdict | undefined, count = 2) {
@@ -59,6 +62,29 @@
   });
 });
 
+describe('a request that waits for its connection', () => {
+  test.each([
+    ['names a limit', {limitPerSecond: 5}],
+    ['asks for rest', {restMs: 5_000}],
+    ['says that it leaves', {isLeaving: true}],
+  ])('goes elsewhere once its backend server %s', async (_what, said) => {
+    const silent = () => undefined;
+    const {fixture, backends} = await start([silent, answer('second')]);
+    fixture.board.setTargets(new Map(fixture.targets.slice(0, 1)));
+    for (let count = 0; count < CONNECTIONS; count += 1) {
+      fixture.open();
+    }
+    const waiting = fixture.ask();
+    await waitUntil('all sent', () => fixture.flowCount > CONNECTIONS);
+    fixture.board.setTargets(new Map(fixture.targets));
+    const head = {...said, isSealed: true};
+    fixture.signals.recordHead({incarnation: 'i0', head, sentAt: 0});
+
+    expect(await waiting).toMatchObject({status: 200, body: 'second'});
+    expect(backends[0].requests.length).toBe(CONNECTIONS);
+  });
+});
+
 describe('a limit', () => {
   test('stands after an answer that its backend server does not vouch for', async () => {
     const unsealed = write(
--- a/test/support/limit_crowd.ts
+++ b/test/support/limit_crowd.ts
@@ -252,7 +252,8 @@
       return;
     }
     const isByPermit = limits.isLimited(BACKEND);
-    const maySend = !isByPermit || (await limits.askPermit(BACKEND));
+    const permit = isByPermit && (await limits.askPermit(BACKEND));
+    const maySend = !isByPermit || permit;
     if (maySend && gateway.limits === limits) {
       this.send(gateway, isByPermit);
     }
