refactor(coordination,gateway,control): one way to tell what is known of a limit

It stood at the gateway and at the leader alike; now the table of limits tells it. A getter that nobody read is gone.

--- a/src/control/limit_desk.ts
+++ b/src/control/limit_desk.ts
@@ -67,14 +67,15 @@
 
   /** What a gateway needs that holds the table with this tag. */
   describeSince(tag: string): LimitWord[] {
+    const now = this.options.clock.now();
     const era = this.readTag().slice(0, -String(this.count).length);
     const missed = this.count - Number(tag.slice(era.length));
     const isFollowing = tag.startsWith(era);
     if (!isFollowing || !(missed >= 0 && missed <= this.changes.length)) {
-      return this.describe([...this.limits.list(), ...this.limits.listEnded()]);
+      return this.limits.describe(this.limits.list(), now);
     }
     const changed = missed === 0 ? [] : this.changes.slice(-missed);
-    return this.describe([...new Set(changed)]);
+    return this.limits.describe([...new Set(changed)], now);
   }
 
   /** Takes what a gateway heard, or was told by the leader before. */
@@ -135,18 +136,6 @@
     });
   }
 
-  private describe(incarnations: readonly string[]): LimitWord[] {
-    const now = this.options.clock.now();
-    return incarnations.flatMap(incarnation => {
-      const known = this.limits.find(incarnation);
-      const at = known?.namedAt ?? this.limits.findEnd(incarnation);
-      const perSecond = known?.perSecond ?? null;
-      return at === undefined
-        ? []
-        : [{incarnation, perSecond, msAgo: now - at}];
-    });
-  }
-
   private findIssuer(
     incarnation: string,
     perSecond: number,
@@ -181,9 +170,9 @@
     const isHere = (incarnation: string) =>
       registry.find(incarnation) !== undefined;
     this.limits.expire(now, isHere);
+    const known = new Set(this.limits.list());
     for (const incarnation of this.issuers.keys()) {
-      const isOver = this.limits.find(incarnation) === undefined;
-      if (isOver && this.limits.findEnd(incarnation) === undefined) {
+      if (!known.has(incarnation)) {
         this.issuers.delete(incarnation);
       }
     }
--- a/src/coordination/limits/named_limits.ts
+++ b/src/coordination/limits/named_limits.ts
@@ -2,6 +2,7 @@
  * What is known of the limits that backend servers name, from whatever source and
  * in whatever order the words come.
  */
+import {LimitWord} from '../../protocol/limit_word';
 
 /** An end is remembered this long, so that an older word does not bring its limit back. */
 const END_KEPT_MS = 10_000;
@@ -68,19 +69,21 @@
     return this.limits.get(incarnation);
   }
 
-  /** When a limit ended that is not long over. */
-  findEnd(incarnation: string): number | undefined {
-    return this.endedAt.get(incarnation);
-  }
-
-  /** Backend servers with a limit. */
+  /** Backend servers with a limit, and those whose limit ended lately. */
   list(): string[] {
-    return [...this.limits.keys()];
+    return [...this.limits.keys(), ...this.endedAt.keys()];
   }
 
-  /** Backend servers whose limit ended lately. */
-  listEnded(): string[] {
-    return [...this.endedAt.keys()];
+  /** What another process should know of these, as far as anything is known. */
+  describe(incarnations: readonly string[], now: number): LimitWord[] {
+    return incarnations.flatMap(incarnation => {
+      const known = this.limits.get(incarnation);
+      const at = known?.namedAt ?? this.endedAt.get(incarnation);
+      const perSecond = known?.perSecond ?? null;
+      return at === undefined
+        ? []
+        : [{incarnation, perSecond, msAgo: Math.max(0, now - at)}];
+    });
   }
 
   /** Forgets what is over and what nobody uses. */
--- a/src/coordination/limits/permit_issuer.ts
+++ b/src/coordination/limits/permit_issuer.ts
@@ -65,11 +65,6 @@
     this.stock = Math.min(this.stock, this.capacity);
   }
 
-  /** When this backend server was last asked for. */
-  get lastAskedAt(): number {
-    return Math.max(-Infinity, ...this.askedAt.values());
-  }
-
   /** Answers a gateway that would send one request now. */
   ask(gatewayId: string, now: number): PermitVerdict {
     this.refresh(now);
--- a/src/coordination/limits/permit_timing.ts
+++ b/src/coordination/limits/permit_timing.ts
@@ -4,6 +4,6 @@
   windowMs: 4_000,
   /** A permit is used this soon after it was asked for, or not at all. */
   useWithinMs: 100,
-  /** From the issue of a permit until nothing can be sent by it any more: a send that waits for its connection is called back within some looks at it. */
+  /** From the issue of a permit until nothing sent by it can still be on its way. */
   lifeMs: 150,
 } as const;
--- a/src/gateway/backend_limits.ts
+++ b/src/gateway/backend_limits.ts
@@ -90,7 +90,7 @@
   /** Asks for the right to send one request at once; undefined where it is denied. */
   async askPermit(incarnation: string): Promise<SendPermit | undefined> {
     const {clock, leaseClock, askPermit} = this.options;
-    const [limit] = this.describe([incarnation]);
+    const [limit] = this.limits.describe([incarnation], clock.now());
     if (!limit || limit.perSecond === null) {
       return ALWAYS;
     }
@@ -133,10 +133,12 @@
 
   /** What control should know: the table that is held here, and what its leader was not told. */
   describeNews(): {limitsTag: string; limits: LimitWord[]} {
-    const held = [...this.limits.list(), ...this.limits.listEnded()];
-    const untold = this.describe(held).filter(
-      word => this.told.get(word.incarnation) !== formatTold(this.tag, word),
-    );
+    const held = this.limits.list();
+    const untold = this.limits
+      .describe(held, this.options.clock.now())
+      .filter(
+        word => this.told.get(word.incarnation) !== formatTold(this.tag, word),
+      );
     return {limitsTag: this.tag, limits: untold.slice(0, MAX_WORDS)};
   }
 
@@ -166,7 +168,7 @@
   /** Forgets what is over, and limits of backend servers that control no longer tells. */
   expire(isKnown: (incarnation: string) => boolean): void {
     this.limits.expire(this.options.clock.now(), isKnown);
-    const held = new Set([...this.limits.list(), ...this.limits.listEnded()]);
+    const held = new Set(this.limits.list());
     for (const table of [this.pacings, this.told]) {
       for (const incarnation of table.keys()) {
         if (!held.has(incarnation)) {
@@ -205,18 +207,6 @@
     });
   }
 
-  private describe(incarnations: readonly string[]): LimitWord[] {
-    const now = this.options.clock.now();
-    return incarnations.flatMap(incarnation => {
-      const known = this.limits.find(incarnation);
-      const at = known?.namedAt ?? this.limits.findEnd(incarnation);
-      const perSecond = known?.perSecond ?? null;
-      return at === undefined
-        ? []
-        : [{incarnation, perSecond, msAgo: Math.max(0, now - at)}];
-    });
-  }
-
   private findPacing(incarnation: string): PermitPacing {
     const pacing = this.pacings.get(incarnation) ?? PermitPacing.create();
     this.pacings.set(incarnation, pacing);
--- a/src/gateway/backend_rests.ts
+++ b/src/gateway/backend_rests.ts
@@ -2,7 +2,7 @@
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
 
-/** A longer rest is a slip of the pen: a backend server that still needs it will say so. */
+/** A longer one is taken for a mistake: a backend server that still needs rest will say so. */
 const LONGEST_REST_MS = 300_000;
 /** Gateways that were turned away together come back over this part of the rest, and of this at most. */
 const SPREAD_PART = 0.25;
