test(gateway): a backend server that starts again has none of the words of its last life

A limit of nothing, a rest and a departure are held against one start; the next one at its address is served at once. Passed at once on the code as it is; fails when departures are held against everybody.

--- a/test/gateway/closed_backends.test.ts
+++ b/test/gateway/closed_backends.test.ts
@@ -62,6 +62,19 @@
   });
 });
 
+test('a backend server that starts again at its address has none of the words of its last life', async () => {
+  const {fixture} = await start([answer('again')]);
+  const before = {incarnation: 'i0', sentAt: 0};
+  const head = {limitPerSecond: 0, restMs: 60_000, isLeaving: true};
+  fixture.signals.recordHead({...before, head: {...head, isSealed: true}});
+  expect((await fixture.ask()).status).toBe(503);
+  const [[, target]] = fixture.targets;
+  const anew = {...target, incarnation: 'i0-again'};
+  fixture.board.setTargets(new Map([['i0-again', anew]]));
+
+  expect(await fixture.ask()).toMatchObject({status: 200, body: 'again'});
+});
+
 describe('a request that waits for its connection', () => {
   test.each([
     ['names a limit', {limitPerSecond: 5}],
