feat(control,operator): a missing leader is explained by any control process

What could not be told: the record of the leaderless quorum shows three processes that become pre-candidate once a second, and not whom each asked, who answered what, who could not be reached and since when, by which voters it counts, and where its log ends. So a missing connection, a refused vote and a voter set of the past look the same.

Change: RaftNode.describeElection and ControlConnections.findConnection tell it; `no-leader` is written once a second while no leader is heard (every ten seconds after the first minute), with a sentence such as "2 of 5 voters reachable, 3 needed; 1 refused their vote". Decisions are unchanged.

--- a/src/control/control_connections.ts
+++ b/src/control/control_connections.ts
@@ -32,6 +32,23 @@
 interface Connection {
   readonly peer: Peer;
   lastMessageAt: number;
+  /** Why this process closed it; undefined while it is open or when the peer did. */
+  closeReason?: string;
+}
+
+/** Whether a process is connected, and since when. */
+interface ConnectionReport {
+  /** Identity of the connected process; undefined while there is no connection. */
+  readonly identity: string | undefined;
+  /** Time since the connection opened, or since it was lost or first tried, in milliseconds. */
+  readonly sinceMs: number;
+  /** Why the latest attempt failed or the connection ended. */
+  readonly failure: string | undefined;
+}
+
+interface ConnectionHistory {
+  changedAt: number;
+  failure?: string;
 }
 
 /** Maintains one outgoing connection to each of the other control processes. */
@@ -40,6 +57,7 @@
   private readonly addresses = new Map<string, string>();
   /** Time of the last message of a process, by identity. */
   private readonly lastMessageAt = new Map<string, number>();
+  private readonly histories = new Map<string, ConnectionHistory>();
   private readonly timer: NodeJS.Timeout;
   private isClosed = false;
 
@@ -65,6 +83,7 @@
   add(name: string, address: string): void {
     if (!this.addresses.has(name)) {
       this.addresses.set(name, address);
+      this.histories.set(name, {changedAt: this.options.clock.now()});
       void this.runConnection(name, address);
     }
   }
@@ -81,6 +100,23 @@
     return this.lastMessageAt.get(identity);
   }
 
+  /** Lists the processes to which connections are maintained, by name. */
+  listNames(): string[] {
+    return [...this.addresses.keys()];
+  }
+
+  /** Describes the connection to a process; undefined if none is maintained. */
+  findConnection(name: string): ConnectionReport | undefined {
+    const history = this.histories.get(name);
+    return (
+      history && {
+        identity: this.connections.get(name)?.peer.remote.id,
+        sinceMs: this.options.clock.now() - history.changedAt,
+        failure: history.failure,
+      }
+    );
+  }
+
   /** Sends a message to the process with this identity; dropped if it is not connected. */
   send(identity: string, message: Message): void {
     const connection = this.connections.get(splitIdentity(identity).name);
@@ -101,8 +137,10 @@
   private probe(): void {
     const now = this.options.clock.now();
     const identity = this.options.identity.id;
-    for (const {peer, lastMessageAt} of this.connections.values()) {
+    for (const connection of this.connections.values()) {
+      const {peer, lastMessageAt} = connection;
       if (now - lastMessageAt > IDLE_TIMEOUT_MS) {
+        connection.closeReason = `no message for ${IDLE_TIMEOUT_MS} ms`;
         peer.close();
       } else {
         peer.send({type: 'formation-ask', identity});
@@ -112,7 +150,9 @@
 
   private async runConnection(name: string, address: string): Promise<void> {
     while (!this.isClosed) {
-      await this.connectOnce(name, address).catch(() => undefined);
+      await this.connectOnce(name, address).catch((error: Error) =>
+        this.recordFailure(name, error.message),
+      );
       await new Promise(resolve => setTimeout(resolve, RECONNECT_MS));
     }
   }
@@ -124,8 +164,9 @@
       peer.close();
       return;
     }
-    const connection = {peer, lastMessageAt: clock.now()};
+    const connection: Connection = {peer, lastMessageAt: clock.now()};
     this.connections.set(name, connection);
+    this.histories.set(name, {changedAt: clock.now()});
     const reply = (message: Message) => peer.send(message);
     void peer.messages
       .observe(message => {
@@ -137,7 +178,19 @@
         onFailure(peer.remote.id, error);
         peer.close();
       });
-    await peer.closed;
+    const failure = await peer.closed;
     this.connections.delete(name);
+    this.histories.set(name, {changedAt: clock.now()});
+    this.recordFailure(
+      name,
+      connection.closeReason ?? failure?.message ?? 'the peer closed it',
+    );
+  }
+
+  private recordFailure(name: string, failure: string): void {
+    const history = this.histories.get(name);
+    if (history) {
+      history.failure = failure;
+    }
   }
 }
--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -4,10 +4,12 @@
 import {LeaseClock} from '../common/lease_clock';
 import {recordPause} from '../common/record_pause';
 import {systemClock} from '../common/system_clock';
+import {systemTimers} from '../common/system_timers';
 import {Message} from '../protocol/message';
 import {MessageOf} from '../protocol/message_of';
 import {Peer} from '../protocol/peer';
 import {splitIdentity} from '../protocol/split_identity';
+import {QuorumStatus} from '../protocol/quorum_status';
 import {RaftMessage} from '../protocol/raft_message';
 import {ControlDataFolder} from '../state/control_data_folder';
 import {FrameConnection} from '../transport/frame_connection';
@@ -20,10 +22,12 @@
 import {ControlEventLog} from './control_event_log';
 import {ControlSettings} from './control_settings';
 import {createFleetStatus} from './create_fleet_status';
+import {createQuorumStatus} from './create_quorum_status';
 import {Fleet} from './fleet';
 import {EngineGroupPlannerLoop} from './engine_group_planner_loop';
 import {GatewayService} from './gateway_service';
 import {HostGroupPlannerLoop} from './host_group_planner_loop';
+import {MissingLeaderLog} from './missing_leader_log';
 import {QuorumMember} from './quorum_member';
 import {RaftRuntime} from './raft_runtime';
 import {SuspectService} from './suspect_service';
@@ -49,6 +53,8 @@
   private readonly registry: BackendRegistry;
   private planner: HostGroupPlannerLoop | undefined;
   private handlers: Handlers | undefined;
+  private missingLeaderLog: MissingLeaderLog | undefined;
+  private readonly startedAt = systemClock.now();
 
   private constructor(
     private readonly settings: ControlSettings,
@@ -117,8 +123,23 @@
     return this.runtime?.canServe() ?? false;
   }
 
+  /** Describes the quorum as this process sees it, whether there is a leader or not. */
+  describeQuorum(): QuorumStatus {
+    return createQuorumStatus({
+      identity: this.disk.identity,
+      runtime: this.runtime,
+      connections: this.connections ?? {
+        listNames: () => [],
+        findConnection: () => undefined,
+      },
+      startedAt: this.startedAt,
+      now: systemClock.now(),
+    });
+  }
+
   /** Closes connections, timers and the disk without waiting for pending calls. */
   async close(): Promise<void> {
+    this.missingLeaderLog?.close();
     this.planner?.close();
     this.enginePlanner?.close();
     this.connections?.close();
@@ -174,6 +195,11 @@
       onDiskFull: error => this.record('disk-full', error.message),
     });
     this.member.start();
+    this.missingLeaderLog = MissingLeaderLog.create({
+      events: this.events,
+      timers: systemTimers,
+      describeQuorum: () => this.describeQuorum(),
+    });
   }
 
   private get runtime(): RaftRuntime | undefined {
@@ -200,6 +226,11 @@
   }
 
   private receive(from: string, message: Message, reply: Reply): void {
+    if (message.type === 'quorum-ask') {
+      const status = this.describeQuorum();
+      reply({type: 'quorum-answer', call: message.call, status});
+      return;
+    }
     if ('call' in message) {
       void this.answer(message as MessageOf<Message, keyof Handlers>, reply);
       return;
--- a/src/control/quorum_member.ts
+++ b/src/control/quorum_member.ts
@@ -9,8 +9,7 @@
 import {ControlSettings} from './control_settings';
 import {QuorumManager} from './quorum_manager';
 import {RaftRuntime} from './raft_runtime';
-
-type RaftRuntimeOptions = Parameters<typeof RaftRuntime.create>[0];
+import {RaftRuntimeOptions} from './raft_runtime_options';
 
 /** Dependencies and callbacks of a quorum member. */
 interface QuorumMemberOptions extends Pick<
--- a/src/control/raft_runtime.ts
+++ b/src/control/raft_runtime.ts
@@ -1,6 +1,4 @@
 /** Runs a Raft node: passes events to it and performs its effects on disk and network. */
-import {Clock} from '../common/clock';
-import {LeaseClock} from '../common/lease_clock';
 import {PushSource} from '../common/push_source';
 import {systemTimers} from '../common/system_timers';
 import {Cancel} from '../common/cancel';
@@ -10,7 +8,6 @@
 import {RaftEvent} from '../coordination/agreement/raft_event';
 import {RaftLog} from '../coordination/agreement/raft_log';
 import {RaftNode} from '../coordination/agreement/raft_node';
-import {RaftTiming} from '../coordination/agreement/raft_timing';
 import {ControlCommand} from '../protocol/control_command';
 import {RaftMessage} from '../protocol/raft_message';
 import {ClusterState} from '../state/cluster_state';
@@ -20,6 +17,7 @@
 import {ControlError} from './control_error';
 import {createLogRecords} from './create_log_records';
 import {PendingProposals} from './pending_proposals';
+import {RaftRuntimeOptions} from './raft_runtime_options';
 
 const TICK_MS = 20;
 /** Interval between write attempts on a full disk. */
@@ -39,27 +37,6 @@
   readonly messages: OutgoingMessages;
 }
 
-/** Dependencies and callbacks of the runtime. */
-interface RaftRuntimeOptions {
-  readonly disk: ControlDataFolder;
-  readonly clock: Clock;
-  /** Reports suspensions of the machine, which `clock` does not count. */
-  readonly leaseClock?: Pick<LeaseClock, 'pausedAt'>;
-  readonly timers?: Timers;
-  readonly timing: RaftTiming;
-  readonly random: () => number;
-  /** Start time of this process, on `clock`. */
-  readonly startedAt?: number;
-  readonly send: (to: string, message: RaftMessage) => void;
-  /** Called when the disk failed. The process must stop; all it acknowledged is durable. */
-  readonly onFailure: (error: Error) => void;
-  /** Called when the disk is full; the write is retried until it succeeds. */
-  readonly onDiskFull?: (error: Error) => void;
-  readonly snapshotEvery?: number;
-  /** Called when bundles or groups may have changed, or the role changed. */
-  readonly onChange: () => void;
-}
-
 /** Runs one Raft node and applies its committed entries to the cluster state. */
 export class RaftRuntime {
   private readonly changes = PushSource.create<{
@@ -77,6 +54,7 @@
   /** Index of the newest snapshot that was taken, whether it is on disk yet or not. */
   private plannedIndex = 0;
   private isDiskBusy = false;
+  private diskBusySince = 0;
   private isInstalling = false;
   private deferredEvents: RaftEvent[] = [];
   private readonly pendingProposals = PendingProposals.create();
@@ -146,6 +124,7 @@
     | 'listCommittedVoters'
     | 'isCaughtUp'
     | 'isChangingVoters'
+    | 'describeElection'
   > {
     return this.node;
   }
@@ -169,6 +148,16 @@
     return this.leaderSince;
   }
 
+  /**
+   * Time for which disk writes have been in progress without a break, in milliseconds;
+   * votes and requests for votes are not sent before the writes ahead of them are done.
+   */
+  get writePendingMs(): number {
+    return this.isDiskBusy
+      ? Math.max(0, this.options.clock.now() - this.diskBusySince)
+      : 0;
+  }
+
   /** Handles a message from another node. */
   receive(from: string, message: RaftMessage): void {
     this.step({type: 'message', from, message});
@@ -281,6 +270,7 @@
       return;
     }
     this.isDiskBusy = true;
+    this.diskBusySince = this.options.clock.now();
     try {
       while (
         !this.isClosed &&
--- a/src/coordination/agreement/raft_election.ts
+++ b/src/coordination/agreement/raft_election.ts
@@ -1,6 +1,7 @@
 /** Leader election of Raft, with a pre-vote phase. */
 import {MessageOf} from '../../protocol/message_of';
 import {RaftMessage} from '../../protocol/raft_message';
+import {ElectionReport} from './election_report';
 import {hasQuorum} from './has_quorum';
 import {RaftState} from './raft_state';
 
@@ -11,6 +12,11 @@
 export class RaftElection {
   /** Identities that granted their vote in the current election. */
   private grantedBy = new Set<string>();
+  /** The latest answer of each voter; `refusal` is undefined for a granted vote. */
+  private readonly answers = new Map<
+    string,
+    {readonly refusal: string | undefined; readonly at: number}
+  >();
 
   private constructor(
     private readonly state: RaftState,
@@ -76,9 +82,26 @@
     return state.hasRecentLeader() ? 'a leader was heard lately' : undefined;
   }
 
+  /** Returns the latest answer of each current voter, for diagnosis. */
+  listVotes(now: number): ElectionReport['votes'] {
+    const answers = [...this.answers].filter(([identity]) =>
+      this.state.peers.includes(identity),
+    );
+    return new Map(
+      answers.map(([identity, {refusal, at}]) => [
+        identity,
+        {refusal, ageMs: now - at},
+      ]),
+    );
+  }
+
   /** Counts a vote if it belongs to the current election. */
   handleVoteResponse(from: string, response: VoteResponse): void {
     const {state} = this;
+    const refusal = response.isGranted
+      ? undefined
+      : (response.refusal ?? 'no reason given');
+    this.answers.set(from, {refusal, at: state.now});
     if (
       response.isPreVote &&
       !response.isGranted &&
@@ -116,6 +139,7 @@
       'election timeout: no message from a leader',
     );
     this.grantedBy = new Set([state.identity]);
+    this.dropFormerVoters();
     if (!isPreVote) {
       state.setHardState(state.term + 1, state.identity);
     }
@@ -132,6 +156,16 @@
     this.countVotes();
   }
 
+  /** Bounds the answers that are kept by the number of voters. */
+  private dropFormerVoters(): void {
+    const {peers} = this.state;
+    for (const identity of this.answers.keys()) {
+      if (!peers.includes(identity)) {
+        this.answers.delete(identity);
+      }
+    }
+  }
+
   private countVotes(): void {
     if (
       !hasQuorum(this.state.voterSets, identity => this.grantedBy.has(identity))
--- a/src/coordination/agreement/raft_node.ts
+++ b/src/coordination/agreement/raft_node.ts
@@ -11,6 +11,7 @@
 import {LogEntry} from '../../protocol/log_entry';
 import {MessageOf} from '../../protocol/message_of';
 import {RaftMessage} from '../../protocol/raft_message';
+import {ElectionReport} from './election_report';
 import {RaftEffects} from './raft_effects';
 import {RaftElection} from './raft_election';
 import {RaftEvent} from './raft_event';
@@ -113,6 +114,24 @@
     return voterSets.length > 1 || !log.isVoterChangeSettled(commitIndex);
   }
 
+  /** Describes the current state of the leader election, for logs and operators. */
+  describeElection(now: number): ElectionReport {
+    const {state} = this;
+    const {role, term, log, commitIndex, leader, voterSets} = state;
+    return {
+      role,
+      term,
+      lastIndex: log.lastIndex,
+      lastTerm: log.lastTerm,
+      commitIndex,
+      leader,
+      leaderSilentMs:
+        role === 'leader' ? 0 : Math.max(0, now - state.lastLeaderContactAt),
+      voterSets,
+      votes: this.election.listVotes(now),
+    };
+  }
+
   /** True while no other node can have become leader. Check it right before sending a response. */
   hasLease(now: number, trustedSince?: number): boolean {
     return this.state.hasLease(now, trustedSince);
--- a/src/operator/add_fleet_commands.ts
+++ b/src/operator/add_fleet_commands.ts
@@ -1,5 +1,6 @@
 /** Commands that read and change the state of the running fleet. */
 import {Argument} from 'commander';
+import {QuorumStatus} from '../protocol/quorum_status';
 import {OperatorClient} from './operator_client';
 import {OperatorError} from './operator_error';
 import {OperatorReporter} from './operator_reporter';
@@ -20,15 +21,10 @@
   const {program, createReporter, withClient} = context;
   program
     .command('status')
-    .description('bundle, groups and hosts as control sees them')
-    .action(() =>
-      withClient(async client => {
-        createReporter().report({
-          type: 'status',
-          status: await client.readStatus(),
-        });
-      }),
-    );
+    .description(
+      'bundle, groups and hosts as control sees them; without a leader, why there is none',
+    )
+    .action(() => withClient(client => reportStatus(client, createReporter())));
   program
     .command('watch')
     .description('decisions of control as they are made, until interrupted')
@@ -79,6 +75,39 @@
   }
 }
 
+/**
+ * Reports the status that the leader knows. While no process knows a leader, reports
+ * how each sees the quorum instead of waiting for one.
+ */
+async function reportStatus(
+  client: OperatorClient,
+  reporter: OperatorReporter,
+): Promise<void> {
+  const call = client.readStatus();
+  const settled = call.then(
+    () => undefined,
+    () => undefined,
+  );
+  const processes = await Promise.race([settled, client.readQuorum()]);
+  const answered = processes?.flatMap(({status}) => status ?? []) ?? [];
+  const isLeaderless = answered.every(({leader}) => leader === null);
+  if (processes && answered.length > 0 && isLeaderless) {
+    reporter.report({type: 'quorum', processes});
+    const info = {kind: 'unreachable'};
+    throw new OperatorError({info}, '%s', explainQuorum(answered));
+  }
+  reporter.report({type: 'status', status: await call});
+}
+
+/** Returns the explanation of the process with the newest log, which is the one to be elected. */
+function explainQuorum(answered: readonly QuorumStatus[]): string {
+  const [newest] = [...answered].sort(
+    (left, right) =>
+      right.lastTerm - left.lastTerm || right.lastIndex - left.lastIndex,
+  );
+  return newest.explanation;
+}
+
 /** Signs and sends an order to drain a host, or to end its drain. */
 async function sendDrainOrder(
   client: OperatorClient,
--- a/src/operator/operator_client.ts
+++ b/src/operator/operator_client.ts
@@ -11,6 +11,8 @@
 import {Suspect} from '../state/suspect';
 import {TlsCredentials} from '../transport/tls_credentials';
 import {OperatorError} from './operator_error';
+import {QuorumView} from './quorum_view';
+import {readQuorumStatuses} from './read_quorum_statuses';
 
 /** A suspect request with its name, as control lists it. */
 const ListedSuspect = Suspect.extend({name: z.string()});
@@ -28,6 +30,9 @@
   private constructor(
     private readonly client: ControlClient,
     private readonly timeoutMs: number,
+    private readonly connectionOptions: Parameters<
+      typeof readQuorumStatuses
+    >[0],
   ) {}
 
   /**
@@ -47,6 +52,7 @@
     return new OperatorClient(
       ControlClient.create({addresses, identity, security}),
       timeoutMs,
+      {addresses, identity, security},
     );
   }
 
@@ -69,6 +75,11 @@
     return FleetStatus.parse(answer.status);
   }
 
+  /** Asks every control process how it sees the quorum; needs no leader and takes a second at most. */
+  readQuorum(): Promise<QuorumView[]> {
+    return readQuorumStatuses(this.connectionOptions);
+  }
+
   /**
    * Reads the journal entries after an index, of one subject and ID if given.
    *
--- a/src/operator/operator_result.ts
+++ b/src/operator/operator_result.ts
@@ -2,6 +2,7 @@
 import {FleetStatus} from '../protocol/fleet_status';
 import {JournalEntry} from '../state/journal_entry';
 import {Suspect} from '../state/suspect';
+import {QuorumView} from './quorum_view';
 
 /** A result of a `whinreel` command; reporters print it as text or as JSON. */
 export type OperatorResult =
@@ -56,6 +57,7 @@
       }>;
     }
   | {readonly type: 'status'; readonly status: FleetStatus}
+  | {readonly type: 'quorum'; readonly processes: readonly QuorumView[]}
   | {readonly type: 'journal'; readonly entries: readonly JournalEntry[]}
   | {
       readonly type: 'suspects';
--- /dev/null
+++ b/src/operator/quorum_view.ts
@@ -0,0 +1,8 @@
+import {QuorumStatus} from '../protocol/quorum_status';
+
+/** How one control process sees the quorum, or why it did not say. */
+export interface QuorumView {
+  readonly address: string;
+  readonly status?: QuorumStatus;
+  readonly failure?: string;
+}
--- a/src/operator/text_reporter.ts
+++ b/src/operator/text_reporter.ts
@@ -1,6 +1,7 @@
 import {FleetStatus} from '../protocol/fleet_status';
 import {MessageOf} from '../protocol/message_of';
 import {JournalEntry} from '../state/journal_entry';
+import {formatQuorum} from './format_quorum';
 import {formatTable} from './format_table';
 import {OperatorResult} from './operator_result';
 import {OperatorReporter} from './operator_reporter';
@@ -65,6 +66,7 @@
   'in-force': ({version, inForce, of}) =>
     `version ${version} is in force on ${inForce} of ${of} hosts and entries\n`,
   status: ({status}) => formatStatus(status),
+  quorum: ({processes}) => formatQuorum(processes),
   journal: ({entries}) =>
     entries.length === 0
       ? 'nothing is recorded about it\n'
--- a/src/protocol/control_calls.ts
+++ b/src/protocol/control_calls.ts
@@ -23,10 +23,11 @@
   'suspects-ask': 'suspects-answer';
   'lift-ask': 'lift-answer';
   'leader-ask': 'leader-answer';
+  'quorum-ask': 'quorum-answer';
 }
 type WithoutCallId<T> = T extends unknown ? Omit<T, 'call'> : never;
 
-/** Type map of the calls that the control leader answers. */
+/** Type map of the calls that control answers: the leader, and any process for `quorum-ask`. */
 export interface ControlCalls {
   readonly type: keyof Answers;
   readonly request: WithoutCallId<MessageOf<ControlMessage, keyof Answers>>;
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -282,6 +282,13 @@
   /** Finds the leader, which alone answers calls. */
   z.object({type: z.literal('leader-ask'), call: Call}),
   z.object({type: z.literal('leader-answer'), call: Call}),
+  /** Asks any control process for its view of the quorum. */
+  z.object({type: z.literal('quorum-ask'), call: Call}),
+  z.object({
+    type: z.literal('quorum-answer'),
+    call: Call,
+    status: z.unknown(),
+  }),
   z.object({
     type: z.literal('not-leader'),
     call: Call,
