test(simulation): disturbed recoveries; a voter that was only away loses its vote for good

Links to a machine without power hang for a second, and two where the hello is lost, as real ones. Checked in addition: a leader within 5 s once the last survivor listens and nothing more goes wrong.

--- a/test/simulation/day_limits.ts
+++ b/test/simulation/day_limits.ts
@@ -11,3 +11,7 @@
 export const CLOSING_WAIT_MS = 8_000;
 /** A request is convicted with every so manieth change. */
 export const CHANGES_PER_VERDICT = 4;
+/** How long a disturbed recovery goes on before it is calm. */
+export const DISTURBED_MS = 15_000;
+/** No leader may take longer than this once the last survivor listens and nothing else goes wrong. */
+export const LEADER_WITHIN_MS = 5_000;
--- a/test/simulation/loss_ledger.ts
+++ b/test/simulation/loss_ledger.ts
@@ -26,6 +26,10 @@
     return this.lost.size;
   }
 
+  isLost(name: string): boolean {
+    return this.lost.has(name);
+  }
+
   recordLoss(name: string): void {
     this.lost.set(name, 0);
   }
--- a/test/simulation/main.ts
+++ b/test/simulation/main.ts
@@ -1,7 +1,7 @@
 /**
  * Plays drawn days of the quorum on all cores.
  *
- * Usage: `npm run simulate -- FIRST_SEED COUNT [CORES]`
+ * Usage: `npm run simulate -- FIRST_SEED COUNT [CORES] [KIND]`, where KIND is `day` or `recovery`
  */
 import {availableParallelism} from 'node:os';
 import {
@@ -13,25 +13,32 @@
 import {DayResult} from './day_result';
 import {playDay} from './play_day';
 import {drawDay} from './quorum_day';
+import {drawRecoveryDay} from './recovery_day';
 import {shrinkDay} from './shrink_day';
 
 /** Seeds that one worker plays before it reports. */
 const BATCH = 20;
-const USAGE = 'usage: npm run simulate -- FIRST_SEED COUNT [CORES]';
+const USAGE =
+  'usage: npm run simulate -- FIRST_SEED COUNT [CORES] [day|recovery]';
 const FIRST_WRONG_EXIT = 2;
 
+/** What may be drawn from a seed. */
+const KINDS = {day: drawDay, recovery: drawRecoveryDay};
+
 interface Job {
   readonly first: number;
   readonly count: number;
+  readonly kind: keyof typeof KINDS;
 }
 
-async function runWorker({first, count}: Job): Promise<void> {
+async function runWorker({first, count, kind}: Job): Promise<void> {
   for (let seed = first; seed < first + count; seed += 1) {
-    const result = await playDay(drawDay(seed));
+    const day = KINDS[kind](seed);
+    const result = await playDay(day);
     const story =
       result.broken === undefined
         ? []
-        : (await playDay(await shrinkDay(drawDay(seed)))).story;
+        : (await playDay(await shrinkDay(day))).story;
     parentPort?.postMessage({...result, story});
   }
 }
@@ -50,7 +57,12 @@
   });
 }
 
-async function simulate(first: number, count: number, cores: number) {
+async function simulate(
+  first: number,
+  count: number,
+  cores: number,
+  kind: Job['kind'],
+) {
   const results: DayResult[] = [];
   const record = (result: DayResult) => {
     results.push(result);
@@ -64,7 +76,8 @@
   let next = first;
   const run = async () => {
     while (next < first + count) {
-      const job = {first: next, count: Math.min(BATCH, first + count - next)};
+      const size = Math.min(BATCH, first + count - next);
+      const job = {first: next, count: size, kind};
       next += BATCH;
       await runBatch(job, record);
     }
@@ -81,7 +94,7 @@
   const pick = (part: number) =>
     Math.round(times[Math.floor(times.length * part)] ?? NaN);
   console.log(
-    `${results.length} days, ${acknowledged} changes acknowledged; a leader after ${pick(0.5)} ms (median), ${pick(0.99)} ms (99 in 100)`,
+    `${results.length} days, ${acknowledged} changes acknowledged; a leader after ${pick(0.5)} ms (median), ${pick(0.99)} ms (99 in 100), ${Math.round(times.at(-1) ?? NaN)} ms (longest)`,
   );
   console.log(`${broken} broken`);
   return broken;
@@ -91,13 +104,15 @@
   void runWorker(workerData as Job);
 } else {
   const [first, count, cores = availableParallelism()] = process.argv
-    .slice(2)
+    .slice(2, 5)
     .map(readCount);
-  if (first === undefined || !count || !cores) {
+  const kind = process.argv[5] ?? 'day';
+  const isKnown = Object.hasOwn(KINDS, kind);
+  if (first === undefined || !count || !cores || !isKnown) {
     console.error(`two or three whole numbers are needed; ${USAGE}`);
     process.exitCode = FIRST_WRONG_EXIT;
   } else {
-    void simulate(first, count, cores).then(broken => {
+    void simulate(first, count, cores, kind as Job['kind']).then(broken => {
       process.exitCode = broken > 0 ? 1 : 0;
     });
   }
--- a/test/simulation/play_day.ts
+++ b/test/simulation/play_day.ts
@@ -1,24 +1,28 @@
 /** Plays one day on the real quorum code and checks its promises. */
 import {createRandom} from '../support/create_random';
 import {chooseWiped} from './choose_wiped';
-import {createBundle} from './create_bundle';
 import {describeMachine} from './describe_machine';
 import {LossLedger} from './loss_ledger';
 import {
   BUSY_EVERY_MS,
-  CHANGES_PER_VERDICT,
   CLOSING_WAIT_MS,
+  DISTURBED_MS,
+  LEADER_WITHIN_MS,
   LOOK_EVERY_MS,
   LOSSES,
   RECOVER_MS,
   SEEDS,
   VOTERS,
 } from './day_limits';
+import {DayOperator} from './day_operator';
 import {DayResult} from './day_result';
 import {DayStory} from './day_story';
+import {LinkFaults} from './link_faults';
 import {DAY_MS, DayEvent, QuorumDay} from './quorum_day';
+import {RecoveryWatch} from './recovery_watch';
 import {findBrokenPromise} from './find_broken_promise';
 import {STOPS} from './stops';
+import {createTroubleHandlers} from './trouble_handlers';
 import {VerdictLedger} from './verdict_ledger';
 import {VirtualFleet, VirtualMachine} from './virtual_machine';
 import {VirtualCuts} from './virtual_cuts';
@@ -48,22 +52,31 @@
     this.machines.map(describeMachine),
   );
   private readonly verdicts = VerdictLedger.create();
+  private readonly operator: DayOperator;
   private seedsFrom = 0;
-  private version = 0;
   private acked = 0;
   private ackedCount = 0;
   private isClosing = false;
   private isClosed = false;
   private closedAt = 0;
+  private watch: RecoveryWatch | undefined;
+  private readonly linkFaults: LinkFaults;
+  private readonly handlers: ReturnType<Day['createHandlers']>;
   private leaderAfterMs: number | undefined;
 
   constructor(private readonly day: QuorumDay) {
     this.random = createRandom(day.seed + 1_000_003);
     this.cuts = VirtualCuts.create(this.time);
+    this.linkFaults = LinkFaults.create(
+      this.time,
+      this.random,
+      name => this.find(name)?.isDark ?? true,
+    );
     this.fleet = {
       net: {
         time: this.time,
         random: this.random,
+        faults: day.recovery && this.linkFaults,
         find: name => this.find(name)?.station,
         isCut: (from, to) => this.cuts.isCut(from, to),
       },
@@ -81,14 +94,29 @@
     for (let at = 0; at < VOTERS; at += 1) {
       this.machines.push(VirtualMachine.create(`m${at}`, this.fleet));
     }
+    this.handlers = this.createHandlers();
+    this.operator = DayOperator.create({
+      time: this.time,
+      random: this.random,
+      verdicts: this.verdicts,
+      listMachines: () => this.machines,
+      findIntervalMs: () => (this.isClosed ? BUSY_EVERY_MS : day.changeEveryMs),
+      onAcked: version => this.recordAcked(version),
+    });
   }
 
   async play(): Promise<DayResult> {
     const {time, day} = this;
     this.machines.forEach(machine => this.boot(machine, true));
-    day.events.forEach(event => time.after(event.at, () => this.act(event)));
+    day.events.forEach(event =>
+      time.after(event.at, () => {
+        if (!this.isClosed) {
+          this.act(event);
+        }
+      }),
+    );
     time.after(LOOK_EVERY_MS, () => this.look());
-    time.after(500, () => this.change());
+    time.after(500, () => this.operator.change());
     time.after(DAY_MS, () => {
       this.isClosing = day.endsOnAck;
     });
@@ -118,97 +146,71 @@
     const isBack = () =>
       this.leaderAfterMs !== undefined && this.acked > before;
     const isOver = () => this.story.broken !== undefined || isBack();
-    await time.runUntil(time.now() + RECOVER_MS, isOver);
+    const disturbedMs = this.day.recovery ? DISTURBED_MS : 0;
+    await time.runUntil(time.now() + disturbedMs + RECOVER_MS, isOver);
     if (this.leaderAfterMs === undefined) {
       this.story.fail(
         `no leader within ${RECOVER_MS} ms after all machines ran`,
       );
+    } else if (this.watch && this.leaderAfterMs > LEADER_WITHIN_MS) {
+      this.story.fail(
+        `a leader ${this.leaderAfterMs} ms after the last survivor listened`,
+      );
     } else if (this.acked === before) {
       this.story.fail(`no change was taken within ${RECOVER_MS} ms`);
     }
   }
 
   private act(event: DayEvent): void {
-    return this.isClosed
-      ? undefined
-      : this.handlers[event.kind](event as never);
+    this.handlers[event.kind](event as never);
   }
 
-  private readonly handlers: {
+  private createHandlers(): {
     [T in DayEvent['kind']]: (event: Extract<DayEvent, {kind: T}>) => void;
-  } = {
-    kill: ({machine, downMs}) =>
-      this.stop([this.pick(machine)], downMs, 'kill'),
-    power: ({machine, downMs}) =>
-      this.stop([this.pick(machine)], downMs, 'power'),
-    'power-all': ({downMs}) => this.stop(this.machines, downMs, 'power'),
-    'kill-all': ({downMs}) => this.stop(this.machines, downMs, 'kill'),
-    wipe: ({machine, downMs, isAimed}) => {
-      if (this.ledger.count < LOSSES) {
-        this.stop([this.pick(machine, isAimed)], downMs, 'wipe');
-      }
-    },
-    replace: ({machine, afterMs}) => {
-      if (this.ledger.count < LOSSES) {
-        this.replace(this.pick(machine), afterMs);
-      }
-    },
-    freeze: ({machine, forMs, isAimed}) => {
-      const frozen = this.pick(machine, isAimed);
-      const {suspends, stepPart} = this.day;
-      const how = suspends
-        ? `is suspended (time set by ${stepPart})`
-        : 'stands still';
-      this.story.tell(`${frozen.name} ${how} for ${forMs} ms`);
-      this.trouble(frozen, forMs);
-      if (suspends) {
-        frozen.suspend(forMs, forMs * stepPart);
-      } else {
-        frozen.freeze(forMs);
-      }
-      // Before it does anything else, so that what it believes as it wakes is seen.
-      this.time.after(forMs, () => this.checkAnswers(frozen));
-    },
-    cut: ({machine, forMs, how}) => {
-      const cut = this.pick(machine);
-      this.story.tell(`${cut.name} is cut off (${how}) for ${forMs} ms`);
-      this.trouble(cut, forMs);
-      this.cuts.separate([cut.name], this.listOthers([cut]), forMs, how);
-    },
-    split: ({machine, forMs}) => {
-      const side = [this.pick(machine), this.pick(machine + 1)];
-      this.story.tell(
-        `${side.map(({name}) => name).join(' and ')} are cut from the others for ${forMs} ms`,
-      );
-      const names = side.map(({name}) => name);
-      this.cuts.separate(names, this.listOthers(side), forMs);
-      side.forEach(cut => this.trouble(cut, forMs));
-    },
-    stall: ({machine, forMs}) => {
-      const slow = this.pick(machine);
-      this.story.tell(`the disk of ${slow.name} stalls for ${forMs} ms`);
-      this.trouble(slow, forMs);
-      slow.stallDisk(forMs);
-    },
-    full: ({machine, forMs}) => {
-      const full = this.pick(machine);
-      this.story.tell(`the disk of ${full.name} has no room for ${forMs} ms`);
-      this.trouble(full, forMs);
-      full.fillDisk(true);
-      this.time.after(forMs, () => full.fillDisk(false));
-    },
-    seeds: ({machine}) => {
-      this.seedsFrom = machine;
-      this.story.tell(`the seeds are ${this.listSeeds().join(', ')} now`);
-    },
-  };
+  } {
+    return {
+      kill: ({machine, downMs}) =>
+        this.stop([this.pick(machine)], downMs, 'kill'),
+      power: ({machine, downMs}) =>
+        this.stop([this.pick(machine)], downMs, 'power'),
+      'power-all': ({downMs}) => this.stop(this.machines, downMs, 'power'),
+      'kill-all': ({downMs}) => this.stop(this.machines, downMs, 'kill'),
+      wipe: ({machine, downMs, isAimed}) => {
+        if (this.ledger.count < LOSSES) {
+          this.stop([this.pick(machine, isAimed)], downMs, 'wipe');
+        }
+      },
+      replace: ({machine, afterMs}) => {
+        if (this.ledger.count < LOSSES) {
+          this.replace(this.pick(machine), afterMs);
+        }
+      },
+      seeds: ({machine}) => {
+        this.seedsFrom = machine;
+        this.story.tell(`the seeds are ${this.listSeeds().join(', ')} now`);
+      },
+      ...createTroubleHandlers({
+        day: this.day,
+        time: this.time,
+        story: this.story,
+        cuts: this.cuts,
+        linkFaults: this.linkFaults,
+        pick: (at, isLeader) => this.pick(at, isLeader),
+        trouble: (machine, forMs) => this.trouble(machine, forMs),
+        listOthers: side => this.listOthers(side),
+        checkAnswers: machine => this.checkAnswers(machine),
+      }),
+    };
+  }
 
   private stop(
     machines: readonly VirtualMachine[],
-    downMs: number,
+    down: number | readonly number[],
     how: keyof typeof STOPS,
   ): void {
     for (const machine of machines) {
+      const place = this.machines.indexOf(machine);
+      const downMs = typeof down === 'number' ? down : down[place];
       this.story.tell(
         `${machine.name}: ${STOPS[how].words}, back after ${downMs} ms`,
       );
@@ -252,34 +254,6 @@
     );
   }
 
-  /** The operator sends a change to the leader, whoever that is. */
-  private change(): void {
-    const everyMs = this.isClosed ? BUSY_EVERY_MS : this.day.changeEveryMs;
-    this.time.after(everyMs * (0.5 + this.random()), () => this.change());
-    const leader = this.machines.find(({runtime}) => runtime?.canServe());
-    const {desk, runtime, station} = leader ?? {};
-    if (!leader || !desk || !runtime || leader.isFrozen) {
-      return;
-    }
-    const isAnswered = () => leader.station === station && runtime.canServe();
-    this.version += 1;
-    const version = this.version;
-    if (version % CHANGES_PER_VERDICT === 0) {
-      this.verdicts.convict(runtime, isAnswered);
-    }
-    desk.handlers['channel-bundle-ask']({
-      type: 'channel-bundle-ask',
-      call: version,
-      bundle: createBundle(version),
-    })
-      .then(() => {
-        if (isAnswered()) {
-          this.recordAcked(version);
-        }
-      })
-      .catch(() => undefined);
-  }
-
   private recordAcked(version: number): void {
     this.acked = Math.max(this.acked, version);
     this.ackedCount += 1;
@@ -307,28 +281,52 @@
         })
       : [];
     const others = this.machines.filter(machine => !wiped.includes(machine));
-    this.stop(wiped, 600, 'wipe');
+    this.stop(wiped, this.day.recovery?.downMs ?? 600, 'wipe');
     if (closing !== 'wipe') {
-      this.stop(others, 600, closing === 'kill-all' ? 'kill' : 'power');
+      const how = closing === 'kill-all' ? 'kill' : 'power';
+      this.stop(others, this.day.recovery?.downMs ?? 600, how);
     }
+    const returnMs = Math.max(600, ...(this.day.recovery?.downMs ?? [])) + 100;
     this.machines.forEach(machine => {
       machine.freeze(0);
       machine.stallDisk(0);
       machine.fillDisk(false);
-      this.time.after(700, () => this.boot(machine, false));
+      this.time.after(returnMs, () => this.boot(machine, false));
+    });
+    this.disturbRecovery();
+    this.closedAt = this.time.now() + returnMs;
+    this.time.after(returnMs, () => this.operator.change());
+  }
+
+  private disturbRecovery(): void {
+    const events = this.day.recovery?.events;
+    if (events) {
+      this.watch = RecoveryWatch.create(this.time.now(), events);
+      events.forEach(event => this.time.after(event.at, () => this.act(event)));
+    }
+  }
+
+  /** The moment from which the time to a leader counts; undefined before it. */
+  private findCalmAt(): number | undefined {
+    if (!this.isClosed || !this.watch) {
+      return this.isClosed ? this.closedAt : undefined;
+    }
+    return this.watch.findCalmAt({
+      machines: this.machines,
+      isLost: name => this.ledger.isLost(name),
+      troubledUntil: this.troubledUntil,
     });
-    this.closedAt = this.time.now() + 700;
-    this.time.after(700, () => this.change());
   }
 
   /** What must hold at every moment. */
   private look(): void {
     this.time.after(LOOK_EVERY_MS, () => this.look());
     const now = this.time.now();
+    const calmAt = this.findCalmAt();
     for (const machine of this.machines) {
       const isAnswering = this.checkAnswers(machine);
-      if (isAnswering && this.isClosed && now >= this.closedAt) {
-        this.leaderAfterMs ??= now - this.closedAt;
+      if (isAnswering && calmAt !== undefined && now >= calmAt) {
+        this.leaderAfterMs ??= now - calmAt;
       }
     }
     this.ledger.look(
--- a/test/simulation/quorum_day.ts
+++ b/test/simulation/quorum_day.ts
@@ -62,7 +62,37 @@
       readonly machine: number;
       readonly forMs: number;
     }
-  | {readonly at: number; readonly kind: 'seeds'; readonly machine: number};
+  | {readonly at: number; readonly kind: 'seeds'; readonly machine: number}
+  /** The time of day of one machine is set. */
+  | {
+      readonly at: number;
+      readonly kind: 'step';
+      readonly machine: number;
+      readonly stepMs: number;
+    }
+  /** The open connections of one machine carry nothing any more, and nobody is told. */
+  | {readonly at: number; readonly kind: 'silence'; readonly machine: number}
+  /** A part of all segments is lost and sent again. */
+  | {
+      readonly at: number;
+      readonly kind: 'loss';
+      readonly part: number;
+      readonly forMs: number;
+    }
+  /** A disk answers nothing, or takes many times as long. */
+  | {
+      readonly at: number;
+      readonly kind: 'hang';
+      readonly machine: number;
+      readonly forMs: number;
+    }
+  | {
+      readonly at: number;
+      readonly kind: 'slow';
+      readonly machine: number;
+      readonly forMs: number;
+      readonly factor: number;
+    };
 
 /** A day: what happens in it, and how it ends. */
 export interface QuorumDay {
@@ -79,6 +109,13 @@
   readonly suspends: boolean;
   /** How far the time of day is set when a machine wakes, as a part of its suspension. */
   readonly stepPart: number;
+  /** How the machines return after the closing; absent when all return at once and undisturbed. */
+  readonly recovery?: {
+    /** How long each machine is down, by its place. */
+    readonly downMs: readonly number[];
+    /** What goes wrong meanwhile; times count from the closing. */
+    readonly events: readonly DayEvent[];
+  };
 }
 
 type Draw = {
--- a/test/simulation/virtual_clocks.ts
+++ b/test/simulation/virtual_clocks.ts
@@ -25,6 +25,11 @@
   readonly readWall = (): number =>
     Math.floor(EPOCH_MS + this.time.now() + this.steppedMs);
 
+  /** Sets the time of day. */
+  step(ms: number): void {
+    this.steppedMs += ms;
+  }
+
   suspend(ms: number, stepMs: number): void {
     const from = this.time.now();
     const isSuspended = this.suspensions.some(({until}) => until > from);
--- a/test/simulation/virtual_disk.ts
+++ b/test/simulation/virtual_disk.ts
@@ -33,6 +33,10 @@
   private renames: Rename[] = [];
   /** Syncs take until then at least: the disk stalls. */
   stalledUntil = 0;
+  /** Nothing is answered until then. */
+  hangsUntil = 0;
+  /** Everything takes so many times as long. */
+  slowdown = 1;
   /** Writes find no room. */
   isFull = false;
 
@@ -186,8 +190,9 @@
     isAlive: () => boolean,
     result: () => T,
   ): Promise<T> {
+    const hangMs = Math.max(0, this.hangsUntil - this.time.now());
     return new Promise((resolve, reject) => {
-      this.time.after(ms, () => {
+      this.time.after(ms * this.slowdown + hangMs, () => {
         // The process that waited is gone, and with it what it waited for.
         if (!isAlive()) {
           return;
--- a/test/simulation/virtual_links.ts
+++ b/test/simulation/virtual_links.ts
@@ -6,12 +6,16 @@
 import {Timers} from '../../src/common/timers';
 import {Message} from '../../src/protocol/message';
 import {splitIdentity} from '../../src/protocol/split_identity';
+import {LinkFaults} from './link_faults';
 import {VirtualTime} from './virtual_time';
 
 const RECONNECT_MS = 100;
 const PROBE_EVERY_MS = 400;
 const SILENT_MS = 1_500;
 const DELAY_MS = [0.3, 3] as const;
+/** An attempt that nothing answers is given up after this time: to connect, and for the hello. */
+const CONNECT_TIMEOUT_MS = 1_000;
+const HELLO_TIMEOUT_MS = 2_000;
 
 type Reply = (message: Message) => void;
 
@@ -31,11 +35,14 @@
   /** The process that listens there now; undefined for nobody. */
   readonly find: (name: string) => Station | undefined;
   readonly isCut: (from: string, to: string) => boolean;
+  /** Absent where connections fail at once or not at all. */
+  readonly faults?: LinkFaults;
 }
 
 interface Link {
   readonly station: Station;
   heardAt: number;
+  readonly openedAt: number;
   /** Bytes were lost: nothing comes through any more. */
   isBroken: boolean;
   arrivesAt: number;
@@ -90,23 +97,45 @@
   private connect(name: string): void {
     const {net, own} = this;
     const station = net.find(name);
-    const isOpen =
-      station && !net.isCut(own.name, name) && !net.isCut(name, own.name);
-    this.timers.delay(isOpen ? this.drawDelay() : RECONNECT_MS, () => {
-      if (!isOpen || net.find(name) !== station) {
+    const isCut = net.isCut(own.name, name) || net.isCut(name, own.name);
+    const isOpen = station && !isCut;
+    const hangs = net.faults && (isCut || net.faults.isDark(name));
+    const failMs = RECONNECT_MS + (hangs ? CONNECT_TIMEOUT_MS : 0);
+    this.timers.delay(isOpen ? this.drawDelay() : failMs, () => {
+      if (!isOpen) {
         this.connect(name);
-        return;
+      } else if (net.find(name) !== station) {
+        this.reconnectAfterLostHello(name);
+      } else {
+        const now = net.time.now();
+        const openedAt = now;
+        const isBroken = false;
+        this.links.set(name, {
+          station,
+          openedAt,
+          heardAt: now,
+          isBroken,
+          arrivesAt: now,
+        });
       }
-      const now = net.time.now();
-      const link = {station, heardAt: now, isBroken: false, arrivesAt: now};
-      this.links.set(name, link);
     });
   }
 
+  /** The machine went away between the connection and its hello. */
+  private reconnectAfterLostHello(name: string): void {
+    if (this.net.faults?.isDark(name)) {
+      const delayMs = HELLO_TIMEOUT_MS + RECONNECT_MS;
+      this.timers.delay(delayMs, () => this.connect(name));
+    } else {
+      this.connect(name);
+    }
+  }
+
   private probe(): void {
     const now = this.net.time.now();
     for (const [name, link] of this.links) {
-      const isReset = this.net.find(name) !== link.station;
+      const isGone = this.net.find(name) !== link.station;
+      const isReset = isGone && !this.net.faults?.isDark(name);
       if (isReset || now - link.heardAt > SILENT_MS) {
         this.links.delete(name);
         this.timers.delay(RECONNECT_MS, () => this.connect(name));
@@ -140,11 +169,15 @@
     const {net} = this;
     const now = net.time.now();
     const copy = structuredClone(message);
-    link.arrivesAt = Math.max(link.arrivesAt, now + this.drawDelay());
+    const lossMs = net.faults?.drawLossMs() ?? 0;
+    link.arrivesAt = Math.max(link.arrivesAt, now + this.drawDelay() + lossMs);
     net.time.after(link.arrivesAt - now, () => {
       const isEnded =
         !this.isAlive() || net.find(link.station.name) !== link.station;
-      link.isBroken ||= isEnded || net.isCut(from, to);
+      const isSilenced =
+        net.faults?.isSilenced(from, link.openedAt) ||
+        net.faults?.isSilenced(to, link.openedAt);
+      link.isBroken ||= isEnded || isSilenced || net.isCut(from, to);
       if (!link.isBroken) {
         act(copy);
       }
--- a/test/simulation/virtual_machine.ts
+++ b/test/simulation/virtual_machine.ts
@@ -42,6 +42,10 @@
   private process: Process | undefined;
   private start: object | undefined;
   private frozenUntil = 0;
+  /** When the running process began to listen. */
+  listeningSince: number | undefined;
+  /** Without power, so that nothing here refuses a connection. */
+  isDark = false;
   private readonly clocks: VirtualClocks;
   private disksUsed = 0;
   /** Entries behind the snapshot after which a new one is taken. */
@@ -85,6 +89,7 @@
   async boot(seeds: readonly string[], isFirstStart: boolean): Promise<void> {
     const start = {};
     this.start = start;
+    this.isDark = false;
     const isAlive = () => this.start === start;
     const startedAt = this.clocks.steady.now();
     try {
@@ -98,6 +103,7 @@
         ...this.createSettings(seeds, isFirstStart),
         startedAt,
       });
+      this.listeningSince = this.fleet.net.time.now();
       this.process.member.start();
     } catch (error) {
       this.fleet.onFailure(this.name, error as Error);
@@ -108,17 +114,20 @@
   kill(): void {
     this.start = undefined;
     this.process = undefined;
+    this.listeningSince = undefined;
     this.frozenUntil = 0;
   }
 
   losePower(): void {
     this.kill();
+    this.isDark = true;
     this.disk.losePower();
   }
 
   /** The disk is lost with the power; an empty one takes its place. */
   wipe(): void {
     this.kill();
+    this.isDark = true;
     this.disksUsed += 1;
     this.disk = VirtualDisk.create(this.fleet.net.time, this.fleet.random);
   }
@@ -141,6 +150,18 @@
     this.disk.stalledUntil = this.fleet.net.time.now() + ms;
   }
 
+  hangDisk(ms: number): void {
+    this.disk.hangsUntil = this.fleet.net.time.now() + ms;
+  }
+
+  slowDisk(factor: number): void {
+    this.disk.slowdown = factor;
+  }
+
+  stepClock(ms: number): void {
+    this.clocks.step(ms);
+  }
+
   fillDisk(isFull: boolean): void {
     this.disk.isFull = isFull;
   }
