fix(coordination): a new voter takes the place of the one that fell silent before it came

Cause: of several silent voters the first to pass 2.5 s of silence was replaced by the new process. A voter that was away for some seconds so lost its vote to the successor of one that is gone for good, which kept its own: of five voters one could never answer, and two lost disks left two. Ruled out: refused votes, missing connections (the survivors list each other), sets that are not known to be committed (one set each). Change: the predecessor of a new process is the voter that fell silent last before the process first asked; until that one has been silent for 2.5 s nobody is replaced. Why it works: an operator replaces a machine shortly after it is gone, so whatever has been silent for longer has another reason.

--- a/src/control/quorum_manager.ts
+++ b/src/control/quorum_manager.ts
@@ -43,8 +43,11 @@
 /** Forms or joins a quorum and manages its membership. */
 export class QuorumManager {
   private readonly formationResponses = new Map<string, FormationResponse>();
-  /** Time of the last formation request of a process, by identity. */
-  private readonly lastRequestAt = new Map<string, number>();
+  /** Times of the first and the last formation request of a process, by identity. */
+  private readonly requestTimes = new Map<
+    string,
+    {readonly first: number; readonly last: number}
+  >();
   private readonly timers: Timers;
   private readonly stopTicking: Cancel;
   private readonly startedAt: number;
@@ -93,7 +96,9 @@
     identity,
   }: MessageOf<FormationMessage, 'formation-ask'>): FormationResponse {
     const {clock, disk} = this.options;
-    this.lastRequestAt.set(identity, clock.now());
+    const last = clock.now();
+    const first = this.requestTimes.get(identity)?.first ?? last;
+    this.requestTimes.set(identity, {first, last});
     this.addConnections([splitIdentity(identity).name]);
     const voters = this.listVoters();
     return {type: 'formation-answer', identity: disk.identity, voters};
@@ -198,7 +203,7 @@
     const candidates = reachable.filter(
       identity =>
         !settings.seeded ||
-        now - (this.lastRequestAt.get(identity) ?? -Infinity) <
+        now - (this.requestTimes.get(identity)?.last ?? -Infinity) <
           CANDIDATE_WITHIN_MS,
     );
     const change = decideVoterChange({
@@ -206,6 +211,12 @@
       candidates,
       target: settings.seeded?.voters ?? voters.size,
       isUnresponsive: identity => this.isUnresponsive(identity, reachable, now),
+      findSilentSince: identity =>
+        this.isConnected(identity, reachable)
+          ? undefined
+          : this.getLastActivityAt(identity),
+      findAppearedAt: identity =>
+        this.requestTimes.get(identity)?.first ?? this.startedAt,
     });
     if (change) {
       const command = {type: 'set-voter' as const, time: Date.now(), ...change};
@@ -232,8 +243,16 @@
     if (connected !== undefined) {
       return connected !== identity;
     }
-    const heardAt =
-      this.options.connections.findLastActivityAt(identity) ?? this.startedAt;
-    return now - heardAt > REPLACE_AFTER_MS;
+    return now - this.getLastActivityAt(identity) > REPLACE_AFTER_MS;
+  }
+
+  private isConnected(identity: string, reachable: readonly string[]): boolean {
+    const isOwn = identity === this.options.disk.identity;
+    return isOwn || reachable.includes(identity);
+  }
+
+  private getLastActivityAt(identity: string): number {
+    const {connections} = this.options;
+    return connections.findLastActivityAt(identity) ?? this.startedAt;
   }
 }
--- a/src/coordination/agreement/decide_voter_change.ts
+++ b/src/coordination/agreement/decide_voter_change.ts
@@ -8,6 +8,10 @@
   readonly target: number;
   /** Whether the voter with this identity is gone or has not responded for a long time. */
   readonly isUnresponsive: (identity: string) => boolean;
+  /** When a voter that is not connected last responded; undefined for one that is connected. */
+  readonly findSilentSince: (identity: string) => number | undefined;
+  /** When the candidate with this identity first asked, on the same clock. */
+  readonly findAppearedAt: (identity: string) => number;
 }
 
 /** A single step: adds one voter and removes at most one. */
@@ -24,7 +28,7 @@
  * unresponsive voter is replaced.
  *
  * @example
- * const change = decideVoterChange({voters, candidates, target: 5, isUnresponsive});
+ * const change = decideVoterChange({voters, candidates, target: 5, isUnresponsive, findSilentSince, findAppearedAt});
  */
 export function decideVoterChange(
   input: VoterChangeInput,
@@ -44,8 +48,27 @@
   if (!added || voters.size < target) {
     return added;
   }
-  const unresponsive = [...voters].find(([, identity]) =>
-    isUnresponsive(identity),
-  );
-  return unresponsive && {...added, replaces: unresponsive[0]};
+  const predecessor = findPredecessor(input, added.identity);
+  return predecessor !== undefined && isUnresponsive(predecessor.identity)
+    ? {...added, replaces: predecessor.name}
+    : undefined;
+}
+
+/**
+ * Finds the voter that a new process most likely replaces: the last one to fall silent
+ * before that process appeared. One that has been silent for longer tends to be away
+ * only; it would lose its vote, and the quorum would keep a voter that never returns.
+ */
+function findPredecessor(
+  {voters, findSilentSince, findAppearedAt}: VoterChangeInput,
+  candidate: string,
+): {readonly name: string; readonly identity: string} | undefined {
+  const appearedAt = findAppearedAt(candidate);
+  const silent = [...voters]
+    .flatMap(([name, identity]) => {
+      const since = findSilentSince(identity);
+      return since === undefined ? [] : [{name, identity, since}];
+    })
+    .sort((left, right) => right.since - left.since);
+  return silent.find(({since}) => since <= appearedAt) ?? silent.at(-1);
 }
--- a/test/coordination/raft_voters.test.ts
+++ b/test/coordination/raft_voters.test.ts
@@ -81,6 +81,11 @@
     ['c', 'c/1'],
   ]);
   const allResponsive = () => false;
+  const silence = {
+    findSilentSince: (identity: string) =>
+      identity === 'b/1' ? 1_000 : undefined,
+    findAppearedAt: () => 2_000,
+  };
 
   test('changes nothing without candidates', () => {
     const input = {
@@ -88,6 +93,7 @@
       candidates: [],
       target: 5,
       isUnresponsive: allResponsive,
+      ...silence,
     };
     expect(decideVoterChange(input)).toBeUndefined();
   });
@@ -98,6 +104,7 @@
       candidates: ['a/1', 'd/7', 'e/8'],
       target: 5,
       isUnresponsive: allResponsive,
+      ...silence,
     };
     expect(decideVoterChange(input)).toEqual({name: 'd', identity: 'd/7'});
   });
@@ -108,6 +115,7 @@
       candidates: ['d/7'],
       target: 3,
       isUnresponsive: (identity: string) => identity === 'b/1',
+      ...silence,
     };
     expect(decideVoterChange(input)).toEqual({
       name: 'd',
@@ -116,12 +124,35 @@
     });
   });
 
+  test('a voter that is only away keeps its vote when the successor of another one appears', () => {
+    const silentSince = new Map([
+      ['a/1', 400],
+      ['b/1', 1_000],
+    ]);
+    const decide = (now: number, appearedAt = 2_000) =>
+      decideVoterChange({
+        voters,
+        candidates: ['d/7'],
+        target: 3,
+        isUnresponsive: identity =>
+          now - (silentSince.get(identity) ?? now) > 2_500,
+        findSilentSince: identity => silentSince.get(identity),
+        findAppearedAt: () => appearedAt,
+      });
+
+    expect(decide(3_000)).toBeUndefined();
+    expect(decide(3_600)).toMatchObject({name: 'd', replaces: 'b'});
+    expect(decide(3_600, 700)).toMatchObject({replaces: 'a'});
+    expect(decide(3_600, 100)).toMatchObject({replaces: 'a'});
+  });
+
   test('does not add a candidate to a full quorum while every voter responds', () => {
     const input = {
       voters,
       candidates: ['d/7'],
       target: 3,
       isUnresponsive: allResponsive,
+      ...silence,
     };
     expect(decideVoterChange(input)).toBeUndefined();
   });
@@ -132,6 +163,7 @@
       candidates: ['d/7', 'b/2'],
       target: 5,
       isUnresponsive: (identity: string) => identity === 'b/1',
+      ...silence,
     };
     expect(decideVoterChange(input)).toEqual({name: 'b', identity: 'b/2'});
   });
@@ -142,6 +174,7 @@
       candidates: ['b/2'],
       target: 3,
       isUnresponsive: allResponsive,
+      ...silence,
     };
     expect(decideVoterChange(input)).toBeUndefined();
   });
--- a/test/simulation/failed_recovery_seeds.ts
+++ b/test/simulation/failed_recovery_seeds.ts
@@ -3,5 +3,8 @@
 
 /** Seeds of disturbed recoveries that once broke a promise, each with the cause; they are played again in CI. */
 export const FAILED_RECOVERY_SEEDS: ReadonlyMap<number, string> = new Map([
+  [249, AWAY],
+  [402, AWAY],
+  [498, AWAY],
   [543, AWAY],
 ]);
