fix(control): a process that connects is connected back at once

What callers saw: nothing broken; a leader later than needed after the return of machines of which every one is needed. An attempt to connect to a machine that goes dark hangs for a second (TCP) or two (the hello), and a connection to the former life of a process carries nothing for up to 1.5 s; votes go over each process's own connections. Change: whoever accepts a connection of another control process opens its own to it at once, and drops one to a former life. The simulated links do the same. Test: control/connect_back; without the change it fails (the election waits until the hanging attempt is given up).

--- a/src/control/control_connections.ts
+++ b/src/control/control_connections.ts
@@ -100,6 +100,28 @@
     return this.lastMessageAt.get(identity);
   }
 
+  /**
+   * Connects at once to a process that has just connected to this one. An attempt from
+   * before its start may hang for seconds, and a connection to its former life carries
+   * nothing; a quorum of which every member is needed cannot elect a leader meanwhile.
+   */
+  connectBack({id, incarnation}: {id: string; incarnation: string}): void {
+    const {name} = splitIdentity(id);
+    const address = this.addresses.get(name);
+    const open = this.connections.get(name);
+    if (address === undefined || this.isClosed) {
+      return;
+    }
+    if (open && open.peer.remote.incarnation !== incarnation) {
+      open.closeReason = 'the process was started again';
+      open.peer.close();
+      this.connections.delete(name);
+    }
+    if (!this.connections.has(name)) {
+      void this.tryConnect(name, address);
+    }
+  }
+
   /** Lists the processes to which connections are maintained, by name. */
   listNames(): string[] {
     return [...this.addresses.keys()];
@@ -150,17 +172,22 @@
 
   private async runConnection(name: string, address: string): Promise<void> {
     while (!this.isClosed) {
-      await this.connectOnce(name, address).catch((error: Error) =>
-        this.recordFailure(name, error.message),
-      );
+      const open = this.connections.get(name);
+      await (open ? open.peer.closed : this.tryConnect(name, address));
       await new Promise(resolve => setTimeout(resolve, RECONNECT_MS));
     }
   }
 
+  private async tryConnect(name: string, address: string): Promise<void> {
+    await this.connectOnce(name, address).catch((error: Error) =>
+      this.recordFailure(name, error.message),
+    );
+  }
+
   private async connectOnce(name: string, address: string): Promise<void> {
     const {identity, security, onMessage, onFailure, clock} = this.options;
     const peer = await connectPeer(address, identity, security);
-    if (this.isClosed) {
+    if (this.isClosed || this.connections.has(name)) {
       peer.close();
       return;
     }
@@ -179,6 +206,12 @@
         peer.close();
       });
     const failure = await peer.closed;
+    if (
+      this.connections.get(name) !== connection &&
+      this.connections.has(name)
+    ) {
+      return;
+    }
     this.connections.delete(name);
     this.histories.set(name, {changedAt: clock.now()});
     this.recordFailure(
--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -216,6 +216,9 @@
 
   private async acceptPeer(connection: FrameConnection): Promise<void> {
     const peer = await Peer.create(connection, this.identity);
+    if (peer.remote.program === 'control') {
+      this.connections?.connectBack(peer.remote);
+    }
     const reply = (message: Message) => peer.send(message);
     void peer.messages
       .observe(message => this.receive(peer.remote.id, message, reply))
--- /dev/null
+++ b/test/control/connect_back.test.ts
@@ -0,0 +1,61 @@
+import {mkdtempSync} from 'node:fs';
+import * as net from 'node:net';
+import {tmpdir} from 'node:os';
+import * as path from 'node:path';
+import {afterEach, expect, test} from 'vitest';
+import {ControlServer} from '../../src/control/control_server';
+import {reservePort} from '../support/reserve_port';
+import {waitUntil} from '../support/wait_until';
+
+// Guards against an election that waits for an attempt to connect from before a machine came back.
+
+const closers: Array<() => unknown> = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) {
+    await close();
+  }
+});
+
+async function start(name: string, seeds: string[]): Promise<ControlServer> {
+  const [host, port] = name.split(':');
+  const control = await ControlServer.create({
+    name,
+    host,
+    port: Number(port),
+    dataFolder: mkdtempSync(path.join(tmpdir(), 'whinreel-connect-back-')),
+    peers: new Map(),
+    trustedKeys: [],
+    trustedChannels: [],
+    leaseMs: 5_000,
+    seeded: {seeds, isFirstStart: true, voters: 2, minCopies: 2},
+  });
+  closers.push(() => control.close());
+  return control;
+}
+
+test('a process that connects is connected back while an older attempt still hangs', async () => {
+  const names = [
+    `127.0.0.1:${await reservePort()}`,
+    `127.0.0.1:${await reservePort()}`,
+  ];
+  const hanging: net.Socket[] = [];
+  // Accepts and then says nothing, as a machine that goes dark at that moment.
+  const dark = net.createServer(socket => {
+    socket.on('error', () => undefined).resume();
+    hanging.push(socket);
+  });
+  closers.push(() => hanging.forEach(socket => socket.destroy()));
+  const [host, port] = names[1].split(':');
+  await new Promise<void>(resolve =>
+    dark.listen(Number(port), host, () => resolve()),
+  );
+  const first = await start(names[0], names);
+  await waitUntil('an attempt that hangs', () => hanging.length > 0);
+  dark.close();
+
+  const second = await start(names[1], names);
+  await waitUntil('a leader', () => first.isLeading || second.isLeading);
+
+  expect(hanging.map(({closed}) => closed)).toEqual([false]);
+});
--- a/test/simulation/failed_recovery_seeds.ts
+++ b/test/simulation/failed_recovery_seeds.ts
@@ -7,4 +7,8 @@
   [402, AWAY],
   [498, AWAY],
   [543, AWAY],
+  [
+    566,
+    'two voters fell silent at the same time, and the wrong one was replaced',
+  ],
 ]);
--- a/test/simulation/virtual_machine.ts
+++ b/test/simulation/virtual_machine.ts
@@ -205,6 +205,8 @@
       start,
       receive: (from, message, reply) =>
         this.whenAwake(isAlive, () => member.receive(from, message, reply)),
+      onConnected: peer =>
+        this.whenAwake(isAlive, () => links.connectBack(peer)),
     };
     const links = VirtualLinks.create(net, station, timers, isAlive);
     (settings.seeded?.seeds ?? [])
