--- a/src/control/control_connections.ts
+++ b/src/control/control_connections.ts
@@ -118,7 +118,7 @@
       this.connections.delete(name);
     }
     if (!this.connections.has(name)) {
-      void this.tryConnect(name, address);
+      void this.connectAndRecord(name, address);
     }
   }
 
@@ -173,12 +173,12 @@
   private async runConnection(name: string, address: string): Promise<void> {
     while (!this.isClosed) {
       const open = this.connections.get(name);
-      await (open ? open.peer.closed : this.tryConnect(name, address));
+      await (open ? open.peer.closed : this.connectAndRecord(name, address));
       await new Promise(resolve => setTimeout(resolve, RECONNECT_MS));
     }
   }
 
-  private async tryConnect(name: string, address: string): Promise<void> {
+  private async connectAndRecord(name: string, address: string): Promise<void> {
     await this.connectOnce(name, address).catch((error: Error) =>
       this.recordFailure(name, error.message),
     );
