--- a/src/control/explain_missing_leader.ts
+++ b/src/control/explain_missing_leader.ts
@@ -26,10 +26,12 @@
     const needed = Math.floor(voters.length / 2) + 1;
     return `${reachable} of ${voters.length} voters reachable, ${needed} needed`;
   });
-  const parts = [`no leader: ${counts.join('; and ')}`];
-  if (!voterSets.some(voters => voters.includes(identity))) {
-    parts.push('this process has no vote');
-  }
+  const hasVote = voterSets.some(voters => voters.includes(identity));
+  // Without a vote it hears of a leader only when that leader admits it.
+  const fact = hasVote
+    ? 'no leader'
+    : 'this process has no vote and no leader has contacted it';
+  const parts = [`${fact}: ${counts.join('; and ')}`];
   const refusals = peers.filter(
     ({vote}) => vote !== undefined && vote !== 'granted',
   );
