fix(control): silence of a voter counts from its last answer, not from the end of its connection

Cause: the connection to a machine that is gone looks open for 1.5 s and more, so at the moment at which another voter had been silent for 2.5 s that one was the only silent one and was replaced; and times of silence were known to one probe, 0.4 s. Change: a voter that has missed two probes is silent, whatever its connection looks like; answers to heartbeats and heartbeats themselves count beside probes (0.1 s).

--- a/src/control/quorum_manager.ts
+++ b/src/control/quorum_manager.ts
@@ -21,6 +21,9 @@
 /** Time without a message after which a voter may be replaced; longer than a restart takes. */
 const REPLACE_AFTER_MS = 2_500;
 
+/** A voter that has not responded for this time counts as silent; two probes are lost by then. */
+const SILENT_AFTER_MS = 900;
+
 type FormationResponse = MessageOf<FormationMessage, 'formation-answer'>;
 
 /** Dependencies and callbacks of the manager. */
@@ -211,10 +214,7 @@
       candidates,
       target: settings.seeded?.voters ?? voters.size,
       isUnresponsive: identity => this.isUnresponsive(identity, reachable, now),
-      findSilentSince: identity =>
-        this.isConnected(identity, reachable)
-          ? undefined
-          : this.getLastActivityAt(identity),
+      findSilentSince: identity => this.findSilentSince(identity, now),
       findAppearedAt: identity =>
         this.requestTimes.get(identity)?.first ?? this.startedAt,
     });
@@ -246,13 +246,19 @@
     return now - this.getLastActivityAt(identity) > REPLACE_AFTER_MS;
   }
 
-  private isConnected(identity: string, reachable: readonly string[]): boolean {
+  /** Returns when a voter last responded, if it has missed two probes since; undefined otherwise. */
+  private findSilentSince(identity: string, now: number): number | undefined {
     const isOwn = identity === this.options.disk.identity;
-    return isOwn || reachable.includes(identity);
+    const lastActivityAt = this.getLastActivityAt(identity);
+    const isSilent = !isOwn && now - lastActivityAt > SILENT_AFTER_MS;
+    return isSilent ? lastActivityAt : undefined;
   }
 
+  /** Replication and probes both count: heartbeats are more frequent, but only the leader's. */
   private getLastActivityAt(identity: string): number {
-    const {connections} = this.options;
-    return connections.findLastActivityAt(identity) ?? this.startedAt;
+    const {connections, findRuntime} = this.options;
+    const probedAt = connections.findLastActivityAt(identity) ?? this.startedAt;
+    const contactAt = findRuntime()?.raft.findLastContactAt(identity);
+    return Math.max(probedAt, contactAt ?? -Infinity);
   }
 }
--- a/src/control/raft_runtime.ts
+++ b/src/control/raft_runtime.ts
@@ -125,6 +125,7 @@
     | 'isCaughtUp'
     | 'isChangingVoters'
     | 'describeElection'
+    | 'findLastContactAt'
   > {
     return this.node;
   }
--- a/src/coordination/agreement/decide_voter_change.ts
+++ b/src/coordination/agreement/decide_voter_change.ts
@@ -8,7 +8,7 @@
   readonly target: number;
   /** Whether the voter with this identity is gone or has not responded for a long time. */
   readonly isUnresponsive: (identity: string) => boolean;
-  /** When a voter that is not connected last responded; undefined for one that is connected. */
+  /** When a voter that is silent now last responded; undefined for one that responds. */
   readonly findSilentSince: (identity: string) => number | undefined;
   /** When the candidate with this identity first asked, on the same clock. */
   readonly findAppearedAt: (identity: string) => number;
--- a/src/coordination/agreement/raft_election.ts
+++ b/src/coordination/agreement/raft_election.ts
@@ -156,13 +156,13 @@
     this.countVotes();
   }
 
-  /** Bounds the answers that are kept by the number of voters. */
+  /** Bounds what is kept of each voter by their number. */
   private dropFormerVoters(): void {
-    const {peers} = this.state;
-    for (const identity of this.answers.keys()) {
-      if (!peers.includes(identity)) {
-        this.answers.delete(identity);
-      }
+    const {peers, lastContacts} = this.state;
+    for (const known of [this.answers, lastContacts]) {
+      [...known.keys()]
+        .filter(identity => !peers.includes(identity))
+        .forEach(identity => known.delete(identity));
     }
   }
 
--- a/src/coordination/agreement/raft_node.ts
+++ b/src/coordination/agreement/raft_node.ts
@@ -114,6 +114,11 @@
     return voterSets.length > 1 || !log.isVoterChangeSettled(commitIndex);
   }
 
+  /** Returns when this node last heard from a voter by replication; undefined if it never did. */
+  findLastContactAt(identity: string): number | undefined {
+    return this.state.lastContacts.get(identity);
+  }
+
   /** Describes the current state of the leader election, for logs and operators. */
   describeElection(now: number): ElectionReport {
     const {state} = this;
--- a/src/coordination/agreement/raft_replication.ts
+++ b/src/coordination/agreement/raft_replication.ts
@@ -133,6 +133,7 @@
     if (state.role !== 'leader' || response.term !== state.term) {
       return;
     }
+    state.lastContacts.set(from, state.now);
     const progress = state.getProgress(from);
     progress.recordAnsweredRound(response.round);
     if (!response.isMatch) {
@@ -168,6 +169,7 @@
       state.becomeFollower(state.term, from, `accepted ${from} as the leader`);
     }
     state.lastLeaderContactAt = state.now;
+    state.lastContacts.set(from, state.now);
     state.electionDeadline = state.computeElectionDeadline();
   }
 
--- a/src/coordination/agreement/raft_state.ts
+++ b/src/coordination/agreement/raft_state.ts
@@ -36,6 +36,8 @@
   lastLeaderContactAt: number;
   now: number;
   readonly progress = new Map<string, RaftProgress>();
+  /** When the leader heard from a follower, or a follower from a leader, by identity. */
+  readonly lastContacts = new Map<string, number>();
   effects: CollectedEffects = createEffects();
 
   private constructor(readonly options: RaftOptions) {
