--- a/src/control/explain_missing_leader.ts
+++ b/src/control/explain_missing_leader.ts
@@ -33,7 +33,8 @@
     : 'this process has no vote and no leader has contacted it';
   const parts = [`${fact}: ${counts.join('; and ')}`];
   const refusals = peers.filter(
-    ({vote}) => vote !== undefined && vote !== 'granted',
+    ({vote, isReachable: answers}) =>
+      answers && vote !== undefined && vote !== 'granted',
   );
   if (refusals.length > 0) {
     parts.push(`${refusals.length} refused their vote`);
