test(stand_ins): a slow reader leaves no listeners at the engine's stand-in

Cause: the stand-in added a close listener for each wait for a drain and took away only those that fired. Ruled out: the gateway's own response (one listener for each request and attempt).

--- a/test/stand_ins/engine_stand_in.ts
+++ b/test/stand_ins/engine_stand_in.ts
@@ -246,9 +246,7 @@
       response.write(`data: ${JSON.stringify(chunk)}\n\n`);
       await this.hold;
       if (response.writableNeedDrain) {
-        await new Promise(resolve =>
-          response.once('drain', resolve).once('close', resolve),
-        );
+        await waitForDrain(response);
       }
     }
     response.end('data: [DONE]\n\n');
@@ -300,3 +298,14 @@
     ? new Promise(resolve => setTimeout(resolve, ms))
     : Promise.resolve();
 }
+
+/** Resolves when the response accepts writes again or its connection has closed. */
+function waitForDrain(response: http.ServerResponse): Promise<void> {
+  return new Promise(resolve => {
+    const proceed = () => {
+      response.off('drain', proceed).off('close', proceed);
+      resolve();
+    };
+    response.on('drain', proceed).on('close', proceed);
+  });
+}
