--- a/test/control/connect_back.test.ts
+++ b/test/control/connect_back.test.ts
@@ -1,10 +1,8 @@
-import {mkdtempSync} from 'node:fs';
 import * as net from 'node:net';
-import {tmpdir} from 'node:os';
-import * as path from 'node:path';
 import {afterEach, expect, test} from 'vitest';
 import {ControlServer} from '../../src/control/control_server';
 import {reservePort} from '../support/reserve_port';
+import {startSeededControl} from '../support/start_seeded_control';
 import {waitUntil} from '../support/wait_until';
 
 // Guards against an election that waits for an attempt to connect from before a machine came back.
@@ -18,17 +16,11 @@
 });
 
 async function start(name: string, seeds: string[]): Promise<ControlServer> {
-  const [host, port] = name.split(':');
-  const control = await ControlServer.create({
+  const control = await startSeededControl({
     name,
-    host,
-    port: Number(port),
-    dataFolder: mkdtempSync(path.join(tmpdir(), 'whinreel-connect-back-')),
-    peers: new Map(),
-    trustedKeys: [],
-    trustedChannels: [],
-    leaseMs: 5_000,
-    seeded: {seeds, isFirstStart: true, voters: 2, minCopies: 2},
+    seeds,
+    isFirstStart: true,
+    voters: 2,
   });
   closers.push(() => control.close());
   return control;
--- a/test/control/missing_leader.test.ts
+++ b/test/control/missing_leader.test.ts
@@ -4,13 +4,13 @@
 import {afterEach, describe, expect, test} from 'vitest';
 import {EventRing} from '../../src/common/event_ring';
 import {Timers} from '../../src/common/timers';
-import {ControlServer} from '../../src/control/control_server';
 import {explainMissingLeader} from '../../src/control/explain_missing_leader';
 import {MissingLeaderLog} from '../../src/control/missing_leader_log';
 import {createProgram} from '../../src/operator/create_program';
 import {QuorumStatus} from '../../src/protocol/quorum_status';
 import {ControlDataFolder} from '../../src/state/control_data_folder';
 import {reservePort} from '../support/reserve_port';
+import {startSeededControl} from '../support/start_seeded_control';
 import {waitUntil} from '../support/wait_until';
 
 // Guards against a quorum without a leader of which no log says why.
@@ -46,22 +46,10 @@
     const state = new Uint8Array();
     await disk.snapshots.save({index: 7, term: 2, voters, state});
     await disk.close();
-    const [host, port] = names[at].split(':');
-    const control = await ControlServer.create({
+    const control = await startSeededControl({
       name: names[at],
-      host,
-      port: Number(port),
-      dataFolder: folders[at],
-      peers: new Map(),
-      trustedKeys: [],
-      trustedChannels: [],
-      leaseMs: 5_000,
-      seeded: {
-        seeds: names.slice(0, 3),
-        isFirstStart: false,
-        voters: 5,
-        minCopies: 3,
-      },
+      folder: folders[at],
+      seeds: names.slice(0, 3),
     });
     closers.push(() => control.close());
     return control;
--- a/test/control/voter_connections.test.ts
+++ b/test/control/voter_connections.test.ts
@@ -6,6 +6,7 @@
 import {LogRecord} from '../../src/state/log_record';
 import {ControlDataFolder} from '../../src/state/control_data_folder';
 import {reservePort} from '../support/reserve_port';
+import {startSeededControl} from '../support/start_seeded_control';
 import {waitUntil} from '../support/wait_until';
 
 // Guards against voters that do not connect to each other after a restart. A quorum
@@ -59,22 +60,10 @@
   {name, folder}: Machine,
   seeds: readonly Machine[],
 ): Promise<ControlServer> {
-  const [host, port] = name.split(':');
-  const control = await ControlServer.create({
+  const control = await startSeededControl({
     name,
-    host,
-    port: Number(port),
-    dataFolder: folder,
-    peers: new Map(),
-    trustedKeys: [],
-    trustedChannels: [],
-    leaseMs: 5_000,
-    seeded: {
-      seeds: seeds.map(seed => seed.name),
-      isFirstStart: false,
-      voters: 5,
-      minCopies: 3,
-    },
+    folder,
+    seeds: seeds.map(seed => seed.name),
   });
   closers.push(() => control.close());
   return control;
