fix(operator): a frozen control process does not hold up the status command

Read again before the landing: closing a connection does not end its handshake, so `whinreel status` waited for the hello's own timeout (2 s) where a control process accepts and says nothing. Test: control/missing_leader with such a process failed before (its timeout was told, not ours).

--- a/src/operator/read_quorum_statuses.ts
+++ b/src/operator/read_quorum_statuses.ts
@@ -1,4 +1,7 @@
+import {systemTimers} from '../common/system_timers';
+import {waitFor} from '../common/wait_for';
 import {ControlConnection} from '../protocol/control_connection';
+import {ProtocolError} from '../protocol/protocol_error';
 import {QuorumStatus} from '../protocol/quorum_status';
 import {QuorumView} from './quorum_view';
 
@@ -22,27 +25,30 @@
   return Promise.all(
     addresses.map(async address => {
       const connection = ControlConnection.create({...options, address});
-      // Closing the connection ends both the handshake and the call.
-      const timer = setTimeout(() => connection.close(), TIMEOUT_MS);
       try {
         return {address, status: await readStatus(connection)};
       } catch (error) {
         return {address, failure: (error as Error).message};
       } finally {
-        clearTimeout(timer);
         connection.close();
       }
     }),
   );
 }
 
+/** The handshake has a longer timeout of its own, so the whole call is bounded here. */
 async function readStatus(
   connection: ControlConnection,
 ): Promise<QuorumStatus> {
-  await connection.ready;
-  const answer = await connection.call({type: 'quorum-ask'});
+  const call = connection.ready.then(() =>
+    connection.call({type: 'quorum-ask'}),
+  );
+  const answer = await Promise.race([
+    call,
+    waitFor(systemTimers, TIMEOUT_MS).then(() => undefined),
+  ]);
   if (answer?.type !== 'quorum-answer') {
-    throw new Error('no answer in time');
+    throw new ProtocolError('no answer in time');
   }
   return QuorumStatus.parse(answer.status);
 }
--- a/test/control/missing_leader.test.ts
+++ b/test/control/missing_leader.test.ts
@@ -1,5 +1,6 @@
 import {mkdtempSync} from 'node:fs';
 import {tmpdir} from 'node:os';
+import * as net from 'node:net';
 import * as path from 'node:path';
 import {afterEach, describe, expect, test} from 'vitest';
 import {EventRing} from '../../src/common/event_ring';
@@ -107,6 +108,19 @@
         control.describeQuorum().explanation.startsWith('no leader: 2 of 5'),
       ),
     );
+    // Accepts and then says nothing, as a frozen process.
+    const hanging: net.Socket[] = [];
+    const frozen = net.createServer(socket => {
+      hanging.push(socket.on('error', () => undefined).resume());
+    });
+    closers.push(
+      () => frozen.close(),
+      () => hanging.forEach(socket => socket.destroy()),
+    );
+    const [host, port] = names[4].split(':');
+    await new Promise<void>(resolve =>
+      frozen.listen(Number(port), host, () => resolve()),
+    );
     let output = '';
     const program = createProgram({write: text => (output += text)});
 
@@ -119,7 +133,8 @@
       /^no leader: 2 of 5 voters reachable, 3 needed/,
     );
     expect(output).toContain(identities[0]);
-    expect(output).toMatch(new RegExp(`${names[4]} .*not reachable`));
+    expect(output).toMatch(new RegExp(`${names[3]} .*not reachable`));
+    expect(output).toMatch(new RegExp(`${names[4]} .*no answer in time`));
   });
 
   test('counts each voter set while a voter change is not committed', () => {
