refactor(control),docs: what reading the change once more found

No decision changes. Measured: control/connect_back, missing_leader and recovery_after_lost_disks pass; format, lint and style are clean.

--- a/src/control/control_connections.ts
+++ b/src/control/control_connections.ts
@@ -206,10 +206,8 @@
         peer.close();
       });
     const failure = await peer.closed;
-    if (
-      this.connections.get(name) !== connection &&
-      this.connections.has(name)
-    ) {
+    const current = this.connections.get(name);
+    if (current !== undefined && current !== connection) {
       return;
     }
     this.connections.delete(name);
--- a/src/control/explain_missing_leader.ts
+++ b/src/control/explain_missing_leader.ts
@@ -9,8 +9,7 @@
  * Explains in one sentence why there is no leader, from what one process knows.
  *
  * @example
- * explainMissingLeader(situation);
- * // 'no leader: 2 of 5 voters reachable, 3 needed'
+ * const explanation = explainMissingLeader(situation);
  */
 export function explainMissingLeader(situation: Situation): string {
   const {identity, voterSets, peers, writePendingMs} = situation;
