test(support): one way to make the machine of a voter

Cause: two tests each created an address, a data folder and its identity in the same lines. Change: test/support/create_voter_machine; inputs and expectations are as before.

--- a/test/control/recovery_after_lost_disks.test.ts
+++ b/test/control/recovery_after_lost_disks.test.ts
@@ -6,7 +6,7 @@
 import {ControlClient} from '../../src/protocol/control_client';
 import {LogRecord} from '../../src/state/log_record';
 import {ControlDataFolder} from '../../src/state/control_data_folder';
-import {reservePort} from '../support/reserve_port';
+import {createVoterMachine} from '../support/create_voter_machine';
 import {startSeededControl} from '../support/start_seeded_control';
 import {waitUntil} from '../support/wait_until';
 
@@ -21,24 +21,12 @@
   }
 });
 
-interface Machine {
-  readonly name: string;
-  readonly folder: string;
-  readonly identity: string;
-}
+type Machine = Awaited<ReturnType<typeof createVoterMachine>>;
 
 function createFolder(): string {
   return mkdtempSync(path.join(tmpdir(), 'whinreel-lost-disks-'));
 }
 
-async function createMachine(): Promise<Machine> {
-  const name = `127.0.0.1:${await reservePort()}`;
-  const folder = createFolder();
-  const disk = await ControlDataFolder.create(folder, name);
-  await disk.close();
-  return {name, folder, identity: disk.identity};
-}
-
 async function start(
   {name, folder}: Machine,
   seeds: readonly Machine[],
@@ -58,7 +46,7 @@
  */
 async function recover(order: readonly number[]) {
   const machines = await Promise.all(
-    [1, 2, 3, 4, 5].map(() => createMachine()),
+    [1, 2, 3, 4, 5].map(() => createVoterMachine()),
   );
   const [, , third, fourth, fifth] = machines;
   const founders = machines.slice(0, 3);
--- a/test/control/voter_connections.test.ts
+++ b/test/control/voter_connections.test.ts
@@ -5,7 +5,7 @@
 import {ControlServer} from '../../src/control/control_server';
 import {LogRecord} from '../../src/state/log_record';
 import {ControlDataFolder} from '../../src/state/control_data_folder';
-import {reservePort} from '../support/reserve_port';
+import {createVoterMachine} from '../support/create_voter_machine';
 import {startSeededControl} from '../support/start_seeded_control';
 import {waitUntil} from '../support/wait_until';
 
@@ -25,20 +25,7 @@
   }
 });
 
-interface Machine {
-  readonly name: string;
-  readonly folder: string;
-  readonly identity: string;
-}
-
-async function createMachine(): Promise<Machine> {
-  const name = `127.0.0.1:${await reservePort()}`;
-  const folder = mkdtempSync(path.join(tmpdir(), 'whinreel-voters-'));
-  const disk = await ControlDataFolder.create(folder, name);
-  const {identity} = disk;
-  await disk.close();
-  return {name, folder, identity};
-}
+type Machine = Awaited<ReturnType<typeof createVoterMachine>>;
 
 /** Writes the disk content of a voter at the time of the power loss. */
 async function writeDisk(
@@ -82,7 +69,7 @@
 describe('voters that are not seeds', () => {
   test('connect to each other after two seeds lost their disks', async () => {
     const [a, b, c, d, e] = await Promise.all(
-      [1, 2, 3, 4, 5].map(() => createMachine()),
+      [1, 2, 3, 4, 5].map(() => createVoterMachine()),
     );
     const initialVoters = [a, b, c];
     const growth = [addVoter(1, d), addVoter(2, e)];
@@ -104,7 +91,7 @@
 
   test('connect to each other when the wiped seeds restart at the same time', async () => {
     const [a, b, c, d, e] = await Promise.all(
-      [1, 2, 3, 4, 5].map(() => createMachine()),
+      [1, 2, 3, 4, 5].map(() => createVoterMachine()),
     );
     const initialVoters = [a, b, c];
     const growth = [addVoter(1, d), addVoter(2, e)];
