fix(control): a new voter replaces a silent one of its own availability zone

Callers and operators saw: after the loss of two disks and all power no leader was elected for good, when two voters had fallen silent within one probe interval before and the wrong one of them was replaced.

Cause: the successor was matched to a silent voter by times alone, and those are known to a probe interval only. Control processes now tell their zone with each probe and pass on the zones that they know; a silent voter of the successor's zone is replaced first. Where neither zone nor time can tell, the vote is not moved until they can.

--- a/src/control/control_connections.ts
+++ b/src/control/control_connections.ts
@@ -15,6 +15,8 @@
 /** Identity and addresses of the control processes, and handlers. */
 interface ControlConnectionsOptions {
   readonly identity: Parameters<typeof Peer.create>[1];
+  /** Availability zone of this process, if its settings name one. */
+  readonly zone?: string;
   /** Addresses of the other control processes, by name. */
   readonly addresses: ReadonlyMap<string, string>;
   readonly clock: Clock;
@@ -158,14 +160,14 @@
   /** Detects dead connections, which TCP alone may report only after minutes. */
   private probe(): void {
     const now = this.options.clock.now();
-    const identity = this.options.identity.id;
+    const {zone, identity} = this.options;
     for (const connection of this.connections.values()) {
       const {peer, lastMessageAt} = connection;
       if (now - lastMessageAt > IDLE_TIMEOUT_MS) {
         connection.closeReason = `no message for ${IDLE_TIMEOUT_MS} ms`;
         peer.close();
       } else {
-        peer.send({type: 'formation-ask', identity});
+        peer.send({type: 'formation-ask', identity: identity.id, zone});
       }
     }
   }
--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -167,6 +167,7 @@
     });
     this.connections = ControlConnections.create({
       identity: this.identity,
+      zone: settings.zone,
       addresses: settings.seeded
         ? new Map(listOtherSeeds(settings).map(seed => [seed, seed]))
         : settings.peers,
--- a/src/control/control_settings.ts
+++ b/src/control/control_settings.ts
@@ -30,6 +30,8 @@
   readonly host: string;
   readonly port: number;
   readonly dataFolder: string;
+  /** Availability zone of this process; a new voter preferably replaces one of its own zone. */
+  readonly zone?: string;
   /**
    * Start of this process on its monotonic clock, if no other process has used the data
    * folder since; the time of creation by default.
--- a/src/control/quorum_manager.ts
+++ b/src/control/quorum_manager.ts
@@ -16,8 +16,12 @@
 
 const FORMATION_INTERVAL_MS = 100;
 const VOTER_CHANGE_INTERVAL_MS = 250;
-/** A process that sent a request within this time is a candidate for a vote; spans several probes. */
-const CANDIDATE_WITHIN_MS = 1_500;
+/**
+ * A process that sent a request within this time is a candidate for a vote. Little more
+ * than the interval between two probes: a quorum that gives a vote to a process that has
+ * just ended may lack the majority to complete the change.
+ */
+const CANDIDATE_WITHIN_MS = 600;
 /** Time without a message after which a voter may be replaced; longer than a restart takes. */
 const REPLACE_AFTER_MS = 2_500;
 
@@ -51,6 +55,8 @@
     string,
     {readonly first: number; readonly last: number}
   >();
+  /** Availability zones of control processes, by identity. */
+  private readonly zones = new Map<string, string>();
   private readonly timers: Timers;
   private readonly stopTicking: Cancel;
   private readonly startedAt: number;
@@ -58,6 +64,7 @@
 
   private constructor(private readonly options: QuorumManagerOptions) {
     this.startedAt = options.clock.now();
+    this.recordZones({[options.disk.identity]: options.settings.zone});
     this.timers = options.timers ?? systemTimers;
     this.stopTicking = this.timers.repeat(VOTER_CHANGE_INTERVAL_MS, () =>
       this.tick(),
@@ -97,14 +104,17 @@
   /** Responds with the known voters. In a seeded quorum the sender becomes a candidate for a vote. */
   handleFormationRequest({
     identity,
+    zone,
   }: MessageOf<FormationMessage, 'formation-ask'>): FormationResponse {
     const {clock, disk} = this.options;
+    this.recordZones({[identity]: zone});
     const last = clock.now();
     const first = this.requestTimes.get(identity)?.first ?? last;
     this.requestTimes.set(identity, {first, last});
     this.addConnections([splitIdentity(identity).name]);
     const voters = this.listVoters();
-    return {type: 'formation-answer', identity: disk.identity, voters};
+    const zones = Object.fromEntries(this.zones);
+    return {type: 'formation-answer', identity: disk.identity, voters, zones};
   }
 
   /** Connects to further seeds after a change of the settings. */
@@ -115,6 +125,7 @@
   /** Records the voters that another process knows. */
   handleFormationResponse(from: string, response: FormationResponse): void {
     this.formationResponses.set(splitIdentity(from).name, response);
+    this.recordZones(response.zones ?? {});
     this.addConnections(Object.keys(response.voters ?? {}));
   }
 
@@ -147,6 +158,7 @@
       connections.send(identity, {
         type: 'formation-ask',
         identity: disk.identity,
+        zone: settings.zone,
       });
     }
     const voters = decideInitialVoters(
@@ -188,6 +200,17 @@
     }
   }
 
+  /** Each process learns the zones from the others, so a new leader knows those of silent voters, too. */
+  private recordZones(
+    zones: Readonly<Record<string, string | undefined>>,
+  ): void {
+    for (const [identity, zone] of Object.entries(zones)) {
+      if (zone !== undefined) {
+        this.zones.set(identity, zone);
+      }
+    }
+  }
+
   private tick(): void {
     this.connectVoters();
     void this.changeVoters();
@@ -217,6 +240,8 @@
       findSilentSince: identity => this.findSilentSince(identity, now),
       findAppearedAt: identity =>
         this.requestTimes.get(identity)?.first ?? this.startedAt,
+      findZone: identity => this.zones.get(identity),
+      now,
     });
     if (change) {
       const command = {type: 'set-voter' as const, time: Date.now(), ...change};
--- a/src/coordination/agreement/decide_voter_change.ts
+++ b/src/coordination/agreement/decide_voter_change.ts
@@ -12,8 +12,23 @@
   readonly findSilentSince: (identity: string) => number | undefined;
   /** When the candidate with this identity first asked, on the same clock. */
   readonly findAppearedAt: (identity: string) => number;
+  /** Availability zone of the process with this identity; undefined if it is not known. */
+  readonly findZone: (identity: string) => string | undefined;
+  /** The current time, on the same clock. */
+  readonly now: number;
 }
 
+/**
+ * Time for which a candidate must have asked before it replaces a voter. The voter that
+ * it succeeds may have stopped just before it, and silence takes two probes to show.
+ */
+const REPLACES_AFTER_MS = 1_200;
+/**
+ * Voters whose silence began closer together than this fell silent in an unknown order:
+ * each is known to the last response only, and probes are 400 ms apart.
+ */
+const SILENCE_PRECISION_MS = 600;
+
 /** A single step: adds one voter and removes at most one. */
 interface VoterChange {
   readonly name: string;
@@ -28,7 +43,7 @@
  * unresponsive voter is replaced.
  *
  * @example
- * const change = decideVoterChange({voters, candidates, target: 5, isUnresponsive, findSilentSince, findAppearedAt});
+ * const change = decideVoterChange({voters, candidates, target: 5, isUnresponsive, findSilentSince, findAppearedAt, findZone, now});
  */
 export function decideVoterChange(
   input: VoterChangeInput,
@@ -54,21 +69,62 @@
     : undefined;
 }
 
+interface SilentVoter {
+  readonly name: string;
+  readonly identity: string;
+  readonly since: number;
+}
+
 /**
- * Finds the voter that a new process most likely replaces: the last one to fall silent
- * before that process appeared. One that has been silent for longer tends to be away
- * only; it would lose its vote, and the quorum would keep a voter that never returns.
+ * Finds the voter that a new process replaces. A silent voter of its own availability
+ * zone is preferred: voters are spread over zones, so a successor starts in the zone of
+ * its predecessor. Among several, it is the last one to fall silent before the process
+ * appeared; one that has been silent for longer tends to be away only. Undefined while
+ * that can't be told: a voter that is only away would lose its vote for good, and the
+ * quorum would keep one that never returns. Meanwhile the quorum lacks no more voters
+ * than it already does.
  */
 function findPredecessor(
-  {voters, findSilentSince, findAppearedAt}: VoterChangeInput,
+  input: VoterChangeInput,
   candidate: string,
-): {readonly name: string; readonly identity: string} | undefined {
-  const appearedAt = findAppearedAt(candidate);
-  const silent = [...voters]
+): SilentVoter | undefined {
+  const appearedAt = input.findAppearedAt(candidate);
+  if (input.now - appearedAt < REPLACES_AFTER_MS) {
+    return undefined;
+  }
+  const silent = listSilentVoters(input);
+  const zone = input.findZone(candidate);
+  const neighbors = silent.filter(
+    ({identity}) => zone !== undefined && input.findZone(identity) === zone,
+  );
+  const eligible = neighbors.length > 0 ? neighbors : silent;
+  const before = eligible.filter(({since}) => since <= appearedAt);
+  const chosen = before[0] ?? eligible.at(-1);
+  const isUncertain =
+    chosen !== undefined &&
+    eligible.some(
+      other =>
+        other !== chosen &&
+        Math.abs(other.since - chosen.since) < SILENCE_PRECISION_MS,
+    );
+  const replacements = input.candidates.filter(
+    identity => input.findZone(identity) === zone,
+  );
+  // With a successor for each of them, the order does not matter.
+  return isUncertain && replacements.length < eligible.length
+    ? undefined
+    : chosen;
+}
+
+/** Lists the voters that do not respond, the last one to fall silent first. */
+function listSilentVoters({
+  voters,
+  findSilentSince,
+}: VoterChangeInput): SilentVoter[] {
+  return [...voters]
     .flatMap(([name, identity]) => {
       const since = findSilentSince(identity);
       return since === undefined ? [] : [{name, identity, since}];
     })
     .sort((left, right) => right.since - left.since);
-  return silent.find(({since}) => since <= appearedAt) ?? silent.at(-1);
 }
--- a/test/coordination/raft_voters.test.ts
+++ b/test/coordination/raft_voters.test.ts
@@ -85,6 +85,8 @@
     findSilentSince: (identity: string) =>
       identity === 'b/1' ? 1_000 : undefined,
     findAppearedAt: () => 2_000,
+    findZone: () => undefined,
+    now: 4_000,
   };
 
   test('changes nothing without candidates', () => {
@@ -138,6 +140,8 @@
           now - (silentSince.get(identity) ?? now) > 2_500,
         findSilentSince: identity => silentSince.get(identity),
         findAppearedAt: () => appearedAt,
+        findZone: () => undefined,
+        now,
       });
 
     expect(decide(3_000)).toBeUndefined();
@@ -146,6 +150,52 @@
     expect(decide(3_600, 100)).toMatchObject({replaces: 'a'});
   });
 
+  describe('when two voters fell silent within one probe interval', () => {
+    const zones: Readonly<Record<string, string>> = {
+      'a/1': 'zone-1',
+      'b/1': 'zone-2',
+      'd/7': 'zone-1',
+    };
+    const decide = ({
+      candidates = ['d/7'],
+      isZoneKnown = true,
+      now = 5_000,
+      appearedAt = 2_000,
+    } = {}) =>
+      decideVoterChange({
+        voters,
+        candidates,
+        target: 3,
+        isUnresponsive: identity => identity !== 'c/1',
+        findSilentSince: identity =>
+          ({'a/1': 1_000, 'b/1': 1_170})[identity as 'a/1'],
+        findAppearedAt: () => appearedAt,
+        findZone: identity => (isZoneKnown ? zones[identity] : undefined),
+        now,
+      });
+
+    test('the one in the zone of the successor loses its vote', () => {
+      expect(decide()).toMatchObject({name: 'd', replaces: 'a'});
+    });
+
+    test('none loses its vote while neither zones nor times tell which one is gone', () => {
+      expect(decide({isZoneKnown: false})).toBeUndefined();
+    });
+
+    test('both lose their votes when there is a successor for each', () => {
+      const candidates = ['d/7', 'e/8'];
+      expect(decide({isZoneKnown: false, candidates})).toMatchObject({
+        name: 'd',
+        replaces: 'b',
+      });
+    });
+
+    test('a successor that has just appeared waits, as a third voter may have fallen silent', () => {
+      expect(decide({now: 2_900})).toBeUndefined();
+      expect(decide({now: 3_300})).toMatchObject({replaces: 'a'});
+    });
+  });
+
   test('does not add a candidate to a full quorum while every voter responds', () => {
     const input = {
       voters,
--- a/test/simulation/day_limits.ts
+++ b/test/simulation/day_limits.ts
@@ -1,5 +1,7 @@
 /** Sizes and times of every simulated day. */
 export const VOTERS = 5;
+/** Availability zones that the voters are spread over. */
+export const ZONES = 3;
 export const LOSSES = 2;
 export const SEEDS = 3;
 export const LOOK_EVERY_MS = 100;
--- a/test/simulation/play_day.ts
+++ b/test/simulation/play_day.ts
@@ -13,6 +13,7 @@
   RECOVER_MS,
   SEEDS,
   VOTERS,
+  ZONES,
 } from './day_limits';
 import {DayOperator} from './day_operator';
 import {DayResult} from './day_result';
@@ -92,7 +93,8 @@
       },
     };
     for (let at = 0; at < VOTERS; at += 1) {
-      this.machines.push(VirtualMachine.create(`m${at}`, this.fleet));
+      const zone = `zone-${at % ZONES}`;
+      this.machines.push(VirtualMachine.create(`m${at}`, zone, this.fleet));
     }
     this.handlers = this.createHandlers();
     this.operator = DayOperator.create({
@@ -227,7 +229,7 @@
     this.story.tell(
       `${old.name} is removed, ${name} comes after ${afterMs} ms`,
     );
-    const next = VirtualMachine.create(name, this.fleet);
+    const next = VirtualMachine.create(name, old.zone, this.fleet);
     old.kill();
     this.removed.add(old.name);
     this.ledger.recordSuccessor(old.name, name);
--- a/test/simulation/virtual_links.ts
+++ b/test/simulation/virtual_links.ts
@@ -23,6 +23,7 @@
 export interface Station {
   readonly name: string;
   readonly identity: string;
+  readonly zone: string;
   /** Another for each start of a process. */
   readonly start: object;
   readonly receive: (from: string, message: Message, reply: Reply) => void;
@@ -170,7 +171,8 @@
           }
         });
       } else {
-        this.carry(link, {type: 'formation-ask', identity: this.own.identity});
+        const {identity, zone} = this.own;
+        this.carry(link, {type: 'formation-ask', identity, zone});
       }
     }
   }
--- a/test/simulation/virtual_machine.ts
+++ b/test/simulation/virtual_machine.ts
@@ -53,6 +53,7 @@
 
   private constructor(
     readonly name: string,
+    readonly zone: string,
     private readonly fleet: VirtualFleet,
   ) {
     this.disk = VirtualDisk.create(fleet.net.time, fleet.random);
@@ -60,8 +61,12 @@
     this.snapshotEvery = 2 + Math.floor(fleet.random() * 30);
   }
 
-  static create(name: string, fleet: VirtualFleet): VirtualMachine {
-    return new VirtualMachine(name, fleet);
+  static create(
+    name: string,
+    zone: string,
+    fleet: VirtualFleet,
+  ): VirtualMachine {
+    return new VirtualMachine(name, zone, fleet);
   }
 
   get isUp(): boolean {
@@ -173,6 +178,7 @@
     const {voters, losses} = this.fleet;
     return {
       name: this.name,
+      zone: this.zone,
       host: this.name,
       port: 1,
       dataFolder: '/data',
@@ -201,6 +207,7 @@
     let desk: GatewayService | undefined;
     const station: Station = {
       name: this.name,
+      zone: this.zone,
       identity: disk.identity,
       start,
       receive: (from, message, reply) =>
