refactor(gateway): routing, scheduling, limits, crashes, responses and control in folders of their own

Moves only: 33 of the 56 files of src/gateway, with the imports that name them. npm run layers checks which of the new folders may import which.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -6,6 +6,16 @@
   {name: 'state', below: ['coordination', 'protocol']},
 ];
 
+/** Rooms of the gateway and the rooms that each may import; the types in src/gateway itself are free to all. */
+const GATEWAY_ROOMS = [
+  {name: 'routing', uses: []},
+  {name: 'limits', uses: []},
+  {name: 'crashes', uses: []},
+  {name: 'scheduling', uses: ['routing']},
+  {name: 'responses', uses: ['routing', 'scheduling']},
+  {name: 'control', uses: ['routing', 'limits']},
+];
+
 const everything = ['transport', 'protocol', 'coordination', 'state'];
 const programs = [
   'config',
@@ -58,6 +68,17 @@
         pathNot: '^src/coordination/$1/',
       },
     },
+    ...GATEWAY_ROOMS.map(room => ({
+      name: `gateway-${room.name}`,
+      comment: `the room ${room.name} of the gateway may import only: ${['itself', ...room.uses].join(', ')}`,
+      severity: 'error',
+      from: {path: `^src/gateway/${room.name}/`},
+      to: {
+        path: `^src/gateway/(${GATEWAY_ROOMS.map(({name}) => name)
+          .filter(name => name !== room.name && !room.uses.includes(name))
+          .join('|')})/`,
+      },
+    })),
     {
       name: 'nothing-knows-the-platform',
       comment: 'platform/ translates; the product does not know it',
--- a/bench/run_identity.ts
+++ b/bench/run_identity.ts
@@ -4,8 +4,8 @@
  *
  * Usage: `npm run bench:identity`
  */
-import {RequestIdentity} from '../src/gateway/request_identity';
-import {SuspectList} from '../src/gateway/suspect_list';
+import {RequestIdentity} from '../src/gateway/crashes/request_identity';
+import {SuspectList} from '../src/gateway/crashes/suspect_list';
 
 const BODY_BYTES = 16 * 1024;
 const ITERATIONS = 40_000;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -3,12 +3,12 @@
 import {GatewayTarget} from '../protocol/gateway_target';
 import {HttpClientPool} from '../transport/http_client_pool';
 import {AttemptOutcome} from './attempt_outcome';
-import {BackendSignals} from './backend_signals';
+import {BackendSignals} from './limits/backend_signals';
 import {GatewayRequest} from './gateway_request';
 import {HttpDialect} from './http_dialect';
 import {ResponseHead} from './response_head';
-import {SendPermit} from './send_permit';
-import {LoadBalancer} from './load_balancer';
+import {SendPermit} from './limits/send_permit';
+import {LoadBalancer} from './routing/load_balancer';
 
 interface AttemptOptions {
   readonly request: GatewayRequest;
--- a/src/gateway/control_poller.ts
+++ b/src/gateway/control/control_poller.ts
@@ -1,15 +1,15 @@
 /** Long-polls the control processes for the rules in force and the backend servers, and tracks how fresh they are. */
-import {Clock} from '../common/clock';
-import {EventRing} from '../common/event_ring';
-import {ControlClient} from '../protocol/control_client';
-import {ControlMessage} from '../protocol/control_message';
-import {GatewayTarget} from '../protocol/gateway_target';
-import {MessageOf} from '../protocol/message_of';
-import {ModelDemand} from '../protocol/model_demand';
-import {SuspectUpdate} from '../protocol/suspect_update';
-import {rulesCodec} from '../protocol/rules_codec';
-import {BackendRateLimits} from './backend_rate_limits';
-import {RouteIndex} from './route_index';
+import {Clock} from '../../common/clock';
+import {EventRing} from '../../common/event_ring';
+import {ControlClient} from '../../protocol/control_client';
+import {ControlMessage} from '../../protocol/control_message';
+import {GatewayTarget} from '../../protocol/gateway_target';
+import {MessageOf} from '../../protocol/message_of';
+import {ModelDemand} from '../../protocol/model_demand';
+import {SuspectUpdate} from '../../protocol/suspect_update';
+import {rulesCodec} from '../../protocol/rules_codec';
+import {BackendRateLimits} from '../limits/backend_rate_limits';
+import {RouteIndex} from '../routing/route_index';
 
 /** Longer than the control plane delays the answer to a poll without an update. */
 const POLL_TIMEOUT_MS = 2_500;
--- a/src/gateway/crash_containment.ts
+++ b/src/gateway/crashes/crash_containment.ts
@@ -2,11 +2,11 @@
  * Stops requests that crash the backend servers which attempt them ("queries of
  * death").
  */
-import {CrashReport} from '../protocol/crash_report';
-import {SuspectUpdate} from '../protocol/suspect_update';
-import {TrialVerdict} from '../protocol/trial_verdict';
+import {CrashReport} from '../../protocol/crash_report';
+import {SuspectUpdate} from '../../protocol/suspect_update';
+import {TrialVerdict} from '../../protocol/trial_verdict';
 import {CrashDetector} from './crash_detector';
-import {InterruptedAttempt} from './interrupted_attempt';
+import {InterruptedAttempt} from '../interrupted_attempt';
 import {RequestIdentity} from './request_identity';
 import {SuspectList} from './suspect_list';
 import {SuspectReporter} from './suspect_reporter';
--- a/src/gateway/crash_detector.ts
+++ b/src/gateway/crashes/crash_detector.ts
@@ -1,9 +1,9 @@
 /** Finds out whether backend servers whose connections broke have crashed. */
-import {Clock} from '../common/clock';
-import {EventRing} from '../common/event_ring';
-import {parseAddress} from '../protocol/parse_address';
-import {probePort} from '../transport/probe_port';
-import {InterruptedAttempt} from './interrupted_attempt';
+import {Clock} from '../../common/clock';
+import {EventRing} from '../../common/event_ring';
+import {parseAddress} from '../../protocol/parse_address';
+import {probePort} from '../../transport/probe_port';
+import {InterruptedAttempt} from '../interrupted_attempt';
 
 /**
  * A refused connection is reported within a round trip; a longer silence says
--- a/src/gateway/create_suspect_calls.ts
+++ b/src/gateway/crashes/create_suspect_calls.ts
@@ -1,4 +1,4 @@
-import {ControlClient} from '../protocol/control_client';
+import {ControlClient} from '../../protocol/control_client';
 import {CrashContainment} from './crash_containment';
 
 /**
--- a/src/gateway/request_identity.ts
+++ b/src/gateway/crashes/request_identity.ts
@@ -1,6 +1,6 @@
 /** Recognizes repetitions of a request by a fingerprint of its caller, path and body. */
 import {createHash} from 'node:crypto';
-import {GatewayRequest} from './gateway_request';
+import {GatewayRequest} from '../gateway_request';
 
 /** Number of hexadecimal digits that distinguish callers, and requests of one caller. */
 const CALLER_DIGITS = 8;
--- a/src/gateway/suspect_list.ts
+++ b/src/gateway/crashes/suspect_list.ts
@@ -2,7 +2,7 @@
  * The requests that this gateway must hold back: those listed by the control
  * plane, and its own observations that the control plane may not know yet.
  */
-import {SuspectUpdate} from '../protocol/suspect_update';
+import {SuspectUpdate} from '../../protocol/suspect_update';
 import {RequestIdentity} from './request_identity';
 
 /**
--- a/src/gateway/suspect_reporter.ts
+++ b/src/gateway/crashes/suspect_reporter.ts
@@ -2,8 +2,8 @@
  * Reports crashes and trial results to the control plane in batches, and
  * retries each until it is acknowledged.
  */
-import {CrashReport} from '../protocol/crash_report';
-import {InterruptedAttempt} from './interrupted_attempt';
+import {CrashReport} from '../../protocol/crash_report';
+import {InterruptedAttempt} from '../interrupted_attempt';
 
 /**
  * All connections to a backend server break within milliseconds and are
--- a/src/gateway/suspect_trial.ts
+++ b/src/gateway/crashes/suspect_trial.ts
@@ -2,8 +2,8 @@
  * Sends a suspected request to a backend server only if no other suspect is
  * running there.
  */
-import {Clock} from '../common/clock';
-import {GatewayTarget} from '../protocol/gateway_target';
+import {Clock} from '../../common/clock';
+import {GatewayTarget} from '../../protocol/gateway_target';
 import {CrashContainment} from './crash_containment';
 import {RequestIdentity} from './request_identity';
 
--- a/src/gateway/create_request_policies.ts
+++ b/src/gateway/create_request_policies.ts
@@ -1,10 +1,10 @@
-import {createForecastKeys} from './create_forecast_keys';
-import {createStallThresholds} from './create_stall_thresholds';
-import {SlotWait} from './slot_wait';
+import {createForecastKeys} from './scheduling/create_forecast_keys';
+import {createStallThresholds} from './responses/create_stall_thresholds';
+import {SlotWait} from './scheduling/slot_wait';
 import {ProxiedRequestOptions} from './proxied_request_options';
 import {RetryPolicy} from './retry_policy';
 import {RequestHistory} from './request_history';
-import {StallDetector} from './stall_detector';
+import {StallDetector} from './responses/stall_detector';
 
 /**
  * Creates the history, deadline and policies of one request, which need none of its state.
--- a/src/gateway/gateway_shutdown.ts
+++ b/src/gateway/gateway_shutdown.ts
@@ -3,7 +3,7 @@
 import {EventRing} from '../common/event_ring';
 import {runGracefulShutdown} from '../common/run_graceful_shutdown';
 import {ShutdownSchedule} from '../common/shutdown_schedule';
-import {SlidingMaximum} from './sliding_maximum';
+import {SlidingMaximum} from './scheduling/sliding_maximum';
 import {Refusal} from './refusal';
 
 /** Retry delay while another gateway can serve the request: the time to open a new connection. */
--- a/src/gateway/backend_backoffs.ts
+++ b/src/gateway/limits/backend_backoffs.ts
@@ -1,6 +1,6 @@
 /** Backend servers that asked this gateway to back off. */
-import {Clock} from '../common/clock';
-import {EventRing} from '../common/event_ring';
+import {Clock} from '../../common/clock';
+import {EventRing} from '../../common/event_ring';
 
 /**
  * A longer backoff is taken for a mistake; a backend server that still needs it
--- a/src/gateway/backend_rate_limits.ts
+++ b/src/gateway/limits/backend_rate_limits.ts
@@ -2,14 +2,14 @@
  * The rate limits that backend servers announced, and the permits to send to
  * them that the control plane grants.
  */
-import {Clock} from '../common/clock';
-import {EventRing} from '../common/event_ring';
-import {RateLimitEventLog} from '../common/rate_limit_event_log';
-import {AdvertisedLimits} from '../coordination/limits/advertised_limits';
-import {PermitRequestPacer} from '../coordination/limits/permit_request_pacer';
-import {permitTiming} from '../coordination/limits/permit_timing';
-import {RateLimitReport} from '../protocol/rate_limit_report';
-import {PermitVerdict} from '../protocol/permit_verdict';
+import {Clock} from '../../common/clock';
+import {EventRing} from '../../common/event_ring';
+import {RateLimitEventLog} from '../../common/rate_limit_event_log';
+import {AdvertisedLimits} from '../../coordination/limits/advertised_limits';
+import {PermitRequestPacer} from '../../coordination/limits/permit_request_pacer';
+import {permitTiming} from '../../coordination/limits/permit_timing';
+import {RateLimitReport} from '../../protocol/rate_limit_report';
+import {PermitVerdict} from '../../protocol/permit_verdict';
 import {SendPermit} from './send_permit';
 
 /**
--- a/src/gateway/backend_shutdowns.ts
+++ b/src/gateway/limits/backend_shutdowns.ts
@@ -1,7 +1,7 @@
 /** Backend servers that announced their shutdown in a response. */
-import {EventRing} from '../common/event_ring';
-import {systemTimers} from '../common/system_timers';
-import {waitFor} from '../common/wait_for';
+import {EventRing} from '../../common/event_ring';
+import {systemTimers} from '../../common/system_timers';
+import {waitFor} from '../../common/wait_for';
 
 /**
  * Incarnations to remember: none returns, and the control plane lists only the
--- a/src/gateway/backend_signals.ts
+++ b/src/gateway/limits/backend_signals.ts
@@ -2,8 +2,8 @@
  * What backend servers signal about themselves in response headers: rate
  * limits, backoffs and shutdowns.
  */
-import {ThrottledEventLog} from '../common/throttled_event_log';
-import {ResponseHead} from './response_head';
+import {ThrottledEventLog} from '../../common/throttled_event_log';
+import {ResponseHead} from '../response_head';
 import {BackendShutdowns} from './backend_shutdowns';
 import {BackendRateLimits} from './backend_rate_limits';
 import {BackendBackoffs} from './backend_backoffs';
--- a/src/gateway/create_backend_signals.ts
+++ b/src/gateway/limits/create_backend_signals.ts
@@ -1,8 +1,8 @@
-import {EventRing} from '../common/event_ring';
-import {LeaseClock} from '../common/lease_clock';
-import {systemClock} from '../common/system_clock';
-import {permitTiming} from '../coordination/limits/permit_timing';
-import {ControlClient} from '../protocol/control_client';
+import {EventRing} from '../../common/event_ring';
+import {LeaseClock} from '../../common/lease_clock';
+import {systemClock} from '../../common/system_clock';
+import {permitTiming} from '../../coordination/limits/permit_timing';
+import {ControlClient} from '../../protocol/control_client';
 import {BackendSignals} from './backend_signals';
 
 /** The gateway that receives the signals. */
--- a/src/gateway/proxied_request.ts
+++ b/src/gateway/proxied_request.ts
@@ -2,18 +2,18 @@
 import {Attempt} from './attempt';
 import {AttemptOutcome} from './attempt_outcome';
 import {createRequestPolicies} from './create_request_policies';
-import {ERROR_STATUS} from './error_status';
-import {SlotWait} from './slot_wait';
+import {ERROR_STATUS} from './responses/error_status';
+import {SlotWait} from './scheduling/slot_wait';
 import {ProxiedRequestOptions} from './proxied_request_options';
 import {RetryPolicy} from './retry_policy';
 import {RequestHistory} from './request_history';
 import {RequestResult} from './request_result';
 import {RequestSender} from './request_sender';
 import {ResponseHead} from './response_head';
-import {ResponseRelay} from './response_relay';
-import {sendErrorResponse} from './send_error_response';
-import {StallDetector} from './stall_detector';
-import {SuspectTrial} from './suspect_trial';
+import {ResponseRelay} from './responses/response_relay';
+import {sendErrorResponse} from './responses/send_error_response';
+import {StallDetector} from './responses/stall_detector';
+import {SuspectTrial} from './crashes/suspect_trial';
 
 /** Sent to the caller as the reason why the request is permanently rejected. */
 const CONVICTED_REASON =
--- a/src/gateway/proxied_request_options.ts
+++ b/src/gateway/proxied_request_options.ts
@@ -2,16 +2,16 @@
 import {Clock} from '../common/clock';
 import {GatewayRules} from '../protocol/gateway_rules';
 import {HttpClientPool} from '../transport/http_client_pool';
-import {BackendSignals} from './backend_signals';
-import {CrashContainment} from './crash_containment';
+import {BackendSignals} from './limits/backend_signals';
+import {CrashContainment} from './crashes/crash_containment';
 import {GatewayRequest} from './gateway_request';
 import {HttpDialect} from './http_dialect';
-import {SlotForecast} from './slot_forecast';
+import {SlotForecast} from './scheduling/slot_forecast';
 import {RetryBudget} from './retry_budget';
-import {RequestIdentity} from './request_identity';
+import {RequestIdentity} from './crashes/request_identity';
 import {RequestResult} from './request_result';
-import {ResponseWriter} from './response_writer';
-import {LoadBalancer} from './load_balancer';
+import {ResponseWriter} from './responses/response_writer';
+import {LoadBalancer} from './routing/load_balancer';
 
 export interface ProxiedRequestOptions {
   readonly request: GatewayRequest;
--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -1,6 +1,6 @@
 /** Logs the outcome of each request together with the inputs of the decision. */
 import {EventRing} from '../common/event_ring';
-import {ControlPoller} from './control_poller';
+import {ControlPoller} from './control/control_poller';
 import {GatewayRequest} from './gateway_request';
 import {Refusal} from './refusal';
 import {RequestResult} from './request_result';
--- a/src/gateway/request_sender.ts
+++ b/src/gateway/request_sender.ts
@@ -1,10 +1,10 @@
 /** Chooses backend servers for one request and sends it to one at a time, within their rate limits. */
 import {GatewayTarget} from '../protocol/gateway_target';
 import {Attempt} from './attempt';
-import {createTargetKey} from './create_target_key';
+import {createTargetKey} from './routing/create_target_key';
 import {ProxiedRequestOptions} from './proxied_request_options';
 import {RequestHistory} from './request_history';
-import {SendPermit} from './send_permit';
+import {SendPermit} from './limits/send_permit';
 
 type AttemptCallbacks = Pick<
   Parameters<typeof Attempt.create>[0],
--- a/src/gateway/compute_stall_timeout_ms.ts
+++ b/src/gateway/responses/compute_stall_timeout_ms.ts
@@ -1,4 +1,4 @@
-import {EngineProfile} from '../protocol/engine_profile';
+import {EngineProfile} from '../../protocol/engine_profile';
 
 const MS_PER_SECOND = 1_000;
 /**
--- a/src/gateway/create_stall_thresholds.ts
+++ b/src/gateway/responses/create_stall_thresholds.ts
@@ -1,6 +1,6 @@
-import {GatewayRules} from '../protocol/gateway_rules';
+import {GatewayRules} from '../../protocol/gateway_rules';
 import {computeStallTimeoutMs} from './compute_stall_timeout_ms';
-import {SlotForecast} from './slot_forecast';
+import {SlotForecast} from '../scheduling/slot_forecast';
 import {StallDetector} from './stall_detector';
 
 const MS_PER_SECOND = 1_000;
--- a/src/gateway/response_relay.ts
+++ b/src/gateway/responses/response_relay.ts
@@ -1,7 +1,7 @@
 /** Forwards response bodies to the caller: streams event by event, everything else once it is complete. */
 import {BufferedBody} from './buffered_body';
 import {EventStreamSplitter} from './event_stream_splitter';
-import {ResponseHead} from './response_head';
+import {ResponseHead} from '../response_head';
 import {ResponseWriter} from './response_writer';
 
 interface ResponseRelayOptions {
--- a/src/gateway/response_writer.ts
+++ b/src/gateway/responses/response_writer.ts
@@ -1,6 +1,6 @@
 /** Writes the HTTP response to one caller: a backend server's response, or an error of the gateway. */
 import {ServerResponse} from 'node:http';
-import {ResponseHead} from './response_head';
+import {ResponseHead} from '../response_head';
 
 const MS_PER_SECOND = 1_000;
 
--- a/src/gateway/send_error_response.ts
+++ b/src/gateway/responses/send_error_response.ts
@@ -1,6 +1,6 @@
 import {ERROR_STATUS} from './error_status';
-import {SlotWait} from './slot_wait';
-import {RequestResult} from './request_result';
+import {SlotWait} from '../scheduling/slot_wait';
+import {RequestResult} from '../request_result';
 import {ResponseWriter} from './response_writer';
 
 interface ErrorResponseInput {
--- a/src/gateway/stall_detector.ts
+++ b/src/gateway/responses/stall_detector.ts
@@ -2,8 +2,8 @@
  * Detects when a backend server, or the connection to it, has stopped
  * responding.
  */
-import {Attempt} from './attempt';
-import {LoadBalancer} from './load_balancer';
+import {Attempt} from '../attempt';
+import {LoadBalancer} from '../routing/load_balancer';
 
 /**
  * A silent backend server may take this many times the expected time to start a
--- a/src/gateway/choose_pool.ts
+++ b/src/gateway/routing/choose_pool.ts
@@ -1,4 +1,4 @@
-import {GatewayRules} from '../protocol/gateway_rules';
+import {GatewayRules} from '../../protocol/gateway_rules';
 
 type Targets = GatewayRules['routes'][number]['targets'];
 
--- a/src/gateway/create_target_key.ts
+++ b/src/gateway/routing/create_target_key.ts
@@ -1,4 +1,4 @@
-import {GatewayTarget} from '../protocol/gateway_target';
+import {GatewayTarget} from '../../protocol/gateway_target';
 
 /**
  * Creates a key for a target in its current group: as the head of a new group,
--- a/src/gateway/load_balancer.ts
+++ b/src/gateway/routing/load_balancer.ts
@@ -1,6 +1,6 @@
 /** Chooses the least loaded backend server for a request and tracks the health of each. */
-import {Clock} from '../common/clock';
-import {GatewayTarget} from '../protocol/gateway_target';
+import {Clock} from '../../common/clock';
+import {GatewayTarget} from '../../protocol/gateway_target';
 import {chooseByWaterFilling} from './choose_by_water_filling';
 import {createTargetKey} from './create_target_key';
 import {UnreportedLoad} from './unreported_load';
--- a/src/gateway/route_index.ts
+++ b/src/gateway/routing/route_index.ts
@@ -1,6 +1,6 @@
 /** Looks up routes, workspaces and pools in one version of the rules. */
-import {GatewayRules} from '../protocol/gateway_rules';
-import {computeDigest} from '../protocol/compute_digest';
+import {GatewayRules} from '../../protocol/gateway_rules';
+import {computeDigest} from '../../protocol/compute_digest';
 
 type Route = GatewayRules['routes'][number];
 type Pool = GatewayRules['pools'][number];
--- a/src/gateway/unreported_load.ts
+++ b/src/gateway/routing/unreported_load.ts
@@ -1,5 +1,5 @@
 /** Estimates the load that other gateways have added since their last report. */
-import {Clock} from '../common/clock';
+import {Clock} from '../../common/clock';
 
 /**
  * Long enough for about twenty requests of a busy gateway, short enough to
--- a/src/gateway/create_forecast_keys.ts
+++ b/src/gateway/scheduling/create_forecast_keys.ts
@@ -1,4 +1,4 @@
-import {GatewayRules} from '../protocol/gateway_rules';
+import {GatewayRules} from '../../protocol/gateway_rules';
 
 interface ForecastKeysInput {
   readonly route: Pick<GatewayRules['routes'][number], 'name'>;
--- a/src/gateway/decide_admission.ts
+++ b/src/gateway/scheduling/decide_admission.ts
@@ -1,8 +1,8 @@
 /** Applies the routing rules to a parsed request. */
-import {choosePool} from './choose_pool';
-import {GatewayRequest} from './gateway_request';
-import {Refusal} from './refusal';
-import {RouteIndex} from './route_index';
+import {choosePool} from '../routing/choose_pool';
+import {GatewayRequest} from '../gateway_request';
+import {Refusal} from '../refusal';
+import {RouteIndex} from '../routing/route_index';
 
 /**
  * Retry delay while the control plane is not reachable; about the duration of a
--- a/src/gateway/demand_meter.ts
+++ b/src/gateway/scheduling/demand_meter.ts
@@ -1,9 +1,9 @@
 /** Measures the demand of this gateway's callers for each model. */
-import {Clock} from '../common/clock';
-import {EngineProfile} from '../protocol/engine_profile';
-import {ModelDemand} from '../protocol/model_demand';
-import {RequestResult} from './request_result';
-import {GatewayRequest} from './gateway_request';
+import {Clock} from '../../common/clock';
+import {EngineProfile} from '../../protocol/engine_profile';
+import {ModelDemand} from '../../protocol/model_demand';
+import {RequestResult} from '../request_result';
+import {GatewayRequest} from '../gateway_request';
 
 const MS_PER_SECOND = 1_000;
 /**
--- a/src/gateway/saturated_models.ts
+++ b/src/gateway/scheduling/saturated_models.ts
@@ -1,5 +1,5 @@
 /** Models for which requests were recently refused because no slot was free. */
-import {Clock} from '../common/clock';
+import {Clock} from '../../common/clock';
 
 /** A refusal indicates a need for more hosts for this long. */
 const SATURATED_MS = 1_000;
--- a/src/gateway/sliding_maximum.ts
+++ b/src/gateway/scheduling/sliding_maximum.ts
@@ -1,5 +1,5 @@
 /** The longest recent duration by key, such as a route. */
-import {Clock} from '../common/clock';
+import {Clock} from '../../common/clock';
 
 /**
  * Long enough to include some long requests of a busy route, short enough to
--- a/src/gateway/slot_forecast.ts
+++ b/src/gateway/scheduling/slot_forecast.ts
@@ -2,7 +2,7 @@
  * Estimates when engine slots become free and how long engines take for the
  * first event.
  */
-import {Clock} from '../common/clock';
+import {Clock} from '../../common/clock';
 import {SlidingMaximum} from './sliding_maximum';
 
 /**
--- a/src/gateway/slot_wait.ts
+++ b/src/gateway/scheduling/slot_wait.ts
@@ -2,7 +2,7 @@
  * Decides how long a request may wait: for a free engine slot, or for a
  * replacement group to continue its stream.
  */
-import {Clock} from '../common/clock';
+import {Clock} from '../../common/clock';
 import {computeRetryAfterMs} from './compute_retry_after_ms';
 import {SlotForecast} from './slot_forecast';
 
--- a/test/control/rate_limit_sharing.test.ts
+++ b/test/control/rate_limit_sharing.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, test} from 'vitest';
 import {EventRing} from '../../src/common/event_ring';
-import {BackendRateLimits} from '../../src/gateway/backend_rate_limits';
+import {BackendRateLimits} from '../../src/gateway/limits/backend_rate_limits';
 import {createRandom} from '../support/create_random';
 import {BACKEND, RateLimitSimulation} from '../support/rate_limit_simulation';
 
--- a/test/gateway/backend_backoffs.test.ts
+++ b/test/gateway/backend_backoffs.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, test} from 'vitest';
 import {EventRing} from '../../src/common/event_ring';
-import {BackendBackoffs} from '../../src/gateway/backend_backoffs';
+import {BackendBackoffs} from '../../src/gateway/limits/backend_backoffs';
 
 const BACKOFF_MS = 3_000;
 const YEAR_MS = 365 * 24 * 3_600_000;
--- a/test/gateway/backend_shutdowns.test.ts
+++ b/test/gateway/backend_shutdowns.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from 'vitest';
 import {EventRing} from '../../src/common/event_ring';
-import {BackendShutdowns} from '../../src/gateway/backend_shutdowns';
+import {BackendShutdowns} from '../../src/gateway/limits/backend_shutdowns';
 import {waitUntil} from '../support/wait_until';
 
 test('a backend server that shuts down gets no requests while the control plane is unreachable, which gets the report later', async () => {
--- a/test/gateway/compute_retry_after_ms.test.ts
+++ b/test/gateway/compute_retry_after_ms.test.ts
@@ -4,8 +4,8 @@
  * same time and while the load was as high as before.
  */
 import {expect, test} from 'vitest';
-import {computeRetryAfterMs} from '../../src/gateway/compute_retry_after_ms';
-import {SlotForecast} from '../../src/gateway/slot_forecast';
+import {computeRetryAfterMs} from '../../src/gateway/scheduling/compute_retry_after_ms';
+import {SlotForecast} from '../../src/gateway/scheduling/slot_forecast';
 
 const LEFT_MS = 6_000;
 const MAX_RETRY_AFTER_FRACTION = 1 / 3;
--- a/test/gateway/crash_detector.test.ts
+++ b/test/gateway/crash_detector.test.ts
@@ -1,7 +1,7 @@
 import {afterEach, expect, test} from 'vitest';
 import {EventRing} from '../../src/common/event_ring';
 import {systemClock} from '../../src/common/system_clock';
-import {CrashDetector} from '../../src/gateway/crash_detector';
+import {CrashDetector} from '../../src/gateway/crashes/crash_detector';
 import {FakeBackend} from '../support/fake_backend';
 
 const backends: FakeBackend[] = [];
--- a/test/gateway/demand_meter.test.ts
+++ b/test/gateway/demand_meter.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, test} from 'vitest';
-import {DemandMeter} from '../../src/gateway/demand_meter';
+import {DemandMeter} from '../../src/gateway/scheduling/demand_meter';
 import {PROFILE} from '../support/engine_plan';
 
 function create() {
--- a/test/gateway/process_end_report.test.ts
+++ b/test/gateway/process_end_report.test.ts
@@ -4,7 +4,7 @@
  * knew of it within milliseconds.
  */
 import {expect, test} from 'vitest';
-import {LoadBalancer} from '../../src/gateway/load_balancer';
+import {LoadBalancer} from '../../src/gateway/routing/load_balancer';
 
 const TARGET = {
   incarnation: 'a',
--- a/test/gateway/request_identity.test.ts
+++ b/test/gateway/request_identity.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from 'vitest';
-import {RequestIdentity} from '../../src/gateway/request_identity';
+import {RequestIdentity} from '../../src/gateway/crashes/request_identity';
 
 const request = {host: 'h', method: 'POST', path: '/x?y=1'};
 const input = {request, workspace: 'w', body: Buffer.from('ask')};
--- a/test/gateway/suspect_reporter.test.ts
+++ b/test/gateway/suspect_reporter.test.ts
@@ -5,7 +5,7 @@
  * everything else that waited.
  */
 import {expect, test} from 'vitest';
-import {SuspectReporter} from '../../src/gateway/suspect_reporter';
+import {SuspectReporter} from '../../src/gateway/crashes/suspect_reporter';
 import {CrashReport} from '../../src/protocol/crash_report';
 import {waitUntil} from '../support/wait_until';
 
--- a/test/support/crash_fleet.ts
+++ b/test/support/crash_fleet.ts
@@ -4,10 +4,10 @@
  * backend server that runs them; other backend servers crash on their own, in waves.
  */
 import {EventRing} from '../../src/common/event_ring';
-import {CrashDetector} from '../../src/gateway/crash_detector';
-import {CrashContainment} from '../../src/gateway/crash_containment';
-import {RequestIdentity} from '../../src/gateway/request_identity';
-import {SuspectTrial} from '../../src/gateway/suspect_trial';
+import {CrashDetector} from '../../src/gateway/crashes/crash_detector';
+import {CrashContainment} from '../../src/gateway/crashes/crash_containment';
+import {RequestIdentity} from '../../src/gateway/crashes/request_identity';
+import {SuspectTrial} from '../../src/gateway/crashes/suspect_trial';
 import {VirtualTime} from '../simulation/virtual_time';
 import {SimulatedControl} from './simulated_control';
 import {CrashFleetOptions} from './crash_fleet_options';
--- a/test/support/crash_fleet_parts.ts
+++ b/test/support/crash_fleet_parts.ts
@@ -1,7 +1,7 @@
 /** State of the simulated processes and requests of `runCrashFleet`. */
-import {CrashContainment} from '../../src/gateway/crash_containment';
-import {RequestIdentity} from '../../src/gateway/request_identity';
-import {SuspectTrial} from '../../src/gateway/suspect_trial';
+import {CrashContainment} from '../../src/gateway/crashes/crash_containment';
+import {RequestIdentity} from '../../src/gateway/crashes/request_identity';
+import {SuspectTrial} from '../../src/gateway/crashes/suspect_trial';
 
 /** A backend server, which gets a new incarnation with each restart. */
 export interface Backend {
--- a/test/support/rate_limit_simulation.ts
+++ b/test/support/rate_limit_simulation.ts
@@ -6,7 +6,7 @@
 import {Clock} from '../../src/common/clock';
 import {EventRing} from '../../src/common/event_ring';
 import {RateLimitService} from '../../src/control/rate_limit_service';
-import {BackendRateLimits} from '../../src/gateway/backend_rate_limits';
+import {BackendRateLimits} from '../../src/gateway/limits/backend_rate_limits';
 import {RateLimitReport} from '../../src/protocol/rate_limit_report';
 import {VirtualTime} from '../simulation/virtual_time';
 
--- a/test/support/run_balancing_simulation.ts
+++ b/test/support/run_balancing_simulation.ts
@@ -3,7 +3,7 @@
  * load balancer and a delayed report of the others' load, on a virtual clock.
  */
 import {Clock} from '../../src/common/clock';
-import {LoadBalancer} from '../../src/gateway/load_balancer';
+import {LoadBalancer} from '../../src/gateway/routing/load_balancer';
 import {GatewayTarget} from '../../src/protocol/gateway_target';
 import {BatchingEngine, BatchingProfile} from './batching_engine';
 
--- a/test/support/simulated_control.ts
+++ b/test/support/simulated_control.ts
@@ -1,6 +1,6 @@
 /** The part of control that gateways of `runCrashFleet` call: the real suspect table, with delayed updates and times without a leader. */
 import {SuspectTable} from '../../src/state/suspect_table';
-import {CrashContainment} from '../../src/gateway/crash_containment';
+import {CrashContainment} from '../../src/gateway/crashes/crash_containment';
 import {VirtualTime} from '../simulation/virtual_time';
 import {CrashFleetOptions} from './crash_fleet_options';
 import {Gateway} from './crash_fleet_parts';
