fix(control): the availability zones of voters are recorded in the log

The vote of the wrong one was moved, since a connected voter also counted as a successor; with that alone mended the vote was not moved at all, and the loss of two more disks left no majority.

--- a/src/control/quorum_manager.ts
+++ b/src/control/quorum_manager.ts
@@ -55,7 +55,7 @@
     string,
     {readonly first: number; readonly last: number}
   >();
-  /** Availability zones of control processes, by identity. */
+  /** Availability zones that control processes told, by identity. */
   private readonly zones = new Map<string, string>();
   private readonly timers: Timers;
   private readonly stopTicking: Cancel;
@@ -64,7 +64,7 @@
 
   private constructor(private readonly options: QuorumManagerOptions) {
     this.startedAt = options.clock.now();
-    this.recordZones({[options.disk.identity]: options.settings.zone});
+    this.recordZone(options.disk.identity, options.settings.zone);
     this.timers = options.timers ?? systemTimers;
     this.stopTicking = this.timers.repeat(VOTER_CHANGE_INTERVAL_MS, () =>
       this.tick(),
@@ -107,14 +107,13 @@
     zone,
   }: MessageOf<FormationMessage, 'formation-ask'>): FormationResponse {
     const {clock, disk} = this.options;
-    this.recordZones({[identity]: zone});
+    this.recordZone(identity, zone);
     const last = clock.now();
     const first = this.requestTimes.get(identity)?.first ?? last;
     this.requestTimes.set(identity, {first, last});
     this.addConnections([splitIdentity(identity).name]);
     const voters = this.listVoters();
-    const zones = Object.fromEntries(this.zones);
-    return {type: 'formation-answer', identity: disk.identity, voters, zones};
+    return {type: 'formation-answer', identity: disk.identity, voters};
   }
 
   /** Connects to further seeds after a change of the settings. */
@@ -125,7 +124,6 @@
   /** Records the voters that another process knows. */
   handleFormationResponse(from: string, response: FormationResponse): void {
     this.formationResponses.set(splitIdentity(from).name, response);
-    this.recordZones(response.zones ?? {});
     this.addConnections(Object.keys(response.voters ?? {}));
   }
 
@@ -200,15 +198,36 @@
     }
   }
 
-  /** Each process learns the zones from the others, so a new leader knows those of silent voters, too. */
-  private recordZones(
-    zones: Readonly<Record<string, string | undefined>>,
-  ): void {
-    for (const [identity, zone] of Object.entries(zones)) {
+  /** Records the zones of the voters in the log: after a loss of all power nobody else knows that of a voter which is gone. */
+  private async saveVoterZones(
+    runtime: RaftRuntime,
+    voters: ReadonlyMap<string, string>,
+  ): Promise<void> {
+    const zones: Record<string, string> = {};
+    for (const identity of voters.values()) {
+      const zone = this.findZone(runtime, identity);
       if (zone !== undefined) {
-        this.zones.set(identity, zone);
+        zones[identity] = zone;
       }
     }
+    const isChanged = Object.entries(zones).some(
+      ([identity, zone]) => runtime.state.findVoterZone(identity) !== zone,
+    );
+    if (isChanged) {
+      const time = Date.now();
+      const command = {type: 'set-voter-zones' as const, time, zones};
+      await runtime.propose(command).catch(() => undefined);
+    }
+  }
+
+  private findZone(runtime: RaftRuntime, identity: string): string | undefined {
+    return this.zones.get(identity) ?? runtime.state.findVoterZone(identity);
+  }
+
+  private recordZone(identity: string, zone: string | undefined): void {
+    if (zone !== undefined) {
+      this.zones.set(identity, zone);
+    }
   }
 
   private tick(): void {
@@ -225,6 +244,7 @@
     const now = clock.now();
     const {raft} = runtime;
     const voters = raft.listVotersAt(raft.commitIndex);
+    await this.saveVoterZones(runtime, voters);
     const reachable = connections.listIdentities();
     const candidates = reachable.filter(
       identity =>
@@ -240,7 +260,7 @@
       findSilentSince: identity => this.findSilentSince(identity, now),
       findAppearedAt: identity =>
         this.requestTimes.get(identity)?.first ?? this.startedAt,
-      findZone: identity => this.zones.get(identity),
+      findZone: identity => this.findZone(runtime, identity),
       now,
     });
     if (change) {
--- a/src/coordination/agreement/decide_voter_change.ts
+++ b/src/coordination/agreement/decide_voter_change.ts
@@ -63,7 +63,10 @@
   if (!added || voters.size < target) {
     return added;
   }
-  const predecessor = findPredecessor(input, added.identity);
+  const successors = candidates
+    .filter(({name}) => !voters.has(name))
+    .map(({identity}) => identity);
+  const predecessor = findPredecessor(input, added.identity, successors);
   return predecessor !== undefined && isUnresponsive(predecessor.identity)
     ? {...added, replaces: predecessor.name}
     : undefined;
@@ -87,6 +90,7 @@
 function findPredecessor(
   input: VoterChangeInput,
   candidate: string,
+  successors: readonly string[],
 ): SilentVoter | undefined {
   const appearedAt = input.findAppearedAt(candidate);
   if (input.now - appearedAt < REPLACES_AFTER_MS) {
@@ -107,11 +111,8 @@
         other !== chosen &&
         Math.abs(other.since - chosen.since) < SILENCE_PRECISION_MS,
     );
-  const replacements = input.candidates.filter(
-    identity => input.findZone(identity) === zone,
-  );
   // With a successor for each of them, the order does not matter.
-  return isUncertain && replacements.length < eligible.length
+  return isUncertain && successors.length < eligible.length
     ? undefined
     : chosen;
 }
--- a/src/protocol/control_command.ts
+++ b/src/protocol/control_command.ts
@@ -28,6 +28,12 @@
   }),
   /** Marks that every earlier voter change is committed, for each process that has this entry. */
   z.object({type: z.literal('settle-voters'), time: Time}),
+  /** Replaces the recorded availability zones of the voters, by identity. */
+  z.object({
+    type: z.literal('set-voter-zones'),
+    time: Time,
+    zones: z.record(z.string(), z.string()),
+  }),
   z.object({
     type: z.literal('accept-channel-bundle'),
     time: Time,
--- a/src/protocol/formation_message.ts
+++ b/src/protocol/formation_message.ts
@@ -15,8 +15,6 @@
     identity: z.string(),
     /** Maps names to identities; null before the first quorum is formed. */
     voters: Voters.nullable(),
-    /** Availability zones that the sender knows, by identity. */
-    zones: z.record(z.string(), z.string()).optional(),
   }),
 ]);
 export type FormationMessage = z.infer<typeof FormationMessage>;
--- a/src/state/cluster_state.ts
+++ b/src/state/cluster_state.ts
@@ -28,6 +28,7 @@
   channel: z.unknown().optional(),
   engines: z.unknown().optional(),
   suspects: z.unknown().optional(),
+  voterZones: z.record(z.string(), z.string()).optional(),
 });
 
 type Handlers = {
@@ -49,6 +50,7 @@
   readonly engines: EngineGroupTable;
   readonly suspects: SuspectTable;
   private readonly drained: Set<string>;
+  private voterZones: Readonly<Record<string, string>>;
   private journal: JournalEntry[];
   private committedTime: number;
 
@@ -60,6 +62,7 @@
     this.engines = EngineGroupTable.create(snapshot?.engines ?? undefined);
     this.suspects = SuspectTable.create(snapshot?.suspects ?? undefined);
     this.drained = new Set(snapshot?.drained);
+    this.voterZones = snapshot?.voterZones ?? {};
     this.journal = snapshot?.journal ?? [];
     this.committedTime = snapshot?.time ?? 0;
   }
@@ -99,6 +102,11 @@
     return this.drained.has(hostId);
   }
 
+  /** Returns the recorded availability zone of a voter; undefined if there is none. */
+  findVoterZone(identity: string): string | undefined {
+    return this.voterZones[identity];
+  }
+
   /** Lists journal entries after an index, oldest first, filtered by subject and id if given. */
   listJournal(filter: {
     subject?: string;
@@ -132,6 +140,7 @@
       channel: this.channel.save(),
       engines: this.engines.save(),
       suspects: this.suspects.save(),
+      voterZones: this.voterZones,
     });
   }
 
@@ -150,6 +159,10 @@
       });
       return {isAccepted: true, reason};
     },
+    'set-voter-zones': ({zones}) => {
+      this.voterZones = zones;
+      return {isAccepted: true, reason: 'recorded'};
+    },
     'roll-out': (command, index) => this.rollOut(command, index),
     'accept-channel-bundle': ({bundle}, index) => {
       const result = this.channel.accept(bundle);
--- a/test/coordination/raft_voters.test.ts
+++ b/test/coordination/raft_voters.test.ts
@@ -157,7 +157,7 @@
       'd/7': 'zone-1',
     };
     const decide = ({
-      candidates = ['d/7'],
+      candidates = ['c/1', 'd/7'],
       isZoneKnown = true,
       now = 5_000,
       appearedAt = 2_000,
@@ -183,7 +183,7 @@
     });
 
     test('both lose their votes when there is a successor for each', () => {
-      const candidates = ['d/7', 'e/8'];
+      const candidates = ['c/1', 'd/7', 'e/8'];
       expect(decide({isZoneKnown: false, candidates})).toMatchObject({
         name: 'd',
         replaces: 'b',
