--- a/src/common/system_event.ts
+++ b/src/common/system_event.ts
@@ -7,7 +7,14 @@
   readonly type: string;
   /** The kind of object that it is about. */
   readonly subject:
-    'request' | 'group' | 'host' | 'bundle' | 'control' | 'claim' | 'process';
+    | 'request'
+    | 'group'
+    | 'host'
+    | 'zone'
+    | 'bundle'
+    | 'control'
+    | 'claim'
+    | 'process';
   /** The id of that object. */
   readonly id: string;
   /** The cause, in one sentence for an operator. */
--- a/src/operator/add_fleet_commands.ts
+++ b/src/operator/add_fleet_commands.ts
@@ -9,7 +9,14 @@
 import {readPrivateKey} from './read_private_key';
 
 const POLL_INTERVAL_MS = 200;
-const JOURNAL_SUBJECTS = ['group', 'host', 'bundle', 'control', 'request'];
+const JOURNAL_SUBJECTS = [
+  'group',
+  'host',
+  'zone',
+  'bundle',
+  'control',
+  'request',
+];
 
 /**
  * Adds the commands `status`, `watch`, `explain`, `drain` and `undrain`.
--- a/src/protocol/backend_registration.ts
+++ b/src/protocol/backend_registration.ts
@@ -34,5 +34,7 @@
   /** Models whose weights are stored on the host. */
   stagedModels: z.array(z.string()),
   group: GroupMembership.optional(),
+  /** Time for which the server stays slow after its start, in milliseconds; absent or 0 for one that is warm. */
+  coldForMs: z.number().nonnegative().optional(),
 });
 export type BackendRegistration = z.infer<typeof BackendRegistration>;
--- a/src/protocol/control_command.ts
+++ b/src/protocol/control_command.ts
@@ -75,6 +75,14 @@
     epoch: z.int(),
     reason: z.string(),
   }),
+  /** Stops new requests to an availability zone, or allows them again. */
+  z.object({
+    type: z.literal('set-evacuation'),
+    time: Time,
+    zone: z.string(),
+    isEvacuated: z.boolean(),
+    requestedBy: z.string(),
+  }),
   z.object({type: z.literal('roll-out'), time: Time, bundle: SignedBundle}),
   z.object({
     type: z.literal('set-group'),
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -8,12 +8,15 @@
 import {Group} from './group';
 import {HostReport} from './host_report';
 import {RateLimitReport} from './rate_limit_report';
+import {ModelAdmission} from './model_admission';
 import {ModelDemand} from './model_demand';
+import {QueueReport} from './queue_report';
 import {RequestOutcome} from './request_outcome';
 import {PermitVerdict} from './permit_verdict';
 import {SignedBundle} from './signed_bundle';
 import {SuspectUpdate} from './suspect_update';
 import {TrialVerdict} from './trial_verdict';
+import {ZoneEvacuation} from './zone_evacuation';
 
 const Call = z.int().nonnegative();
 
@@ -184,6 +187,10 @@
     limitsTag: z.string().optional(),
     /** Rate limits that this gateway has not yet reported to this leader. */
     limits: z.array(RateLimitReport).optional(),
+    /** Requests that wait or arrive at this gateway, by model and urgency. */
+    queues: z.array(QueueReport).optional(),
+    /** Version of the evacuations known to the gateway; 0 for none. */
+    evacuationsVersion: z.int().nonnegative().optional(),
   }),
   z.object({
     type: z.literal('gateway-answer'),
@@ -215,6 +222,33 @@
     limitsTag: z.string().optional(),
     /** Changes to the rate limit table; present when the caller has another version. */
     limits: z.array(RateLimitReport).optional(),
+    /** Models whose requests are limited by urgency, and their arrivals. */
+    admissions: z.array(ModelAdmission).optional(),
+    /** Version of the evacuations; increases with each change. */
+    evacuationsVersion: z.int().nonnegative().optional(),
+    /** All evacuated availability zones; absent from leaders without evacuations. */
+    evacuations: z.array(ZoneEvacuation).optional(),
+  }),
+  /** Evacuates an availability zone, or restores it; from a trusted channel or signed by an operator. */
+  z.object({
+    type: z.literal('evacuation-ask'),
+    call: Call,
+    zone: z.string().min(1).max(200),
+    isEvacuated: z.boolean(),
+    /** The trusted channel on which the order came in; absent for a signed order. */
+    channel: z.string().optional(),
+    /** Wall-clock milliseconds on the operator's machine; with `keyId` and `signature` for a signed order. */
+    time: z.number().optional(),
+    keyId: z.string().optional(),
+    signature: z.string().optional(),
+  }),
+  z.object({
+    type: z.literal('evacuation-answer'),
+    call: Call,
+    isAccepted: z.boolean(),
+    /** True if no backend server of the zone is known, so that the order is refused for good. */
+    isUnknownZone: z.boolean(),
+    reason: z.string(),
   }),
   z.object({
     type: z.literal('leaving-ask'),
--- a/src/protocol/gateway_rules.ts
+++ b/src/protocol/gateway_rules.ts
@@ -36,6 +36,10 @@
   maxConnections: z.int().positive(),
   /** Absent for a plain service. */
   engine: EngineProfile.optional(),
+  /** Requests that a cold backend server takes in any second, from all gateways together; absent or 0 for no limit. */
+  coldRequestsPerSecond: z.number().nonnegative().optional(),
+  /** Time for which a backend server is cold after its start, in milliseconds. */
+  coldStartMs: z.number().nonnegative().optional(),
 });
 
 const GatewayWorkspace = z.object({
--- a/src/protocol/gateway_target.ts
+++ b/src/protocol/gateway_target.ts
@@ -14,5 +14,7 @@
   model: z.string().optional(),
   /** Epoch of that group: the head of a new epoch has no state of the failed one. */
   epoch: z.int().optional(),
+  /** Time for which the server stays cold, in milliseconds from when the leader sent this; absent for one that is warm. */
+  coldForMs: z.number().nonnegative().optional(),
 });
 export type GatewayTarget = z.infer<typeof GatewayTarget>;
--- a/src/state/cluster_state.ts
+++ b/src/state/cluster_state.ts
@@ -9,11 +9,12 @@
 import {ClaimTable} from './claim_table';
 import {CommandResult} from './command_result';
 import {EngineGroupTable} from './engine_group_table';
+import {EvacuationTable} from './evacuation_table';
 import {GroupTable} from './group_table';
+import {Journal} from './journal';
 import {JournalEntry} from './journal_entry';
 import {SuspectTable} from './suspect_table';
 
-const MAX_JOURNAL_ENTRIES = 10_000;
 const MS_PER_MINUTE = 60_000;
 const encoder = new Encoder({useRecords: false});
 const decoder = new Decoder({useRecords: false, mapsAsObjects: true});
@@ -28,6 +29,7 @@
   channel: z.unknown().optional(),
   engines: z.unknown().optional(),
   suspects: z.unknown().optional(),
+  evacuations: z.unknown().optional(),
   voterZones: z.record(z.string(), z.string()).optional(),
 });
 
@@ -49,9 +51,10 @@
   readonly channel: ChannelBundleTable;
   readonly engines: EngineGroupTable;
   readonly suspects: SuspectTable;
+  readonly evacuations: EvacuationTable;
   private readonly drained: Set<string>;
   private voterZones: Readonly<Record<string, string>>;
-  private journal: JournalEntry[];
+  private readonly journal: Journal;
   private committedTime: number;
 
   private constructor(snapshot: z.infer<typeof Snapshot> | undefined) {
@@ -61,9 +64,12 @@
     this.channel = ChannelBundleTable.create(snapshot?.channel ?? undefined);
     this.engines = EngineGroupTable.create(snapshot?.engines ?? undefined);
     this.suspects = SuspectTable.create(snapshot?.suspects ?? undefined);
+    this.evacuations = EvacuationTable.create(
+      snapshot?.evacuations ?? undefined,
+    );
     this.drained = new Set(snapshot?.drained);
     this.voterZones = snapshot?.voterZones ?? {};
-    this.journal = snapshot?.journal ?? [];
+    this.journal = Journal.create(snapshot?.journal);
     this.committedTime = snapshot?.time ?? 0;
   }
 
@@ -86,14 +92,15 @@
     return this.committedTime;
   }
 
-  /** Incremented by each change of a bundle, a group or a suspect. */
+  /** Incremented by each change of a bundle, a group, a suspect or an evacuation. */
   get changeCount(): number {
     return (
       this.groups.version +
       this.bundles.version +
       this.channel.version +
       this.engines.version +
-      this.suspects.version
+      this.suspects.version +
+      this.evacuations.version
     );
   }
 
@@ -108,17 +115,8 @@
   }
 
   /** Lists journal entries after an index, oldest first, filtered by subject and id if given. */
-  listJournal(filter: {
-    subject?: string;
-    id?: string;
-    after: number;
-  }): JournalEntry[] {
-    return this.journal.filter(
-      entry =>
-        entry.index > filter.after &&
-        (filter.subject === undefined || entry.subject === filter.subject) &&
-        (filter.id === undefined || entry.id === filter.id),
-    );
+  listJournal(filter: Parameters<Journal['list']>[0]): JournalEntry[] {
+    return this.journal.list(filter);
   }
 
   /** Applies one committed log entry. */
@@ -136,10 +134,11 @@
       groups: this.groups.save(),
       claims: this.claims.save(),
       drained: [...this.drained],
-      journal: this.journal,
+      journal: this.journal.save(),
       channel: this.channel.save(),
       engines: this.engines.save(),
       suspects: this.suspects.save(),
+      evacuations: this.evacuations.save(),
       voterZones: this.voterZones,
     });
   }
@@ -163,6 +162,7 @@
       this.voterZones = zones;
       return {isAccepted: true, reason: 'recorded'};
     },
+    'set-evacuation': (command, index) => this.setEvacuation(command, index),
     'roll-out': (command, index) => this.rollOut(command, index),
     'accept-channel-bundle': ({bundle}, index) => {
       const result = this.channel.accept(bundle);
@@ -260,6 +260,30 @@
     },
   };
 
+  private setEvacuation(
+    {
+      zone,
+      isEvacuated,
+      requestedBy,
+    }: MessageOf<ControlCommand, 'set-evacuation'>,
+    index: number,
+  ): CommandResult {
+    const {evacuations, committedTime: since} = this;
+    const {version} = evacuations;
+    const result = isEvacuated
+      ? evacuations.evacuate({zone, requestedBy, since})
+      : evacuations.restore(zone, requestedBy);
+    if (evacuations.version !== version) {
+      this.recordJournalEntry(index, {
+        type: isEvacuated ? 'zone-evacuated' : 'zone-restored',
+        subject: 'zone',
+        id: zone,
+        reason: result.reason,
+      });
+    }
+    return result;
+  }
+
   private recordSuspects(
     command: MessageOf<ControlCommand, 'record-suspects'>,
     index: number,
@@ -357,9 +381,6 @@
   }
 
   private recordJournalEntry(index: number, note: JournalNote): void {
-    this.journal.push({details: {}, ...note, index, time: this.committedTime});
-    if (this.journal.length > MAX_JOURNAL_ENTRIES * 1.2) {
-      this.journal = this.journal.slice(-MAX_JOURNAL_ENTRIES);
-    }
+    this.journal.record({...note, index, time: this.committedTime});
   }
 }
--- a/src/state/journal_entry.ts
+++ b/src/state/journal_entry.ts
@@ -7,7 +7,15 @@
   /** Wall-clock milliseconds of the leader that decided. */
   time: z.number(),
   type: z.string(),
-  subject: z.enum(['group', 'host', 'bundle', 'claim', 'control', 'request']),
+  subject: z.enum([
+    'group',
+    'host',
+    'zone',
+    'bundle',
+    'claim',
+    'control',
+    'request',
+  ]),
   id: z.string(),
   reason: z.string(),
   details: z.record(z.string(), z.union([z.string(), z.number(), z.boolean()])),
