--- a/src/state/cluster_state.ts
+++ b/src/state/cluster_state.ts
@@ -1,12 +1,12 @@
 /** The replicated state machine: all tables, built by applying the commands of the log in order. */
 import {Decoder, Encoder} from 'cbor-x';
-import {z} from 'zod';
 import {ControlCommand} from '../protocol/control_command';
 import {LogEntry} from '../protocol/log_entry';
 import {MessageOf} from '../protocol/message_of';
 import {BundleTable} from './bundle_table';
 import {ChannelBundleTable} from './channel_bundle_table';
 import {ClaimTable} from './claim_table';
+import {ClusterSnapshot} from './cluster_snapshot';
 import {CommandResult} from './command_result';
 import {EngineGroupTable} from './engine_group_table';
 import {EvacuationTable} from './evacuation_table';
@@ -19,20 +19,6 @@
 const encoder = new Encoder({useRecords: false});
 const decoder = new Decoder({useRecords: false, mapsAsObjects: true});
 
-const Snapshot = z.object({
-  time: z.number(),
-  bundles: z.unknown(),
-  groups: z.unknown(),
-  claims: z.unknown(),
-  drained: z.array(z.string()),
-  journal: z.array(JournalEntry),
-  channel: z.unknown().optional(),
-  engines: z.unknown().optional(),
-  suspects: z.unknown().optional(),
-  evacuations: z.unknown().optional(),
-  voterZones: z.record(z.string(), z.string()).optional(),
-});
-
 type Handlers = {
   [T in ControlCommand['type']]: (
     command: MessageOf<ControlCommand, T>,
@@ -57,7 +43,7 @@
   private readonly journal: Journal;
   private committedTime: number;
 
-  private constructor(snapshot: z.infer<typeof Snapshot> | undefined) {
+  private constructor(snapshot: ClusterSnapshot | undefined) {
     this.bundles = BundleTable.create(snapshot?.bundles);
     this.groups = GroupTable.create(snapshot?.groups);
     this.claims = ClaimTable.create(snapshot?.claims);
@@ -83,7 +69,7 @@
   static create(snapshot?: Uint8Array): ClusterState {
     const isEmpty = !snapshot || snapshot.length === 0;
     return new ClusterState(
-      isEmpty ? undefined : Snapshot.parse(decoder.decode(snapshot)),
+      isEmpty ? undefined : ClusterSnapshot.parse(decoder.decode(snapshot)),
     );
   }
 
