--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -26,7 +26,7 @@
 import {SlotForecast} from './scheduling/slot_forecast';
 import {SaturatedModels} from './scheduling/saturated_models';
 import {ProxiedRequest} from './proxied_request';
-import {RetryBudget} from './retry_budget';
+import {RetryBudgets} from './retry_budgets';
 import {RequestIdentity} from './crashes/request_identity';
 import {RequestLog} from './request_log';
 import {RequestResult} from './request_result';
@@ -53,7 +53,7 @@
   private readonly balancer: LoadBalancer;
   private readonly poller: ControlPoller;
   private readonly requestLog: RequestLog;
-  private readonly retryBudgets = new Map<string, RetryBudget>();
+  private readonly retryBudgets: RetryBudgets;
   private readonly requests = new Set<ProxiedRequest>();
   private readonly forecast = SlotForecast.create(systemClock);
   private readonly demand = DemandMeter.create(systemClock);
@@ -86,6 +86,11 @@
       timeoutMs: stopWithinMs,
       maxRetryAfterFraction: settings.dialect.maxRetryAfterFraction,
     });
+    this.retryBudgets = RetryBudgets.create(
+      settings.retries,
+      clock,
+      () => this.poller.gatewayCount,
+    );
     this.seeds = control;
     this.controlAddresses = control;
     const incarnation = randomBytes(8).toString('hex');
@@ -285,7 +290,7 @@
       // The caller disconnected while the body was received; its close event has already fired.
       return;
     }
-    const {route, pool, workspace} = admitted;
+    const {route, pool, workspace, urgency} = admitted;
     const refusal = this.shutdown.admit({
       route,
       leftMs: this.computeLeftMs(request, route, arrivedAt),
@@ -309,12 +314,13 @@
       route,
       pool,
       workspace,
+      urgency,
       maxConnections: Math.max(1, Math.floor(connections)),
       arrivedAt,
       response: writer,
       clientPool: this.clientPool,
       balancer: this.balancer,
-      budget: this.findRetryBudget(pool.name),
+      budget: this.retryBudgets.find(pool.name),
       forecast: this.forecast,
       containment: this.containment,
       signals: this.signals,
@@ -342,19 +348,6 @@
     return Math.min(waitMs, timeoutMs) - (this.clock.now() - arrivedAt);
   }
 
-  private findRetryBudget(pool: string): RetryBudget {
-    const known = this.retryBudgets.get(pool);
-    const budget =
-      known ??
-      RetryBudget.create(
-        this.settings.retries,
-        this.clock,
-        () => this.poller.gatewayCount,
-      );
-    this.retryBudgets.set(pool, budget);
-    return budget;
-  }
-
   private recordResult(
     request: GatewayRequest,
     route: string,
--- a/src/gateway/proxied_request_options.ts
+++ b/src/gateway/proxied_request_options.ts
@@ -20,6 +20,8 @@
   readonly route: GatewayRules['routes'][number];
   readonly pool: GatewayRules['pools'][number];
   readonly workspace?: string;
+  /** Priority of its workspace, or else of its route; 0 is the most urgent. */
+  readonly urgency: number;
   /** Maximum number of connections from this gateway to one backend server. */
   readonly maxConnections: number;
   /** In milliseconds of this process's monotonic clock. */
--- a/src/gateway/scheduling/decide_admission.ts
+++ b/src/gateway/scheduling/decide_admission.ts
@@ -66,7 +66,8 @@
   if (!pool) {
     return refuse({status: 503, reason: 'the route names an unknown pool'});
   }
-  return {route, pool, workspace: workspace?.name};
+  const urgency = workspace?.priority ?? route.priority;
+  return {route, pool, workspace: workspace?.name, urgency};
 }
 
 /**
--- a/test/support/proxy_fixture.ts
+++ b/test/support/proxy_fixture.ts
@@ -189,6 +189,7 @@
         signals: this.signals,
         body,
         route: this.route,
+        urgency: this.route.priority,
         pool: {
           name: 'p',
           maxConnections: 8,
