--- a/src/control/backend_registry.ts
+++ b/src/control/backend_registry.ts
@@ -38,6 +38,8 @@
   /** When each incarnation whose registrations may be stale was first heard, or last overruled by the known process. */
   private readonly suspectedStaleSince = new Map<string, number>();
   private changes = 0;
+  /** Availability zones of all backend servers that have registered, including expired ones. */
+  private readonly zones = new Set<string>();
 
   private constructor(
     private readonly heartbeatMs: number,
@@ -76,6 +78,7 @@
     const hasChanged =
       !known || describeContent(known) !== describeContent({registration});
     this.updateIndexes(known?.registration, registration);
+    this.zones.add(registration.zone);
     this.views.set(registration.incarnation, {
       registration,
       seenAt: now,
@@ -147,6 +150,11 @@
     return this.views.get(incarnation);
   }
 
+  /** Availability zones of all backend servers that have registered with this leader. */
+  listZones(): string[] {
+    return [...this.zones];
+  }
+
   /** True if any registration has a start time, which then all must have. */
   get hasStartTimes(): boolean {
     return this.viewsWithStartTime > 0;
@@ -159,6 +167,7 @@
   /** Removes everything, since another process may lead now. */
   clear(): void {
     this.views.clear();
+    this.zones.clear();
     this.byAddress.clear();
     this.byName.clear();
     this.viewsWithStartTime = 0;
--- a/src/control/control_settings.ts
+++ b/src/control/control_settings.ts
@@ -48,6 +48,8 @@
   readonly seeded?: SeededQuorum;
   /** Channels whose bundles are accepted without a signature; none by default. */
   readonly trustedChannels?: readonly string[];
+  /** Lists all availability zones of the deployment; undefined where they are not configured. */
+  readonly listZones?: () => readonly string[] | undefined;
   readonly pools?: PoolSettings;
   readonly security?: TlsCredentials;
   /** Number of log entries after a snapshot that triggers the next one. */
--- a/src/control/create_call_handlers.ts
+++ b/src/control/create_call_handlers.ts
@@ -1,7 +1,6 @@
 /** Handlers for the calls of hosts, entry processes, gateways, backend servers and operators, on the leader. */
-import {KeyObject, verify} from 'node:crypto';
+import {KeyObject} from 'node:crypto';
 import {Clock} from '../common/clock';
-import {computeKeyId} from '../protocol/compute_key_id';
 import {ControlMessage} from '../protocol/control_message';
 import {encodeDrainOrder} from '../protocol/encode_drain_order';
 import {encodeLiftOrder} from '../protocol/encode_lift_order';
@@ -11,14 +10,13 @@
 import {MessageOf} from '../protocol/message_of';
 import {openSignedBundle} from '../protocol/open_signed_bundle';
 import {ChangeSignal} from './change_signal';
+import {checkOrder} from './check_order';
 import {ControlError} from './control_error';
 import {Fleet} from './fleet';
 import {GatewayService} from './gateway_service';
 import {RaftRuntime} from './raft_runtime';
 import {SuspectService} from './suspect_service';
 
-/** A signed order of an operator is refused when it is older, so that it can't be replayed later. */
-const MAX_ORDER_AGE_MS = 60_000;
 const MAX_JOURNAL_ENTRIES = 1_000;
 /** Long polling: an entry process's report is held this long while it has seen every update. */
 const LONG_POLL_MS = 1_000;
@@ -245,37 +243,3 @@
   const {isAccepted, reason} = await context.runtime.propose(command);
   return {...answer, isAccepted, reason};
 }
-
-/** @throws ControlError when the order is outdated, or isn't signed by a trusted key */
-function checkOrder(
-  order: {
-    readonly keyId: string;
-    readonly time: number;
-    readonly signature: string;
-  },
-  text: string,
-  trustedKeys: readonly KeyObject[],
-): void {
-  const key = trustedKeys.find(
-    candidate => computeKeyId(candidate) === order.keyId,
-  );
-  if (!key) {
-    throw new ControlError(
-      'the order is signed by %s, which is not trusted here',
-      order.keyId,
-    );
-  }
-  if (
-    !verify(
-      null,
-      Buffer.from(text),
-      key,
-      Buffer.from(order.signature, 'base64'),
-    )
-  ) {
-    throw new ControlError('the signature does not fit the order');
-  }
-  if (Math.abs(Date.now() - order.time) > MAX_ORDER_AGE_MS) {
-    throw new ControlError('the order is older than a minute; send it again');
-  }
-}
--- a/src/control/gateway_service.ts
+++ b/src/control/gateway_service.ts
@@ -8,12 +8,14 @@
 import {ModelDemand} from '../protocol/model_demand';
 import {splitIdentity} from '../protocol/split_identity';
 import {CommandResult} from '../state/command_result';
+import {addDemand} from './add_demand';
 import {BackendRegistry} from './backend_registry';
 import {checkDurability} from './check_durability';
 import {ChangeSignal} from './change_signal';
 import {ControlError} from './control_error';
 import {ControlSettings} from './control_settings';
 import {EncodedRulesCache} from './encoded_rules_cache';
+import {EvacuationService} from './evacuation_service';
 import {RateLimitService} from './rate_limit_service';
 import {RaftRuntime} from './raft_runtime';
 import {RegistrationService} from './registration_service';
@@ -83,7 +85,11 @@
     this.limits = RateLimitService.create({...options, leaderName, notify});
     signal.subscribe(() => this.scheduleNotification());
     this.registrations = RegistrationService.create({...options, notify});
-    this.handlers = {...this.createHandlers(), ...this.limits.handlers};
+    this.handlers = {
+      ...this.createHandlers(),
+      ...this.limits.handlers,
+      ...EvacuationService.create(options).handlers,
+    };
   }
 
   /**
@@ -371,16 +377,3 @@
     return (error as Error).message;
   }
 }
-
-function addDemand(
-  sum: ModelDemand | undefined,
-  part: ModelDemand,
-): ModelDemand {
-  return {
-    requestsPerSecond: (sum?.requestsPerSecond ?? 0) + part.requestsPerSecond,
-    promptTokensPerSecond:
-      (sum?.promptTokensPerSecond ?? 0) + part.promptTokensPerSecond,
-    answerTokensPerSecond:
-      (sum?.answerTokensPerSecond ?? 0) + part.answerTokensPerSecond,
-  };
-}
--- a/src/protocol/control_calls.ts
+++ b/src/protocol/control_calls.ts
@@ -11,6 +11,7 @@
   'status-ask': 'status-answer';
   'journal-ask': 'journal-answer';
   'drain-ask': 'drain-answer';
+  'evacuation-ask': 'evacuation-answer';
   'channel-bundle-ask': 'channel-bundle-answer';
   'source-ask': 'source-answer';
   'registration-ask': 'registration-answer';
