feat(gateway): no request is sent to an evacuated zone

The load balancer leaves evacuated zones out, and right before the bytes of a request leave, its zone and the confirmation are checked again: it may have waited for a connection or a permit. HttpClientPool can now abort a request in that check even where undici writes it before the call returns; the abort had no effect there. A target of unknown zone, which a new leader lists before the head registers, counts as evacuated while any zone is.

--- a/src/control/gateway_service.ts
+++ b/src/control/gateway_service.ts
@@ -14,6 +14,7 @@
 import {ChangeSignal} from './change_signal';
 import {ControlError} from './control_error';
 import {ControlSettings} from './control_settings';
+import {describeEvacuations} from './describe_evacuations';
 import {EncodedRulesCache} from './encoded_rules_cache';
 import {EvacuationService} from './evacuation_service';
 import {RateLimitService} from './rate_limit_service';
@@ -263,6 +264,7 @@
       suspects: isListNew
         ? suspects.listChangesSince(suspectsVersion)
         : undefined,
+      ...describeEvacuations(state.evacuations, poll.evacuationsVersion),
       limitsTag: newLimitsTag,
       limits:
         limitsTag === undefined || limitsTag === newLimitsTag
@@ -274,12 +276,15 @@
   /** Holds a long poll until there is an update for its gateway, at most `LONG_POLL_MS`. */
   private async waitForUpdate(poll: Call<'gateway-ask'>): Promise<void> {
     const {runtime, clock} = this.options;
+    const {evacuations} = runtime.state;
     const deadline = clock.now() + LONG_POLL_MS;
     for (;;) {
       const now = clock.now();
       const isUpToDate =
         poll.rulesVersion === runtime.state.channel.version &&
         (poll.suspectsVersion ?? 0) === runtime.state.suspects.version &&
+        (poll.evacuationsVersion ?? evacuations.version) ===
+          evacuations.version &&
         (poll.limitsTag ?? this.limits.readTag()) === this.limits.readTag() &&
         poll.tableTag === this.targets.readTag(now);
       if (!isUpToDate || now >= deadline) {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -84,14 +84,16 @@
     return this.isWaiting && !isOpen;
   }
 
-  /** The backend server still accepts new requests, and the permit or the absence of a limit still holds. */
+  /** The backend server still accepts new requests, its zone is not evacuated, and the permit or the absence of a limit still holds. */
   private get maySend(): boolean {
-    const {signals, target, permit} = this.options;
+    const {signals, target, permit, balancer} = this.options;
     const {incarnation} = target;
     const isAllowed = permit
       ? !permit.hasExpired()
       : !signals.limits.isLimited(incarnation);
-    return isAllowed && signals.canSendTo(incarnation);
+    const isOpen =
+      balancer.zones.canSendTo(target) && signals.canSendTo(incarnation);
+    return isAllowed && isOpen;
   }
 
   /** Ends the attempt and closes its connection, so that the backend server notices. */
@@ -148,14 +150,20 @@
     );
   }
 
-  /** Checks the target again: it may have announced a limit or a shutdown while this waited for a connection. */
-  private handleSent(): void {
-    if (!this.maySend) {
+  /**
+   * Checks the target again: while this waited for a connection, it may have announced a
+   * limit or a shutdown, its zone may have been evacuated, or the rules have expired.
+   *
+   * @returns false if the request must not be written
+   */
+  private handleSent(): boolean {
+    if (this.isEnded || !this.maySend) {
       this.stop('its backend server takes no new work');
-      return;
+      return false;
     }
     this.isSent = true;
     this.sentAt = this.options.clock.now();
+    return true;
   }
 
   private handleHead(head: ResponseHead): void {
--- a/src/gateway/control/control_poller.ts
+++ b/src/gateway/control/control_poller.ts
@@ -10,6 +10,7 @@
 import {rulesCodec} from '../../protocol/rules_codec';
 import {BackendRateLimits} from '../limits/backend_rate_limits';
 import {RouteIndex} from '../routing/route_index';
+import {ZoneEvacuations} from './zone_evacuations';
 
 /** Longer than the control plane delays the answer to a poll without an update. */
 const POLL_TIMEOUT_MS = 2_500;
@@ -59,6 +60,8 @@
 
 /** Polls the control plane until it is closed. */
 export class ControlPoller {
+  /** The evacuated zones; as fresh as the rules. */
+  readonly evacuations: ZoneEvacuations;
   private currentIndex: RouteIndex | undefined;
   private targets = new Map<string, GatewayTarget>();
   private tableTag = '';
@@ -69,6 +72,7 @@
   private isClosed = false;
 
   private constructor(private readonly options: ControlPollerOptions) {
+    this.evacuations = ZoneEvacuations.create(options.events);
     void this.follow();
   }
 
@@ -159,6 +163,7 @@
         hasServed: report.hasServed,
         isUrgent,
         suspectsVersion: this.options.readSuspectsVersion(),
+        evacuationsVersion: this.evacuations.version,
         demand: {...report.demand},
         ...limitsReport,
       },
@@ -177,8 +182,12 @@
     askedWithTag: string,
   ): void {
     const knownVersion = this.currentIndex?.rules.version ?? 0;
-    // The rules must never go back to an older version.
-    if (answer.rulesVersion < knownVersion) {
+    const askedMsAgo = this.options.clock.now() - askedAt;
+    // Neither the rules nor the evacuations may go back to an older version.
+    if (
+      answer.rulesVersion < knownVersion ||
+      !this.evacuations.apply(answer, askedMsAgo)
+    ) {
       return;
     }
     const rules = answer.rules && rulesCodec.decode(answer.rules);
@@ -189,10 +198,7 @@
         subject: 'bundle',
         id: String(rules.version),
         reason: 'control sent a newer version of the rules',
-        details: {
-          before: knownVersion,
-          askedMsAgo: this.options.clock.now() - askedAt,
-        },
+        details: {before: knownVersion, askedMsAgo},
       });
     }
     if (answer.rulesVersion > 0) {
@@ -229,7 +235,11 @@
         targets.delete(incarnation);
       }
     }
-    added.forEach(target => targets.set(target.incarnation, target));
+    for (const target of added) {
+      // A new leader does not know the zone before the backend server has registered.
+      const zone = target.zone || (targets.get(target.incarnation)?.zone ?? '');
+      targets.set(target.incarnation, {...target, zone});
+    }
     answer.retired?.forEach(incarnation => targets.delete(incarnation));
     answer.closed?.forEach(incarnation => targets.delete(incarnation));
     this.targets = targets;
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -32,6 +32,7 @@
 import {RequestResult} from './request_result';
 import {ResponseWriter} from './responses/response_writer';
 import {LoadBalancer} from './routing/load_balancer';
+import {ZoneGuard} from './routing/zone_guard';
 
 /** Interval at which waiting and streaming requests are checked; well under the pauses that count as stalls. */
 const CHECK_MS = 20;
@@ -104,13 +105,13 @@
     const reportNow = () => this.poller.reportNow();
     const source = {gatewayId, client, events, reportNow};
     this.signals = createBackendSignals(source);
-    this.balancer = LoadBalancer.create(
-      zone,
-      clock,
-      Math.random,
-      reportNow,
-      this.signals.availability,
-    );
+    this.balancer = LoadBalancer.create(zone, clock, Math.random, reportNow, {
+      ...this.signals.availability,
+      zones: ZoneGuard.create({
+        isConfirmed: () => this.poller.isConfirmed(),
+        isEvacuated: zone => this.poller.evacuations.has(zone),
+      }),
+    });
     this.containment = CrashContainment.create({
       detector: CrashDetector.create({clock, events}),
       calls: createSuspectCalls(gatewayId, client),
--- a/src/gateway/proxied_request.ts
+++ b/src/gateway/proxied_request.ts
@@ -136,7 +136,7 @@
     const target = isTurn ? sender.findTarget(wasSent) : undefined;
     if (target) {
       sender.send(target);
-    } else if (!sender.isAwaitingPermit && !wait.canKeepWaiting(now)) {
+    } else if (!sender.canKeepWaiting(wait, now)) {
       wait.end();
       this.fail(sender.explainNoTarget('nobody had a place for it in time'));
     }
--- a/src/gateway/request_sender.ts
+++ b/src/gateway/request_sender.ts
@@ -5,6 +5,7 @@
 import {ProxiedRequestOptions} from './proxied_request_options';
 import {RequestHistory} from './request_history';
 import {SendPermit} from './limits/send_permit';
+import {SlotWait} from './scheduling/slot_wait';
 
 type AttemptCallbacks = Pick<
   Parameters<typeof Attempt.create>[0],
@@ -57,23 +58,51 @@
     mayQueue: boolean,
     excludesLimited = false,
   ): GatewayTarget | undefined {
-    const {request, pool, balancer} = this.options.context;
+    const {balancer} = this.options.context;
+    if (!balancer.zones.isConfirmed) {
+      return undefined;
+    }
     return balancer.choose({
-      pool: pool.name,
+      ...this.query,
       mayQueue,
       excludesLimited,
-      model: pool.engine ? request.model : undefined,
       excluded: this.tried,
     });
   }
 
-  /** Appends to a reason what backend servers announced that makes them unavailable. */
+  /** Appends to a reason what makes the backend servers unavailable: what they announced, an evacuation, or outdated rules. */
   explainNoTarget(reason: string): string {
-    const {pool, request, balancer, signals} = this.options.context;
-    const model = pool.engine ? request.model : undefined;
-    const incarnations = balancer.listIncarnations({pool: pool.name, model});
-    const explanation = signals.explainUnavailable(incarnations);
-    return explanation === undefined ? reason : `${reason}; ${explanation}`;
+    const {balancer, signals} = this.options.context;
+    const incarnations = balancer.listIncarnations(this.query);
+    const evacuated = this.listEvacuatedZones();
+    const {isConfirmed} = balancer.zones;
+    const explanations = [
+      isConfirmed ? '' : 'control did not confirm the rules lately',
+      evacuated.length === 0
+        ? ''
+        : `every zone that serves it is evacuated: ${evacuated.join(' ')}`,
+      signals.explainUnavailable(incarnations) ?? '',
+    ];
+    return [reason, ...explanations.filter(Boolean)].join('; ');
+  }
+
+  /** False if a waiting request should be refused: no slot is expected in time, or every zone with backend servers for it is evacuated. */
+  canKeepWaiting(wait: Pick<SlotWait, 'canKeepWaiting'>, now: number): boolean {
+    const {wasSent} = this.options.history;
+    const isEvacuated = !wasSent && this.listEvacuatedZones().length > 0;
+    return this.isAwaitingPermit || (!isEvacuated && wait.canKeepWaiting(now));
+  }
+
+  /** The zones of the backend servers for it if all of these zones are evacuated. */
+  private listEvacuatedZones(): string[] {
+    const {balancer} = this.options.context;
+    return balancer.zones.listEvacuated(() => balancer.listTargets(this.query));
+  }
+
+  /** The backend servers that serve the request. */
+  private get query() {
+    const {pool, request} = this.options.context;
+    return {pool: pool.name, model: pool.engine ? request.model : undefined};
   }
 
   send(target: GatewayTarget): void {
--- a/src/gateway/routing/load_balancer.ts
+++ b/src/gateway/routing/load_balancer.ts
@@ -4,6 +4,7 @@
 import {chooseByWaterFilling} from './choose_by_water_filling';
 import {createTargetKey} from './create_target_key';
 import {UnreportedLoad} from './unreported_load';
+import {ZoneGuard} from './zone_guard';
 
 /** Cooldown after a failed connection attempt. */
 const UNREACHABLE_COOLDOWN_MS = 1_000;
@@ -51,6 +52,8 @@
   readonly isAvailable: (incarnation: string) => boolean;
   /** True if each request needs a permit. */
   readonly isLimited: (incarnation: string) => boolean;
+  /** Absent where no zone is ever evacuated. */
+  readonly zones?: ZoneGuard;
 }
 
 const ALWAYS_AVAILABLE: TargetAvailability = {
@@ -60,6 +63,8 @@
 
 /** Tracks targets, their load and their failures. */
 export class LoadBalancer {
+  /** Tells which zones are evacuated; `choose` leaves them out. */
+  readonly zones: ZoneGuard;
   private states = new Map<string, TargetState>();
   /** When a group of the model was lost that has not been replaced yet, by model. */
   private readonly missingSince = new Map<string, number>();
@@ -76,6 +81,7 @@
     private readonly availability: TargetAvailability,
   ) {
     this.unreported = UnreportedLoad.create(clock);
+    this.zones = availability.zones ?? ZoneGuard.create();
   }
 
   /**
@@ -92,7 +98,7 @@
     clock: Clock,
     random: () => number,
     onStalled: () => void = () => undefined,
-    availability = ALWAYS_AVAILABLE,
+    availability: TargetAvailability = ALWAYS_AVAILABLE,
   ): LoadBalancer {
     return new LoadBalancer(zone, clock, random, onStalled, availability);
   }
@@ -181,6 +187,7 @@
         state.target.model === query.model &&
         !query.excluded.has(createTargetKey(state.target)) &&
         state.avoidUntil <= now &&
+        this.zones.isOpen(state.target.zone) &&
         this.isEligible(state.target, query) &&
         (query.mayQueue || hasFreeSlot(state)),
     );
@@ -190,16 +197,17 @@
       ?.target;
   }
 
+  /** Returns the targets that serve a model of a pool. */
+  listTargets(query: Pick<TargetQuery, 'pool' | 'model'>): GatewayTarget[] {
+    const {pool, model} = query;
+    return [...this.states.values()]
+      .map(({target}) => target)
+      .filter(target => target.pool === pool && target.model === model);
+  }
+
   /** Returns the incarnations of the targets that serve a model of a pool. */
-  listIncarnations({
-    pool,
-    model,
-  }: Pick<TargetQuery, 'pool' | 'model'>): string[] {
-    return [...this.states.values()].flatMap(({target}) =>
-      target.pool === pool && target.model === model
-        ? [target.incarnation]
-        : [],
-    );
+  listIncarnations(query: Pick<TargetQuery, 'pool' | 'model'>): string[] {
+    return this.listTargets(query).map(({incarnation}) => incarnation);
   }
 
   /** Addresses of all targets. */
--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -25,8 +25,8 @@
 
 /** Callbacks for the progress of a request, in the order of their calls. */
 interface HttpClientEvents {
-  /** The request is about to be written to a connection: from now on it may run. */
-  readonly onSent: () => void;
+  /** The request is about to be written to a connection: from now on it may run. False aborts it before the first byte. */
+  readonly onSent: () => boolean;
   readonly onHead: (
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
@@ -82,8 +82,11 @@
             started.abort(abortReason);
             return;
           }
-          isSent = true;
-          events.onSent();
+          // This may run before `call` returns, so the caller cannot abort by the handle yet.
+          isSent = events.onSent();
+          if (!isSent) {
+            started.abort(abortReason);
+          }
         },
         onResponseStart: (_controller, status, headers) =>
           events.onHead(status, headers),
--- a/test/control/gateway_service.test.ts
+++ b/test/control/gateway_service.test.ts
@@ -12,6 +12,7 @@
 import {ControlMessage} from '../../src/protocol/control_message';
 import {MessageOf} from '../../src/protocol/message_of';
 import {EngineGroupTable} from '../../src/state/engine_group_table';
+import {EvacuationTable} from '../../src/state/evacuation_table';
 import {SuspectTable} from '../../src/state/suspect_table';
 import {PROFILE, createGroup, createHost} from '../support/engine_plan';
 
@@ -20,12 +21,14 @@
 
 function create(leadingMs: number, rules: unknown = {pools: [POOL]}) {
   const engines = EngineGroupTable.create();
+  const evacuations = EvacuationTable.create();
   const registry = BackendRegistry.create();
   const runtime = {
     state: {
       engines,
       channel: {version: 1, rules},
       suspects: SuspectTable.create(),
+      evacuations,
     },
     raft: {term: 1, commitIndex: 1, listVotersAt: () => new Map([['c', 'c']])},
     leadingSince: NOW - leadingMs,
@@ -41,7 +44,7 @@
     events: EventRing.create(),
     identity: 'c/1',
   });
-  const poll = async () => {
+  const poll = async (evacuationsVersion?: number) => {
     const answer = await service.handlers['gateway-ask']({
       type: 'gateway-ask',
       call: 1,
@@ -54,6 +57,7 @@
       pressed: [],
       hasServed: false,
       isUrgent: true,
+      evacuationsVersion,
     });
     return answer as MessageOf<ControlMessage, 'gateway-answer'>;
   };
@@ -61,7 +65,7 @@
     const {targets = []} = await poll();
     return targets.map(({incarnation, model}) => `${incarnation} ${model}`);
   };
-  return {engines, registry, service, poll, listTargets};
+  return {engines, evacuations, registry, service, poll, listTargets};
 }
 
 describe('a new leader', () => {
@@ -146,3 +150,17 @@
   expect(await listTargets()).toEqual([]);
   expect(engines.isRetired('a')).toBe(true);
 });
+
+test('evacuations are sent to gateways that have another version of them', async () => {
+  const {evacuations, poll} = create(16_000);
+  const zone = {zone: 'zone-a', requestedBy: 'operators', since: 1};
+  evacuations.evacuate(zone);
+
+  expect(await poll(0)).toMatchObject({
+    evacuationsVersion: 1,
+    evacuations: [zone],
+  });
+  expect((await poll(1)).evacuations).toBeUndefined();
+  // A gateway of an older version names none and must not be answered at once each time.
+  expect((await poll()).evacuations).toBeUndefined();
+});
--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -29,6 +29,10 @@
   readonly handle: Parameters<typeof FakeBackend.create>[0];
   /** Backend servers that replace the single one that never crashes; `handle` is ignored then. */
   readonly restartingBackends?: RestartingBackends;
+  /** Zone of a backend server, by its incarnation; the zone `z` of the gateways by default. */
+  readonly findZone?: (incarnation: string) => string;
+  /** How long a gateway serves by a confirmation, in milliseconds. */
+  readonly confirmationMs?: number;
   /** Connection limit of the backend server, which the gateways share among themselves and one more. */
   readonly maxConnections?: number;
 }
@@ -57,6 +61,7 @@
     readonly gateways: readonly GatewayServer[],
     readonly backend: FakeBackend,
     private readonly restartingBackends: RestartingBackends | undefined,
+    private readonly findZone: (incarnation: string) => string = () => 'z',
   ) {
     this.ports = gateways.map(({port}) => port);
   }
@@ -88,7 +93,7 @@
           port: 0,
           control: [address],
           dialect: plainDialect,
-          confirmationMs: 4_000,
+          confirmationMs: options.confirmationMs ?? 4_000,
           changesWithinMs: options.changesWithinMs ?? 2_000,
           retries: {ratio: 1, windowMs: 10_000, slack: 100},
           stopWithinMs: options.stopWithinMs,
@@ -103,6 +108,7 @@
       gateways,
       backend,
       restartingBackends,
+      options.findZone,
     );
     await fleet.begin(createRules(options));
     return fleet;
@@ -158,6 +164,14 @@
     });
   }
 
+  /** Evacuates a zone or restores it; resolves with the answer of control. */
+  setEvacuation(zone: string, isEvacuated: boolean) {
+    return this.client.ask<'evacuation-ask'>(
+      {type: 'evacuation-ask', zone, isEvacuated, channel: CHANNEL},
+      CALL_TIMEOUT_MS,
+    );
+  }
+
   /** Stops the only control server. */
   async stopControl(): Promise<void> {
     clearInterval(this.timer);
@@ -197,7 +211,7 @@
     const registration = {
       ...start,
       pool: POOL,
-      zone: 'z',
+      zone: this.findZone(start.incarnation),
       isLeaving: false,
       sequence: 1,
       slots: 1_000,
