--- a/src/control/gateway_service.ts
+++ b/src/control/gateway_service.ts
@@ -8,12 +8,15 @@
 import {ModelDemand} from '../protocol/model_demand';
 import {splitIdentity} from '../protocol/split_identity';
 import {CommandResult} from '../state/command_result';
+import {addDemand} from './add_demand';
 import {BackendRegistry} from './backend_registry';
 import {checkDurability} from './check_durability';
 import {ChangeSignal} from './change_signal';
 import {ControlError} from './control_error';
 import {ControlSettings} from './control_settings';
+import {describeEvacuations} from './describe_evacuations';
 import {EncodedRulesCache} from './encoded_rules_cache';
+import {EvacuationService} from './evacuation_service';
 import {RateLimitService} from './rate_limit_service';
 import {RaftRuntime} from './raft_runtime';
 import {RegistrationService} from './registration_service';
@@ -83,7 +86,11 @@
     this.limits = RateLimitService.create({...options, leaderName, notify});
     signal.subscribe(() => this.scheduleNotification());
     this.registrations = RegistrationService.create({...options, notify});
-    this.handlers = {...this.createHandlers(), ...this.limits.handlers};
+    this.handlers = {
+      ...this.createHandlers(),
+      ...this.limits.handlers,
+      ...EvacuationService.create(options).handlers,
+    };
   }
 
   /**
@@ -257,6 +264,7 @@
       suspects: isListNew
         ? suspects.listChangesSince(suspectsVersion)
         : undefined,
+      ...describeEvacuations(state.evacuations, poll.evacuationsVersion),
       limitsTag: newLimitsTag,
       limits:
         limitsTag === undefined || limitsTag === newLimitsTag
@@ -268,12 +276,15 @@
   /** Holds a long poll until there is an update for its gateway, at most `LONG_POLL_MS`. */
   private async waitForUpdate(poll: Call<'gateway-ask'>): Promise<void> {
     const {runtime, clock} = this.options;
+    const {evacuations} = runtime.state;
     const deadline = clock.now() + LONG_POLL_MS;
     for (;;) {
       const now = clock.now();
       const isUpToDate =
         poll.rulesVersion === runtime.state.channel.version &&
         (poll.suspectsVersion ?? 0) === runtime.state.suspects.version &&
+        (poll.evacuationsVersion ?? evacuations.version) ===
+          evacuations.version &&
         (poll.limitsTag ?? this.limits.readTag()) === this.limits.readTag() &&
         poll.tableTag === this.targets.readTag(now);
       if (!isUpToDate || now >= deadline) {
@@ -371,16 +382,3 @@
     return (error as Error).message;
   }
 }
-
-function addDemand(
-  sum: ModelDemand | undefined,
-  part: ModelDemand,
-): ModelDemand {
-  return {
-    requestsPerSecond: (sum?.requestsPerSecond ?? 0) + part.requestsPerSecond,
-    promptTokensPerSecond:
-      (sum?.promptTokensPerSecond ?? 0) + part.promptTokensPerSecond,
-    answerTokensPerSecond:
-      (sum?.answerTokensPerSecond ?? 0) + part.answerTokensPerSecond,
-  };
-}
