feat(gateway): one queue per pool and model, by urgency, fairly among workspaces

Requests that can still meet their objective come before late ones; within both by urgency, by start-time fair queueing among workspaces, and by latest start. Slots are reserved for measured more urgent arrivals. A stream waits while it will begin before its caller disconnects, and is refused at once otherwise. Attempts that an engine refused without running them return to the queue.

--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -60,11 +60,13 @@
     {
       name: 'rooms-stand-apart',
       comment:
-        'decisions about requests, groups of hosts and agreement do not know each other',
+        'decisions about requests, their scheduling, limits, groups of hosts and agreement do not know each other',
       severity: 'error',
-      from: {path: '^src/coordination/(agreement|groups|limits|requests)/'},
+      from: {
+        path: '^src/coordination/(agreement|groups|limits|requests|scheduling)/',
+      },
       to: {
-        path: '^src/coordination/(agreement|groups|limits|requests)/',
+        path: '^src/coordination/(agreement|groups|limits|requests|scheduling)/',
         pathNot: '^src/coordination/$1/',
       },
     },
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -25,6 +25,8 @@
   readonly signals: BackendSignals;
   readonly dialect: HttpDialect;
   readonly clock: Clock;
+  /** False once the rules are too old to send the request by them. */
+  readonly isConfirmed: () => boolean;
   /** Called with the head of a valid response to this request. */
   readonly onHead: (head: ResponseHead) => void;
   readonly onData: (chunk: Buffer) => void;
@@ -84,14 +86,14 @@
     return this.isWaiting && !isOpen;
   }
 
-  /** The backend server still accepts new requests, and the permit or the absence of a limit still holds. */
+  /** The backend server still accepts new requests, the permit or the absence of a limit still holds, and the rules are confirmed. */
   private get maySend(): boolean {
-    const {signals, target, permit} = this.options;
+    const {signals, target, permit, isConfirmed} = this.options;
     const {incarnation} = target;
     const isAllowed = permit
       ? !permit.hasExpired()
       : !signals.limits.isLimited(incarnation);
-    return isAllowed && signals.canSendTo(incarnation);
+    return isAllowed && isConfirmed() && signals.canSendTo(incarnation);
   }
 
   /** Ends the attempt and closes its connection, so that the backend server notices. */
--- a/src/gateway/create_request_policies.ts
+++ b/src/gateway/create_request_policies.ts
@@ -1,4 +1,5 @@
-import {createForecastKeys} from './scheduling/create_forecast_keys';
+import {estimateRequestWork} from '../coordination/scheduling/estimate_request_work';
+import {createForecastKey} from './scheduling/create_forecast_key';
 import {createStallThresholds} from './responses/create_stall_thresholds';
 import {SlotWait} from './scheduling/slot_wait';
 import {ProxiedRequestOptions} from './proxied_request_options';
@@ -18,22 +19,23 @@
   const {model, promptTokens} = request;
   const timeoutMs = Math.min(route.timeoutMs, request.waitMs ?? Infinity);
   const deadlineAt = arrivedAt + timeoutMs;
-  const forecastKeys = createForecastKeys({route, pool, model});
-  const {work} = forecastKeys;
+  const work = createForecastKey({route, pool});
   const stallInput = {route, pool, model, promptTokens, work, forecast};
   return {
     deadlineAt,
-    forecastKeys,
+    work,
     history: RequestHistory.create(arrivedAt),
     policy: RetryPolicy.create({route, budget, clock, deadlineAt}),
     stall: StallDetector.create(balancer, createStallThresholds(stallInput)),
     wait: SlotWait.create({
+      ...createSlotOptions(options),
       forecast,
       clock,
-      ...forecastKeys,
+      work,
       objectiveMs: route.objectiveMs,
       arrivedAt,
       deadlineAt,
+      isStream: route.kind === 'stream',
       maxRetryAfterFraction: dialect.maxRetryAfterFraction,
       maxPauseMs: dialect.computeMaxPauseMs(route),
       reserveRetry: () =>
@@ -47,3 +49,33 @@
     }),
   };
 }
+
+/** What the queue for engine slots needs to know of the request and of the engines. */
+function createSlotOptions(options: ProxiedRequestOptions) {
+  const {request, pool, balancer, forecast, urgency, workspace} = options;
+  const {model = '', promptTokens} = request;
+  const {name, engine} = pool;
+  const queue = engine && forecast.queues.get({pool: name, model, engine});
+  const answerTokens = queue?.expectedAnswerTokens ?? 0;
+  return {
+    queue,
+    urgency,
+    workspace: workspace ?? '',
+    workMs: engine
+      ? estimateRequestWork({engine, model, promptTokens, answerTokens})
+      : 0,
+    readLoad: () => {
+      const counts = balancer
+        .listIncarnations({pool: name, model: request.model})
+        .map(incarnation => balancer.countRunning(incarnation));
+      const slots = engine?.slots ?? 0;
+      return {
+        freeSlots: counts.reduce(
+          (sum, count) => sum + Math.max(0, slots - count),
+          0,
+        ),
+        running: counts.reduce((sum, count) => sum + count, 0),
+      };
+    },
+  };
+}
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -326,6 +326,7 @@
       signals: this.signals,
       dialect: this.settings.dialect,
       clock: this.clock,
+      isConfirmed: () => this.poller.isConfirmed(),
       onDone: result => {
         if (proxied.current) {
           this.requests.delete(proxied.current);
--- a/src/gateway/proxied_request_options.ts
+++ b/src/gateway/proxied_request_options.ts
@@ -35,6 +35,8 @@
   readonly signals: BackendSignals;
   readonly dialect: HttpDialect;
   readonly clock: Clock;
+  /** True while control has confirmed recently enough the rules by which requests are sent. */
+  readonly isConfirmed: () => boolean;
   /** Called once, when the caller has its final response or has disconnected. */
   readonly onDone: (result: RequestResult) => void;
 }
--- a/src/gateway/request_history.ts
+++ b/src/gateway/request_history.ts
@@ -44,6 +44,11 @@
       : undefined;
   }
 
+  /** Events of an answer that came whole from one backend server; undefined if it was sent to several. */
+  get eventsOfOneAttempt(): number | undefined {
+    return this.targets.length === 1 ? this.eventCount : undefined;
+  }
+
   /** Records that an event was forwarded to the caller. */
   recordEvent(now: number): void {
     this.eventCount += 1;
--- a/src/gateway/request_sender.ts
+++ b/src/gateway/request_sender.ts
@@ -11,6 +11,9 @@
   'onHead' | 'onData' | 'onEnd'
 >;
 
+/** A backend server that refused the request for lack of a slot is not tried again within this time; about a decode pass. */
+const BACK_OFF_MS = 100;
+
 interface RequestSenderOptions extends AttemptCallbacks {
   readonly context: ProxiedRequestOptions;
   readonly history: RequestHistory;
@@ -22,6 +25,8 @@
   readonly onSending: () => void;
   /** Called when the request was not sent: no permit was granted, or it came too late. */
   readonly onPermitDenied: () => void;
+  /** Called when the request was not sent because the rules are no longer confirmed. */
+  readonly onUnconfirmed: () => void;
 }
 
 /** Holds the current attempt and the backend servers that were tried. */
@@ -29,7 +34,8 @@
   /** The attempt under way. */
   attempt: Attempt | undefined;
   private readonly tried = new Set<string>();
-  private hasPendingPermit = false;
+  /** Backend servers that refused it, and when each may be tried again. */
+  private readonly backedOff = new Map<string, number>();
 
   private constructor(private readonly options: RequestSenderOptions) {}
 
@@ -43,9 +49,16 @@
     return new RequestSender(options);
   }
 
-  /** True while it waits for the control leader to grant a permit. */
-  get isAwaitingPermit(): boolean {
-    return this.hasPendingPermit;
+  /** True while it does not try a backend server again that refused it. */
+  isBackingOff(): boolean {
+    this.endBackOffs();
+    return this.backedOff.size > 0;
+  }
+
+  /** Lets a backend server that refused the request without running it be tried again soon. */
+  defer(target: GatewayTarget): void {
+    const {clock} = this.options.context;
+    this.backedOff.set(createTargetKey(target), clock.now() + BACK_OFF_MS);
   }
 
   /**
@@ -58,6 +71,7 @@
     excludesLimited = false,
   ): GatewayTarget | undefined {
     const {request, pool, balancer} = this.options.context;
+    this.endBackOffs();
     return balancer.choose({
       pool: pool.name,
       mayQueue,
@@ -76,22 +90,34 @@
     return explanation === undefined ? reason : `${reason}; ${explanation}`;
   }
 
+  /** Sends the request, unless the rules by which it was admitted are no longer confirmed. */
   send(target: GatewayTarget): void {
-    const {limits} = this.options.context.signals;
-    if (limits.isLimited(target.incarnation)) {
+    const {signals, isConfirmed} = this.options.context;
+    const {limits} = signals;
+    if (!isConfirmed()) {
+      this.options.onUnconfirmed();
+    } else if (limits.isLimited(target.incarnation)) {
       void this.sendWithPermit(target);
     } else {
       this.startAttempt(target);
     }
   }
 
+  private endBackOffs(): void {
+    const now = this.options.context.clock.now();
+    for (const [key, until] of this.backedOff) {
+      if (until <= now) {
+        this.backedOff.delete(key);
+        this.tried.delete(key);
+      }
+    }
+  }
+
   private async sendWithPermit(target: GatewayTarget): Promise<void> {
     const {context, canStillSend, onPermitDenied} = this.options;
-    this.hasPendingPermit = true;
     const permit = await context.signals.limits.acquirePermit(
       target.incarnation,
     );
-    this.hasPendingPermit = false;
     if (permit && context.balancer.has(target.incarnation) && canStillSend()) {
       this.startAttempt(target, permit);
     } else {
--- a/src/gateway/scheduling/compute_retry_after_ms.ts
+++ b/src/gateway/scheduling/compute_retry_after_ms.ts
@@ -1,10 +1,11 @@
-import {SlotForecast} from './slot_forecast';
+import {SlotQueue} from './slot_queue';
 
 /** The refused request. */
 interface RetryInput {
-  readonly forecast: SlotForecast;
-  /** Key of the queue for a slot; undefined for plain services. */
-  readonly queue: string | undefined;
+  /** The queue for a slot; undefined for plain services. */
+  readonly queue:
+    Pick<SlotQueue, 'estimateRetryMs' | 'recordRefusal'> | undefined;
+  readonly urgency: number;
   /** Milliseconds until the caller gives up. */
   readonly leftMs: number;
   /** Share of that time within which callers honor a Retry-After delay. */
@@ -25,15 +26,15 @@
  *
  * @returns milliseconds from now
  * @example
- * const retryAfterMs = computeRetryAfterMs({forecast, queue, leftMs: 8000, maxRetryAfterFraction: 1 / 3, availableInMs: Infinity});
+ * const retryAfterMs = computeRetryAfterMs({queue, urgency: 1, leftMs: 8000, maxRetryAfterFraction: 1 / 3, availableInMs: Infinity});
  */
 export function computeRetryAfterMs(input: RetryInput): number {
-  const {forecast, queue, leftMs, maxRetryAfterFraction, availableInMs} = input;
+  const {queue, urgency, leftMs, maxRetryAfterFraction, availableInMs} = input;
   const latestMs = Math.min(leftMs * maxRetryAfterFraction, availableInMs);
   if (queue === undefined) {
     return latestMs;
   }
-  const retryMs = Math.min(forecast.estimateRetryMs(queue), latestMs);
-  forecast.recordRetryAfter(queue, retryMs);
+  const retryMs = Math.min(queue.estimateRetryMs(urgency), latestMs);
+  queue.recordRefusal(urgency, retryMs);
   return retryMs;
 }
--- a/src/gateway/scheduling/slot_wait.ts
+++ b/src/gateway/scheduling/slot_wait.ts
@@ -1,10 +1,15 @@
 /**
- * Decides how long a request may wait: for a free engine slot, or for a
- * replacement group to continue its stream.
+ * The wait of one request: for a free engine slot, until it may try again a
+ * backend server that refused it, or for a replacement group to continue its
+ * stream.
  */
 import {Clock} from '../../common/clock';
+import {GatewayTarget} from '../../protocol/gateway_target';
 import {computeRetryAfterMs} from './compute_retry_after_ms';
+import {QueuedRequest} from './queued_request';
 import {SlotForecast} from './slot_forecast';
+import {SlotQueue} from './slot_queue';
+import {WaitEstimate} from './wait_estimate';
 
 /** Reserved for the delivery of an event to the caller, in milliseconds. */
 const DELIVERY_MS = 100;
@@ -13,15 +18,21 @@
 interface SlotWaitOptions {
   readonly forecast: SlotForecast;
   readonly clock: Clock;
-  /** Key of the queue for a slot; undefined for services without slots. */
-  readonly queue: string | undefined;
+  /** The queue for a slot; undefined for services without slots. */
+  readonly queue: SlotQueue | undefined;
   /** Key under which the forecast keeps the request's time to the first event. */
   readonly work: string;
+  readonly urgency: number;
+  readonly workspace: string;
+  /** Engine time that the request takes. */
+  readonly workMs: number;
   readonly objectiveMs: number;
   /** On this process's monotonic clock. */
   readonly arrivedAt: number;
   /** When the request times out, on the same clock. */
   readonly deadlineAt: number;
+  /** Whether its caller disconnects after a pause rather than at the deadline. */
+  readonly isStream: boolean;
   /**
    * Share of the remaining time that a Retry-After delay may take for callers
    * to honor it.
@@ -40,12 +51,26 @@
   };
   /** Returns how long the last replacement of a lost group of the model took. */
   readonly findRepairMs: () => number;
+  /** Returns the known load of all engines of the model. */
+  readonly readLoad: () => {
+    readonly freeSlots: number;
+    readonly running: number;
+  };
+}
+
+/** How to send the request. */
+interface SlotSender {
+  readonly findTarget: () => GatewayTarget | undefined;
+  readonly isBackingOff: () => boolean;
+  readonly send: (target: GatewayTarget) => void;
 }
 
 /** Tracks the wait of one request. */
 export class SlotWait {
-  private until: number | undefined;
-  private isForSlot = false;
+  private kind: 'none' | 'slot' | 'back-off' | 'repair' = 'none';
+  private until = -Infinity;
+  private queued: QueuedRequest | undefined;
+  private estimate: WaitEstimate | undefined;
 
   private constructor(private readonly options: SlotWaitOptions) {}
 
@@ -53,55 +78,59 @@
    * Creates a wait that has not started.
    *
    * @example
-   * const wait = SlotWait.create({forecast, clock, queue, work, objectiveMs, arrivedAt, deadlineAt, maxRetryAfterFraction, maxPauseMs, reserveRetry, findRepairMs});
+   * const wait = SlotWait.create(options);
    */
   static create(options: SlotWaitOptions): SlotWait {
-    if (options.queue !== undefined) {
-      options.forecast.recordArrival(options.queue);
-    }
+    options.queue?.recordArrival(options.urgency);
     return new SlotWait(options);
   }
 
   get isWaiting(): boolean {
-    return this.until !== undefined;
+    return this.kind !== 'none';
   }
 
-  /** True if no request is ahead in the queue. */
-  get isFirstInQueue(): boolean {
-    const {forecast, queue} = this.options;
-    return queue === undefined || forecast.countAhead(queue, this) === 0;
+  /** True while it is in the queue. */
+  get isInQueue(): boolean {
+    return this.kind === 'slot';
+  }
+
+  /** True if requests of its kind wait in a queue for a slot. */
+  get hasQueue(): boolean {
+    return this.options.queue !== undefined;
   }
 
   /**
-   * True if a slot is expected early enough to meet the latency objective, by
-   * the rate at which slots are freed here and the requests ahead in the queue.
-   * Otherwise waiting would only keep the caller from retrying. If engines are
-   * so slow that even an immediate start would miss the objective, a late
-   * response is still better than none: then only the first request in the
-   * queue waits for the next slot.
+   * Joins the queue, and sends the requests that slots are free for, in their
+   * order. A request that was in the queue before returns to its place.
+   *
+   * @returns false if it was not sent, and would not begin before its caller
+   * disconnects
    */
-  get canStartInTime(): boolean {
-    const {forecast, clock, queue, work, objectiveMs} = this.options;
-    if (queue === undefined) {
+  joinQueue(sender: SlotSender): boolean {
+    const {queue, readLoad} = this.options;
+    if (!queue) {
       return false;
     }
-    const startsAt = clock.now() + forecast.estimateWaitMs(queue, this);
-    const isLateAnyway = forecast.findAverageFirstEventMs(work) > objectiveMs;
-    const latestAt =
-      isLateAnyway && this.isFirstInQueue
-        ? this.objectiveAt
-        : this.latestStartAt;
-    return startsAt <= latestAt;
-  }
-
-  /** Starts to wait in the queue for a slot. */
-  joinQueue(): void {
-    const {forecast, queue} = this.options;
-    if (queue !== undefined) {
-      forecast.joinQueue(queue, this);
-      this.isForSlot = true;
-      this.until = this.objectiveAt;
+    const isReturning = this.queued !== undefined;
+    const queued = this.queued ?? this.createQueuedRequest(sender);
+    this.queued = queued;
+    this.estimate = isReturning ? this.estimate : queue.estimate(queued);
+    this.kind = 'slot';
+    this.until = queued.expiresAt;
+    queue.join(queued);
+    queue.serve(readLoad);
+    const mayStay = isReturning || this.estimate?.canWait;
+    if (this.isInQueue && !mayStay) {
+      this.end();
+      return false;
     }
+    return true;
+  }
+
+  /** Leaves the queue until the request may be sent again; it keeps its place by its arrival. */
+  defer(): void {
+    this.kind = 'back-off';
+    this.until = this.queued?.expiresAt ?? this.objectiveAt;
   }
 
   /**
@@ -119,15 +148,21 @@
     if (repairedAt >= leavesAt) {
       return false;
     }
-    this.isForSlot = false;
+    this.end();
+    this.kind = 'repair';
     this.until = leavesAt;
     return true;
   }
 
   /** True if the request may wait any longer. */
   canKeepWaiting(now: number): boolean {
-    const isInTime = this.until !== undefined && now < this.until;
-    return isInTime && (!this.isForSlot || this.canStartInTime);
+    return this.isWaiting && now < this.until;
+  }
+
+  /** Serves the queue, once for all requests that are checked at this time. */
+  check(now: number): void {
+    const {queue, readLoad} = this.options;
+    queue?.serveOnce(now, readLoad);
   }
 
   /**
@@ -135,34 +170,83 @@
    * in milliseconds.
    */
   computeRetryAfterMs(): number {
-    const {forecast, queue, clock, deadlineAt, maxRetryAfterFraction} =
+    const {queue, urgency, clock, deadlineAt, maxRetryAfterFraction} =
       this.options;
     const leftMs = deadlineAt - clock.now();
     const {inMs: availableInMs, isOnlyOption} = this.options.reserveRetry();
     return computeRetryAfterMs({
-      forecast,
       // Slots at engines that accept nothing now are no use.
       queue: isOnlyOption ? undefined : queue,
+      urgency,
       leftMs,
       maxRetryAfterFraction,
       availableInMs,
     });
   }
 
-  /** Records that the engine has finished the request. */
-  recordSlotFreed(): void {
-    const {forecast, queue} = this.options;
-    if (queue !== undefined) {
-      forecast.recordSlotFreed(queue);
+  /** Appends the inputs of the estimate to the reason of a refusal. */
+  explain(reason: string): string {
+    if (!this.estimate) {
+      return reason;
+    }
+    const {ahead, waitMs, running, slotMs} = this.estimate;
+    const expected =
+      waitMs === Infinity ? 'none is expected' : `${Math.round(waitMs)} ms`;
+    return (
+      `${reason}; urgency ${this.options.urgency}, ${ahead} ahead, ` +
+      `a slot in: ${expected}, by ${running} running here for ${Math.round(slotMs)} ms each`
+    );
+  }
+
+  /** Records that the request takes a slot. */
+  recordSent(): void {
+    this.options.queue?.recordStart(this);
+  }
+
+  /**
+   * Records the end of an attempt, and sends those that wait for its slot.
+   *
+   * @param events number of events of the answer; undefined if they came from several attempts
+   */
+  recordSlotFreed(
+    kind: 'whole' | 'not-run' | 'broken',
+    events: number | undefined,
+  ): void {
+    const {queue, readLoad} = this.options;
+    queue?.recordEnd(this, kind === 'whole' ? events : undefined);
+    // An engine that refused a request has no free slot.
+    if (kind !== 'not-run') {
+      queue?.serve(readLoad);
     }
   }
 
   end(): void {
-    const {forecast, queue} = this.options;
-    if (queue !== undefined) {
-      forecast.leaveQueue(queue, this);
+    if (this.queued) {
+      this.options.queue?.leave(this.queued);
     }
-    this.until = undefined;
+    this.kind = 'none';
+  }
+
+  private createQueuedRequest(sender: SlotSender): QueuedRequest {
+    const {urgency, workspace, workMs} = this.options;
+    return {
+      urgency,
+      workspace,
+      workMs,
+      latestStartAt: this.latestStartAt,
+      expiresAt: this.expiresAt,
+      findTarget: sender.findTarget,
+      leaveToBackOff: () => {
+        if (sender.isBackingOff()) {
+          this.defer();
+        }
+        return this.kind === 'back-off';
+      },
+      send: target => {
+        this.kind = 'none';
+        sender.send(target);
+      },
+    };
   }
 
   /**
@@ -174,6 +258,15 @@
     return this.objectiveAt - forecast.findAverageFirstEventMs(work);
   }
 
+  /** When it must be sent for its first event to arrive before its caller disconnects. */
+  private get expiresAt(): number {
+    const {forecast, work, arrivedAt, deadlineAt} = this.options;
+    const {isStream, maxPauseMs} = this.options;
+    const leavesAt = Math.min(deadlineAt, arrivedAt + maxPauseMs);
+    const firstEventMs = forecast.findAverageFirstEventMs(work);
+    return isStream ? leavesAt - firstEventMs - DELIVERY_MS : this.objectiveAt;
+  }
+
   private get objectiveAt(): number {
     const {objectiveMs, arrivedAt} = this.options;
     return arrivedAt + objectiveMs;
--- /dev/null
+++ b/src/gateway/scheduling/wait_estimate.ts
@@ -0,0 +1,13 @@
+/** When a request is expected to begin, and the figures behind it. */
+export interface WaitEstimate {
+  /** Requests that begin before it. */
+  readonly ahead: number;
+  /** Milliseconds until a slot is free for it; Infinity if none is expected. */
+  readonly waitMs: number;
+  /** Requests of this gateway that engines are running now. */
+  readonly running: number;
+  /** Mean time for which a request occupies its slot. */
+  readonly slotMs: number;
+  /** True if it will begin before its caller disconnects. */
+  readonly canWait: boolean;
+}
