--- a/src/gateway/request_sender.ts
+++ b/src/gateway/request_sender.ts
@@ -12,6 +12,9 @@
   'onHead' | 'onData' | 'onEnd'
 >;
 
+/** A backend server that refused the request for lack of a slot is not tried again within this time; about a decode pass. */
+const BACK_OFF_MS = 100;
+
 interface RequestSenderOptions extends AttemptCallbacks {
   readonly context: ProxiedRequestOptions;
   readonly history: RequestHistory;
@@ -23,6 +26,8 @@
   readonly onSending: () => void;
   /** Called when the request was not sent: no permit was granted, or it came too late. */
   readonly onPermitDenied: () => void;
+  /** Called when the request was not sent because the rules are no longer confirmed. */
+  readonly onUnconfirmed: () => void;
 }
 
 /** Holds the current attempt and the backend servers that were tried. */
@@ -30,7 +35,8 @@
   /** The attempt under way. */
   attempt: Attempt | undefined;
   private readonly tried = new Set<string>();
-  private hasPendingPermit = false;
+  /** Backend servers that refused it, and when each may be tried again. */
+  private readonly backedOff = new Map<string, number>();
 
   private constructor(private readonly options: RequestSenderOptions) {}
 
@@ -44,9 +50,16 @@
     return new RequestSender(options);
   }
 
-  /** True while it waits for the control leader to grant a permit. */
-  get isAwaitingPermit(): boolean {
-    return this.hasPendingPermit;
+  /** True while it does not try a backend server again that refused it. */
+  isBackingOff(): boolean {
+    this.endBackOffs();
+    return this.backedOff.size > 0;
+  }
+
+  /** Lets a backend server that refused the request without running it be tried again soon. */
+  defer(target: GatewayTarget): void {
+    const {clock} = this.options.context;
+    this.backedOff.set(createTargetKey(target), clock.now() + BACK_OFF_MS);
   }
 
   /**
@@ -59,9 +72,7 @@
     excludesLimited = false,
   ): GatewayTarget | undefined {
     const {balancer} = this.options.context;
-    if (!balancer.zones.isConfirmed) {
-      return undefined;
-    }
+    this.endBackOffs();
     return balancer.choose({
       ...this.query,
       mayQueue,
@@ -86,11 +97,9 @@
     return [reason, ...explanations.filter(Boolean)].join('; ');
   }
 
-  /** False if a waiting request should be refused: no slot is expected in time, or every zone with backend servers for it is evacuated. */
-  canKeepWaiting(wait: Pick<SlotWait, 'canKeepWaiting'>, now: number): boolean {
-    const {wasSent} = this.options.history;
-    const isEvacuated = !wasSent && this.listEvacuatedZones().length > 0;
-    return this.isAwaitingPermit || (!isEvacuated && wait.canKeepWaiting(now));
+  /** True if every zone with backend servers for it is evacuated. */
+  get isEvacuated(): boolean {
+    return this.listEvacuatedZones().length > 0;
   }
 
   /** The zones of the backend servers for it if all of these zones are evacuated. */
@@ -105,22 +114,34 @@
     return {pool: pool.name, model: pool.engine ? request.model : undefined};
   }
 
+  /** Sends the request, unless the rules by which it was admitted are no longer confirmed. */
   send(target: GatewayTarget): void {
-    const {limits} = this.options.context.signals;
-    if (limits.isLimited(target.incarnation)) {
+    const {signals, isConfirmed} = this.options.context;
+    const {limits} = signals;
+    if (!isConfirmed()) {
+      this.options.onUnconfirmed();
+    } else if (limits.isLimited(target.incarnation)) {
       void this.sendWithPermit(target);
     } else {
       this.startAttempt(target);
     }
   }
 
+  private endBackOffs(): void {
+    const now = this.options.context.clock.now();
+    for (const [key, until] of this.backedOff) {
+      if (until <= now) {
+        this.backedOff.delete(key);
+        this.tried.delete(key);
+      }
+    }
+  }
+
   private async sendWithPermit(target: GatewayTarget): Promise<void> {
     const {context, canStillSend, onPermitDenied} = this.options;
-    this.hasPendingPermit = true;
     const permit = await context.signals.limits.acquirePermit(
       target.incarnation,
     );
-    this.hasPendingPermit = false;
     if (permit && context.balancer.has(target.incarnation) && canStillSend()) {
       this.startAttempt(target, permit);
     } else {
