--- a/src/control/engine_group_planner_loop.ts
+++ b/src/control/engine_group_planner_loop.ts
@@ -8,6 +8,8 @@
 import {EnginePlanInput} from '../coordination/groups/engine_plan_input';
 import {planEngineGroups} from '../coordination/groups/plan_engine_groups';
 import {createEnginePlanInput} from '../coordination/groups/create_engine_plan_input';
+import {computeUrgencyWeights} from '../coordination/groups/compute_urgency_weights';
+import {listUrgencies} from '../coordination/groups/list_urgencies';
 import {ControlCommand} from '../protocol/control_command';
 import {EngineGroup} from '../protocol/engine_group';
 import {listMemberIncarnations} from '../protocol/list_member_incarnations';
@@ -176,11 +178,13 @@
     const adjuster = this.shareAdjusters.get(pool) ?? ShareAdjuster.create();
     this.shareAdjusters.set(pool, adjuster);
     const demand = gateways.computeDemand();
+    const weights = this.computeWeights(configured);
     const {input, shifted} = createEnginePlanInput({
       adjuster,
       input: configured,
       domains,
       demand,
+      weights,
     });
     if (shifted) {
       const {from, to, missed} = shifted;
@@ -198,12 +202,29 @@
             ]),
           ),
           ...Object.fromEntries(input.desiredGroups),
+          ...describeNeeds(input),
+          domains: domains.join(' '),
         },
       });
     }
     return input;
   }
 
+  /** Computes the weight of a request of each model by urgency; undefined where all are equally urgent. */
+  private computeWeights({
+    pool,
+    profile,
+  }: Omit<EnginePlanInput, 'desiredGroups'>) {
+    const {runtime, gateways} = this.options;
+    const {rules} = runtime.state.channel;
+    return computeUrgencyWeights({
+      pool,
+      models: profile.models.map(({name}) => name),
+      urgencies: rules ? listUrgencies(rules, pool) : [],
+      gateways: gateways.listReports(),
+    });
+  }
+
   /** The first groups are planned only once no more hosts appear, so that each host has its part. */
   private isSettled(backends: readonly BackendView[], now: number): boolean {
     const last = Math.max(...backends.map(view => view.firstSeenAt));
@@ -250,6 +271,16 @@
   }
 }
 
+/** Describes each model's weight by urgency and the groups that its measured demand needs. */
+function describeNeeds({needs}: EnginePlanInput): Record<string, number> {
+  return Object.fromEntries(
+    [...(needs ?? [])].flatMap(([model, {weight, sufficientGroups}]) => [
+      [`${model} weight`, Math.round(weight * 100) / 100],
+      [`${model} needs`, sufficientGroups],
+    ]),
+  );
+}
+
 function hasNoWeights({registration, loadedModel}: BackendView): boolean {
   return loadedModel === undefined && registration.stagedModels.length === 0;
 }
--- a/src/control/gateway_service.ts
+++ b/src/control/gateway_service.ts
@@ -6,6 +6,7 @@
 import {ControlMessage} from '../protocol/control_message';
 import {MessageOf} from '../protocol/message_of';
 import {ModelDemand} from '../protocol/model_demand';
+import {QueueReport} from '../protocol/queue_report';
 import {splitIdentity} from '../protocol/split_identity';
 import {CommandResult} from '../state/command_result';
 import {BackendRegistry} from './backend_registry';
@@ -38,6 +39,7 @@
   readonly seenAt: number;
   readonly running: Readonly<Record<string, number>>;
   readonly demand: Readonly<Record<string, ModelDemand>>;
+  readonly queues?: readonly QueueReport[];
 }
 
 /** Dependencies of the service. */
@@ -127,6 +129,11 @@
     return sums;
   }
 
+  /** The newest report of each gateway. */
+  listReports(): GatewayReport[] {
+    return [...this.gateways.values()];
+  }
+
   /** Ends the long polls of gateways, so that they get the newest state. */
   notifyGateways(): void {
     this.options.signal.notify();
@@ -319,8 +326,8 @@
   }
 
   private recordReport(poll: Call<'gateway-ask'>, now: number): void {
-    const {gatewayId, running, demand = {}} = poll;
-    const report = {seenAt: now, running, demand};
+    const {gatewayId, running, demand = {}, queues} = poll;
+    const report = {seenAt: now, running, demand, queues};
     this.addRunning(this.gateways.get(gatewayId), -1);
     this.addRunning(report, 1);
     this.gateways.set(gatewayId, report);
--- /dev/null
+++ b/src/coordination/groups/compute_model_needs.ts
@@ -0,0 +1,58 @@
+import {EngineProfile} from '../../protocol/engine_profile';
+import {ModelDemand} from '../../protocol/model_demand';
+import {computeBusyGroups} from './compute_busy_groups';
+import {estimateLateFraction} from './estimate_late_fraction';
+import {ModelNeed} from './model_need';
+
+/** Fraction of late answers up to which a model has enough groups. */
+const ACCEPTED_LATE_FRACTION = 0.1;
+
+/** The models of a pool, their demand, and the weight of a request of each. */
+interface ModelNeedsInput {
+  readonly profile: EngineProfile;
+  readonly demand: Readonly<Record<string, ModelDemand>>;
+  /** Weight of a request by model; undefined where urgency does not count. */
+  readonly weights: ReadonlyMap<string, number> | undefined;
+}
+
+/**
+ * Computes the groups that each model needs for its measured demand; undefined where
+ * urgency does not count, so that the planner compares models by their shares alone.
+ *
+ * @example
+ * const needs = computeModelNeeds({profile, demand, weights});
+ */
+export function computeModelNeeds({
+  profile,
+  demand,
+  weights,
+}: ModelNeedsInput): Map<string, ModelNeed> | undefined {
+  if (!weights) {
+    return undefined;
+  }
+  return new Map(
+    profile.models.flatMap(model => {
+      const {name} = model;
+      const modelDemand = demand[name];
+      const weight = weights.get(name) ?? 1;
+      if (!modelDemand) {
+        return [[name, {weight, busyGroups: 0, sufficientGroups: 0}]];
+      }
+      const busyGroups = Math.ceil(
+        computeBusyGroups({profile, model, demand: modelDemand}),
+      );
+      let sufficientGroups = busyGroups;
+      while (
+        estimateLateFraction({
+          profile,
+          model,
+          demand: modelDemand,
+          groups: sufficientGroups,
+        }) > ACCEPTED_LATE_FRACTION
+      ) {
+        sufficientGroups += 1;
+      }
+      return [[name, {weight, busyGroups, sufficientGroups}]];
+    }),
+  );
+}
--- a/src/coordination/groups/create_engine_plan_input.ts
+++ b/src/coordination/groups/create_engine_plan_input.ts
@@ -1,6 +1,7 @@
 import {EngineProfile} from '../../protocol/engine_profile';
 import {ModelDemand} from '../../protocol/model_demand';
 import {computeDesiredGroups} from './compute_desired_groups';
+import {computeModelNeeds} from './compute_model_needs';
 import {ShareAdjuster} from './share_adjuster';
 import {ModelCounts} from './model_counts';
 import {EnginePlanInput} from './engine_plan_input';
@@ -14,6 +15,8 @@
   /** Number of healthy engines in each fabric domain. */
   readonly domains: readonly number[];
   readonly demand: Readonly<Record<string, ModelDemand>>;
+  /** Weight of a request by model; absent where urgency does not count. */
+  readonly weights?: ReadonlyMap<string, number>;
 }
 
 /**
@@ -28,10 +31,13 @@
   input,
   domains,
   demand,
+  weights,
 }: DemandOptions) {
+  const needs = computeModelNeeds({profile: input.profile, demand, weights});
   const applyShares = (profile: EngineProfile): EnginePlanInput => ({
     ...input,
     profile,
+    needs,
     desiredGroups: computeDesiredGroups(profile, domains),
   });
   const counts = ModelCounts.createWithHeld(input);
@@ -39,6 +45,7 @@
     profile: input.profile,
     domains,
     demand,
+    weights,
     now: input.now,
     countGroups: model => counts.countGroups(model),
     canRebalance: (changed, model) =>
--- a/src/coordination/groups/engine_plan_input.ts
+++ b/src/coordination/groups/engine_plan_input.ts
@@ -2,6 +2,7 @@
 import {EngineProfile} from '../../protocol/engine_profile';
 import {BackendView} from './backend_view';
 import {EnginePolicy} from './engine_policy';
+import {ModelNeed} from './model_need';
 
 /** Input of the planner for the engines of one pool. */
 export interface EnginePlanInput {
@@ -28,6 +29,8 @@
   readonly findLoadingModel: (incarnation: string) => string | undefined;
   /** Model whose share was just raised; groups of other models are ended for it. */
   readonly recipientModel?: string;
+  /** Urgency and measured need by model; absent where urgency does not count. */
+  readonly needs?: ReadonlyMap<string, ModelNeed>;
   /** The model is saturated: its requests are refused for lack of free slots. */
   readonly isSaturated: (model: string) => boolean;
   /** The backend server is draining or has announced that it stops. */
--- a/src/coordination/groups/estimate_late_fraction.ts
+++ b/src/coordination/groups/estimate_late_fraction.ts
@@ -1,7 +1,7 @@
 import {EngineProfile} from '../../protocol/engine_profile';
 import {ModelDemand} from '../../protocol/model_demand';
+import {computeBusyGroups} from './compute_busy_groups';
 
-const MS_PER_SECOND = 1_000;
 /**
  * Exponent of the utilization. Arrivals are bursty, so some answers are late
  * before the last slot is taken, and almost none at half utilization.
@@ -26,10 +26,6 @@
  * by this many groups. Beyond capacity it exceeds 1, since the backlog also delays
  * later requests.
  *
- * An engine's pass takes longer the more requests decode in it, and prefill takes
- * time from decoding. A group is therefore at capacity when the time for prefill,
- * the time that each request adds, and the occupied slots use it up.
- *
  * @returns 0 without demand
  * @example
  * const lateFraction = estimateLateFraction({profile, model, demand, groups: 6});
@@ -39,14 +35,7 @@
   if (demand.requestsPerSecond <= 0) {
     return 0;
   }
-  const {promptTokensPerSecond, answerTokensPerSecond} = demand;
-  const prefillLoad = promptTokensPerSecond / profile.promptTokensPerSecond;
-  const decodeLoad =
-    (answerTokensPerSecond * profile.stepMsPerRequest) / MS_PER_SECOND;
-  const occupiedSlots =
-    (answerTokensPerSecond * profile.stepMs) / MS_PER_SECOND;
-  const needed =
-    model.pace * (prefillLoad + decodeLoad + occupiedSlots / profile.slots);
+  const needed = computeBusyGroups({profile, model, demand});
   return (
     LATE_FRACTION_AT_CAPACITY *
     (needed / Math.max(groups, MIN_GROUPS)) ** UTILIZATION_EXPONENT
--- a/src/coordination/groups/plan_engine_formation.ts
+++ b/src/coordination/groups/plan_engine_formation.ts
@@ -7,8 +7,11 @@
 import {ModelCounts} from './model_counts';
 import {EnginePlanInput} from './engine_plan_input';
 import {EngineReservation} from './engine_reservation';
+import {findUnusedName} from './find_unused_name';
 import {listFreeEngines} from './list_free_engines';
 import {isHeldByUnreachableHead} from './is_held_by_unreachable_head';
+import {isOvertakenBy} from './is_overtaken_by';
+import {isShortOfGroups} from './is_short_of_groups';
 import {reserveEngines} from './reserve_engines';
 
 /** Joins the domain names of a group that spans several. */
@@ -34,6 +37,10 @@
   readonly needsLoad: boolean;
   /** The model has fewer groups than desired. */
   readonly isBelowDesired: boolean;
+  /** Weight of the model if it lacks groups for its measured demand, else 0. */
+  readonly urgency: number;
+  /** Every other group of the model is in the same domain, so that one loss would take all. */
+  readonly isOnlyDomain: boolean;
   /** Hosts of the model relative to its share of the load, without this group. */
   readonly hostsPerShare: number;
   /** Breaks ties between domains, the lowest first. */
@@ -126,18 +133,39 @@
   return counts.countGroups(name) < (desiredGroups.get(name) ?? 0);
 }
 
+/**
+ * Checks whether a model has the groups for its measured demand and one for the loss
+ * of a domain, while a more urgent model lacks groups for its own.
+ */
+function isToWait(
+  model: Model,
+  counts: ModelCounts,
+  input: EnginePlanInput,
+): boolean {
+  const {busyGroups = 0} = input.needs?.get(model.name) ?? {};
+  return (
+    counts.countGroups(model.name) > busyGroups &&
+    input.profile.models.some(other =>
+      isOvertakenBy(other.name, model.name, counts, input),
+    )
+  );
+}
+
 /** Lists the free hosts that are not reserved for a model with greater need. */
 function listUnreserved(
   model: Model,
   free: readonly BackendView[],
   counts: ModelCounts,
   reservations: readonly EngineReservation[],
+  input: EnginePlanInput,
 ): BackendView[] {
   const hostsPerShare = counts.computeHostsPerShare(model);
   const reserved = new Set(
     reservations
       .filter(
-        ({model: other}) => counts.computeHostsPerShare(other) < hostsPerShare,
+        ({model: other}) =>
+          counts.computeHostsPerShare(other) < hostsPerShare ||
+          isOvertakenBy(other.name, model.name, counts, input),
       )
       .flatMap(({hosts}) => hosts),
   );
@@ -148,10 +176,12 @@
   return (
     Number(left.needsLoad) - Number(right.needsLoad) ||
     Number(left.isCrossDomain) - Number(right.isCrossDomain) ||
+    right.urgency - left.urgency ||
     Number(right.isBelowDesired) - Number(left.isBelowDesired) ||
     left.hostsPerShare - right.hostsPerShare ||
     // Larger models first: the remaining hosts are more likely to fit a smaller one.
     right.model.size - left.model.size ||
+    Number(left.isOnlyDomain) - Number(right.isOnlyDomain) ||
     left.readyMs - right.readyMs ||
     left.domainOrder - right.domainOrder
   );
@@ -164,8 +194,11 @@
   reservations: readonly EngineReservation[],
   allowsCrossDomain: boolean,
 ): FormationOption[] {
-  return input.profile.models.flatMap(model => {
-    const hosts = listUnreserved(model, free, counts, reservations);
+  const models = input.profile.models.filter(
+    model => !isToWait(model, counts, input),
+  );
+  return models.flatMap(model => {
+    const hosts = listUnreserved(model, free, counts, reservations, input);
     const domains = new Set(hosts.map(host => host.registration.domain ?? ''));
     const singleDomain = [...domains].flatMap(
       domain => findOption(model, domain, input, hosts, counts) ?? [],
@@ -205,6 +238,7 @@
     return undefined;
   }
   return {
+    ...describeUrgency(model, domain, input, counts),
     isCrossDomain: false,
     isBelowDesired: isBelow,
     model,
@@ -252,6 +286,7 @@
   const domains = new Set(hosts.map(host => host.registration.domain));
   return [
     {
+      ...describeUrgency(model, '', input, counts),
       isCrossDomain: true,
       isBelowDesired: isFewGroups,
       model,
@@ -265,6 +300,27 @@
   ];
 }
 
+function describeUrgency(
+  {name}: Model,
+  domain: string,
+  input: EnginePlanInput,
+  counts: ModelCounts,
+) {
+  const isShort =
+    input.policy?.restoresByUrgency !== false &&
+    isShortOfGroups(name, counts, input);
+  const others = input.groups.filter(
+    group => group.model === name && !group.isEnding,
+  );
+  return {
+    urgency: isShort ? (input.needs?.get(name)?.weight ?? 0) : 0,
+    isOnlyDomain:
+      input.needs !== undefined &&
+      others.length > 0 &&
+      others.every(group => group.domain === domain),
+  };
+}
+
 function countStaged({host}: {host: BackendView}): number {
   return host.registration.stagedModels.length;
 }
@@ -292,11 +348,3 @@
   );
   return computeSpares(hosts.length);
 }
-
-function findUnusedName(model: string, names: ReadonlySet<string>): string {
-  let number = 1;
-  while (names.has(`${model}-${number}`)) {
-    number += 1;
-  }
-  return `${model}-${number}`;
-}
--- a/src/coordination/groups/plan_rebalance.ts
+++ b/src/coordination/groups/plan_rebalance.ts
@@ -7,6 +7,8 @@
 import {ModelCounts} from './model_counts';
 import {EnginePlanInput} from './engine_plan_input';
 import {isHeldByUnreachableHead} from './is_held_by_unreachable_head';
+import {isMoreUrgent} from './is_more_urgent';
+import {isShortOfGroups} from './is_short_of_groups';
 import {listFreeEngines} from './list_free_engines';
 
 /** With fewer groups, the next loss would leave a donor without any; only a model without groups may cause that. */
@@ -47,10 +49,13 @@
   const recipients = input.profile.models
     .filter(
       ({name}) =>
-        input.isSaturated(name) || isRecipientBelowDesired(name, counts, input),
+        input.isSaturated(name) ||
+        isRecipientBelowDesired(name, counts, input) ||
+        isUrgentlyShort(name, input),
     )
     .sort(
       (left, right) =>
+        computeUrgency(right, input) - computeUrgency(left, input) ||
         counts.computeHostsPerShare(left) - counts.computeHostsPerShare(right),
     );
   for (const model of recipients) {
@@ -69,6 +74,20 @@
   return [];
 }
 
+/** Checks whether a model lacks groups for its measured demand. Groups held by an unreachable head do not serve. */
+function isUrgentlyShort(model: string, input: EnginePlanInput): boolean {
+  return (
+    input.policy?.movesByUrgency !== false &&
+    isShortOfGroups(model, ModelCounts.create(input), input)
+  );
+}
+
+function computeUrgency({name}: Model, input: EnginePlanInput): number {
+  return isUrgentlyShort(name, input)
+    ? (input.needs?.get(name)?.weight ?? 0)
+    : 0;
+}
+
 function isRecipientBelowDesired(
   model: string,
   counts: ModelCounts,
@@ -180,6 +199,22 @@
   ) {
     return true;
   }
+  if (isMoreUrgent(recipient.name, model.name, input)) {
+    const {busyGroups = 0} = input.needs?.get(model.name) ?? {};
+    const serving = ModelCounts.create(input).countGroups(model.name) - donated;
+    if (
+      serving >= Math.max(1, busyGroups) &&
+      isUrgentlyShort(recipient.name, input)
+    ) {
+      return true;
+    }
+  }
+  if (isMoreUrgent(model.name, recipient.name, input)) {
+    const {sufficientGroups = 0} = input.needs?.get(model.name) ?? {};
+    if (left < sufficientGroups) {
+      return false;
+    }
+  }
   return (
     input.isSaturated(recipient.name) &&
     hasLessNeedAfterwards(model, left, recipient, counts)
--- a/src/coordination/groups/share_adjuster.ts
+++ b/src/coordination/groups/share_adjuster.ts
@@ -5,14 +5,14 @@
  */
 import {EngineProfile} from '../../protocol/engine_profile';
 import {ModelDemand} from '../../protocol/model_demand';
-import {estimateLateFraction} from './estimate_late_fraction';
 import {computeDesiredGroups} from './compute_desired_groups';
+import {computeSplitCost} from './compute_split_cost';
 
 const MS_PER_SECOND = 1_000;
-/** Fraction of time for which a model is assumed to lack one group, so that shares allow for the next loss. */
-const GROUP_DOWN_FRACTION = 0.1;
 /** Minimum cost of a shift in late answers, so that one with an estimate of zero still needs evidence. */
 const MIN_SHIFT_COST = 1;
+/** Late answers a second that a shift has to save if it moves no hosts. */
+const MIN_FREE_GAIN = 0.05;
 /** With fewer groups, the next loss would leave a model without any. */
 const MIN_GROUPS = 2;
 /** A shift may have to be reverted, so its cost includes both moves. */
@@ -32,6 +32,8 @@
   /** Number of healthy engines in each fabric domain. */
   readonly domains: readonly number[];
   readonly demand: Demand;
+  /** Weight of a request by model; absent where urgency does not count. */
+  readonly weights?: ReadonlyMap<string, number>;
   readonly now: number;
   /** Checks whether hosts could be moved for these shares now and without a load, which outlasts most bursts. */
   readonly canRebalance: (profile: EngineProfile, model: string) => boolean;
@@ -99,7 +101,7 @@
     this.applyConfigured(input);
     const profile = this.createProfile(input.profile);
     const view = {...input, profile};
-    if (!Object.values(input.demand).every(isKnown)) {
+    if (!isDemandKnown(input)) {
       return {profile};
     }
     const best = this.findBestShift(view, stepMs);
@@ -166,6 +168,9 @@
       const before = this.missed.get(shift.key) ?? 0;
       const missed = Math.max(0, before + (gain * stepMs) / MS_PER_SECOND);
       this.missed.set(shift.key, missed);
+      if (isFree(shift, view) && gain > MIN_FREE_GAIN) {
+        return [{shift, gain}];
+      }
       const isJustified = gain > 0 && missed > computeShiftCost(shift, view);
       return isJustified && view.canRebalance(shift.profile, shift.to.name)
         ? [{shift, gain}]
@@ -208,6 +213,29 @@
   }
 }
 
+/** Where urgency counts, requests for models of other pools do not delay the first shift. */
+function isDemandKnown({profile, demand, weights}: UpdateInput): boolean {
+  const demands = weights
+    ? profile.models.flatMap(({name}) => demand[name] ?? [])
+    : Object.values(demand);
+  return demands.every(isKnown);
+}
+
+/**
+ * Checks whether a shift only decides which groups form next, because the donor has no
+ * more groups than it keeps, as after a loss. Without it, a donor would form groups
+ * again that have to be ended later.
+ */
+function isFree({from, profile}: Shift, view: UpdateInput): boolean {
+  const desiredGroups = computeDesiredGroups(profile, view.domains);
+  const groups = view.countGroups(from.name);
+  return (
+    view.weights !== undefined &&
+    groups > 0 &&
+    groups <= (desiredGroups.get(from.name) ?? 0)
+  );
+}
+
 /** The length of answers is known once the first ones have ended. */
 function isKnown({requestsPerSecond, answerTokensPerSecond}: ModelDemand) {
   return requestsPerSecond === 0 || answerTokensPerSecond > 0;
@@ -252,7 +280,7 @@
  * move and its reversal. Ending groups finish their running requests first.
  */
 function computeShiftCost({from, to}: Shift, view: UpdateInput): number {
-  const {profile, domains, demand} = view;
+  const {profile, domains} = view;
   const desiredGroups = computeDesiredGroups(profile, domains);
   const donorGroups = desiredGroups.get(from.name) ?? 0;
   const donatedGroups = Math.max(1, Math.ceil(to.size / from.size));
@@ -261,45 +289,23 @@
     donorGroups - donatedGroups,
   );
   const lostPerSecond =
-    computeLatePerSecond(profile, demand, duringMove) -
-    computeLatePerSecond(profile, demand, desiredGroups);
+    computeLatePerSecond(view, duringMove) -
+    computeLatePerSecond(view, desiredGroups);
   const seconds = (to.warmMs + profile.openMs) / MS_PER_SECOND;
   return MOVES_PER_SHIFT * Math.max(MIN_SHIFT_COST, seconds * lostPerSecond);
 }
 
-function computeLateOfView({profile, domains, demand}: UpdateInput): number {
+function computeLateOfView(view: UpdateInput): number {
   return computeLatePerSecond(
-    profile,
-    demand,
-    computeDesiredGroups(profile, domains),
+    view,
+    computeDesiredGroups(view.profile, view.domains),
   );
 }
 
 function computeLatePerSecond(
-  profile: EngineProfile,
-  demandByModel: Demand,
+  {profile, domains, demand, weights}: UpdateInput,
   counts: ReadonlyMap<string, number>,
 ): number {
-  return profile.models.reduce((sum, model) => {
-    const demand = demandByModel[model.name];
-    const groups = counts.get(model.name) ?? 0;
-    if (!demand) {
-      return sum;
-    }
-    const withAllGroups = estimateLateFraction({
-      profile,
-      model,
-      demand,
-      groups,
-    });
-    // A group is down for seconds only: its answers are late, but no backlog builds up.
-    const withOneDown = Math.min(
-      1,
-      estimateLateFraction({profile, model, demand, groups: groups - 1}),
-    );
-    const lateFraction =
-      withAllGroups * (1 - GROUP_DOWN_FRACTION) +
-      withOneDown * GROUP_DOWN_FRACTION;
-    return sum + lateFraction * demand.requestsPerSecond;
-  }, 0);
+  const domainCount = domains.length;
+  return computeSplitCost({profile, demand, counts, domainCount, weights});
 }
--- a/test/support/engine_fleet.ts
+++ b/test/support/engine_fleet.ts
@@ -46,7 +46,7 @@
   private readonly pressedAt = new Map<string, number>();
   private readonly store: WeightStore;
   private rebalancedAt = -Infinity;
-  private readonly adjuster = ShareAdjuster.create();
+  private adjuster = ShareAdjuster.create();
   private readonly coverage: Array<ReadonlyMap<string, number>> = [];
   private readonly hostSeconds = new Map<string, number>();
   private readonly log: string[] = [];
@@ -120,9 +120,19 @@
       this.addHost(event.domain);
       return;
     }
+    if (event.kind === 'change-leader') {
+      this.adjuster = ShareAdjuster.create();
+      return;
+    }
     const present = [...this.hosts.values()].filter(
       host => host.silentSince === undefined,
     );
+    if (event.kind === 'cut-domain') {
+      present
+        .filter(host => host.domain === event.domain)
+        .forEach(host => this.cut(host, event.durationMs));
+      return;
+    }
     if (event.kind === 'lose-member') {
       const members = present.filter(
         host => host.domain === event.domain && this.findGroup(host),
@@ -136,11 +146,15 @@
     }
     for (let count = 0; count < event.hosts; count += 1) {
       const [cut] = present.splice(Math.floor(random() * present.length), 1);
-      cut.silentSince = this.now;
-      this.returnsAt.set(cut.id, this.now + event.durationMs);
+      this.cut(cut, event.durationMs);
     }
   }
 
+  private cut(host: EngineHost, durationMs: number): void {
+    host.silentSince = this.now;
+    this.returnsAt.set(host.id, this.now + durationMs);
+  }
+
   private advance(): void {
     this.store.advance(this.now, PLAN_EVERY_MS);
     for (const host of this.hosts.values()) {
@@ -204,7 +218,7 @@
     domains: readonly number[],
     configured: Omit<EnginePlanInput, 'desiredGroups'>,
   ): EnginePlanInput {
-    const {followsDemand = true} = this.options;
+    const {followsDemand = true, weights} = this.options;
     const {profile} = configured;
     if (!followsDemand || this.now < 0) {
       return {
@@ -222,6 +236,7 @@
       input: configured,
       domains,
       demand,
+      weights,
     }).input;
   }
 
--- a/test/support/engine_fleet_options.ts
+++ b/test/support/engine_fleet_options.ts
@@ -17,6 +17,8 @@
   };
   /** Whether the split of the hosts adapts to the demand; true by default. */
   readonly followsDemand?: boolean;
+  /** Weight of a request by model; absent if all requests are equally urgent. */
+  readonly weights?: ReadonlyMap<string, number>;
   readonly events: readonly FleetEvent[];
   readonly lengthMs: number;
   /** Uniform in [0, 1), seeded. */
--- a/test/support/fleet_event.ts
+++ b/test/support/fleet_event.ts
@@ -13,6 +13,18 @@
       readonly hosts: number;
       readonly durationMs: number;
     }
+  | {
+      readonly at: number;
+      /** Partitions all hosts of a domain from control and gateways for a while. */
+      readonly kind: 'cut-domain';
+      readonly domain: string;
+      readonly durationMs: number;
+    }
+  | {
+      readonly at: number;
+      /** The leader is replaced: what it keeps in memory only is gone. */
+      readonly kind: 'change-leader';
+    }
   | {
       readonly at: number;
       /** Adds a host without any weights. */
