feat(planner): the most urgent model is restored first after a loss

Reservations for a less urgent model no longer keep hosts from a more urgent one that lacks groups. The model of the fleet replays the loss of a domain with two models of different urgency; bench:policy compares the split, the restoration and the moves.

--- a/bench/run_engine_policy.ts
+++ b/bench/run_engine_policy.ts
@@ -1,6 +1,8 @@
 /**
  * Simulates a fleet that loses hosts continually, with each mechanism of the
  * planner disabled in turn, and prints the fraction of the demand that was served.
+ * A last fleet has models of different urgency; there the demand served in time is
+ * weighted by urgency.
  *
  * Usage: `npm run bench:policy -- [SEEDS]`
  */
@@ -9,6 +11,7 @@
 import {createRandom} from '../test/support/create_random';
 import {drawLosses} from '../test/support/draw_losses';
 import {PROFILE} from '../test/support/engine_plan';
+import {UrgentFleetVariant, simulateUrgentFleet} from './urgent_fleet';
 
 const DEFAULT_SEEDS = 24;
 const LENGTH_MS = 56_000;
@@ -27,6 +30,18 @@
   'held hosts not reserved': {reservesHeldHosts: false},
 };
 
+/** Ways to follow the urgency of the models; the first one does not. */
+const URGENT_VARIANTS: Readonly<Record<string, UrgentFleetVariant>> = {
+  'urgency not reported': {reportsUrgency: false},
+  'by split': {policy: {restoresByUrgency: false, movesByUrgency: false}},
+  'by restoration': {policy: {splitsByUrgency: false, movesByUrgency: false}},
+  'by split and restoration': {policy: {movesByUrgency: false}},
+  'by restoration and moves': {policy: {splitsByUrgency: false}},
+  'by split, restoration and moves': {},
+};
+/** Factors of the demand of the urgent fleet: calm, and a heavy day. */
+const URGENT_LOADS = [1, 1.3];
+
 interface Fleet {
   /** Hosts in each domain. */
   readonly domain: number;
@@ -119,3 +134,26 @@
     );
   }
 }
+
+for (const load of URGENT_LOADS) {
+  console.log(
+    `three domains of 19, groups of 8 and 4, the small model more urgent, ${load} times the demand, ${seeds.length} seeds`,
+  );
+  const results = Object.entries(URGENT_VARIANTS).map(([name, variant]) => ({
+    name,
+    plays: seeds.map(seed => simulateUrgentFleet(seed, {...variant, load})),
+  }));
+  const [{plays: baseline}] = results;
+  for (const {name, plays} of results) {
+    const describeMean = (
+      read: (result: (typeof plays)[number]) => number,
+      digits = 3,
+    ) => computeMean(plays.map(read)).mean.toFixed(digits);
+    const change = computeMean(
+      plays.map(({inTime}, at) => inTime - baseline[at].inTime),
+    );
+    console.log(
+      `  ${name.padEnd(32)} weighted: in time ${describeMean(({inTime}) => inTime)}, served ${describeMean(({served}) => served)}, change ${change.mean.toFixed(3)} +- ${change.error.toFixed(3)}; in time A ${describeMean(({byModel}) => byModel.A)}, B ${describeMean(({byModel}) => byModel.B)}; loads ${describeMean(({loads}) => loads, 0)}`,
+    );
+  }
+}
--- a/src/control/gateway_service.ts
+++ b/src/control/gateway_service.ts
@@ -9,6 +9,7 @@
 import {QueueReport} from '../protocol/queue_report';
 import {splitIdentity} from '../protocol/split_identity';
 import {CommandResult} from '../state/command_result';
+import {addDemand} from './add_demand';
 import {BackendRegistry} from './backend_registry';
 import {checkDurability} from './check_durability';
 import {ChangeSignal} from './change_signal';
@@ -378,16 +379,3 @@
     return (error as Error).message;
   }
 }
-
-function addDemand(
-  sum: ModelDemand | undefined,
-  part: ModelDemand,
-): ModelDemand {
-  return {
-    requestsPerSecond: (sum?.requestsPerSecond ?? 0) + part.requestsPerSecond,
-    promptTokensPerSecond:
-      (sum?.promptTokensPerSecond ?? 0) + part.promptTokensPerSecond,
-    answerTokensPerSecond:
-      (sum?.answerTokensPerSecond ?? 0) + part.answerTokensPerSecond,
-  };
-}
--- a/src/coordination/groups/create_engine_plan_input.ts
+++ b/src/coordination/groups/create_engine_plan_input.ts
@@ -45,7 +45,7 @@
     profile: input.profile,
     domains,
     demand,
-    weights,
+    weights: input.policy?.splitsByUrgency === false ? undefined : weights,
     now: input.now,
     countGroups: model => counts.countGroups(model),
     canRebalance: (changed, model) =>
--- a/src/coordination/groups/engine_policy.ts
+++ b/src/coordination/groups/engine_policy.ts
@@ -10,6 +10,8 @@
   readonly reservesHosts?: boolean;
   /** Hosts held by an unreachable head count as soon available for reservations. */
   readonly reservesHeldHosts?: boolean;
+  /** Late answers are weighted by urgency when hosts are split among models. */
+  readonly splitsByUrgency?: boolean;
   /** Groups of the most urgent model that lacks some are formed first, and spare ones of others later. */
   readonly restoresByUrgency?: boolean;
   /** Groups of a less urgent model end for a more urgent one that lacks groups for its measured demand. */
--- a/src/coordination/groups/plan_engine_formation.ts
+++ b/src/coordination/groups/plan_engine_formation.ts
@@ -10,6 +10,7 @@
 import {findUnusedName} from './find_unused_name';
 import {listFreeEngines} from './list_free_engines';
 import {isHeldByUnreachableHead} from './is_held_by_unreachable_head';
+import {isMoreUrgent} from './is_more_urgent';
 import {isOvertakenBy} from './is_overtaken_by';
 import {isShortOfGroups} from './is_short_of_groups';
 import {reserveEngines} from './reserve_engines';
@@ -37,8 +38,10 @@
   readonly needsLoad: boolean;
   /** The model has fewer groups than desired. */
   readonly isBelowDesired: boolean;
-  /** Weight of the model if it lacks groups for its measured demand, else 0. */
-  readonly urgency: number;
+  /** Models that lack groups for their measured demand come first, then those below the desired number. */
+  readonly tier: number;
+  /** Weight of the model's requests by urgency, which decides within a tier; 0 where urgency does not count. */
+  readonly weight: number;
   /** Every other group of the model is in the same domain, so that one loss would take all. */
   readonly isOnlyDomain: boolean;
   /** Hosts of the model relative to its share of the load, without this group. */
@@ -164,8 +167,9 @@
     reservations
       .filter(
         ({model: other}) =>
-          counts.computeHostsPerShare(other) < hostsPerShare ||
-          isOvertakenBy(other.name, model.name, counts, input),
+          isOvertakenBy(other.name, model.name, counts, input) ||
+          (counts.computeHostsPerShare(other) < hostsPerShare &&
+            !isOvertakenBy(model.name, other.name, counts, input)),
       )
       .flatMap(({hosts}) => hosts),
   );
@@ -176,7 +180,8 @@
   return (
     Number(left.needsLoad) - Number(right.needsLoad) ||
     Number(left.isCrossDomain) - Number(right.isCrossDomain) ||
-    right.urgency - left.urgency ||
+    right.tier - left.tier ||
+    right.weight - left.weight ||
     Number(right.isBelowDesired) - Number(left.isBelowDesired) ||
     left.hostsPerShare - right.hostsPerShare ||
     // Larger models first: the remaining hosts are more likely to fit a smaller one.
@@ -301,23 +306,35 @@
 }
 
 function describeUrgency(
-  {name}: Model,
+  model: Model,
   domain: string,
   input: EnginePlanInput,
   counts: ModelCounts,
 ) {
-  const isShort =
-    input.policy?.restoresByUrgency !== false &&
-    isShortOfGroups(name, counts, input);
+  const {name} = model;
+  const need = input.needs?.get(name);
+  if (!need || input.policy?.restoresByUrgency === false) {
+    return {tier: 0, weight: 0, isOnlyDomain: false};
+  }
+  const lacksBusyGroups = counts.countGroups(name) < need.busyGroups;
+  // A group beyond the busy ones is a reserve, so more urgent models are restored before it.
+  const isReserve = input.profile.models.some(
+    other =>
+      isMoreUrgent(other.name, name, input) &&
+      isBelowDesired(other, input, counts),
+  );
+  const isShort = isShortOfGroups(name, counts, input) && !isReserve;
   const others = input.groups.filter(
     group => group.model === name && !group.isEnding,
   );
   return {
-    urgency: isShort ? (input.needs?.get(name)?.weight ?? 0) : 0,
+    tier:
+      lacksBusyGroups || isShort
+        ? 2
+        : Number(isBelowDesired(model, input, counts)),
+    weight: need.weight,
     isOnlyDomain:
-      input.needs !== undefined &&
-      others.length > 0 &&
-      others.every(group => group.domain === domain),
+      others.length > 0 && others.every(group => group.domain === domain),
   };
 }
 
--- a/test/support/engine_fleet.ts
+++ b/test/support/engine_fleet.ts
@@ -13,6 +13,7 @@
 import {planEngineGroups} from '../../src/coordination/groups/plan_engine_groups';
 import {EngineGroup} from '../../src/protocol/engine_group';
 import {createDemand} from './create_demand';
+import {EngineFleetCoverage} from './engine_fleet_coverage';
 import {EngineFleetOptions} from './engine_fleet_options';
 import {EngineFleetResult} from './engine_fleet_result';
 import {EngineHost} from './engine_host';
@@ -30,7 +31,6 @@
 const HEAD_STOP_MS = 5_500;
 /** Slowdown of a group that spans several domains. */
 const CROSS_DOMAIN_SLOWDOWN = 3;
-const WINDOW_MS = 2_000;
 const WARMUP_STEPS = 100;
 
 type Order = Extract<EngineAction, {type: 'order'}>;
@@ -47,12 +47,15 @@
   private readonly store: WeightStore;
   private rebalancedAt = -Infinity;
   private adjuster = ShareAdjuster.create();
-  private readonly coverage: Array<ReadonlyMap<string, number>> = [];
+  private leadsAt = -Infinity;
+  private readonly coverage: EngineFleetCoverage;
   private readonly hostSeconds = new Map<string, number>();
   private readonly log: string[] = [];
 
   private constructor(private readonly options: EngineFleetOptions) {
-    this.store = WeightStore.create(options.profile);
+    const {profile} = options;
+    this.store = WeightStore.create(profile);
+    this.coverage = EngineFleetCoverage.create(profile, PLAN_EVERY_MS);
   }
 
   /**
@@ -101,9 +104,11 @@
         this.applyEvent(due[0]);
       }
       this.advance();
-      this.plan();
+      if (this.now >= this.leadsAt) {
+        this.plan();
+      }
       this.recordStates();
-      this.coverage.push(this.measure());
+      this.measure();
     }
   }
 
@@ -122,6 +127,7 @@
     }
     if (event.kind === 'change-leader') {
       this.adjuster = ShareAdjuster.create();
+      this.leadsAt = this.now + event.durationMs;
       return;
     }
     const present = [...this.hosts.values()].filter(
@@ -134,13 +140,14 @@
       return;
     }
     if (event.kind === 'lose-member') {
-      const members = present.filter(
-        host => host.domain === event.domain && this.findGroup(host),
-      );
+      const {domain, model} = event;
+      const members = present.filter(host => {
+        const group = host.domain === domain && this.findGroup(host);
+        return group && (model === undefined || group.model === model);
+      });
       const lost = members.at(Math.floor(random() * members.length));
       if (lost) {
-        lost.silentSince = this.now;
-        lost.isLost = true;
+        Object.assign(lost, {silentSince: this.now, isLost: true});
       }
       return;
     }
@@ -167,18 +174,16 @@
   }
 
   private plan(): void {
-    const {policy} = this.options;
+    const {policy, profile} = this.options;
     const {now} = this;
     const backends = [...this.hosts.values()]
       .filter(
         host => !host.isLost || !this.isLost(host.id) || this.findGroup(host),
       )
       .map(host => host.createView());
-    const well = backends.filter(
-      ({registration}) => !this.isLost(registration.incarnation),
+    const domains = countByDomain(
+      backends.filter(view => !this.isLost(view.registration.incarnation)),
     );
-    const domains = countByDomain(well);
-    const {profile} = this.options;
     const actions = planEngineGroups(
       this.createPlanInput(domains, {
         pool: 'p',
@@ -227,10 +232,7 @@
       };
     }
     const {adjuster} = this;
-    const demand = createDemand(
-      profile,
-      computeGroupDemand(this.options, this.now),
-    );
+    const demand = this.measureDemand();
     return createEnginePlanInput({
       adjuster,
       input: configured,
@@ -240,6 +242,12 @@
     }).input;
   }
 
+  private measureDemand() {
+    const {measureDemand, profile} = this.options;
+    const groups = computeGroupDemand(this.options, this.now);
+    return measureDemand?.(this.now) ?? createDemand(profile, groups);
+  }
+
   private isLost(id: string): boolean {
     const since = this.hosts.get(id)?.silentSince;
     return since !== undefined && this.now - since > DETECT_MS;
@@ -315,22 +323,20 @@
     );
   }
 
-  /** Computes the fraction of each model's demand that its open groups without a silent member can serve now. */
-  private measure(): Map<string, number> {
-    const {profile} = this.options;
-    const demand = computeGroupDemand(this.options, this.now);
-    return new Map(
-      profile.models.map(({name}) => {
-        const supply = this.groups
+  /** Records the fraction of each model's demand that its open groups without a silent member can serve now. */
+  private measure(): void {
+    const groupDemand = computeGroupDemand(this.options, this.now);
+    const supply = new Map(
+      this.options.profile.models.map(({name}) => [
+        name,
+        this.groups
           .filter(group => group.model === name && !group.isEnding)
-          .reduce((sum, group) => sum + this.computeSupply(group), 0);
-        const covered = Math.min(1, supply / (demand.get(name) ?? 1));
-        if (covered < 1) {
-          this.pressedAt.set(name, this.now);
-        }
-        return [name, covered];
-      }),
+          .reduce((sum, group) => sum + this.computeSupply(group), 0),
+      ]),
     );
+    this.coverage
+      .add({supply, groupDemand, demand: this.measureDemand()})
+      .forEach(name => this.pressedAt.set(name, this.now));
   }
 
   private computeSupply(group: EngineGroup): number {
@@ -368,31 +374,11 @@
   }
 
   private describe(): EngineFleetResult {
-    const names = this.options.profile.models.map(({name}) => name);
-    const byModel = Object.fromEntries(
-      names.map(name => [
-        name,
-        average(this.coverage.map(parts => parts.get(name) ?? 0)),
-      ]),
-    );
-    const means = this.coverage.map(parts => average([...parts.values()]));
-    const steps = WINDOW_MS / PLAN_EVERY_MS;
-    const windows = means
-      .flatMap((_, at) =>
-        at % steps === 0 ? [average(means.slice(at, at + steps))] : [],
-      )
-      .sort((left, right) => left - right);
     return {
-      covered: average(means),
-      worst: average(windows.slice(0, 2)),
-      byModel,
+      ...this.coverage.describe(),
       loads: this.store.loadCount,
       hostSeconds: Object.fromEntries(this.hostSeconds),
       log: this.log,
     };
   }
 }
-
-function average(values: readonly number[]): number {
-  return values.reduce((sum, value) => sum + value, 0) / values.length;
-}
--- a/test/support/engine_fleet_options.ts
+++ b/test/support/engine_fleet_options.ts
@@ -1,5 +1,6 @@
 import {EnginePolicy} from '../../src/coordination/groups/engine_policy';
 import {EngineProfile} from '../../src/protocol/engine_profile';
+import {ModelDemand} from '../../src/protocol/model_demand';
 import {FleetEvent} from './fleet_event';
 
 /** Configuration, demand and events of an `EngineFleet` simulation. */
@@ -17,6 +18,8 @@
   };
   /** Whether the split of the hosts adapts to the demand; true by default. */
   readonly followsDemand?: boolean;
+  /** Demand as gateways measure it, at a time of the simulation; by default it follows from `demand`. */
+  readonly measureDemand?: (now: number) => Record<string, ModelDemand>;
   /** Weight of a request by model; absent if all requests are equally urgent. */
   readonly weights?: ReadonlyMap<string, number>;
   readonly events: readonly FleetEvent[];
--- a/test/support/engine_fleet_result.ts
+++ b/test/support/engine_fleet_result.ts
@@ -5,6 +5,8 @@
   /** The same fraction in the two worst windows. */
   readonly worst: number;
   readonly byModel: Readonly<Record<string, number>>;
+  /** Fraction of each model's answers that are in time with its groups, by `estimateLateFraction`. */
+  readonly inTime: Readonly<Record<string, number>>;
   readonly loads: number;
   /** Seconds that hosts spent in each state, summed over hosts. */
   readonly hostSeconds: Readonly<Record<string, number>>;
--- a/test/support/fleet_event.ts
+++ b/test/support/fleet_event.ts
@@ -5,6 +5,8 @@
       /** Loses a group member in the domain for good. */
       readonly kind: 'lose-member';
       readonly domain: string;
+      /** Model of the group; any by default. */
+      readonly model?: string;
     }
   | {
       readonly at: number;
@@ -22,8 +24,9 @@
     }
   | {
       readonly at: number;
-      /** The leader is replaced: what it keeps in memory only is gone. */
+      /** The leader is killed: its memory is lost, and nothing is planned until the next one leads. */
       readonly kind: 'change-leader';
+      readonly durationMs: number;
     }
   | {
       readonly at: number;
