--- a/test/coordination/plan_host_split.test.ts
+++ b/test/coordination/plan_host_split.test.ts
@@ -6,6 +6,9 @@
  */
 import {describe, expect, test} from 'vitest';
 import {computeBusyGroups} from '../../src/coordination/groups/compute_busy_groups';
+import {BackendView} from '../../src/coordination/groups/backend_view';
+import {EnginePlanInput} from '../../src/coordination/groups/engine_plan_input';
+import {listUrgencies} from '../../src/coordination/groups/list_urgencies';
 import {computeUrgencyWeights} from '../../src/coordination/groups/compute_urgency_weights';
 import {createRandom} from '../support/create_random';
 import {
@@ -14,6 +17,12 @@
   createContentionQueues,
 } from '../support/engine_demand';
 import {EngineFleet} from '../support/engine_fleet';
+import {
+  createGroup,
+  createHost,
+  createHosts,
+  createPlan,
+} from '../support/engine_plan';
 import {FleetEvent} from '../support/fleet_event';
 
 const DOMAINS = {d0: 19, d1: 19, d2: 19};
@@ -26,6 +35,18 @@
   computeBusyGroups({profile: CONTENTION_PROFILE, model: B, demand: DEMAND.B}),
 );
 
+const ROUTE = {
+  name: 'r',
+  host: 'h',
+  pathPrefix: '/',
+  kind: 'stream' as const,
+  timeoutMs: 1_000,
+  objectiveMs: 250,
+  maxAttempts: 2,
+  isAnonymous: true,
+  isResumable: true,
+};
+
 const WEIGHTS = computeUrgencyWeights({
   pool: 'p',
   models: ['A', 'B'],
@@ -149,12 +170,183 @@
   });
 });
 
-test('where all requests are equally urgent, the urgency of models is not known', () => {
-  const equal = computeUrgencyWeights({
-    pool: 'p',
-    models: ['A', 'B'],
-    urgencies: [1, 1],
-    gateways: [{demand: DEMAND, queues: createContentionQueues('p')}],
+describe('the weight of the requests of a model', () => {
+  const models = ['A', 'B'];
+  const queues = createContentionQueues('p');
+
+  // Urgency must not change results where it does not differ.
+  test.each([
+    ['priorities are equal', [1, 1], queues],
+    ['no gateway reports queues', [0, 1, 2], undefined],
+    [
+      'queues are those of another pool',
+      [0, 1, 2],
+      createContentionQueues('q'),
+    ],
+  ])('is not known where %s', (_, urgencies, reported) => {
+    const gateways = [{demand: DEMAND, queues: reported}];
+    const weights = computeUrgencyWeights({
+      pool: 'p',
+      models,
+      urgencies,
+      gateways,
+    });
+    expect(weights).toBeUndefined();
+  });
+
+  test('is higher for the more urgent model and 1 on the mean', () => {
+    const a = WEIGHTS?.get('A') ?? 0;
+    const b = WEIGHTS?.get('B') ?? 0;
+    expect(b).toBeGreaterThan(4 * a);
+    expect((a * 14 + b * 103) / 117).toBeCloseTo(1);
+  });
+
+  test('does not depend on which gateway has the requests', () => {
+    const gateways = queues.map(report => ({
+      demand: DEMAND,
+      queues: [report],
+    }));
+    const weights = computeUrgencyWeights({
+      pool: 'p',
+      models,
+      urgencies: [0, 1, 2],
+      gateways,
+    });
+    expect(weights).toEqual(WEIGHTS);
+  });
+
+  // A gateway of an older version must neither raise nor lower a model.
+  test('counts requests at a gateway without reports as equally urgent', () => {
+    const weights = computeUrgencyWeights({
+      pool: 'p',
+      models,
+      urgencies: [0, 1, 2],
+      gateways: [{demand: DEMAND, queues}, {demand: DEMAND}],
+    });
+    const [a, b] = models.map(model => weights?.get(model) ?? 0);
+    expect(a).toBeCloseTo(((WEIGHTS?.get('A') ?? 0) + 1) / 2);
+    expect(b).toBeCloseTo(((WEIGHTS?.get('B') ?? 0) + 1) / 2);
+  });
+});
+
+describe('the urgencies of the requests for a pool', () => {
+  const createRoute = (pool: string, priority: number, weight = 1) => ({
+    ...ROUTE,
+    priority,
+    targets: [{pool, weight}],
+  });
+
+  test('are the priorities of its routes and of workspaces', () => {
+    const routes = [
+      createRoute('p', 1),
+      createRoute('p', 1),
+      createRoute('q', 0),
+      createRoute('p', 4, 0),
+    ];
+    const workspaces = [
+      {name: 'w', keyHashes: []},
+      {name: 'v', keyHashes: [], priority: 2},
+    ];
+    expect(listUrgencies({routes}, 'p')).toEqual([1]);
+    expect(listUrgencies({routes, workspaces}, 'p')).toEqual([1, 2]);
+    expect(listUrgencies({routes, workspaces}, 'r')).toEqual([]);
+  });
+});
+
+describe('one plan', () => {
+  const profile = CONTENTION_PROFILE;
+  const needs = new Map([
+    ['A', {weight: 0.2, busyGroups: 1, sufficientGroups: 2}],
+    ['B', {weight: 1.1, busyGroups: 4, sufficientGroups: 5}],
+  ]);
+  const createGroups = (model: string, domain: string, count: number) =>
+    Array.from({length: count}, (_, at) => {
+      const name = `${model}-${domain}${at + 1}`;
+      const size = model === 'A' ? 8 : 4;
+      const ids = Array.from({length: size}, (__, rank) => `${name}-${rank}`);
+      return {
+        group: createGroup(ids, {name, model, domain}),
+        hosts: ids.map((id, rank) =>
+          createHost(id, {
+            domain,
+            model,
+            stagedModels: ['A', 'B'].filter(other => other !== model),
+            group: {name, epoch: 7, rank, state: 'open'},
+          }),
+        ),
+      };
+    });
+  const plan = (
+    parts: ReadonlyArray<ReturnType<typeof createGroups>[number]>,
+    free: readonly BackendView[],
+    changes: Partial<EnginePlanInput> = {},
+  ) =>
+    createPlan({
+      profile,
+      groups: parts.map(({group}) => group),
+      backends: [...parts.flatMap(({hosts}) => hosts), ...free],
+      desiredGroups: new Map([
+        ['A', 3],
+        ['B', 6],
+      ]),
+      needs,
+      ...changes,
+    }).flatMap(action => {
+      if (action.type === 'set-group') {
+        return [`form ${action.group.model} in ${action.group.domain}`];
+      }
+      return action.type === 'end-group' ? [`end ${action.name}`] : [];
+    });
+  const both = {model: 'A', stagedModels: ['B']};
+
+  // The planner formed two groups of A from the hosts of a returned domain.
+  test('forms groups of the more urgent model from hosts that either could use', () => {
+    const parts = [...createGroups('A', 'x', 2), ...createGroups('B', 'y', 3)];
+    const formed = plan(parts, createHosts('z', 8, both));
+    expect(formed).toEqual(['form B in z', 'form B in z']);
+  });
+
+  test('forms no spare group of a less urgent model while a more urgent one lacks groups', () => {
+    const parts = [...createGroups('A', 'x', 2), ...createGroups('B', 'y', 4)];
+    const free = createHosts('z', 8, {model: 'A'});
+    const mayRebalance = false;
+    const formed = plan(parts, free, {mayRebalance});
+    const equal = plan(parts, free, {mayRebalance, needs: undefined});
+    expect(formed).toEqual([]);
+    expect(equal).toEqual(['form A in z']);
+  });
+
+  test('forms the first group of a less urgent model before reserves of the other', () => {
+    const parts = createGroups('B', 'y', 5);
+    expect(plan(parts, createHosts('z', 8, both))).toEqual(['form A in z']);
+  });
+
+  test('forms the second group of a model in another domain than the first', () => {
+    const parts = [...createGroups('A', 'x', 1), ...createGroups('B', 'y', 6)];
+    const free = [...createHosts('x', 10, both), ...createHosts('z', 8, both)];
+    const desiredGroups = new Map([
+      ['A', 2],
+      ['B', 6],
+    ]);
+    const formed = plan(parts, free, {desiredGroups});
+    expect(formed.filter(change => change.startsWith('form A'))).toEqual([
+      'form A in z',
+    ]);
+  });
+
+  // While a domain was lost, B was overloaded and A still had two groups.
+  test('ends a group of a less urgent model that has more than it needs', () => {
+    const parts = [
+      ...createGroups('A', 'x', 1),
+      ...createGroups('A', 'z', 1),
+      ...createGroups('B', 'y', 3),
+    ];
+    expect(plan(parts, [])).toEqual(['end A-x1']);
+    expect(plan(parts, [], {needs: undefined})).toEqual([]);
+  });
+
+  test('leaves a less urgent model the groups that it needs', () => {
+    const parts = [...createGroups('A', 'x', 1), ...createGroups('B', 'y', 3)];
+    expect(plan(parts, [])).toEqual([]);
   });
-  expect(equal).toBeUndefined();
 });
