--- a/src/coordination/groups/plan_engine_formation.ts
+++ b/src/coordination/groups/plan_engine_formation.ts
@@ -7,8 +7,12 @@
 import {ModelCounts} from './model_counts';
 import {EnginePlanInput} from './engine_plan_input';
 import {EngineReservation} from './engine_reservation';
+import {findUnusedName} from './find_unused_name';
 import {listFreeEngines} from './list_free_engines';
 import {isHeldByUnreachableHead} from './is_held_by_unreachable_head';
+import {isMoreUrgent} from './is_more_urgent';
+import {isOvertakenBy} from './is_overtaken_by';
+import {isShortOfGroups} from './is_short_of_groups';
 import {reserveEngines} from './reserve_engines';
 
 /** Joins the domain names of a group that spans several. */
@@ -34,6 +38,12 @@
   readonly needsLoad: boolean;
   /** The model has fewer groups than desired. */
   readonly isBelowDesired: boolean;
+  /** Models that lack groups for their measured demand come first, then those below the desired number. */
+  readonly tier: number;
+  /** Weight of the model's requests by urgency, which decides within a tier; 0 where urgency does not count. */
+  readonly weight: number;
+  /** Every other group of the model is in the same domain, so that one loss would take all. */
+  readonly isOnlyDomain: boolean;
   /** Hosts of the model relative to its share of the load, without this group. */
   readonly hostsPerShare: number;
   /** Breaks ties between domains, the lowest first. */
@@ -126,18 +136,40 @@
   return counts.countGroups(name) < (desiredGroups.get(name) ?? 0);
 }
 
+/**
+ * Checks whether a model has the groups for its measured demand and one for the loss
+ * of a domain, while a more urgent model lacks groups for its own.
+ */
+function isToWait(
+  model: Model,
+  counts: ModelCounts,
+  input: EnginePlanInput,
+): boolean {
+  const {busyGroups = 0} = input.needs?.get(model.name) ?? {};
+  return (
+    counts.countGroups(model.name) > busyGroups &&
+    input.profile.models.some(other =>
+      isOvertakenBy(other.name, model.name, counts, input),
+    )
+  );
+}
+
 /** Lists the free hosts that are not reserved for a model with greater need. */
 function listUnreserved(
   model: Model,
   free: readonly BackendView[],
   counts: ModelCounts,
   reservations: readonly EngineReservation[],
+  input: EnginePlanInput,
 ): BackendView[] {
   const hostsPerShare = counts.computeHostsPerShare(model);
   const reserved = new Set(
     reservations
       .filter(
-        ({model: other}) => counts.computeHostsPerShare(other) < hostsPerShare,
+        ({model: other}) =>
+          isOvertakenBy(other.name, model.name, counts, input) ||
+          (counts.computeHostsPerShare(other) < hostsPerShare &&
+            !isOvertakenBy(model.name, other.name, counts, input)),
       )
       .flatMap(({hosts}) => hosts),
   );
@@ -148,10 +180,13 @@
   return (
     Number(left.needsLoad) - Number(right.needsLoad) ||
     Number(left.isCrossDomain) - Number(right.isCrossDomain) ||
+    right.tier - left.tier ||
+    right.weight - left.weight ||
     Number(right.isBelowDesired) - Number(left.isBelowDesired) ||
     left.hostsPerShare - right.hostsPerShare ||
     // Larger models first: the remaining hosts are more likely to fit a smaller one.
     right.model.size - left.model.size ||
+    Number(left.isOnlyDomain) - Number(right.isOnlyDomain) ||
     left.readyMs - right.readyMs ||
     left.domainOrder - right.domainOrder
   );
@@ -164,8 +199,11 @@
   reservations: readonly EngineReservation[],
   allowsCrossDomain: boolean,
 ): FormationOption[] {
-  return input.profile.models.flatMap(model => {
-    const hosts = listUnreserved(model, free, counts, reservations);
+  const models = input.profile.models.filter(
+    model => !isToWait(model, counts, input),
+  );
+  return models.flatMap(model => {
+    const hosts = listUnreserved(model, free, counts, reservations, input);
     const domains = new Set(hosts.map(host => host.registration.domain ?? ''));
     const singleDomain = [...domains].flatMap(
       domain => findOption(model, domain, input, hosts, counts) ?? [],
@@ -205,6 +243,7 @@
     return undefined;
   }
   return {
+    ...describeUrgency(model, domain, input, counts),
     isCrossDomain: false,
     isBelowDesired: isBelow,
     model,
@@ -252,6 +291,7 @@
   const domains = new Set(hosts.map(host => host.registration.domain));
   return [
     {
+      ...describeUrgency(model, '', input, counts),
       isCrossDomain: true,
       isBelowDesired: isFewGroups,
       model,
@@ -265,6 +305,39 @@
   ];
 }
 
+function describeUrgency(
+  model: Model,
+  domain: string,
+  input: EnginePlanInput,
+  counts: ModelCounts,
+) {
+  const {name} = model;
+  const need = input.needs?.get(name);
+  if (!need || input.policy?.restoresByUrgency === false) {
+    return {tier: 0, weight: 0, isOnlyDomain: false};
+  }
+  const lacksBusyGroups = counts.countGroups(name) < need.busyGroups;
+  // A group beyond the busy ones is a reserve, so more urgent models are restored before it.
+  const isReserve = input.profile.models.some(
+    other =>
+      isMoreUrgent(other.name, name, input) &&
+      isBelowDesired(other, input, counts),
+  );
+  const isShort = isShortOfGroups(name, counts, input) && !isReserve;
+  const others = input.groups.filter(
+    group => group.model === name && !group.isEnding,
+  );
+  return {
+    tier:
+      lacksBusyGroups || isShort
+        ? 2
+        : Number(isBelowDesired(model, input, counts)),
+    weight: need.weight,
+    isOnlyDomain:
+      others.length > 0 && others.every(group => group.domain === domain),
+  };
+}
+
 function countStaged({host}: {host: BackendView}): number {
   return host.registration.stagedModels.length;
 }
@@ -292,11 +365,3 @@
   );
   return computeSpares(hosts.length);
 }
-
-function findUnusedName(model: string, names: ReadonlySet<string>): string {
-  let number = 1;
-  while (names.has(`${model}-${number}`)) {
-    number += 1;
-  }
-  return `${model}-${number}`;
-}
--- a/test/support/fleet_event.ts
+++ b/test/support/fleet_event.ts
@@ -5,6 +5,8 @@
       /** Loses a group member in the domain for good. */
       readonly kind: 'lose-member';
       readonly domain: string;
+      /** Model of the group; any by default. */
+      readonly model?: string;
     }
   | {
       readonly at: number;
@@ -13,6 +15,19 @@
       readonly hosts: number;
       readonly durationMs: number;
     }
+  | {
+      readonly at: number;
+      /** Partitions all hosts of a domain from control and gateways for a while. */
+      readonly kind: 'cut-domain';
+      readonly domain: string;
+      readonly durationMs: number;
+    }
+  | {
+      readonly at: number;
+      /** The leader is killed: its memory is lost, and nothing is planned until the next one leads. */
+      readonly kind: 'change-leader';
+      readonly durationMs: number;
+    }
   | {
       readonly at: number;
       /** Adds a host without any weights. */
