feat(gateway): engines chosen by the expected time to the first event

Replaces the load in prompt tokens (250 per request, 60 per zone crossing) by an estimate in milliseconds from the engine's profile. A target that answers 421 is avoided until control lists it with another group, one that refused as full until a slot is freed there, and requests are kept within the memory of an engine.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -39,6 +39,8 @@
   private handle: ReturnType<HttpClientPool['call']> | undefined;
   private head: ResponseHead | undefined;
   private hasBodyData = false;
+  /** An engine's events are a pass apart, so that each arrives as a chunk of its own. */
+  private chunkCount = 0;
   private isSent = false;
   private sentAt = -Infinity;
   private isEnded = false;
@@ -80,7 +82,7 @@
   /** True while it waits for a connection to a backend server that the control plane no longer lists or that accepts nothing now. */
   get isTargetUnavailable(): boolean {
     const {balancer, target} = this.options;
-    const isOpen = balancer.has(target.incarnation) && this.maySend;
+    const isOpen = balancer.isOpen(target.incarnation) && this.maySend;
     return this.isWaiting && !isOpen;
   }
 
@@ -171,7 +173,9 @@
     }
     // A head is no sign of progress: it may be sent before any work begins.
     if (head.isWrongIncarnation) {
-      balancer.remove(target.incarnation);
+      balancer.recordClosed(target);
+    } else if (head.isNotRun) {
+      balancer.recordFull(target.incarnation);
     }
     if (head.isNotRun || head.isWrongIncarnation) {
       this.head = head;
@@ -196,6 +200,7 @@
       return;
     }
     this.quietSince = clock.now();
+    this.chunkCount += 1;
     balancer.recordActivity(target.incarnation);
     if (!this.hasBodyData) {
       this.hasBodyData = true;
@@ -248,7 +253,13 @@
     if (!this.hasBodyData) {
       balancer.recordResponseStart(target.incarnation, request.promptTokens);
     }
-    balancer.recordRequestEnd(target.incarnation);
+    const isWholeStream =
+      end.kind === 'whole' && (this.head?.isEventStream ?? false);
+    balancer.recordRequestEnd(
+      target.incarnation,
+      request.promptTokens,
+      isWholeStream ? this.chunkCount : undefined,
+    );
     this.options.onEnd(end);
   }
 }
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -110,6 +110,7 @@
       Math.random,
       reportNow,
       this.signals.availability,
+      events,
     );
     this.containment = CrashContainment.create({
       detector: CrashDetector.create({clock, events}),
--- a/src/gateway/request_sender.ts
+++ b/src/gateway/request_sender.ts
@@ -63,6 +63,8 @@
       mayQueue,
       excludesLimited,
       model: pool.engine ? request.model : undefined,
+      engine: pool.engine,
+      promptTokens: request.promptTokens,
       excluded: this.tried,
     });
   }
@@ -92,7 +94,11 @@
       target.incarnation,
     );
     this.hasPendingPermit = false;
-    if (permit && context.balancer.has(target.incarnation) && canStillSend()) {
+    if (
+      permit &&
+      context.balancer.isOpen(target.incarnation) &&
+      canStillSend()
+    ) {
       this.startAttempt(target, permit);
     } else {
       onPermitDenied();
--- a/src/gateway/routing/load_balancer.ts
+++ b/src/gateway/routing/load_balancer.ts
@@ -1,58 +1,38 @@
-/** Chooses the least loaded backend server for a request and tracks the health of each. */
+/** Chooses the backend server with the earliest expected first event, and tracks the load and health of each. */
 import {Clock} from '../../common/clock';
+import {EventRing} from '../../common/event_ring';
+import {ThrottledEventLog} from '../../common/throttled_event_log';
 import {GatewayTarget} from '../../protocol/gateway_target';
-import {chooseByWaterFilling} from './choose_by_water_filling';
-import {createTargetKey} from './create_target_key';
+import {createQueueKey} from './create_queue_key';
+import {createTargetState} from './create_target_state';
+import {RepairTimes} from './repair_times';
+import {RequestSizes} from './request_sizes';
+import {RunningGrowth} from './running_growth';
+import {TargetAvailability} from './target_availability';
+import {TargetQuery} from './target_query';
+import {TargetSelection} from './target_selection';
+import {TargetState} from './target_state';
 import {UnreportedLoad} from './unreported_load';
 
 /** Cooldown after a failed connection attempt. */
 const UNREACHABLE_COOLDOWN_MS = 1_000;
 /** Cooldown after a stall in the middle of a response; longer than loading a model takes. */
 const STALL_COOLDOWN_MS = 3_000;
-/** A group that forms later than this after a loss is not its replacement: hosts were reassigned or came back. */
-const MAX_REPAIR_MS = 10_000;
+/**
+ * Cooldown after a target answered that it does not serve its group. Its next registration, at
+ * most a second later, tells the control plane, which then closes the target.
+ */
+const CLOSED_COOLDOWN_MS = 2_000;
+/** Cooldown after a target refused a request as full: the reported loads are up to this old. */
+const FULL_COOLDOWN_MS = 300;
 /** A target counts as active if it sent bytes within this time; spans a few event intervals. */
 const RECENT_ACTIVITY_MS = 600;
 /**
- * Extra load assumed for targets in other zones, in prompt tokens; small, as a
- * network hop is short compared with reading a prompt.
+ * A freed slot is reported as taken for this time. Requests that wait at this gateway reuse it
+ * within the 20 ms between two checks; if it were reported as free meanwhile, every other
+ * gateway with waiting requests would send to it.
  */
-const CROSS_ZONE_PENALTY_TOKENS = 60;
-/** Load of one running request, as the number of prompt tokens that are read in the same time. */
-const REQUEST_TOKENS = 250;
-
-/** A target and this gateway's view of it. */
-interface TargetState {
-  target: GatewayTarget;
-  running: number;
-  /** Requests sent by other gateways, as last reported. */
-  runningElsewhere: number;
-  /** Prompt tokens of requests without a response so far. */
-  waitingTokens: number;
-  lastActiveAt: number;
-  avoidUntil: number;
-  stalledAt: number;
-}
-
-/** The targets that are eligible for a request. */
-interface TargetQuery {
-  readonly pool: string;
-  /** Includes targets without a free slot, which queue the request. */
-  readonly mayQueue: boolean;
-  /** Excludes rate-limited targets, whose permit may be denied. */
-  readonly excludesLimited?: boolean;
-  readonly model?: string;
-  /** Keys of targets on which the request has already failed. */
-  readonly excluded: ReadonlySet<string>;
-}
-
-/** What backend servers signalled about themselves in earlier responses. */
-interface TargetAvailability {
-  readonly isAvailable: (incarnation: string) => boolean;
-  /** True if each request needs a permit. */
-  readonly isLimited: (incarnation: string) => boolean;
-}
-
+const HELD_SLOT_MS = 60;
 const ALWAYS_AVAILABLE: TargetAvailability = {
   isAvailable: () => true,
   isLimited: () => false,
@@ -61,27 +41,41 @@
 /** Tracks targets, their load and their failures. */
 export class LoadBalancer {
   private states = new Map<string, TargetState>();
-  /** When a group of the model was lost that has not been replaced yet, by model. */
-  private readonly missingSince = new Map<string, number>();
-  /** Time from the last loss of a group until a new one formed, by model. */
-  private readonly repairMs = new Map<string, number>();
-
+  private readonly repairs: RepairTimes;
   private readonly unreported: UnreportedLoad;
+  private readonly growth: RunningGrowth;
+  private readonly sizes = RequestSizes.create();
+  private readonly selection: TargetSelection;
+  private readonly eventLog: ThrottledEventLog;
 
   private constructor(
-    private readonly zone: string,
+    zone: string,
     private readonly clock: Clock,
-    private readonly random: () => number,
-    private readonly onStalled: () => void,
-    private readonly availability: TargetAvailability,
+    random: () => number,
+    private readonly onChanged: () => void,
+    availability: TargetAvailability,
+    events: EventRing,
   ) {
+    this.repairs = RepairTimes.create(clock);
     this.unreported = UnreportedLoad.create(clock);
+    this.growth = RunningGrowth.create(clock);
+    this.selection = TargetSelection.create({
+      zone,
+      clock,
+      random,
+      availability,
+      unreported: this.unreported,
+      growth: this.growth,
+      sizes: this.sizes,
+    });
+    this.eventLog = ThrottledEventLog.create(events, clock);
   }
 
   /**
    * Creates a load balancer without targets.
    *
-   * @param onStalled called when a target is newly known to have stalled
+   * @param onChanged called when the control plane should know at once that a
+   * target stalled or closed
    * @param availability tells which targets accept requests
    *
    * @example
@@ -91,64 +85,45 @@
     zone: string,
     clock: Clock,
     random: () => number,
-    onStalled: () => void = () => undefined,
+    onChanged: () => void = () => undefined,
     availability = ALWAYS_AVAILABLE,
+    events = EventRing.create(),
   ): LoadBalancer {
-    return new LoadBalancer(zone, clock, random, onStalled, availability);
+    return new LoadBalancer(
+      zone,
+      clock,
+      random,
+      onChanged,
+      availability,
+      events,
+    );
   }
 
   /** Replaces the targets with those from the control plane; targets that remain keep their state. */
   setTargets(targets: ReadonlyMap<string, GatewayTarget>): void {
-    const before = listGroups(this.states);
+    const before = [...this.states.values()].map(({target}) => target);
     const states = new Map<string, TargetState>();
     for (const [incarnation, target] of targets) {
       const known = this.states.get(incarnation);
       const hasNewAssignment =
         known?.target.model !== target.model ||
         known?.target.epoch !== target.epoch;
-      const state = known ?? createState(target);
+      const state = known ?? createTargetState(target);
       state.target = target;
       if (hasNewAssignment) {
         state.avoidUntil = -Infinity;
+        state.fullUntil = -Infinity;
+        state.closedUntil = -Infinity;
       }
       states.set(incarnation, state);
     }
-    this.recordRepairs(before, listGroups(states));
+    this.repairs.recordChanges(before, targets.values());
     this.states = states;
   }
 
   /** Returns how long the last repair of the model took; 0 if there was none. */
   findRepairMs(model: string): number {
-    return this.repairMs.get(model) ?? 0;
-  }
-
-  private recordRepairs(
-    before: ReadonlyMap<string, string>,
-    after: ReadonlyMap<string, string>,
-  ): void {
-    const now = this.clock.now();
-    for (const [key, model] of before) {
-      if (!after.has(key)) {
-        this.recordGroupLost(model, now);
-      }
-    }
-    for (const [key, model] of after) {
-      if (!before.has(key)) {
-        this.recordGroupFormed(model, now);
-      }
-    }
-  }
-
-  private recordGroupFormed(model: string, now: number): void {
-    const tookMs = now - (this.missingSince.get(model) ?? -Infinity);
-    this.missingSince.delete(model);
-    if (tookMs < MAX_REPAIR_MS) {
-      this.repairMs.set(model, tookMs);
-    }
-  }
-
-  private recordGroupLost(model: string, now: number): void {
-    this.missingSince.set(model, this.missingSince.get(model) ?? now);
+    return this.repairs.findRepairMs(model);
   }
 
   /**
@@ -162,9 +137,14 @@
     others = 0,
   ): void {
     this.unreported.recordReport(others);
+    const totals = new Map<string, number>();
     for (const [incarnation, state] of this.states) {
-      state.runningElsewhere = running[incarnation] ?? 0;
+      const count = running[incarnation] ?? 0;
+      state.runningElsewhere = count;
+      const queue = createQueueKey(state.target);
+      totals.set(queue, (totals.get(queue) ?? 0) + count);
     }
+    this.growth.recordReport(totals);
   }
 
   /** True if the control plane lists this target. */
@@ -172,22 +152,15 @@
     return this.states.has(incarnation);
   }
 
-  /** Returns one of the least loaded targets; undefined if none is eligible. */
+  /** True if the control plane lists this target and it has not answered since that it is closed. */
+  isOpen(incarnation: string): boolean {
+    const state = this.states.get(incarnation);
+    return state !== undefined && state.closedUntil <= this.clock.now();
+  }
+
+  /** Returns one of the targets with the earliest expected first event; undefined if none is eligible. */
   choose(query: TargetQuery): GatewayTarget | undefined {
-    const now = this.clock.now();
-    const candidates = [...this.states.values()].filter(
-      state =>
-        state.target.pool === query.pool &&
-        state.target.model === query.model &&
-        !query.excluded.has(createTargetKey(state.target)) &&
-        state.avoidUntil <= now &&
-        this.isEligible(state.target, query) &&
-        (query.mayQueue || hasFreeSlot(state)),
-    );
-    const loads = candidates.map(state => this.computeLoad(state));
-    const unreported = this.unreported.estimate(createQueueKey(query));
-    return candidates[chooseByWaterFilling(loads, unreported, this.random())]
-      ?.target;
+    return this.selection.choose([...this.states.values()], query);
   }
 
   /** Returns the incarnations of the targets that serve a model of a pool. */
@@ -202,18 +175,24 @@
     );
   }
 
-  /** Addresses of all targets. */
+  /** Addresses of all open targets. */
   listAddresses(): Set<string> {
-    return new Set([...this.states.values()].map(({target}) => target.address));
+    return new Set(
+      [...this.states.values()].flatMap(({target}) =>
+        this.isOpen(target.incarnation) ? [target.address] : [],
+      ),
+    );
   }
 
   recordRequestStart(incarnation: string, promptTokens: number): void {
     const state = this.states.get(incarnation);
     if (state) {
       const queue = createQueueKey(state.target);
-      this.unreported.recordStart(queue, REQUEST_TOKENS + promptTokens);
+      this.unreported.recordStart(queue, promptTokens);
+      this.sizes.recordPrompt(queue, promptTokens);
       state.running += 1;
       state.waitingTokens += promptTokens;
+      state.promptTokens += promptTokens;
     }
   }
 
@@ -225,12 +204,28 @@
     }
   }
 
-  recordRequestEnd(incarnation: string): void {
+  /** @param events events of a complete stream; undefined for any other response */
+  recordRequestEnd(
+    incarnation: string,
+    promptTokens = 0,
+    events?: number,
+  ): void {
     const state = this.states.get(incarnation);
     if (state) {
+      const now = this.clock.now();
+      const {running, recentPeak} = state;
+      const isPeakOver = now - recentPeak.at >= HELD_SLOT_MS;
+      if (isPeakOver || running >= recentPeak.running) {
+        state.recentPeak = {running, at: now};
+      }
       // The target may have been removed and added again since the request
       // began.
-      state.running = Math.max(0, state.running - 1);
+      state.running = Math.max(0, running - 1);
+      state.promptTokens = Math.max(0, state.promptTokens - promptTokens);
+      state.fullUntil = -Infinity;
+      if (events !== undefined) {
+        this.sizes.recordEvents(createQueueKey(state.target), events);
+      }
     }
   }
 
@@ -240,7 +235,7 @@
     if (state) {
       if (this.isStalled(incarnation)) {
         // The target recovered, so its group was not lost.
-        this.missingSince.delete(state.target.model ?? '');
+        this.repairs.recordRecovery(state.target.model ?? '');
       }
       state.lastActiveAt = this.clock.now();
     }
@@ -282,35 +277,45 @@
     this.recordFailure(incarnation, STALL_COOLDOWN_MS);
   }
 
-  private recordFailure(incarnation: string, avoidMs: number): void {
-    this.avoid(incarnation, avoidMs);
+  /**
+   * Records that a target answered that it does not serve its group. It gets
+   * nothing more until the control plane lists it with another group, or for a
+   * while; the control plane is notified at once, for the other gateways.
+   */
+  recordClosed({incarnation, epoch}: GatewayTarget): void {
     const state = this.states.get(incarnation);
-    if (state) {
-      const isNewlyStalled = !this.isStalled(incarnation);
-      state.stalledAt = this.clock.now();
-      this.recordGroupLost(state.target.model ?? '', state.stalledAt);
-      if (isNewlyStalled) {
-        this.onStalled();
+    if (state && state.target.epoch === epoch) {
+      const wasOpen = this.isOpen(incarnation);
+      state.closedUntil = this.clock.now() + CLOSED_COOLDOWN_MS;
+      this.recordRefusal(state, 'it does not serve this group any more');
+      if (wasOpen) {
+        this.onChanged();
       }
     }
   }
 
-  /** Removes a target whose address now belongs to another incarnation. */
-  remove(incarnation: string): void {
-    this.states.delete(incarnation);
+  /** Records that a target refused a request without running it: it gets no more until a slot there is freed or its load was reported again. */
+  recordFull(incarnation: string): void {
+    const state = this.states.get(incarnation);
+    if (state) {
+      state.fullUntil = this.clock.now() + FULL_COOLDOWN_MS;
+      this.recordRefusal(state, 'it did not run the request');
+    }
   }
 
-  /** Describes stalled and active targets and the running requests for the control plane. */
+  /** Describes stalled, active and closed targets and the running requests for the control plane. */
   describeHealth() {
     const now = this.clock.now();
     const stalled: string[] = [];
     const answering: string[] = [];
     const answeringMsAgo: number[] = [];
+    const closedHeads: Array<{incarnation: string; epoch: number}> = [];
     const counts: Record<string, number> = {};
     for (const [incarnation, state] of this.states) {
-      const {lastActiveAt, stalledAt, running} = state;
-      if (running > 0) {
-        counts[incarnation] = running;
+      const {lastActiveAt, stalledAt, target, closedUntil} = state;
+      const taken = countTakenSlots(state, now);
+      if (taken > 0) {
+        counts[incarnation] = taken;
       }
       if (now - stalledAt < STALL_COOLDOWN_MS && this.isStalled(incarnation)) {
         stalled.push(incarnation);
@@ -318,17 +323,41 @@
         answering.push(incarnation);
         answeringMsAgo.push(Math.ceil(now - lastActiveAt));
       }
+      if (closedUntil > now && target.epoch !== undefined) {
+        closedHeads.push({incarnation, epoch: target.epoch});
+      }
     }
-    return {stalled, answering, answeringMsAgo, running: counts};
+    return {stalled, answering, answeringMsAgo, closedHeads, running: counts};
   }
 
-  private isEligible(
-    {incarnation}: GatewayTarget,
-    {excludesLimited}: TargetQuery,
-  ): boolean {
-    const {availability} = this;
-    const mayBeDenied = excludesLimited && availability.isLimited(incarnation);
-    return !mayBeDenied && availability.isAvailable(incarnation);
+  private recordFailure(incarnation: string, avoidMs: number): void {
+    this.avoid(incarnation, avoidMs);
+    const state = this.states.get(incarnation);
+    if (state) {
+      const isNewlyStalled = !this.isStalled(incarnation);
+      state.stalledAt = this.clock.now();
+      this.repairs.recordGroupLost(state.target.model ?? '', state.stalledAt);
+      if (isNewlyStalled) {
+        this.onChanged();
+      }
+    }
+  }
+
+  private recordRefusal(state: TargetState, reason: string): void {
+    const {target, running, runningElsewhere} = state;
+    this.eventLog.record(`send-refused ${reason}`, {
+      type: 'send-refused',
+      subject: 'host',
+      id: target.incarnation,
+      reason,
+      details: {
+        epoch: target.epoch ?? 0,
+        slots: target.slots,
+        running,
+        runningElsewhere,
+        reportAgeMs: Math.round(this.unreported.reportAgeMs),
+      },
+    });
   }
 
   private avoid(incarnation: string, durationMs: number): void {
@@ -337,55 +366,14 @@
       state.avoidUntil = this.clock.now() + durationMs;
     }
   }
-
-  private computeLoad(state: TargetState): number {
-    const {target, running, runningElsewhere, waitingTokens} = state;
-    const zonePenalty =
-      target.zone === this.zone ? 0 : CROSS_ZONE_PENALTY_TOKENS;
-    const total = running + runningElsewhere;
-    return total * REQUEST_TOKENS + waitingTokens + zonePenalty;
-  }
-}
-
-/** Targets with the same pool and model are interchangeable and share a queue. */
-function createQueueKey({
-  pool,
-  model = '',
-}: Pick<GatewayTarget, 'pool' | 'model'>) {
-  return `${pool} ${model}`;
-}
-
-function createState(target: GatewayTarget): TargetState {
-  return {
-    target,
-    running: 0,
-    runningElsewhere: 0,
-    waitingTokens: 0,
-    lastActiveAt: -Infinity,
-    avoidUntil: -Infinity,
-    stalledAt: -Infinity,
-  };
-}
-
-/** Returns the models of the serving groups, by target key. */
-function listGroups(
-  states: ReadonlyMap<string, TargetState>,
-): Map<string, string> {
-  return new Map(
-    [...states.values()].flatMap(({target}) =>
-      target.model === undefined
-        ? []
-        : [[createTargetKey(target), target.model] as const],
-    ),
-  );
 }
 
-/** An engine keeps its speed until all of its slots are taken; further requests queue there. */
-function hasFreeSlot({
-  target,
-  running,
-  runningElsewhere,
-}: TargetState): boolean {
-  const isEngine = target.model !== undefined;
-  return !isEngine || running + runningElsewhere < target.slots;
+/** Returns the slots that this gateway uses at a target, freed ones that its waiting requests reuse included. */
+function countTakenSlots(
+  {running, recentPeak, target}: TargetState,
+  now: number,
+): number {
+  const isHeld =
+    target.model !== undefined && now - recentPeak.at < HELD_SLOT_MS;
+  return isHeld ? Math.max(running, recentPeak.running) : running;
 }
--- /dev/null
+++ b/src/gateway/routing/target_availability.ts
@@ -0,0 +1,6 @@
+/** What backend servers signalled about themselves in earlier responses. */
+export interface TargetAvailability {
+  readonly isAvailable: (incarnation: string) => boolean;
+  /** True if each request needs a permit. */
+  readonly isLimited: (incarnation: string) => boolean;
+}
--- a/src/gateway/routing/unreported_load.ts
+++ b/src/gateway/routing/unreported_load.ts
@@ -1,4 +1,4 @@
-/** Estimates the load that other gateways have added since their last report. */
+/** Estimates the requests that other gateways have sent since their last report. */
 import {Clock} from '../../common/clock';
 
 /**
@@ -9,12 +9,12 @@
 
 interface Start {
   readonly at: number;
-  readonly tokens: number;
+  readonly promptTokens: number;
 }
 
-/** Extrapolates from this gateway's own load, as the others get similar traffic. */
+/** Extrapolates from this gateway's own requests, as the others get similar traffic. */
 export class UnreportedLoad {
-  /** Load that this gateway added recently, by queue, oldest first. */
+  /** Requests that this gateway sent recently, by queue, oldest first. */
   private readonly starts = new Map<string, Start[]>();
   private others = 0;
   private reportedAt: number;
@@ -34,10 +34,10 @@
     return new UnreportedLoad(clock);
   }
 
-  /** Records load that this gateway added to a queue. */
-  recordStart(queue: string, tokens: number): void {
+  /** Records a request that this gateway sent. */
+  recordStart(queue: string, promptTokens: number): void {
     const recent = this.listRecent(queue);
-    this.starts.set(queue, [...recent, {at: this.clock.now(), tokens}]);
+    this.starts.set(queue, [...recent, {at: this.clock.now(), promptTokens}]);
   }
 
   /** Records that the load of so many other gateways was reported. */
@@ -49,19 +49,20 @@
   }
 
   /**
-   * Estimates the load that others added to a queue since their report, in
-   * tokens.
+   * Mean age of the other gateways' numbers, in milliseconds. A report is
+   * collected from them over the interval before it, so its data is older by
+   * half of that.
    */
-  estimate(queue: string): number {
-    const tokens = this.listRecent(queue).reduce(
-      (sum, start) => sum + start.tokens,
-      0,
-    );
-    // A report is collected from the other gateways over the interval before
-    // it, so its data is older by half of that on average.
-    const ageMs =
-      this.clock.now() - this.reportedAt + this.reportIntervalMs / 2;
-    return (this.others * tokens * ageMs) / WINDOW_MS;
+  get reportAgeMs(): number {
+    return this.clock.now() - this.reportedAt + this.reportIntervalMs / 2;
+  }
+
+  /** Estimates the requests that others sent to a queue since their report, and their prompt tokens. */
+  estimate(queue: string): {requests: number; promptTokens: number} {
+    const recent = this.listRecent(queue);
+    const tokens = recent.reduce((sum, start) => sum + start.promptTokens, 0);
+    const factor = (this.others * this.reportAgeMs) / WINDOW_MS;
+    return {requests: recent.length * factor, promptTokens: tokens * factor};
   }
 
   private listRecent(queue: string): Start[] {
--- a/test/support/run_balancing_simulation.ts
+++ b/test/support/run_balancing_simulation.ts
@@ -4,6 +4,7 @@
  */
 import {Clock} from '../../src/common/clock';
 import {LoadBalancer} from '../../src/gateway/routing/load_balancer';
+import {EngineProfile} from '../../src/protocol/engine_profile';
 import {GatewayTarget} from '../../src/protocol/gateway_target';
 import {BatchingEngine, BatchingProfile} from './batching_engine';
 
@@ -126,6 +127,26 @@
     };
   }
 
+  /** The profile of the simulated engines, as the rules describe it to a gateway. */
+  private get engineProfile(): EngineProfile {
+    const {slots, stepMs, stepMsPerRequest, stepsPerEvent, pace, ...rest} =
+      this.options.profile;
+    return {
+      models: [{name: 'm', size: 1, pace, share: 1, loadMs: 1, warmMs: 1}],
+      slots,
+      contextTokens: Infinity,
+      stepMs,
+      stepMsPerRequest,
+      promptTokensPerSecond: rest.tokensPerMs * 1_000,
+      promptChunkTokens: rest.chunkTokens,
+      stepsPerEvent,
+      loadsPerSecond: 1,
+      concurrentLoads: 1,
+      keptModels: 0,
+      openMs: 0,
+    };
+  }
+
   private addEngine(): void {
     const {zones, profile} = this.options;
     const at = this.targets.size;
@@ -208,7 +229,13 @@
     );
     const balancer = this.balancers[at];
     const promptTokens = this.drawSize(this.options.promptTokens);
-    const want = {pool: 'p', model: 'm', excluded: new Set<string>()};
+    const want = {
+      pool: 'p',
+      model: 'm',
+      engine: this.engineProfile,
+      promptTokens,
+      excluded: new Set<string>(),
+    };
     const target = balancer.choose({...want, mayQueue: true});
     if (!target) {
       throw new Error('no engine was chosen');
