feat(control): heads that a gateway found closed are withdrawn from all gateways at once

A group that lost a member refuses with 421 until its head registers, up to a second later; each gateway found that out by requests of its own. The leader leaves such a head out of the table for two intervals of registrations. The bundles of trusted channels move to a file of their own.

--- a/src/control/gateway_service.ts
+++ b/src/control/gateway_service.ts
@@ -1,17 +1,14 @@
 /** Serves the calls of gateways, of trusted rules channels and of backend servers on the leader. */
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
-import {ChannelBundle} from '../protocol/channel_bundle';
-import {checkGatewayRules} from '../protocol/check_gateway_rules';
 import {ControlMessage} from '../protocol/control_message';
 import {MessageOf} from '../protocol/message_of';
 import {ModelDemand} from '../protocol/model_demand';
 import {splitIdentity} from '../protocol/split_identity';
-import {CommandResult} from '../state/command_result';
 import {BackendRegistry} from './backend_registry';
-import {checkDurability} from './check_durability';
+import {BundleService} from './bundle_service';
 import {ChangeSignal} from './change_signal';
-import {ControlError} from './control_error';
+import {ClosedHeads} from './closed_heads';
 import {ControlSettings} from './control_settings';
 import {EncodedRulesCache} from './encoded_rules_cache';
 import {RateLimitService} from './rate_limit_service';
@@ -62,11 +59,9 @@
   private readonly saturatedAt = new Map<string, number>();
   private expiredAt = -Infinity;
   private hasServedRequests = false;
-  /** Bundles that were proposed to the replicated log and are not committed yet. */
-  private readonly pendingBundles: Array<
-    ChannelBundle & {readonly committed: Promise<CommandResult>}
-  > = [];
+  private readonly bundles: BundleService;
   private readonly registrations: RegistrationService;
+  private readonly closedHeads = ClosedHeads.create();
   private readonly targets: TargetTable;
   private readonly limits: RateLimitService;
   private readonly encodedRules = EncodedRulesCache.create();
@@ -78,10 +73,17 @@
   private constructor(private readonly options: GatewayServiceOptions) {
     const {registry, runtime, identity, signal} = options;
     const leaderName = splitIdentity(identity).name;
-    this.targets = TargetTable.create({registry, runtime, leaderName});
+    const {closedHeads} = this;
+    this.targets = TargetTable.create({
+      registry,
+      runtime,
+      closedHeads,
+      leaderName,
+    });
     const notify = () => this.notifyGateways();
     this.limits = RateLimitService.create({...options, leaderName, notify});
     signal.subscribe(() => this.scheduleNotification());
+    this.bundles = BundleService.create(options);
     this.registrations = RegistrationService.create({...options, notify});
     this.handlers = {...this.createHandlers(), ...this.limits.handlers};
   }
@@ -137,7 +139,7 @@
   private createHandlers() {
     return {
       'channel-bundle-ask': (request: Call<'channel-bundle-ask'>) =>
-        this.acceptBundle(request),
+        this.bundles.accept(request),
       'source-ask': ({call}: Call<'source-ask'>): ControlMessage => {
         const source = this.options.runtime.state.channel.source ?? null;
         return {type: 'source-answer', call, source};
@@ -152,78 +154,6 @@
     };
   }
 
-  private async acceptBundle({
-    call,
-    bundle,
-  }: Call<'channel-bundle-ask'>): Promise<ControlMessage> {
-    const {settings, runtime, clock} = this.options;
-    const startedAt = clock.now();
-    if (!settings.trustedChannels?.includes(bundle.channel)) {
-      throw new ControlError('the channel %s is not trusted', bundle.channel);
-    }
-    const problem = findRulesError(bundle);
-    if (problem !== undefined) {
-      const {version} = runtime.state.channel;
-      this.recordBundle(bundle, 'bundle-refused', problem, startedAt);
-      return {type: 'channel-bundle-answer', call, version, reason: problem};
-    }
-    const reason = await this.commitOnce(bundle);
-    const {version} = runtime.state.channel;
-    this.recordBundle(bundle, 'bundle-taken', reason, startedAt);
-    return {type: 'channel-bundle-answer', call, version, reason};
-  }
-
-  /** Calls that carry the same bundle share one entry of the replicated log. */
-  private async commitOnce(bundle: ChannelBundle): Promise<string> {
-    const {runtime} = this.options;
-    const {version} = bundle.rules;
-    const inForce = runtime.state.channel.version;
-    if (version <= inForce) {
-      return `version ${inForce} is in force, so ${version} changes nothing`;
-    }
-    const pending = this.pendingBundles.find(
-      ({source, channel, rules}) =>
-        rules.version === version &&
-        channel === bundle.channel &&
-        source === bundle.source,
-    );
-    if (pending) {
-      return (await pending.committed).reason;
-    }
-    checkDurability(this.options);
-    const command = {
-      type: 'accept-channel-bundle' as const,
-      time: Date.now(),
-      bundle,
-    };
-    const proposal = {...bundle, committed: runtime.propose(command)};
-    this.pendingBundles.push(proposal);
-    try {
-      return (await proposal.committed).reason;
-    } finally {
-      this.pendingBundles.splice(this.pendingBundles.indexOf(proposal), 1);
-    }
-  }
-
-  private recordBundle(
-    {rules, source}: ChannelBundle,
-    type: 'bundle-taken' | 'bundle-refused',
-    reason: string,
-    startedAt: number,
-  ): void {
-    this.options.events.record({
-      type,
-      subject: 'bundle',
-      id: String(rules.version),
-      reason,
-      details: {
-        routes: rules.routes.length,
-        bytes: source.length,
-        tookMs: Math.round(this.options.clock.now() - startedAt),
-      },
-    });
-  }
-
   private async answerGateway(
     poll: Call<'gateway-ask'>,
   ): Promise<ControlMessage> {
@@ -338,11 +268,29 @@
       this.lastActivityAt.set(incarnation, at);
     });
     this.limits.recordReports(gatewayId, poll.limits ?? []);
+    this.withdrawClosedHeads(poll, now);
     poll.pressed.forEach(model => this.saturatedAt.set(model, now));
     this.hasServedRequests ||= poll.hasServed;
     this.expireReports(now);
   }
 
+  /** Tells the other gateways at once, before they send to a head that refuses everything. */
+  private withdrawClosedHeads(
+    {gatewayId, closedHeads = []}: Call<'gateway-ask'>,
+    now: number,
+  ): void {
+    for (const head of this.closedHeads.record(closedHeads, now)) {
+      this.options.events.record({
+        type: 'head-withdrawn',
+        subject: 'host',
+        id: head.incarnation,
+        reason: 'it answered a gateway that it does not serve its group',
+        details: {epoch: head.epoch, gatewayId},
+      });
+      this.batchedChanges.notify();
+    }
+  }
+
   /** Drops old reports, since incarnations change for as long as this process leads. */
   private expireReports(now: number): void {
     if (now - this.expiredAt < REPORT_VALID_MS) {
@@ -363,15 +311,6 @@
   }
 }
 
-function findRulesError({rules}: ChannelBundle): string | undefined {
-  try {
-    checkGatewayRules(rules);
-    return undefined;
-  } catch (error) {
-    return (error as Error).message;
-  }
-}
-
 function addDemand(
   sum: ModelDemand | undefined,
   part: ModelDemand,
--- a/src/control/target_table.ts
+++ b/src/control/target_table.ts
@@ -6,6 +6,7 @@
 import {EngineGroup} from '../protocol/engine_group';
 import {GatewayTarget} from '../protocol/gateway_target';
 import {BackendRegistry} from './backend_registry';
+import {ClosedHeads} from './closed_heads';
 import {RaftRuntime} from './raft_runtime';
 
 /**
@@ -36,6 +37,8 @@
 interface TargetTableOptions {
   readonly registry: BackendRegistry;
   readonly runtime: Pick<RaftRuntime, 'state' | 'raft' | 'leadingSince'>;
+  /** Heads that are left out, whatever their registrations say. */
+  readonly closedHeads: ClosedHeads;
   /** Part of the tag, so that versions of two leaders never look the same. */
   readonly leaderName: string;
 }
@@ -60,7 +63,7 @@
    * Creates an empty table.
    *
    * @example
-   * const table = TargetTable.create({registry, runtime, leaderName: 'control-a'});
+   * const table = TargetTable.create({registry, runtime, closedHeads, leaderName: 'control-a'});
    */
   static create(options: TargetTableOptions): TargetTable {
     return new TargetTable(options);
@@ -104,12 +107,13 @@
 
   /** Updates the table if any of its sources changed. */
   private refresh(now: number): void {
-    const {registry, runtime, leaderName} = this.options;
+    const {registry, runtime, leaderName, closedHeads} = this.options;
     const {engines, channel} = runtime.state;
     const {term} = runtime.raft;
     const isComplete = this.isComplete(now);
     const sequenceId = `${leaderName}/${term}/${isComplete ? 'all' : 'some'}`;
-    const sourceVersions = `${registry.version}/${engines.version}/${channel.version}`;
+    const closures = closedHeads.readVersion(now);
+    const sourceVersions = `${registry.version}/${engines.version}/${channel.version}/${closures}`;
     if (
       sequenceId === this.sequenceId &&
       sourceVersions === this.sourceVersions
@@ -213,6 +217,7 @@
       );
       return isEnding ||
         !isWhole ||
+        this.options.closedHeads.has({incarnation, epoch}) ||
         slots === undefined ||
         registered.has(address) ||
         registered.has(name ?? address)
@@ -243,7 +248,9 @@
     const isWhole =
       committed?.isEnding === false &&
       committed.members.every(member => !engines.isRetired(member.incarnation));
-    return isOpen && isWhole
+    const epoch = committed?.epoch ?? 0;
+    const isClosed = this.options.closedHeads.has({incarnation, epoch});
+    return isOpen && isWhole && !isClosed
       ? {...target, model: committed?.model, epoch: committed?.epoch}
       : undefined;
   }
--- a/src/gateway/control/control_poller.ts
+++ b/src/gateway/control/control_poller.ts
@@ -25,6 +25,8 @@
   /** Milliseconds since data was last received from each of `answering`, in the same order. */
   readonly answeringMsAgo: readonly number[];
   readonly running: Readonly<Record<string, number>>;
+  /** Heads that recently answered that they do not serve their group. */
+  readonly closedHeads: ReadonlyArray<{incarnation: string; epoch: number}>;
   /** Models whose requests were refused recently because no slot was free. */
   readonly saturatedModels: readonly string[];
   readonly hasServed: boolean;
@@ -155,6 +157,7 @@
         answering: [...report.answering],
         answeringMsAgo: [...report.answeringMsAgo],
         running: {...report.running},
+        closedHeads: [...report.closedHeads],
         pressed: [...report.saturatedModels],
         hasServed: report.hasServed,
         isUrgent,
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -175,6 +175,10 @@
     running: z.record(z.string(), z.int()),
     /** Models with requests that were recently rejected for lack of a free slot. */
     pressed: z.array(z.string()),
+    /** Heads that recently answered this gateway that they do not serve the group of this epoch. */
+    closedHeads: z
+      .array(z.object({incarnation: z.string(), epoch: z.int().nonnegative()}))
+      .optional(),
     /** True after the first accepted request of a caller. */
     hasServed: z.boolean(),
     /** True when this report has changes: the answer must not be delayed until control has some (long polling). */
--- a/test/control/gateway_service.test.ts
+++ b/test/control/gateway_service.test.ts
@@ -15,6 +15,8 @@
 import {SuspectTable} from '../../src/state/suspect_table';
 import {PROFILE, createGroup, createHost} from '../support/engine_plan';
 
+type GatewayAsk = MessageOf<ControlMessage, 'gateway-ask'>;
+
 const NOW = 20_000;
 const POOL = {name: 'p', maxConnections: 10, engine: PROFILE};
 
@@ -41,7 +43,7 @@
     events: EventRing.create(),
     identity: 'c/1',
   });
-  const poll = async () => {
+  const poll = async (changes: Partial<GatewayAsk> = {}) => {
     const answer = await service.handlers['gateway-ask']({
       type: 'gateway-ask',
       call: 1,
@@ -54,6 +56,7 @@
       pressed: [],
       hasServed: false,
       isUrgent: true,
+      ...changes,
     });
     return answer as MessageOf<ControlMessage, 'gateway-answer'>;
   };
@@ -100,6 +103,25 @@
   expect(await listTargets()).toEqual([]);
 });
 
+test('a head that one gateway found closed is withdrawn from the others at once', async () => {
+  const {engines, registry, poll} = create(16_000);
+  const group = createGroup(['a', 'b']);
+  engines.set(group);
+  const {name, epoch} = group;
+  const told = {name, epoch, rank: 0, state: 'open' as const};
+  registry.record(createHost('a', {group: told}).registration, NOW);
+  const {tableTag} = await poll();
+  const held = poll({
+    gatewayId: 'other',
+    isUrgent: false,
+    rulesVersion: 1,
+    tableTag,
+  });
+  await poll({closedHeads: [{incarnation: 'a', epoch}]});
+
+  expect((await held).closed).toEqual(['a']);
+});
+
 // Rules with 1,400 routes were encoded separately for each of 36 gateways. That blocked the
 // leader's event loop for half a second after each change, so that answers were dropped;
 // after three changes its lease expired ("no quorum answered in time"). A valid change went
--- a/test/control/target_table.test.ts
+++ b/test/control/target_table.test.ts
@@ -4,6 +4,7 @@
  * every gateway.
  */
 import {describe, expect, test} from 'vitest';
+import {ClosedHeads} from '../../src/control/closed_heads';
 import {BackendRegistry} from '../../src/control/backend_registry';
 import {RaftRuntime} from '../../src/control/raft_runtime';
 import {TargetTable} from '../../src/control/target_table';
@@ -29,14 +30,20 @@
     raft,
     leadingSince: 0,
   } as unknown as RaftRuntime;
-  const table = TargetTable.create({registry, runtime, leaderName: 'c'});
+  const closedHeads = ClosedHeads.create();
+  const table = TargetTable.create({
+    registry,
+    runtime,
+    closedHeads,
+    leaderName: 'c',
+  });
   let sequence = 1;
   const register = (name: string, told?: GroupReport) => {
     sequence += 1;
     const changes = {sequence, group: told};
     registry.record(createHost(name, changes).registration, 0);
   };
-  return {engines, registry, raft, table, register};
+  return {engines, registry, raft, table, closedHeads, register};
 }
 
 function open(name: string, epoch: number): GroupReport {
@@ -89,6 +96,25 @@
     });
   });
 
+  // Guards against sends to a group that lost a member: its head refused with 421 for up to a
+  // registration interval, and each gateway found that out by its own requests.
+  test('leaves out a head that a gateway found closed, in this group only and for a while', () => {
+    const {table, engines, closedHeads, register} = create();
+    engines.set(createGroup(['a', 'b'], {name: 'g', epoch: 3}));
+    register('a', open('g', 3));
+    const tag = table.readTag(COMPLETE_AT);
+    closedHeads.record([{incarnation: 'a', epoch: 3}], COMPLETE_AT);
+    const listTargets = (now: number) =>
+      table.listChangesSince('', now).targets.map(target => target.epoch);
+    expect(table.listChangesSince(tag, COMPLETE_AT).closed).toEqual(['a']);
+    expect(listTargets(COMPLETE_AT + 1_999)).toEqual([]);
+    expect(listTargets(COMPLETE_AT + 2_000)).toEqual([3]);
+    closedHeads.record([{incarnation: 'a', epoch: 3}], COMPLETE_AT + 2_000);
+    engines.set(createGroup(['a', 'b'], {name: 'g', epoch: 4}));
+    register('a', open('g', 4));
+    expect(listTargets(COMPLETE_AT + 2_001)).toEqual([4]);
+  });
+
   test('is sent whole to a gateway with the table of another leader', () => {
     const {table, raft, register} = create();
     register('a');
