--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -105,13 +105,20 @@
     const reportNow = () => this.poller.reportNow();
     const source = {gatewayId, client, events, reportNow};
     this.signals = createBackendSignals(source);
-    this.balancer = LoadBalancer.create(zone, clock, Math.random, reportNow, {
-      ...this.signals.availability,
-      zones: ZoneGuard.create({
-        isConfirmed: () => this.poller.isConfirmed(),
-        isEvacuated: zone => this.poller.evacuations.has(zone),
-      }),
-    });
+    this.balancer = LoadBalancer.create(
+      zone,
+      clock,
+      Math.random,
+      reportNow,
+      {
+        ...this.signals.availability,
+        zones: ZoneGuard.create({
+          isConfirmed: () => this.poller.isConfirmed(),
+          isEvacuated: zone => this.poller.evacuations.has(zone),
+        }),
+      },
+      events,
+    );
     this.containment = CrashContainment.create({
       detector: CrashDetector.create({clock, events}),
       calls: createSuspectCalls(gatewayId, client),
--- a/src/gateway/request_sender.ts
+++ b/src/gateway/request_sender.ts
@@ -71,12 +71,14 @@
     mayQueue: boolean,
     excludesLimited = false,
   ): GatewayTarget | undefined {
-    const {balancer} = this.options.context;
+    const {request, pool, balancer} = this.options.context;
     this.endBackOffs();
     return balancer.choose({
       ...this.query,
       mayQueue,
       excludesLimited,
+      engine: pool.engine,
+      promptTokens: request.promptTokens,
       excluded: this.tried,
     });
   }
@@ -142,7 +144,11 @@
     const permit = await context.signals.limits.acquirePermit(
       target.incarnation,
     );
-    if (permit && context.balancer.has(target.incarnation) && canStillSend()) {
+    if (
+      permit &&
+      context.balancer.isOpen(target.incarnation) &&
+      canStillSend()
+    ) {
       this.startAttempt(target, permit);
     } else {
       onPermitDenied();
--- a/test/control/gateway_service.test.ts
+++ b/test/control/gateway_service.test.ts
@@ -16,6 +16,8 @@
 import {SuspectTable} from '../../src/state/suspect_table';
 import {PROFILE, createGroup, createHost} from '../support/engine_plan';
 
+type GatewayAsk = MessageOf<ControlMessage, 'gateway-ask'>;
+
 const NOW = 20_000;
 const POOL = {name: 'p', maxConnections: 10, engine: PROFILE};
 
@@ -44,7 +46,7 @@
     events: EventRing.create(),
     identity: 'c/1',
   });
-  const poll = async (evacuationsVersion?: number) => {
+  const poll = async (changes: Partial<GatewayAsk> = {}) => {
     const answer = await service.handlers['gateway-ask']({
       type: 'gateway-ask',
       call: 1,
@@ -57,7 +59,7 @@
       pressed: [],
       hasServed: false,
       isUrgent: true,
-      evacuationsVersion,
+      ...changes,
     });
     return answer as MessageOf<ControlMessage, 'gateway-answer'>;
   };
@@ -104,6 +106,25 @@
   expect(await listTargets()).toEqual([]);
 });
 
+test('a head that one gateway found closed is withdrawn from the others at once', async () => {
+  const {engines, registry, poll} = create(16_000);
+  const group = createGroup(['a', 'b']);
+  engines.set(group);
+  const {name, epoch} = group;
+  const told = {name, epoch, rank: 0, state: 'open' as const};
+  registry.record(createHost('a', {group: told}).registration, NOW);
+  const {tableTag} = await poll();
+  const held = poll({
+    gatewayId: 'other',
+    isUrgent: false,
+    rulesVersion: 1,
+    tableTag,
+  });
+  await poll({closedHeads: [{incarnation: 'a', epoch}]});
+
+  expect((await held).closed).toEqual(['a']);
+});
+
 // Rules with 1,400 routes were encoded separately for each of 36 gateways. That blocked the
 // leader's event loop for half a second after each change, so that answers were dropped;
 // after three changes its lease expired ("no quorum answered in time"). A valid change went
@@ -156,11 +177,11 @@
   const zone = {zone: 'zone-a', requestedBy: 'operators', since: 1};
   evacuations.evacuate(zone);
 
-  expect(await poll(0)).toMatchObject({
+  expect(await poll({evacuationsVersion: 0})).toMatchObject({
     evacuationsVersion: 1,
     evacuations: [zone],
   });
-  expect((await poll(1)).evacuations).toBeUndefined();
+  expect((await poll({evacuationsVersion: 1})).evacuations).toBeUndefined();
   // A gateway of an older version names none and must not be answered at once each time.
   expect((await poll()).evacuations).toBeUndefined();
 });
