feat(platform): decode how long backend servers stay cold and their rate meanwhile

Services have cold_per_s and cold_start_s, registrations cold_remaining_ms, answers X-Whinreel-Cold-Ms. The test of a whole registration now expects the decoded field, as its sample has cold_remaining_ms 0.

--- a/src/control/backend_registry.ts
+++ b/src/control/backend_registry.ts
@@ -269,10 +269,15 @@
 }
 
 /** Everything but the sequence number, for comparison. */
+/** Leaves out what differs in each registration: the count, and the countdown of a cold server, which `ColdServerService` follows. */
 function describeContent({
   registration,
 }: {
   registration: BackendRegistration;
 }): string {
-  return JSON.stringify({...registration, sequence: 0});
+  return JSON.stringify({
+    ...registration,
+    sequence: 0,
+    coldForMs: undefined,
+  });
 }
--- a/src/gateway/response_head.ts
+++ b/src/gateway/response_head.ts
@@ -20,6 +20,8 @@
   readonly isEventStream: boolean;
   /** Requests per second that the backend server accepts from all gateways together. */
   readonly limitPerSecond?: number;
+  /** Time for which the backend server stays cold, in milliseconds; 0 for one that is warm, absent for one that does not say. */
+  readonly coldForMs?: number;
   /** How long this gateway should send nothing more, as announced by a backend server that refused the request. */
   readonly restMs?: number;
   /** The backend server announces that it is shutting down. */
--- a/test/platform/translation.test.ts
+++ b/test/platform/translation.test.ts
@@ -58,6 +58,25 @@
     expect(decode({tenants: []}).workspaces).toEqual([]);
   });
 
+  // Guards against a limit where none is configured, and a field in every message.
+  test('limits cold servers only where it has a rate for them', () => {
+    const {pools} = decode({
+      services: [
+        {name: 's', cold_per_s: 4.5, cold_start_s: 12},
+        {name: 't', cold_per_s: 0, cold_start_s: 0},
+        {name: 'u'},
+      ],
+    });
+    expect(pools[0]).toMatchObject({
+      coldRequestsPerSecond: 4.5,
+      coldStartMs: 12_000,
+    });
+    for (const pool of pools.slice(1)) {
+      expect(pool).not.toHaveProperty('coldRequestsPerSecond');
+      expect(pool).not.toHaveProperty('coldStartMs');
+    }
+  });
+
   test('may split a route by weight', () => {
     const split = [
       {service: 's', weight: 90},
@@ -140,9 +159,22 @@
       model: 'm',
       stagedModels: ['m'],
       group: {name: 'g', epoch: 3, rank: 1, state: 'ready'},
+      coldForMs: 0,
     });
   });
 
+  // Guards against a cold server taken for a warm one, and against a server
+  // that says nothing taken for one that says that it is warm.
+  test.each([
+    [4_250.5, 4_250.5],
+    [-3, 0],
+    [null, undefined],
+    [undefined, undefined],
+  ])('with %s ms left of being cold is decoded', (remainingMs, expected) => {
+    const text = JSON.stringify({...wire, cold_remaining_ms: remainingMs});
+    expect(decodeRegistration('i', text).coldForMs).toBe(expected);
+  });
+
   test('of a plain service has neither domain nor group', () => {
     const plain = {...wire, domain: null, group: null, models: [], staged: []};
     const registration = decodeRegistration('i', JSON.stringify(plain));
@@ -247,6 +279,27 @@
     },
   );
 
+  // Guards against a malformed value read as a state of the server.
+  test.each([
+    ['0', 0],
+    ['8200', 8_200],
+    ['8200.5', 8_200.5],
+    ['-1', undefined],
+    ['soon', undefined],
+  ])(
+    'of a response with %s ms of being cold are decoded',
+    (text, coldForMs) => {
+      const head = platformHttpDialect.readResponseHead(200, {
+        'x-whinreel-cold-ms': text,
+      });
+      expect(head.coldForMs).toBe(coldForMs);
+      const isUnread = coldForMs === undefined;
+      expect(head.unread).toBe(
+        isUnread ? `x-whinreel-cold-ms: ${text}` : undefined,
+      );
+    },
+  );
+
   test.each([
     [503, '3', 3_000],
     [503, '0.25', 250],
