feat(limits): cold backend servers get a limited number of requests

The leader keeps until when each start of a server is cold, from its registrations and from gateways' reports of answers, and tells gateways in the targets.

The simulation of limits now runs the real target table and the states of cold servers as well.

--- a/src/control/gateway_service.ts
+++ b/src/control/gateway_service.ts
@@ -8,9 +8,11 @@
 import {ModelDemand} from '../protocol/model_demand';
 import {splitIdentity} from '../protocol/split_identity';
 import {CommandResult} from '../state/command_result';
+import {addDemand} from './add_demand';
 import {BackendRegistry} from './backend_registry';
 import {checkDurability} from './check_durability';
 import {ChangeSignal} from './change_signal';
+import {ColdServerService} from './cold_server_service';
 import {ControlError} from './control_error';
 import {ControlSettings} from './control_settings';
 import {EncodedRulesCache} from './encoded_rules_cache';
@@ -68,6 +70,8 @@
   > = [];
   private readonly registrations: RegistrationService;
   private readonly targets: TargetTable;
+  /** Which backend servers are cold. */
+  readonly cold: ColdServerService;
   private readonly limits: RateLimitService;
   private readonly encodedRules = EncodedRulesCache.create();
   /** Running requests of all gateways together, by incarnation. */
@@ -76,13 +80,16 @@
   private isBatchPending = false;
 
   private constructor(private readonly options: GatewayServiceOptions) {
-    const {registry, runtime, identity, signal} = options;
-    const leaderName = splitIdentity(identity).name;
-    this.targets = TargetTable.create({registry, runtime, leaderName});
+    const leaderName = splitIdentity(options.identity).name;
     const notify = () => this.notifyGateways();
-    this.limits = RateLimitService.create({...options, leaderName, notify});
-    signal.subscribe(() => this.scheduleNotification());
-    this.registrations = RegistrationService.create({...options, notify});
+    const {heartbeatMs} = options.settings.pools ?? {};
+    const shared = {...options, leaderName, heartbeatMs, notify};
+    const cold = ColdServerService.create(shared);
+    this.cold = cold;
+    this.targets = TargetTable.create({...shared, cold});
+    this.limits = RateLimitService.create({...shared, cold});
+    options.signal.subscribe(() => this.scheduleNotification());
+    this.registrations = RegistrationService.create({...shared, cold});
     this.handlers = {...this.createHandlers(), ...this.limits.handlers};
   }
 
@@ -338,6 +345,7 @@
       this.lastActivityAt.set(incarnation, at);
     });
     this.limits.recordReports(gatewayId, poll.limits ?? []);
+    this.cold.recordReport(poll);
     poll.pressed.forEach(model => this.saturatedAt.set(model, now));
     this.hasServedRequests ||= poll.hasServed;
     this.expireReports(now);
@@ -371,16 +379,3 @@
     return (error as Error).message;
   }
 }
-
-function addDemand(
-  sum: ModelDemand | undefined,
-  part: ModelDemand,
-): ModelDemand {
-  return {
-    requestsPerSecond: (sum?.requestsPerSecond ?? 0) + part.requestsPerSecond,
-    promptTokensPerSecond:
-      (sum?.promptTokensPerSecond ?? 0) + part.promptTokensPerSecond,
-    answerTokensPerSecond:
-      (sum?.answerTokensPerSecond ?? 0) + part.answerTokensPerSecond,
-  };
-}
--- a/src/control/rate_limit_service.ts
+++ b/src/control/rate_limit_service.ts
@@ -1,14 +1,14 @@
-/** Keeps the rate limits that backend servers announce, and issues gateways permits within them, on the leader. */
+/** Keeps the rate limits that backend servers announce, and issues gateways permits within them and for cold servers, on the leader. */
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
 import {RateLimitEventLog} from '../common/rate_limit_event_log';
 import {AdvertisedLimits} from '../coordination/limits/advertised_limits';
 import {PermitIssuer} from '../coordination/limits/permit_issuer';
-import {permitTiming} from '../coordination/limits/permit_timing';
 import {ControlMessage} from '../protocol/control_message';
 import {RateLimitReport} from '../protocol/rate_limit_report';
 import {MessageOf} from '../protocol/message_of';
 import {BackendRegistry} from './backend_registry';
+import {ColdServerService} from './cold_server_service';
 import {RaftRuntime} from './raft_runtime';
 
 /** Changes that are kept; a gateway that missed more gets the full table. */
@@ -25,6 +25,7 @@
     readonly leadingSince: number;
   };
   readonly registry: Pick<BackendRegistry, 'find'>;
+  readonly cold: Pick<ColdServerService, 'findRate' | 'recordWord'>;
   readonly clock: Clock;
   readonly events: EventRing;
   readonly leaderName: string;
@@ -36,6 +37,8 @@
 export class RateLimitService {
   private readonly limits = AdvertisedLimits.create();
   private readonly issuers = new Map<string, PermitIssuer>();
+  /** Issuers of the servers that are cold, or were so recently. */
+  private readonly coldIssuers = new Map<string, PermitIssuer>();
   /** Backend servers whose limit changed, oldest first. */
   private changes: string[] = [];
   /** Number of all changes so far, including those no longer kept. */
@@ -53,7 +56,7 @@
    * Creates a service without any limits.
    *
    * @example
-   * const service = RateLimitService.create({runtime, registry, clock, events, leaderName, notify});
+   * const service = RateLimitService.create({runtime, registry, cold, clock, events, leaderName, notify});
    */
   static create(options: RateLimitServiceOptions): RateLimitService {
     return new RateLimitService(options);
@@ -86,22 +89,52 @@
 
   readonly handlers = {
     'permit-ask': (request: Call<'permit-ask'>): ControlMessage => {
-      const {call, gatewayId, limit} = request;
-      const {clock} = this.options;
-      this.recordReports(gatewayId, [limit]);
-      const {incarnation} = limit;
-      const known = this.limits.find(incarnation);
-      if (!known) {
-        return {type: 'permit-answer', call, ...UNLIMITED_VERDICT};
+      const {call, gatewayId, limit, cold} = request;
+      this.recordReports(gatewayId, limit ? [limit] : []);
+      if (cold) {
+        this.options.cold.recordWord(gatewayId, cold);
       }
-      const now = clock.now();
-      const issuer = this.getIssuer(incarnation, known.perSecond, now);
-      const {isGranted, ...pace} = issuer.acquire(gatewayId, now);
-      const kind = isGranted ? 'granted' : 'later';
-      return {type: 'permit-answer', call, verdict: {kind, ...pace}};
+      const incarnation = (limit ?? cold)?.incarnation ?? '';
+      const now = this.options.clock.now();
+      const issuers = this.listIssuers(incarnation, now);
+      if (issuers.length === 0) {
+        return {type: 'permit-answer', call, verdict: UNLIMITED_VERDICT};
+      }
+      // A gateway that does not know yet that the server is cold would use a
+      // permit for longer than that of a cold server is valid.
+      const knowsState = cold !== undefined || !this.isCold(incarnation);
+      const isAllowed =
+        knowsState && issuers.every(issuer => issuer.canIssue(now));
+      const decisions = issuers.map(issuer =>
+        issuer.acquire(gatewayId, now, isAllowed),
+      );
+      const verdict = {
+        kind: isAllowed ? ('granted' as const) : ('later' as const),
+        pauseMs: Math.max(...decisions.map(({pauseMs}) => pauseMs)),
+        intervalMs: Math.max(...decisions.map(({intervalMs}) => intervalMs)),
+      };
+      return {type: 'permit-answer', call, verdict};
     },
   };
 
+  /** Lists the issuers of all limits that apply to a server now. */
+  private listIssuers(incarnation: string, now: number): PermitIssuer[] {
+    const announced = this.limits.find(incarnation);
+    const coldRate = this.options.cold.findRate(incarnation);
+    return [
+      ...(announced
+        ? [this.getIssuer(incarnation, announced.perSecond, now)]
+        : []),
+      ...(coldRate === undefined
+        ? []
+        : [this.getColdIssuer(incarnation, coldRate, now)]),
+    ];
+  }
+
+  private isCold(incarnation: string): boolean {
+    return this.options.cold.findRate(incarnation) !== undefined;
+  }
+
   private recordReport(gatewayId: string, report: RateLimitReport): void {
     const {clock, notify} = this.options;
     const {incarnation, perSecond, msAgo} = report;
@@ -145,14 +178,31 @@
     if (known) {
       return known;
     }
-    const {windowMs, lifeMs} = permitTiming;
     const {leadingSince} = this.options.runtime;
-    const notBefore = leadingSince + windowMs + lifeMs;
-    const issuer = PermitIssuer.create({perSecond, now, notBefore});
+    const kind = 'announced';
+    const issuer = PermitIssuer.create({kind, perSecond, now, leadingSince});
     this.issuers.set(incarnation, issuer);
     return issuer;
   }
 
+  private getColdIssuer(
+    incarnation: string,
+    perSecond: number,
+    now: number,
+  ): PermitIssuer {
+    const known = this.coldIssuers.get(incarnation);
+    if (known) {
+      // The configuration may have changed.
+      known.setLimit(perSecond, now);
+      return known;
+    }
+    const {leadingSince} = this.options.runtime;
+    const kind = 'cold';
+    const issuer = PermitIssuer.create({kind, perSecond, now, leadingSince});
+    this.coldIssuers.set(incarnation, issuer);
+    return issuer;
+  }
+
   /** Resets the state in a new term, as another process may have led meanwhile, and removes expired limits. */
   private refresh(): void {
     const {runtime, registry, clock} = this.options;
@@ -161,6 +211,7 @@
       this.term = runtime.raft.term;
       this.limits.clear();
       this.issuers.clear();
+      this.coldIssuers.clear();
       this.changes = [];
     }
     if (now - this.expiredAt < EXPIRY_INTERVAL_MS) {
@@ -176,9 +227,12 @@
         this.issuers.delete(incarnation);
       }
     }
+    for (const [incarnation, issuer] of this.coldIssuers) {
+      if (!this.isCold(incarnation) && issuer.isIdle(now)) {
+        this.coldIssuers.delete(incarnation);
+      }
+    }
   }
 }
 
-const UNLIMITED_VERDICT = {
-  verdict: {kind: 'free', pauseMs: 0, intervalMs: 0},
-} as const;
+const UNLIMITED_VERDICT = {kind: 'free', pauseMs: 0, intervalMs: 0} as const;
--- a/src/control/registration_service.ts
+++ b/src/control/registration_service.ts
@@ -7,6 +7,7 @@
 import {MessageOf} from '../protocol/message_of';
 import {BackendRegistry} from './backend_registry';
 import {checkDurability} from './check_durability';
+import {ColdServerService} from './cold_server_service';
 import {ControlError} from './control_error';
 import {ControlSettings} from './control_settings';
 import {RaftRuntime} from './raft_runtime';
@@ -23,6 +24,7 @@
   readonly settings: ControlSettings;
   readonly runtime: RaftRuntime;
   readonly registry: BackendRegistry;
+  readonly cold: Pick<ColdServerService, 'recordRegistration'>;
   readonly clock: Clock;
   readonly events: EventRing;
   /** Ends the long polls of gateways, so that they get the newest state. */
@@ -41,7 +43,7 @@
    * Creates a service.
    *
    * @example
-   * const service = RegistrationService.create({settings, runtime, registry, clock, events, notify});
+   * const service = RegistrationService.create({settings, runtime, registry, cold, clock, events, notify});
    */
   static create(options: RegistrationServiceOptions): RegistrationService {
     return new RegistrationService(options);
@@ -52,7 +54,7 @@
     call,
     registration,
   }: Call<'registration-ask'>): Promise<ControlMessage> {
-    const {registry, clock, notify} = this.options;
+    const {registry, cold, clock, notify} = this.options;
     const refusal = this.findRefusal(registration);
     if (refusal !== undefined) {
       this.recordRefusal(registration, refusal);
@@ -62,6 +64,10 @@
       notify();
       this.recordChange(registration);
     }
+    const accepted = registry.find(registration.incarnation)?.registration;
+    if (accepted === registration) {
+      cold.recordRegistration(registration);
+    }
     if (registration.isLeaving) {
       await this.retire(registration.incarnation, 'it says that it is leaving');
     }
--- a/src/control/target_table.ts
+++ b/src/control/target_table.ts
@@ -6,6 +6,7 @@
 import {EngineGroup} from '../protocol/engine_group';
 import {GatewayTarget} from '../protocol/gateway_target';
 import {BackendRegistry} from './backend_registry';
+import {ColdServerService} from './cold_server_service';
 import {RaftRuntime} from './raft_runtime';
 
 /**
@@ -16,9 +17,16 @@
 /** A new leader has received a registration of every live backend server after this time. */
 const COMPLETE_AFTER_MS = 15_000;
 
+/** A target with the time until which it is cold, which each gateway gets relative to the answer. */
+interface TableEntry {
+  readonly target: GatewayTarget;
+  /** May be over; -Infinity for a server that is warm. */
+  readonly coldUntil: number;
+}
+
 /** A backend server serves with these properties, no longer serves, or has permanently retired. */
 type TableChange =
-  | {readonly kind: 'target'; readonly target: GatewayTarget}
+  | {readonly kind: 'target'; readonly entry: TableEntry}
   | {readonly kind: 'closed' | 'retired'; readonly incarnation: string};
 
 /** The full table or changes to it. */
@@ -36,6 +44,8 @@
 interface TargetTableOptions {
   readonly registry: BackendRegistry;
   readonly runtime: Pick<RaftRuntime, 'state' | 'raft' | 'leadingSince'>;
+  /** Which backend servers are cold; absent where none is. */
+  readonly cold?: Pick<ColdServerService, 'version' | 'findEnd'>;
   /** Part of the tag, so that versions of two leaders never look the same. */
   readonly leaderName: string;
 }
@@ -43,7 +53,7 @@
 /** Computes the table of one leader, and its changes. */
 export class TargetTable {
   /** The current version by incarnation; null for a backend server that serves nothing. */
-  private current = new Map<string, GatewayTarget | null>();
+  private current = new Map<string, TableEntry | null>();
   private retired = new Set<string>();
   private changes: TableChange[] = [];
   /** Number of all changes so far, including those no longer kept. */
@@ -84,19 +94,20 @@
     const missed = this.changeCount - Number(tag.slice(at + 1));
     const isSameSequence = tag.slice(0, at) === this.sequenceId;
     if (!isSameSequence || !(missed >= 0 && missed <= this.changes.length)) {
-      return this.describeFullTable();
+      return this.describeFullTable(now);
     }
-    return mergeChanges(missed === 0 ? [] : this.changes.slice(-missed));
+    const missedChanges = missed === 0 ? [] : this.changes.slice(-missed);
+    return mergeChanges(missedChanges, now);
   }
 
-  private describeFullTable(): TableUpdate {
+  private describeFullTable(now: number): TableUpdate {
     const entries = [...this.current];
     return {
-      targets: entries.flatMap(([, target]) => target ?? []),
+      targets: listTargets(entries, now),
       // A complete table replaces the gateway's, so what it doesn't list is closed.
       closed: this.isSequenceComplete
         ? []
-        : entries.flatMap(([name, target]) => (target ? [] : [name])),
+        : entries.flatMap(([name, entry]) => (entry ? [] : [name])),
       retired: [...this.retired],
       isWholeTable: true,
     };
@@ -104,12 +115,12 @@
 
   /** Updates the table if any of its sources changed. */
   private refresh(now: number): void {
-    const {registry, runtime, leaderName} = this.options;
+    const {registry, runtime, leaderName, cold} = this.options;
     const {engines, channel} = runtime.state;
     const {term} = runtime.raft;
     const isComplete = this.isComplete(now);
     const sequenceId = `${leaderName}/${term}/${isComplete ? 'all' : 'some'}`;
-    const sourceVersions = `${registry.version}/${engines.version}/${channel.version}`;
+    const sourceVersions = `${registry.version}/${engines.version}/${channel.version}/${cold?.version}`;
     if (
       sequenceId === this.sequenceId &&
       sourceVersions === this.sourceVersions
@@ -125,7 +136,7 @@
     this.isSequenceComplete = isComplete;
     this.sourceVersions = sourceVersions;
     this.recordRetired(engines.listRetired());
-    this.recordTargets();
+    this.recordTargets(now);
   }
 
   private recordRetired(retired: readonly string[]): void {
@@ -137,45 +148,53 @@
     this.retired = new Set(retired);
   }
 
-  private recordTargets(): void {
+  private recordTargets(now: number): void {
     const {registry, runtime} = this.options;
     const views = registry.list();
     const groups = runtime.state.engines.list();
     const byHead = new Map(
       groups.map(group => [group.members[0].incarnation, group]),
     );
-    const next = new Map<string, GatewayTarget | null>();
+    const next = new Map<string, TableEntry | null>();
     if (!this.isSequenceComplete) {
       this.listUnregisteredHeads(views, groups).forEach(target =>
-        next.set(target.incarnation, target),
+        next.set(target.incarnation, this.createEntry(target)),
       );
     }
     for (const view of views) {
       const {incarnation} = view.registration;
-      next.set(
-        incarnation,
-        this.findTarget(view, byHead.get(incarnation)) ?? null,
-      );
+      const target = this.findTarget(view, byHead.get(incarnation));
+      next.set(incarnation, target ? this.createEntry(target) : null);
     }
-    for (const [incarnation, target] of next) {
-      this.recordTarget(incarnation, target);
+    for (const [incarnation, entry] of next) {
+      this.recordTarget(incarnation, entry, now);
     }
-    for (const [incarnation, target] of this.current) {
-      if (target && !next.has(incarnation) && this.isSequenceComplete) {
+    for (const [incarnation, entry] of this.current) {
+      if (entry && !next.has(incarnation) && this.isSequenceComplete) {
         this.appendChange({kind: 'closed', incarnation});
       }
     }
     this.current = next;
   }
 
+  private createEntry(target: GatewayTarget): TableEntry {
+    const {runtime, cold} = this.options;
+    const {rules} = runtime.state.channel;
+    const pool = rules?.pools.find(({name}) => name === target.pool);
+    const isLimited = cold && pool?.coldRequestsPerSecond;
+    const coldUntil = isLimited ? cold.findEnd(target.incarnation) : -Infinity;
+    return {target, coldUntil};
+  }
+
   private recordTarget(
     incarnation: string,
-    target: GatewayTarget | null,
+    entry: TableEntry | null,
+    now: number,
   ): void {
     const before = this.current.get(incarnation);
-    if (target) {
-      if (!before || !isSame(before, target)) {
-        this.appendChange({kind: 'target', target});
+    if (entry) {
+      if (!before || !isSame(before, entry, now)) {
+        this.appendChange({kind: 'target', entry});
       }
     } else if (before || (before === undefined && !this.isSequenceComplete)) {
       // Gateways may still have it as a target from the previous leader.
@@ -250,12 +269,15 @@
 }
 
 /** Merges changes into one update with the newest state of each backend server. */
-function mergeChanges(changes: readonly TableChange[]): TableUpdate {
-  const last = new Map<string, GatewayTarget | null>();
+function mergeChanges(
+  changes: readonly TableChange[],
+  now: number,
+): TableUpdate {
+  const last = new Map<string, TableEntry | null>();
   const retired: string[] = [];
   for (const change of changes) {
     if (change.kind === 'target') {
-      last.set(change.target.incarnation, change.target);
+      last.set(change.entry.target.incarnation, change.entry);
     } else if (change.kind === 'closed') {
       last.set(change.incarnation, null);
     } else {
@@ -264,14 +286,31 @@
   }
   const entries = [...last];
   return {
-    targets: entries.flatMap(([, target]) => target ?? []),
-    closed: entries.flatMap(([name, target]) => (target ? [] : [name])),
+    targets: listTargets(entries, now),
+    closed: entries.flatMap(([name, entry]) => (entry ? [] : [name])),
     retired,
     isWholeTable: false,
   };
 }
 
-function isSame(left: GatewayTarget, right: GatewayTarget): boolean {
+function listTargets(
+  entries: ReadonlyArray<readonly [string, TableEntry | null]>,
+  now: number,
+): GatewayTarget[] {
+  return entries.flatMap(([, entry]) => {
+    if (!entry) {
+      return [];
+    }
+    const {target, coldUntil} = entry;
+    return coldUntil > now ? {...target, coldForMs: coldUntil - now} : target;
+  });
+}
+
+function isSame(
+  {target: left, coldUntil: leftEnd}: TableEntry,
+  {target: right, coldUntil: rightEnd}: TableEntry,
+  now: number,
+): boolean {
   return (
     left.name === right.name &&
     left.pool === right.pool &&
@@ -279,6 +318,8 @@
     left.zone === right.zone &&
     left.slots === right.slots &&
     left.model === right.model &&
-    left.epoch === right.epoch
+    left.epoch === right.epoch &&
+    // Gateways follow a countdown to its end themselves.
+    Math.max(leftEnd, now) === Math.max(rightEnd, now)
   );
 }
--- a/src/coordination/limits/permit_issuer.ts
+++ b/src/coordination/limits/permit_issuer.ts
@@ -1,6 +1,6 @@
 /**
- * Distributed rate limiting for one backend server that advertises a limit: each
- * request needs a permit. A single process issues all of them, because fixed shares
+ * Distributed rate limiting for one backend server that advertises a limit or is cold:
+ * each request needs a permit. A single process issues all of them, because fixed shares
  * per gateway fail where the limit is smaller than the number of gateways or demand
  * moves between them.
  */
@@ -19,11 +19,12 @@
 
 /** Initial state of an issuer. */
 interface PermitIssuerOptions {
+  readonly kind: keyof typeof permitTiming;
   /** Limit in requests per second. */
   readonly perSecond: number;
   readonly now: number;
-  /** Time before which permits of a previous leader may still be in use. */
-  readonly notBefore: number;
+  /** Since when this leader leads; permits of a previous one may still be in use. */
+  readonly leadingSince: number;
 }
 
 /** Response to a permit request of a gateway. */
@@ -37,7 +38,8 @@
 
 /**
  * Combines a token bucket, which follows the rate, with a sliding window, in which at
- * most one request more than the limit is permitted.
+ * most one request more than an announced limit is permitted, and none more than the
+ * rate of a cold server.
  */
 export class PermitIssuer {
   private perSecond: number;
@@ -57,7 +59,7 @@
    * Creates an issuer that has not issued any permit.
    *
    * @example
-   * const issuer = PermitIssuer.create({perSecond: 3.7, now, notBefore: now});
+   * const issuer = PermitIssuer.create({kind: 'announced', perSecond: 3.7, now, leadingSince});
    */
   static create(options: PermitIssuerOptions): PermitIssuer {
     return new PermitIssuer(options);
@@ -70,21 +72,39 @@
     this.tokens = Math.min(this.tokens, this.bucketCapacity);
   }
 
-  /** Grants a permit for one request if the limit allows it. */
-  acquire(gatewayId: string, now: number): PermitDecision {
+  /** True if a permit can be issued now. */
+  canIssue(now: number): boolean {
+    this.refresh(now);
+    return this.computeWaitMs(now) === 0;
+  }
+
+  /** True if no permit counts any more, so that a new issuer would decide the same. */
+  isIdle(now: number): boolean {
+    this.refresh(now);
+    return this.issuedAt.length === 0;
+  }
+
+  /**
+   * Grants a permit for one request if the limit allows it.
+   *
+   * @param isAllowed false if another limit of the same server does not allow the request
+   */
+  acquire(gatewayId: string, now: number, isAllowed = true): PermitDecision {
     this.refresh(now);
     this.lastRequestAt.set(gatewayId, now);
-    const isGranted = this.computeWaitMs(now) === 0;
+    const isGranted = isAllowed && this.computeWaitMs(now) === 0;
     if (isGranted) {
       this.tokens -= 1;
       this.issuedAt.push(now);
     }
-    const intervalMs =
-      (this.countActiveGateways(now) * MS_PER_SECOND) / this.permitsPerSecond;
-    const pauseMs = Math.max(
-      this.computeWaitMs(now),
-      intervalMs / REQUESTS_PER_PERMIT,
+    const gateways = this.countActiveGateways(now);
+    const perPermitMs = MS_PER_SECOND / this.permitsPerSecond;
+    const intervalMs = gateways * perPermitMs;
+    const requestGapMs = Math.min(
+      perPermitMs / REQUESTS_PER_PERMIT,
+      this.timing.maxRequestGapMs,
     );
+    const pauseMs = Math.max(this.computeWaitMs(now), gateways * requestGapMs);
     return {
       isGranted,
       pauseMs: Math.min(pauseMs, MAX_PAUSE_MS),
@@ -92,13 +112,27 @@
     };
   }
 
+  private get timing() {
+    return permitTiming[this.options.kind];
+  }
+
+  /**
+   * Length of the sliding window. A rate below one request per window permits one in
+   * the time that it takes to add up.
+   */
+  private get windowMs(): number {
+    const {windowMs, extraPermits} = this.timing;
+    const minMs = extraPermits > 0 ? 0 : MS_PER_SECOND / this.perSecond;
+    return Math.max(windowMs, minMs);
+  }
+
   /**
    * Permits per second. Never zero: the response to a request is what shows that a
    * limit of zero has ended.
    */
   private get permitsPerSecond(): number {
-    const {windowMs, lifeMs} = permitTiming;
-    return Math.max(this.perSecond, MS_PER_SECOND / (windowMs + lifeMs));
+    const minimum = MS_PER_SECOND / (this.windowMs + this.timing.lifeMs);
+    return Math.max(this.perSecond, minimum);
   }
 
   private get bucketCapacity(): number {
@@ -109,14 +143,16 @@
   }
 
   private get maxInWindow(): number {
-    const {windowMs} = permitTiming;
-    return Math.floor((this.perSecond * windowMs) / MS_PER_SECOND + 1);
+    const {extraPermits} = this.timing;
+    const inWindow = (this.perSecond * this.windowMs) / MS_PER_SECOND;
+    return Math.max(1, Math.floor(inWindow + extraPermits));
   }
 
   /** Returns the milliseconds until the next permit can be issued. */
   private computeWaitMs(now: number): number {
-    const {windowMs, lifeMs} = permitTiming;
-    const {notBefore} = this.options;
+    const {windowMs} = this;
+    const {lifeMs} = this.timing;
+    const notBefore = this.options.leadingSince + windowMs + lifeMs;
     const oldestCounted = this.issuedAt.length - this.maxInWindow;
     const windowOpensAt =
       oldestCounted < 0
@@ -128,12 +164,11 @@
   }
 
   private refresh(now: number): void {
-    const {windowMs, lifeMs} = permitTiming;
     const added =
       ((now - this.refilledAt) * this.permitsPerSecond) / MS_PER_SECOND;
     this.tokens = Math.min(this.bucketCapacity, this.tokens + added);
     this.refilledAt = now;
-    const since = now - windowMs - lifeMs;
+    const since = now - this.windowMs - this.timing.lifeMs;
     this.issuedAt = this.issuedAt.filter(at => at > since);
   }
 
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,5 +1,6 @@
 /** Sends a request to one backend server once, and classifies each way in which that can end. */
 import {Clock} from '../common/clock';
+import {GatewayRules} from '../protocol/gateway_rules';
 import {GatewayTarget} from '../protocol/gateway_target';
 import {HttpClientPool} from '../transport/http_client_pool';
 import {AttemptOutcome} from './attempt_outcome';
@@ -14,6 +15,8 @@
   readonly request: GatewayRequest;
   readonly body: Buffer;
   readonly target: GatewayTarget;
+  /** The pool of the target. */
+  readonly pool?: GatewayRules['pools'][number];
   /** Set if the target has a rate limit. */
   readonly permit?: SendPermit;
   readonly workspace?: string;
@@ -159,14 +162,16 @@
   }
 
   private handleHead(head: ResponseHead): void {
-    const {request, balancer, target, signals} = this.options;
+    const {request, balancer, target, signals, pool} = this.options;
     if (this.isEnded) {
       return;
     }
     const isFromTarget = head.isNotRun || head.requestId === request.id;
     if (isFromTarget && !head.isWrongIncarnation) {
       const {incarnation} = target;
-      signals.recordHead({incarnation, head, sentAt: this.sentAt});
+      const isColdLimited = (pool?.coldRequestsPerSecond ?? 0) > 0;
+      const {sentAt} = this;
+      signals.recordHead({incarnation, head, sentAt, isColdLimited});
       this.recordAccepted?.(!head.isNotRun && head.restMs === undefined);
     }
     // A head is no sign of progress: it may be sent before any work begins.
--- a/src/gateway/control/control_poller.ts
+++ b/src/gateway/control/control_poller.ts
@@ -51,7 +51,10 @@
   readonly readSuspectsVersion: () => number;
   readonly onSuspects: (update: SuspectUpdate) => void;
   /** Rate limits of backend servers, which gateways exchange through control. */
-  readonly limits: Pick<BackendRateLimits, 'describeChanges' | 'applyChanges'>;
+  readonly limits: Pick<
+    BackendRateLimits,
+    'describeChanges' | 'applyChanges' | 'recordTargets'
+  >;
   readonly onTargets: (targets: ReadonlyMap<string, GatewayTarget>) => void;
   /** Called with the addresses of the control processes from each answer. */
   readonly onControl: (addresses: readonly string[]) => void;
@@ -167,7 +170,12 @@
     this.apply(answer, askedAt, tableTag);
     if (answer.limitsTag !== undefined) {
       const {limitsTag, limits = []} = answer;
-      this.options.limits.applyChanges(limitsReport.limits, limitsTag, limits);
+      this.options.limits.applyChanges(
+        limitsReport.limits,
+        limitsTag,
+        limits,
+        limitsReport.cold,
+      );
     }
   }
 
@@ -230,6 +238,7 @@
       }
     }
     added.forEach(target => targets.set(target.incarnation, target));
+    this.options.limits.recordTargets(added, answer.limitsTag);
     answer.retired?.forEach(incarnation => targets.delete(incarnation));
     answer.closed?.forEach(incarnation => targets.delete(incarnation));
     this.targets = targets;
--- a/src/gateway/limits/backend_rate_limits.ts
+++ b/src/gateway/limits/backend_rate_limits.ts
@@ -1,6 +1,6 @@
 /**
- * The rate limits that backend servers announced, and the permits to send to
- * them that the control plane grants.
+ * The rate limits that backend servers announced, the backend servers that are
+ * cold, and the permits to send to them that the control plane grants.
  */
 import {Clock} from '../../common/clock';
 import {EventRing} from '../../common/event_ring';
@@ -8,8 +8,11 @@
 import {AdvertisedLimits} from '../../coordination/limits/advertised_limits';
 import {PermitRequestPacer} from '../../coordination/limits/permit_request_pacer';
 import {permitTiming} from '../../coordination/limits/permit_timing';
+import {ColdServerReport} from '../../protocol/cold_server_report';
+import {GatewayTarget} from '../../protocol/gateway_target';
 import {RateLimitReport} from '../../protocol/rate_limit_report';
 import {PermitVerdict} from '../../protocol/permit_verdict';
+import {ColdServers} from './cold_servers';
 import {SendPermit} from './send_permit';
 
 /**
@@ -24,6 +27,14 @@
  */
 const NO_LEADER_RETRY_MS = 200;
 
+/** Why a request to a backend server needs a permit; at least one is set. */
+interface PermitRequest {
+  /** The limit that it announced. */
+  readonly limit?: RateLimitReport;
+  /** How long it stays cold. */
+  readonly cold?: ColdServerReport;
+}
+
 /** Dependencies of the rate limits. */
 interface BackendRateLimitsOptions {
   readonly clock: Clock;
@@ -33,17 +44,15 @@
    */
   readonly leaseClock: Clock;
   readonly events: EventRing;
-  readonly askPermit: (limit: RateLimitReport) => Promise<PermitVerdict>;
+  readonly askPermit: (request: PermitRequest) => Promise<PermitVerdict>;
   /** Called when the control plane should be notified of a limit at once. */
   readonly reportNow: () => void;
 }
 
-/** The permit for a backend server without a rate limit. */
-const UNLIMITED_PERMIT: SendPermit = {hasExpired: () => false};
-
 /** Shared by all requests of a gateway. */
 export class BackendRateLimits {
   private readonly limits = AdvertisedLimits.create();
+  private readonly cold: ColdServers;
   private readonly pacers = new Map<string, PermitRequestPacer>();
   /**
    * The last limit of each backend server that was exchanged with a leader,
@@ -58,6 +67,7 @@
 
   private constructor(private readonly options: BackendRateLimitsOptions) {
     this.eventLog = RateLimitEventLog.create(options.events, options.clock);
+    this.cold = ColdServers.create(options);
   }
 
   /**
@@ -91,9 +101,27 @@
     }
   }
 
+  /** Records how long a backend server stays cold, as its response says. */
+  recordCold(incarnation: string, coldForMs: number, sentAt: number): void {
+    if (this.cold.recordAnswer(incarnation, coldForMs, sentAt)) {
+      this.options.reportNow();
+    }
+  }
+
+  /** Records which targets are cold, as the leader with this version of the limits says. */
+  recordTargets(targets: readonly GatewayTarget[], limitsTag = ''): void {
+    this.cold.recordTargets(targets, getLeader(limitsTag));
+  }
+
   /** True if each request to the backend server needs a permit. */
   isLimited(incarnation: string): boolean {
-    return this.limits.find(incarnation) !== undefined;
+    return (
+      this.limits.find(incarnation) !== undefined || this.isCold(incarnation)
+    );
+  }
+
+  isCold(incarnation: string): boolean {
+    return this.cold.isCold(incarnation);
   }
 
   /** False if a permit can't be obtained now. */
@@ -106,14 +134,19 @@
   /** Requests a permit to send one request at once; undefined if it is denied. */
   async acquirePermit(incarnation: string): Promise<SendPermit | undefined> {
     const {clock, leaseClock, askPermit} = this.options;
-    const [limit] = this.limits.describe([incarnation], clock.now());
-    if (!limit || limit.perSecond === null) {
-      return UNLIMITED_PERMIT;
+    const isAnnounced = this.limits.find(incarnation) !== undefined;
+    const [limit] = isAnnounced
+      ? this.limits.describe([incarnation], clock.now())
+      : [];
+    const cold = this.cold.describe(incarnation);
+    if (!limit && !cold) {
+      return this.createUnlimitedPermit(incarnation);
     }
     const pacer = this.findPacer(incarnation);
     const askedAt = leaseClock.now();
     pacer.startRequest();
-    const verdict = await askPermit(limit).catch(() => undefined);
+    const request = {...(limit && {limit}), ...(cold && {cold})};
+    const verdict = await askPermit(request).catch(() => undefined);
     pacer.finishRequest(verdict, clock.now());
     if (!verdict) {
       this.pausedUntil = clock.now() + NO_LEADER_RETRY_MS;
@@ -122,10 +155,13 @@
       const at = clock.now();
       const reason = 'the control plane lists no limit any more';
       this.apply({incarnation, perSecond: null, at, reason});
-      return UNLIMITED_PERMIT;
+      if (cold) {
+        this.cold.end(incarnation, 'control grants requests without permits');
+      }
+      return this.createUnlimitedPermit(incarnation);
     }
-    const hasExpired = () =>
-      leaseClock.now() - askedAt >= permitTiming.useWithinMs;
+    const {useWithinMs} = permitTiming[cold ? 'cold' : 'announced'];
+    const hasExpired = () => leaseClock.now() - askedAt >= useWithinMs;
     const isUsable = verdict?.kind === 'granted' && !hasExpired();
     return isUsable ? {hasExpired} : undefined;
   }
@@ -151,7 +187,12 @@
    * Describes what the control plane should know: the version of the table held
    * here, and the limits that were not reported to its leader.
    */
-  describeChanges(): {limitsTag: string; limits: RateLimitReport[]} {
+  describeChanges(): {
+    limitsTag: string;
+    limits: RateLimitReport[];
+    cold?: ColdServerReport[];
+  } {
+    const cold = this.cold.listUnreported(getLeader(this.tag));
     const limited = this.limits.list();
     const unreported = this.limits
       .describe(limited, this.options.clock.now())
@@ -163,6 +204,8 @@
     return {
       limitsTag: this.tag,
       limits: unreported.slice(0, MAX_REPORTED_LIMITS),
+      // Left out where no server is cold, so that polls do not grow there.
+      ...(cold.length > 0 ? {cold} : {}),
     };
   }
 
@@ -170,14 +213,17 @@
    * Applies the leader's answer.
    *
    * @param sent the limits that were sent to it
+   * @param sentCold the cold servers that were sent to it
    */
   applyChanges(
     sent: readonly RateLimitReport[],
     tag: string,
     received: readonly RateLimitReport[],
+    sentCold: readonly ColdServerReport[] = [],
   ): void {
     const now = this.options.clock.now();
     this.tag = tag;
+    this.cold.recordReported(sentCold, getLeader(tag));
     sent.forEach(change =>
       this.reported.set(change.incarnation, formatReported(tag, change)),
     );
@@ -195,10 +241,11 @@
    */
   expire(isKnown: (incarnation: string) => boolean): void {
     this.limits.expire(this.options.clock.now(), isKnown);
+    this.cold.expire();
     const limited = new Set(this.limits.list());
     for (const table of [this.pacers, this.reported]) {
       for (const incarnation of table.keys()) {
-        if (!limited.has(incarnation)) {
+        if (!limited.has(incarnation) && !this.isCold(incarnation)) {
           table.delete(incarnation);
         }
       }
@@ -221,7 +268,7 @@
       return;
     }
     this.reported.delete(incarnation);
-    if (perSecond === null) {
+    if (!this.isLimited(incarnation)) {
       this.pacers.delete(incarnation);
     }
     const announcedAt = perSecond === null ? (before?.advertisedAt ?? at) : at;
@@ -234,6 +281,11 @@
     });
   }
 
+  /** A permit without an end, which a limit that is learned meanwhile ends. */
+  private createUnlimitedPermit(incarnation: string): SendPermit {
+    return {hasExpired: () => this.isLimited(incarnation)};
+  }
+
   private findPacer(incarnation: string): PermitRequestPacer {
     const pacer = this.pacers.get(incarnation) ?? PermitRequestPacer.create();
     this.pacers.set(incarnation, pacer);
@@ -241,13 +293,14 @@
   }
 }
 
-/**
- * The tag consists of the leader's name and a change counter; only the name
- * counts here.
- */
+/** The tag consists of the leader's name and term and a change counter. */
+function getLeader(tag: string): string {
+  return tag.slice(0, Math.max(0, tag.lastIndexOf('/')));
+}
+
 function formatReported(
   tag: string,
   {perSecond}: Pick<RateLimitReport, 'perSecond'>,
 ): string {
-  return `${tag.slice(0, tag.lastIndexOf('/'))} ${perSecond}`;
+  return `${getLeader(tag)} ${perSecond}`;
 }
--- a/src/gateway/limits/backend_signals.ts
+++ b/src/gateway/limits/backend_signals.ts
@@ -1,6 +1,6 @@
 /**
  * What backend servers signal about themselves in response headers: rate
- * limits, backoffs and shutdowns.
+ * limits, being cold, backoffs and shutdowns.
  */
 import {ThrottledEventLog} from '../../common/throttled_event_log';
 import {ResponseHead} from '../response_head';
@@ -13,10 +13,17 @@
   readonly incarnation: string;
   readonly head: Pick<
     ResponseHead,
-    'limitPerSecond' | 'restMs' | 'isLeaving' | 'isSealed' | 'unread'
+    | 'limitPerSecond'
+    | 'coldForMs'
+    | 'restMs'
+    | 'isLeaving'
+    | 'isSealed'
+    | 'unread'
   >;
   /** When the request was sent, on the gateway's clock. */
   readonly sentAt: number;
+  /** True if cold backend servers of its pool get a limited number of requests. */
+  readonly isColdLimited?: boolean;
 }
 
 type BackendSignalsOptions = Parameters<typeof BackendRateLimits.create>[0] &
@@ -51,8 +58,8 @@
   }
 
   /** Records the head of a response that came from the backend server itself. */
-  recordHead({incarnation, head, sentAt}: ReceivedHead): void {
-    const {limitPerSecond, restMs, isLeaving, unread} = head;
+  recordHead({incarnation, head, sentAt, isColdLimited}: ReceivedHead): void {
+    const {limitPerSecond, coldForMs, restMs, isLeaving, unread} = head;
     if (unread !== undefined) {
       this.recordInvalidHeader(incarnation, unread);
     }
@@ -60,6 +67,9 @@
     if (limitPerSecond !== undefined || head.isSealed) {
       this.limits.record(incarnation, limitPerSecond, sentAt);
     }
+    if (isColdLimited && coldForMs !== undefined) {
+      this.limits.recordCold(incarnation, coldForMs, sentAt);
+    }
     if (restMs) {
       this.backoffs.record(incarnation, restMs);
     }
@@ -139,8 +149,12 @@
    * anything.
    */
   explainUnavailable(incarnations: readonly string[]): string | undefined {
-    const limited = incarnations.filter(incarnation =>
-      this.limits.isLimited(incarnation),
+    const cold = incarnations.filter(incarnation =>
+      this.limits.isCold(incarnation),
+    );
+    const limited = incarnations.filter(
+      incarnation =>
+        this.limits.isLimited(incarnation) && !this.limits.isCold(incarnation),
     );
     const backingOff = incarnations.filter(
       incarnation => !this.backoffs.isAvailable(incarnation),
@@ -150,6 +164,7 @@
     );
     const reasons = [
       ...formatReason(leaving, 'since it leaves'),
+      ...formatReason(cold, 'by the rate for cold servers'),
       ...formatReason(limited, 'by the limit that it names'),
       ...formatReason(backingOff, 'since it asked for rest'),
     ];
--- a/src/gateway/limits/create_backend_signals.ts
+++ b/src/gateway/limits/create_backend_signals.ts
@@ -39,9 +39,9 @@
       const ask = {type: 'leaving-ask' as const, gatewayId, incarnations};
       return client.ask<'leaving-ask'>(ask);
     },
-    async askPermit(limit) {
-      const ask = {type: 'permit-ask' as const, gatewayId, limit};
-      const {useWithinMs} = permitTiming;
+    async askPermit(request) {
+      const ask = {type: 'permit-ask' as const, gatewayId, ...request};
+      const {useWithinMs} = permitTiming[request.cold ? 'cold' : 'announced'];
       return (await client.ask<'permit-ask'>(ask, useWithinMs)).verdict;
     },
   });
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -3,6 +3,7 @@
 import {BackendRegistration} from './backend_registration';
 import {ChannelBundle} from './channel_bundle';
 import {ClaimVerdict} from './claim_verdict';
+import {ColdServerReport} from './cold_server_report';
 import {CrashReport} from './crash_report';
 import {GatewayTarget} from './gateway_target';
 import {Group} from './group';
@@ -187,6 +188,8 @@
     limitsTag: z.string().optional(),
     /** Rate limits that this gateway has not yet reported to this leader. */
     limits: z.array(RateLimitReport).optional(),
+    /** Cold backend servers that this gateway has not yet reported to this leader. */
+    cold: z.array(ColdServerReport).optional(),
     /** Requests that wait or arrive at this gateway, by model and urgency. */
     queues: z.array(QueueReport).optional(),
     /** Version of the evacuations known to the gateway; 0 for none. */
@@ -262,8 +265,10 @@
     type: z.literal('permit-ask'),
     call: Call,
     gatewayId: z.string().max(128),
-    /** The rate limit as known to the gateway. */
-    limit: RateLimitReport,
+    /** The rate limit as known to the gateway; absent if the server announced none. */
+    limit: RateLimitReport.optional(),
+    /** How long the server stays cold, as known to the gateway; absent for one that is warm. */
+    cold: ColdServerReport.optional(),
   }),
   z.object({
     type: z.literal('permit-answer'),
--- a/test/support/rate_limit_simulation.ts
+++ b/test/support/rate_limit_simulation.ts
@@ -1,19 +1,23 @@
 /**
- * Simulates many gateways in front of one backend server that advertises a rate limit,
- * and the leader that issues their permits. The rate limit code of the gateways and the
+ * Simulates many gateways in front of one backend server that advertises a rate limit
+ * or is cold, and the leader that issues their permits. The rate limit code of the gateways and the
  * leader is the real one; the network and the backend server are simulated.
  */
 import {Clock} from '../../src/common/clock';
 import {EventRing} from '../../src/common/event_ring';
-import {RateLimitService} from '../../src/control/rate_limit_service';
 import {BackendRateLimits} from '../../src/gateway/limits/backend_rate_limits';
-import {RateLimitReport} from '../../src/protocol/rate_limit_report';
 import {VirtualTime} from '../simulation/virtual_time';
+import {countMaxPerWindow} from './count_max_per_window';
+import {createLimitLeader} from './create_limit_leader';
 
 export const BACKEND = 'b1@1';
 /** Interval between two exchanges of a gateway with control. */
 const REPORT_INTERVAL_MS = 250;
 const WINDOW_MS = 4_000;
+const REGISTRATION_INTERVAL_MS = 1_000;
+const ZONE = 'z1';
+
+type AskPermit = Parameters<typeof BackendRateLimits.create>[0]['askPermit'];
 
 /** Sizes and load of a simulation. */
 interface RateLimitSimulationOptions {
@@ -22,6 +26,19 @@
   readonly limitAt: (at: number) => number | undefined;
   /** Requests per second that one gateway would send without a limit, at a time. */
   readonly demandAt: (at: number, gateway: number) => number;
+  /** Set if the backend server may be cold. */
+  readonly cold?: {
+    /** Requests per second that it accepts while it is cold. */
+    readonly perSecond: number;
+    readonly startMs?: number;
+    /** Milliseconds for which it stays cold, at a time; 0 while it is warm. */
+    readonly forMsAt: (at: number) => number;
+    /** False if it does not say so in its answers, or registrations. */
+    readonly isInAnswers?: boolean;
+    readonly isInRegistrations?: boolean;
+    /** Number of its first registration, which tells its age. */
+    readonly sequence?: number;
+  };
   /** Uniform in [0, 1), seeded. */
   readonly random: () => number;
 }
@@ -42,6 +59,8 @@
   /** Total time of suspensions, which the monotonic clock does not count. */
   suspendedMs = 0;
   readonly monotonicClock: Clock;
+  tableTag = '';
+  hasServed = false;
 
   constructor(
     readonly index: number,
@@ -53,11 +72,13 @@
 
   start(): BackendRateLimits {
     const {simulation, monotonicClock} = this;
+    this.tableTag = '';
+    this.hasServed = false;
     this.limits = BackendRateLimits.create({
       clock: monotonicClock,
       leaseClock: simulation.time,
       events: EventRing.create(),
-      askPermit: limit => simulation.askPermit(this, limit),
+      askPermit: request => simulation.askPermit(this, request),
       reportNow: () => simulation.exchange(this),
     });
     return this.limits;
@@ -72,7 +93,8 @@
   /** When the first response that advertised the limit arrived. */
   firstAdvertisedAt: number | undefined;
   permitRequestCount = 0;
-  private limitService: RateLimitService | undefined;
+  private leader: ReturnType<typeof createLimitLeader> | undefined;
+  private registrations = 0;
   private term = 0;
 
   private constructor(private readonly options: RateLimitSimulationOptions) {
@@ -86,6 +108,7 @@
     const simulation = new RateLimitSimulation(options);
     // The leader has been in office long enough for all permits of earlier leaders to have expired.
     simulation.startLeader(-60_000);
+    simulation.repeatRegistration();
     simulation.gateways.forEach(gateway => {
       simulation.time.after(options.random() * REPORT_INTERVAL_MS, () =>
         simulation.repeatExchange(gateway),
@@ -101,7 +124,7 @@
 
   /** Removes the leader; another one takes over after this time. */
   changeLeader(withoutMs: number): void {
-    this.limitService = undefined;
+    this.leader = undefined;
     this.time.after(withoutMs, () => this.startLeader(this.time.now()));
   }
 
@@ -123,17 +146,21 @@
   }
 
   /** Counts the requests of informed gateways in the fullest window of those that arrived since a time. */
-  countMaxPerWindow(from = 0): number {
-    const times = this.listInformedRequestTimes(from);
-    let most = 0;
-    let first = 0;
-    times.forEach((at, last) => {
-      while (at - times[first] >= WINDOW_MS) {
-        first += 1;
-      }
-      most = Math.max(most, last - first + 1);
-    });
-    return most;
+  countMaxPerWindow(from = 0, windowMs = WINDOW_MS): number {
+    return countMaxPerWindow(this.listInformedRequestTimes(from), windowMs);
+  }
+
+  /** Counts the requests that the backend server got while it was cold, in the fullest second of those since a time. */
+  countMaxWhileCold(from = 0): number {
+    const times = this.receivedRequests
+      .map(({at}) => at)
+      .filter(at => at >= from && (this.options.cold?.forMsAt(at) ?? 0) > 0);
+    return countMaxPerWindow(times, 1_000);
+  }
+
+  /** Lets requests be sent again to the zone of the backend server. */
+  restoreZone(): void {
+    this.leader?.cold.recordZoneRestored(ZONE, this.time.now());
   }
 
   /** Counts the requests of informed gateways that arrived between two times. */
@@ -158,18 +185,18 @@
 
   askPermit(
     gateway: SimulatedGateway,
-    limit: RateLimitReport,
-  ): ReturnType<Parameters<typeof BackendRateLimits.create>[0]['askPermit']> {
+    request: Parameters<AskPermit>[0],
+  ): ReturnType<AskPermit> {
     this.permitRequestCount += 1;
     const {limits} = gateway;
     return new Promise((resolve, reject) => {
       this.runWhenAwake(gateway, 100, () => reject(new Error('no leader')));
       this.time.after(this.drawDelay(), () => {
-        const ask = {type: 'permit-ask' as const, call: 0, limit};
+        const ask = {type: 'permit-ask' as const, call: 0, ...request};
         const answer =
           gateway.isPartitioned || gateway.limits !== limits
             ? undefined
-            : this.limitService?.handlers['permit-ask']({
+            : this.leader?.limits.handlers['permit-ask']({
                 ...ask,
                 gatewayId: `g${gateway.index}`,
               });
@@ -183,21 +210,34 @@
 
   /** Reports a gateway's limits to the leader and applies the changes in its answer. */
   exchange(gateway: SimulatedGateway): void {
-    const {limits} = gateway;
-    const {limitsTag, limits: reports} = limits.describeChanges();
+    const {limits, tableTag, hasServed} = gateway;
+    const {limitsTag, limits: reports, cold = []} = limits.describeChanges();
     this.time.after(this.drawDelay(), () => {
-      const {limitService} = this;
-      if (!limitService || gateway.isPartitioned) {
+      const {leader} = this;
+      if (!leader || gateway.isPartitioned) {
         return;
       }
-      limitService.recordReports(`g${gateway.index}`, reports);
-      const tag = limitService.readTag();
+      const gatewayId = `g${gateway.index}`;
+      leader.limits.recordReports(gatewayId, reports);
+      leader.cold.recordReport({gatewayId, hasServed, cold});
+      const tag = leader.limits.readTag();
       const news =
-        tag === limitsTag ? [] : limitService.listChangesSince(limitsTag);
+        tag === limitsTag ? [] : leader.limits.listChangesSince(limitsTag);
+      const now = this.time.now();
+      const newTableTag = leader.targets.readTag(now);
+      const update =
+        newTableTag === tableTag
+          ? undefined
+          : leader.targets.listChangesSince(tableTag, now);
       this.runWhenAwake(gateway, this.drawDelay(), () => {
-        if (gateway.limits === limits) {
-          limits.applyChanges(reports, tag, news);
+        if (gateway.limits !== limits) {
+          return;
         }
+        if (update && (update.isWholeTable || gateway.tableTag === tableTag)) {
+          gateway.tableTag = newTableTag;
+          limits.recordTargets(update.targets, tag);
+        }
+        limits.applyChanges(reports, tag, news, cold);
       });
     });
   }
@@ -212,17 +252,49 @@
   private startLeader(leadingSince: number): void {
     this.term += 1;
     const {term} = this;
-    this.limitService = RateLimitService.create({
-      runtime: {raft: {term}, leadingSince},
-      registry: {find: () => undefined},
+    this.leader = createLimitLeader({
+      term,
+      leadingSince,
+      pool: {
+        name: 'p',
+        maxConnections: 1,
+        coldRequestsPerSecond: this.options.cold?.perSecond,
+        coldStartMs: this.options.cold?.startMs,
+      },
       clock: this.time,
-      events: EventRing.create(),
-      leaderName: `c${term}`,
       notify: () =>
         this.gateways.forEach(gateway => this.notify(gateway, term)),
     });
   }
 
+  /** Registers the backend server with the leader, if there is one, again and again. */
+  private repeatRegistration(): void {
+    const {cold} = this.options;
+    if (!cold) {
+      return;
+    }
+    const {sequence = 1_000, isInRegistrations = true} = cold;
+    const now = this.time.now();
+    const coldForMs = isInRegistrations ? cold.forMsAt(now) : undefined;
+    const registration = {
+      incarnation: BACKEND,
+      pool: 'p',
+      address: '10.0.0.1:80',
+      zone: ZONE,
+      isLeaving: false,
+      sequence: sequence + this.registrations,
+      slots: 1,
+      stagedModels: [],
+      coldForMs,
+    };
+    this.registrations += 1;
+    this.time.after(this.drawDelay(), () => {
+      this.leader?.registry.record(registration, this.time.now());
+      this.leader?.cold.recordRegistration(registration);
+    });
+    this.time.after(REGISTRATION_INTERVAL_MS, () => this.repeatRegistration());
+  }
+
   /** Exchanges again after a change, as control answers a held long poll then. */
   private notify(gateway: SimulatedGateway, term: number): void {
     this.time.after(5, () => {
@@ -251,7 +323,8 @@
 
   private async sendIfPermitted(gateway: SimulatedGateway): Promise<void> {
     const {limits} = gateway;
-    if (!limits.isAvailable(BACKEND)) {
+    const hasTarget = !this.options.cold || gateway.tableTag !== '';
+    if (!hasTarget || !limits.isAvailable(BACKEND)) {
       return;
     }
     const isLimitKnown = limits.isLimited(BACKEND);
@@ -265,6 +338,7 @@
   private send(gateway: SimulatedGateway, isLimitKnown: boolean): void {
     const {limits} = gateway;
     const sentAt = gateway.monotonicClock.now();
+    gateway.hasServed = true;
     this.time.after(this.drawDelay(), () => {
       const at = this.time.now();
       this.receivedRequests.push({
@@ -275,12 +349,21 @@
       const answerMs = 20 + this.options.random() * 200;
       this.time.after(answerMs, () => {
         const limit = this.options.limitAt(this.time.now());
+        const {cold} = this.options;
+        const coldForMs = cold?.forMsAt(this.time.now());
         this.runWhenAwake(gateway, this.drawDelay(), () => {
           if (limit !== undefined) {
             this.firstAdvertisedAt ??= this.time.now();
           }
           if (gateway.limits === limits) {
             limits.record(BACKEND, limit, sentAt);
+            if (
+              coldForMs !== undefined &&
+              cold?.isInAnswers !== false &&
+              cold?.perSecond
+            ) {
+              limits.recordCold(BACKEND, coldForMs, sentAt);
+            }
           }
         });
       });
