feat(groups): cold hosts are not preferred over warm ones

A cold head takes few requests. Hosts that are ready equally soon are taken warm first, and among equal domains the one with fewer cold members. Where the pool has no rate for cold servers, the leader drops what a registration says about it, so plans are as before.

--- a/src/control/cold_server_service.ts
+++ b/src/control/cold_server_service.ts
@@ -95,6 +95,11 @@
     return rates.length > 0 ? Math.min(...rates) : undefined;
   }
 
+  /** True if a cold server of this pool gets a limited number of requests. */
+  isLimitedPool(pool: string): boolean {
+    return this.findPool(pool) !== undefined;
+  }
+
   /** Records a registration that the registry accepted. */
   recordRegistration(registration: BackendRegistration): void {
     const {incarnation, pool, coldForMs} = registration;
--- a/src/control/registration_service.ts
+++ b/src/control/registration_service.ts
@@ -24,7 +24,10 @@
   readonly settings: ControlSettings;
   readonly runtime: RaftRuntime;
   readonly registry: BackendRegistry;
-  readonly cold: Pick<ColdServerService, 'recordRegistration'>;
+  readonly cold: Pick<
+    ColdServerService,
+    'recordRegistration' | 'isLimitedPool'
+  >;
   readonly clock: Clock;
   readonly events: EventRing;
   /** Ends the long polls of gateways, so that they get the newest state. */
@@ -52,9 +55,14 @@
   /** Records a registration, unless it is invalid. */
   async register({
     call,
-    registration,
+    registration: received,
   }: Call<'registration-ask'>): Promise<ControlMessage> {
     const {registry, cold, clock, notify} = this.options;
+    // Where cold servers have no limit, being cold must not change any decision.
+    const {coldForMs, ...withoutColdness} = received;
+    const isLimited = cold.isLimitedPool(received.pool);
+    const registration =
+      coldForMs === undefined || isLimited ? received : withoutColdness;
     const refusal = this.findRefusal(registration);
     if (refusal !== undefined) {
       this.recordRefusal(registration, refusal);
--- a/src/coordination/groups/plan_engine_formation.ts
+++ b/src/coordination/groups/plan_engine_formation.ts
@@ -3,6 +3,7 @@
 import {BackendView} from './backend_view';
 import {computeReadyMs} from './compute_ready_ms';
 import {computeSpares} from './compute_spares';
+import {countCold} from './count_cold';
 import {EngineAction} from './engine_action';
 import {ModelCounts} from './model_counts';
 import {EnginePlanInput} from './engine_plan_input';
@@ -152,6 +153,8 @@
     left.hostsPerShare - right.hostsPerShare ||
     // Larger models first: the remaining hosts are more likely to fit a smaller one.
     right.model.size - left.model.size ||
+    // A cold head takes few requests, for longer than a model is warmed.
+    countCold(left.hosts) - countCold(right.hosts) ||
     left.readyMs - right.readyMs ||
     left.domainOrder - right.domainOrder
   );
@@ -193,7 +196,9 @@
     .map(host => ({host, readyMs: computeReadyMs(host, model)}))
     .sort(
       (left, right) =>
-        left.readyMs - right.readyMs || countStaged(left) - countStaged(right),
+        left.readyMs - right.readyMs ||
+        countCold([left.host]) - countCold([right.host]) ||
+        countStaged(left) - countStaged(right),
     )
     .slice(0, model.size);
   const {readyMs} = chosen[chosen.length - 1];
