--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -29,6 +29,8 @@
   readonly handle: Parameters<typeof FakeBackend.create>[0];
   /** Backend servers that replace the single one that never crashes; `handle` is ignored then. */
   readonly restartingBackends?: RestartingBackends;
+  /** Requests per second that a cold backend server accepts. */
+  readonly coldRequestsPerSecond?: number;
   /** Connection limit of the backend server, which the gateways share among themselves and one more. */
   readonly maxConnections?: number;
 }
@@ -213,6 +215,7 @@
 function createRules({
   route,
   maxConnections = 1_000,
+  coldRequestsPerSecond,
 }: GatewayFleetOptions): GatewayRules {
   return {
     version: 1,
@@ -232,7 +235,7 @@
         ...route,
       },
     ],
-    pools: [{name: POOL, maxConnections}],
+    pools: [{name: POOL, maxConnections, coldRequestsPerSecond}],
     limits: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 100_000,
--- a/test/support/plain_dialect.ts
+++ b/test/support/plain_dialect.ts
@@ -54,6 +54,10 @@
       isSealed: 'seal' in headers,
       limitPerSecond:
         headers['limit'] === undefined ? undefined : Number(headers['limit']),
+      coldForMs:
+        headers['cold-ms'] === undefined
+          ? undefined
+          : Number(headers['cold-ms']),
       restMs:
         headers['rest-ms'] === undefined
           ? undefined
