--- a/src/control/evacuation_service.ts
+++ b/src/control/evacuation_service.ts
@@ -36,6 +36,8 @@
   readonly registry: Pick<BackendRegistry, 'listZones'>;
   readonly clock: Clock;
   readonly events: EventRing;
+  /** Called when a zone was restored; its backend servers may have turned cold meanwhile. */
+  readonly onRestored?: (zone: string) => void;
 }
 
 /** Commits the orders of operators; its caller checks that this process leads. */
@@ -71,13 +73,14 @@
     const {evacuations} = this.options.runtime.state;
     const before = evacuations.version;
     const {isAccepted, reason} = await this.commitOnce(order);
+    const isChanged = evacuations.version !== before;
+    if (isChanged && !order.isEvacuated) {
+      this.options.onRestored?.(order.zone);
+    }
+    const changed = order.isEvacuated ? 'zone-evacuated' : 'zone-restored';
     this.recordOrder(
       order,
-      evacuations.version === before
-        ? 'evacuation-unchanged'
-        : order.isEvacuated
-          ? 'zone-evacuated'
-          : 'zone-restored',
+      isChanged ? changed : 'evacuation-unchanged',
       reason,
       clock.now() - startedAt,
     );
--- a/src/control/gateway_service.ts
+++ b/src/control/gateway_service.ts
@@ -11,6 +11,7 @@
 import {BundleService} from './bundle_service';
 import {ChangeSignal} from './change_signal';
 import {ClosedHeads} from './closed_heads';
+import {ColdServerService} from './cold_server_service';
 import {ControlSettings} from './control_settings';
 import {describeEvacuations} from './describe_evacuations';
 import {EncodedRulesCache} from './encoded_rules_cache';
@@ -68,6 +69,8 @@
   private readonly registrations: RegistrationService;
   private readonly closedHeads = ClosedHeads.create();
   private readonly targets: TargetTable;
+  /** Which backend servers are cold. */
+  readonly cold: ColdServerService;
   private readonly limits: RateLimitService;
   private readonly encodedRules = EncodedRulesCache.create();
   /** Running requests of all gateways together, by incarnation. */
@@ -76,24 +79,25 @@
   private isBatchPending = false;
 
   private constructor(private readonly options: GatewayServiceOptions) {
-    const {registry, runtime, identity, signal} = options;
-    const leaderName = splitIdentity(identity).name;
-    const {closedHeads} = this;
-    this.targets = TargetTable.create({
-      registry,
-      runtime,
-      closedHeads,
-      leaderName,
-    });
+    const leaderName = splitIdentity(options.identity).name;
     const notify = () => this.notifyGateways();
-    this.limits = RateLimitService.create({...options, leaderName, notify});
-    signal.subscribe(() => this.scheduleNotification());
+    const {heartbeatMs} = options.settings.pools ?? {};
+    const shared = {...options, leaderName, heartbeatMs, notify};
+    const cold = ColdServerService.create(shared);
+    const {closedHeads} = this;
+    this.cold = cold;
+    this.targets = TargetTable.create({...shared, cold, closedHeads});
+    this.limits = RateLimitService.create({...shared, cold});
+    options.signal.subscribe(() => this.scheduleNotification());
     this.bundles = BundleService.create(options);
-    this.registrations = RegistrationService.create({...options, notify});
+    this.registrations = RegistrationService.create({...shared, cold});
     this.handlers = {
       ...this.createHandlers(),
       ...this.limits.handlers,
-      ...EvacuationService.create(options).handlers,
+      ...EvacuationService.create({
+        ...options,
+        onRestored: zone => cold.recordZoneRestored(zone, options.clock.now()),
+      }).handlers,
     };
   }
 
@@ -287,6 +291,7 @@
     });
     this.limits.recordReports(gatewayId, poll.limits ?? []);
     this.withdrawClosedHeads(poll, now);
+    this.cold.recordReport(poll);
     poll.pressed.forEach(model => this.saturatedAt.set(model, now));
     this.hasServedRequests ||= poll.hasServed;
     this.expireReports(now);
--- a/src/coordination/groups/plan_engine_formation.ts
+++ b/src/coordination/groups/plan_engine_formation.ts
@@ -3,6 +3,7 @@
 import {BackendView} from './backend_view';
 import {computeReadyMs} from './compute_ready_ms';
 import {computeSpares} from './compute_spares';
+import {countCold} from './count_cold';
 import {EngineAction} from './engine_action';
 import {ModelCounts} from './model_counts';
 import {EnginePlanInput} from './engine_plan_input';
@@ -187,6 +188,8 @@
     // Larger models first: the remaining hosts are more likely to fit a smaller one.
     right.model.size - left.model.size ||
     Number(left.isOnlyDomain) - Number(right.isOnlyDomain) ||
+    // A cold head takes few requests, for longer than a model is warmed.
+    countCold(left.hosts) - countCold(right.hosts) ||
     left.readyMs - right.readyMs ||
     left.domainOrder - right.domainOrder
   );
@@ -231,7 +234,9 @@
     .map(host => ({host, readyMs: computeReadyMs(host, model)}))
     .sort(
       (left, right) =>
-        left.readyMs - right.readyMs || countStaged(left) - countStaged(right),
+        left.readyMs - right.readyMs ||
+        countCold([left.host]) - countCold([right.host]) ||
+        countStaged(left) - countStaged(right),
     )
     .slice(0, model.size);
   const {readyMs} = chosen[chosen.length - 1];
--- a/src/gateway/control/control_poller.ts
+++ b/src/gateway/control/control_poller.ts
@@ -54,7 +54,10 @@
   readonly readSuspectsVersion: () => number;
   readonly onSuspects: (update: SuspectUpdate) => void;
   /** Rate limits of backend servers, which gateways exchange through control. */
-  readonly limits: Pick<BackendRateLimits, 'describeChanges' | 'applyChanges'>;
+  readonly limits: Pick<
+    BackendRateLimits,
+    'describeChanges' | 'applyChanges' | 'recordTargets'
+  >;
   readonly onTargets: (targets: ReadonlyMap<string, GatewayTarget>) => void;
   /** Called with the addresses of the control processes from each answer. */
   readonly onControl: (addresses: readonly string[]) => void;
@@ -175,7 +178,12 @@
     this.apply(answer, askedAt, tableTag);
     if (answer.limitsTag !== undefined) {
       const {limitsTag, limits = []} = answer;
-      this.options.limits.applyChanges(limitsReport.limits, limitsTag, limits);
+      this.options.limits.applyChanges(
+        limitsReport.limits,
+        limitsTag,
+        limits,
+        limitsReport.cold,
+      );
     }
   }
 
@@ -243,6 +251,7 @@
       const zone = target.zone || (targets.get(target.incarnation)?.zone ?? '');
       targets.set(target.incarnation, {...target, zone});
     }
+    this.options.limits.recordTargets(added, answer.limitsTag);
     answer.retired?.forEach(incarnation => targets.delete(incarnation));
     answer.closed?.forEach(incarnation => targets.delete(incarnation));
     this.targets = targets;
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -3,8 +3,6 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
 import {EventRing} from '../common/event_ring';
-import {LeaseClock} from '../common/lease_clock';
-import {recordPause} from '../common/record_pause';
 import {systemClock} from '../common/system_clock';
 import {ThrottledEventLog} from '../common/throttled_event_log';
 import {ControlClient} from '../protocol/control_client';
@@ -16,6 +14,7 @@
 import {CrashDetector} from './crashes/crash_detector';
 import {CrashContainment} from './crashes/crash_containment';
 import {ControlPoller} from './control/control_poller';
+import {createControlClock} from './control/create_control_clock';
 import {createBackendSignals} from './limits/create_backend_signals';
 import {createSuspectCalls} from './crashes/create_suspect_calls';
 import {decideAdmission} from './scheduling/decide_admission';
@@ -127,16 +126,8 @@
     this.poller = ControlPoller.create({
       gatewayId,
       client,
-      // A key that was revoked while this machine was suspended must not be accepted.
-      clock: LeaseClock.create({
-        monotonic: clock,
-        wall: () => Date.now(),
-        onPause: pause => {
-          recordPause(events, 'control', gatewayId, pause);
-          // The rules count as unconfirmed now; an urgent poll confirms them within one round trip.
-          setImmediate(reportNow);
-        },
-      }),
+      // An urgent poll confirms the rules within one round trip after a pause.
+      clock: createControlClock(events, gatewayId, reportNow),
       events,
       confirmationMs,
       changesWithinMs,
--- a/src/gateway/request_sender.ts
+++ b/src/gateway/request_sender.ts
@@ -5,7 +5,6 @@
 import {ProxiedRequestOptions} from './proxied_request_options';
 import {RequestHistory} from './request_history';
 import {SendPermit} from './limits/send_permit';
-import {SlotWait} from './scheduling/slot_wait';
 
 type AttemptCallbacks = Pick<
   Parameters<typeof Attempt.create>[0],
--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -33,6 +33,8 @@
   readonly findZone?: (incarnation: string) => string;
   /** How long a gateway serves by a confirmation, in milliseconds. */
   readonly confirmationMs?: number;
+  /** Requests per second that a cold backend server accepts. */
+  readonly coldRequestsPerSecond?: number;
   /** Connection limit of the backend server, which the gateways share among themselves and one more. */
   readonly maxConnections?: number;
 }
@@ -227,6 +229,7 @@
 function createRules({
   route,
   maxConnections = 1_000,
+  coldRequestsPerSecond,
 }: GatewayFleetOptions): GatewayRules {
   return {
     version: 1,
@@ -246,7 +249,7 @@
         ...route,
       },
     ],
-    pools: [{name: POOL, maxConnections}],
+    pools: [{name: POOL, maxConnections, coldRequestsPerSecond}],
     limits: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 100_000,
