feat(coordination): groups of an evacuated zone are replaced elsewhere

No group forms in an evacuated zone and no host is moved there; its hosts are absent for the split among models. Groups with their head there count for no model, so that others form elsewhere where hosts are free. They end only if some of their members are in other zones: otherwise nobody could use their hosts, and they serve at once when the zone is restored.

--- a/src/control/engine_group_planner_loop.ts
+++ b/src/control/engine_group_planner_loop.ts
@@ -117,7 +117,7 @@
 
   private async planPool(pool: Pool, now: number): Promise<void> {
     const {runtime, registry, poolSettings, gateways} = this.options;
-    const {engines} = runtime.state;
+    const {engines, evacuations} = runtime.state;
     if (!pool.engine) {
       return;
     }
@@ -143,6 +143,7 @@
         now - runtime.leadingSince <
         poolSettings.heartbeatMs * SILENT_INTERVALS,
       isRetired: (incarnation: string) => engines.isRetired(incarnation),
+      isEvacuated: (zone: string) => evacuations.has(zone),
       mayRebalance: now - this.rebalancedAt > REBALANCE_INTERVAL_MS,
       epoch: runtime.raft.commitIndex,
       findLoadingModel: (incarnation: string) =>
@@ -220,11 +221,14 @@
     }
   }
 
+  /** Engines that count for the split among models: those of evacuated zones are absent. */
   private listHealthy(backends: readonly BackendView[]): BackendView[] {
-    const {engines} = this.options.runtime.state;
+    const {engines, evacuations} = this.options.runtime.state;
     return backends.filter(
-      ({registration: {incarnation}}) =>
-        !engines.isRetired(incarnation) && !this.health.isLost(incarnation),
+      ({registration: {incarnation, zone}}) =>
+        !engines.isRetired(incarnation) &&
+        !evacuations.has(zone) &&
+        !this.health.isLost(incarnation),
     );
   }
 
--- a/src/coordination/groups/create_engine_plan_input.ts
+++ b/src/coordination/groups/create_engine_plan_input.ts
@@ -1,6 +1,7 @@
 import {EngineProfile} from '../../protocol/engine_profile';
 import {ModelDemand} from '../../protocol/model_demand';
 import {computeDesiredGroups} from './compute_desired_groups';
+import {dropEvacuated} from './drop_evacuated';
 import {ShareAdjuster} from './share_adjuster';
 import {ModelCounts} from './model_counts';
 import {EnginePlanInput} from './engine_plan_input';
@@ -34,7 +35,7 @@
     profile,
     desiredGroups: computeDesiredGroups(profile, domains),
   });
-  const counts = ModelCounts.createWithHeld(input);
+  const counts = ModelCounts.createWithHeld(dropEvacuated(input));
   const {profile, shifted, recipientModel} = adjuster.update({
     profile: input.profile,
     domains,
@@ -42,8 +43,9 @@
     now: input.now,
     countGroups: model => counts.countGroups(model),
     canRebalance: (changed, model) =>
-      planRebalance({...applyShares(changed), recipientModel: model}).length >
-      0,
+      planRebalance(
+        dropEvacuated({...applyShares(changed), recipientModel: model}),
+      ).length > 0,
   });
   return {input: {...applyShares(profile), recipientModel}, shifted};
 }
--- a/src/coordination/groups/engine_plan_input.ts
+++ b/src/coordination/groups/engine_plan_input.ts
@@ -32,6 +32,8 @@
   readonly isSaturated: (model: string) => boolean;
   /** The backend server is draining or has announced that it stops. */
   readonly isRetired: (incarnation: string) => boolean;
+  /** No requests are sent to backend servers of this availability zone; absent where none is evacuated. */
+  readonly isEvacuated?: (zone: string) => boolean;
   /** The backend server does not answer, so its group has stalled or soon will. */
   readonly isLost: (incarnation: string) => boolean;
   /** The unreachable or dead head is known to use none of its members any more. */
--- a/src/coordination/groups/plan_engine_groups.ts
+++ b/src/coordination/groups/plan_engine_groups.ts
@@ -3,6 +3,8 @@
 import {BackendView} from './backend_view';
 import {EngineAction} from './engine_action';
 import {EnginePlanInput} from './engine_plan_input';
+import {dropEvacuated} from './drop_evacuated';
+import {findEvacuationFault} from './find_evacuation_fault';
 import {planEngineFormation} from './plan_engine_formation';
 import {planRebalance} from './plan_rebalance';
 import {planConsolidation} from './plan_consolidation';
@@ -33,9 +35,10 @@
       ? [{type: 'end-group' as const, name, epoch, reason}]
       : planJoinAndOpen(group, views);
   });
-  const moves = planMoves(input);
+  const usable = dropEvacuated(input);
+  const moves = planMoves(usable);
   const {actions: formations, reservations} = planEngineFormation(
-    input,
+    usable,
     moves.length === 0,
   );
   const formed = formations.flatMap(action =>
@@ -48,7 +51,7 @@
     // New groups may use the hosts that a move relies on.
     ...(formations.length === 0 ? moves : []),
     ...formations,
-    ...planPreloads(input, plannedMembers, reservations),
+    ...planPreloads(usable, plannedMembers, reservations),
   ];
 }
 
@@ -80,7 +83,7 @@
   );
   return reported?.state === 'broken'
     ? 'the head says that it is broken'
-    : undefined;
+    : findEvacuationFault(group, views, input);
 }
 
 function findLost(
