feat(operator): whinreel evacuate and whinreel restore

The orders are signed like a drain, and whinreel status shows the evacuated zones with who ordered it and since when.

--- a/src/control/create_fleet_status.ts
+++ b/src/control/create_fleet_status.ts
@@ -53,6 +53,7 @@
       bundleVersion,
     })),
     claims: state.claims.size,
+    evacuations: state.evacuations.list(),
   };
 }
 
--- a/src/operator/create_program.ts
+++ b/src/operator/create_program.ts
@@ -3,6 +3,7 @@
 import {addressListSetting} from '../config/address_list_setting';
 import {loadTransportSecurity} from '../config/load_transport_security';
 import {addBundleCommands} from './add_bundle_commands';
+import {addEvacuationCommands} from './add_evacuation_commands';
 import {addFleetCommands} from './add_fleet_commands';
 import {addKeyCommands} from './add_key_commands';
 import {addLogCommands} from './add_log_commands';
@@ -82,6 +83,7 @@
   addLogCommands(context);
   addBundleCommands(context);
   addFleetCommands(context);
+  addEvacuationCommands(context);
   addSuspectCommands(context);
   return program;
 }
--- a/src/operator/operator_client.ts
+++ b/src/operator/operator_client.ts
@@ -4,6 +4,7 @@
 import {computeKeyId} from '../protocol/compute_key_id';
 import {ControlClient} from '../protocol/control_client';
 import {encodeDrainOrder} from '../protocol/encode_drain_order';
+import {encodeEvacuationOrder} from '../protocol/encode_evacuation_order';
 import {encodeLiftOrder} from '../protocol/encode_lift_order';
 import {FleetStatus} from '../protocol/fleet_status';
 import {SignedBundle} from '../protocol/signed_bundle';
@@ -119,6 +120,26 @@
     return this.waitForAnswer(this.client.ask(order, this.timeoutMs));
   }
 
+  /**
+   * Signs and sends an order to evacuate an availability zone, or to restore it.
+   *
+   * @throws OperatorError when no leader answers
+   */
+  async setEvacuation(zone: string, isEvacuated: boolean, key: KeyObject) {
+    const time = Date.now();
+    const text = encodeEvacuationOrder(zone, isEvacuated, time);
+    const signature = sign(null, Buffer.from(text), key).toString('base64');
+    const order = {
+      type: 'evacuation-ask' as const,
+      zone,
+      isEvacuated,
+      time,
+      keyId: computeKeyId(key),
+      signature,
+    };
+    return this.waitForAnswer(this.client.ask(order, this.timeoutMs));
+  }
+
   /**
    * Lists the requests that were running on backend servers when these crashed.
    *
--- a/src/operator/operator_result.ts
+++ b/src/operator/operator_result.ts
@@ -69,6 +69,13 @@
       readonly isAccepted: boolean;
       readonly reason: string;
     }
+  | {
+      readonly type: 'evacuation-ordered';
+      readonly zone: string;
+      readonly isEvacuated: boolean;
+      readonly isAccepted: boolean;
+      readonly reason: string;
+    }
   | {
       readonly type: 'drain-ordered';
       readonly hostId: string;
--- a/src/operator/text_reporter.ts
+++ b/src/operator/text_reporter.ts
@@ -85,6 +85,10 @@
         ),
   'verdict-lifted': ({name, isAccepted, reason}) =>
     `${isAccepted ? '' : 'refused: '}${name} ${isAccepted ? 'may run again' : 'stays as it is'}: ${reason}\n`,
+  'evacuation-ordered': ({zone, isEvacuated, isAccepted, reason}) =>
+    isAccepted
+      ? `${zone} ${isEvacuated ? 'is evacuated' : 'gets requests'}: ${reason}\n`
+      : `refused: ${zone}: ${reason}\n`,
   'drain-ordered': ({hostId, isDraining, isAccepted, reason}) =>
     `${isAccepted ? '' : 'refused: '}${hostId} ${isDraining ? 'drains' : 'is back'}: ${reason}\n`,
 };
@@ -104,6 +108,10 @@
     `leader ${status.leader}, term ${status.term}, commit ${status.commitIndex}\n`,
     `voters ${voterList}\n`,
     `bundle version ${bundle.version} ${digest}, in force on ${bundle.inForce} of ${bundle.of}\n`,
+    ...status.evacuations.map(
+      ({zone, requestedBy, since}) =>
+        `evacuated ${zone}, ordered by ${requestedBy} at ${new Date(since).toISOString()}\n`,
+    ),
     `entries ${entries.map(entry => entry.entryId).join(', ') || 'none'}; claims ${status.claims}\n\n`,
     formatTable(
       ['GROUP', 'EPOCH', 'DOMAIN', 'STATE', 'RUNNING', 'MEMBERS'],
--- a/src/protocol/fleet_status.ts
+++ b/src/protocol/fleet_status.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {Group} from './group';
+import {ZoneEvacuation} from './zone_evacuation';
 
 /** The status that `whinreel status` prints. */
 export const FleetStatus = z.object({
@@ -45,5 +46,7 @@
   ),
   entries: z.array(z.object({entryId: z.string(), bundleVersion: z.int()})),
   claims: z.int(),
+  /** Evacuated availability zones; leaders of older versions name none. */
+  evacuations: z.array(ZoneEvacuation).default([]),
 });
 export type FleetStatus = z.infer<typeof FleetStatus>;
