--- a/src/control/engine_group_planner_loop.ts
+++ b/src/control/engine_group_planner_loop.ts
@@ -204,6 +204,7 @@
           ...Object.fromEntries(input.desiredGroups),
           ...describeNeeds(input),
           domains: domains.join(' '),
+          ...describeReports(gateways.listReports(), configured.now),
         },
       });
     }
@@ -281,6 +282,15 @@
   );
 }
 
+/** Describes how many gateways the demand comes from, and the age of their oldest report. */
+function describeReports(
+  reports: ReadonlyArray<{readonly seenAt: number}>,
+  now: number,
+): Record<string, number> {
+  const ages = reports.map(({seenAt}) => Math.round(now - seenAt));
+  return {gateways: reports.length, 'oldest report ms': Math.max(0, ...ages)};
+}
+
 function hasNoWeights({registration, loadedModel}: BackendView): boolean {
   return loadedModel === undefined && registration.stagedModels.length === 0;
 }
--- a/src/coordination/groups/compute_model_needs.ts
+++ b/src/coordination/groups/compute_model_needs.ts
@@ -6,6 +6,8 @@
 
 /** Fraction of late answers up to which a model has enough groups. */
 const ACCEPTED_LATE_FRACTION = 0.1;
+/** More groups than any pool has; bounds the search when a gateway reports an absurd demand. */
+const MAX_GROUPS = 10_000;
 
 /** The models of a pool, their demand, and the weight of a request of each. */
 interface ModelNeedsInput {
@@ -38,11 +40,13 @@
       if (!modelDemand) {
         return [[name, {weight, busyGroups: 0, sufficientGroups: 0}]];
       }
-      const busyGroups = Math.ceil(
-        computeBusyGroups({profile, model, demand: modelDemand}),
+      const busyGroups = Math.min(
+        Math.ceil(computeBusyGroups({profile, model, demand: modelDemand})),
+        MAX_GROUPS,
       );
       let sufficientGroups = busyGroups;
       while (
+        sufficientGroups < MAX_GROUPS &&
         estimateLateFraction({
           profile,
           model,
--- a/test/coordination/plan_host_split.test.ts
+++ b/test/coordination/plan_host_split.test.ts
@@ -122,6 +122,23 @@
   });
 }
 
+/** Lists the domains of the groups of A at the end; there is one in each at the start. */
+function listDomainsOfA(changes: readonly Change[]): string[] {
+  const domains = new Map([
+    ['A-1', 'd0'],
+    ['A-2', 'd1'],
+    ['A-3', 'd2'],
+  ]);
+  for (const {type, model, name, domain} of changes) {
+    if (type === 'remove-group') {
+      domains.delete(name);
+    } else if (type === 'set-group' && model === 'A') {
+      domains.set(name, domain);
+    }
+  }
+  return [...domains.values()];
+}
+
 describe.each(['d0', 'd1', 'd2'])('a day in which %s is lost', lost => {
   const other = lost === 'd1' ? 'd2' : 'd1';
   const {changes} = replay(createFaults(lost, other), 1_000);
@@ -136,6 +153,11 @@
     expect(Math.max(2, ...counts.map(({count}) => count))).toBe(2);
   });
 
+  test('ends with two groups of A in different domains', () => {
+    const domains = listDomainsOfA(changes);
+    expect([domains.length, new Set(domains).size]).toEqual([2, 2]);
+  });
+
   test('has groups of B formed first when the domain returns', () => {
     const [first] = listFormed(changes, RETURNS_AT_MS);
     expect(first.model).toBe('B');
@@ -159,14 +181,8 @@
       ({at}) => at > RETURNS_AT_MS + 1_000,
     );
     expect(Math.max(2, ...counts.map(({count}) => count))).toBe(2);
-    const ended = new Set(
-      changes.flatMap(({type, name}) => (type === 'end-group' ? [name] : [])),
-    );
-    const kept = ['A-1', 'A-2', 'A-3'].filter(name => !ended.has(name));
-    const again = changes.filter(
-      ({type, model}) => type === 'set-group' && model === 'A',
-    );
-    expect(kept.length + again.length).toBe(2);
+    const domains = listDomainsOfA(changes);
+    expect([domains.length, new Set(domains).size]).toEqual([2, 2]);
   });
 });
 
--- a/test/coordination/share_adjuster.test.ts
+++ b/test/coordination/share_adjuster.test.ts
@@ -10,6 +10,10 @@
 import {ShareAdjuster} from '../../src/coordination/groups/share_adjuster';
 import {createDemand} from '../support/create_demand';
 import {createRandom} from '../support/create_random';
+import {
+  CONTENTION_PROFILE,
+  createContentionDemand,
+} from '../support/engine_demand';
 import {EngineFleet} from '../support/engine_fleet';
 import {PROFILE} from '../support/engine_plan';
 
@@ -281,3 +285,81 @@
     expect(play(false).byModel.low).toBeLessThan(0.93);
   });
 });
+
+describe('shares of models of different urgency', () => {
+  const weights = new Map([
+    ['A', 0.17],
+    ['B', 1.11],
+  ]);
+  const createInput = (now: number, factor = 1) => ({
+    profile: CONTENTION_PROFILE,
+    domains: [19, 19, 19],
+    demand: createContentionDemand({A: factor, B: factor}),
+    weights,
+    now,
+    canRebalance: () => true,
+    countGroups: (model: string) => (model === 'A' ? 3 : 6),
+  });
+  const describeSplit = ({models}: typeof CONTENTION_PROFILE) => {
+    const counts = computeDesiredGroups(
+      {...CONTENTION_PROFILE, models},
+      [19, 19, 19],
+    );
+    return `${counts.get('A')} and ${counts.get('B')}`;
+  };
+
+  // The split stayed at 3 and 6 for a whole day, with six of seven requests for B.
+  test.each([0.9, 1, 1.1, 1.3])(
+    'follow %s times the demand within 3 s',
+    factor => {
+      const adjuster = ShareAdjuster.create();
+      let profile = CONTENTION_PROFILE;
+      for (let now = 0; now <= 3_000; now += STEP_MS) {
+        ({profile} = adjuster.update(createInput(now, factor)));
+      }
+      expect(describeSplit(profile)).toBe('2 and 8');
+    },
+  );
+
+  // A new leader forgot the split while a domain was lost, and formed a third group of A.
+  test('are found again by a new leader without a move', () => {
+    const lost = ShareAdjuster.create();
+    const groups = new Map([
+      ['A', 2],
+      ['B', 4],
+    ]);
+    const input = {
+      ...createInput(0),
+      canRebalance: () => false,
+      countGroups: (model: string) => groups.get(model) ?? 0,
+    };
+    lost.update({...input, domains: [19, 19], demand: {}});
+    const {profile, shifted} = lost.update({...input, now: STEP_MS});
+    expect(shifted).toMatchObject({from: 'A', to: 'B'});
+    expect(describeSplit(profile)).toBe('2 and 8');
+  });
+
+  test('do not change without a move where urgency does not count', () => {
+    const adjuster = ShareAdjuster.create();
+    const {profile} = adjuster.update({
+      ...createInput(0),
+      weights: undefined,
+      canRebalance: () => false,
+      countGroups: model => (model === 'A' ? 2 : 4),
+    });
+    expect(describeSplit(profile)).toBe('3 and 6');
+  });
+
+  // Requests for a model of another pool, whose answers have not ended, must not hold up the first shift.
+  test('do not wait for models of other pools', () => {
+    const adjuster = ShareAdjuster.create();
+    const unknown = {...createContentionDemand().A, answerTokensPerSecond: 0};
+    let profile = CONTENTION_PROFILE;
+    for (let now = 0; now <= 3_000; now += STEP_MS) {
+      const input = createInput(now);
+      const demand = {...input.demand, other: unknown};
+      ({profile} = adjuster.update({...input, demand}));
+    }
+    expect(describeSplit(profile)).toBe('2 and 8');
+  });
+});
