--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -20,6 +20,9 @@
   /** Set if the target has a rate limit. */
   readonly permit?: SendPermit;
   readonly workspace?: string;
+  /** 0 is the most urgent. */
+  readonly urgency: number;
+  readonly sendsUrgency?: boolean;
   readonly remainingMs: number;
   readonly lastEventId?: string;
   readonly maxConnections: number;
@@ -129,11 +132,13 @@
   private send(): void {
     const {request, body, target, dialect, clientPool, balancer} = this.options;
     const {workspace, remainingMs, lastEventId, maxConnections} = this.options;
+    const {urgency, sendsUrgency} = this.options;
     const {incarnation, address} = target;
     balancer.recordRequestStart(incarnation, request.promptTokens);
     const headers = dialect.createHeaders(request, {
       incarnation,
       workspace,
+      urgency: sendsUrgency ? urgency : undefined,
       remainingMs,
       lastEventId,
     });
@@ -270,11 +275,11 @@
     }
     const isWholeStream =
       end.kind === 'whole' && (this.head?.isEventStream ?? false);
-    balancer.recordRequestEnd(
-      target.incarnation,
-      request.promptTokens,
-      isWholeStream ? this.chunkCount : undefined,
-    );
+    balancer.recordRequestEnd(target.incarnation, {
+      promptTokens: request.promptTokens,
+      events: isWholeStream ? this.chunkCount : undefined,
+      isRefused: end.kind === 'not-run',
+    });
     this.options.onEnd(end);
   }
 }
