--- a/src/operator/explain_request.ts
+++ b/src/operator/explain_request.ts
@@ -18,7 +18,8 @@
  * Selects, in order of time, the request's own lines, those about the backend
  * servers that it was sent to or that its reason names, and those about their
  * groups. For a request that was sent to no backend server, lines about the
- * groups of its model and about control are selected too.
+ * groups of its model and about control are selected too. Orders for a zone that its
+ * reason names as evacuated are selected whatever their age.
  *
  * @param text log lines of any number of processes; a prefix before the `{` of a
  *     line, such as a host name, is ignored
@@ -45,8 +46,16 @@
     const ageMs = endedAt - Date.parse(line.time);
     return ageMs >= 0 && ageMs <= LOOKBACK_MS;
   };
+  const isOrder = (line: LogLine) =>
+    line.subject === 'zone' &&
+    last.reason.includes('evacuated: ') &&
+    last.reason.includes(line.id) &&
+    Date.parse(line.time) <= endedAt;
   return lines
-    .filter(line => line.id === id || (isRelated(line) && isRecent(line)))
+    .filter(
+      line =>
+        line.id === id || isOrder(line) || (isRelated(line) && isRecent(line)),
+    )
     .map(({time, program, event, id: subject, reason}) => {
       return {time, program, event, id: subject, reason};
     })
--- a/test/operator/explain_request.test.ts
+++ b/test/operator/explain_request.test.ts
@@ -52,3 +52,32 @@
 test('a request that no log line names has no explanation', () => {
   expect(describeLines('q3')).toEqual([]);
 });
+
+test('a request that was refused because of an evacuation is explained by the order, however old', () => {
+  const line = (fields: object) => JSON.stringify({program: 'p', ...fields});
+  const text = [
+    line({
+      time: '2026-12-01T08:00:00.000Z',
+      event: 'zone-evacuated',
+      subject: 'zone',
+      id: 'zone-a',
+      reason: 'ordered by operators',
+    }),
+    line({
+      time: '2026-12-01T08:00:00.000Z',
+      event: 'zone-evacuated',
+      subject: 'zone',
+      id: 'zone-b',
+      reason: 'ordered by operators',
+    }),
+    line({
+      time: '2026-12-01T09:00:00.000Z',
+      event: 'request-refused',
+      subject: 'request',
+      id: 'q',
+      reason:
+        'no backend server can take it now; every zone that serves it is evacuated: zone-a',
+    }),
+  ].join('\n');
+  expect(explainRequest(text, 'q').map(({id}) => id)).toEqual(['zone-a', 'q']);
+});
--- a/test/simulation/day_limits.ts
+++ b/test/simulation/day_limits.ts
@@ -2,6 +2,8 @@
 export const VOTERS = 5;
 /** Availability zones that the voters are spread over. */
 export const ZONES = 3;
+/** Zones that the operator of a day evacuates and restores. */
+export const EVACUATED_ZONES = ['zone-0', 'zone-1', 'zone-2'];
 export const LOSSES = 2;
 export const SEEDS = 3;
 export const LOOK_EVERY_MS = 100;
--- a/test/simulation/day_operator.ts
+++ b/test/simulation/day_operator.ts
@@ -42,6 +42,7 @@
     if (version % CHANGES_PER_VERDICT === 0) {
       verdicts.convict(runtime, isAnswered);
     }
+    verdicts.evacuations?.order(desk, isAnswered);
     desk.handlers['channel-bundle-ask']({
       type: 'channel-bundle-ask',
       call: version,
--- a/test/simulation/find_broken_promise.ts
+++ b/test/simulation/find_broken_promise.ts
@@ -18,6 +18,10 @@
   if (version > 0 && source !== createBundle(version).source) {
     return `${name} holds another version ${version} than was sent`;
   }
+  const zone = verdicts.evacuations?.findLost(runtime);
+  if (zone !== undefined) {
+    return `${name} does not know the acknowledged order for ${zone}`;
+  }
   const lost = verdicts.findLost(runtime);
   return lost && `${name} no longer knows the verdict on ${lost}`;
 }
--- a/test/simulation/main.ts
+++ b/test/simulation/main.ts
@@ -1,7 +1,7 @@
 /**
  * Plays drawn days of the quorum on all cores.
  *
- * Usage: `npm run simulate -- FIRST_SEED COUNT [CORES] [KIND]`, where KIND is `day` or `recovery`
+ * Usage: `npm run simulate -- FIRST_SEED COUNT [CORES] [KIND]`, where KIND is `day`, `recovery` or `evacuation`
  */
 import {availableParallelism} from 'node:os';
 import {
@@ -12,18 +12,22 @@
 } from 'node:worker_threads';
 import {DayResult} from './day_result';
 import {playDay} from './play_day';
-import {drawDay} from './quorum_day';
+import {drawDay, drawEvacuationDay} from './quorum_day';
 import {drawRecoveryDay} from './recovery_day';
 import {shrinkDay} from './shrink_day';
 
 /** Seeds that one worker plays before it reports. */
 const BATCH = 20;
 const USAGE =
-  'usage: npm run simulate -- FIRST_SEED COUNT [CORES] [day|recovery]';
+  'usage: npm run simulate -- FIRST_SEED COUNT [CORES] [day|recovery|evacuation]';
 const FIRST_WRONG_EXIT = 2;
 
 /** What may be drawn from a seed. */
-const KINDS = {day: drawDay, recovery: drawRecoveryDay};
+const KINDS = {
+  day: drawDay,
+  recovery: drawRecoveryDay,
+  evacuation: drawEvacuationDay,
+};
 
 interface Job {
   readonly first: number;
@@ -96,6 +100,8 @@
   console.log(
     `${results.length} days, ${acknowledged} changes acknowledged; a leader after ${pick(0.5)} ms (median), ${pick(0.99)} ms (99 in 100), ${Math.round(times.at(-1) ?? NaN)} ms (longest)`,
   );
+  const orders = results.reduce((sum, day) => sum + (day.evacuations ?? 0), 0);
+  console.log(`${orders} evacuations and restores acknowledged`);
   console.log(`${broken} broken`);
   return broken;
 }
--- a/test/simulation/play_day.ts
+++ b/test/simulation/play_day.ts
@@ -52,7 +52,7 @@
   private readonly story = DayStory.create(this.time, () =>
     this.machines.map(describeMachine),
   );
-  private readonly verdicts = VerdictLedger.create();
+  private readonly verdicts: VerdictLedger;
   private readonly operator: DayOperator;
   private seedsFrom = 0;
   private acked = 0;
@@ -96,6 +96,7 @@
       const zone = `zone-${at % ZONES}`;
       this.machines.push(VirtualMachine.create(`m${at}`, zone, this.fleet));
     }
+    this.verdicts = VerdictLedger.create(day);
     this.handlers = this.createHandlers();
     this.operator = DayOperator.create({
       time: this.time,
@@ -137,6 +138,7 @@
       broken: this.story.broken,
       story: this.story.lines,
       acknowledged: this.ackedCount,
+      evacuations: this.verdicts.evacuations?.acknowledged,
       leaderAfterMs: this.leaderAfterMs,
     };
   }
--- a/test/simulation/quorum_day.ts
+++ b/test/simulation/quorum_day.ts
@@ -109,6 +109,8 @@
   readonly suspends: boolean;
   /** How far the time of day is set when a machine wakes, as a part of its suspension. */
   readonly stepPart: number;
+  /** The operator also evacuates and restores zones. */
+  readonly evacuates?: boolean;
   /** How the machines return after the closing; absent when all return at once and undisturbed. */
   readonly recovery?: {
     /** How long each machine is down, by its place. */
@@ -229,3 +231,13 @@
     stepPart: STEP_PARTS[pick(0, STEP_PARTS.length - 1)],
   };
 }
+
+/**
+ * Draws the same day as `drawDay`, on which the operator also evacuates and restores zones.
+ *
+ * @example
+ * const day = drawEvacuationDay(7);
+ */
+export function drawEvacuationDay(seed: number): QuorumDay {
+  return {...drawDay(seed), evacuates: true};
+}
--- a/test/simulation/verdict_ledger.ts
+++ b/test/simulation/verdict_ledger.ts
@@ -1,14 +1,18 @@
 /** Verdicts on requests that were acknowledged on a simulated day, which nobody who answers may have lost. */
 import {RaftRuntime} from '../../src/control/raft_runtime';
+import {EvacuationLedger} from './evacuation_ledger';
+import {QuorumDay} from './quorum_day';
 
 export class VerdictLedger {
   private readonly convicted: string[] = [];
   private count = 0;
 
-  private constructor() {}
+  private constructor(readonly evacuations: EvacuationLedger | undefined) {}
 
-  static create(): VerdictLedger {
-    return new VerdictLedger();
+  static create({seed, evacuates}: QuorumDay): VerdictLedger {
+    return new VerdictLedger(
+      evacuates ? EvacuationLedger.create(seed) : undefined,
+    );
   }
 
   /**
--- a/test/simulation/virtual_machine.ts
+++ b/test/simulation/virtual_machine.ts
@@ -6,6 +6,7 @@
 import {BackendRegistry} from '../../src/control/backend_registry';
 import {ChangeSignal} from '../../src/control/change_signal';
 import {ControlSettings} from '../../src/control/control_settings';
+import {EVACUATED_ZONES} from './day_limits';
 import {GatewayService} from '../../src/control/gateway_service';
 import {QuorumMember} from '../../src/control/quorum_member';
 import {RaftRuntime} from '../../src/control/raft_runtime';
@@ -185,6 +186,7 @@
       peers: new Map(),
       trustedKeys: [],
       trustedChannels: [CHANNEL],
+      listZones: () => EVACUATED_ZONES,
       leaseMs: 5_000,
       snapshotEvery: this.snapshotEvery,
       seeded: {seeds, isFirstStart, voters, minCopies: losses + 1},
