--- a/test/simulation/play_day.ts
+++ b/test/simulation/play_day.ts
@@ -328,8 +328,7 @@
     const now = this.time.now();
     const calmAt = this.findCalmAt();
     for (const machine of this.machines) {
-      const isAnswering = this.checkAnswers(machine);
-      if (isAnswering && calmAt !== undefined && now >= calmAt) {
+      if (this.checkAnswers(machine) && calmAt !== undefined && now >= calmAt) {
         this.leaderAfterMs ??= now - calmAt;
       }
     }
