fix(limits): a new leader lists no server that may be cold to new gateways

A gateway that restarted while the leader changed got targets from a leader that no gateway had told yet which servers are cold, and sent 9 requests in a second where 4 were allowed. A new leader now waits a second before it lists servers that have not said whether they are cold.

--- a/src/control/cold_server_service.ts
+++ b/src/control/cold_server_service.ts
@@ -11,6 +11,8 @@
 const MAX_TRANSIT_MS = 500;
 /** After a zone was restored, its servers count as cold for at least this long; a registration ends it earlier. Silent servers are removed after the same time. */
 const RESTORED_COLD_MS = 30_000;
+/** Gateways have told a new leader within this time which servers are cold. */
+const LISTEN_MS = 1_000;
 /** Interval between removals of ended states. */
 const EXPIRY_INTERVAL_MS = 1_000;
 /** Used where the interval of registrations isn't configured. */
@@ -18,7 +20,7 @@
 
 /** Dependencies of the service. */
 interface ColdServerServiceOptions {
-  readonly runtime: Pick<RaftRuntime, 'state' | 'raft'>;
+  readonly runtime: Pick<RaftRuntime, 'state' | 'raft' | 'leadingSince'>;
   readonly registry: Pick<BackendRegistry, 'find' | 'list'>;
   readonly clock: Clock;
   readonly events: EventRing;
@@ -81,6 +83,22 @@
     return this.states.findEnd(incarnation);
   }
 
+  /** True while gateways may not have told this new leader yet which servers are cold. */
+  get isListening(): boolean {
+    const {runtime, clock} = this.options;
+    return clock.now() - runtime.leadingSince < LISTEN_MS;
+  }
+
+  /** True if this new leader may not know that a server is cold. */
+  isUncertain({incarnation, pool}: {incarnation: string; pool: string}) {
+    this.refresh();
+    return (
+      this.isListening &&
+      this.isLimitedPool(pool) &&
+      !this.states.isReported(incarnation)
+    );
+  }
+
   /** Requests per second for a server while it is cold; undefined if it is warm or its pool has no limit. */
   findRate(incarnation: string): number | undefined {
     if (this.findEnd(incarnation) <= this.options.clock.now()) {
--- a/src/control/target_table.ts
+++ b/src/control/target_table.ts
@@ -45,7 +45,10 @@
   readonly registry: BackendRegistry;
   readonly runtime: Pick<RaftRuntime, 'state' | 'raft' | 'leadingSince'>;
   /** Which backend servers are cold; absent where none is. */
-  readonly cold?: Pick<ColdServerService, 'version' | 'findEnd'>;
+  readonly cold?: Pick<
+    ColdServerService,
+    'version' | 'findEnd' | 'isListening' | 'isUncertain'
+  >;
   /** Part of the tag, so that versions of two leaders never look the same. */
   readonly leaderName: string;
 }
@@ -120,7 +123,7 @@
     const {term} = runtime.raft;
     const isComplete = this.isComplete(now);
     const sequenceId = `${leaderName}/${term}/${isComplete ? 'all' : 'some'}`;
-    const sourceVersions = `${registry.version}/${engines.version}/${channel.version}/${cold?.version}`;
+    const sourceVersions = `${registry.version}/${engines.version}/${channel.version}/${cold?.version}/${cold?.isListening}`;
     if (
       sequenceId === this.sequenceId &&
       sourceVersions === this.sourceVersions
@@ -149,7 +152,7 @@
   }
 
   private recordTargets(now: number): void {
-    const {registry, runtime} = this.options;
+    const {registry, runtime, cold} = this.options;
     const views = registry.list();
     const groups = runtime.state.engines.list();
     const byHead = new Map(
@@ -157,13 +160,20 @@
     );
     const next = new Map<string, TableEntry | null>();
     if (!this.isSequenceComplete) {
-      this.listUnregisteredHeads(views, groups).forEach(target =>
-        next.set(target.incarnation, this.createEntry(target)),
-      );
+      this.listUnregisteredHeads(views, groups)
+        .filter(target => !cold?.isUncertain(target))
+        .forEach(target =>
+          next.set(target.incarnation, this.createEntry(target)),
+        );
     }
     for (const view of views) {
       const {incarnation} = view.registration;
       const target = this.findTarget(view, byHead.get(incarnation));
+      if (target && cold?.isUncertain(target)) {
+        // Gateways that had it as a target keep it; a gateway that restarted
+        // would not know whether it is cold.
+        continue;
+      }
       next.set(incarnation, target ? this.createEntry(target) : null);
     }
     for (const [incarnation, entry] of next) {
--- a/test/control/cold_servers.test.ts
+++ b/test/control/cold_servers.test.ts
@@ -221,6 +221,30 @@
     },
   );
 
+  // Guards against a gateway that gets its targets from a leader that does not
+  // know yet which servers are cold.
+  test.each(SIZES)(
+    'when one of %d gateways restarts while the leader changes',
+    async gateways => {
+      const cold = {forMsAt: turnsCold, isInRegistrations: false};
+      const demandAt = () => 100 / gateways;
+      const crowd = create(gateways, 4, cold, {demandAt});
+      // Each new leader gets the next registration 10 ms after it begins to lead.
+      for (let at = 12_970, next = 0; at < 30_000; at += 2_000, next += 1) {
+        crowd.time.after(at, () => {
+          crowd.changeLeader(20);
+          crowd.restart(next % gateways);
+        });
+      }
+      await crowd.run(35_000);
+
+      const knownAt = COLD_FROM_MS + KNOWN_WITHIN_MS;
+      expect(crowd.countMaxWhileCold(knownAt)).toBeLessThanOrEqual(4);
+      const used = crowd.countInformedRequests(31_000, 35_000) / 4;
+      expect(used).toBeGreaterThanOrEqual(0.8 * 4);
+    },
+  );
+
   // Guards against gateways that go on without control.
   test('when all gateways are cut off from control, nothing is sent', async () => {
     const crowd = create(16, 4);
--- a/test/support/rate_limit_simulation.ts
+++ b/test/support/rate_limit_simulation.ts
@@ -61,6 +61,8 @@
   readonly monotonicClock: Clock;
   tableTag = '';
   hasServed = false;
+  /** True once a leader has listed the backend server. */
+  hasTarget = false;
 
   constructor(
     readonly index: number,
@@ -74,6 +76,7 @@
     const {simulation, monotonicClock} = this;
     this.tableTag = '';
     this.hasServed = false;
+    this.hasTarget = false;
     this.limits = BackendRateLimits.create({
       clock: monotonicClock,
       leaseClock: simulation.time,
@@ -235,6 +238,7 @@
         }
         if (update && (update.isWholeTable || gateway.tableTag === tableTag)) {
           gateway.tableTag = newTableTag;
+          gateway.hasTarget ||= update.targets.length > 0;
           limits.recordTargets(update.targets, tag);
         }
         limits.applyChanges(reports, tag, news, cold);
@@ -323,7 +327,7 @@
 
   private async sendIfPermitted(gateway: SimulatedGateway): Promise<void> {
     const {limits} = gateway;
-    const hasTarget = !this.options.cold || gateway.tableTag !== '';
+    const hasTarget = !this.options.cold || gateway.hasTarget;
     if (!hasTarget || !limits.isAvailable(BACKEND)) {
       return;
     }
