--- a/test/control/partitioned_groups.test.ts
+++ b/test/control/partitioned_groups.test.ts
@@ -17,6 +17,7 @@
 import {ControlMessage} from '../../src/protocol/control_message';
 import {MessageOf} from '../../src/protocol/message_of';
 import {EngineGroupTable} from '../../src/state/engine_group_table';
+import {EvacuationTable} from '../../src/state/evacuation_table';
 import {SuspectTable} from '../../src/state/suspect_table';
 import {PROFILE, createGroup, createHost} from '../support/engine_plan';
 
@@ -48,6 +49,7 @@
       engines: EngineGroupTable.create(),
       channel: {version: 1, rules: {pools: [{name: 'p', engine: PROFILE}]}},
       suspects: SuspectTable.create(),
+      evacuations: EvacuationTable.create(),
     },
     raft: {term: 1, commitIndex: 1, listVotersAt: () => new Map()},
     leadingSince: 0,
