feat(gateway): slots that a gateway's own requests free are reused before reported ones

At full load the reported free slots are out of date, and requests were sent to engines without one.

--- a/src/coordination/scheduling/arrival_meter.ts
+++ b/src/coordination/scheduling/arrival_meter.ts
@@ -43,9 +43,11 @@
 
   /** Returns the arrivals per millisecond of all requests more urgent than this. */
   computeMoreUrgentRate(urgency: number, now: number): number {
-    return this.listUrgencies()
-      .filter(other => other < urgency)
-      .reduce((sum, other) => sum + this.findRate(other, now), 0);
+    let sum = 0;
+    for (const other of this.levels.keys()) {
+      sum += other < urgency ? this.findRate(other, now) : 0;
+    }
+    return sum;
   }
 
   /** Lists the urgencies of the requests seen so far, the most urgent first. */
--- a/src/coordination/scheduling/compute_reserved_slots.ts
+++ b/src/coordination/scheduling/compute_reserved_slots.ts
@@ -1,21 +1,29 @@
-/** Rates from the same gateways: of this one, or of all. */
+/** What one gateway knows of the demand for a model and of its slots. */
 interface ReservationInput {
-  /** Arrivals of more urgent requests, per millisecond. */
+  /** Arrivals of more urgent requests at all gateways, per millisecond. */
   readonly moreUrgentPerMs: number;
-  /** Slots that running requests free, per millisecond. */
+  /** Slots that requests of this gateway free, per millisecond. */
   readonly freedPerMs: number;
+  /** Slots of all engines together. */
+  readonly slots: number;
 }
 
+/** While requests wait, 97 in 100 slots are to be used; passing on a slot between gateways takes up to one of the other three. */
+const MAX_FRACTION = 0.02;
+
 /**
  * Computes how many free slots a less urgent request leaves: one for each more
- * urgent request that is expected before a slot is freed again. None
- * is reserved where no more urgent requests arrive.
+ * urgent request that is expected, at any gateway, before this gateway frees a
+ * slot again. None is reserved where no more urgent requests arrive.
  *
  * @example
- * const reserved = computeReservedSlots({moreUrgentPerMs: 0.01, freedPerMs: 0.06});
+ * const reserved = computeReservedSlots({moreUrgentPerMs: 0.03, freedPerMs: 0.006, slots: 204});
  */
 export function computeReservedSlots(input: ReservationInput): number {
-  const {moreUrgentPerMs, freedPerMs} = input;
-  // Without running requests every slot is free.
-  return freedPerMs > 0 ? Math.ceil(moreUrgentPerMs / freedPerMs) : 0;
+  const {moreUrgentPerMs, freedPerMs, slots} = input;
+  if (moreUrgentPerMs <= 0 || freedPerMs <= 0) {
+    return 0;
+  }
+  const expected = Math.ceil(moreUrgentPerMs / freedPerMs);
+  return Math.min(expected, Math.max(1, Math.floor(slots * MAX_FRACTION)));
 }
--- a/src/coordination/scheduling/urgency_level.ts
+++ b/src/coordination/scheduling/urgency_level.ts
@@ -7,8 +7,10 @@
  * disconnects within this time; a quarter of the shortest wait of a caller.
  */
 const DUE_MS = 500;
-/** Finish tags of idle workspaces are removed at this number if they lie in the past. */
-const MAX_IDLE_TAGS = 1_000;
+/** With more workspaces than this their requests are not counted one workspace at a time. */
+const MAX_EXACT_FLOWS = 64;
+/** Finish tags of idle workspaces that are kept in any case. */
+const MIN_IDLE_TAGS = 1_000;
 
 interface Entry<T extends WaitingRequest> {
   readonly request: T;
@@ -39,6 +41,9 @@
   private readonly lateFlows = SortedList.create<Flow<T>>(compareFlows);
   private readonly inTime = SortedList.create<Entry<T>>(compareLatestStart);
   private readonly late = SortedList.create<Entry<T>>(compareExpiry);
+  /** Work of all waiting requests. */
+  private workMs = 0;
+  private maxIdleTags = MIN_IDLE_TAGS;
   private virtualTime = 0;
   private sequence = 0;
 
@@ -73,6 +78,7 @@
     const isLate = request.latestStartAt < now;
     const entry = {request, sequence: this.sequence, flow, isLate};
     flow.workMs += request.workMs;
+    this.workMs += request.workMs;
     this.entries.set(request, entry);
     this.addToLists(entry);
   }
@@ -87,6 +93,7 @@
     this.removeFromLists(entry);
     const {flow} = entry;
     flow.workMs -= request.workMs;
+    this.workMs -= request.workMs;
     if (flow.inTime.size + flow.late.size === 0) {
       this.flows.delete(flow.workspace);
       this.idleTags.set(flow.workspace, flow.tag);
@@ -148,18 +155,39 @@
     const own = this.flows.get(request.workspace);
     const tag = own?.tag ?? this.findStartTag(request.workspace);
     const startTag = tag + (own?.workMs ?? 0);
-    let ahead = own ? read(own) : 0;
-    for (const flow of this.flows.values()) {
-      if (flow !== own && flow.tag <= startTag) {
-        const meanMs = flow.workMs / (flow.inTime.size + flow.late.size);
-        // A workspace whose tag equals this one's may go first once.
-        const served = Math.floor((startTag - flow.tag) / meanMs) + 1;
-        ahead += Math.min(read(flow), meanMs > 0 ? served : Infinity);
-      }
-    }
+    const ownCount = own ? read(own) : 0;
+    const ahead =
+      this.flows.size > MAX_EXACT_FLOWS
+        ? ownCount + this.estimateOthersAhead(startTag, own)
+        : this.listFlowsBefore(startTag, own).reduce(
+            (sum, flow) =>
+              sum + Math.min(read(flow), countServed(flow, startTag)),
+            ownCount,
+          );
     return isInTime ? ahead + this.countDue(request, now) : ahead;
   }
 
+  private listFlowsBefore(
+    startTag: number,
+    own: Flow<T> | undefined,
+  ): Array<Flow<T>> {
+    return [...this.flows.values()].filter(
+      flow => flow !== own && flow.tag <= startTag,
+    );
+  }
+
+  /** Takes all other workspaces for alike, with tags as early as possible. */
+  private estimateOthersAhead(
+    startTag: number,
+    own: Flow<T> | undefined,
+  ): number {
+    const others = this.flows.size - (own ? 1 : 0);
+    const ownCount = own ? own.inTime.size + own.late.size : 0;
+    const meanMs = this.workMs / this.entries.size;
+    const rounds = Math.floor((startTag - this.virtualTime) / meanMs) + 1;
+    return Math.min(this.entries.size - ownCount, others * rounds);
+  }
+
   private countDue(request: T, now: number): number {
     const limit = {...request, expiresAt: now + DUE_MS};
     return this.late.countBefore({
@@ -182,13 +210,15 @@
     return Math.max(this.virtualTime, this.idleTags.get(workspace) ?? 0);
   }
 
+  /** Removes tags that lie in the past once the number of all has doubled, so that not every request scans them. */
   private dropOldTags(): void {
-    if (this.idleTags.size > MAX_IDLE_TAGS) {
+    if (this.idleTags.size > this.maxIdleTags) {
       for (const [workspace, tag] of this.idleTags) {
         if (tag <= this.virtualTime) {
           this.idleTags.delete(workspace);
         }
       }
+      this.maxIdleTags = Math.max(MIN_IDLE_TAGS, 2 * this.idleTags.size);
     }
   }
 
@@ -216,6 +246,15 @@
 type Place = Pick<Entry<WaitingRequest>, 'request' | 'sequence'>;
 type FlowPlace = Pick<Flow<WaitingRequest>, 'tag' | 'sequence'>;
 
+/** Counts the requests of another workspace that begin before this tag; one with an equal tag may. */
+function countServed<T extends WaitingRequest>(
+  {tag, workMs, inTime, late}: Flow<T>,
+  startTag: number,
+): number {
+  const meanMs = workMs / (inTime.size + late.size);
+  return meanMs > 0 ? Math.floor((startTag - tag) / meanMs) + 1 : Infinity;
+}
+
 function compareFlows(a: FlowPlace, b: FlowPlace): number {
   return a.tag - b.tag || a.sequence - b.sequence;
 }
--- a/src/gateway/proxied_request.ts
+++ b/src/gateway/proxied_request.ts
@@ -58,9 +58,9 @@
       context: options,
       readLastEventId: () => this.relay.lastEventId,
       canStillSend: () => this.canStillSend,
-      onSending: () => {
+      onSending: target => {
         this.wait.end();
-        this.wait.recordSent();
+        this.wait.recordSent(target);
         this.relay.reset();
       },
       onPermitDenied: () => this.handlePermitDenied(),
--- a/src/gateway/request_dispatcher.ts
+++ b/src/gateway/request_dispatcher.ts
@@ -69,7 +69,7 @@
   retry(target: GatewayTarget, reason: string): void {
     const {context, sender, wait, history, onRefused} = this.options;
     const {balancer, pool, request} = context;
-    sender.defer(target);
+    sender.retain(target);
     this.needsRetry = true;
     const engines = {pool: pool.name, model: request.model};
     if (balancer.listIncarnations(engines).length > 0) {
@@ -117,8 +117,8 @@
     const {sender, wait, onRefused} = this.options;
     const isServed = sender.findTarget(true) !== undefined;
     const slotSender = {
-      findTarget: () => sender.findTarget(false),
-      isBackingOff: () => sender.isBackingOff(),
+      findTarget: (full: readonly string[]) =>
+        sender.findTarget(false, false, full),
       send: (target: GatewayTarget) => sender.send(target),
     };
     if (!isServed || !wait.joinQueue(slotSender)) {
--- a/src/gateway/request_sender.ts
+++ b/src/gateway/request_sender.ts
@@ -11,9 +11,6 @@
   'onHead' | 'onData' | 'onEnd'
 >;
 
-/** A backend server that refused the request for lack of a slot is not tried again within this time; about a decode pass. */
-const BACK_OFF_MS = 100;
-
 interface RequestSenderOptions extends AttemptCallbacks {
   readonly context: ProxiedRequestOptions;
   readonly history: RequestHistory;
@@ -22,7 +19,7 @@
   readonly readLastEventId: () => string | undefined;
   /** False if the request must not be sent any more, though a permit was granted. */
   readonly canStillSend: () => boolean;
-  readonly onSending: () => void;
+  readonly onSending: (target: GatewayTarget) => void;
   /** Called when the request was not sent: no permit was granted, or it came too late. */
   readonly onPermitDenied: () => void;
   /** Called when the request was not sent because the rules are no longer confirmed. */
@@ -34,8 +31,6 @@
   /** The attempt under way. */
   attempt: Attempt | undefined;
   private readonly tried = new Set<string>();
-  /** Backend servers that refused it, and when each may be tried again. */
-  private readonly backedOff = new Map<string, number>();
 
   private constructor(private readonly options: RequestSenderOptions) {}
 
@@ -49,35 +44,30 @@
     return new RequestSender(options);
   }
 
-  /** True while it does not try a backend server again that refused it. */
-  isBackingOff(): boolean {
-    this.endBackOffs();
-    return this.backedOff.size > 0;
-  }
-
-  /** Lets a backend server that refused the request without running it be tried again soon. */
-  defer(target: GatewayTarget): void {
-    const {clock} = this.options.context;
-    this.backedOff.set(createTargetKey(target), clock.now() + BACK_OFF_MS);
+  /** Lets a backend server that refused the request without running it be tried again. */
+  retain(target: GatewayTarget): void {
+    this.tried.delete(createTargetKey(target));
   }
 
   /**
    * Finds one of the least loaded backend servers that were not tried yet.
    *
    * @param excludesLimited leaves out backend servers that may deny the request
+   * @param full keys of backend servers that have no slot for this gateway
    */
   findTarget(
     mayQueue: boolean,
     excludesLimited = false,
+    full: readonly string[] = [],
   ): GatewayTarget | undefined {
     const {request, pool, balancer} = this.options.context;
-    this.endBackOffs();
     return balancer.choose({
       pool: pool.name,
       mayQueue,
       excludesLimited,
       model: pool.engine ? request.model : undefined,
-      excluded: this.tried,
+      excluded:
+        full.length > 0 ? new Set([...this.tried, ...full]) : this.tried,
     });
   }
 
@@ -103,16 +93,6 @@
     }
   }
 
-  private endBackOffs(): void {
-    const now = this.options.context.clock.now();
-    for (const [key, until] of this.backedOff) {
-      if (until <= now) {
-        this.backedOff.delete(key);
-        this.tried.delete(key);
-      }
-    }
-  }
-
   private async sendWithPermit(target: GatewayTarget): Promise<void> {
     const {context, canStillSend, onPermitDenied} = this.options;
     const permit = await context.signals.limits.acquirePermit(
@@ -129,7 +109,7 @@
     const {context, history, deadlineAt, readLastEventId, onSending} =
       this.options;
     const {balancer, clock} = context;
-    onSending();
+    onSending(target);
     this.tried.add(createTargetKey(target));
     const {incarnation} = target;
     const running = balancer.countRunning(incarnation);
--- a/src/gateway/scheduling/queued_request.ts
+++ b/src/gateway/scheduling/queued_request.ts
@@ -3,12 +3,11 @@
 
 /** A request in the queue of a gateway, with the means to send it. */
 export interface QueuedRequest extends WaitingRequest {
-  /** Returns a backend server with a free slot; undefined if there is none. */
-  readonly findTarget: () => GatewayTarget | undefined;
   /**
-   * Takes note that it leaves the queue until it may try a backend server again
-   * that refused it; false if it avoids none.
+   * Returns a backend server with a free slot; undefined if there is none.
+   *
+   * @param full keys of those that have none for this gateway
    */
-  readonly leaveToBackOff: () => boolean;
+  readonly findTarget: (full: readonly string[]) => GatewayTarget | undefined;
   readonly send: (target: GatewayTarget) => void;
 }
--- a/src/gateway/scheduling/slot_queue.ts
+++ b/src/gateway/scheduling/slot_queue.ts
@@ -8,6 +8,7 @@
 import {EngineProfile} from '../../protocol/engine_profile';
 import {QueueReport} from '../../protocol/queue_report';
 import {AdmissionSource} from './admission_source';
+import {FullEngines} from './full_engines';
 import {QueuedRequest} from './queued_request';
 import {WaitEstimate} from './wait_estimate';
 
@@ -18,6 +19,8 @@
 const NEWEST_WEIGHT = 0.1;
 /** Reserved for the delivery of an event to the caller. */
 const DELIVERY_MS = 100;
+/** Fraction of the freed slots that arrivals must leave for a lasting overload to count as over; less is noise at the rates of one gateway. */
+const MIN_SPARE = 0.4;
 /** A request whose caller disconnects within this time begins whatever is reserved: it was promised a slot. */
 const DUE_MS = 500;
 /** Refusals that are older are not reported. */
@@ -44,7 +47,8 @@
   private readonly queue = RequestQueue.create<QueuedRequest>();
   private readonly arrivals: ArrivalMeter;
   /** When each running request was sent. */
-  private readonly running = new Map<object, number>();
+  private readonly running = new Map<object, {at: number; target: string}>();
+  private readonly full = FullEngines.create();
   private readonly refusedAt = new Map<number, number>();
   private readonly lateAdmissions = new Map<number, LateAdmission>();
   private retriesAt: number[] = [];
@@ -88,9 +92,23 @@
     this.arrivals.record(urgency, this.options.clock.now());
   }
 
-  /** Records that a request of this gateway takes a slot. */
-  recordStart(request: object): void {
-    this.running.set(request, this.options.clock.now());
+  /**
+   * Records that a request of this gateway is sent.
+   *
+   * @param target key of the backend server
+   */
+  recordStart(request: object, target: string): void {
+    this.running.set(request, {at: this.options.clock.now(), target});
+    this.full.recordSent(target);
+  }
+
+  /** Records that a request was refused without having run. */
+  recordNotRun(request: object, urgency: number): void {
+    const sent = this.running.get(request);
+    this.running.delete(request);
+    if (sent) {
+      this.full.recordRefused(sent.target, urgency, this.options.clock.now());
+    }
   }
 
   /**
@@ -99,13 +117,14 @@
    * @param events number of events of a complete answer; undefined if it is not complete
    */
   recordEnd(request: object, events: number | undefined): void {
-    const sentAt = this.running.get(request);
-    if (sentAt === undefined) {
+    const sent = this.running.get(request);
+    if (!sent) {
       return;
     }
     this.running.delete(request);
+    this.full.recordFreed(sent.target);
     if (events !== undefined) {
-      const tookMs = this.options.clock.now() - sentAt;
+      const tookMs = this.options.clock.now() - sent.at;
       this.slotMs = computeAverage(this.slotMs, tookMs);
     }
     if (events) {
@@ -164,7 +183,8 @@
     }
     const wait = this.estimateWait(request, false, now);
     const isSoon = now + wait.waitMs + DELIVERY_MS <= expiresAt;
-    const isSpare = this.computeSpareRate(urgency, now) > 0;
+    const isSpare =
+      this.computeSpareRate(urgency, now) > this.freedPerMs * MIN_SPARE;
     const canWait =
       (isSoon && late.decide(now, isSpare)) ||
       this.queue.isStarved(urgency, now);
@@ -224,15 +244,12 @@
         below = next.urgency;
         continue;
       }
-      const target = next.findTarget();
-      if (target) {
-        this.queue.start(next);
-        next.send(target);
-      } else if (next.leaveToBackOff()) {
-        this.queue.remove(next);
-      } else {
+      const target = next.findTarget(this.full.list(next.urgency, now));
+      if (!target) {
         return;
       }
+      this.queue.start(next);
+      next.send(target);
     }
   }
 
@@ -257,14 +274,13 @@
     const globalPerMs = (global?.arrivals ?? [])
       .filter(arrival => arrival.urgency < urgency)
       .reduce((sum, arrival) => sum + arrival.requestsPerSecond, 0);
-    const reserved = computeReservedSlots(
-      global
-        ? {
-            moreUrgentPerMs: globalPerMs / MS_PER_SECOND,
-            freedPerMs: running / this.meanSlotMs,
-          }
-        : {moreUrgentPerMs: ownPerMs, freedPerMs: this.freedPerMs},
-    );
+    // Without a report of the leader the other gateways are taken for alike.
+    const scale = Math.max(1, running / Math.max(1, this.running.size));
+    const reserved = computeReservedSlots({
+      moreUrgentPerMs: global ? globalPerMs / MS_PER_SECOND : ownPerMs * scale,
+      freedPerMs: this.freedPerMs,
+      slots: freeSlots + running,
+    });
     return freeSlots > reserved;
   }
 
--- a/src/gateway/scheduling/slot_wait.ts
+++ b/src/gateway/scheduling/slot_wait.ts
@@ -1,10 +1,10 @@
 /**
- * The wait of one request: for a free engine slot, until it may try again a
- * backend server that refused it, or for a replacement group to continue its
- * stream.
+ * The wait of one request: for a free engine slot, for a retry that the budget
+ * allows, or for a replacement group to continue its stream.
  */
 import {Clock} from '../../common/clock';
 import {GatewayTarget} from '../../protocol/gateway_target';
+import {createTargetKey} from '../routing/create_target_key';
 import {computeRetryAfterMs} from './compute_retry_after_ms';
 import {QueuedRequest} from './queued_request';
 import {SlotForecast} from './slot_forecast';
@@ -60,14 +60,13 @@
 
 /** How to send the request. */
 interface SlotSender {
-  readonly findTarget: () => GatewayTarget | undefined;
-  readonly isBackingOff: () => boolean;
+  readonly findTarget: (full: readonly string[]) => GatewayTarget | undefined;
   readonly send: (target: GatewayTarget) => void;
 }
 
 /** Tracks the wait of one request. */
 export class SlotWait {
-  private kind: 'none' | 'slot' | 'back-off' | 'repair' = 'none';
+  private kind: 'none' | 'slot' | 'deferred' | 'repair' = 'none';
   private until = -Infinity;
   private queued: QueuedRequest | undefined;
   private estimate: WaitEstimate | undefined;
@@ -127,9 +126,9 @@
     return true;
   }
 
-  /** Leaves the queue until the request may be sent again; it keeps its place by its arrival. */
+  /** Waits outside the queue until the request may be sent again; it keeps its place by its arrival. */
   defer(): void {
-    this.kind = 'back-off';
+    this.kind = 'deferred';
     this.until = this.queued?.expiresAt ?? this.objectiveAt;
   }
 
@@ -198,9 +197,9 @@
     );
   }
 
-  /** Records that the request takes a slot. */
-  recordSent(): void {
-    this.options.queue?.recordStart(this);
+  /** Records that the request is sent to this backend server. */
+  recordSent(target: GatewayTarget): void {
+    this.options.queue?.recordStart(this, createTargetKey(target));
   }
 
   /**
@@ -213,11 +212,12 @@
     events: number | undefined,
   ): void {
     const {queue, readLoad} = this.options;
-    queue?.recordEnd(this, kind === 'whole' ? events : undefined);
-    // An engine that refused a request has no free slot.
-    if (kind !== 'not-run') {
-      queue?.serve(readLoad);
+    if (kind === 'not-run') {
+      queue?.recordNotRun(this, this.options.urgency);
+      return;
     }
+    queue?.recordEnd(this, kind === 'whole' ? events : undefined);
+    queue?.serve(readLoad);
   }
 
   end(): void {
@@ -236,12 +236,6 @@
       latestStartAt: this.latestStartAt,
       expiresAt: this.expiresAt,
       findTarget: sender.findTarget,
-      leaveToBackOff: () => {
-        if (sender.isBackingOff()) {
-          this.defer();
-        }
-        return this.kind === 'back-off';
-      },
       send: target => {
         this.kind = 'none';
         sender.send(target);
--- a/test/gateway/compute_retry_after_ms.test.ts
+++ b/test/gateway/compute_retry_after_ms.test.ts
@@ -23,11 +23,11 @@
     ENGINE_PROFILE,
   );
   const first = {};
-  queue.recordStart(first);
+  queue.recordStart(first, 'i');
   clock.time = SLOT_MS;
   queue.recordEnd(first, 1);
   for (let count = 0; count < RUNNING; count += 1) {
-    queue.recordStart({});
+    queue.recordStart({}, 'i');
   }
   for (; clock.time <= 20_000; clock.time += 1) {
     if (clock.time % arrivalIntervalMs === 0) {
--- a/test/support/create_queued_request.ts
+++ b/test/support/create_queued_request.ts
@@ -11,7 +11,6 @@
     latestStartAt: Infinity,
     expiresAt: Infinity,
     findTarget: () => undefined,
-    leaveToBackOff: () => false,
     send: () => undefined,
     ...changes,
   };
--- /dev/null
+++ b/test/support/run_scheduling_simulation.ts
@@ -0,0 +1,381 @@
+/**
+ * Simulates gateways that schedule streams of several urgencies onto the same engines,
+ * with the real queue, wait and load balancer of each gateway, on a virtual clock.
+ */
+import {estimateRequestWork} from '../../src/coordination/scheduling/estimate_request_work';
+import {LoadBalancer} from '../../src/gateway/routing/load_balancer';
+import {SlotForecast} from '../../src/gateway/scheduling/slot_forecast';
+import {SlotWait} from '../../src/gateway/scheduling/slot_wait';
+import {GatewayTarget} from '../../src/protocol/gateway_target';
+import {BatchingEngine} from './batching_engine';
+import {ENGINE_PROFILE} from './engine_profile';
+
+const ROUTE = {pool: 'p', model: 'm'};
+const CHECK_MS = 20;
+const NETWORK_MS = 1;
+const REPORT_MS = 250;
+const TIMEOUT_MS = 10_000;
+const MAX_RETRY_AFTER_FRACTION = 1 / 3;
+const MIN_PATIENCE_MS = 2_000;
+
+/** Requests of one urgency and workspace. */
+export interface SchedulingKind {
+  readonly name: string;
+  readonly urgency: number;
+  readonly workspace: string;
+  readonly objectiveMs: number;
+  readonly promptTokens: number;
+  readonly events: number;
+  /** Streams per second over all gateways, by time in milliseconds. */
+  readonly perSecondAt: (at: number) => number;
+}
+
+interface SchedulingOptions {
+  readonly gateways: number;
+  readonly heads: number;
+  readonly kinds: readonly SchedulingKind[];
+  readonly lengthMs: number;
+  readonly random: () => number;
+}
+
+/** What became of one stream. */
+export interface ScheduledStream {
+  readonly kind: SchedulingKind;
+  readonly arrivedAt: number;
+  readonly promptTokens: number;
+  /** From its arrival until it was sent, the last time. */
+  waitMs?: number;
+  firstEventMs?: number;
+  /** Whether its caller was still there. */
+  isServed: boolean;
+  /** Milliseconds from each arrival to its refusal. */
+  readonly refusedAfterMs: number[];
+  /** Its caller returned when it was told to. */
+  hasReturned: boolean;
+}
+
+/** All streams, and the use of slots. */
+export interface SchedulingResult {
+  readonly streams: readonly ScheduledStream[];
+  /** Fraction of the slots in use, over the times at which any request waited. */
+  readonly usedSlots: number;
+  /** Attempts refused by full engines, and all attempts. */
+  readonly refusedSends: number;
+  readonly sends: number;
+}
+
+/**
+ * Runs one simulation; streams that are open at its end count as they are.
+ *
+ * @example
+ * const {streams} = runSchedulingSimulation({gateways: 16, heads: 3, kinds, lengthMs: 20_000, random});
+ */
+export function runSchedulingSimulation(
+  options: SchedulingOptions,
+): SchedulingResult {
+  return new Simulation(options).run();
+}
+
+class Simulation {
+  private time = 0;
+  private readonly clock = {now: () => this.time};
+  private readonly schedule: Array<{at: number; act: () => void}> = [];
+  private readonly engines = new Map<string, BatchingEngine>();
+  private readonly gateways: Gateway[];
+  private readonly streams: ScheduledStream[] = [];
+  private readonly counts = {used: 0, slots: 0, refusedSends: 0, sends: 0};
+
+  constructor(private readonly options: SchedulingOptions) {
+    const targets = new Map<string, GatewayTarget>();
+    const {slots} = ENGINE_PROFILE;
+    for (let at = 0; at < options.heads; at += 1) {
+      const incarnation = `head-${at}`;
+      const zone = `zone-${at % 3}`;
+      targets.set(incarnation, {
+        ...ROUTE,
+        incarnation,
+        address: `a:${at}`,
+        zone,
+        slots,
+        epoch: 1,
+      });
+      this.engines.set(
+        incarnation,
+        BatchingEngine.create({
+          slots,
+          stepMs: ENGINE_PROFILE.stepMs,
+          stepMsPerRequest: ENGINE_PROFILE.stepMsPerRequest,
+          tokensPerMs: ENGINE_PROFILE.promptTokensPerSecond / 1_000,
+          chunkTokens: ENGINE_PROFILE.promptChunkTokens,
+          stepsPerEvent: ENGINE_PROFILE.stepsPerEvent,
+          pace: 1,
+        }),
+      );
+    }
+    this.gateways = Array.from({length: options.gateways}, (_, at) => {
+      const balancer = LoadBalancer.create(
+        `zone-${at % 3}`,
+        this.clock,
+        options.random,
+      );
+      balancer.setTargets(targets);
+      const forecast = SlotForecast.create(this.clock);
+      return {balancer, forecast, waiting: new Set(), reported: {}};
+    });
+  }
+
+  run(): SchedulingResult {
+    const {lengthMs, kinds, random} = this.options;
+    this.gateways.forEach(gateway => {
+      this.after(random() * REPORT_MS, () => this.exchange(gateway));
+      this.after(random() * CHECK_MS, () => this.check(gateway));
+    });
+    kinds.forEach(kind => this.after(0, () => this.arrive(kind)));
+    this.after(0, () => this.sample());
+    while (this.time < lengthMs) {
+      const engine = this.findNextEngine();
+      const [next] = this.schedule;
+      if (engine && (engine.batchEndsAt ?? Infinity) <= next.at) {
+        this.time = engine.batchEndsAt ?? this.time;
+        engine.endBatch();
+      } else {
+        this.schedule.shift();
+        this.time = next.at;
+        next.act();
+      }
+    }
+    const {used, slots, refusedSends, sends} = this.counts;
+    const usedSlots = slots > 0 ? used / slots : 1;
+    return {streams: this.streams, usedSlots, refusedSends, sends};
+  }
+
+  private findNextEngine(): BatchingEngine | undefined {
+    return [...this.engines.values()]
+      .filter(({batchEndsAt}) => batchEndsAt !== undefined)
+      .sort((a, b) => (a.batchEndsAt ?? 0) - (b.batchEndsAt ?? 0))[0];
+  }
+
+  private after(delayMs: number, act: () => void): void {
+    const at = this.time + delayMs;
+    let index = this.schedule.length;
+    while (index > 0 && this.schedule[index - 1].at > at) {
+      index -= 1;
+    }
+    this.schedule.splice(index, 0, {at, act});
+  }
+
+  private drawExponential(): number {
+    return -Math.log(1 - this.options.random());
+  }
+
+  private drawSize(mean: number): number {
+    const draw = this.drawExponential() + this.drawExponential();
+    return Math.max(1, Math.round((mean * draw) / 2));
+  }
+
+  private exchange(gateway: Gateway): void {
+    gateway.reported = gateway.balancer.describeHealth().running;
+    const sums: Record<string, number> = {};
+    for (const other of this.gateways) {
+      for (const [name, count] of Object.entries(other.reported)) {
+        sums[name] = (sums[name] ?? 0) + (other === gateway ? 0 : count);
+      }
+    }
+    gateway.balancer.setRunningElsewhere(sums, this.gateways.length - 1);
+    this.after(REPORT_MS, () => this.exchange(gateway));
+  }
+
+  private check(gateway: Gateway): void {
+    const now = this.time;
+    for (const request of gateway.waiting) {
+      request.check(now);
+    }
+    this.after(CHECK_MS, () => this.check(gateway));
+  }
+
+  /** Slots count as used or not while any request waits for one. */
+  private sample(): void {
+    if (this.gateways.some(({waiting}) => waiting.size > 0)) {
+      for (const engine of this.engines.values()) {
+        this.counts.used += engine.load;
+        this.counts.slots += ENGINE_PROFILE.slots;
+      }
+    }
+    this.after(CHECK_MS, () => this.sample());
+  }
+
+  private arrive(kind: SchedulingKind): void {
+    const perSecond = kind.perSecondAt(this.time);
+    if (perSecond <= 0) {
+      this.after(10, () => this.arrive(kind));
+      return;
+    }
+    this.after((this.drawExponential() * 1_000) / perSecond, () =>
+      this.arrive(kind),
+    );
+    const stream = {
+      kind,
+      arrivedAt: this.time,
+      promptTokens: this.drawSize(kind.promptTokens),
+      isServed: false,
+      refusedAfterMs: [],
+      hasReturned: false,
+    };
+    this.streams.push(stream);
+    this.begin(stream, this.drawSize(kind.events));
+  }
+
+  /** One call of a stream's caller, at a drawn gateway. */
+  private begin(stream: ScheduledStream, events: number): void {
+    const {random} = this.options;
+    const {gateways} = this;
+    const gateway = gateways[Math.floor(random() * gateways.length)];
+    const {balancer, forecast} = gateway;
+    const {kind, promptTokens} = stream;
+    const arrivedAt = this.time;
+    const engine = ENGINE_PROFILE;
+    const queue = forecast.queues.get({...ROUTE, engine});
+    const answerTokens = queue.expectedAnswerTokens;
+    const wait = SlotWait.create({
+      forecast,
+      clock: this.clock,
+      queue,
+      work: kind.name,
+      urgency: kind.urgency,
+      workspace: kind.workspace,
+      workMs: estimateRequestWork({
+        engine,
+        model: 'm',
+        promptTokens,
+        answerTokens,
+      }),
+      objectiveMs: kind.objectiveMs,
+      arrivedAt,
+      deadlineAt: stream.arrivedAt + TIMEOUT_MS,
+      isStream: true,
+      maxRetryAfterFraction: MAX_RETRY_AFTER_FRACTION,
+      maxPauseMs: Math.max(MIN_PATIENCE_MS, 4 * kind.objectiveMs),
+      reserveRetry: () => ({inMs: Infinity, isOnlyOption: false}),
+      findRepairMs: () => 0,
+      readLoad: () => {
+        const counts = [...this.engines.keys()].map(name =>
+          balancer.countRunning(name),
+        );
+        const free = counts.map(count => Math.max(0, engine.slots - count));
+        const add = (sum: number, count: number) => sum + count;
+        return {freeSlots: free.reduce(add), running: counts.reduce(add)};
+      },
+    });
+    const waiting = {
+      check: (now: number) => {
+        if (wait.isInQueue) {
+          wait.check(now);
+        } else if (wait.isWaiting) {
+          join();
+        }
+        if (wait.isWaiting && !wait.canKeepWaiting(now)) {
+          refuse();
+        }
+      },
+    };
+    const end = () => {
+      wait.end();
+      gateway.waiting.delete(waiting);
+    };
+    const refuse = () => {
+      end();
+      stream.refusedAfterMs.push(this.time - arrivedAt);
+      const retryMs = wait.computeRetryAfterMs();
+      if (!stream.hasReturned) {
+        stream.hasReturned = true;
+        this.after(retryMs, () => this.begin(stream, events));
+      }
+    };
+    const join = () => {
+      const accepted = wait.joinQueue({
+        findTarget: full =>
+          balancer.choose({
+            ...ROUTE,
+            mayQueue: false,
+            excluded: new Set(full),
+          }),
+        send: target => {
+          gateway.waiting.delete(waiting);
+          this.send(target, {stream, events, gateway, wait, arrivedAt}, () => {
+            wait.defer();
+            join();
+          });
+        },
+      });
+      if (!accepted) {
+        refuse();
+      } else if (wait.isWaiting) {
+        gateway.waiting.add(waiting);
+      }
+    };
+    join();
+  }
+
+  private send(
+    target: GatewayTarget,
+    {stream, events, gateway, wait, arrivedAt}: Sending,
+    onRefused: () => void,
+  ): void {
+    const {incarnation} = target;
+    const {balancer, forecast} = gateway;
+    const {kind, promptTokens} = stream;
+    const engine = this.engines.get(incarnation);
+    const sentAt = this.time;
+    stream.waitMs = sentAt - stream.arrivedAt;
+    wait.recordSent(target);
+    this.counts.sends += 1;
+    balancer.recordRequestStart(incarnation, promptTokens);
+    if (!engine || engine.load >= ENGINE_PROFILE.slots) {
+      this.counts.refusedSends += 1;
+      this.after(NETWORK_MS, () => {
+        balancer.recordResponseStart(incarnation, promptTokens);
+        balancer.recordRequestEnd(incarnation);
+        wait.recordSlotFreed('not-run', undefined);
+        onRefused();
+      });
+      return;
+    }
+    let isFirst = true;
+    engine.add(this.time, {
+      unreadTokens: promptTokens,
+      eventsLeft: events,
+      onEvent: at => {
+        balancer.recordActivity(incarnation);
+        if (isFirst) {
+          isFirst = false;
+          balancer.recordResponseStart(incarnation, promptTokens);
+          forecast.recordFirstEventMs(kind.name, at - sentAt);
+          stream.firstEventMs = at - stream.arrivedAt;
+          const patienceMs = Math.max(MIN_PATIENCE_MS, 4 * kind.objectiveMs);
+          stream.isServed = at - arrivedAt < patienceMs;
+        }
+      },
+      // The engine frees the slot first.
+      onEnd: () =>
+        this.after(NETWORK_MS, () => {
+          balancer.recordRequestEnd(incarnation);
+          wait.recordSlotFreed('whole', events);
+        }),
+    });
+  }
+}
+
+interface Gateway {
+  readonly balancer: LoadBalancer;
+  readonly forecast: SlotForecast;
+  readonly waiting: Set<{check: (now: number) => void}>;
+  reported: Readonly<Record<string, number>>;
+}
+
+interface Sending {
+  readonly stream: ScheduledStream;
+  readonly events: number;
+  readonly gateway: Gateway;
+  readonly wait: SlotWait;
+  readonly arrivedAt: number;
+}
