--- a/src/gateway/scheduling/full_engines.ts
+++ b/src/gateway/scheduling/full_engines.ts
@@ -1,28 +1,24 @@
-/** Engines that refused a request of this gateway for lack of a slot, although they seemed to have one. */
+/** Engines that have no slot for this gateway, after a refusal showed that the reported free slots are out of date. */
 
 /** Shorter than the age of the reports from which free slots are computed, as another slot may be freed at any time. */
 const FIRST_MS = 100;
 /** Callers wait 2 s: six attempts fit into this time. */
 const LONGEST_MS = 400;
 
-interface FullEngine {
-  /** Of the most urgent request that was refused: more urgent ones may find a slot that is reserved for them. */
-  urgency: number;
-  refusals: number;
-  until: number;
-  /** Slots that requests of this gateway have freed there since. */
-  ownFreed: number;
-}
-
 /**
  * The reported numbers of requests that other gateways run are out of date, so
- * at full load an engine often seems to have a free slot, to all gateways at
- * once. After a refusal only the slots that this gateway's own requests free
- * there are used, until a later report is tried; the time doubles with each
- * further refusal.
+ * at full load engines often seem to have a free slot, to all gateways at once.
+ * After a refusal only the slots that this gateway's own requests free are
+ * used, until the reports are tried again; the pause doubles with each further
+ * refusal.
  */
 export class FullEngines {
-  private readonly engines = new Map<string, FullEngine>();
+  /** Slots that requests of this gateway have freed since the last refusal, by engine. */
+  private readonly ownFreed = new Map<string, number>();
+  private refusals = 0;
+  private until = -Infinity;
+  /** Of the most urgent request that was refused: more urgent ones may find a slot that is reserved for them. */
+  private urgency = Infinity;
 
   private constructor() {}
 
@@ -37,43 +33,35 @@
   }
 
   recordRefused(key: string, urgency: number, now: number): void {
-    const known = this.engines.get(key);
-    const isOver = !known || known.until <= now;
-    const refusals = (known?.refusals ?? 0) + 1;
-    const pauseMs = Math.min(FIRST_MS * 2 ** (refusals - 1), LONGEST_MS);
-    this.engines.set(key, {
-      urgency: isOver ? urgency : Math.min(known.urgency, urgency),
-      refusals,
-      until: now + pauseMs,
-      ownFreed: 0,
-    });
+    if (now > this.until + LONGEST_MS) {
+      this.refusals = 0;
+    }
+    if (now >= this.until) {
+      this.urgency = Infinity;
+      this.ownFreed.forEach((_, known) => this.ownFreed.set(known, 0));
+    }
+    const pauseMs = Math.min(FIRST_MS * 2 ** this.refusals, LONGEST_MS);
+    this.refusals += 1;
+    this.urgency = Math.min(this.urgency, urgency);
+    this.until = now + pauseMs;
+    this.ownFreed.set(key, 0);
   }
 
   recordFreed(key: string): void {
-    const engine = this.engines.get(key);
-    if (engine) {
-      engine.ownFreed += 1;
-    }
+    this.ownFreed.set(key, (this.ownFreed.get(key) ?? 0) + 1);
   }
 
   recordSent(key: string): void {
-    const engine = this.engines.get(key);
-    if (engine) {
-      engine.ownFreed = Math.max(0, engine.ownFreed - 1);
-    }
+    this.ownFreed.set(key, Math.max(0, (this.ownFreed.get(key) ?? 0) - 1));
   }
 
   /** Lists the keys of engines without a slot for requests of this urgency from this gateway. */
   list(urgency: number, now: number): string[] {
-    const full: string[] = [];
-    for (const [key, engine] of this.engines) {
-      const {until, ownFreed} = engine;
-      if (now > until + LONGEST_MS) {
-        this.engines.delete(key);
-      } else if (now < until && ownFreed === 0 && urgency >= engine.urgency) {
-        full.push(key);
-      }
+    if (now >= this.until || urgency < this.urgency) {
+      return [];
     }
-    return full;
+    return [...this.ownFreed].flatMap(([key, count]) =>
+      count === 0 ? [key] : [],
+    );
   }
 }
