--- a/src/gateway/scheduling/full_engines.ts
+++ b/src/gateway/scheduling/full_engines.ts
@@ -4,6 +4,8 @@
 const FIRST_MS = 100;
 /** Callers wait 2 s: six attempts fit into this time. */
 const LONGEST_MS = 400;
+/** Bounds memory, as each new group is another engine; far more than a pool has at a time. */
+const MAX_ENGINES = 1_000;
 
 /**
  * The reported numbers of requests that other gateways run are out of date, so
@@ -36,6 +38,9 @@
     if (now > this.until + LONGEST_MS) {
       this.refusals = 0;
     }
+    if (this.ownFreed.size > MAX_ENGINES) {
+      this.ownFreed.clear();
+    }
     if (now >= this.until) {
       this.urgency = Infinity;
       this.ownFreed.forEach((_, known) => this.ownFreed.set(known, 0));
