--- a/bench/run_scheduling.ts
+++ b/bench/run_scheduling.ts
@@ -47,7 +47,7 @@
   const arrive = () => {
     const request = draw();
     queue.recordArrival(request.urgency);
-    queue.estimate(request);
+    queue.estimate(request, load);
     queue.join(request);
     queue.serve(load);
   };
--- a/src/coordination/groups/plan_engine_formation.ts
+++ b/src/coordination/groups/plan_engine_formation.ts
@@ -9,6 +9,8 @@
 import {EnginePlanInput} from './engine_plan_input';
 import {EngineReservation} from './engine_reservation';
 import {findUnusedName} from './find_unused_name';
+import {countByDomainName} from './count_by_domain_name';
+import {splitByDomain} from './split_by_domain';
 import {listFreeEngines} from './list_free_engines';
 import {isHeldByUnreachableHead} from './is_held_by_unreachable_head';
 import {isMoreUrgent} from './is_more_urgent';
@@ -74,6 +76,7 @@
   let free = listFreeEngines(input);
   const counts = ModelCounts.create(input);
   const names = new Set(input.groups.map(group => group.name));
+  const domainSizes = countByDomainName(input.backends);
   for (;;) {
     const reservations = listReservations(input, free, counts);
     const [option] = listOptions(
@@ -81,6 +84,7 @@
       free,
       counts,
       reservations,
+      domainSizes,
       allowsCrossDomain,
     ).sort(compareOptions);
     if (!option) {
@@ -200,6 +204,7 @@
   free: readonly BackendView[],
   counts: ModelCounts,
   reservations: readonly EngineReservation[],
+  domainSizes: ReadonlyMap<string, number>,
   allowsCrossDomain: boolean,
 ): FormationOption[] {
   const models = input.profile.models.filter(
@@ -207,9 +212,9 @@
   );
   return models.flatMap(model => {
     const hosts = listUnreserved(model, free, counts, reservations, input);
-    const domains = new Set(hosts.map(host => host.registration.domain ?? ''));
-    const singleDomain = [...domains].flatMap(
-      domain => findOption(model, domain, input, hosts, counts) ?? [],
+    const singleDomain = [...splitByDomain(hosts)].flatMap(
+      ([domain, near]) =>
+        findOption(model, domain, input, near, counts, domainSizes) ?? [],
     );
     const crossDomain = allowsCrossDomain
       ? findCrossDomainOption(model, input, hosts, counts)
@@ -222,11 +227,11 @@
   model: Model,
   domain: string,
   input: EnginePlanInput,
-  free: readonly BackendView[],
+  hosts: readonly BackendView[],
   counts: ModelCounts,
+  domainSizes: ReadonlyMap<string, number>,
 ): FormationOption | undefined {
   const isBelow = isBelowDesired(model, input, counts);
-  const hosts = free.filter(host => host.registration.domain === domain);
   if (hosts.length < model.size) {
     return undefined;
   }
@@ -241,7 +246,8 @@
     .slice(0, model.size);
   const {readyMs} = chosen[chosen.length - 1];
   const needsLoad = readyMs >= model.loadMs;
-  const spares = countSpares(model, domain, input, isBelow, needsLoad);
+  const domainHosts = domainSizes.get(domain) ?? 0;
+  const spares = countSpares(model, domainHosts, input, isBelow, needsLoad);
   // After the cold start, weights are loaded before a group is formed with them.
   const {isColdStart} = input;
   if (hosts.length - spares < model.size || (needsLoad && !isColdStart)) {
@@ -354,7 +360,7 @@
  */
 function countSpares(
   model: Model,
-  domain: string,
+  domainHosts: number,
   input: EnginePlanInput,
   isBelow: boolean,
   needsLoad: boolean,
@@ -365,8 +371,5 @@
   if (!needsLoad && input.isSaturated(model.name)) {
     return 1;
   }
-  const hosts = input.backends.filter(
-    host => host.registration.domain === domain,
-  );
-  return computeSpares(hosts.length);
+  return computeSpares(domainHosts);
 }
--- a/src/coordination/groups/reserve_engines.ts
+++ b/src/coordination/groups/reserve_engines.ts
@@ -8,6 +8,7 @@
 import {computeReadyMs} from './compute_ready_ms';
 import {EnginePlanInput} from './engine_plan_input';
 import {EngineReservation} from './engine_reservation';
+import {splitByDomain} from './split_by_domain';
 import {isHeldByUnreachableHead} from './is_held_by_unreachable_head';
 
 type Model = EngineProfile['models'][number];
@@ -27,9 +28,18 @@
 ): EngineReservation | undefined {
   const leaving = listLeaving(input);
   const held = input.policy?.reservesHeldHosts === false ? [] : listHeld(input);
-  const options = listDomains([...free, ...leaving, ...held])
+  const freeByDomain = splitByDomain(free);
+  const soonByDomain = splitByDomain([...leaving, ...held]);
+  const domains = new Set([...freeByDomain.keys(), ...soonByDomain.keys()]);
+  const options = [...domains]
     .map(domain =>
-      createOption(model, domain, free, [...leaving, ...held], input),
+      createOption(
+        model,
+        domain,
+        freeByDomain.get(domain) ?? [],
+        soonByDomain.get(domain) ?? [],
+        input,
+      ),
     )
     .filter(({possible}) => possible >= model.size)
     .sort(
@@ -49,12 +59,10 @@
   leaving: readonly BackendView[],
   input: EnginePlanInput,
 ) {
-  const isInDomain = ({registration}: BackendView) =>
-    registration.domain === domain;
-  const freeHere = free
-    .filter(isInDomain)
-    .sort((left, right) => computeOrder(left) - computeOrder(right));
-  const availableSoon = leaving.filter(isInDomain).slice(0, model.size);
+  const freeHere = [...free].sort(
+    (left, right) => computeOrder(left) - computeOrder(right),
+  );
+  const availableSoon = leaving.slice(0, model.size);
   const hosts = freeHere.slice(0, model.size - availableSoon.length);
   const hasWeights = (host: BackendView) =>
     computeReadyMs(host, model) < model.loadMs;
@@ -108,7 +116,3 @@
       !input.isRetired(incarnation),
   );
 }
-
-function listDomains(hosts: readonly BackendView[]): string[] {
-  return [...new Set(hosts.map(host => host.registration.domain ?? ''))];
-}
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -236,11 +236,16 @@
     }
     const status = this.head?.status ?? 0;
     const reason = `refused with status ${status}`;
-    this.finish({kind: 'not-run', reason});
+    const isFull = this.head !== undefined && !this.head.isWrongIncarnation;
+    this.finish({kind: 'not-run', reason, isFull});
   }
 
   private handleError(error: Error): void {
     const {balancer, target} = this.options;
+    // An attempt that was stopped before it was sent says nothing about the connection.
+    if (this.isEnded) {
+      return;
+    }
     if (error.name === 'NeverSent') {
       balancer.recordUnreachable(target.incarnation);
       this.finish({kind: 'not-run', reason: 'no connection was made'});
--- a/src/gateway/attempt_outcome.ts
+++ b/src/gateway/attempt_outcome.ts
@@ -6,6 +6,8 @@
    */
   readonly kind: 'whole' | 'not-run' | 'broken';
   readonly reason: string;
+  /** The backend server refused the request because it has no free slot. */
+  readonly isFull?: boolean;
   /** The backend server's side closed or reset the connection. */
   readonly isConnectionLost?: boolean;
 }
--- a/src/gateway/proxied_request.ts
+++ b/src/gateway/proxied_request.ts
@@ -189,7 +189,7 @@
       return;
     }
     this.trial.end();
-    this.dispatch();
+    this.dispatcher.handlePermitDenied();
   }
 
   private handleHead(head: ResponseHead): void {
@@ -221,7 +221,7 @@
     const {attempt} = this.sender;
     this.sender.attempt = undefined;
     this.trial.end();
-    this.wait.recordSlotFreed(end.kind, this.history.eventsOfOneAttempt);
+    this.wait.recordSlotFreed(end, this.history.eventsOfOneAttempt);
     const hasRun = end.kind !== 'not-run';
     if (!hasRun && attempt && this.dispatcher.canQueue && !this.isDone) {
       this.dispatcher.retry(attempt.target, end.reason);
--- a/src/gateway/request_dispatcher.ts
+++ b/src/gateway/request_dispatcher.ts
@@ -80,6 +80,15 @@
     }
   }
 
+  /** Keeps a request whose turn had come but that got no permit to be sent. */
+  handlePermitDenied(): void {
+    if (this.canQueue) {
+      this.options.wait.defer();
+    } else {
+      this.dispatch();
+    }
+  }
+
   /** Advances the wait; refuses the request when its caller is about to disconnect. */
   check(now: number): void {
     const {sender, wait, onRefused} = this.options;
--- a/src/gateway/scheduling/slot_queue.ts
+++ b/src/gateway/scheduling/slot_queue.ts
@@ -23,6 +23,8 @@
 const MIN_SPARE = 0.4;
 /** A request whose caller disconnects within this time begins whatever is reserved: it was promised a slot. */
 const DUE_MS = 500;
+/** Time until a slot that is known to be free is used: a round trip to the leader and a check of the waiting requests. */
+const FREE_SLOT_MS = 40;
 /** Refusals that are older are not reported. */
 const REPORTED_REFUSAL_MS = 10_000;
 
@@ -102,11 +104,17 @@
     this.full.recordSent(target);
   }
 
-  /** Records that a request was refused without having run. */
-  recordNotRun(request: object, urgency: number): void {
+  /**
+   * Records that an attempt ended without having run.
+   *
+   * @param isFull the engine refused it since it had no free slot
+   */
+  recordNotRun(request: object, urgency: number, isFull: boolean): void {
     const sent = this.running.get(request);
     this.running.delete(request);
-    if (sent) {
+    if (sent && !isFull) {
+      this.full.recordFreed(sent.target);
+    } else if (sent) {
       this.full.recordRefused(sent.target, urgency, this.options.clock.now());
     }
   }
@@ -169,10 +177,14 @@
   }
 
   /** Estimates when a request begins that is not in the queue. */
-  estimate(request: QueuedRequest): WaitEstimate {
+  estimate(request: QueuedRequest, load: () => EngineLoad): WaitEstimate {
     const now = this.options.clock.now();
     const {urgency, latestStartAt, expiresAt} = request;
     const inTime = this.estimateWait(request, true, now);
+    // Few requests run here on a quiet gateway, and the slots that others leave are free for it.
+    if (!this.isClosed(urgency) && load().freeSlots > inTime.ahead) {
+      return {...inTime, waitMs: FREE_SLOT_MS, canWait: now < expiresAt};
+    }
     const late = this.lateAdmissions.get(urgency) ?? LateAdmission.create();
     this.lateAdmissions.set(urgency, late);
     if (this.isClosed(urgency)) {
--- a/src/gateway/scheduling/slot_wait.ts
+++ b/src/gateway/scheduling/slot_wait.ts
@@ -5,6 +5,7 @@
 import {Clock} from '../../common/clock';
 import {GatewayTarget} from '../../protocol/gateway_target';
 import {createTargetKey} from '../routing/create_target_key';
+import {AttemptOutcome} from '../attempt_outcome';
 import {computeRetryAfterMs} from './compute_retry_after_ms';
 import {QueuedRequest} from './queued_request';
 import {SlotForecast} from './slot_forecast';
@@ -113,7 +114,9 @@
     const isReturning = this.queued !== undefined;
     const queued = this.queued ?? this.createQueuedRequest(sender);
     this.queued = queued;
-    this.estimate = isReturning ? this.estimate : queue.estimate(queued);
+    this.estimate = isReturning
+      ? this.estimate
+      : queue.estimate(queued, readLoad);
     this.kind = 'slot';
     this.until = queued.expiresAt;
     queue.join(queued);
@@ -208,12 +211,12 @@
    * @param events number of events of the answer; undefined if they came from several attempts
    */
   recordSlotFreed(
-    kind: 'whole' | 'not-run' | 'broken',
+    {kind, isFull = false}: Pick<AttemptOutcome, 'kind' | 'isFull'>,
     events: number | undefined,
   ): void {
-    const {queue, readLoad} = this.options;
+    const {queue, readLoad, urgency} = this.options;
     if (kind === 'not-run') {
-      queue?.recordNotRun(this, this.options.urgency);
+      queue?.recordNotRun(this, urgency, isFull);
       return;
     }
     queue?.recordEnd(this, kind === 'whole' ? events : undefined);
--- a/test/gateway/slot_queue.test.ts
+++ b/test/gateway/slot_queue.test.ts
@@ -16,6 +16,8 @@
   epoch: 1,
 };
 
+const NONE_FREE = () => ({freeSlots: 0, running: 0});
+
 function create(admissions?: AdmissionSource) {
   const clock = {time: 0, now: () => clock.time};
   const engine = {slots: 34, free: 0, running: 34};
@@ -82,7 +84,7 @@
     join('admitted');
     serve();
     expect(sent).toEqual(['admitted']);
-    expect(queue.estimate(held).canWait).toBe(false);
+    expect(queue.estimate(held, NONE_FREE).canWait).toBe(false);
     admittedUrgency = null;
     serve();
     expect(sent).toEqual(['admitted', 'held']);
@@ -108,7 +110,7 @@
     for (let count = 0; count < 9; count += 1) {
       queue.recordStart({}, 'i 1');
     }
-    const estimate = queue.estimate(createQueuedRequest());
+    const estimate = queue.estimate(createQueuedRequest(), NONE_FREE);
     expect(estimate).toMatchObject({ahead: 0, running: 9, slotMs: 1_000});
     expect(estimate.waitMs).toBeCloseTo(100);
   });
@@ -150,7 +152,7 @@
     queue.recordStart(running, 'i 1');
     const refused = {};
     queue.recordStart(refused, 'i 1');
-    queue.recordNotRun(refused, 0);
+    queue.recordNotRun(refused, 0, true);
     join('a', {findTarget});
     serve();
     expect(tried).toEqual([['i 1']]);
@@ -159,4 +161,36 @@
     expect(tried).toEqual([['i 1'], []]);
     clock.time = 10_000;
   });
+
+  test('uses other engines after an attempt that did not run for another reason than a full engine', () => {
+    // Guards against a pause of all engines of a model after one of its groups has closed.
+    const {queue, join, serve} = create();
+    const tried: string[][] = [];
+    const first = {};
+    const closed = {};
+    queue.recordStart(first, 'i 1');
+    queue.recordEnd(first, 20);
+    queue.recordStart(closed, 'i 1');
+    queue.recordNotRun(closed, 0, false);
+    join('a', {
+      findTarget: full => {
+        tried.push([...full]);
+        return undefined;
+      },
+    });
+    serve();
+
+    expect(tried).toEqual([[]]);
+  });
+
+  test('lets a request wait for a slot that is known to be free, on a gateway that runs few', () => {
+    // Guards against refusing callers of a quiet gateway while engines have free slots.
+    const {queue} = create();
+    const request = createQueuedRequest({expiresAt: 500});
+    const estimate = (freeSlots: number) =>
+      queue.estimate(request, () => ({freeSlots, running: 200}));
+
+    expect(estimate(0).canWait).toBe(false);
+    expect(estimate(1)).toMatchObject({canWait: true, ahead: 0});
+  });
 });
--- a/test/support/run_scheduling_simulation.ts
+++ b/test/support/run_scheduling_simulation.ts
@@ -335,7 +335,7 @@
       this.after(NETWORK_MS, () => {
         balancer.recordResponseStart(incarnation, promptTokens);
         balancer.recordRequestEnd(incarnation);
-        wait.recordSlotFreed('not-run', undefined);
+        wait.recordSlotFreed({kind: 'not-run', isFull: true}, undefined);
         onRefused();
       });
       return;
@@ -359,7 +359,7 @@
       onEnd: () =>
         this.after(NETWORK_MS, () => {
           balancer.recordRequestEnd(incarnation);
-          wait.recordSlotFreed('whole', events);
+          wait.recordSlotFreed({kind: 'whole'}, events);
         }),
     });
   }
