--- a/src/gateway/control/control_poller.ts
+++ b/src/gateway/control/control_poller.ts
@@ -6,6 +6,7 @@
 import {GatewayTarget} from '../../protocol/gateway_target';
 import {MessageOf} from '../../protocol/message_of';
 import {ModelDemand} from '../../protocol/model_demand';
+import {QueueReport} from '../../protocol/queue_report';
 import {SuspectUpdate} from '../../protocol/suspect_update';
 import {rulesCodec} from '../../protocol/rules_codec';
 import {BackendRateLimits} from '../limits/backend_rate_limits';
@@ -33,6 +34,8 @@
   readonly hasServed: boolean;
   /** Demand of callers, by model. */
   readonly demand: Readonly<Record<string, ModelDemand>>;
+  /** Requests that wait or arrive, by model and urgency. */
+  readonly queues: readonly QueueReport[];
 }
 
 interface ControlPollerOptions {
@@ -185,6 +188,10 @@
         suspectsVersion: this.options.readSuspectsVersion(),
         evacuationsVersion: this.evacuations.version,
         demand: {...report.demand},
+        // The leader compares urgencies, which do not differ in other deployments.
+        queues: this.currentIndex?.hasPriorities
+          ? [...report.queues]
+          : undefined,
         ...limitsReport,
       },
       POLL_TIMEOUT_MS,
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -136,6 +136,7 @@
         saturatedModels: this.saturatedModels.list(),
         hasServed: this.hasServed,
         demand: this.demand.describe(),
+        queues: this.forecast.queues.describe(),
       }),
       onRunning: (running, others) =>
         this.balancer.setRunningElsewhere(running, others),
