feat(control): gateways agree on the urgencies that may begin

The leader sums the queues that gateways report and closes the levels behind one that lacks slots at several gateways. Gateways forget this after 1 s without an answer and go by their own queues.

--- a/src/control/gateway_service.ts
+++ b/src/control/gateway_service.ts
@@ -16,6 +16,7 @@
 import {describeEvacuations} from './describe_evacuations';
 import {EncodedRulesCache} from './encoded_rules_cache';
 import {EvacuationService} from './evacuation_service';
+import {QueueReports} from './queue_reports';
 import {RateLimitService} from './rate_limit_service';
 import {RaftRuntime} from './raft_runtime';
 import {RegistrationService} from './registration_service';
@@ -32,6 +33,8 @@
  * about ten of them. The delay is short beside the 300 ms that an engine takes to open.
  */
 const BATCH_MS = 5;
+/** Whether less urgent requests wait at all gateways for more urgent ones of any gateway. */
+const CLOSES_LEVELS = true;
 
 type Call<T extends ControlMessage['type']> = MessageOf<ControlMessage, T>;
 
@@ -68,6 +71,7 @@
   private readonly bundles: BundleService;
   private readonly registrations: RegistrationService;
   private readonly closedHeads = ClosedHeads.create();
+  private readonly queueReports = QueueReports.create(CLOSES_LEVELS);
   private readonly targets: TargetTable;
   /** Which backend servers are cold. */
   readonly cold: ColdServerService;
@@ -211,6 +215,7 @@
         limitsTag === undefined || limitsTag === newLimitsTag
           ? undefined
           : this.limits.listChangesSince(limitsTag),
+      admissions: this.queueReports.list(poll.gatewayId, now),
     };
   }
 
@@ -227,7 +232,8 @@
         (poll.evacuationsVersion ?? evacuations.version) ===
           evacuations.version &&
         (poll.limitsTag ?? this.limits.readTag()) === this.limits.readTag() &&
-        poll.tableTag === this.targets.readTag(now);
+        poll.tableTag === this.targets.readTag(now) &&
+        !this.queueReports.hasChanged(poll.gatewayId, now);
       if (!isUpToDate || now >= deadline) {
         return;
       }
@@ -280,8 +286,12 @@
       if (now - other.seenAt > GATEWAY_TIMEOUT_MS) {
         this.addRunning(other, -1);
         this.gateways.delete(id);
+        this.queueReports.remove(id);
       }
     }
+    if (this.queueReports.record(gatewayId, queues, now)) {
+      this.scheduleNotification();
+    }
     poll.stalled.forEach(incarnation => this.stalledAt.set(incarnation, now));
     poll.answering.forEach((incarnation, index) => {
       // Gateways of older versions report recent activity without its age.
--- a/src/gateway/control/control_poller.ts
+++ b/src/gateway/control/control_poller.ts
@@ -11,6 +11,7 @@
 import {rulesCodec} from '../../protocol/rules_codec';
 import {BackendRateLimits} from '../limits/backend_rate_limits';
 import {RouteIndex} from '../routing/route_index';
+import {ModelAdmissions} from './model_admissions';
 import {ZoneEvacuations} from './zone_evacuations';
 
 /** Longer than the control plane delays the answer to a poll without an update. */
@@ -70,6 +71,8 @@
 export class ControlPoller {
   /** The evacuated zones; as fresh as the rules. */
   readonly evacuations: ZoneEvacuations;
+  /** What the leader admits by urgency. */
+  readonly admissions: ModelAdmissions;
   private currentIndex: RouteIndex | undefined;
   private targets = new Map<string, GatewayTarget>();
   private tableTag = '';
@@ -82,7 +85,9 @@
   private isClosed = false;
 
   private constructor(private readonly options: ControlPollerOptions) {
-    this.evacuations = ZoneEvacuations.create(options.events);
+    const {clock, events, gatewayId} = options;
+    this.evacuations = ZoneEvacuations.create(events);
+    this.admissions = ModelAdmissions.create(clock, events, gatewayId);
     void this.follow();
   }
 
@@ -245,6 +250,7 @@
     if (answer.suspects) {
       this.options.onSuspects(answer.suspects);
     }
+    this.admissions.record(answer.admissions, askedAt);
     this.knownGatewayCount = answer.gateways;
     this.options.onRunning(answer.runningElsewhere, answer.gateways - 1);
     this.options.onControl(answer.control);
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -55,7 +55,10 @@
   private readonly requestLog: RequestLog;
   private readonly retryBudgets: RetryBudgets;
   private readonly requests = new Set<ProxiedRequest>();
-  private readonly forecast = SlotForecast.create(systemClock);
+  private readonly forecast = SlotForecast.create(systemClock, {
+    findAdmission: (pool, model) =>
+      this.poller.admissions.findAdmission(pool, model),
+  });
   private readonly demand = DemandMeter.create(systemClock);
   private readonly containment: CrashContainment;
   private readonly checkTimer: NodeJS.Timeout;
--- a/src/gateway/scheduling/slot_queue.ts
+++ b/src/gateway/scheduling/slot_queue.ts
@@ -176,7 +176,9 @@
     const late = this.lateAdmissions.get(urgency) ?? LateAdmission.create();
     this.lateAdmissions.set(urgency, late);
     if (this.isClosed(urgency)) {
-      return {...inTime, waitMs: Infinity, canWait: false};
+      // One request of a starved level waits, and begins before its caller disconnects.
+      const canWait = this.queue.isStarved(urgency, now);
+      return {...inTime, waitMs: Infinity, canWait};
     }
     if (now + inTime.waitMs <= Math.min(latestStartAt, expiresAt)) {
       return {...inTime, canWait: true};
--- a/test/control/gateway_service.test.ts
+++ b/test/control/gateway_service.test.ts
@@ -185,3 +185,33 @@
   // A gateway of an older version names none and must not be answered at once each time.
   expect((await poll()).evacuations).toBeUndefined();
 });
+
+describe('the admissions of models', () => {
+  const level = {urgency: 0, waiting: 0, requestsPerSecond: 2};
+  const queues = [{pool: 'p', model: 'm', levels: [level]}];
+  const refused = [{...queues[0], levels: [{...level, refusedMsAgo: 10}]}];
+
+  test('are sent only to gateways that report queues', async () => {
+    const {poll} = create(16_000);
+    expect((await poll({queues})).admissions).toEqual([
+      {
+        pool: 'p',
+        model: 'm',
+        admittedUrgency: null,
+        arrivals: [{urgency: 0, requestsPerSecond: 2}],
+      },
+    ]);
+    expect((await poll({gatewayId: 'other'})).admissions).toBeUndefined();
+  });
+
+  test('end the long polls of all gateways when an admitted urgency changes', async () => {
+    // Guards against requests that begin elsewhere for as long as a long poll is held.
+    const {poll} = create(16_000);
+    const {tableTag} = await poll({queues});
+    // The clock of this service stands still, so that only a change ends the poll.
+    const held = poll({queues, isUrgent: false, rulesVersion: 1, tableTag});
+    await poll({gatewayId: 'other', queues: refused});
+    const {admissions = []} = await held;
+    expect(admissions[0].admittedUrgency).toBe(0);
+  });
+});
