--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -55,7 +55,10 @@
   private readonly requestLog: RequestLog;
   private readonly retryBudgets: RetryBudgets;
   private readonly requests = new Set<ProxiedRequest>();
-  private readonly forecast = SlotForecast.create(systemClock);
+  private readonly forecast = SlotForecast.create(systemClock, {
+    findAdmission: (pool, model) =>
+      this.poller.admissions.findAdmission(pool, model),
+  });
   private readonly demand = DemandMeter.create(systemClock);
   private readonly containment: CrashContainment;
   private readonly checkTimer: NodeJS.Timeout;
@@ -136,6 +139,7 @@
         saturatedModels: this.saturatedModels.list(),
         hasServed: this.hasServed,
         demand: this.demand.describe(),
+        queues: this.forecast.queues.describe(),
       }),
       onRunning: (running, others) =>
         this.balancer.setRunningElsewhere(running, others),
