--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -280,11 +280,11 @@
     }
     const isWholeStream =
       end.kind === 'whole' && (this.head?.isEventStream ?? false);
-    balancer.recordRequestEnd(target.incarnation, {
-      promptTokens: request.promptTokens,
-      events: isWholeStream ? this.chunkCount : undefined,
-      isRefused: end.kind === 'not-run',
-    });
+    balancer.recordRequestEnd(
+      target.incarnation,
+      request.promptTokens,
+      isWholeStream ? this.chunkCount : undefined,
+    );
     this.options.onEnd(end);
   }
 }
--- a/src/gateway/control/control_poller.ts
+++ b/src/gateway/control/control_poller.ts
@@ -80,8 +80,6 @@
   private knownGatewayCount = 1;
   private isConnected: boolean | undefined;
   private isReporting = false;
-  /** Something changed after the urgent report under way was collected. */
-  private isReportDue = false;
   private isClosed = false;
 
   private constructor(private readonly options: ControlPollerOptions) {
@@ -132,25 +130,13 @@
 
   /** Reports to the control plane at once, in parallel to the poll that the control plane holds. */
   reportNow(): void {
-    this.isReportDue = true;
-    if (!this.isReporting) {
-      this.isReporting = true;
-      // Changes of one turn of the event loop share a report.
-      setImmediate(() => void this.reportChanges());
-    }
-  }
-
-  private async reportChanges(): Promise<void> {
-    try {
-      while (this.isReportDue && !this.isClosed) {
-        this.isReportDue = false;
-        await this.askOnce(true);
-      }
-    } catch (error) {
-      this.recordConnection(false, (error as Error).message);
-    } finally {
-      this.isReporting = false;
+    if (this.isReporting || this.isClosed) {
+      return;
     }
+    this.isReporting = true;
+    this.askOnce(true)
+      .catch((error: Error) => this.recordConnection(false, error.message))
+      .finally(() => (this.isReporting = false));
   }
 
   close(): void {
--- a/src/gateway/routing/load_balancer.ts
+++ b/src/gateway/routing/load_balancer.ts
@@ -1,12 +1,13 @@
 /** Chooses the backend server with the earliest expected first event, and tracks the load and health of each. */
 import {Clock} from '../../common/clock';
 import {EventRing} from '../../common/event_ring';
+import {ThrottledEventLog} from '../../common/throttled_event_log';
 import {GatewayTarget} from '../../protocol/gateway_target';
 import {createQueueKey} from './create_queue_key';
 import {createTargetState} from './create_target_state';
-import {RefusalLog} from './refusal_log';
 import {RepairTimes} from './repair_times';
 import {RequestSizes} from './request_sizes';
+import {RunningGrowth} from './running_growth';
 import {TargetAvailability} from './target_availability';
 import {TargetQuery} from './target_query';
 import {TargetSelection} from './target_selection';
@@ -27,16 +28,12 @@
 const FULL_COOLDOWN_MS = 300;
 /** A target counts as active if it sent bytes within this time; spans a few event intervals. */
 const RECENT_ACTIVITY_MS = 600;
-
-/** How a request ended at a target. */
-interface RequestEnd {
-  readonly promptTokens?: number;
-  /** Events of a complete stream; absent for any other response. */
-  readonly events?: number;
-  /** True if the target did not run it, so that no slot was freed. */
-  readonly isRefused?: boolean;
-}
-
+/**
+ * A freed slot is reported as taken for this time. Requests that wait at this gateway reuse it
+ * within the 20 ms between two checks; if it were reported as free meanwhile, every other
+ * gateway with waiting requests would send to it.
+ */
+const HELD_SLOT_MS = 60;
 const ALWAYS_AVAILABLE: TargetAvailability = {
   isAvailable: () => true,
   isLimited: () => false,
@@ -49,9 +46,10 @@
   private states = new Map<string, TargetState>();
   private readonly repairs: RepairTimes;
   private readonly unreported: UnreportedLoad;
+  private readonly growth: RunningGrowth;
   private readonly sizes = RequestSizes.create();
   private readonly selection: TargetSelection;
-  private readonly refusals: RefusalLog;
+  private readonly eventLog: ThrottledEventLog;
 
   private constructor(
     zone: string,
@@ -64,23 +62,24 @@
     this.repairs = RepairTimes.create(clock);
     this.unreported = UnreportedLoad.create(clock);
     this.zones = availability.zones ?? ZoneGuard.create();
+    this.growth = RunningGrowth.create(clock);
     this.selection = TargetSelection.create({
       zone,
       clock,
       random,
       availability,
       unreported: this.unreported,
+      growth: this.growth,
       sizes: this.sizes,
-      onClaim: onChanged,
     });
-    this.refusals = RefusalLog.create(events, clock, this.unreported);
+    this.eventLog = ThrottledEventLog.create(events, clock);
   }
 
   /**
    * Creates a load balancer without targets.
    *
    * @param onChanged called when the control plane should know at once that a
-   * target stalled or closed, or that this gateway needs one of its last slots
+   * target stalled or closed
    * @param availability tells which targets accept requests
    *
    * @example
@@ -142,22 +141,14 @@
     others = 0,
   ): void {
     this.unreported.recordReport(others);
-    const now = this.clock.now();
-    let hasLostClaim = false;
+    const totals = new Map<string, number>();
     for (const [incarnation, state] of this.states) {
       const count = running[incarnation] ?? 0;
       state.runningElsewhere = count;
-      const left = state.target.slots - count;
-      state.ownSlots = Math.min(state.reportedSlots, left);
-      if (state.claimUntil > now && left <= state.running) {
-        state.claimUntil = -Infinity;
-        hasLostClaim = true;
-      }
-    }
-    if (hasLostClaim) {
-      // The claim counts as a taken slot for the others until it is withdrawn.
-      this.onChanged();
+      const queue = createQueueKey(state.target);
+      totals.set(queue, (totals.get(queue) ?? 0) + count);
     }
+    this.growth.recordReport(totals);
   }
 
   /** True if the control plane lists this target. */
@@ -205,7 +196,6 @@
       this.unreported.recordStart(queue, promptTokens);
       this.sizes.recordPrompt(queue, promptTokens);
       state.running += 1;
-      state.claimUntil = -Infinity;
       state.waitingTokens += promptTokens;
       state.promptTokens += promptTokens;
     }
@@ -219,36 +209,28 @@
     }
   }
 
+  /** @param events events of a complete stream; undefined for any other response */
   recordRequestEnd(
     incarnation: string,
-    {promptTokens = 0, events, isRefused}: RequestEnd = {},
+    promptTokens = 0,
+    events?: number,
   ): void {
     const state = this.states.get(incarnation);
-    if (!state) {
-      return;
-    }
-    const {running} = state;
-    // The target may have been removed and added again since the request
-    // began.
-    state.running = Math.max(0, running - 1);
-    state.promptTokens = Math.max(0, state.promptTokens - promptTokens);
-    if (!isRefused) {
-      this.recordSlotFreed(state, running);
-    }
-    if (events !== undefined) {
-      this.sizes.recordEvents(createQueueKey(state.target), events);
-    }
-  }
-
-  private recordSlotFreed(state: TargetState, runningBefore: number): void {
-    this.selection.recordSlotFreed(state, runningBefore);
-    state.fullUntil = -Infinity;
-    const queue = createQueueKey(state.target);
-    const targets = this.listIncarnations(state.target).length;
-    const {selection} = this;
-    if (!selection.hasWaiting(queue) && !selection.hasPlenty(state, targets)) {
-      // Other gateways may wait for this slot.
-      this.onChanged();
+    if (state) {
+      const now = this.clock.now();
+      const {running, recentPeak} = state;
+      const isPeakOver = now - recentPeak.at >= HELD_SLOT_MS;
+      if (isPeakOver || running >= recentPeak.running) {
+        state.recentPeak = {running, at: now};
+      }
+      // The target may have been removed and added again since the request
+      // began.
+      state.running = Math.max(0, running - 1);
+      state.promptTokens = Math.max(0, state.promptTokens - promptTokens);
+      state.fullUntil = -Infinity;
+      if (events !== undefined) {
+        this.sizes.recordEvents(createQueueKey(state.target), events);
+      }
     }
   }
 
@@ -310,19 +292,19 @@
     if (state && state.target.epoch === epoch) {
       const wasOpen = this.isOpen(incarnation);
       state.closedUntil = this.clock.now() + CLOSED_COOLDOWN_MS;
-      this.refusals.record(state, 'it does not serve this group any more');
+      this.recordRefusal(state, 'it does not serve this group any more');
       if (wasOpen) {
         this.onChanged();
       }
     }
   }
 
-  /** Records that an engine refused a request without running it: it gets no more until a slot there is freed or its load was reported again. */
+  /** Records that a target refused a request without running it: it gets no more until a slot there is freed or its load was reported again. */
   recordFull(incarnation: string): void {
     const state = this.states.get(incarnation);
-    if (state?.target.model !== undefined) {
+    if (state) {
       state.fullUntil = this.clock.now() + FULL_COOLDOWN_MS;
-      this.refusals.record(state, 'it did not run the request');
+      this.recordRefusal(state, 'it did not run the request');
     }
   }
 
@@ -336,9 +318,7 @@
     const counts: Record<string, number> = {};
     for (const [incarnation, state] of this.states) {
       const {lastActiveAt, stalledAt, target, closedUntil} = state;
-      const taken = this.selection.countTakenSlots(state);
-      state.reportedSlots = taken;
-      state.ownSlots = Math.min(state.ownSlots, taken);
+      const taken = countTakenSlots(state, now);
       if (taken > 0) {
         counts[incarnation] = taken;
       }
@@ -368,6 +348,23 @@
     }
   }
 
+  private recordRefusal(state: TargetState, reason: string): void {
+    const {target, running, runningElsewhere} = state;
+    this.eventLog.record(`send-refused ${reason}`, {
+      type: 'send-refused',
+      subject: 'host',
+      id: target.incarnation,
+      reason,
+      details: {
+        epoch: target.epoch ?? 0,
+        slots: target.slots,
+        running,
+        runningElsewhere,
+        reportAgeMs: Math.round(this.unreported.reportAgeMs),
+      },
+    });
+  }
+
   private avoid(incarnation: string, durationMs: number): void {
     const state = this.states.get(incarnation);
     if (state) {
@@ -375,3 +372,13 @@
     }
   }
 }
+
+/** Returns the slots that this gateway uses at a target, freed ones that its waiting requests reuse included. */
+function countTakenSlots(
+  {running, recentPeak, target}: TargetState,
+  now: number,
+): number {
+  const isHeld =
+    target.model !== undefined && now - recentPeak.at < HELD_SLOT_MS;
+  return isHeld ? Math.max(running, recentPeak.running) : running;
+}
--- a/src/gateway/routing/target_selection.ts
+++ b/src/gateway/routing/target_selection.ts
@@ -6,6 +6,7 @@
 import {createTargetKey} from './create_target_key';
 import {estimateFirstEventMs} from './estimate_first_event';
 import {RequestSizes} from './request_sizes';
+import {RunningGrowth} from './running_growth';
 import {TargetAvailability} from './target_availability';
 import {TargetQuery} from './target_query';
 import {TargetState} from './target_state';
@@ -21,19 +22,6 @@
 /** Time by which one running request is assumed to delay another one at a plain service. */
 const PLAIN_REQUEST_MS = 50;
 
-/** Slots are plentiful if the expected requests of others leave one, and so many standard deviations more than expected. */
-const RESERVED_DEVIATIONS = 3;
-/**
- * A freed slot is reported as taken for this time. Requests that wait at this gateway reuse it
- * within the 20 ms between two checks; if it were reported as free meanwhile, every other
- * gateway with waiting requests would send to it.
- */
-const HELD_SLOT_MS = 60;
-/** Two checks of the waiting requests. */
-const WAITING_MS = 40;
-/** A claim that is not granted within this time is given up: a round trip and two checks of the waiting requests. */
-const CLAIM_MS = 60;
-
 /** What is known about the load that this gateway does not see itself. */
 interface TargetSelectionOptions {
   readonly zone: string;
@@ -42,23 +30,19 @@
   readonly random: () => number;
   readonly availability: TargetAvailability;
   readonly unreported: UnreportedLoad;
+  readonly growth: RunningGrowth;
   readonly sizes: RequestSizes;
-  /** Called when the control plane should know at once that a slot is claimed. */
-  readonly onClaim: () => void;
 }
 
 /** The decision of a load balancer, which keeps the states of the targets. */
 export class TargetSelection {
-  /** When a request last found no slot, by queue. */
-  private readonly unservedAt = new Map<string, number>();
-
   private constructor(private readonly options: TargetSelectionOptions) {}
 
   /**
    * Creates a selection.
    *
    * @example
-   * const selection = TargetSelection.create({zone, clock, random, availability, unreported, sizes, onClaim});
+   * const selection = TargetSelection.create({zone, clock, random, availability, unreported, growth, sizes});
    */
   static create(options: TargetSelectionOptions): TargetSelection {
     return new TargetSelection(options);
@@ -69,105 +53,39 @@
     states: readonly TargetState[],
     query: TargetQuery,
   ): GatewayTarget | undefined {
-    const open = this.listOpen(states, query);
-    const candidates = query.mayQueue
-      ? open
-      : open.filter(
-          state =>
-            state.running < state.ownSlots ||
-            this.hasPlenty(state, open.length),
-        );
-    if (candidates.length === 0 && open.length > 0) {
-      this.unservedAt.set(createQueueKey(query), this.options.clock.now());
-      this.claimSlots(open, query);
-      return undefined;
-    }
-    return this.chooseEarliest(candidates, query)?.target;
-  }
-
-  /**
-   * Reports one slot more than this gateway uses, at the targets with a free one
-   * and the earliest first events: as many as it is likely to need until the
-   * claims are granted. Reports arrive at the leader one after the other, so
-   * only the first gateway to claim the last slot of a target gets it.
-   */
-  private claimSlots(open: readonly TargetState[], query: TargetQuery): void {
-    const {clock, unreported, onClaim} = this.options;
-    const now = clock.now();
-    const perMs = unreported.findOwnRate(createQueueKey(query));
-    const needed = 1 + Math.floor(perMs * CLAIM_MS);
-    const claims = open.filter(({claimUntil}) => claimUntil > now);
-    let claimable = open.filter(
-      state => !claims.includes(state) && countFreeSlots(state) >= 1,
-    );
-    while (claims.length < needed && claimable.length > 0) {
-      const claimed = this.chooseEarliest(claimable, query) ?? claimable[0];
-      claimed.claimUntil = now + CLAIM_MS;
-      claims.push(claimed);
-      claimable = claimable.filter(state => state !== claimed);
-    }
-    if (claims.some(({reportedSlots, running}) => reportedSlots <= running)) {
-      onClaim();
-    }
-  }
-
-  /** True if a request for this queue waits at this gateway: it looks for a slot at every check. */
-  hasWaiting(queue: string): boolean {
-    const at = this.unservedAt.get(queue) ?? -Infinity;
-    return this.options.clock.now() - at < WAITING_MS;
-  }
-
-  /** Returns the slots that this gateway uses at a target or keeps for its waiting requests, which reuse freed ones. */
-  countTakenSlots(state: TargetState): number {
-    const now = this.options.clock.now();
-    const {running, recentPeak, target, claimUntil} = state;
-    const isHeld =
-      now - recentPeak.at < HELD_SLOT_MS &&
-      this.hasWaiting(createQueueKey(target));
-    const claimed = claimUntil > now ? running + 1 : running;
-    return isHeld ? Math.max(claimed, recentPeak.running) : claimed;
-  }
-
-  recordSlotFreed(state: TargetState, runningBefore: number): void {
-    const now = this.options.clock.now();
-    const {recentPeak} = state;
-    const isPeakOver = now - recentPeak.at >= HELD_SLOT_MS;
-    if (isPeakOver || runningBefore >= recentPeak.running) {
-      state.recentPeak = {running: runningBefore, at: now};
-    }
-  }
-
-  private chooseEarliest(
-    candidates: readonly TargetState[],
-    query: TargetQuery,
-  ): TargetState | undefined {
+    const candidates = this.listCandidates(states, query);
     const delays = candidates.map(state => this.estimateDelayMs(state, query));
     const unreportedMs = this.estimateUnreportedMs(candidates, query);
     const random = this.options.random();
-    return candidates[chooseByWaterFilling(delays, unreportedMs, random)];
+    return candidates[chooseByWaterFilling(delays, unreportedMs, random)]
+      ?.target;
   }
 
-  /** Returns the targets that accept requests and have the memory for this one. */
-  private listOpen(
+  private listCandidates(
     states: readonly TargetState[],
     query: TargetQuery,
   ): TargetState[] {
-    const {clock, availability} = this.options;
+    const {clock, unreported, growth, availability} = this.options;
     const now = clock.now();
     const {engine, promptTokens = 0} = query;
     if (engine && promptTokens > engine.contextTokens) {
       return [];
     }
-    const open = states.filter(
+    const served = states.filter(
+      ({target}) => target.pool === query.pool && target.model === query.model,
+    );
+    const ageMs = unreported.reportAgeMs;
+    const grown = growth.estimate(createQueueKey(query), ageMs);
+    const grownEach = grown / Math.max(1, served.length);
+    const open = served.filter(
       state =>
-        state.target.pool === query.pool &&
-        state.target.model === query.model &&
         !query.excluded.has(createTargetKey(state.target)) &&
         state.avoidUntil <= now &&
         state.closedUntil <= now &&
         (availability.zones?.isOpen(state.target.zone) ?? true) &&
-        (query.mayQueue || state.fullUntil <= now) &&
-        this.isEligible(state.target, query),
+        this.isEligible(state.target, query) &&
+        (query.mayQueue ||
+          (state.fullUntil <= now && this.hasFreeSlot(state, grownEach))),
     );
     const fitting = open.filter(state => this.hasFreeMemory(state, query));
     // Whether a target exists at all does not depend on its load, and a request that has run must not be lost for it.
@@ -175,18 +93,17 @@
   }
 
   /**
-   * True if a slot remains after all requests that other gateways are likely to
-   * have sent since their report. Otherwise only slots that this gateway has
-   * reported as its own are certain.
+   * An engine keeps its speed until all of its slots are taken. A slot that the
+   * other gateways have partly taken since their report, by the recent growth
+   * of their requests, is used with the probability that it is free.
    */
-  hasPlenty(state: TargetState, targets: number): boolean {
-    if (state.target.model === undefined) {
+  private hasFreeSlot(state: TargetState, grown: number): boolean {
+    const {target, running, runningElsewhere} = state;
+    const free = target.slots - running - runningElsewhere;
+    if (target.model === undefined || free - grown >= 1) {
       return true;
     }
-    const queue = createQueueKey(state.target);
-    const taken = this.options.unreported.estimateMostRequests(queue) / targets;
-    const reserve = taken + RESERVED_DEVIATIONS * Math.sqrt(taken);
-    return countFreeSlots(state) - reserve >= 1;
+    return free >= 1 && this.options.random() < free - grown;
   }
 
   /** True if the prompt and the expected answer fit into the memory that is left at an engine. */
@@ -258,11 +175,3 @@
     return !mayBeDenied && availability.isAvailable(incarnation);
   }
 }
-
-function countFreeSlots({
-  target,
-  running,
-  runningElsewhere,
-}: TargetState): number {
-  return target.slots - running - runningElsewhere;
-}
--- a/src/gateway/routing/target_state.ts
+++ b/src/gateway/routing/target_state.ts
@@ -7,12 +7,6 @@
   running: number;
   /** Largest `running` before one of the requests that ended lately, and when that was. */
   recentPeak: {readonly running: number; readonly at: number};
-  /** Slots that this gateway last reported as its own. */
-  reportedSlots: number;
-  /** Slots that it may use although few are left: those that it reported and that no other gateway had reported before. */
-  ownSlots: number;
-  /** Until then it reports one slot more than it uses, to get it. */
-  claimUntil: number;
   /** Requests sent by other gateways, as last reported. */
   runningElsewhere: number;
   /** Prompt tokens of this gateway's requests without a response so far. */
--- a/src/gateway/routing/unreported_load.ts
+++ b/src/gateway/routing/unreported_load.ts
@@ -7,9 +7,6 @@
  */
 const WINDOW_MS = 2_000;
 
-/** Gateways report at least this often: each poll is answered within this time. */
-const REPORT_INTERVAL_MS = 250;
-
 interface Start {
   readonly at: number;
   readonly promptTokens: number;
@@ -57,9 +54,7 @@
    * half of that.
    */
   get reportAgeMs(): number {
-    // Polling more often than that does not make the others report more often.
-    const intervalMs = Math.max(this.reportIntervalMs, REPORT_INTERVAL_MS);
-    return this.clock.now() - this.reportedAt + intervalMs / 2;
+    return this.clock.now() - this.reportedAt + this.reportIntervalMs / 2;
   }
 
   /** Estimates the requests that others sent to a queue since their report, and their prompt tokens. */
@@ -70,28 +65,6 @@
     return {requests: recent.length * factor, promptTokens: tokens * factor};
   }
 
-  /**
-   * Estimates an upper bound of the requests that others sent, by the larger of
-   * the rates in the window and since about the last report, as a burst shows
-   * in the latter first. Counts one request more than seen in the window, as a
-   * gateway with few requests would often see none.
-   */
-  estimateMostRequests(queue: string): number {
-    const recent = this.listRecent(queue);
-    const since = this.clock.now() - REPORT_INTERVAL_MS;
-    const newest = recent.filter(({at}) => at > since).length;
-    const perMs = Math.max(
-      (recent.length + 1) / WINDOW_MS,
-      newest / REPORT_INTERVAL_MS,
-    );
-    return perMs * this.others * this.reportAgeMs;
-  }
-
-  /** Requests per millisecond that this gateway has sent to a queue recently. */
-  findOwnRate(queue: string): number {
-    return this.listRecent(queue).length / WINDOW_MS;
-  }
-
   private listRecent(queue: string): Start[] {
     const since = this.clock.now() - WINDOW_MS;
     return (this.starts.get(queue) ?? []).filter(({at}) => at > since);
