--- a/src/coordination/groups/compute_model_needs.ts
+++ b/src/coordination/groups/compute_model_needs.ts
@@ -6,6 +6,8 @@
 
 /** Fraction of late answers up to which a model has enough groups. */
 const ACCEPTED_LATE_FRACTION = 0.1;
+/** Ratio of the weights of two models from which urgency counts, as in `isMoreUrgent`. */
+const MIN_WEIGHT_RATIO = 2;
 /** More groups than any pool has; bounds the search when a gateway reports an absurd demand. */
 const MAX_GROUPS = 10_000;
 
@@ -19,7 +21,7 @@
 
 /**
  * Computes the groups that each model needs for its measured demand; undefined where
- * urgency does not count, so that the planner compares models by their shares alone.
+ * urgency does not count or does not differ clearly among the models, so that the planner compares models by their shares alone.
  *
  * @example
  * const needs = computeModelNeeds({profile, demand, weights});
@@ -29,7 +31,7 @@
   demand,
   weights,
 }: ModelNeedsInput): Map<string, ModelNeed> | undefined {
-  if (!weights) {
+  if (!weights || !hasClearDifference(weights)) {
     return undefined;
   }
   return new Map(
@@ -60,3 +62,9 @@
     }),
   );
 }
+
+/** False where the requests of all models are about equally urgent, for example since urgency depends on the workspace. */
+function hasClearDifference(weights: ReadonlyMap<string, number>): boolean {
+  const values = [...weights.values()];
+  return Math.max(...values) >= MIN_WEIGHT_RATIO * Math.min(...values);
+}
