--- a/src/control/backend_registry.ts
+++ b/src/control/backend_registry.ts
@@ -277,8 +277,7 @@
   return model ?? (group?.state === 'joining' ? undefined : known?.loadedModel);
 }
 
-/** Everything but the sequence number, for comparison. */
-/** Leaves out what differs in each registration: the count, and the countdown of a cold server, which `ColdServerService` follows. */
+/** Describes a registration for comparison. Leaves out what differs in each registration: the count, and the countdown of a cold server, which `ColdServerService` follows. */
 function describeContent({
   registration,
 }: {
--- a/src/coordination/scheduling/request_queue.ts
+++ b/src/coordination/scheduling/request_queue.ts
@@ -4,7 +4,7 @@
 
 /**
  * A level that has begun nothing for this long begins one request before all
- * others; at 16 gateways this takes about two slots a second in all.
+ * others, so that the least urgent level does not starve.
  */
 const STARVATION_MS = 10_000;
 
--- a/src/gateway/routing/target_selection.ts
+++ b/src/gateway/routing/target_selection.ts
@@ -13,10 +13,9 @@
 import {UnreportedLoad} from './unreported_load';
 
 /**
- * Delay of the first event that is accepted to keep a request in its availability zone. With 20 ms
- * instead of 5 ms, 0.48 instead of 0.28 of the streams stayed in their zone (36 gateways, 20 engines
- * in 5 zones) and none more was late; it leaves 50 of the 70 ms between the median first event of a
- * busy deployment and its objective.
+ * Delay of the first event that is accepted to keep a request in its availability zone, since
+ * traffic between zones is expensive; short beside the time that most requests have left before
+ * their objective.
  */
 const ZONE_CROSSING_DELAY_MS = 20;
 /** Time by which one running request is assumed to delay another one at a plain service. */
