--- a/src/control/gateway_service.ts
+++ b/src/control/gateway_service.ts
@@ -33,8 +33,6 @@
  * about ten of them. The delay is short beside the 300 ms that an engine takes to open.
  */
 const BATCH_MS = 5;
-/** Whether less urgent requests wait at all gateways for more urgent ones of any gateway. */
-const CLOSES_LEVELS = true;
 
 type Call<T extends ControlMessage['type']> = MessageOf<ControlMessage, T>;
 
@@ -55,6 +53,11 @@
   readonly signal: ChangeSignal;
   readonly events: EventRing;
   readonly identity: string;
+  /**
+   * Whether less urgent requests wait at all gateways for more urgent ones of any gateway. Off by
+   * default: it refuses more requests in all.
+   */
+  readonly closesLevels?: boolean;
 }
 
 /** Serves rules, targets and limits to gateways, and combines their reports; its caller checks that this process leads. */
@@ -71,7 +74,7 @@
   private readonly bundles: BundleService;
   private readonly registrations: RegistrationService;
   private readonly closedHeads = ClosedHeads.create();
-  private readonly queueReports = QueueReports.create(CLOSES_LEVELS);
+  private readonly queueReports: QueueReports;
   private readonly targets: TargetTable;
   /** Which backend servers are cold. */
   readonly cold: ColdServerService;
@@ -83,6 +86,7 @@
   private isBatchPending = false;
 
   private constructor(private readonly options: GatewayServiceOptions) {
+    this.queueReports = QueueReports.create(options.closesLevels ?? false);
     const leaderName = splitIdentity(options.identity).name;
     const notify = () => this.notifyGateways();
     const {heartbeatMs} = options.settings.pools ?? {};
--- a/test/control/gateway_service.test.ts
+++ b/test/control/gateway_service.test.ts
@@ -45,6 +45,7 @@
     signal: ChangeSignal.create(),
     events: EventRing.create(),
     identity: 'c/1',
+    closesLevels: true,
   });
   const poll = async (changes: Partial<GatewayAsk> = {}) => {
     const answer = await service.handlers['gateway-ask']({
