--- a/src/coordination/groups/create_engine_plan_input.ts
+++ b/src/coordination/groups/create_engine_plan_input.ts
@@ -35,6 +35,7 @@
   weights,
 }: DemandOptions) {
   const needs = computeModelNeeds({profile: input.profile, demand, weights});
+  const isSplitByUrgency = input.policy?.splitsByUrgency !== false;
   const applyShares = (profile: EngineProfile): EnginePlanInput => ({
     ...input,
     profile,
@@ -46,7 +47,8 @@
     profile: input.profile,
     domains,
     demand,
-    weights: input.policy?.splitsByUrgency === false ? undefined : weights,
+    // Without needs urgency does not differ clearly, and the shares are split as without it.
+    weights: needs && isSplitByUrgency ? weights : undefined,
     now: input.now,
     countGroups: model => counts.countGroups(model),
     canRebalance: (changed, model) =>
