docs(coordination): two comments say the reason of a constant without figures

The reasons stay: slots must not idle for requests that do not come, and a late answer still serves its caller.

--- a/src/coordination/groups/compute_urgency_weights.ts
+++ b/src/coordination/groups/compute_urgency_weights.ts
@@ -2,8 +2,8 @@
 import {QueueReport} from '../../protocol/queue_report';
 
 /**
- * Weight of a request relative to one of the next less urgent level. The credit for a
- * late answer is 0.1 to 0.3 of that for one in time, so a level outweighs the next.
+ * Weight of a request relative to one of the next less urgent level. A late answer is
+ * still worth something to its caller, so a level outweighs the next but does not exclude it.
  */
 const WEIGHT_PER_LEVEL = 4;
 
--- a/src/coordination/scheduling/compute_reserved_slots.ts
+++ b/src/coordination/scheduling/compute_reserved_slots.ts
@@ -8,7 +8,7 @@
   readonly slots: number;
 }
 
-/** While requests wait, 97 in 100 slots are to be used; passing on a slot between gateways takes up to one of the other three. */
+/** Bounds the slots that stay unused for requests that may not come while others wait. */
 const MAX_FRACTION = 0.02;
 
 /**
