--- a/src/coordination/groups/compute_model_needs.ts
+++ b/src/coordination/groups/compute_model_needs.ts
@@ -2,12 +2,11 @@
 import {ModelDemand} from '../../protocol/model_demand';
 import {computeBusyGroups} from './compute_busy_groups';
 import {estimateLateFraction} from './estimate_late_fraction';
+import {MIN_WEIGHT_RATIO} from './min_weight_ratio';
 import {ModelNeed} from './model_need';
 
 /** Fraction of late answers up to which a model has enough groups. */
 const ACCEPTED_LATE_FRACTION = 0.1;
-/** Ratio of the weights of two models from which urgency counts, as in `isMoreUrgent`. */
-const MIN_WEIGHT_RATIO = 2;
 /** More groups than any pool has; bounds the search when a gateway reports an absurd demand. */
 const MAX_GROUPS = 10_000;
 
--- a/src/coordination/groups/is_more_urgent.ts
+++ b/src/coordination/groups/is_more_urgent.ts
@@ -1,7 +1,5 @@
 import {EnginePlanInput} from './engine_plan_input';
-
-/** Ratio of weights from which a model is more urgent, so that a changing mix of requests does not reorder models. */
-const MIN_WEIGHT_RATIO = 2;
+import {MIN_WEIGHT_RATIO} from './min_weight_ratio';
 
 /**
  * Checks whether a model's requests are clearly more urgent than another's; false
