--- a/.dependency-cruiser.cjs
+++ b/.dependency-cruiser.cjs
@@ -11,6 +11,7 @@
   {name: 'routing', uses: []},
   {name: 'limits', uses: []},
   {name: 'crashes', uses: []},
+  {name: 'retries', uses: []},
   {name: 'scheduling', uses: ['routing']},
   {name: 'responses', uses: ['routing', 'scheduling']},
   {name: 'control', uses: ['routing', 'limits']},
--- a/src/gateway/create_request_policies.ts
+++ b/src/gateway/create_request_policies.ts
@@ -3,7 +3,7 @@
 import {createStallThresholds} from './responses/create_stall_thresholds';
 import {SlotWait} from './scheduling/slot_wait';
 import {ProxiedRequestOptions} from './proxied_request_options';
-import {RetryPolicy} from './retry_policy';
+import {RetryPolicy} from './retries/retry_policy';
 import {RequestHistory} from './request_history';
 import {StallDetector} from './responses/stall_detector';
 
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -25,7 +25,7 @@
 import {SlotForecast} from './scheduling/slot_forecast';
 import {SaturatedModels} from './scheduling/saturated_models';
 import {ProxiedRequest} from './proxied_request';
-import {RetryBudgets} from './retry_budgets';
+import {RetryBudgets} from './retries/retry_budgets';
 import {RequestIdentity} from './crashes/request_identity';
 import {RequestLog} from './request_log';
 import {RequestResult} from './request_result';
--- a/src/gateway/proxied_request.ts
+++ b/src/gateway/proxied_request.ts
@@ -5,7 +5,7 @@
 import {ERROR_STATUS} from './responses/error_status';
 import {SlotWait} from './scheduling/slot_wait';
 import {ProxiedRequestOptions} from './proxied_request_options';
-import {RetryPolicy} from './retry_policy';
+import {RetryPolicy} from './retries/retry_policy';
 import {RequestHistory} from './request_history';
 import {RequestResult} from './request_result';
 import {RequestSender} from './request_sender';
--- a/src/gateway/proxied_request_options.ts
+++ b/src/gateway/proxied_request_options.ts
@@ -7,7 +7,7 @@
 import {GatewayRequest} from './gateway_request';
 import {HttpDialect} from './http_dialect';
 import {SlotForecast} from './scheduling/slot_forecast';
-import {RetryBudget} from './retry_budget';
+import {RetryBudget} from './retries/retry_budget';
 import {RequestIdentity} from './crashes/request_identity';
 import {RequestResult} from './request_result';
 import {ResponseWriter} from './responses/response_writer';
--- a/src/gateway/request_dispatcher.ts
+++ b/src/gateway/request_dispatcher.ts
@@ -3,7 +3,7 @@
 import {ProxiedRequestOptions} from './proxied_request_options';
 import {RequestHistory} from './request_history';
 import {RequestSender} from './request_sender';
-import {RetryPolicy} from './retry_policy';
+import {RetryPolicy} from './retries/retry_policy';
 import {SlotWait} from './scheduling/slot_wait';
 
 const NO_TARGET_REASON = 'no backend server can take it now';
--- a/src/gateway/retry_budget.ts
+++ b/src/gateway/retries/retry_budget.ts
@@ -2,8 +2,8 @@
  * This gateway's share of the retries that all gateways together may send to a
  * pool.
  */
-import {Clock} from '../common/clock';
-import {GatewaySettings} from './gateway_settings';
+import {Clock} from '../../common/clock';
+import {GatewaySettings} from '../gateway_settings';
 
 /**
  * Share of the budget that is used; the rest allows for sliding windows and for
--- a/src/gateway/retry_policy.ts
+++ b/src/gateway/retries/retry_policy.ts
@@ -1,6 +1,6 @@
 /** Limits the attempts of one request by its route and the shared retry budget. */
-import {Clock} from '../common/clock';
-import {GatewayRules} from '../protocol/gateway_rules';
+import {Clock} from '../../common/clock';
+import {GatewayRules} from '../../protocol/gateway_rules';
 import {RetryBudget} from './retry_budget';
 
 /**
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -5,7 +5,7 @@
 import {computeStallTimeoutMs} from '../../src/gateway/responses/compute_stall_timeout_ms';
 import {EventStreamSplitter} from '../../src/gateway/responses/event_stream_splitter';
 import {SlotForecast} from '../../src/gateway/scheduling/slot_forecast';
-import {RetryBudget} from '../../src/gateway/retry_budget';
+import {RetryBudget} from '../../src/gateway/retries/retry_budget';
 import {RouteIndex} from '../../src/gateway/routing/route_index';
 import {StallDetector} from '../../src/gateway/responses/stall_detector';
 import {LoadBalancer} from '../../src/gateway/routing/load_balancer';
--- a/test/support/proxy_fixture.ts
+++ b/test/support/proxy_fixture.ts
@@ -10,7 +10,7 @@
 import {RequestResult} from '../../src/gateway/request_result';
 import {SlotQueue} from '../../src/gateway/scheduling/slot_queue';
 import {SlotForecast} from '../../src/gateway/scheduling/slot_forecast';
-import {RetryBudget} from '../../src/gateway/retry_budget';
+import {RetryBudget} from '../../src/gateway/retries/retry_budget';
 import {ProxiedRequest} from '../../src/gateway/proxied_request';
 import {RequestIdentity} from '../../src/gateway/crashes/request_identity';
 import {LoadBalancer} from '../../src/gateway/routing/load_balancer';
