feat(gateway): retries that the budget grants and denies are logged, counted and explained

The logs could not tell why a pool got more retries than its budget allows: neither a decision nor its inputs left a line. Each decision now records its cause, the retries sent and allowed, the requests counted, the number of gateways and the age of that count, at most once a second for each kind. whinreel_retries_total counts them by verdict and cause, and the reason of a request that was denied a retry names the pool, by which explain finds them.

--- a/src/common/system_event.ts
+++ b/src/common/system_event.ts
@@ -9,6 +9,7 @@
   readonly subject:
     | 'request'
     | 'group'
+    | 'pool'
     | 'host'
     | 'zone'
     | 'bundle'
--- a/src/gateway/create_request_policies.ts
+++ b/src/gateway/create_request_policies.ts
@@ -14,7 +14,7 @@
  * const {policy, wait, stall} = createRequestPolicies(options);
  */
 export function createRequestPolicies(options: ProxiedRequestOptions) {
-  const {request, route, pool, arrivedAt, clock, budget} = options;
+  const {request, route, pool, arrivedAt, clock} = options;
   const {balancer, forecast, dialect, signals} = options;
   const {model, promptTokens} = request;
   const timeoutMs = Math.min(route.timeoutMs, request.waitMs ?? Infinity);
@@ -25,7 +25,7 @@
     deadlineAt,
     work,
     history: RequestHistory.create(arrivedAt),
-    policy: RetryPolicy.create({route, budget, clock, deadlineAt}),
+    policy: RetryPolicy.create({...options, deadlineAt}),
     stall: StallDetector.create(balancer, createStallThresholds(stallInput)),
     wait: SlotWait.create({
       ...createSlotOptions(options),
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -26,6 +26,7 @@
 import {SaturatedModels} from './scheduling/saturated_models';
 import {ProxiedRequest} from './proxied_request';
 import {RetryBudgets} from './retries/retry_budgets';
+import {RetryLog} from './retries/retry_log';
 import {RequestIdentity} from './crashes/request_identity';
 import {RequestLog} from './request_log';
 import {RequestResult} from './request_result';
@@ -54,6 +55,7 @@
   private readonly poller: ControlPoller;
   private readonly requestLog: RequestLog;
   private readonly retryBudgets: RetryBudgets;
+  private readonly retryLog: RetryLog;
   private readonly requests = new Set<ProxiedRequest>();
   private readonly forecast = SlotForecast.create(systemClock, {
     findAdmission: (pool, model) =>
@@ -94,6 +96,14 @@
       clock,
       () => this.poller.gatewayCount,
     );
+    this.retryLog = RetryLog.create({
+      events,
+      clock,
+      describeGateways: () => ({
+        gateways: this.poller.gatewayCount,
+        countedMsAgo: this.poller.confirmationAgeMs,
+      }),
+    });
     this.seeds = control;
     this.controlAddresses = control;
     const incarnation = randomBytes(8).toString('hex');
@@ -325,6 +335,7 @@
       clientPool: this.clientPool,
       balancer: this.balancer,
       budget: this.retryBudgets.find(pool.name),
+      retryLog: this.retryLog,
       forecast: this.forecast,
       containment: this.containment,
       signals: this.signals,
--- a/src/gateway/proxied_request.ts
+++ b/src/gateway/proxied_request.ts
@@ -5,6 +5,7 @@
 import {ERROR_STATUS} from './responses/error_status';
 import {SlotWait} from './scheduling/slot_wait';
 import {ProxiedRequestOptions} from './proxied_request_options';
+import {RetryCause} from './retries/retry_cause';
 import {RetryPolicy} from './retries/retry_policy';
 import {RequestHistory} from './request_history';
 import {RequestResult} from './request_result';
@@ -236,12 +237,12 @@
     const {policy} = this;
     if (end.kind === 'not-run') {
       policy.recordRefusal();
-      this.retry(end.reason, policy.canRetryAfterRefusal);
+      this.retry(end.reason, policy.canRetryAfterRefusal, 'not-run');
       return;
     }
     policy.recordRun();
     if (end.kind === 'broken') {
-      this.retry(end.reason, policy.canRetry);
+      this.retry(end.reason, policy.canRetry, 'broken');
       return;
     }
     this.handleComplete(policy.canRetry);
@@ -283,7 +284,7 @@
     }
     if (head.isEventStream) {
       if (relay.hasPartialEvent) {
-        this.retry('the stream ends within an event', mayRetry);
+        this.retry('the stream ends within an event', mayRetry, 'broken');
         return;
       }
       relay.endStream(head);
@@ -293,7 +294,7 @@
     }
     const isFailure = head.status >= 500;
     this.trial.recordCompletion();
-    if (isFailure && mayRetry && this.policy.takeRetry()) {
+    if (isFailure && mayRetry && this.policy.takeRetry('failed')) {
       this.dispatch('no other backend server');
       return;
     }
@@ -301,8 +302,8 @@
     this.finish(head.status);
   }
 
-  private retry(reason: string, isAllowed: boolean): void {
-    if (isAllowed && this.policy.takeRetry()) {
+  private retry(reason: string, isAllowed: boolean, cause: RetryCause): void {
+    if (isAllowed && this.policy.takeRetry(cause)) {
       this.dispatch(reason);
     } else {
       this.fail(reason);
@@ -323,8 +324,9 @@
     return mayHaveRun ? ERROR_STATUS.failed : ERROR_STATUS.notRun;
   }
 
-  private sendError(reason: string, status: number): void {
+  private sendError(cause: string, status: number): void {
     const {response, request} = this.options;
+    const reason = this.policy.explain(cause);
     const details = {requestId: request.id, reason, status, wait: this.wait};
     const end = sendErrorResponse({response, ...details});
     this.report(end.outcome, reason, end.status);
--- a/src/gateway/proxied_request_options.ts
+++ b/src/gateway/proxied_request_options.ts
@@ -8,6 +8,7 @@
 import {HttpDialect} from './http_dialect';
 import {SlotForecast} from './scheduling/slot_forecast';
 import {RetryBudget} from './retries/retry_budget';
+import {RetryLog} from './retries/retry_log';
 import {RequestIdentity} from './crashes/request_identity';
 import {RequestResult} from './request_result';
 import {ResponseWriter} from './responses/response_writer';
@@ -32,6 +33,7 @@
   readonly clientPool: HttpClientPool;
   readonly balancer: LoadBalancer;
   readonly budget: RetryBudget;
+  readonly retryLog: RetryLog;
   readonly forecast: SlotForecast;
   readonly containment: CrashContainment;
   readonly signals: BackendSignals;
--- a/src/gateway/request_dispatcher.ts
+++ b/src/gateway/request_dispatcher.ts
@@ -142,7 +142,7 @@
     if (!sender.findTarget(true)) {
       return;
     }
-    this.needsRetry &&= !policy.takeRetry();
+    this.needsRetry &&= !policy.takeRetry('not-run');
     if (!this.needsRetry) {
       this.joinQueue(NO_TARGET_REASON);
     }
--- a/src/gateway/retries/retry_budget.ts
+++ b/src/gateway/retries/retry_budget.ts
@@ -4,6 +4,7 @@
  */
 import {Clock} from '../../common/clock';
 import {GatewaySettings} from '../gateway_settings';
+import {RetryBudgetState} from './retry_budget_state';
 
 /**
  * Share of the budget that is used; the rest allows for sliding windows and for
@@ -55,6 +56,12 @@
 
   /** True if a retry is left. */
   hasRetry(): boolean {
+    const {spent, allowed} = this.describe();
+    return spent + 1 <= allowed;
+  }
+
+  /** Returns what the next decision is based on. */
+  describe(): RetryBudgetState {
     this.findBucket();
     let requests = 0;
     let retries = 0;
@@ -65,7 +72,7 @@
     const {ratio, slack} = this.limits;
     const allowed =
       (ratio * requests + slack / this.countGateways()) * SAFETY_FACTOR;
-    return retries + 1 <= allowed;
+    return {spent: retries, allowed, requests};
   }
 
   private findBucket(): Bucket {
--- a/src/gateway/retries/retry_policy.ts
+++ b/src/gateway/retries/retry_policy.ts
@@ -2,6 +2,8 @@
 import {Clock} from '../../common/clock';
 import {GatewayRules} from '../../protocol/gateway_rules';
 import {RetryBudget} from './retry_budget';
+import {RetryCause} from './retry_cause';
+import {RetryLog} from './retry_log';
 
 /**
  * Attempts that were refused before they ran don't count as runs, so they are
@@ -12,7 +14,9 @@
 /** The request's route and the shared retry budget. */
 interface RetryPolicyOptions {
   readonly route: GatewayRules['routes'][number];
+  readonly pool: Pick<GatewayRules['pools'][number], 'name'>;
   readonly budget: RetryBudget;
+  readonly retryLog: RetryLog;
   readonly clock: Clock;
   /** When the request times out, on this process's monotonic clock. */
   readonly deadlineAt: number;
@@ -22,6 +26,7 @@
 export class RetryPolicy {
   private runs = 0;
   private refusals = 0;
+  private denial: string | undefined;
 
   private constructor(private readonly options: RetryPolicyOptions) {}
 
@@ -29,7 +34,7 @@
    * Creates the policy of a request that has not been sent.
    *
    * @example
-   * const policy = RetryPolicy.create({route, budget, clock, deadlineAt});
+   * const policy = RetryPolicy.create({route, pool, budget, retryLog, clock, deadlineAt});
    */
   static create(options: RetryPolicyOptions): RetryPolicy {
     return new RetryPolicy(options);
@@ -79,8 +84,23 @@
    * Takes a retry from the shared budget; false if none is left or the time is
    * over.
    */
-  takeRetry(): boolean {
-    const {clock, budget, deadlineAt} = this.options;
-    return clock.now() < deadlineAt && budget.takeRetry();
+  takeRetry(cause: RetryCause): boolean {
+    const {clock, budget, deadlineAt, pool, retryLog} = this.options;
+    if (clock.now() >= deadlineAt) {
+      return false;
+    }
+    const state = budget.describe();
+    const isGranted = budget.takeRetry();
+    retryLog.record({pool: pool.name, cause, isGranted, state});
+    this.denial = isGranted
+      ? undefined
+      : `the retry budget of pool ${pool.name} is spent: ${state.spent} sent, ` +
+        `${Math.floor(state.allowed)} allowed by ${state.requests} requests`;
+    return isGranted;
+  }
+
+  /** Appends to the reason of a final failure that the budget denied the last retry. */
+  explain(reason: string): string {
+    return this.denial === undefined ? reason : `${reason}; ${this.denial}`;
   }
 }
--- a/src/operator/explain_request.ts
+++ b/src/operator/explain_request.ts
@@ -19,7 +19,8 @@
  * servers that it was sent to or that its reason names, and those about their
  * groups. For a request that was sent to no backend server, lines about the
  * groups of its model and about control are selected too. Orders for a zone that its
- * reason names as evacuated are selected whatever their age.
+ * reason names as evacuated are selected whatever their age. For a request that was
+ * denied a retry, the decisions about the budget of its pool are selected.
  *
  * @param text log lines of any number of processes; a prefix before the `{` of a
  *     line, such as a host name, is ignored
@@ -41,6 +42,7 @@
     targets.has(line.id) ||
     groups.has(line.id) ||
     (line.subject === 'host' && last.reason.includes(line.id)) ||
+    (line.subject === 'pool' && last.reason.includes(`pool ${line.id} `)) ||
     (targets.size === 0 && isAboutAvailability(line, model));
   const isRecent = (line: LogLine) => {
     const ageMs = endedAt - Date.parse(line.time);
--- a/src/reporting/process_metrics.ts
+++ b/src/reporting/process_metrics.ts
@@ -9,6 +9,8 @@
 const MAX_LATENCY_MS = 120_000;
 /** Matches the event that ends a request; the group is its outcome. */
 const REQUEST_EVENT = /^request-(.+)$/;
+/** Matches the event of a decision about a retry; the group is the verdict. */
+const RETRY_EVENT = /^retry-(granted|denied)$/;
 
 /** Program name for the labels, and the events to count. */
 interface ProcessMetricsOptions {
@@ -22,6 +24,7 @@
   private readonly histograms = new Map<string, Histogram>();
   private readonly eventCounter: Counter;
   private readonly latencyGauge: Gauge;
+  private readonly retryCounter: Counter;
 
   private constructor({program, events}: ProcessMetricsOptions) {
     const registers = [this.registry];
@@ -39,6 +42,12 @@
       labelNames: ['outcome', 'quantile'],
       registers,
     });
+    this.retryCounter = new Counter({
+      name: 'whinreel_retries_total',
+      help: 'Retries that the budgets granted and denied, by cause; repetitions within a second count with the next event',
+      labelNames: ['verdict', 'cause'],
+      registers,
+    });
     void events.observe(event => this.record(event));
   }
 
@@ -70,6 +79,12 @@
     if (outcome !== undefined && typeof tookMs === 'number') {
       this.findHistogram(outcome).recordValue(Math.min(tookMs, MAX_LATENCY_MS));
     }
+    const verdict = RETRY_EVENT.exec(type)?.[1];
+    if (verdict !== undefined) {
+      const {cause = '', leftOut = 0} = details ?? {};
+      const count = 1 + Number(leftOut);
+      this.retryCounter.inc({verdict, cause: String(cause)}, count);
+    }
   }
 
   private findHistogram(outcome: string): Histogram {
--- a/test/operator/explain_request.test.ts
+++ b/test/operator/explain_request.test.ts
@@ -81,3 +81,19 @@
   ].join('\n');
   expect(explainRequest(text, 'q').map(({id}) => id)).toEqual(['zone-a', 'q']);
 });
+
+test('a request that was denied a retry is explained by the decisions about the budget of its pool', () => {
+  const log = [
+    createLine(1, 'retry-denied', 'p1', {subject: 'pool'}),
+    createLine(2, 'retry-denied', 'p2', {subject: 'pool'}),
+    createLine(3, 'request-failed', 'q', {
+      targets: 'a',
+      reason: 'the retry budget of pool p1 is spent: 3 sent',
+    }),
+  ].join('\n');
+
+  expect(explainRequest(log, 'q').map(({event, id}) => [event, id])).toEqual([
+    ['retry-denied', 'p1'],
+    ['request-failed', 'q'],
+  ]);
+});
--- a/test/reporting/process_metrics.test.ts
+++ b/test/reporting/process_metrics.test.ts
@@ -26,3 +26,24 @@
     'whinreel_request_milliseconds{outcome="answered",quantile="0.5",program="whinreel-entry"} 20',
   );
 });
+
+test('retries are counted by verdict and cause, with those that a throttled event stands for', async () => {
+  const events = EventRing.create();
+  const metrics = ProcessMetrics.create({
+    program: 'whinreel-entry',
+    events: events.stream,
+  });
+  for (const leftOut of [0, 4]) {
+    events.record({
+      type: 'retry-denied',
+      subject: 'pool',
+      id: 'p',
+      reason: 'the retry budget of the pool is spent',
+      details: {cause: 'broken', ...(leftOut > 0 ? {leftOut} : {})},
+    });
+  }
+
+  expect(await metrics.format()).toContain(
+    'whinreel_retries_total{verdict="denied",cause="broken",program="whinreel-entry"} 6',
+  );
+});
--- a/test/support/proxy_fixture.ts
+++ b/test/support/proxy_fixture.ts
@@ -11,6 +11,7 @@
 import {SlotQueue} from '../../src/gateway/scheduling/slot_queue';
 import {SlotForecast} from '../../src/gateway/scheduling/slot_forecast';
 import {RetryBudget} from '../../src/gateway/retries/retry_budget';
+import {RetryLog} from '../../src/gateway/retries/retry_log';
 import {ProxiedRequest} from '../../src/gateway/proxied_request';
 import {RequestIdentity} from '../../src/gateway/crashes/request_identity';
 import {LoadBalancer} from '../../src/gateway/routing/load_balancer';
@@ -59,6 +60,13 @@
   readonly events = EventRing.create();
   /** False while control has not confirmed the rules. */
   isConfirmed = true;
+  /** Ample by default, so that it denies no retry. */
+  retryLimits = {ratio: 1, windowMs: 10_000, slack: 100};
+  private readonly retryLog = RetryLog.create({
+    events: this.events,
+    clock: systemClock,
+    describeGateways: () => ({gateways: 1, countedMsAgo: 0}),
+  });
   /** Answers a permit request in place of the leader; rejects by default, as without a leader. */
   answerPermit: () => Promise<PermitVerdict> = () =>
     Promise.reject(new Error('nobody leads'));
@@ -209,11 +217,8 @@
         response: ResponseWriter.create(response, 'request-id', () => false),
         clientPool: this.origins,
         balancer: this.balancer,
-        budget: RetryBudget.create(
-          {ratio: 1, windowMs: 10_000, slack: 100},
-          systemClock,
-          () => 1,
-        ),
+        budget: RetryBudget.create(this.retryLimits, systemClock, () => 1),
+        retryLog: this.retryLog,
         forecast: this.forecast,
         dialect: plainDialect,
         clock: systemClock,
