fix(gateway): shares of connections follow the largest recent number of gateways

A gateway that polled a new leader first was told that it was alone, and opened connections to each backend server up to half of its limit; the pool of connections kept that limit for as long as the server was known. Backend servers reset connections beyond their limit, so callers of plain requests could get 502.

Both tests of the pool failed before (30 s without the third request; the third request ran too early).

--- a/src/gateway/control/control_poller.ts
+++ b/src/gateway/control/control_poller.ts
@@ -11,6 +11,7 @@
 import {rulesCodec} from '../../protocol/rules_codec';
 import {BackendRateLimits} from '../limits/backend_rate_limits';
 import {RouteIndex} from '../routing/route_index';
+import {GatewayCounts} from './gateway_counts';
 import {ModelAdmissions} from './model_admissions';
 import {ZoneEvacuations} from './zone_evacuations';
 
@@ -77,13 +78,14 @@
   private targets = new Map<string, GatewayTarget>();
   private tableTag = '';
   private confirmedAt = -Infinity;
-  private knownGatewayCount = 1;
+  private readonly gatewayCounts: GatewayCounts;
   private isConnected: boolean | undefined;
   private isReporting = false;
   private isClosed = false;
 
   private constructor(private readonly options: ControlPollerOptions) {
     const {clock, events, gatewayId} = options;
+    this.gatewayCounts = GatewayCounts.create(clock);
     this.evacuations = ZoneEvacuations.create(events);
     this.admissions = ModelAdmissions.create(clock, events, gatewayId);
     void this.follow();
@@ -106,7 +108,7 @@
 
   /** Number of gateways among which shared limits are divided. */
   get gatewayCount(): number {
-    return this.knownGatewayCount;
+    return this.gatewayCounts.largest;
   }
 
   /** The number of gateways and the age of that count, for the log. */
@@ -243,7 +245,7 @@
       this.options.onSuspects(answer.suspects);
     }
     this.admissions.record(answer.admissions, askedAt);
-    this.knownGatewayCount = answer.gateways;
+    this.gatewayCounts.record(answer.gateways);
     this.options.onRunning(answer.runningElsewhere, answer.gateways - 1);
     this.options.onControl(answer.control);
   }
--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -45,9 +45,15 @@
   readonly resume: () => void;
 }
 
+/** The connections to one server, and the limit with which they were created. */
+interface LimitedPool {
+  readonly pool: Pool;
+  readonly maxConnections: number;
+}
+
 /** Sends requests over one connection pool for each server. */
 export class HttpClientPool {
-  private readonly pools = new Map<string, Pool>();
+  private readonly pools = new Map<string, LimitedPool>();
 
   private constructor() {}
 
@@ -108,7 +114,7 @@
 
   /** Drops the pools of all other servers; their connections close when they are idle. */
   retain(addresses: ReadonlySet<string>): void {
-    for (const [address, pool] of this.pools) {
+    for (const [address, {pool}] of this.pools) {
       if (!addresses.has(address)) {
         this.pools.delete(address);
         void pool.close().catch(() => undefined);
@@ -120,24 +126,27 @@
   async close(): Promise<void> {
     const pools = [...this.pools.values()];
     this.pools.clear();
-    await Promise.all(pools.map(pool => pool.destroy()));
+    await Promise.all(pools.map(({pool}) => pool.destroy()));
   }
 
   private findPool({address, maxConnections}: HttpClientRequest): Pool {
-    let pool = this.pools.get(address);
-    if (!pool) {
-      pool = new Pool(`http://${address}`, {
-        connections: maxConnections,
-        // With pipelining, undici would resend the requests queued behind a failed one.
-        pipelining: 1,
-        connect: createConnector(CONNECT_TIMEOUT_MS),
-        keepAliveTimeout: IDLE_TIMEOUT_MS,
-        keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
-        headersTimeout: 0,
-        bodyTimeout: 0,
-      });
-      this.pools.set(address, pool);
+    const known = this.pools.get(address);
+    if (known?.maxConnections === maxConnections) {
+      return known.pool;
     }
+    // A pool can't change its limit; the old one closes once its requests have ended.
+    void known?.pool.close().catch(() => undefined);
+    const pool = new Pool(`http://${address}`, {
+      connections: maxConnections,
+      // With pipelining, undici would resend the requests queued behind a failed one.
+      pipelining: 1,
+      connect: createConnector(CONNECT_TIMEOUT_MS),
+      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    this.pools.set(address, {pool, maxConnections});
     return pool;
   }
 }
--- /dev/null
+++ b/test/transport/http_client_pool.test.ts
@@ -0,0 +1,75 @@
+import * as http from 'node:http';
+import {AddressInfo} from 'node:net';
+import {afterEach, expect, test} from 'vitest';
+import {HttpClientPool} from '../../src/transport/http_client_pool';
+import {waitUntil} from '../support/wait_until';
+
+const closers: Array<() => unknown> = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) {
+    await close();
+  }
+});
+
+/** Starts a server that holds all requests, and a client for it. */
+async function start() {
+  const held: http.ServerResponse[] = [];
+  const server = http.createServer((_request, response) => held.push(response));
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const client = HttpClientPool.create();
+  closers.push(
+    () => server.close(),
+    () => server.closeAllConnections(),
+    () => client.close(),
+  );
+  const {port} = server.address() as AddressInfo;
+  const send = (maxConnections: number) =>
+    new Promise<void>((resolve, reject) => {
+      client.call(
+        {
+          address: `127.0.0.1:${port}`,
+          method: 'GET',
+          path: '/',
+          headers: [],
+          body: null,
+          maxConnections,
+        },
+        {
+          onSent: () => true,
+          onHead: () => undefined,
+          onData: () => undefined,
+          onEnd: resolve,
+          onError: reject,
+        },
+      );
+    });
+  return {held, send};
+}
+
+// The limit of the first request was kept for as long as the server was known.
+test('a limit of connections that becomes lower holds for requests from then on', async () => {
+  const {held, send} = await start();
+  const early = [send(4), send(4)];
+  await waitUntil('requests arrive', () => held.length === 2);
+  const late = [send(1), send(1), send(1)];
+  await waitUntil('requests arrive', () => held.length === 3);
+  await new Promise(resolve => setTimeout(resolve, 50));
+  expect(held).toHaveLength(3);
+
+  for (let count = 0; count < 5; count += 1) {
+    await waitUntil('requests arrive', () => held.length > count);
+    held[count].end();
+  }
+  await Promise.all([...early, ...late]);
+});
+
+test('a limit of connections that becomes higher lets more requests run', async () => {
+  const {held, send} = await start();
+  const early = send(1);
+  await waitUntil('requests arrive', () => held.length === 1);
+  const late = [send(3), send(3)];
+  await waitUntil('requests arrive', () => held.length === 3);
+  held.forEach(response => response.end());
+  await Promise.all([early, ...late]);
+});
