feat(gateway): the parts of prompts that were running at an end are logged

backend-broke names the parts, less the last, of the requests that had not begun when a backend server ended. That tells a part that is always there from requests that are each new, which no line did. Nothing is decided by it yet.

--- a/src/gateway/crashes/crash_check.ts
+++ b/src/gateway/crashes/crash_check.ts
@@ -48,9 +48,9 @@
     hasStarted: hasResponseStarted,
   }: LostAttempt): Promise<void> {
     const {containment, identity, trial, clock} = this.options;
-    const {name} = identity;
+    const {name, parts} = identity;
     trial.recordConnectionLoss(clock.now());
-    const loss = {target, name, hasResponseStarted};
+    const loss = {target, name, parts, hasResponseStarted};
     const decided = containment.recordConnectionLoss(loss);
     if (!hasResponseStarted) {
       this.isPending = true;
--- a/src/gateway/crashes/crash_detector.ts
+++ b/src/gateway/crashes/crash_detector.ts
@@ -105,6 +105,7 @@
       ({hasResponseStarted}) => !hasResponseStarted,
     );
     const names = unstarted.slice(0, MAX_NAMED).map(({name}) => name);
+    const parts = unstarted.flatMap(attempt => attempt.parts ?? []);
     this.options.events.record({
       type: 'backend-broke',
       subject: 'host',
@@ -115,6 +116,7 @@
         begun: attempts.length - unstarted.length,
         notBegun: unstarted.length,
         requests: names.join(' '),
+        parts: [...new Set(parts)].slice(0, MAX_NAMED).join(' '),
       },
     });
   }
--- a/src/gateway/crashes/request_identity.ts
+++ b/src/gateway/crashes/request_identity.ts
@@ -1,13 +1,17 @@
 /** Recognizes repetitions of a request by a fingerprint of its caller, path and body. */
 import {createHash} from 'node:crypto';
 import {GatewayRequest} from '../gateway_request';
+import {createPartName} from './create_part_name';
 
 /** Number of hexadecimal digits that distinguish callers, and requests of one caller. */
 const CALLER_DIGITS = 8;
 const REQUEST_DIGITS = 24;
 
 interface IdentityInput {
-  readonly request: Pick<GatewayRequest, 'host' | 'method' | 'path'>;
+  readonly request: Pick<
+    GatewayRequest,
+    'host' | 'method' | 'path' | 'model' | 'promptParts'
+  >;
   /** The caller's workspace; undefined for callers that need no key. */
   readonly workspace?: string;
   readonly body: Buffer;
@@ -21,6 +25,7 @@
 export class RequestIdentity {
   private cachedName: string | undefined;
   private cachedCaller: string | undefined;
+  private cachedParts: readonly string[] | undefined;
 
   private constructor(private readonly input: IdentityInput) {}
 
@@ -52,6 +57,13 @@
     return this.cachedName;
   }
 
+  /** Names of the parts of its prompt that other requests may share. */
+  get parts(): readonly string[] {
+    const {promptParts = [], model = ''} = this.input.request;
+    this.cachedParts ??= promptParts.map(id => createPartName(id, model));
+    return this.cachedParts;
+  }
+
   private compute(): string {
     const {request, body} = this.input;
     const {caller} = this;
--- a/src/gateway/gateway_request.ts
+++ b/src/gateway/gateway_request.ts
@@ -13,6 +13,8 @@
   readonly waitMs?: number;
   readonly model?: string;
   readonly promptTokens: number;
+  /** Ids of the parts of its prompt that other requests may share, in their order. */
+  readonly promptParts?: readonly string[];
   /** The id of the last event that the caller has received. */
   readonly lastEventId?: string;
   /** Alternating names and values, as forwarded to a backend server. */
--- a/test/platform/http_dialect.test.ts
+++ b/test/platform/http_dialect.test.ts
@@ -18,6 +18,7 @@
     'x-whinreel-request-deadline-ms': '900',
     'x-whinreel-tenant': 'forged',
     'x-whinreel-token-usage': '1460,80',
+    'x-whinreel-prompt-prefix': '5c1e07a2:800,91bd3f06:410, e4402b7d:250',
     authorization: 'Bearer secret',
     connection: 'keep-alive, x-hop',
     'x-hop': '1',
@@ -31,6 +32,7 @@
       key: 'secret',
       waitMs: 900,
       promptTokens: 1460,
+      promptParts: ['5c1e07a2', '91bd3f06'],
     });
     expect(read({host: 'h'})).toMatch('is missing');
   });
