--- a/test/support/crash_fleet.ts
+++ b/test/support/crash_fleet.ts
@@ -51,6 +51,8 @@
   private healthyCount = 0;
   private healthyRejected = 0;
   private sentAfterVerdict = 0;
+  private begunAtFirstAttempt = 0;
+  private markedCount = 0;
 
   constructor(
     private readonly time: VirtualTime,
@@ -92,6 +94,7 @@
       propagationMs,
       healthy: this.healthyCount,
       healthyRejected: this.healthyRejected,
+      begunAtFirstAttempt: this.begunAtFirstAttempt / this.healthyCount,
       retryDelaysMs: this.retryDelaysMs,
     };
   }
@@ -145,22 +148,36 @@
   }
 
   private repeatPoisonRequest(marked: number): void {
-    this.startRequest(`marked ${marked}`, marked);
-    const {random, poisonRetryMs} = this.options;
+    const {random, poisonRetryMs, parts, poisonUntilMs} = this.options;
+    if (this.time.now() > (poisonUntilMs ?? Infinity)) {
+      return;
+    }
+    this.markedCount += 1;
+    const copy = parts ? ` ${this.markedCount}` : '';
+    this.startRequest(`marked ${marked}${copy}`, marked);
     const afterMs = poisonRetryMs * (0.5 + random());
     this.time.after(afterMs, () => this.repeatPoisonRequest(marked));
   }
 
   private startRequest(text: string, marked: number): void {
-    const {random} = this.options;
+    const {random, parts} = this.options;
     const ready = this.gateways.filter(({isReady}) => isReady);
     const gateway = ready[Math.floor(random() * ready.length)];
     if (!gateway) {
       return;
     }
     const identity = RequestIdentity.create({
-      request: {host: 'h', method: 'POST', path: '/'},
-      workspace: marked < 0 ? `w${this.healthyCount % 10}` : 'marked',
+      request: {
+        host: 'h',
+        method: 'POST',
+        path: '/',
+        model: 'm',
+        promptParts:
+          marked < 0
+            ? parts?.ofHealthy(this.healthyCount)
+            : parts?.ofMarked(marked),
+      },
+      workspace: marked < 0 || parts ? this.chooseWorkspace() : 'marked',
       body: Buffer.from(text),
     });
     const {containment} = gateway;
@@ -180,6 +197,11 @@
     this.sendOrWait(request);
   }
 
+  /** Poison requests that share a part have the workspaces of healthy ones. */
+  private chooseWorkspace(): string {
+    return `w${this.healthyCount % 10}`;
+  }
+
   private scheduleCheck(): void {
     this.time.after(CHECK_MS, () => {
       this.gateways.forEach(({requests}) =>
@@ -256,10 +278,7 @@
     if (request.connectionLostAt !== undefined && !request.isPoison) {
       this.retryDelaysMs.push(now - request.connectionLostAt);
     }
-    if (
-      request.isPoison &&
-      this.control.fullyKnownAt.has(request.identity.name)
-    ) {
+    if (request.isPoison && this.isKnownToAll(request.identity)) {
       this.sentAfterVerdict += 1;
     }
     request.triedBackends.add(backend.incarnation);
@@ -271,12 +290,14 @@
     request.attempt = attempt;
     backend.running.add(attempt);
     if (request.isPoison) {
-      this.time.after(CRASH_DELAY_MS, () => this.crashBackend(attempt));
+      const {crashDelayMs = CRASH_DELAY_MS} = this.options;
+      this.time.after(crashDelayMs, () => this.crashBackend(attempt));
       return;
     }
     this.time.after(FIRST_EVENT_MS, () => {
       if (request.attempt === attempt) {
         attempt.hasResponseStarted = true;
+        this.begunAtFirstAttempt += request.lostAttempts === 0 ? 1 : 0;
         request.trial.recordResponseStart();
       }
     });
@@ -289,6 +310,10 @@
     });
   }
 
+  private isKnownToAll({name, parts}: RequestIdentity): boolean {
+    return [name, ...parts].some(each => this.control.fullyKnownAt.has(each));
+  }
+
   private crashBackend(attempt: Attempt): void {
     if (attempt.request.attempt === attempt) {
       this.crashesByRequest[attempt.request.poisonIndex] += 1;
@@ -338,10 +363,11 @@
     request.trial.recordConnectionLoss(now);
     request.connectionLostAt = hasResponseStarted ? undefined : now;
     const target = {incarnation, address: 'a:1'};
-    const {name} = request.identity;
+    const {name, parts} = request.identity;
     const judged = request.gateway.containment.recordConnectionLoss({
       target,
       name,
+      parts,
       hasResponseStarted,
     });
     if (!hasResponseStarted) {
--- a/test/support/crash_fleet_options.ts
+++ b/test/support/crash_fleet_options.ts
@@ -9,6 +9,18 @@
   /** Distinct poison requests, which crash backend servers, and the average interval at which callers repeat each. */
   readonly marked: number;
   readonly poisonRetryMs: number;
+  /**
+   * Parts of the prompts of the poison requests and of the healthy ones, each by its number. With
+   * them no two poison requests are alike, and each of their kinds stands for one poison part.
+   */
+  readonly parts?: {
+    readonly ofMarked: (marked: number) => readonly string[];
+    readonly ofHealthy: (count: number) => readonly string[];
+  };
+  /** Time from the arrival of a poison request until its backend server crashes. */
+  readonly crashDelayMs?: number;
+  /** Until when poison parts crash backend servers; for the whole time by default. */
+  readonly poisonUntilMs?: number;
   /** When backend servers crash on their own, and how many. */
   readonly losses: ReadonlyArray<{readonly at: number; readonly count: number}>;
   /** Average interval between restarts of a gateway, which loses all its state; undefined for none. */
--- a/test/support/crash_fleet_result.ts
+++ b/test/support/crash_fleet_result.ts
@@ -9,6 +9,8 @@
   readonly healthy: number;
   /** Healthy requests that were wrongly convicted because of requests beside them. */
   readonly healthyRejected: number;
+  /** The fraction of healthy requests whose first attempt began. */
+  readonly begunAtFirstAttempt: number;
   /** Delay between connection loss and retry of healthy requests without a response yet. */
   readonly retryDelaysMs: readonly number[];
 }
