fix(gateway,control): parts of prompts that crash backend servers are found and held back

Requests of one kind ended one backend server after the other for a minute; their callers got 502 after two ends each, and beside them streams broke off.

Cause: evidence was filed under a digest of caller, path and body. The requests shared a part of their prompts, which the gateways forwarded and nobody read, and differed in the rest, so each was new and ended servers of its own.

The table of evidence now also holds the parts, less the last, of requests that had not begun when their backend server ended. A part is watched after one end, sent only in trials after two, and convicted after three, one of them in a trial, if at least two requests held it. The response to any request with it that begins proves it harmless, at whichever gateway. A verdict covers only requests that also hold the parts which came with it each time, and only the caller that held it if there was one; others with the part may be tried. So neither two parts that always come together nor another workspace's prompts are judged by it.

--- a/src/control/suspect_service.ts
+++ b/src/control/suspect_service.ts
@@ -1,6 +1,8 @@
 /** Serves calls about requests that are suspected of crashing backend servers, on the leader. */
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
+import {SystemEvent} from '../common/system_event';
+import {isPartName} from '../coordination/requests/is_part_name';
 import {systemTimers} from '../common/system_timers';
 import {Timers} from '../common/timers';
 import {ControlMessage} from '../protocol/control_message';
@@ -63,7 +65,19 @@
     const time = Date.now();
     crashes.forEach(crash => this.recordCrash(gatewayId, crash));
     const before = runtime.state.suspects.version;
-    const report = {time, crashes, released, cleared};
+    // Each gateway reports a part that was proved harmless; the first report suffices.
+    const isKnown = (name: string) => runtime.state.suspects.find(name);
+    const report = {
+      time,
+      crashes,
+      released: released.filter(isKnown),
+      cleared: cleared.filter(isKnown),
+    };
+    const isEmpty =
+      crashes.length + report.released.length + report.cleared.length === 0;
+    if (isEmpty) {
+      return {type: 'ends-answer', call};
+    }
     const newCrashes = crashes.filter(
       ({incarnation}) => !runtime.state.suspects.hasCrashed(incarnation),
     );
@@ -103,18 +117,17 @@
   }
 
   /** The trial is committed to the log, so that no two leaders grant a trial on the same backend server. */
-  private async grantTrial(
-    request: Call<'trial-ask'>,
-  ): Promise<ControlMessage> {
-    const {call, name, incarnation} = request;
+  private async grantTrial(ask: Call<'trial-ask'>): Promise<ControlMessage> {
+    const {call, name, incarnation, request, isUncovered} = ask;
+    const trial = {name, incarnation, request, isUncovered};
     const {runtime, events} = this.options;
     const {suspects} = runtime.state;
     const time = Date.now();
-    if (suspects.isTrialBlocked(name, incarnation, time)) {
+    if (suspects.isTrialBlocked(trial, time)) {
       return {type: 'trial-answer', call, verdict: 'busy'};
     }
     const before = suspects.version;
-    const command = {type: 'begin-trial' as const, time, name, incarnation};
+    const command = {type: 'begin-trial' as const, time, ...trial};
     const result = await runtime.propose(command);
     const verdict = result.trial ?? 'busy';
     this.recordChanges(before);
@@ -145,15 +158,28 @@
 
   private recordChanges(before: number): void {
     const {suspects} = this.options.runtime.state;
-    const {suspected, convicted, freed} = suspects.listChangesSince(before);
+    const changes = suspects.listChangesSince(before);
+    const {suspected, convicted, freed, parts = []} = changes;
     const recordAll = (type: string, names: readonly string[]) =>
       names.forEach(name => this.recordStanding(type, name));
     recordAll('request-suspected', suspected);
     recordAll('request-convicted', convicted);
-    recordAll('request-freed', freed);
+    recordAll(
+      'request-freed',
+      freed.filter(name => !isPartName(name)),
+    );
+    recordAll('part-freed', freed.filter(isPartName));
+    for (const {name, standing, companions, caller = ''} of parts) {
+      const scope = {companions: companions.join(' '), caller};
+      this.recordStanding(`part-${standing}`, name, scope);
+    }
   }
 
-  private recordStanding(type: string, name: string): void {
+  private recordStanding(
+    type: string,
+    name: string,
+    scope: SystemEvent['details'] = {},
+  ): void {
     const {state} = this.options.runtime;
     const crashes = state.suspects.find(name)?.crashes ?? [];
     const now = state.time;
@@ -163,6 +189,7 @@
       id: name,
       reason: `${crashes.length} backend servers ended under it`,
       details: {
+        ...scope,
         servers: crashes.map(({incarnation}) => incarnation).join(' '),
         agesMs: crashes.map(({time}) => now - time).join(' '),
       },
--- a/src/coordination/requests/crash_evidence.ts
+++ b/src/coordination/requests/crash_evidence.ts
@@ -5,4 +5,6 @@
   readonly time: number;
   /** The response had started, so the request had run for a while without harm. */
   readonly hadBegun: boolean;
+  /** For a part: it, or the request that held it, ran there in a trial, as the only suspect. */
+  readonly inTrial?: boolean;
 }
--- a/src/gateway/crashes/crash_containment.ts
+++ b/src/gateway/crashes/crash_containment.ts
@@ -10,6 +10,7 @@
 import {RequestIdentity} from './request_identity';
 import {SuspectList} from './suspect_list';
 import {SuspectReporter} from './suspect_reporter';
+import {TrialSubject} from './trial_subject';
 
 /** Calls to the control plane. */
 interface SuspectCalls {
@@ -19,7 +20,7 @@
     readonly cleared: string[];
   }) => Promise<unknown>;
   readonly askTrial: (
-    name: string,
+    subject: TrialSubject,
     incarnation: string,
   ) => Promise<TrialVerdict>;
 }
@@ -66,6 +67,16 @@
     return this.list.findStatus(identity);
   }
 
+  /** Returns the suspect for which a request that is not free needs a trial. */
+  findTrialSubject(identity: RequestIdentity): TrialSubject {
+    return this.list.findTrialSubject(identity);
+  }
+
+  /** Records that the response to a request has begun, which proves all of its parts harmless. */
+  recordBegun(identity: RequestIdentity): void {
+    this.list.listParts(identity).forEach(name => this.clearSuspect(name));
+  }
+
   /**
    * Handles an attempt whose connection broke. Until the backend server is
    * known to be alive, a request without any response may be what crashed it.
@@ -86,17 +97,21 @@
    * Requests permission to send a suspect to one backend server; it counts as
    * busy while the control plane is unreachable.
    */
-  async askTrial(name: string, incarnation: string): Promise<TrialVerdict> {
+  async askTrial(
+    subject: TrialSubject,
+    incarnation: string,
+  ): Promise<TrialVerdict> {
+    const {name} = subject;
     if (this.reporter.isPending(name)) {
       return 'busy';
     }
     const verdict = await this.options.calls
-      .askTrial(name, incarnation)
+      .askTrial(subject, incarnation)
       .catch(() => 'busy' as const);
     if (verdict === 'free') {
       this.list.remove(name);
     } else if (verdict === 'convicted') {
-      this.list.markConvicted(name);
+      this.list.markConvicted(subject.request ?? name);
     }
     return verdict;
   }
@@ -111,7 +126,7 @@
 
   /**
    * Records that a request which was running during a crash has completed
-   * since.
+   * since, or that a part of one was proved harmless.
    */
   clearSuspect(name: string): void {
     this.list.remove(name);
--- a/src/gateway/crashes/create_suspect_calls.ts
+++ b/src/gateway/crashes/create_suspect_calls.ts
@@ -25,8 +25,8 @@
         {type: 'ends-ask', gatewayId, ...report},
         REPORT_MS,
       ),
-    async askTrial(name, incarnation) {
-      const ask = {type: 'trial-ask' as const, name, incarnation};
+    async askTrial(trial, incarnation) {
+      const ask = {type: 'trial-ask' as const, ...trial, incarnation};
       return (await client.ask<'trial-ask'>(ask, TRIAL_MS)).verdict;
     },
   };
--- a/src/gateway/crashes/suspect_list.ts
+++ b/src/gateway/crashes/suspect_list.ts
@@ -4,6 +4,9 @@
  */
 import {SuspectUpdate} from '../../protocol/suspect_update';
 import {RequestIdentity} from './request_identity';
+import {SuspectParts} from './suspect_parts';
+import {SuspectStatus} from './suspect_status';
+import {TrialSubject} from './trial_subject';
 
 /**
  * Own observations that the control plane has not judged; it judges within a
@@ -11,13 +14,11 @@
  */
 const MAX_OWN = 256;
 
-/** How a gateway may treat a request. */
-type SuspectStatus = 'free' | 'suspected' | 'convicted';
-
 /** Checked for each request. */
 export class SuspectList {
   private readonly listed = new Map<string, SuspectStatus>();
   private readonly own = new Set<string>();
+  private readonly parts = SuspectParts.create();
   /** Callers with held back requests; bodies of other callers need no digest. */
   private callers = new Set<string>();
   private listVersion = 0;
@@ -42,6 +43,24 @@
 
   /** Returns how a request may be treated. */
   findStatus(identity: RequestIdentity): SuspectStatus {
+    const status = this.findRequestStatus(identity);
+    const partStatus = this.parts.findStatus(identity);
+    return status === 'free' || partStatus === 'convicted'
+      ? partStatus
+      : status;
+  }
+
+  /** Returns the suspect for which a request that is not free needs a trial. */
+  findTrialSubject(identity: RequestIdentity): TrialSubject {
+    return this.parts.findTrialSubject(identity) ?? {name: identity.name};
+  }
+
+  /** Lists the parts of a request that are watched or restricted. */
+  listParts(identity: RequestIdentity): string[] {
+    return this.parts.list(identity);
+  }
+
+  private findRequestStatus(identity: RequestIdentity): SuspectStatus {
     if (this.callers.size === 0 || !this.callers.has(identity.caller)) {
       return 'free';
     }
@@ -59,10 +78,15 @@
     }
     if (update.isWhole) {
       this.listed.clear();
+      this.parts.clear();
     }
     update.suspected.forEach(name => this.listed.set(name, 'suspected'));
     update.convicted.forEach(name => this.listed.set(name, 'convicted'));
-    update.freed.forEach(name => this.listed.delete(name));
+    this.parts.set(update.parts ?? []);
+    for (const name of update.freed) {
+      this.listed.delete(name);
+      this.parts.remove(name);
+    }
     this.listVersion = update.version;
     this.indexCallers();
   }
@@ -87,6 +111,7 @@
   remove(name: string): void {
     this.own.delete(name);
     this.listed.delete(name);
+    this.parts.remove(name);
     this.indexCallers();
   }
 
--- a/src/gateway/crashes/suspect_reporter.ts
+++ b/src/gateway/crashes/suspect_reporter.ts
@@ -17,6 +17,8 @@
  * as many, and hardly more can have run on one backend server.
  */
 const MAX_REQUESTS_PER_CRASH = 256;
+/** Parts of one prompt in a report; the control plane accepts no more. */
+const MAX_PARTS = 32;
 /**
  * Crashes in one report, about 2 MB at most; while the control plane is
  * unreachable the oldest are dropped.
@@ -38,6 +40,8 @@
 interface Crash {
   readonly notBegun: Set<string>;
   readonly begun: Set<string>;
+  /** Parts of the prompts of those that had not begun, by request. */
+  readonly parts: Map<string, readonly string[]>;
 }
 
 /** Collects what is still to be reported. */
@@ -69,15 +73,19 @@
   }
 
   /** Records that a backend server crashed while it ran this request. */
-  recordCrash({target, name, hasResponseStarted}: InterruptedAttempt): void {
+  recordCrash(attempt: InterruptedAttempt): void {
+    const {target, name, hasResponseStarted, parts = []} = attempt;
     const known = this.crashes.get(target.incarnation);
-    const crash = known ?? {notBegun: new Set(), begun: new Set()};
+    const crash = known ?? createCrash();
     this.crashes.set(target.incarnation, crash);
     this.crashes = new Map([...this.crashes].slice(-MAX_CRASHES));
     const names = hasResponseStarted ? crash.begun : crash.notBegun;
     if (names.size < MAX_REQUESTS_PER_CRASH) {
       names.add(name);
     }
+    if (parts.length > 0 && crash.notBegun.has(name)) {
+      crash.parts.set(name, parts.slice(0, MAX_PARTS));
+    }
     this.schedule(BATCH_MS);
   }
 
@@ -128,11 +136,7 @@
     this.sending = listUnstarted(crashes);
     this.isSending = true;
     const isAcknowledged = await this.send({
-      crashes: [...crashes].map(([incarnation, {notBegun, begun}]) => ({
-        incarnation,
-        notBegun: [...notBegun],
-        begun: [...begun],
-      })),
+      crashes: [...crashes].map(describeCrash),
       released: [...released],
       cleared: [...cleared],
     }).then(
@@ -155,7 +159,7 @@
     cleared: ReadonlySet<string>,
   ): void {
     const merged = new Map([...crashes, ...this.crashes]);
-    for (const [incarnation, {notBegun, begun}] of crashes) {
+    for (const [incarnation, {notBegun, begun, parts}] of crashes) {
       const newer = this.crashes.get(incarnation);
       merged.set(incarnation, {
         notBegun: mergeNewest(
@@ -164,6 +168,7 @@
           MAX_REQUESTS_PER_CRASH,
         ),
         begun: mergeNewest(begun, newer?.begun, MAX_REQUESTS_PER_CRASH),
+        parts: new Map([...parts, ...(newer?.parts ?? [])]),
       });
     }
     this.crashes = new Map([...merged].slice(-MAX_CRASHES));
@@ -172,6 +177,26 @@
   }
 }
 
+function createCrash(): Crash {
+  return {notBegun: new Set(), begun: new Set(), parts: new Map()};
+}
+
+function describeCrash([incarnation, crash]: readonly [
+  string,
+  Crash,
+]): CrashReport {
+  const {notBegun, begun, parts} = crash;
+  const holders = [...parts]
+    .filter(([request]) => notBegun.has(request))
+    .map(([request, names]) => ({request, parts: [...names]}));
+  return {
+    incarnation,
+    notBegun: [...notBegun],
+    begun: [...begun],
+    ...(holders.length > 0 ? {parts: holders} : {}),
+  };
+}
+
 function listUnstarted(crashes: ReadonlyMap<string, Crash>): Set<string> {
   return new Set([...crashes.values()].flatMap(({notBegun}) => [...notBegun]));
 }
--- a/src/gateway/proxied_request.ts
+++ b/src/gateway/proxied_request.ts
@@ -21,7 +21,7 @@
 
 /** Sent to the caller as the reason why the request is permanently rejected. */
 const CONVICTED_REASON =
-  'backend servers end when they begin this request: it is not sent again';
+  'backend servers end when they begin this request, or any with a part of its prompt: it is not sent again';
 
 /** The state machine of one request, from its arrival until its caller has a final response. */
 export class ProxiedRequest {
@@ -224,6 +224,7 @@
     const {response, clock} = this.options;
     const {attempt} = this.sender;
     this.history.recordEvent(clock.now());
+    this.options.containment.recordBegun(this.options.identity);
     if (!hasRoom && attempt) {
       attempt.pause();
       response.watchDrain(() => attempt.resume());
@@ -274,6 +275,7 @@
   private handleComplete(mayRetry: boolean): void {
     const {relay} = this;
     const {head} = relay;
+    const {containment, identity} = this.options;
     if (!head) {
       this.fail('an answer without a head');
       return;
@@ -289,6 +291,9 @@
       return;
     }
     const isFailure = head.status >= 500;
+    if (!isFailure) {
+      containment.recordBegun(identity);
+    }
     this.trial.recordCompletion();
     this.retryWait.begin({
       isAllowed: isFailure && mayRetry,
--- a/src/operator/text_reporter.ts
+++ b/src/operator/text_reporter.ts
@@ -75,7 +75,7 @@
     suspects.length === 0
       ? 'no backend server ended under any request that is remembered\n'
       : formatTable(
-          ['REQUEST', 'STANDING', 'LAST END', 'ENDED UNDER IT'],
+          ['REQUEST OR PART', 'STANDING', 'LAST END', 'ENDED UNDER IT'],
           suspects.map(({name, standing, crashes}) => [
             name,
             standing,
--- a/src/protocol/control_command.ts
+++ b/src/protocol/control_command.ts
@@ -127,6 +127,10 @@
     time: Time,
     name: z.string(),
     incarnation: z.string(),
+    /** The request, where `name` is a part of its prompt. */
+    request: z.string().max(64).optional(),
+    /** True for a request with a convicted part that the verdict does not cover. */
+    isUncovered: z.boolean().optional(),
   }),
   /** Reverts a crash report: the backend server is alive. */
   z.object({
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -310,6 +310,10 @@
     call: Call,
     name: z.string().max(64),
     incarnation: z.string(),
+    /** The request, where `name` is a part of its prompt. */
+    request: z.string().max(64).optional(),
+    /** True for a request with a convicted part that the verdict does not cover. */
+    isUncovered: z.boolean().optional(),
   }),
   z.object({
     type: z.literal('trial-answer'),
--- a/src/protocol/suspect_update.ts
+++ b/src/protocol/suspect_update.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {SuspectPart} from './suspect_part';
 
 /** The requests that gateways must hold back because they may crash backend servers, or the changes to that list. */
 export const SuspectUpdate = z.object({
@@ -10,7 +11,9 @@
   suspected: z.array(z.string()),
   /** Requests that must not be sent. */
   convicted: z.array(z.string()),
-  /** Requests without restrictions again. */
+  /** Parts of prompts that were present at crashes; absent from older leaders. */
+  parts: z.array(SuspectPart).optional(),
+  /** Requests without restrictions again, and parts that were proved harmless. */
   freed: z.array(z.string()),
 });
 export type SuspectUpdate = z.infer<typeof SuspectUpdate>;
--- a/src/state/cluster_state.ts
+++ b/src/state/cluster_state.ts
@@ -213,9 +213,8 @@
     },
     'drain-host': (command, index) => this.drainHost(command, index),
     'record-suspects': (command, index) => this.recordSuspects(command, index),
-    'begin-trial': ({name, incarnation}, index) => {
-      const {committedTime, suspects} = this;
-      const trial = suspects.beginTrial(name, incarnation, committedTime);
+    'begin-trial': (command, index) => {
+      const trial = this.suspects.beginTrial(command, this.committedTime);
       this.recordVerdictChanges(index);
       return {isAccepted: trial === 'granted', reason: trial, trial};
     },
--- a/src/state/select_suspects_to_evict.ts
+++ b/src/state/select_suspects_to_evict.ts
@@ -27,8 +27,10 @@
   suspects: ReadonlyMap<string, Suspect>,
 ): string[] {
   const callers = new Map<string, string[]>();
-  for (const name of suspects.keys()) {
-    const caller = name.slice(0, CALLER_DIGITS);
+  for (const [name, {holders}] of suspects) {
+    // A part belongs to the first caller that named it.
+    const owner = holders?.[0]?.request ?? name;
+    const caller = owner.slice(0, CALLER_DIGITS);
     callers.set(caller, [...(callers.get(caller) ?? []), name]);
   }
   const evicted: string[] = [];
--- a/src/state/suspect_table.ts
+++ b/src/state/suspect_table.ts
@@ -1,56 +1,51 @@
-/** Requests that ran on backend servers when these crashed: the evidence against each, its standing, and trials granted to gateways. */
+/**
+ * Requests that ran on backend servers when these crashed, and the parts of their prompts: the
+ * evidence against each, its standing, and trials granted to gateways.
+ */
 import {z} from 'zod';
 import {CrashEvidence} from '../coordination/requests/crash_evidence';
-import {decideCrashVerdict} from '../coordination/requests/decide_crash_verdict';
-import {CORRELATED_CRASH_WINDOW_MS} from '../coordination/requests/correlated_crash_window_ms';
+import {isPartName} from '../coordination/requests/is_part_name';
+import {PartHolder} from '../coordination/requests/part_holder';
 import {CrashReport} from '../protocol/crash_report';
 import {SuspectUpdate} from '../protocol/suspect_update';
 import {TrialVerdict} from '../protocol/trial_verdict';
+import {addPartHolder} from './add_part_holder';
+import {CrashRecords} from './crash_records';
+import {decideStanding} from './decide_standing';
+import {isInCrashWindow} from './is_in_crash_window';
+import {listSuspectChanges} from './list_suspect_changes';
+import {FreedSuspects} from './freed_suspects';
+import {hasCommonCause} from './has_common_cause';
+import {removePartFromHolders} from './remove_part_from_holders';
 import {selectSuspectsToEvict} from './select_suspects_to_evict';
 import {Suspect} from './suspect';
+import {TrialRequest} from './trial_request';
+import {VerdictChange} from './verdict_change';
 
-/** Crashes that are remembered; losing every domain of a fleet of hundreds of hosts takes down fewer group heads than that. */
-const MAX_CRASHES = 256;
-/** Freed requests that are remembered; a gateway that is further behind gets the whole list. */
-const MAX_FREED = 1_024;
 /** Ends the trial of a gateway that stopped without reporting; the first event of a response takes one second at most. */
 const TRIAL_TIMEOUT_MS = 10_000;
-
-const BackendCrash = z.object({
-  time: z.number(),
-  /** The request convicted of this crash, once there is one. */
-  explainedBy: z.string().optional(),
-});
-type BackendCrash = z.infer<typeof BackendCrash>;
+/** Crashes of a request after which it gets no trial for one of its parts. */
+const MAX_CRASHES_OF_HOLDER = 2;
 
 const Snapshot = z.object({
   suspects: z.array(z.tuple([z.string(), Suspect])),
-  ends: z.array(z.tuple([z.string(), BackendCrash])),
-  freed: z.array(z.tuple([z.string(), z.int()])),
+  ends: CrashRecords.schema,
+  freed: FreedSuspects.schema,
   changes: z.int(),
 });
 
-/** A change of a verdict, to be recorded in the journal. */
-interface VerdictChange {
-  readonly name: string;
-  readonly type:
-    'request-convicted' | 'request-doubted-again' | 'verdict-lifted';
-  readonly reason: string;
-}
-
 /** Derived from the replicated log alone, so it survives a change of leader, a gateway restart and a power loss. */
 export class SuspectTable {
   private readonly suspects: Map<string, Suspect>;
-  private readonly crashes: Map<string, BackendCrash>;
-  /** Requests that are no longer restricted, each with the version that freed it; oldest first. */
-  private freed: Array<readonly [string, number]>;
+  private readonly crashes: CrashRecords;
+  private readonly freed: FreedSuspects;
   private changeCount: number;
   private verdictChanges: VerdictChange[] = [];
 
   private constructor(snapshot: z.infer<typeof Snapshot>) {
     this.suspects = new Map(snapshot.suspects);
-    this.crashes = new Map(snapshot.ends);
-    this.freed = snapshot.freed;
+    this.crashes = CrashRecords.create(snapshot.ends);
+    this.freed = FreedSuspects.create(snapshot.freed);
     this.changeCount = snapshot.changes;
   }
 
@@ -92,24 +87,30 @@
    *
    * @param time committed wall-clock milliseconds
    */
-  recordCrash({incarnation, notBegun, begun}: CrashReport, time: number): void {
-    const end = this.crashes.get(incarnation) ?? {time};
-    this.crashes.set(incarnation, end);
-    this.endTrials(incarnation);
+  recordCrash(
+    {incarnation, notBegun, begun, parts = []}: CrashReport,
+    time: number,
+  ): void {
+    const trials = this.endTrials(incarnation);
+    const end = this.crashes.add(incarnation, time, trials);
     if (end.explainedBy === undefined) {
       const crash = {incarnation, time: end.time};
       notBegun.forEach(name =>
         this.addEvidence(name, {...crash, hadBegun: false}),
       );
       begun.forEach(name => this.addEvidence(name, {...crash, hadBegun: true}));
+      for (const {request, parts: names} of parts) {
+        const holder = {incarnation, request, parts: names};
+        this.addPartEvidence(holder, {...crash, hadBegun: false});
+      }
       this.updateStandings(incarnation, time);
     }
-    this.evict();
+    selectSuspectsToEvict(this.suspects).forEach(name => this.remove(name));
   }
 
   /** Removes a crash, and all evidence from it, because the backend server turned out to be alive. */
   withdrawCrash(incarnation: string): void {
-    if (!this.crashes.delete(incarnation)) {
+    if (!this.crashes.remove(incarnation)) {
       return;
     }
     for (const name of [...this.suspects.keys()]) {
@@ -122,17 +123,23 @@
     return this.crashes.has(incarnation);
   }
 
-  /** Grants a trial: the right to send a suspect to one backend server, as the only suspect there. */
-  beginTrial(name: string, incarnation: string, time: number): TrialVerdict {
+  /**
+   * Grants a trial: the right to send a suspect to one backend server, as the only suspect there.
+   */
+  beginTrial(trial: TrialRequest, time: number): TrialVerdict {
+    const {name, incarnation, request, isUncovered} = trial;
+    if (request && this.updateStanding(request, time) === 'convicted') {
+      return 'convicted';
+    }
     const standing = this.updateStanding(name, time);
     const suspect = this.suspects.get(name);
     if (!suspect) {
       return 'free';
     }
-    if (standing === 'convicted') {
+    if (standing === 'convicted' && !isUncovered) {
       return 'convicted';
     }
-    if (this.isTrialBlocked(name, incarnation, time)) {
+    if (this.isTrialBlocked(trial, time)) {
       return 'busy';
     }
     this.suspects.set(name, {...suspect, trial: {incarnation, time}});
@@ -140,18 +147,27 @@
   }
 
   /** Whether a suspect can't be sent to a backend server now. Waiting gateways ask repeatedly, so it changes nothing. */
-  isTrialBlocked(name: string, incarnation: string, time: number): boolean {
+  isTrialBlocked(trial: TrialRequest, time: number): boolean {
+    const {name, incarnation, request, isUncovered = false} = trial;
     const suspect = this.suspects.get(name);
-    if (!suspect || suspect.standing === 'convicted') {
+    const isConvicted = suspect?.standing === 'convicted' && !isUncovered;
+    if (!suspect || isConvicted) {
       return false;
     }
+    // One more crash of the same request would not tell whether its part is the cause.
+    const own = request === undefined ? undefined : this.suspects.get(request);
+    if (own && own.crashes.length >= MAX_CRASHES_OF_HOLDER) {
+      return true;
+    }
     const isUsed = this.list().some(
       ([other, {trial}]) =>
         trial !== undefined &&
         time - trial.time < TRIAL_TIMEOUT_MS &&
         (other === name || trial.incarnation === incarnation),
     );
-    return isUsed || isInWindow(suspect, time) || this.crashes.has(incarnation);
+    return (
+      isUsed || isInCrashWindow(suspect, time) || this.crashes.has(incarnation)
+    );
   }
 
   /** Ends a request's trial without a crash; its evidence and standing stay. */
@@ -162,10 +178,20 @@
     }
   }
 
-  /** Drops all evidence against a request, because it or an identical one ran to completion. */
+  /**
+   * Drops all evidence against a request, because it or an identical one ran to completion, or
+   * against a part, because the response to a request with it has begun.
+   */
   clearSuspect(name: string): void {
+    if (isPartName(name)) {
+      this.list().forEach(([other, suspect]) =>
+        this.setScope(other, removePartFromHolders(suspect, name)),
+      );
+    }
     if (this.suspects.get(name)?.standing === 'convicted') {
-      const reason = 'one like it ran to its end';
+      const reason = isPartName(name)
+        ? 'the response to a request with it has begun'
+        : 'one like it ran to its end';
       this.verdictChanges.push({name, type: 'verdict-lifted', reason});
     }
     this.remove(name);
@@ -183,24 +209,16 @@
 
   /** Lists the changes for a gateway that knows the list as of `version`. */
   listChangesSince(version: number): SuspectUpdate {
-    const oldest = this.freed[0]?.[1] ?? 0;
-    const hasAll = this.freed.length < MAX_FREED || version >= oldest;
+    const hasAll = this.freed.hasAllSince(version);
     const isWhole = version > this.changeCount || version === 0 || !hasAll;
     const since = isWhole ? 0 : version;
     const changed = this.list().filter(([, {changedAt}]) => changedAt > since);
-    const listAs = (wanted: Suspect['standing']) =>
-      changed.flatMap(([name, {standing}]) =>
-        standing === wanted ? [name] : [],
-      );
-    const freed = this.freed.filter(
-      ([name, at]) => at > since && !this.isRestricted(name),
-    );
+    const freed = this.freed.listSince(since);
     return {
       version: this.changeCount,
       isWhole,
-      suspected: listAs('suspected'),
-      convicted: listAs('convicted'),
-      freed: isWhole ? [] : freed.map(([name]) => name),
+      ...listSuspectChanges(changed),
+      freed: isWhole ? [] : freed.filter(name => !this.isListed(name)),
     };
   }
 
@@ -208,15 +226,36 @@
   save(): z.infer<typeof Snapshot> {
     return {
       suspects: [...this.suspects],
-      ends: [...this.crashes],
-      freed: this.freed.map(([name, at]) => [name, at]),
+      ends: this.crashes.save(),
+      freed: this.freed.save(),
       changes: this.changeCount,
     };
   }
 
-  private isRestricted(name: string): boolean {
-    const standing = this.suspects.get(name)?.standing ?? 'watched';
-    return standing !== 'watched';
+  /** Whether gateways know of it: requests only if they are restricted. */
+  private isListed(name: string): boolean {
+    const standing = this.suspects.get(name)?.standing;
+    return (
+      standing !== undefined && (isPartName(name) || standing !== 'watched')
+    );
+  }
+
+  private addPartEvidence(holder: PartHolder, evidence: CrashEvidence): void {
+    const trials = this.crashes.listTrials(holder.incarnation);
+    for (const part of holder.parts) {
+      const inTrial = trials.includes(part) || trials.includes(holder.request);
+      this.addEvidence(part, {...evidence, inTrial});
+      const suspect = this.suspects.get(part);
+      this.setScope(part, suspect && addPartHolder(suspect, holder));
+    }
+  }
+
+  /** Changes to the requests that a part was in change what a verdict on it covers. */
+  private setScope(part: string, changed: Suspect | undefined): void {
+    if (changed) {
+      this.changeCount += 1;
+      this.suspects.set(part, {...changed, changedAt: this.changeCount});
+    }
   }
 
   private addEvidence(name: string, evidence: CrashEvidence): void {
@@ -249,58 +288,40 @@
     if (!suspect || suspect.standing === 'convicted') {
       return suspect?.standing ?? 'watched';
     }
-    const {crashes, standing} = suspect;
-    const own = new Set(crashes.map(({incarnation}) => incarnation));
-    const otherCrashTimes = [...this.crashes].flatMap(([incarnation, end]) =>
-      end.explainedBy === undefined && !own.has(incarnation) ? [end.time] : [],
-    );
-    const isAmbiguous = this.hasOtherPossibleCause(name, suspect);
-    const verdict = decideCrashVerdict({
-      ownCrashes: crashes,
-      now,
-      otherCrashTimes,
-      isAmbiguous,
-    });
+    const {standing} = suspect;
+    const own = suspect.crashes.map(({incarnation}) => incarnation);
+    const {crashes} = this;
+    const suspects = this.list();
+    const verdict = decideStanding({name, suspect, suspects, crashes, now});
     if (verdict === standing) {
       return verdict;
     }
     this.changeCount += 1;
     const changedAt = this.changeCount;
     this.suspects.set(name, {...suspect, standing: verdict, changedAt});
-    if (verdict === 'watched') {
-      this.recordFreed(name);
+    if (!this.isListed(name)) {
+      this.freed.record(name, this.changeCount);
     }
     if (verdict === 'convicted') {
-      const reason = `${own.size} backend servers ended under it: ${[...own].join(' ')}`;
+      const reason = `${own.length} backend servers ended under it: ${own.join(' ')}`;
       this.verdictChanges.push({name, type: 'request-convicted', reason});
-      this.explain(name, [...own], now);
+      this.explain(name, own, now);
     }
     return verdict;
   }
 
-  /** Whether another request that isn't convicted was present at each of these crashes, with evidence at least as strong. */
-  private hasOtherPossibleCause(name: string, {crashes}: Suspect): boolean {
-    return this.list().some(
-      ([other, suspect]) =>
-        other !== name &&
-        suspect.standing !== 'convicted' &&
-        crashes.every(({incarnation, hadBegun}) =>
-          suspect.crashes.some(
-            crash =>
-              crash.incarnation === incarnation &&
-              (hadBegun || !crash.hadBegun),
-          ),
-        ),
-    );
-  }
-
-  /** Attributes crashes to a convicted request; they no longer count against requests that aren't convicted. */
+  /** Attributes crashes to a convicted suspect; they no longer count against suspects without a share in it. */
   private explain(name: string, servers: readonly string[], now: number): void {
-    servers.forEach(server => this.setExplained(server, name));
-    for (const other of [...this.suspects.keys()]) {
+    servers.forEach(server => this.crashes.setExplained(server, name));
+    for (const [other] of this.list()) {
       // A conviction that follows from this one may have changed its standing meanwhile.
-      const isConvicted = this.suspects.get(other)?.standing === 'convicted';
-      if (!isConvicted && other !== name) {
+      const suspect = this.suspects.get(other);
+      const convicted = this.suspects.get(name);
+      const isUnrelated =
+        suspect &&
+        convicted &&
+        !hasCommonCause([other, suspect], [name, convicted]);
+      if (other !== name && isUnrelated) {
         this.removeEvidence(other, servers, now);
         // Crashes close in time to its own may now be explained, which changes its verdict.
         this.updateStanding(other, now);
@@ -331,7 +352,16 @@
     const isReopened = standing !== suspect.standing;
     this.changeCount += isReopened ? 1 : 0;
     const changedAt = isReopened ? this.changeCount : suspect.changedAt;
-    this.suspects.set(name, {...suspect, crashes, standing, changedAt});
+    const holders = suspect.holders?.filter(
+      ({incarnation}) => !servers.includes(incarnation),
+    );
+    this.suspects.set(name, {
+      ...suspect,
+      crashes,
+      holders,
+      standing,
+      changedAt,
+    });
     if (isReopened) {
       const reason = 'a backend server that had ended under it lives';
       this.verdictChanges.push({name, type: 'request-doubted-again', reason});
@@ -339,48 +369,20 @@
     this.updateStanding(name, now);
   }
 
-  private setExplained(server: string, by: string): void {
-    const end = this.crashes.get(server);
-    if (end) {
-      this.crashes.set(server, {time: end.time, explainedBy: by});
-    }
-  }
-
-  private endTrials(incarnation: string): void {
-    for (const [name, {trial}] of this.list()) {
-      if (trial?.incarnation === incarnation) {
-        this.endTrial(name);
-      }
-    }
+  /** Ends the trials at a backend server; returns the suspects that ran there. */
+  private endTrials(incarnation: string): string[] {
+    const names = this.list().flatMap(([name, {trial}]) =>
+      trial?.incarnation === incarnation ? [name] : [],
+    );
+    names.forEach(name => this.endTrial(name));
+    return names;
   }
 
   private remove(name: string): void {
-    if (this.isRestricted(name)) {
+    if (this.isListed(name)) {
       this.changeCount += 1;
-      this.recordFreed(name);
+      this.freed.record(name, this.changeCount);
     }
     this.suspects.delete(name);
   }
-
-  private recordFreed(name: string): void {
-    this.freed.push([name, this.changeCount]);
-    this.freed = this.freed.slice(-MAX_FREED);
-  }
-
-  private evict(): void {
-    selectSuspectsToEvict(this.suspects).forEach(name => this.remove(name));
-    for (const oldest of this.crashes.keys()) {
-      if (this.crashes.size <= MAX_CRASHES) {
-        break;
-      }
-      this.crashes.delete(oldest);
-    }
-  }
-}
-
-/** Whether a request was present at two crashes before its response started, and the time in which other crashes count as correlated is not over. */
-function isInWindow({crashes}: Suspect, now: number): boolean {
-  const notBegun = crashes.filter(({hadBegun}) => !hadBegun);
-  const newest = Math.max(...crashes.map(({time}) => time));
-  return notBegun.length > 1 && now - newest < CORRELATED_CRASH_WINDOW_MS;
 }
--- a/test/support/plain_dialect.ts
+++ b/test/support/plain_dialect.ts
@@ -20,6 +20,9 @@
       waitMs: headers['wait-ms'] ? Number(headers['wait-ms']) : undefined,
       model: headers['model'] as string | undefined,
       promptTokens: 10,
+      promptParts: String(headers['prompt-parts'] ?? '')
+        .split(' ')
+        .filter(Boolean),
       lastEventId: headers['last-event-id'] as string | undefined,
       forwardedHeaders: ['request-id', id],
     };
