fix(gateway): a stream without a length or chunks may resume one that was broken off

A stream that was resumed at a backend server whose response ends with its connection was broken off ('status 200 in place of the rest'), so its caller lost the rest of an answer that was there. Such a response is complete when its connection ends in order and the last event is whole; a reset or an end inside an event breaks it off, as for any other. New tests with servers that end and reset on both paths; the three of resumed streams failed before.

--- a/src/gateway/responses/response_relay.ts
+++ b/src/gateway/responses/response_relay.ts
@@ -57,7 +57,7 @@
   /** Accepts the head of an attempt; returns a reason when it cannot continue what the caller has received. */
   acceptHead(head: ResponseHead): string | undefined {
     const {response} = this.options;
-    if (response.hasSentHead && !(head.isEventStream && head.isFramed)) {
+    if (response.hasSentHead && !head.isEventStream) {
       return `status ${head.status} in place of the rest`;
     }
     // A resumed stream keeps the head that was already sent.
