fix(gateway): an attempt that was never written to a connection needs no retry

A request whose backend server could not be connected to, was evacuated or left while the request waited for a connection drew on the retry budget, although nothing had arrived there, and was refused with 503 where nothing was left. The budget counts arrivals beyond the first.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -20,7 +20,7 @@
   readonly pool?: GatewayRules['pools'][number];
   /** Set if the target has a rate limit. */
   readonly permit?: SendPermit;
-  /** Set unless it is the first attempt of its request. */
+  /** Set if an earlier attempt of the request was written to a connection. */
   readonly retry?: RetryGrant;
   readonly workspace?: string;
   /** 0 is the most urgent. */
@@ -36,6 +36,8 @@
   readonly clock: Clock;
   /** False once the rules are too old to send the request by them. */
   readonly isConfirmed: () => boolean;
+  /** Called before the request is written to a connection. */
+  readonly onWritten?: () => void;
   /** Called with the head of a valid response to this request. */
   readonly onHead: (head: ResponseHead) => void;
   readonly onData: (chunk: Buffer) => void;
@@ -181,6 +183,7 @@
       return false;
     }
     this.isSent = true;
+    this.options.onWritten?.();
     this.sentAt = this.options.clock.now();
     return true;
   }
--- a/src/gateway/request_sender.ts
+++ b/src/gateway/request_sender.ts
@@ -156,7 +156,8 @@
       ...this.options,
       target,
       permit,
-      retry: policy.recordSend(),
+      retry: policy.takeGrant(),
+      onWritten: () => policy.recordWritten(),
       remainingMs: Math.max(1, Math.floor(deadlineAt - clock.now())),
       lastEventId: readLastEventId(),
     });
--- a/src/gateway/retries/retry_policy.ts
+++ b/src/gateway/retries/retry_policy.ts
@@ -32,7 +32,8 @@
   private denial: string | undefined;
   /** The retry that was granted and not sent yet. */
   private grant: RetryGrant | undefined;
-  private wasSent = false;
+  /** An attempt was written to a connection, so that the next one counts as a retry. */
+  private wasWritten = false;
 
   private constructor(private readonly options: RetryPolicyOptions) {}
 
@@ -94,6 +95,9 @@
     if (clock.now() >= deadlineAt) {
       return 'denied';
     }
+    if (!this.wasWritten) {
+      return 'granted';
+    }
     const state = budget.describe();
     this.cancelGrant();
     this.grant = budget.takeRetry();
@@ -115,13 +119,13 @@
   }
 
   /**
-   * Checks right before the request is sent that this is its first attempt or that a retry is
+   * Checks right before the request is sent that no attempt was written yet or that a retry is
    * granted for it. A grant that was taken long ago is renewed.
    *
    * @returns false if the request must not be sent now
    */
   prepareSend(): boolean {
-    if (!this.wasSent || this.grant?.isFresh) {
+    if (!this.wasWritten || this.grant?.isFresh) {
       return true;
     }
     this.cancelGrant();
@@ -129,14 +133,18 @@
     return this.grant !== undefined;
   }
 
-  /** Hands the grant to the attempt that is sent by it; undefined for the first attempt. */
-  recordSend(): RetryGrant | undefined {
+  /** Hands the grant to the attempt that is sent by it; undefined if none was written before. */
+  takeGrant(): RetryGrant | undefined {
     const {grant} = this;
-    this.wasSent = true;
     this.grant = undefined;
     return grant;
   }
 
+  /** Records that an attempt is about to be written to a connection. */
+  recordWritten(): void {
+    this.wasWritten = true;
+  }
+
   /** Gives back a grant that was not used. */
   cancelGrant(): void {
     this.grant?.cancel();
