--- a/bench/run_identity.ts
+++ b/bench/run_identity.ts
@@ -12,7 +12,13 @@
 const US_PER_MS = 1_000;
 
 const body = Buffer.alloc(BODY_BYTES, 'x');
-const request = {host: 'h', method: 'POST', path: '/chat/completions'};
+const request = {
+  host: 'h',
+  method: 'POST',
+  path: '/chat/completions',
+  model: 'm',
+  promptParts: ['5c1e07a2', '91bd3f06', '77aa01e4'],
+};
 
 function createIdentity(workspace: string): RequestIdentity {
   return RequestIdentity.create({request, workspace, body});
@@ -39,13 +45,29 @@
   return list;
 }
 
+/** Parts of prompts, of which many may be watched after a crash. */
+function createPartList(count: number): SuspectList {
+  const list = SuspectList.create();
+  const parts = Array.from({length: count}, (_, at) => ({
+    name: `part:${at}@m`,
+    standing: 'convicted' as const,
+    companions: [],
+  }));
+  const nobody = {suspected: [], convicted: [], freed: []};
+  list.apply({version: 1, isWhole: true, parts, ...nobody});
+  return list;
+}
+
 const empty = createList(0);
+const withParts = createPartList(1_000);
 const full = createList(64);
 const cases: Readonly<Record<string, () => unknown>> = {
   'nothing is held against anybody': () =>
     empty.findStatus(createIdentity('other')),
   'something is held against another caller': () =>
     full.findStatus(createIdentity('other')),
+  'parts of other prompts are held back': () =>
+    withParts.findStatus(createIdentity('other')),
   'something is held against this caller': () =>
     full.findStatus(createIdentity('held')),
 };
