fix(gateway): a gateway with waiting requests borrows no more than 32 retries at a time

A request that waits for a retry asks every 20 ms, and each time counted as one more retry that is wanted, so a loan could be far larger than the need.

--- a/src/gateway/retries/retry_loans.ts
+++ b/src/gateway/retries/retry_loans.ts
@@ -4,7 +4,8 @@
 
 /** The least that is asked for: a single retry is often followed by others. */
 const MIN_WANTED = 2;
-const MAX_WANTED = 128;
+/** Requests that wait ask again and again, so their number says little about the need. */
+const MAX_WANTED = 32;
 /** After an error or a denied loan without a pause. */
 const RETRY_PAUSE_MS = 250;
 
