fix(gateway): a request with a suspected part waits for a free slot

A request that waited in the queue was refused with 503 as soon as a part of its prompt was suspected, if no slot was free: the trial had no backend server and gave up, as it does for a request that an engine has begun and that nothing can repair. After the loss of a domain under load that would refuse the queue of a whole route. It now waits for its trial like a request that awaits a repair. Found by reading; the test failed before ('refused' while all slots are taken).

--- a/src/gateway/proxied_request.ts
+++ b/src/gateway/proxied_request.ts
@@ -148,7 +148,8 @@
 
   /** Sends a suspected request only to a backend server that runs no other suspect. */
   private checkTrial(now: number): void {
-    const step = this.trial.check(now, this.dispatcher.canAwaitRepair, () =>
+    const {canQueue, canAwaitRepair} = this.dispatcher;
+    const step = this.trial.check(now, canQueue || canAwaitRepair, () =>
       this.sender.findTarget(this.history.wasSent),
     );
     if (step.kind === 'send') {
--- a/test/support/proxy_fixture.ts
+++ b/test/support/proxy_fixture.ts
@@ -89,7 +89,7 @@
     () => undefined,
     this.signals.availability,
   );
-  private readonly containment = CrashContainment.create({
+  readonly containment = CrashContainment.create({
     detector: CrashDetector.create({clock: systemClock, events: this.events}),
     calls: {
       report: () => Promise.resolve(),
