--- a/review/support/fleet.mjs
+++ b/review/support/fleet.mjs
@@ -362,8 +362,12 @@
     process.stderr.write('the case took too long\n');
     process.exit(2);
   }, 115_000);
-  const endAll = () =>
+  const endAll = () => {
     [...fleet.children].forEach(child => child.kill('SIGKILL'));
+    if (process.env.KEEP_LOGS !== '1') {
+      rmSync(fleet.folder, {recursive: true, force: true});
+    }
+  };
   process.once('exit', endAll);
   process.once('SIGTERM', () => process.exit(2));
   process.once('SIGINT', () => process.exit(2));
