--- a/review/support/service_replica.mjs
+++ b/review/support/service_replica.mjs
@@ -20,6 +20,9 @@
 
 /** Share of the answers that are handed out once more, later, where the next answer is due. */
 let surplusShare = 0;
+/** Answers since the share was last set, and how many of them are handed out again. */
+let answers = 0;
+let repeated = 0;
 let running = 0;
 let sequence = 0;
 let control = Math.floor(Math.random() * controls.length);
@@ -51,7 +54,11 @@
   };
   response.writeHead(status, all);
   response.end(body);
-  if (surplusShare > 0 && Math.random() < surplusShare) {
+  answers += 1;
+  // Drawn by lot, but never more than the share of what was answered.
+  const hasRoom = repeated + 1 <= surplusShare * answers;
+  if (hasRoom && Math.random() < 2 * surplusShare) {
+    repeated += 1;
     const reason = http.STATUS_CODES[status];
     request.socket.surplus = {
       bytes: format(status, reason, {...all, Connection: 'keep-alive'}, body),
@@ -155,6 +162,8 @@
 createInterface({input: process.stdin})
   .on('line', line => {
     ({surplusShare = surplusShare} = JSON.parse(line));
+    answers = 0;
+    repeated = 0;
   })
   .on('close', () => process.exit(0));
 process.on('SIGTERM', () => process.exit(0));
