--- a/review/support/engine_replica.mjs
+++ b/review/support/engine_replica.mjs
@@ -39,8 +39,15 @@
 let state = 'ready';
 let control = Math.floor(Math.random() * controls.length);
 
+/** The monotonic clock, which all processes of a machine share. */
+function readClockMs() {
+  return Number(process.hrtime.bigint()) / 1e6;
+}
+
 function tell(event) {
-  process.stdout.write(`${JSON.stringify({replica: id, ...event})}\n`);
+  process.stdout.write(
+    `${JSON.stringify({replica: id, at: readClockMs(), ...event})}\n`,
+  );
 }
 
 function setGroup(next) {
