refactor(transport): the connections to a backend server are the client's own

undici's Pool hides which connection carries a request. Each connection is a Client of its own now, with the time at which it was opened and the number of requests that it carried; requests beyond the limit wait in order of arrival, as before.

--- /dev/null
+++ b/src/transport/exchange_events.ts
@@ -0,0 +1,19 @@
+import {Dispatcher} from 'undici';
+import {ConnectionUse} from './connection_use';
+
+/** Callbacks for one request and its response on a connection. */
+export interface ExchangeEvents {
+  /** Called before the first byte is written. */
+  readonly onStart: (
+    controller: Dispatcher.DispatchController,
+    use: ConnectionUse,
+  ) => void;
+  readonly onHead: (
+    status: number,
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+  ) => void;
+  readonly onData: (chunk: Buffer) => void;
+  readonly onEnd: () => void;
+  /** Called instead of `onEnd`. */
+  readonly onError: (error: Error) => void;
+}
--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -1,15 +1,9 @@
 /** HTTP client for many servers with keep-alive connections; it never retries a request. */
-import {Dispatcher, Pool} from 'undici';
-import {createConnector} from './create_connector';
+import {Dispatcher} from 'undici';
+import {ConnectionUse} from './connection_use';
+import {ServerConnections} from './server_connections';
 import {TransportError} from './transport_error';
 
-/** Time for a new connection, after which the server counts as unreachable. */
-const CONNECT_TIMEOUT_MS = 400;
-/** Idle time after which a connection is closed. */
-const IDLE_TIMEOUT_MS = 10_000;
-/** Connections are closed this long before the server's keep-alive timeout. */
-const IDLE_MARGIN_MS = 1_000;
-
 /** One HTTP request and the address of its server. */
 interface HttpClientRequest {
   /** `host:port`. */
@@ -26,7 +20,7 @@
 /** Callbacks for the progress of a request, in the order of their calls. */
 interface HttpClientEvents {
   /** The request is about to be written to a connection: from now on it may run. False aborts it before the first byte. */
-  readonly onSent: () => boolean;
+  readonly onSent: (use: ConnectionUse) => boolean;
   readonly onHead: (
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
@@ -45,15 +39,9 @@
   readonly resume: () => void;
 }
 
-/** The connections to one server, and the limit with which they were created. */
-interface LimitedPool {
-  readonly pool: Pool;
-  readonly maxConnections: number;
-}
-
 /** Sends requests over one connection pool for each server. */
 export class HttpClientPool {
-  private readonly pools = new Map<string, LimitedPool>();
+  private readonly pools = new Map<string, ServerConnections>();
 
   private constructor() {}
 
@@ -82,24 +70,22 @@
         body: request.body,
       },
       {
-        onRequestStart: started => {
+        onStart: (started, use) => {
           controller = started;
           if (isAborted) {
             started.abort(abortReason);
             return;
           }
           // This may run before `call` returns, so the caller cannot abort by the handle yet.
-          isSent = events.onSent();
+          isSent = events.onSent(use);
           if (!isSent) {
             started.abort(abortReason);
           }
         },
-        onResponseStart: (_controller, status, headers) =>
-          events.onHead(status, headers),
-        onResponseData: (_controller, chunk) => events.onData(chunk),
-        onResponseEnd: () => events.onEnd(),
-        onResponseError: (_controller, error) =>
-          events.onError(wrapError(error, isSent)),
+        onHead: events.onHead,
+        onData: events.onData,
+        onEnd: events.onEnd,
+        onError: error => events.onError(wrapError(error, isSent)),
       },
     );
     return {
@@ -114,10 +100,10 @@
 
   /** Drops the pools of all other servers; their connections close when they are idle. */
   retain(addresses: ReadonlySet<string>): void {
-    for (const [address, {pool}] of this.pools) {
+    for (const [address, pool] of this.pools) {
       if (!addresses.has(address)) {
         this.pools.delete(address);
-        void pool.close().catch(() => undefined);
+        pool.close();
       }
     }
   }
@@ -126,27 +112,21 @@
   async close(): Promise<void> {
     const pools = [...this.pools.values()];
     this.pools.clear();
-    await Promise.all(pools.map(({pool}) => pool.destroy()));
+    await Promise.all(pools.map(pool => pool.destroy()));
   }
 
-  private findPool({address, maxConnections}: HttpClientRequest): Pool {
+  private findPool({
+    address,
+    maxConnections,
+  }: HttpClientRequest): ServerConnections {
     const known = this.pools.get(address);
-    if (known?.maxConnections === maxConnections) {
-      return known.pool;
+    if (known?.limit === maxConnections) {
+      return known;
     }
-    // A pool can't change its limit; the old one closes once its requests have ended.
-    void known?.pool.close().catch(() => undefined);
-    const pool = new Pool(`http://${address}`, {
-      connections: maxConnections,
-      // With pipelining, undici would resend the requests queued behind a failed one.
-      pipelining: 1,
-      connect: createConnector(CONNECT_TIMEOUT_MS),
-      keepAliveTimeout: IDLE_TIMEOUT_MS,
-      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
-    this.pools.set(address, {pool, maxConnections});
+    // The limit of a pool is fixed; the old one closes once its requests have ended.
+    known?.close();
+    const pool = ServerConnections.create(address, maxConnections);
+    this.pools.set(address, pool);
     return pool;
   }
 }
--- /dev/null
+++ b/src/transport/server_connection.ts
@@ -0,0 +1,118 @@
+/** A keep-alive connection to one server that carries one request at a time. */
+import {Socket} from 'node:net';
+import {Client, Dispatcher, buildConnector} from 'undici';
+import {ConnectionUse} from './connection_use';
+import {createConnector} from './create_connector';
+import {ExchangeEvents} from './exchange_events';
+
+/** Time for a new connection, after which the server counts as unreachable. */
+const CONNECT_TIMEOUT_MS = 400;
+/** Idle time after which a connection is closed. */
+const IDLE_TIMEOUT_MS = 10_000;
+/** Connections are closed this long before the server's keep-alive timeout. */
+const IDLE_MARGIN_MS = 1_000;
+
+/** Opens its connection with the first request, and again after it was closed. */
+export class ServerConnection {
+  private readonly client: Client;
+  private socket: Socket | undefined;
+  private openedAt = 0;
+  private requestCount = 0;
+  private isRunning = false;
+
+  private constructor(address: string) {
+    this.client = new Client(`http://${address}`, {
+      // With pipelining, undici would resend the requests queued behind a failed one.
+      pipelining: 1,
+      connect: this.createConnector(),
+      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+
+  /**
+   * Creates a connection that is not open yet.
+   *
+   * @param address `host:port`
+   * @example
+   * const connection = ServerConnection.create('10.0.0.4:8080');
+   */
+  static create(address: string): ServerConnection {
+    return new ServerConnection(address);
+  }
+
+  /** True while it carries a request. */
+  get isBusy(): boolean {
+    return this.isRunning;
+  }
+
+  get isOpen(): boolean {
+    return this.socket !== undefined && !this.socket.destroyed;
+  }
+
+  /**
+   * Sends a request; the connection must not be busy.
+   *
+   * @param onFree called once, after the last callback of `events`
+   */
+  dispatch(
+    options: Dispatcher.DispatchOptions,
+    events: ExchangeEvents,
+    onFree: () => void,
+  ): void {
+    this.isRunning = true;
+    const release = () => {
+      this.isRunning = false;
+      onFree();
+    };
+    this.client.dispatch(options, {
+      onRequestStart: controller =>
+        events.onStart(controller, this.recordUse()),
+      onResponseStart: (_controller, status, headers) =>
+        events.onHead(status, headers),
+      onResponseData: (_controller, chunk) => events.onData(chunk),
+      onResponseEnd: () => {
+        events.onEnd();
+        release();
+      },
+      onResponseError: (_controller, error) => {
+        events.onError(error);
+        release();
+      },
+    });
+  }
+
+  /** Closes the connection once its request has ended. */
+  close(): void {
+    this.client.close().catch(() => undefined);
+  }
+
+  /** Closes the connection at once. */
+  async destroy(): Promise<void> {
+    await this.client.destroy();
+  }
+
+  private createConnector(): buildConnector.connector {
+    const connect = createConnector(CONNECT_TIMEOUT_MS);
+    return (options, callback) => {
+      connect(options, (...result) => {
+        this.recordOpened(result[1]);
+        callback(...result);
+      });
+    };
+  }
+
+  private recordOpened(socket: Socket | null): void {
+    this.socket = socket ?? undefined;
+    this.openedAt = performance.now();
+    this.requestCount = 0;
+  }
+
+  private recordUse(): ConnectionUse {
+    this.requestCount += 1;
+    const ageMs = performance.now() - this.openedAt;
+    return {requestCount: this.requestCount, ageMs};
+  }
+}
