feat(gateway): refusals and rejected responses are logged with the id that they carry

A send-refused line names neither the request nor the id that the answer carried, so the logs cannot tell a true refusal from one that was meant for another request. attempt-refused and response-rejected name the expected and the received id, the status, the server, and how often and for how long its connection had been used; one line a second for each server and cause. whinreel_responses_rejected_total counts by cause, explain names them.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -2,12 +2,15 @@
 import {Clock} from '../common/clock';
 import {GatewayRules} from '../protocol/gateway_rules';
 import {GatewayTarget} from '../protocol/gateway_target';
+import {ConnectionUse} from '../transport/connection_use';
 import {HttpClientPool} from '../transport/http_client_pool';
 import {AttemptOutcome} from './attempt_outcome';
 import {BackendSignals} from './limits/backend_signals';
 import {GatewayRequest} from './gateway_request';
 import {HttpDialect} from './http_dialect';
 import {ResponseHead} from './response_head';
+import {RejectionCause} from './responses/rejection_cause';
+import {ResponseLog} from './responses/response_log';
 import {SendPermit} from './limits/send_permit';
 import {RetryGrant} from './retries/retry_grant';
 import {LoadBalancer} from './routing/load_balancer';
@@ -32,6 +35,7 @@
   readonly clientPool: HttpClientPool;
   readonly balancer: LoadBalancer;
   readonly signals: BackendSignals;
+  readonly responseLog: ResponseLog;
   readonly dialect: HttpDialect;
   readonly clock: Clock;
   /** False once the rules are too old to send the request by them. */
@@ -51,6 +55,8 @@
   quietSince: number;
   private handle: ReturnType<HttpClientPool['call']> | undefined;
   private head: ResponseHead | undefined;
+  /** The connection that the request was written to. */
+  private connection: ConnectionUse | undefined;
   private hasBodyData = false;
   /** An engine's events are a pass apart, so that each arrives as a chunk of its own. */
   private chunkCount = 0;
@@ -157,7 +163,7 @@
         maxConnections,
       },
       {
-        onSent: () => this.handleSent(),
+        onSent: use => this.handleSent(use),
         onHead: (status, raw) =>
           this.handleHead(dialect.readResponseHead(status, raw)),
         onData: chunk => this.handleData(chunk),
@@ -173,7 +179,7 @@
    *
    * @returns false if the request must not be written
    */
-  private handleSent(): boolean {
+  private handleSent(use: ConnectionUse): boolean {
     if (this.isEnded || !this.maySend) {
       this.stop('its backend server takes no new work');
       return false;
@@ -183,6 +189,7 @@
       return false;
     }
     this.isSent = true;
+    this.connection = use;
     this.options.onWritten?.();
     this.sentAt = this.options.clock.now();
     return true;
@@ -210,21 +217,40 @@
     }
     if (head.isNotRun || head.isWrongIncarnation) {
       this.head = head;
+      this.options.responseLog.recordRefusal(this.describeResponse(head));
       return;
     }
     if (head.requestId !== request.id) {
-      this.stop('the answer belongs to another request');
+      this.rejectResponse('foreign', head);
       return;
     }
     const isSuccess = head.status >= 200 && head.status < 300;
     if (isSuccess && !head.isSealed) {
-      this.stop('the backend server does not vouch for its answer');
+      this.rejectResponse('unsealed', head);
       return;
     }
     this.head = head;
     this.options.onHead(head);
   }
 
+  /** Ends the attempt because of a response that is not the answer to its request. */
+  private rejectResponse(cause: RejectionCause, head: ResponseHead): void {
+    const {responseLog} = this.options;
+    const response = this.describeResponse(head);
+    this.stop(responseLog.recordRejection(cause, response));
+  }
+
+  private describeResponse({status, requestId}: ResponseHead) {
+    const {request, target} = this.options;
+    return {
+      requestId: request.id,
+      target: target.incarnation,
+      status,
+      answeredId: requestId,
+      connection: this.connection,
+    };
+  }
+
   private handleData(chunk: Buffer): void {
     const {balancer, target, request, clock} = this.options;
     if (this.isEnded || !this.hasResult) {
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -30,6 +30,7 @@
 import {RequestIdentity} from './crashes/request_identity';
 import {RequestLog} from './request_log';
 import {RequestResult} from './request_result';
+import {ResponseLog} from './responses/response_log';
 import {ResponseWriter} from './responses/response_writer';
 import {LoadBalancer} from './routing/load_balancer';
 import {ZoneGuard} from './routing/zone_guard';
@@ -47,6 +48,7 @@
   readonly events = EventRing.create();
   private readonly clock = systemClock;
   private readonly clientPool = HttpClientPool.create();
+  private readonly responseLog = ResponseLog.create(this.events, systemClock);
   private readonly balancer: LoadBalancer;
   private readonly poller: ControlPoller;
   private readonly requestLog: RequestLog;
@@ -309,6 +311,7 @@
       balancer: this.balancer,
       budget: this.retryBudgets.find(pool.name),
       retryLog: this.retryBudgets.log,
+      responseLog: this.responseLog,
       forecast: this.forecast,
       containment: this.containment,
       signals: this.signals,
--- a/src/gateway/proxied_request_options.ts
+++ b/src/gateway/proxied_request_options.ts
@@ -11,6 +11,7 @@
 import {RetryLog} from './retries/retry_log';
 import {RequestIdentity} from './crashes/request_identity';
 import {RequestResult} from './request_result';
+import {ResponseLog} from './responses/response_log';
 import {ResponseWriter} from './responses/response_writer';
 import {LoadBalancer} from './routing/load_balancer';
 
@@ -34,6 +35,7 @@
   readonly balancer: LoadBalancer;
   readonly budget: RetryBudget;
   readonly retryLog: RetryLog;
+  readonly responseLog: ResponseLog;
   readonly forecast: SlotForecast;
   readonly containment: CrashContainment;
   readonly signals: BackendSignals;
--- /dev/null
+++ b/src/gateway/responses/response_log.ts
@@ -0,0 +1,86 @@
+/** Records responses that end an attempt without a result, with the connection that they arrived on. */
+import {Clock} from '../../common/clock';
+import {EventRing} from '../../common/event_ring';
+import {ThrottledEventLog} from '../../common/throttled_event_log';
+import {ConnectionUse} from '../../transport/connection_use';
+import {RejectionCause} from './rejection_cause';
+
+interface ReceivedResponse {
+  /** The id of the request that the attempt was made for. */
+  readonly requestId: string;
+  /** The incarnation of the backend server. */
+  readonly target: string;
+  /** The status; absent before the head is complete. */
+  readonly status?: number;
+  /** The id that the response carries. */
+  readonly answeredId?: string;
+  readonly connection?: ConnectionUse;
+}
+
+const REASONS: Readonly<Record<RejectionCause, string>> = {
+  foreign: 'the answer belongs to another request',
+  unidentified: 'the answer names no request',
+  unsealed: 'the backend server does not vouch for its answer',
+};
+
+/** Records at most one line a second for each backend server and kind of response. */
+export class ResponseLog {
+  private readonly throttled: ThrottledEventLog;
+
+  private constructor(events: EventRing, clock: Clock) {
+    this.throttled = ThrottledEventLog.create(events, clock);
+  }
+
+  /**
+   * Creates a log that records into `events`.
+   *
+   * @example
+   * const log = ResponseLog.create(events, clock);
+   * log.recordRejection('foreign', {requestId: 'q2', answeredId: 'q1', target: 'i1', status: 503});
+   */
+  static create(events: EventRing, clock: Clock): ResponseLog {
+    return new ResponseLog(events, clock);
+  }
+
+  /** Records a response which states that the request was not executed. */
+  recordRefusal(response: ReceivedResponse): void {
+    this.record(
+      'attempt-refused',
+      'the backend server did not execute the request',
+      response,
+    );
+  }
+
+  /**
+   * Records a response that is not taken as the answer to the request.
+   *
+   * @returns the reason as text
+   */
+  recordRejection(cause: RejectionCause, response: ReceivedResponse): string {
+    const reason = REASONS[cause];
+    this.record('response-rejected', reason, response, {cause});
+    return reason;
+  }
+
+  private record(
+    type: string,
+    reason: string,
+    {requestId, target, status, answeredId, connection}: ReceivedResponse,
+    details: Readonly<Record<string, string>> = {},
+  ): void {
+    this.throttled.record(`${reason} ${target}`, {
+      type,
+      subject: 'request',
+      id: requestId,
+      reason,
+      details: {
+        ...details,
+        target,
+        status: status ?? 0,
+        answeredId: answeredId ?? '',
+        connectionRequests: connection?.requestCount ?? 0,
+        connectionAgeMs: Math.round(connection?.ageMs ?? 0),
+      },
+    });
+  }
+}
--- a/src/operator/explain_request.ts
+++ b/src/operator/explain_request.ts
@@ -20,7 +20,9 @@
  * groups. For a request that was sent to no backend server, lines about the
  * groups of its model and about control are selected too. Orders for a zone that its
  * reason names as evacuated are selected whatever their age. For a request that was
- * denied a retry, the decisions about the budget of its pool are selected.
+ * denied a retry, the decisions about the budget of its pool are selected. Lines
+ * about responses that were not taken as an answer count as lines about the backend
+ * server that sent them.
  *
  * @param text log lines of any number of processes; a prefix before the `{` of a
  *     line, such as a host name, is ignored
@@ -40,6 +42,7 @@
   const endedAt = Date.parse(last.time);
   const isRelated = (line: LogLine) =>
     targets.has(line.id) ||
+    (line.event === 'response-rejected' && targets.has(String(line.target))) ||
     groups.has(line.id) ||
     (line.subject === 'host' && last.reason.includes(line.id)) ||
     (line.subject === 'pool' && last.reason.includes(`pool ${line.id} `)) ||
--- a/src/reporting/process_metrics.ts
+++ b/src/reporting/process_metrics.ts
@@ -12,6 +12,9 @@
 /** Matches the event of a decision about a retry; the group is the verdict. */
 const RETRY_EVENT = /^retry-(granted|denied)$/;
 
+/** Type of the event of a response that was not taken as the answer to a request. */
+const REJECTION_EVENT = 'response-rejected';
+
 /** Program name for the labels, and the events to count. */
 interface ProcessMetricsOptions {
   readonly program: string;
@@ -25,6 +28,7 @@
   private readonly eventCounter: Counter;
   private readonly latencyGauge: Gauge;
   private readonly retryCounter: Counter;
+  private readonly rejectionCounter: Counter;
 
   private constructor({program, events}: ProcessMetricsOptions) {
     const registers = [this.registry];
@@ -48,6 +52,12 @@
       labelNames: ['verdict', 'cause'],
       registers,
     });
+    this.rejectionCounter = new Counter({
+      name: 'whinreel_responses_rejected_total',
+      help: 'Responses that were not taken as the answer to a request, by cause; repetitions within a second count with the next event',
+      labelNames: ['cause'],
+      registers,
+    });
     void events.observe(event => this.record(event));
   }
 
@@ -79,11 +89,14 @@
     if (outcome !== undefined && typeof tookMs === 'number') {
       this.findHistogram(outcome).recordValue(Math.min(tookMs, MAX_LATENCY_MS));
     }
+    const cause = String(details?.cause ?? '');
+    const count = 1 + Number(details?.leftOut ?? 0);
     const verdict = RETRY_EVENT.exec(type)?.[1];
     if (verdict !== undefined) {
-      const {cause = '', leftOut = 0} = details ?? {};
-      const count = 1 + Number(leftOut);
-      this.retryCounter.inc({verdict, cause: String(cause)}, count);
+      this.retryCounter.inc({verdict, cause}, count);
+    }
+    if (type === REJECTION_EVENT) {
+      this.rejectionCounter.inc({cause}, count);
     }
   }
 
--- a/test/operator/explain_request.test.ts
+++ b/test/operator/explain_request.test.ts
@@ -97,3 +97,12 @@
     ['request-failed', 'q'],
   ]);
 });
+
+test('a request that failed is explained by rejected responses of its backend server', () => {
+  const log = [
+    createLine(19, 'response-rejected', 'q0', {target: 'a'}),
+    createLine(20, 'response-rejected', 'q3', {target: 'other'}),
+    createLine(21, 'request-failed', 'q4', {targets: 'a'}),
+  ].join('\n');
+  expect(explainRequest(log, 'q4').map(({id}) => id)).toEqual(['q0', 'q4']);
+});
--- a/test/reporting/process_metrics.test.ts
+++ b/test/reporting/process_metrics.test.ts
@@ -47,3 +47,22 @@
     'whinreel_retries_total{verdict="denied",cause="broken",program="whinreel-entry"} 6',
   );
 });
+
+test('rejected responses are counted by cause, with those that a throttled event stands for', async () => {
+  const events = EventRing.create();
+  const metrics = ProcessMetrics.create({
+    program: 'whinreel-entry',
+    events: events.stream,
+  });
+  events.record({
+    type: 'response-rejected',
+    subject: 'request',
+    id: 'q',
+    reason: 'the answer belongs to another request',
+    details: {cause: 'foreign', leftOut: 2},
+  });
+
+  expect(await metrics.format()).toContain(
+    'whinreel_responses_rejected_total{cause="foreign",program="whinreel-entry"} 3',
+  );
+});
--- a/test/support/proxy_fixture.ts
+++ b/test/support/proxy_fixture.ts
@@ -6,6 +6,7 @@
 import {EventRing} from '../../src/common/event_ring';
 import {BackendSignals} from '../../src/gateway/limits/backend_signals';
 import {CrashDetector} from '../../src/gateway/crashes/crash_detector';
+import {ResponseLog} from '../../src/gateway/responses/response_log';
 import {ResponseWriter} from '../../src/gateway/responses/response_writer';
 import {CrashContainment} from '../../src/gateway/crashes/crash_containment';
 import {RequestResult} from '../../src/gateway/request_result';
@@ -68,6 +69,7 @@
     clock: systemClock,
     describeGateways: () => ({gateways: 1, countedMsAgo: 0}),
   });
+  private readonly responseLog = ResponseLog.create(this.events, systemClock);
   /** Answers a request for a loan in place of the leader. */
   answerLoan = () => Promise.resolve({granted: 0, pauseMs: 1_000});
   /** Answers a permit request in place of the leader; rejects by default, as without a leader. */
@@ -231,6 +233,7 @@
           askLoan: () => this.answerLoan(),
         }),
         retryLog: this.retryLog,
+        responseLog: this.responseLog,
         forecast: this.forecast,
         dialect: plainDialect,
         clock: systemClock,
