fix(gateway): a refusal counts only with the id of its request

Callers of requests that must run at most once got 503 though their request ran, or it ran at two backend servers. A faulty server sends an earlier answer a second time, late, in the place of the next answer on the same connection. The gateway compared the request id only after it had taken refusals (the mark 'not executed') and 421, so such a copy ended an attempt that was running.

The id is compared before anything else in a head is read. A response with another id or with none ends the attempt as one that may have run, closes the connection and changes nothing that is known of its sender: no limit, backoff, departure, full or closed mark.

The scripted servers of other tests echo the id, as real ones do; without it, their refusals said nothing about whose they were, which is a part of why these tests passed.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -9,6 +9,7 @@
 import {GatewayRequest} from './gateway_request';
 import {HttpDialect} from './http_dialect';
 import {ResponseHead} from './response_head';
+import {findRejectionCause} from './responses/find_rejection_cause';
 import {RejectionCause} from './responses/rejection_cause';
 import {ResponseLog} from './responses/response_log';
 import {SendPermit} from './limits/send_permit';
@@ -196,41 +197,44 @@
   }
 
   private handleHead(head: ResponseHead): void {
-    const {request, balancer, target, signals, pool, retry} = this.options;
     if (this.isEnded) {
       return;
     }
-    retry?.settle();
-    const isFromTarget = head.isNotRun || head.requestId === request.id;
-    if (isFromTarget && !head.isWrongIncarnation) {
-      const {incarnation} = target;
-      const isColdLimited = (pool?.coldRequestsPerSecond ?? 0) > 0;
-      const {sentAt} = this;
-      signals.recordHead({incarnation, head, sentAt, isColdLimited});
-      this.recordAccepted?.(!head.isNotRun && head.restMs === undefined);
+    this.options.retry?.settle();
+    const cause = findRejectionCause(head, this.options.request.id);
+    if (cause) {
+      this.rejectResponse(cause, head);
+      return;
+    }
+    this.head = head;
+    if (this.hasResult) {
+      this.recordSignals(head);
+      this.options.onHead(head);
+    } else {
+      this.handleRefusal(head);
     }
-    // A head is no sign of progress: it may be sent before any work begins.
+  }
+
+  /** Takes a response which states that the request was not executed. */
+  private handleRefusal(head: ResponseHead): void {
+    const {balancer, target, responseLog} = this.options;
+    responseLog.recordRefusal(this.describeResponse(head));
     if (head.isWrongIncarnation) {
       balancer.recordClosed(target);
-    } else if (head.isNotRun) {
+    } else {
+      this.recordSignals(head);
       balancer.recordFull(target.incarnation);
     }
-    if (head.isNotRun || head.isWrongIncarnation) {
-      this.head = head;
-      this.options.responseLog.recordRefusal(this.describeResponse(head));
-      return;
-    }
-    if (head.requestId !== request.id) {
-      this.rejectResponse('foreign', head);
-      return;
-    }
-    const isSuccess = head.status >= 200 && head.status < 300;
-    if (isSuccess && !head.isSealed) {
-      this.rejectResponse('unsealed', head);
-      return;
-    }
-    this.head = head;
-    this.options.onHead(head);
+  }
+
+  /** Records what the backend server states about itself in the head of a response. */
+  private recordSignals(head: ResponseHead): void {
+    const {target, signals, pool} = this.options;
+    const {sentAt} = this;
+    const {incarnation} = target;
+    const isColdLimited = (pool?.coldRequestsPerSecond ?? 0) > 0;
+    signals.recordHead({incarnation, head, sentAt, isColdLimited});
+    this.recordAccepted?.(!head.isNotRun && head.restMs === undefined);
   }
 
   /** Ends the attempt because of a response that is not the answer to its request. */
--- /dev/null
+++ b/src/gateway/responses/find_rejection_cause.ts
@@ -0,0 +1,28 @@
+import {ResponseHead} from '../response_head';
+import {RejectionCause} from './rejection_cause';
+
+/**
+ * Checks whether a response belongs to a request. Whatever else a response
+ * states, a refusal included, is true only of the request whose id it carries.
+ *
+ * @returns why the response is not taken as the answer; undefined if it is
+ * @example
+ * const cause = findRejectionCause(head, request.id);
+ */
+export function findRejectionCause(
+  head: Pick<
+    ResponseHead,
+    'requestId' | 'status' | 'isSealed' | 'isNotRun' | 'isWrongIncarnation'
+  >,
+  requestId: string,
+): RejectionCause | undefined {
+  if (head.requestId === undefined) {
+    return 'unidentified';
+  }
+  if (head.requestId !== requestId) {
+    return 'foreign';
+  }
+  const isRefusal = head.isNotRun || head.isWrongIncarnation;
+  const isSuccess = head.status >= 200 && head.status < 300;
+  return isSuccess && !isRefusal && !head.isSealed ? 'unsealed' : undefined;
+}
--- a/test/gateway/foreign_refusal.test.ts
+++ b/test/gateway/foreign_refusal.test.ts
@@ -1,5 +1,5 @@
 // Guards against taking a refusal for the answer to a request that it does not belong to.
-import {expect, test} from 'vitest';
+import {describe, expect, test} from 'vitest';
 import {startFixture, writeRaw} from '../support/backend_scripts';
 import {FakeBackend} from '../support/fake_backend';
 
@@ -23,18 +23,72 @@
   };
 }
 
-test('a late refusal of another request does not let a running request run again', async () => {
-  const foreign =
-    'HTTP/1.1 503 Full\nrequest-id: early\nnot-run: 1\ncontent-length: 0\n\n';
-  const {fixture, backends} = await startFixture(
-    [answerWithForeign(foreign), answerOk],
-    {kind: 'unsafe'},
-  );
-  await fixture.send({'request-id': 'early'}, 'order');
-  const received = await fixture.send({'request-id': 'late'}, 'order');
+describe.each([
+  [
+    'a 503 with the id of another request',
+    'HTTP/1.1 503 Full\nrequest-id: early\nnot-run: 1\ncontent-length: 0\n\n',
+    'foreign',
+  ],
+  [
+    'a 429 with the id of another request',
+    'HTTP/1.1 429 Full\nrequest-id: early\nnot-run: 1\ncontent-length: 0\n\n',
+    'foreign',
+  ],
+  [
+    'a 503 without an id',
+    'HTTP/1.1 503 Full\nnot-run: 1\ncontent-length: 0\n\n',
+    'unidentified',
+  ],
+  [
+    'a 421 with the id of another request',
+    'HTTP/1.1 421 Misdirected\nrequest-id: early\ncontent-length: 0\n\n',
+    'foreign',
+  ],
+  [
+    'a refusal with the id of another request, a limit, a backoff and a departure',
+    'HTTP/1.1 503 Full\nrequest-id: early\nnot-run: 1\nlimit: 1\nrest-ms: 60000\nleaving: 1\ncontent-length: 0\n\n',
+    'foreign',
+  ],
+])('%s in place of the answer', (_name, foreign, cause) => {
+  async function run() {
+    const {fixture, backends} = await startFixture(
+      [answerWithForeign(foreign), answerOk],
+      {kind: 'unsafe'},
+    );
+    await fixture.send({'request-id': 'early'}, 'order');
+    const received = await fixture.send({'request-id': 'late'}, 'order');
+    return {fixture, backends, received};
+  }
+
+  test('does not let the request run again, and is no promise to its caller', async () => {
+    const {backends, received} = await run();
+    expect(received.status).toBe(502);
+    expect(backends[1].requests).toHaveLength(0);
+  });
 
-  expect(received.status).toBe(502);
-  expect(backends[1].requests).toHaveLength(0);
+  test('changes nothing that is known of its backend server', async () => {
+    const {fixture, backends} = await run();
+    await fixture.send({'request-id': 'next'}, 'order');
+    expect(backends[0].requests.map(readId)).toEqual(['early', 'late', 'next']);
+  });
+
+  test('ends its connection, and is logged with both ids', async () => {
+    const {fixture, backends} = await run();
+    await fixture.send({'request-id': 'next'}, 'order');
+    const [, late, next] = backends[0].requests;
+    expect(late.socket).not.toBe(next.socket);
+    const lines = fixture.events.listSince(0);
+    const rejected = lines.find(({type}) => type === 'response-rejected');
+    expect(rejected).toMatchObject({
+      id: 'late',
+      details: {
+        cause,
+        target: 'i0',
+        answeredId: cause === 'foreign' ? 'early' : '',
+        connectionRequests: 2,
+      },
+    });
+  });
 });
 
 test('a late second refusal of the same request does not let it run twice', async () => {
--- a/test/gateway/proxied_request.test.ts
+++ b/test/gateway/proxied_request.test.ts
@@ -148,7 +148,9 @@
 
   test('avoids a backend server whose address belongs to another incarnation now', async () => {
     const {fixture} = await startFixture([
-      writeRaw('HTTP/1.1 421 Misdirected\ncontent-length: 0\n\n'),
+      writeRaw(
+        'HTTP/1.1 421 Misdirected\nrequest-id: q\ncontent-length: 0\n\n',
+      ),
       sendOk('second'),
     ]);
     expect((await fixture.send()).body).toBe('second');
--- a/test/support/backend_scripts.ts
+++ b/test/support/backend_scripts.ts
@@ -47,9 +47,12 @@
 /** Resets the connection. */
 export const resetConnection: Handler = ({socket}) => socket.resetAndDestroy();
 /** Sends a 503 response that says that the request was not run. */
-export const refuseNotRun = writeRaw(
-  'HTTP/1.1 503 Full\nnot-run: 1\ncontent-length: 0\n\n',
-);
+export const refuseNotRun: Handler = arrived => {
+  const id = arrived.headers.get('request-id');
+  writeRaw(
+    `HTTP/1.1 503 Full\nrequest-id: ${id}\nnot-run: 1\ncontent-length: 0\n\n`,
+  )(arrived);
+};
 /** The response head of an event stream. */
 export const STREAM_HEAD =
   'HTTP/1.1 200 OK\nrequest-id: q\nseal: first\ncontent-type: text/event-stream\ntransfer-encoding: chunked\n\n';
