fix(transport): a connection carries each request id at most once

A request that a backend server refused may be sent again to the same server, on the same connection, and begin there. When a second copy of the refusal then arrived, late, it carried the right id: the request was sent a third time and ran twice, and its caller got 503.

An id alone cannot tell attempts of one request apart, as it is the caller's and stays unchanged. A connection now remembers the ids that it has carried and takes none of them again; if no other connection is free or allowed, a free one is replaced. So a response can only belong to the one attempt that used its connection with its id. The memory is bounded: a connection is replaced after 200 requests.

Weighed: closing the connection after each refusal. It holds as well, but costs a connection for each refusal under overload, when backend servers have the fewest to spare.

The test of a limit of one connection fails without the replacement.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -156,6 +156,7 @@
     });
     this.handle = clientPool.call(
       {
+        id: request.id,
         address,
         method: request.method,
         path: request.path,
--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -6,6 +6,8 @@
 
 /** One HTTP request and the address of its server. */
 interface HttpClientRequest {
+  /** Identifies the request in its response; a connection carries each id at most once. */
+  readonly id: string;
   /** `host:port`. */
   readonly address: string;
   readonly method: string;
@@ -63,6 +65,7 @@
     let isSent = false;
     const abortReason = new Error('the request was aborted');
     this.findPool(request).dispatch(
+      request.id,
       {
         method: request.method as Dispatcher.HttpMethod,
         path: request.path,
--- a/src/transport/server_connection.ts
+++ b/src/transport/server_connection.ts
@@ -12,11 +12,15 @@
 /** Connections are closed this long before the server's keep-alive timeout. */
 const IDLE_MARGIN_MS = 1_000;
 
+/** Requests after which a connection is replaced, which bounds the ids that it remembers. */
+const MAX_REQUESTS = 200;
+
 /** Opens its connection with the first request, and again after it was closed. */
 export class ServerConnection {
   private readonly client: Client;
   private socket: Socket | undefined;
   private openedAt = 0;
+  private readonly carriedIds = new Set<string>();
   private requestCount = 0;
   private isRunning = false;
 
@@ -24,6 +28,7 @@
     this.client = new Client(`http://${address}`, {
       // With pipelining, undici would resend the requests queued behind a failed one.
       pipelining: 1,
+      maxRequestsPerClient: MAX_REQUESTS,
       connect: this.createConnector(),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
@@ -53,11 +58,22 @@
   }
 
   /**
-   * Sends a request; the connection must not be busy.
+   * True if a request with this id was sent on the connection before. A surplus
+   * response to it may still arrive there, and its id would not tell that it is
+   * not the response to a later one.
+   */
+  hasCarried(id: string): boolean {
+    return this.isOpen && this.carriedIds.has(id);
+  }
+
+  /**
+   * Sends a request; the connection must not be busy, nor have carried its id.
    *
+   * @param id the id that the response must carry
    * @param onFree called once, after the last callback of `events`
    */
   dispatch(
+    id: string,
     options: Dispatcher.DispatchOptions,
     events: ExchangeEvents,
     onFree: () => void,
@@ -69,7 +85,7 @@
     };
     this.client.dispatch(options, {
       onRequestStart: controller =>
-        events.onStart(controller, this.recordUse()),
+        events.onStart(controller, this.recordUse(id)),
       onResponseStart: (_controller, status, headers) =>
         events.onHead(status, headers),
       onResponseData: (_controller, chunk) => events.onData(chunk),
@@ -108,10 +124,12 @@
     this.socket = socket ?? undefined;
     this.openedAt = performance.now();
     this.requestCount = 0;
+    this.carriedIds.clear();
   }
 
-  private recordUse(): ConnectionUse {
+  private recordUse(id: string): ConnectionUse {
     this.requestCount += 1;
+    this.carriedIds.add(id);
     const ageMs = performance.now() - this.openedAt;
     return {requestCount: this.requestCount, ageMs};
   }
--- a/src/transport/server_connections.ts
+++ b/src/transport/server_connections.ts
@@ -5,6 +5,8 @@
 
 /** A request that waits for a connection. */
 interface WaitingRequest {
+  /** The id that the response must carry. */
+  readonly id: string;
   readonly options: Dispatcher.DispatchOptions;
   readonly events: ExchangeEvents;
 }
@@ -32,9 +34,16 @@
     return new ServerConnections(address, limit);
   }
 
-  /** Sends a request on a free connection, or as soon as one is free. */
-  dispatch(options: Dispatcher.DispatchOptions, events: ExchangeEvents): void {
-    this.waiting.push({options, events});
+  /**
+   * Sends a request on a free connection, or as soon as one is free. No
+   * connection carries two requests with the same id.
+   */
+  dispatch(
+    id: string,
+    options: Dispatcher.DispatchOptions,
+    events: ExchangeEvents,
+  ): void {
+    this.waiting.push({id, options, events});
     this.dispatchWaiting();
   }
 
@@ -56,20 +65,29 @@
 
   private dispatchWaiting(): void {
     while (this.waiting.length > 0) {
-      const connection = this.findFree();
-      const next = connection && this.waiting.shift();
-      if (!next) {
+      const [{id, options, events}] = this.waiting;
+      const connection = this.findFree(id);
+      if (!connection) {
         return;
       }
+      this.waiting.shift();
       const onFree = () => this.handleFree(connection);
-      connection.dispatch(next.options, next.events, onFree);
+      connection.dispatch(id, options, events, onFree);
     }
   }
 
-  private findFree(): ServerConnection | undefined {
-    const free = this.connections.find(({isBusy}) => !isBusy);
-    if (free || this.connections.length >= this.limit) {
-      return free;
+  /** Finds a free connection that has not carried the id, or opens one; an unusable free one gives its place. */
+  private findFree(id: string): ServerConnection | undefined {
+    const free = this.connections.filter(({isBusy}) => !isBusy);
+    const usable = free.find(connection => !connection.hasCarried(id));
+    if (usable) {
+      return usable;
+    }
+    if (this.connections.length >= this.limit) {
+      if (free.length === 0) {
+        return undefined;
+      }
+      this.drop(free[0]);
     }
     const opened = ServerConnection.create(this.address);
     this.connections.push(opened);
--- a/test/transport/http_client_pool.test.ts
+++ b/test/transport/http_client_pool.test.ts
@@ -15,7 +15,11 @@
 /** Starts a server that holds all requests, and a client for it. */
 async function start() {
   const held: http.ServerResponse[] = [];
-  const server = http.createServer((_request, response) => held.push(response));
+  const sockets: unknown[] = [];
+  const server = http.createServer(({socket}, response) => {
+    held.push(response);
+    sockets.push(socket);
+  });
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
   const client = HttpClientPool.create();
   closers.push(
@@ -24,10 +28,12 @@
     () => client.close(),
   );
   const {port} = server.address() as AddressInfo;
-  const send = (maxConnections: number) =>
+  let sent = 0;
+  const send = (maxConnections: number, id = `q${(sent += 1)}`) =>
     new Promise<void>((resolve, reject) => {
       client.call(
         {
+          id,
           address: `127.0.0.1:${port}`,
           method: 'GET',
           path: '/',
@@ -44,7 +50,7 @@
         },
       );
     });
-  return {held, send};
+  return {held, sockets, send};
 }
 
 // The limit of the first request was kept for as long as the server was known.
@@ -73,3 +79,28 @@
   held.forEach(response => response.end());
   await Promise.all([early, ...late]);
 });
+
+// A surplus response to an earlier request with the same id could not be told from the response to a later one.
+test('requests with the same id never share a connection, even if no other is allowed', async () => {
+  const {held, sockets, send} = await start();
+  for (const id of ['a', 'b', 'a', 'b', 'c']) {
+    const sent = send(1, id);
+    const count = held.length;
+    await waitUntil('request arrives', () => held.length > count);
+    held[count].end();
+    await sent;
+  }
+  const connections = [...new Set(sockets)];
+  expect(sockets.map(socket => connections.indexOf(socket))).toEqual([
+    0, 0, 1, 1, 1,
+  ]);
+});
+
+test('requests with the same id at the same time use different connections', async () => {
+  const {held, sockets, send} = await start();
+  const sent = [send(2, 'a'), send(2, 'a')];
+  await waitUntil('requests arrive', () => held.length === 2);
+  held.forEach(response => response.end());
+  await Promise.all(sent);
+  expect(new Set(sockets).size).toBe(2);
+});
