fix(gateway): no unmarked 408, 429 or 503 is passed on as a promise

These statuses tell a caller that its request was not executed and never will be. A backend server that has executed it may answer with one; only the mark 'not executed' says otherwise. The gateway passed the status on whenever the id and the seal were right, so a caller could repeat a request that had run.

Such an answer ends the attempt as one that may have run: it is sent elsewhere if it may be repeated, and its caller gets 502 if not. The cause 'unmarked' is logged and counted with the other rejected responses.

--- a/src/gateway/responses/find_rejection_cause.ts
+++ b/src/gateway/responses/find_rejection_cause.ts
@@ -1,6 +1,9 @@
 import {ResponseHead} from '../response_head';
 import {RejectionCause} from './rejection_cause';
 
+/** Statuses that tell a caller that its request was not executed and never will be. */
+const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /**
  * Checks whether a response belongs to a request. Whatever else a response
  * states, a refusal included, is true only of the request whose id it carries.
@@ -22,7 +25,12 @@
   if (head.requestId !== requestId) {
     return 'foreign';
   }
-  const isRefusal = head.isNotRun || head.isWrongIncarnation;
+  if (head.isNotRun || head.isWrongIncarnation) {
+    return undefined;
+  }
+  if (PROMISES.has(head.status)) {
+    return 'unmarked';
+  }
   const isSuccess = head.status >= 200 && head.status < 300;
-  return isSuccess && !isRefusal && !head.isSealed ? 'unsealed' : undefined;
+  return isSuccess && !head.isSealed ? 'unsealed' : undefined;
 }
--- a/src/gateway/responses/response_log.ts
+++ b/src/gateway/responses/response_log.ts
@@ -21,6 +21,7 @@
   foreign: 'the answer belongs to another request',
   unidentified: 'the answer names no request',
   unsealed: 'the backend server does not vouch for its answer',
+  unmarked: 'the backend server does not state that the request was not run',
 };
 
 /** Records at most one line a second for each backend server and kind of response. */
