fix(platform): an engine that sends without end is cut off at 64 KiB

What could be seen: an engine in trouble that answers a report or an order with bytes without end filled the memory of control for the 300 ms of the call, as fast as the network carries them; the body of a report was kept whole. An order whose answer began with 202 and did not end counted as begun once undici had dropped 128 KiB of its body.

Cause: `body.json()` has no limit, and the limits of HTTP parsers cover only parts of an answer.

Evidence: an engine that sends 64 KiB each 5 ms after ten kinds of beginnings (test/platform/engine_client.test.ts).

The bytes are now counted on the socket, so the limit covers whatever an HTTP parser reads or skips: the call fails at the chunk that exceeds 64 KiB, and its connection is closed.

--- a/src/transport/call_on_new_connection.ts
+++ b/src/transport/call_on_new_connection.ts
@@ -1,7 +1,7 @@
 import * as http from 'node:http';
 import {TransportError} from './transport_error';
 
-/** One call, and how long it may take. */
+/** One call, and how long and how large its answer may be. */
 interface ServerCall {
   /** `host:port`. */
   readonly address: string;
@@ -11,6 +11,8 @@
   readonly body?: string;
   /** Milliseconds for connecting and the whole answer together. */
   readonly timeoutMs: number;
+  /** Limit of all bytes that the server sends, the head and interim responses included. */
+  readonly maxAnswerBytes: number;
 }
 
 interface ServerAnswer {
@@ -23,10 +25,10 @@
  * late or repeated answer to another call has no way into it, and the call is never
  * sent twice.
  *
- * @throws TransportError when the whole answer does not arrive in time; the
+ * @throws TransportError when the whole answer does not arrive within the limits; the
  *     server may have executed the call
  * @example
- * const {status, body} = await callOnNewConnection({address: '10.0.0.4:8080', method: 'GET', path: '/v1/report', timeoutMs: 300});
+ * const {status, body} = await callOnNewConnection({address: '10.0.0.4:8080', method: 'GET', path: '/v1/report', timeoutMs: 300, maxAnswerBytes: 65536});
  */
 export function callOnNewConnection(call: ServerCall): Promise<ServerAnswer> {
   const {address, method, path, headers, body, timeoutMs} = call;
@@ -47,6 +49,9 @@
       timeoutMs,
     );
     request.on('error', fail);
+    request.on('socket', socket =>
+      watchReceivedBytes(socket, call.maxAnswerBytes, fail),
+    );
     request.on('response', response => {
       const chunks: Buffer[] = [];
       response.on('error', fail);
@@ -62,3 +67,18 @@
     request.end(body);
   });
 }
+
+/** Counts on the socket: the limits of an HTTP parser do not cover interim responses, chunk extensions and bodies. */
+function watchReceivedBytes(
+  socket: NodeJS.ReadableStream,
+  maxBytes: number,
+  fail: (error: Error) => void,
+): void {
+  let receivedBytes = 0;
+  socket.on('data', (chunk: Buffer) => {
+    receivedBytes += chunk.length;
+    if (receivedBytes > maxBytes) {
+      fail(new Error(`the answer is over ${maxBytes} bytes`));
+    }
+  });
+}
--- a/test/platform/engine_client.test.ts
+++ b/test/platform/engine_client.test.ts
@@ -1,12 +1,17 @@
 /**
  * Guards against answers of engines that are not the answers to the call: late second
- * copies of earlier ones.
+ * copies of earlier ones, and bytes without end.
  */
 import * as net from 'node:net';
 import {afterEach, describe, expect, test} from 'vitest';
 import {engineClient} from '../../platform/engine_client';
 
 const INCARNATION = 'i-1@1000';
+const CHUNK_BYTES = 64 * 1024;
+const CHUNK_INTERVAL_MS = 5;
+/** The limit is reached by the second chunk; 60 chunks are sent within the timeout of a call. */
+const MAX_CHUNKS = 10;
+const HEAD = 'HTTP/1.1 200 OK\r\n';
 const closers: Array<() => unknown> = [];
 
 afterEach(async () => {
@@ -124,3 +129,100 @@
     expect(engine.connections).toBe(8);
   });
 });
+
+describe('an engine that sends bytes without end', () => {
+  const filler = (text: string) =>
+    text.repeat(Math.ceil(CHUNK_BYTES / text.length));
+
+  test.each([
+    ['a body with a length', `${HEAD}content-length: 99999999\r\n\r\n`, ' '],
+    ['a body without a length', `${HEAD}\r\n`, ' '],
+    [
+      'a chunked body',
+      `${HEAD}transfer-encoding: chunked\r\n\r\n`,
+      '8\r\n        \r\n',
+    ],
+    ['a chunk extension', `${HEAD}transfer-encoding: chunked\r\n\r\n1;a=`, 'a'],
+    [
+      'trailers',
+      `${HEAD}transfer-encoding: chunked\r\n\r\n0\r\n`,
+      'name: value\r\n',
+    ],
+    ['a head', HEAD, 'name: value\r\n'],
+    ['a header', `${HEAD}name: `, 'a'],
+    ['a status line', 'HTTP/1.1 200 ', 'a'],
+    ['interim responses', '', 'HTTP/1.1 103 Early Hints\r\n\r\n'],
+    ['no HTTP', '', '\u0000'],
+  ])(
+    'is disconnected at the limit, not at the timeout: %s',
+    async (_what, head, text) => {
+      const closed: number[] = [];
+      const address = await listen(socket => {
+        let chunks = 0;
+        let timer: NodeJS.Timeout | undefined;
+        socket.once('data', () => {
+          socket.write(head);
+          timer = setInterval(() => {
+            chunks += 1;
+            socket.write(filler(text));
+          }, CHUNK_INTERVAL_MS);
+        });
+        socket.once('close', () => {
+          clearInterval(timer);
+          closed.push(chunks);
+        });
+      });
+
+      expect(await engineClient.send(createCall(address))).toEqual({
+        outcome: 'unanswered',
+      });
+      expect(await engineClient.probe(address, INCARNATION)).toBe(false);
+      await expect.poll(() => closed.length).toBe(2);
+      expect(Math.max(...closed)).toBeLessThanOrEqual(MAX_CHUNKS);
+    },
+  );
+
+  test('the answer to an order is bounded as well', async () => {
+    const closed: number[] = [];
+    const address = await listen(socket => {
+      let chunks = 0;
+      let timer: NodeJS.Timeout | undefined;
+      socket.once('data', request => {
+        if (String(request).startsWith('GET')) {
+          socket.write(createAnswer(200, {sequence: 0, born: 1_000}));
+          return;
+        }
+        socket.write('HTTP/1.1 202 Accepted\r\n\r\n');
+        timer = setInterval(() => {
+          chunks += 1;
+          socket.write(filler(' '));
+        }, CHUNK_INTERVAL_MS);
+      });
+      socket.once('close', () => {
+        clearInterval(timer);
+        closed.push(chunks);
+      });
+    });
+
+    expect(await engineClient.send(createCall(address))).toEqual({
+      outcome: 'unanswered',
+    });
+    await expect.poll(() => closed.length).toBe(2);
+    expect(Math.max(...closed)).toBeLessThanOrEqual(MAX_CHUNKS);
+  });
+
+  test('the timeout covers the head and the body together', async () => {
+    const address = await listen(socket => {
+      socket.once('data', () => {
+        const timers = [
+          setTimeout(() => socket.write(`${HEAD}\r\n`), 200),
+          setInterval(() => socket.write(' '), 250),
+        ];
+        socket.once('close', () => timers.forEach(each => clearTimeout(each)));
+      });
+    });
+    const startedAt = performance.now();
+    expect(await engineClient.probe(address, INCARNATION)).toBe(false);
+    expect(performance.now() - startedAt).toBeLessThan(450);
+  });
+});
