fix(host): a repeated answer of a backend server is not taken for a later one

What could be seen: a host process (`whinreel-host`) passed a late second copy of an earlier answer of its backend server on as the answer to another caller's request, and counted an engine's repeated 200 as the acceptance of an order that the engine had refused, so that requests of the new group ran at an engine that still worked for the old one.

Cause: BackendHttpClient kept connections, and neither answers to attempts nor answers to orders are compared with an id; a server need not return one here.

Each request now has its own connection (`pipelining: 0`), which is closed after the answer. No id can be required of these servers.

The platform's gateway has its own client and is not affected. A server that ends bodies by closing when it reads `connection: close` would lose the seal of a length; HTTP/1.1 servers that chunk keep it.

--- a/src/transport/backend_http_client.ts
+++ b/src/transport/backend_http_client.ts
@@ -20,7 +20,7 @@
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: AsyncIterable<Buffer>;
-  /** Reads and drops the rest of the body, so that the connection can be reused. */
+  /** Reads and drops the rest of the body. */
   readonly discard: () => Promise<void>;
 }
 
@@ -29,15 +29,17 @@
   private constructor(private readonly agent: Agent) {}
 
   /**
-   * Creates a client with its own connections. Each carries one request at a time:
-   * with pipelining, undici would resend the requests queued behind a failed one.
+   * Creates a client that opens a connection for each request. On a kept one, a
+   * repeated answer to an earlier request was taken for the answer, and with pipelining
+   * undici would resend the requests queued behind a failed one.
    *
    * @example
    * const backend = BackendHttpClient.create();
    */
   static create(): BackendHttpClient {
     const agent = new Agent({
-      pipelining: 1,
+      // Sends `connection: close`, and closes the connection whether the server does or not.
+      pipelining: 0,
       connect: {timeout: CONNECT_TIMEOUT_MS},
       headersTimeout: HEADERS_TIMEOUT_MS,
       bodyTimeout: HEADERS_TIMEOUT_MS,
