fix(transport): frames behind a breach of the protocol are not taken

What could be seen: a process that closed a connection because its peer sent something that is no message, or no hello first, still took the messages that came behind it in the same piece of data: calls were executed and answers believed.

Cause: FrameConnection went on with the frames of a received piece after the receiver of one of them had closed the connection.

Evidence: the new test of test/protocol/peer.test.ts sends a hello, a call, a frame with an unknown message and another call at once.

FrameConnection now stops at the first frame after which its socket is destroyed. A connection that is only ended (`end`) still receives.

--- a/src/transport/frame_connection.ts
+++ b/src/transport/frame_connection.ts
@@ -158,6 +158,10 @@
       return;
     }
     for (const frame of frames) {
+      // The receiver of a frame may have closed the connection, for a breach of the protocol.
+      if (this.socket.destroyed) {
+        return;
+      }
       this.received.push(frame);
     }
   }
--- a/test/protocol/peer.test.ts
+++ b/test/protocol/peer.test.ts
@@ -67,3 +67,33 @@
   ]);
   await server.close();
 });
+
+test('messages that come together with a breach of the protocol, after it, are not taken', async () => {
+  const received: Message[] = [];
+  const errors: string[] = [];
+  const frame = (payload: Uint8Array) => {
+    const length = Buffer.alloc(4);
+    length.writeUInt32BE(payload.length);
+    return Buffer.concat([length, payload]);
+  };
+  const frames = [
+    messageCodec.encode({type: 'hello', protocol: 1, ...hello}),
+    messageCodec.encode({type: 'status-ask', call: 1}),
+    messageCodec.encode({type: 'unknown'} as unknown as Message),
+    messageCodec.encode({type: 'status-ask', call: 2}),
+  ];
+  const server = await listen(connection => {
+    void Peer.create(connection, hello).then(peer => {
+      void peer.messages.observe(message => received.push(message));
+      void peer.closed.then(failure => errors.push(failure?.message ?? ''));
+    });
+  });
+  const socket = net.connect(server.port, '127.0.0.1');
+  socket.write(Buffer.concat(frames.map(frame)));
+  await new Promise(resolve => socket.resume().on('close', resolve));
+
+  await expect.poll(() => errors.length).toBe(1);
+  expect(errors[0]).toContain('the peer broke the protocol');
+  expect(received).toEqual([{type: 'status-ask', call: 1}]);
+  await server.close();
+});
