feat(control): the log says why an order to an engine is unanswered

`engine-order-unanswered` did not tell an engine that is silent from one that sends bytes without end or answers with an unknown status; all three need different steps of an operator. Its line now has `failure`, the reason of the call.

The tests of endless answers compare that reason now, so that they tell the limit and the parser's own limits from the timeout. Tests: an unknown status (test/platform/engine_client.test.ts), the event of an unanswered order (test/control/engine_orders.test.ts).

--- a/src/control/order_dispatcher.ts
+++ b/src/control/order_dispatcher.ts
@@ -261,6 +261,7 @@
         epoch: group?.epoch ?? 0,
         model: model ?? '',
         fence: runtime.raft.term,
+        ...(answer?.failure !== undefined && {failure: answer.failure}),
       },
     });
     return outcome;
--- a/src/protocol/engine_client.ts
+++ b/src/protocol/engine_client.ts
@@ -31,6 +31,8 @@
   readonly outcome: OrderOutcome;
   /** Number of orders accepted so far; absent when unknown. */
   readonly ordersTaken?: number;
+  /** Why an order is unanswered, for the log. */
+  readonly failure?: string;
 }
 
 /** Sends orders to engines and probes them. */
--- a/test/control/engine_orders.test.ts
+++ b/test/control/engine_orders.test.ts
@@ -68,6 +68,7 @@
     const sent: string[] = [];
     const answers: Answer[] = [];
     const expected: number[] = [];
+    const events = EventRing.create();
     const orders: EngineClient = {
       send: ({incarnation, order, ordersTaken}) => {
         sent.push(`${order.kind} ${incarnation}`);
@@ -82,13 +83,13 @@
       registry: createRegistry(clock),
       gateways: {hasServed},
       clock,
-      events: EventRing.create(),
+      events,
     });
     const dispatch = async (order: Order) => {
       dispatcher.dispatch(order, PROFILE, clock.now());
       await flushPromises();
     };
-    return {clock, sent, answers, expected, dispatcher, dispatch};
+    return {clock, sent, answers, expected, events, dispatcher, dispatch};
   }
 
   function createOrder(kind: Order['kind'], isLoad = false): Order {
@@ -143,6 +144,15 @@
     expect(sent).toEqual(['leave a', 'leave a']);
   });
 
+  test('the event of an unanswered order says why', async () => {
+    const {answers, events, dispatch} = create(true);
+    answers.push({outcome: 'unanswered', failure: 'no whole answer'});
+    await dispatch(createOrder('leave'));
+    const [{type, details}] = events.listSince(0);
+    expect(type).toBe('engine-order-unanswered');
+    expect(details?.failure).toBe('no whole answer');
+  });
+
   test('an order expects the count of the answer before it', async () => {
     const {answers, expected, dispatch} = create(true);
     answers.push({outcome: 'begun', ordersTaken: 5});
--- a/test/platform/engine_client.test.ts
+++ b/test/platform/engine_client.test.ts
@@ -12,6 +12,7 @@
 /** The limit is reached by the second chunk; 60 chunks are sent within the timeout of a call. */
 const MAX_CHUNKS = 10;
 const HEAD = 'HTTP/1.1 200 OK\r\n';
+const OVER_LIMIT = 'the answer is over 65536 bytes';
 const closers: Array<() => unknown> = [];
 
 afterEach(async () => {
@@ -142,20 +143,26 @@
       `${HEAD}transfer-encoding: chunked\r\n\r\n`,
       '8\r\n        \r\n',
     ],
-    ['a chunk extension', `${HEAD}transfer-encoding: chunked\r\n\r\n1;a=`, 'a'],
+    [
+      'a chunk extension',
+      `${HEAD}transfer-encoding: chunked\r\n\r\n1;a=`,
+      'a',
+      'Parse Error: Chunk extensions overflow',
+    ],
     [
       'trailers',
       `${HEAD}transfer-encoding: chunked\r\n\r\n0\r\n`,
       'name: value\r\n',
+      'Parse Error: Header overflow',
     ],
-    ['a head', HEAD, 'name: value\r\n'],
-    ['a header', `${HEAD}name: `, 'a'],
-    ['a status line', 'HTTP/1.1 200 ', 'a'],
+    ['a head', HEAD, 'name: value\r\n', 'Parse Error: Header overflow'],
+    ['a header', `${HEAD}name: `, 'a', 'Parse Error: Header overflow'],
+    ['a status line', 'HTTP/1.1 200 ', 'a', 'Parse Error: Header overflow'],
     ['interim responses', '', 'HTTP/1.1 103 Early Hints\r\n\r\n'],
-    ['no HTTP', '', '\u0000'],
+    ['no HTTP', '', '\u0000', 'Parse Error: Expected HTTP/, RTSP/ or ICE/'],
   ])(
     'is disconnected at the limit, not at the timeout: %s',
-    async (_what, head, text) => {
+    async (_what, head, text, reason = OVER_LIMIT) => {
       const closed: number[] = [];
       const address = await listen(socket => {
         let chunks = 0;
@@ -175,6 +182,7 @@
 
       expect(await engineClient.send(createCall(address))).toEqual({
         outcome: 'unanswered',
+        failure: `the call to ${address} failed: ${reason}`,
       });
       expect(await engineClient.probe(address, INCARNATION)).toBe(false);
       await expect.poll(() => closed.length).toBe(2);
@@ -206,11 +214,26 @@
 
     expect(await engineClient.send(createCall(address))).toEqual({
       outcome: 'unanswered',
+      failure: `the call to ${address} failed: ${OVER_LIMIT}`,
     });
     await expect.poll(() => closed.length).toBe(2);
     expect(Math.max(...closed)).toBeLessThanOrEqual(MAX_CHUNKS);
   });
 
+  test('an order that is answered with an unknown status is unanswered, with the status', async () => {
+    const address = await listen(socket => {
+      socket.once('data', request => {
+        const isReport = String(request).startsWith('GET');
+        const body = {sequence: 0, born: 1_000};
+        socket.write(createAnswer(isReport ? 200 : 503, body));
+      });
+    });
+    expect(await engineClient.send(createCall(address))).toEqual({
+      outcome: 'unanswered',
+      failure: 'the order was answered with status 503',
+    });
+  });
+
   test('the timeout covers the head and the body together', async () => {
     const address = await listen(socket => {
       socket.once('data', () => {
