fix(gateway): a head or chunk framing without end ends its attempt

Callers could see: a request whose backend server sends a status line, empty lines before one, the digits of a chunk size or chunk extensions without end was held until its deadline and answered 504, while the gateway read at full speed. Heads and trailers of more than 16 KiB were cut off, but counted as a lost connection, which is evidence of a crash, and were in no line of the log.

Cause: the parser of the HTTP client limits the names and values of headers only, and nothing else looks at bytes that yield no body.

A connection now meters them: what it has read since the start of a request, less the body, may be 64 KiB and 64 bytes for each piece of the body. The check runs after each read of the socket, so it needs no timer, and the bytes past the limit are one read of the socket at most. It holds on an idle connection too. The attempt ends as `oversized-head` or `oversized-framing`, is logged and counted, and is retried where its route allows that.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -124,6 +124,13 @@
     this.handle?.abort();
   }
 
+  /** Ends the attempt because of a response that is not taken as the answer to its request. */
+  reject(cause: RejectionCause): void {
+    if (!this.isEnded) {
+      this.rejectResponse(cause, this.head);
+    }
+  }
+
   /** Stops reading the response until `resume`, as backpressure from the caller. */
   pause(): void {
     this.isReadPaused = true;
@@ -238,20 +245,19 @@
     this.recordAccepted?.(!head.isNotRun && head.restMs === undefined);
   }
 
-  /** Ends the attempt because of a response that is not the answer to its request. */
-  private rejectResponse(cause: RejectionCause, head: ResponseHead): void {
+  private rejectResponse(cause: RejectionCause, head?: ResponseHead): void {
     const {responseLog} = this.options;
     const response = this.describeResponse(head);
     this.stop(responseLog.recordRejection(cause, response));
   }
 
-  private describeResponse({status, requestId}: ResponseHead) {
+  private describeResponse(head: ResponseHead | undefined) {
     const {request, target} = this.options;
     return {
       requestId: request.id,
       target: target.incarnation,
-      status,
-      answeredId: requestId,
+      status: head?.status,
+      answeredId: head?.requestId,
       connection: this.connection,
     };
   }
@@ -297,6 +303,10 @@
       this.finish({kind: 'not-run', reason: 'refused, then broken off'});
       return;
     }
+    if (error.name === 'Oversized') {
+      this.reject(this.head ? 'oversized-framing' : 'oversized-head');
+      return;
+    }
     this.finish({
       kind: 'broken',
       reason: 'the connection broke',
--- a/src/gateway/responses/rejection_cause.ts
+++ b/src/gateway/responses/rejection_cause.ts
@@ -1,6 +1,13 @@
 /**
  * Why a response is not taken as the answer to a request. `foreign`: it carries
  * the id of another request. `unidentified`: it carries no id. `unsealed`: the
- * backend server does not vouch for a success.
+ * backend server does not vouch for a success. `oversized-head`: the bytes before
+ * the end of its head exceed their limit. `oversized-framing`: the chunk framing or
+ * the trailers do.
  */
-export type RejectionCause = 'foreign' | 'unidentified' | 'unsealed';
+export type RejectionCause =
+  | 'foreign'
+  | 'unidentified'
+  | 'unsealed'
+  | 'oversized-head'
+  | 'oversized-framing';
--- a/src/gateway/responses/response_log.ts
+++ b/src/gateway/responses/response_log.ts
@@ -21,6 +21,8 @@
   foreign: 'the answer belongs to another request',
   unidentified: 'the answer names no request',
   unsealed: 'the backend server does not vouch for its answer',
+  'oversized-head': 'the head of the answer is too long',
+  'oversized-framing': 'the answer has too many bytes besides its body',
 };
 
 /** Records at most one line a second for each backend server and kind of response. */
--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -1,6 +1,7 @@
 /** HTTP client for many servers with keep-alive connections; it never retries a request. */
 import {Dispatcher} from 'undici';
 import {ConnectionUse} from './connection_use';
+import {OVERFLOW_CODE} from './overflow_code';
 import {ServerConnections} from './server_connections';
 import {TransportError} from './transport_error';
 
@@ -30,7 +31,10 @@
   readonly onData: (chunk: Buffer) => void;
   /** The response is complete. */
   readonly onEnd: () => void;
-  /** Called instead of `onEnd`. */
+  /**
+   * Called instead of `onEnd`. Its name is `NeverSent` if the request cannot have run,
+   * `Oversized` if the response has too many bytes besides its body, and else `Broken`.
+   */
   readonly onError: (error: TransportError) => void;
 }
 
@@ -58,7 +62,7 @@
     return new HttpClientPool();
   }
 
-  /** Starts a request. An error named `NeverSent` means that it cannot have run. */
+  /** Starts a request. */
   call(request: HttpClientRequest, events: HttpClientEvents): HttpClientHandle {
     let controller: Dispatcher.DispatchController | undefined;
     let isAborted = false;
@@ -134,9 +138,13 @@
   }
 }
 
-function wrapError(error: Error, isSent: boolean): TransportError {
+function wrapError(
+  error: NodeJS.ErrnoException,
+  isSent: boolean,
+): TransportError {
+  const sentName = error.code === OVERFLOW_CODE ? 'Oversized' : 'Broken';
   // The error code does not tell: an open connection can fail with the same codes as one that was never made.
-  const name = isSent ? 'Broken' : 'NeverSent';
+  const name = isSent ? sentName : 'NeverSent';
   return new TransportError(
     {cause: error, name},
     'the request to the backend server failed',
--- a/src/transport/server_connection.ts
+++ b/src/transport/server_connection.ts
@@ -4,6 +4,9 @@
 import {ConnectionUse} from './connection_use';
 import {createConnector} from './create_connector';
 import {ExchangeEvents} from './exchange_events';
+import {FramingMeter} from './framing_meter';
+import {OVERFLOW_CODE} from './overflow_code';
+import {TransportError} from './transport_error';
 
 /** Time for a new connection, after which the server counts as unreachable. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -19,6 +22,9 @@
 export class ServerConnection {
   private readonly client: Client;
   private socket: Socket | undefined;
+  private meter: FramingMeter | undefined;
+  /** Of the request that was written and has not ended. */
+  private controller: Dispatcher.DispatchController | undefined;
   private openedAt = 0;
   private readonly carriedIds = new Set<string>();
   private requestCount = 0;
@@ -81,14 +87,21 @@
     this.isRunning = true;
     const release = () => {
       this.isRunning = false;
+      this.controller = undefined;
       onFree();
     };
     this.client.dispatch(options, {
-      onRequestStart: controller =>
-        events.onStart(controller, this.recordUse(id)),
+      onRequestStart: controller => {
+        this.controller = controller;
+        this.startMeter();
+        events.onStart(controller, this.recordUse(id));
+      },
       onResponseStart: (_controller, status, headers) =>
         events.onHead(status, headers),
-      onResponseData: (_controller, chunk) => events.onData(chunk),
+      onResponseData: (_controller, chunk) => {
+        this.meter?.recordBody(chunk.length);
+        events.onData(chunk);
+      },
       onResponseEnd: () => {
         events.onEnd();
         release();
@@ -122,11 +135,34 @@
 
   private recordOpened(socket: Socket | null): void {
     this.socket = socket ?? undefined;
+    this.meter = undefined;
     this.openedAt = performance.now();
     this.requestCount = 0;
     this.carriedIds.clear();
   }
 
+  private startMeter(): void {
+    if (this.socket) {
+      this.meter ??= FramingMeter.create(this.socket, () =>
+        this.handleExcess(),
+      );
+      this.meter.reset();
+    }
+  }
+
+  /** Ends the connection; an idle one as well, because a server may send without end there too. */
+  private handleExcess(): void {
+    const error = Object.assign(
+      new TransportError('the response has too many bytes besides its body'),
+      {code: OVERFLOW_CODE},
+    );
+    if (this.controller) {
+      this.controller.abort(error);
+    } else {
+      this.socket?.destroy();
+    }
+  }
+
   private recordUse(id: string): ConnectionUse {
     this.requestCount += 1;
     this.carriedIds.add(id);
