fix(gateway): interim responses are not taken for the answer

Callers could see: 502, or a second run of a safe request, after a backend server sent 102 or 103 before its answer, which HTTP allows at any time.

Cause: undici reports interim responses like heads, and the attempt checked them as such: without an id it was `unidentified`, with another id `foreign`.

The connection now passes on final heads only. Interim responses without end are bytes without a body, so the limit of framing ends them.

Of the new cases in test/gateway/endless_responses, four fail before: endless interim responses had the cause `unidentified` in place of `oversized-head`, and a proper answer after interim ones gave its caller 502 (`unidentified`, `foreign`) or, where the id was that of an earlier request, the cause `foreign`.

Not covered: undici itself ends the connection at a 100 or 101, which no request of the gateway asks for.

--- a/src/transport/exchange_events.ts
+++ b/src/transport/exchange_events.ts
@@ -8,6 +8,7 @@
     controller: Dispatcher.DispatchController,
     use: ConnectionUse,
   ) => void;
+  /** Called with the head of the response, never with an interim one. */
   readonly onHead: (
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
--- a/src/transport/server_connection.ts
+++ b/src/transport/server_connection.ts
@@ -15,6 +15,9 @@
 /** Connections are closed this long before the server's keep-alive timeout. */
 const IDLE_MARGIN_MS = 1_000;
 
+/** The first status of a response that is not an interim one. */
+const FINAL_STATUS = 200;
+
 /** Requests after which a connection is replaced, which bounds the ids that it remembers. */
 const MAX_REQUESTS = 200;
 
@@ -96,8 +99,12 @@
         this.startMeter();
         events.onStart(controller, this.recordUse(id));
       },
-      onResponseStart: (_controller, status, headers) =>
-        events.onHead(status, headers),
+      onResponseStart: (_controller, status, headers) => {
+        // The client reports each interim response like a head; the head follows.
+        if (status >= FINAL_STATUS) {
+          events.onHead(status, headers);
+        }
+      },
       onResponseData: (_controller, chunk) => {
         this.meter?.recordBody(chunk.length);
         events.onData(chunk);
--- a/test/gateway/endless_responses.test.ts
+++ b/test/gateway/endless_responses.test.ts
@@ -35,6 +35,12 @@
     'oversized-head',
   ],
   ['headers', `HTTP/1.1 200 OK\n${MARKS}`, 'more: x\r\n', 'oversized-head'],
+  [
+    'interim responses',
+    '',
+    'HTTP/1.1 102 Processing\r\n\r\n',
+    'oversized-head',
+  ],
   ['chunk extensions', `${CHUNKED}5;`, 'name=value;', 'oversized-framing'],
   ['the digits of a chunk size', CHUNKED, '0'.repeat(100), 'oversized-framing'],
   [
@@ -65,3 +71,28 @@
     expect(fixture.balancer.countRunning('i0')).toBe(0);
   });
 });
+
+// Each of them was taken for the head of the answer.
+test.each(['', 'request-id: q\n', 'request-id: other\nnot-run: 1\n'])(
+  'interim responses with the headers %j are no answer',
+  async headers => {
+    const interim = `HTTP/1.1 102 Processing\n${headers}\nHTTP/1.1 103 Early Hints\n${headers}\n`;
+    const {fixture, backends} = await startFixture(
+      [
+        arrived => {
+          writeRaw(interim)(arrived);
+          setImmediate(() => answerOk(arrived));
+        },
+        answerOk,
+      ],
+      {kind: 'unsafe'},
+    );
+    const received = await fixture.send({}, 'order');
+    expect(received).toMatchObject({status: 200, body: 'ok'});
+    expect(backends[1].requests).toHaveLength(0);
+    await fixture.send({'request-id': 'next'}, 'order');
+    const [first, next] = backends[0].requests;
+    expect(first.socket).toBe(next.socket);
+    expect(listCauses(fixture)).toEqual([]);
+  },
+);
