fix(gateway): a refusal ends its attempt at its head

Callers could see: 504 at their deadline, though a backend server had refused their request in time and others were free, when the body of the refusal did not end (or did not come). Meanwhile the attempt held a slot of that server.

Cause: the attempt waited for the end of a body that it does not read.

A refusal with the id of the request (503 or 429 with the mark, 421) now ends the attempt right after the read that brought its head, and the request is sent elsewhere or its caller gets 503. The slot is counted free once, when the attempt ends. A refusal that comes whole in one read ends as before, at its end.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -233,6 +233,11 @@
       this.recordSignals(head);
       balancer.recordFull(target.incarnation);
     }
+    // Most refusals are complete by then, which leaves their connection free for the next request.
+    queueMicrotask(() => {
+      this.finishRefused();
+      this.handle?.drain();
+    });
   }
 
   /** Records what the backend server states about itself in the head of a response. */
@@ -282,6 +287,11 @@
       this.finish({kind: 'whole', reason: 'answered'});
       return;
     }
+    this.finishRefused();
+  }
+
+  /** Ends the attempt at the head of a refusal: its body changes nothing, and may not end. */
+  private finishRefused(): void {
     const status = this.head?.status ?? 0;
     const reason = `refused with status ${status}`;
     const isFull = this.head !== undefined && !this.head.isWrongIncarnation;
--- a/src/transport/exchange_events.ts
+++ b/src/transport/exchange_events.ts
@@ -1,13 +1,10 @@
-import {Dispatcher} from 'undici';
 import {ConnectionUse} from './connection_use';
+import {ExchangeControl} from './exchange_control';
 
 /** Callbacks for one request and its response on a connection. */
 export interface ExchangeEvents {
   /** Called before the first byte is written. */
-  readonly onStart: (
-    controller: Dispatcher.DispatchController,
-    use: ConnectionUse,
-  ) => void;
+  readonly onStart: (control: ExchangeControl, use: ConnectionUse) => void;
   /** Called with the head of the response, never with an interim one. */
   readonly onHead: (
     status: number,
--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -1,6 +1,7 @@
 /** HTTP client for many servers with keep-alive connections; it never retries a request. */
 import {Dispatcher} from 'undici';
 import {ConnectionUse} from './connection_use';
+import {ExchangeControl} from './exchange_control';
 import {OVERFLOW_CODE} from './overflow_code';
 import {ServerConnections} from './server_connections';
 import {TransportError} from './transport_error';
@@ -41,6 +42,8 @@
 /** Controls a request; `abort` closes its connection, so that the server notices. */
 interface HttpClientHandle {
   readonly abort: () => void;
+  /** Discards the rest of the response, and keeps its connection if the rest is short and ends soon. */
+  readonly drain: () => void;
   readonly pause: () => void;
   readonly resume: () => void;
 }
@@ -64,7 +67,7 @@
 
   /** Starts a request. */
   call(request: HttpClientRequest, events: HttpClientEvents): HttpClientHandle {
-    let controller: Dispatcher.DispatchController | undefined;
+    let control: ExchangeControl | undefined;
     let isAborted = false;
     let isSent = false;
     const abortReason = new Error('the request was aborted');
@@ -78,7 +81,7 @@
       },
       {
         onStart: (started, use) => {
-          controller = started;
+          control = started;
           if (isAborted) {
             started.abort(abortReason);
             return;
@@ -98,10 +101,11 @@
     return {
       abort: () => {
         isAborted = true;
-        controller?.abort(abortReason);
+        control?.abort(abortReason);
       },
-      pause: () => controller?.pause(),
-      resume: () => controller?.resume(),
+      drain: () => control?.drain(),
+      pause: () => control?.pause(),
+      resume: () => control?.resume(),
     };
   }
 
--- a/src/transport/server_connection.ts
+++ b/src/transport/server_connection.ts
@@ -6,6 +6,7 @@
 import {ExchangeEvents} from './exchange_events';
 import {FramingMeter} from './framing_meter';
 import {OVERFLOW_CODE} from './overflow_code';
+import {ResponseDrain} from './response_drain';
 import {TransportError} from './transport_error';
 
 /** Time for a new connection, after which the server counts as unreachable. */
@@ -88,16 +89,26 @@
     onFree: () => void,
   ): void {
     this.isRunning = true;
+    const drain = ResponseDrain.create(() =>
+      this.controller?.abort(new Error('the response is not needed')),
+    );
     const release = () => {
       this.isRunning = false;
       this.controller = undefined;
+      drain.end();
       onFree();
     };
     this.client.dispatch(options, {
       onRequestStart: controller => {
         this.controller = controller;
         this.startMeter();
-        events.onStart(controller, this.recordUse(id));
+        const control = {
+          abort: (reason: Error) => controller.abort(reason),
+          pause: () => controller.pause(),
+          resume: () => controller.resume(),
+          drain: () => drain.begin(),
+        };
+        events.onStart(control, this.recordUse(id));
       },
       onResponseStart: (_controller, status, headers) => {
         // The client reports each interim response like a head; the head follows.
@@ -108,6 +119,7 @@
       onResponseData: (_controller, chunk) => {
         this.meter?.recordBody(chunk.length);
         events.onData(chunk);
+        drain.recordBody(chunk.length);
       },
       onResponseEnd: () => {
         events.onEnd();
--- a/test/gateway/endless_responses.test.ts
+++ b/test/gateway/endless_responses.test.ts
@@ -1,6 +1,6 @@
 // Guards against requests that are held, and gateways that fill up, while a backend server sends bytes without end.
 import {describe, expect, test} from 'vitest';
-import {startFixture, writeRaw} from '../support/backend_scripts';
+import {encodeChunk, startFixture, writeRaw} from '../support/backend_scripts';
 import {EndlessResponse} from '../support/endless_response';
 import {FakeBackend} from '../support/fake_backend';
 import {waitUntil} from '../support/wait_until';
@@ -96,3 +96,100 @@
     expect(listCauses(fixture)).toEqual([]);
   },
 );
+
+const FULL = 'HTTP/1.1 503 Full\nrequest-id: REQUEST_ID\nnot-run: 1\n';
+
+// The outcome is known at the head; the request waited for the body until its deadline.
+describe.each([
+  ['a 503', FULL],
+  ['a 429', FULL.replace('503', '429')],
+  ['a 421', 'HTTP/1.1 421 Misdirected\nrequest-id: REQUEST_ID\n'],
+])('a refusal with %s', (_name, head) => {
+  describe.each([
+    [
+      'a chunked body without end',
+      `${head}transfer-encoding: chunked\n\n`,
+      encodeChunk('x'.repeat(1_000)),
+    ],
+    [
+      'chunk extensions without end',
+      `${head}transfer-encoding: chunked\n\n5;`,
+      'name=value;',
+    ],
+    ['a long body', `${head}content-length: 90000000000\n\n`, 'x'],
+    ['a body that ends with the connection', `${head}\n`, 'x'],
+  ])('and %s', (_body, start, piece) => {
+    test('lets an unsafe request run elsewhere', async () => {
+      const endless = EndlessResponse.create({start, piece});
+      const {fixture} = await startFixture([endless.handle, answerOk], {
+        kind: 'unsafe',
+      });
+      const received = await fixture.send({}, 'order');
+      expect(received).toMatchObject({status: 200, body: 'ok'});
+      await waitUntil('the connection closes', () => endless.isClosed);
+      expect(fixture.balancer.countRunning('i0')).toBe(0);
+    });
+
+    test('is a promise to its caller', async () => {
+      const endless = EndlessResponse.create({start, piece});
+      const {fixture} = await startFixture([endless.handle], {kind: 'unsafe'});
+      const received = await fixture.send({}, 'order');
+      expect(received.status).toBe(503);
+      await waitUntil('the connection closes', () => endless.isClosed);
+    });
+  });
+
+  test('and a body that never comes closes its connection', async () => {
+    const start = `${head}content-length: 5\n\n`;
+    const sockets: Array<Parameters<Handler>[0]['socket']> = [];
+    const {fixture, backends} = await startFixture(
+      [
+        arrived => {
+          sockets.push(arrived.socket);
+          writeRaw(start.replace('REQUEST_ID', 'q'))(arrived);
+        },
+        answerOk,
+      ],
+      {kind: 'unsafe'},
+    );
+    const received = await fixture.send({}, 'order');
+    expect(received).toMatchObject({status: 200, body: 'ok'});
+    await waitUntil('the connection closes', () => sockets[0].destroyed);
+    expect(backends[0].openConnectionCount).toBe(0);
+  });
+
+  test('and a short body that comes later keeps its connection, which is busy until then', async () => {
+    const refused: Array<Parameters<Handler>[0]> = [];
+    const {fixture, backends} = await startFixture(
+      [
+        arrived => {
+          if (arrived.headers.get('request-id') === 'q') {
+            refused.push(arrived);
+            const text = `${head}content-length: 5\n\n`;
+            writeRaw(text.replace('REQUEST_ID', 'q'))(arrived);
+          } else {
+            answerOk(arrived);
+          }
+        },
+        arrived => {
+          // The attempt at the other one has ended; its slot is free, and its connection is not.
+          counts.push(fixture.balancer.countRunning('i0'));
+          answerOk(arrived);
+          refused[0].socket.write('later');
+        },
+      ],
+      {kind: 'unsafe'},
+    );
+    const counts: number[] = [];
+    await fixture.send({}, 'order');
+    expect(counts).toEqual([0]);
+    expect(fixture.balancer.countRunning('i0')).toBe(0);
+    fixture.balancer.setTargets(new Map(fixture.targets.slice(0, 1)));
+    await waitUntil('i0 takes requests again', async () => {
+      const id = `next-${backends[0].requests.length}`;
+      return (await fixture.send({'request-id': id}, 'order')).status === 200;
+    });
+    const sockets = new Set(backends[0].requests.map(({socket}) => socket));
+    expect(sockets.size).toBe(1);
+  });
+});
