fix(gateway): a plain body is held in blocks, and ended as soon as it is too long

Callers could see: a body without end, sent in chunks of single bytes, was held until the deadline of its request and answered 504. A response with a `content-length` beyond the 8 MiB that can be held was read up to the limit first; if its body came slowly, that too lasted until the deadline. None of the bodies that were cut off was logged.

Cause: each piece of a body was held as an object of its own, which keeps the read that it came in alive, and only bytes were limited: 8 MiB of single bytes are eight million objects.

A length that is too long ends the attempt at the head. A complete body is written to its caller block by block, so that it is not held twice. What an attempt left is dropped when the attempt ends, not when the next one is sent. The cause of all of these is `oversized-body`.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -9,6 +9,7 @@
 import {GatewayRequest} from './gateway_request';
 import {HttpDialect} from './http_dialect';
 import {ResponseHead} from './response_head';
+import {canHoldBody} from './responses/can_hold_body';
 import {findRejectionCause} from './responses/find_rejection_cause';
 import {RejectionCause} from './responses/rejection_cause';
 import {ResponseLog} from './responses/response_log';
@@ -174,7 +175,10 @@
       {
         onSent: use => this.handleSent(use),
         onHead: (status, raw) =>
-          this.handleHead(dialect.readResponseHead(status, raw)),
+          this.handleHead(
+            dialect.readResponseHead(status, raw),
+            Number(raw['content-length'] ?? 0),
+          ),
         onData: chunk => this.handleData(chunk),
         onEnd: () => this.handleEnd(),
         onError: error => this.handleError(error),
@@ -204,7 +208,7 @@
     return true;
   }
 
-  private handleHead(head: ResponseHead): void {
+  private handleHead(head: ResponseHead, announcedBytes: number): void {
     if (this.isEnded) {
       return;
     }
@@ -215,11 +219,14 @@
       return;
     }
     this.head = head;
-    if (this.hasResult) {
+    const {method} = this.options.request;
+    if (!this.hasResult) {
+      this.handleRefusal(head);
+    } else if (!canHoldBody(head, method, announcedBytes)) {
+      this.reject('oversized-body');
+    } else {
       this.recordSignals(head);
       this.options.onHead(head);
-    } else {
-      this.handleRefusal(head);
     }
   }
 
--- a/src/gateway/proxied_request.ts
+++ b/src/gateway/proxied_request.ts
@@ -215,9 +215,9 @@
 
   private handleData(chunk: Buffer): void {
     this.trial.recordResponseStart();
-    const mismatch = this.isDone ? undefined : this.relay.acceptData(chunk);
-    if (mismatch) {
-      this.sender.attempt?.stop(mismatch);
+    const cause = this.isDone ? undefined : this.relay.acceptData(chunk);
+    if (cause) {
+      this.sender.attempt?.reject(cause);
     }
   }
 
@@ -235,6 +235,9 @@
   private handleEnd(end: AttemptOutcome): void {
     const {attempt} = this.sender;
     this.sender.attempt = undefined;
+    if (end.kind !== 'whole') {
+      this.relay.reset();
+    }
     this.trial.end();
     this.wait.recordSlotFreed(end, this.history.eventsOfOneAttempt);
     const hasRun = end.kind !== 'not-run';
@@ -356,6 +359,7 @@
 
   private markDone(): void {
     this.isDone = true;
+    this.relay.reset();
     this.retryWait.end();
     this.policy.cancelGrant();
     this.wait.end();
--- a/src/gateway/responses/rejection_cause.ts
+++ b/src/gateway/responses/rejection_cause.ts
@@ -3,11 +3,13 @@
  * the id of another request. `unidentified`: it carries no id. `unsealed`: the
  * backend server does not vouch for a success. `oversized-head`: the bytes before
  * the end of its head exceed their limit. `oversized-framing`: the chunk framing or
- * the trailers do.
+ * the trailers do. `oversized-body`: it is no stream, and its body is longer than
+ * what is held for a request.
  */
 export type RejectionCause =
   | 'foreign'
   | 'unidentified'
   | 'unsealed'
   | 'oversized-head'
-  | 'oversized-framing';
+  | 'oversized-framing'
+  | 'oversized-body';
--- a/src/gateway/responses/response_relay.ts
+++ b/src/gateway/responses/response_relay.ts
@@ -1,6 +1,8 @@
 /** Forwards response bodies to the caller: streams event by event, everything else once it is complete. */
-import {BufferedBody} from './buffered_body';
 import {EventStreamSplitter} from './event_stream_splitter';
+import {MAX_HELD_BYTES} from './max_held_bytes';
+import {RejectionCause} from './rejection_cause';
+import {ResponseBuffer} from './response_buffer';
 import {ResponseHead} from '../response_head';
 import {ResponseWriter} from './response_writer';
 
@@ -16,7 +18,7 @@
 export class ResponseRelay {
   private callerHead: ResponseHead | undefined;
   private splitter = EventStreamSplitter.create();
-  private buffered = BufferedBody.create();
+  private readonly buffered = ResponseBuffer.create(MAX_HELD_BYTES);
   private lastForwardedId: string | undefined;
 
   private constructor(private readonly options: ResponseRelayOptions) {
@@ -48,10 +50,10 @@
     return this.splitter.pendingBytes > 0;
   }
 
-  /** Discards what the last attempt left incomplete, before the next one. */
+  /** Discards what an attempt left incomplete. */
   reset(): void {
     this.splitter = EventStreamSplitter.create();
-    this.buffered = BufferedBody.create();
+    this.buffered.clear();
   }
 
   /** Accepts the head of an attempt; returns a reason when it cannot continue what the caller has received. */
@@ -67,17 +69,15 @@
     return undefined;
   }
 
-  /** Accepts part of a body; returns a reason when it cannot be forwarded. */
-  acceptData(chunk: Buffer): string | undefined {
+  /** Accepts part of a body; returns the cause if it cannot be forwarded. */
+  acceptData(chunk: Buffer): RejectionCause | undefined {
     if (this.callerHead?.isEventStream) {
       this.splitter
         .split(chunk)
         .forEach(event => this.forwardEvent(event.bytes, event.id));
       return undefined;
     }
-    return this.buffered.add(chunk)
-      ? undefined
-      : 'the answer is too large to hold';
+    return this.buffered.add(chunk) ? undefined : 'oversized-body';
   }
 
   /** Ends a complete stream. */
@@ -91,7 +91,7 @@
 
   /** Sends a response that was buffered until it was complete. */
   sendBuffered(head: ResponseHead): void {
-    this.options.response.sendComplete(head, this.buffered.copyBytes());
+    this.options.response.sendComplete(head, this.buffered.takeBlocks());
   }
 
   private forwardEvent(bytes: Buffer, id: string | undefined): void {
--- a/src/gateway/responses/response_writer.ts
+++ b/src/gateway/responses/response_writer.ts
@@ -86,14 +86,21 @@
     this.response.end();
   }
 
-  /** Sends a complete response of a backend server. */
-  sendComplete(head: ResponseHead, body: Buffer): void {
+  /**
+   * Sends a complete response of a backend server.
+   *
+   * @param blocks the body, in parts so that nothing holds it twice
+   */
+  sendComplete(head: ResponseHead, blocks: readonly Buffer[]): void {
     this.prepareConnection();
     this.avoidChunkedEncoding(head);
-    const length = {'content-length': String(body.length)};
+    const bytes = blocks.reduce((sum, {length}) => sum + length, 0);
+    const length = {'content-length': String(bytes)};
     const added = head.isFramed ? length : {};
+    this.response.cork();
     this.response.writeHead(head.status, {...head.headers, ...added});
-    this.response.end(body);
+    blocks.forEach(block => this.response.write(block));
+    this.response.end();
   }
 
   /** Sends an error of the gateway, unless a response was begun or the caller has disconnected. */
--- a/test/gateway/endless_responses.test.ts
+++ b/test/gateway/endless_responses.test.ts
@@ -10,6 +10,7 @@
 
 const MARKS = 'request-id: REQUEST_ID\nseal: s\n';
 const CHUNKED = `HTTP/1.1 200 OK\n${MARKS}transfer-encoding: chunked\n\n`;
+const CHUNK = encodeChunk('x'.repeat(1_000));
 
 /** Answers with the id of the request. */
 const answerOk: Handler = arrived =>
@@ -49,6 +50,25 @@
     'x'.repeat(100),
     'oversized-framing',
   ],
+  ['a chunked body', CHUNKED, CHUNK, 'oversized-body'],
+  [
+    'a chunked body of single bytes',
+    CHUNKED,
+    encodeChunk('x'),
+    'oversized-body',
+  ],
+  [
+    'a body that ends with the connection',
+    `HTTP/1.1 200 OK\n${MARKS}\n`,
+    'x'.repeat(1_000),
+    'oversized-body',
+  ],
+  [
+    'a body of an announced length that is too large',
+    `HTTP/1.1 200 OK\n${MARKS}content-length: 90000000000\n\n`,
+    'x'.repeat(1_000),
+    'oversized-body',
+  ],
 ])('%s without end', (_name, start, piece, cause) => {
   test('is cut off, and another backend server answers a safe request', async () => {
     const endless = EndlessResponse.create({start, piece});
@@ -97,6 +117,39 @@
   },
 );
 
+// It was read up to the limit first.
+test('a body that is announced as too long is not waited for', async () => {
+  const sockets: Array<Parameters<Handler>[0]['socket']> = [];
+  const {fixture} = await startFixture([
+    arrived => {
+      sockets.push(arrived.socket);
+      const length = 8 * 1024 * 1024 + 1;
+      writeRaw(
+        `HTTP/1.1 200 OK\n${MARKS}content-length: ${length}\n\nx`.replace(
+          'REQUEST_ID',
+          'q',
+        ),
+      )(arrived);
+    },
+    answerOk,
+  ]);
+  expect(await fixture.send()).toMatchObject({status: 200, body: 'ok'});
+  await waitUntil('the connection closes', () => sockets[0].destroyed);
+  expect(listCauses(fixture)).toEqual(['oversized-body']);
+});
+
+test('the longest body that can be held arrives unchanged', async () => {
+  const body = 'abcdefgh'.repeat(1024 * 1024);
+  const {fixture} = await startFixture([
+    writeRaw(
+      `HTTP/1.1 200 OK\nrequest-id: q\nseal: s\ncontent-length: ${body.length}\n\n${body}`,
+    ),
+  ]);
+  const received = await fixture.send();
+  expect(received.status).toBe(200);
+  expect(received.body === body).toBe(true);
+});
+
 const FULL = 'HTTP/1.1 503 Full\nrequest-id: REQUEST_ID\nnot-run: 1\n';
 
 // The outcome is known at the head; the request waited for the body until its deadline.
