--- a/src/gateway/responses/response_log.ts
+++ b/src/gateway/responses/response_log.ts
@@ -22,6 +22,9 @@
   unidentified: 'the answer names no request',
   unsealed: 'the backend server does not vouch for its answer',
   unmarked: 'the backend server does not state that the request was not run',
+  'oversized-head': 'the head of the answer is too long',
+  'oversized-framing': 'the answer has too many bytes besides its body',
+  'oversized-body': 'the answer is too large to hold',
 };
 
 /** Records at most one line a second for each backend server and kind of response. */
