fix(transport): close ends every connection of a server

A request that fails drops its connection from the list while the list is read, so every second connection that was being opened stayed, and its request was sent after close had returned.

Found by review; 'close leaves no request that is sent afterwards' failed before: three of six requests arrived. retire and close are verbs of the list.

--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -114,7 +114,7 @@
     for (const [address, pool] of this.pools) {
       if (!addresses.has(address)) {
         this.pools.delete(address);
-        pool.close();
+        pool.retire();
       }
     }
   }
@@ -123,7 +123,7 @@
   async close(): Promise<void> {
     const pools = [...this.pools.values()];
     this.pools.clear();
-    await Promise.all(pools.map(pool => pool.destroy()));
+    await Promise.all(pools.map(pool => pool.close()));
   }
 
   private findPool({
@@ -135,7 +135,7 @@
       return known;
     }
     // The limit of a pool is fixed; the old one closes once its requests have ended.
-    known?.close();
+    known?.retire();
     const pool = ServerConnections.create(address, maxConnections);
     this.pools.set(address, pool);
     return pool;
--- a/src/transport/server_connection.ts
+++ b/src/transport/server_connection.ts
@@ -133,12 +133,12 @@
   }
 
   /** Closes the connection once its request has ended. */
-  close(): void {
+  retire(): void {
     this.client.close().catch(() => undefined);
   }
 
   /** Closes the connection at once. */
-  async destroy(): Promise<void> {
+  async close(): Promise<void> {
     await this.client.destroy();
   }
 
--- a/src/transport/server_connections.ts
+++ b/src/transport/server_connections.ts
@@ -48,19 +48,21 @@
   }
 
   /** Closes the connections once all requests have ended. */
-  close(): void {
+  retire(): void {
     this.isClosing = true;
     this.closeIdle();
   }
 
   /** Closes all connections at once. */
-  async destroy(): Promise<void> {
+  async close(): Promise<void> {
     this.isClosing = true;
     const error = new Error('the client is closed');
     for (const {events} of this.waiting.splice(0)) {
       events.onError(error);
     }
-    await Promise.all(this.connections.map(each => each.destroy()));
+    // A request that fails drops its connection from the list.
+    const open = this.connections.splice(0);
+    await Promise.all(open.map(each => each.close()));
   }
 
   private dispatchWaiting(): void {
@@ -107,7 +109,7 @@
     if (at >= 0) {
       this.connections.splice(at, 1);
     }
-    connection.close();
+    connection.retire();
   }
 
   private closeIdle(): void {
--- /dev/null
+++ b/test/transport/closing_connections.test.ts
@@ -0,0 +1,75 @@
+// Guards against requests and connections that a server gets after nobody needs them any more.
+import * as net from 'node:net';
+import {afterEach, expect, test} from 'vitest';
+import {HttpClientPool} from '../../src/transport/http_client_pool';
+import {waitUntil} from '../support/wait_until';
+
+const closers: Array<() => unknown> = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) {
+    await close();
+  }
+});
+
+type OnBytes = (socket: net.Socket, text: string) => void;
+
+/** Starts a server that hands on the bytes that it receives, and a client for it. */
+async function start(onBytes: OnBytes) {
+  const opened: net.Socket[] = [];
+  const server = net.createServer(socket => {
+    opened.push(socket);
+    socket.on('error', () => undefined);
+    socket.on('data', chunk => onBytes(socket, chunk.toString('latin1')));
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const client = HttpClientPool.create();
+  closers.push(
+    () => server.close(),
+    () => opened.forEach(socket => socket.destroy()),
+    () => client.close(),
+  );
+  const {port} = server.address() as net.AddressInfo;
+  const send = (id: string, maxConnections: number, body?: Buffer) => {
+    let end: string | undefined;
+    const handle = client.call(
+      {
+        id,
+        address: `127.0.0.1:${port}`,
+        method: 'POST',
+        path: `/${id}`,
+        headers: [],
+        body: body ?? null,
+        maxConnections,
+      },
+      {
+        onSent: () => true,
+        onHead: () => undefined,
+        onData: () => undefined,
+        onEnd: () => (end = 'whole'),
+        onError: ({name}) => (end = name),
+      },
+    );
+    return {
+      abort: handle.abort,
+      get end() {
+        return end;
+      },
+    };
+  };
+  return {opened, client, send, server};
+}
+
+const OK = 'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n';
+
+// A connection that fails at once leaves the list while the list is read, so every second one is left out.
+test('close leaves no request that is sent afterwards', async () => {
+  let received = '';
+  const {client, send} = await start((_socket, text) => (received += text));
+  for (let count = 0; count < 6; count += 1) {
+    send(`q${count}`, 8);
+  }
+  await client.close();
+  await new Promise(resolve => setTimeout(resolve, 100));
+  expect(received).toBe('');
+});
