fix(transport): a connection with an unsent request is not reused

A backend server may answer before it has read a long request, and read on later or never. The next request was queued behind the rest of the first one, where no time-out of the transport covers it: an unsafe one got 504.

undici closes the connection only if the body is a stream; ours are buffers. Such a connection is closed now.

--- a/src/transport/server_connection.ts
+++ b/src/transport/server_connection.ts
@@ -123,6 +123,7 @@
       },
       onResponseEnd: () => {
         events.onEnd();
+        this.closeIfUnsent();
         release();
       },
       onResponseError: (_controller, error) => {
@@ -142,6 +143,13 @@
     await this.client.destroy();
   }
 
+  /** Closes the connection if the server answered before the request was sent: the next one would wait behind its rest. */
+  private closeIfUnsent(): void {
+    if (this.socket && this.socket.writableLength > 0) {
+      this.socket.destroy();
+    }
+  }
+
   private createConnector(): buildConnector.connector {
     const connect = createConnector(CONNECT_TIMEOUT_MS);
     return (options, callback) => {
--- a/test/transport/closing_connections.test.ts
+++ b/test/transport/closing_connections.test.ts
@@ -73,3 +73,23 @@
   await new Promise(resolve => setTimeout(resolve, 100));
   expect(received).toBe('');
 });
+
+// The next request was queued behind bytes that the server does not read.
+test('a response before the whole request was sent ends its connection', async () => {
+  const {opened, send} = await start((socket, text) => {
+    socket.write(OK);
+    if (text.includes('/long')) {
+      socket.pause();
+    }
+  });
+  const long = send('long', 1, Buffer.alloc(20_000_000));
+  await waitUntil('answer', () => long.end !== undefined);
+  const next = send('next', 1);
+  await waitUntil('answer', () => next.end !== undefined, 1_000).catch(
+    () => undefined,
+  );
+  expect({next: next.end, connections: opened.length}).toEqual({
+    next: 'whole',
+    connections: 2,
+  });
+});
