fix(transport): a request that is aborted while it waits gives up its place

It stayed in line for a connection with its body, and each one whose turn came opened or closed a connection before the next live request.

An abort takes the waiting request out of the line.

--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -71,7 +71,7 @@
     let isAborted = false;
     let isSent = false;
     const abortReason = new Error('the request was aborted');
-    this.findPool(request).dispatch(
+    const withdraw = this.findPool(request).dispatch(
       request.id,
       {
         method: request.method as Dispatcher.HttpMethod,
@@ -101,7 +101,11 @@
     return {
       abort: () => {
         isAborted = true;
-        control?.abort(abortReason);
+        if (control) {
+          control.abort(abortReason);
+        } else {
+          withdraw(abortReason);
+        }
       },
       drain: () => control?.drain(),
       pause: () => control?.pause(),
--- a/src/transport/server_connections.ts
+++ b/src/transport/server_connections.ts
@@ -37,14 +37,18 @@
   /**
    * Sends a request on a free connection, or as soon as one is free. No
    * connection carries two requests with the same id.
+   *
+   * @returns a function that withdraws the request while it waits
    */
   dispatch(
     id: string,
     options: Dispatcher.DispatchOptions,
     events: ExchangeEvents,
-  ): void {
-    this.waiting.push({id, options, events});
+  ): (reason: Error) => void {
+    const request = {id, options, events};
+    this.waiting.push(request);
     this.dispatchWaiting();
+    return reason => this.withdraw(request, reason);
   }
 
   /** Closes the connections once all requests have ended. */
@@ -65,6 +69,15 @@
     await Promise.all(open.map(each => each.close()));
   }
 
+  private withdraw(request: WaitingRequest, reason: Error): void {
+    const at = this.waiting.indexOf(request);
+    if (at >= 0) {
+      this.waiting.splice(at, 1);
+      request.events.onError(reason);
+      this.closeIdle();
+    }
+  }
+
   private dispatchWaiting(): void {
     while (this.waiting.length > 0) {
       const [{id, options, events}] = this.waiting;
--- a/test/transport/closing_connections.test.ts
+++ b/test/transport/closing_connections.test.ts
@@ -74,6 +74,25 @@
   expect(received).toBe('');
 });
 
+// Each one opened or closed a connection once its turn came, before the next live request.
+test('requests that are aborted while they wait cost no connection', async () => {
+  const {opened, send} = await start((socket, text) => {
+    if (!text.includes('/first')) {
+      socket.write(OK);
+    }
+  });
+  const first = send('first', 1);
+  await waitUntil('connection', () => opened.length === 1);
+  for (let count = 0; count < 20; count += 1) {
+    send(`q${count}`, 1).abort();
+  }
+  const live = send('live', 1);
+  opened[0].write(OK);
+  await waitUntil('answers', () => live.end !== undefined);
+  expect([first.end, live.end]).toEqual(['whole', 'whole']);
+  expect(opened.length).toBeLessThanOrEqual(2);
+});
+
 // The next request was queued behind bytes that the server does not read.
 test('a response before the whole request was sent ends its connection', async () => {
   const {opened, send} = await start((socket, text) => {
