fix(transport): an open connection is preferred to one that must be opened again

The first free connection in the list was taken, also if it was closed while another one was open. If connecting again failed, the request did not reach a server that it could reach, and the server counted as unreachable.

--- a/src/transport/server_connections.ts
+++ b/src/transport/server_connections.ts
@@ -94,9 +94,9 @@
   /** Finds a free connection that has not carried the id, or opens one; an unusable free one gives its place. */
   private findFree(id: string): ServerConnection | undefined {
     const free = this.connections.filter(({isBusy}) => !isBusy);
-    const usable = free.find(connection => !connection.hasCarried(id));
-    if (usable) {
-      return usable;
+    const usable = free.filter(connection => !connection.hasCarried(id));
+    if (usable.length > 0) {
+      return usable.find(({isOpen}) => isOpen) ?? usable[0];
     }
     if (this.connections.length >= this.limit) {
       if (free.length === 0) {
--- a/test/transport/closing_connections.test.ts
+++ b/test/transport/closing_connections.test.ts
@@ -112,3 +112,18 @@
     connections: 2,
   });
 });
+
+// A closed connection was taken because it came first, and connecting again failed.
+test('an open connection is preferred to one that has to be opened again', async () => {
+  const {opened, send, server} = await start(socket =>
+    setTimeout(() => socket.write(OK), 10),
+  );
+  const early = [send('a', 2), send('b', 2)];
+  await waitUntil('answers', () => early.every(({end}) => end === 'whole'));
+  opened[0].destroy();
+  server.close();
+  await new Promise(resolve => setTimeout(resolve, 50));
+  const next = send('c', 2);
+  await waitUntil('answer', () => next.end !== undefined);
+  expect(next.end).toBe('whole');
+});
