fix(gateway): one event of a stream is limited, and split in linear time

Callers could see: a stream that was held until its deadline in an event without end and then cut, though it could have been resumed elsewhere. Callers of other requests could see late answers, as the gateway joined and searched all that had arrived of the event with each chunk, and held it without a limit.

The splitter now searches each chunk once, copies what is incomplete into a response buffer, and joins an event once, when it is complete. An event may have 4 MiB, half of what a request may hold, because joining holds it twice. The id is looked for in the bytes, in place of a text of the whole event. Beyond the limit the events before it are forwarded, the attempt ends as `oversized-event`, and the stream is resumed where its route allows that.

Before: in test/gateway/event_stream_splitter, splitting an event of 128 KiB in 8 chunks took work on 1,425,410 bytes, where 525,312 are allowed. In test/gateway/endless_responses, all five new cases were held for 3.0 s of 3 s and ended with 504 or, for the resumable stream, cut after its second event. A property test compares the places of the cuts with those of a plain text split.

--- a/src/gateway/responses/event_stream_splitter.ts
+++ b/src/gateway/responses/event_stream_splitter.ts
@@ -1,7 +1,14 @@
 /** Splits a stream of server-sent events at event boundaries. */
+import {MAX_HELD_BYTES} from './max_held_bytes';
+import {ResponseBuffer} from './response_buffer';
 
 const BOUNDARY = Buffer.from('\n\n');
-const ID_LINE = /^id:[ ]?(\S+)/m;
+const [LINE_END] = BOUNDARY;
+const ID_FIELD = Buffer.from('id:');
+const NEXT_ID_FIELD = Buffer.from('\nid:');
+const ID_LINE = /^id:[ ]?(\S+)/;
+/** Half of what a request may hold, because an event that came in pieces is joined before it is forwarded. */
+const MAX_EVENT_BYTES = MAX_HELD_BYTES / 2;
 
 /** One complete event. */
 interface StreamEvent {
@@ -12,7 +19,8 @@
 
 /** Yields complete events only, so that a broken connection never forwards part of one. */
 export class EventStreamSplitter {
-  private pending: Buffer = Buffer.alloc(0);
+  private readonly pending = ResponseBuffer.create(MAX_EVENT_BYTES);
+  private hasOversized = false;
 
   private constructor() {}
 
@@ -32,24 +40,73 @@
     return this.pending.length;
   }
 
-  /** Adds a chunk; returns the events that it completes. */
+  /** True once an event was too long to be held; the stream cannot be continued. */
+  get isOversized(): boolean {
+    return this.hasOversized;
+  }
+
+  /**
+   * Adds a chunk; returns the events that it completes. Each byte is searched and
+   * copied once, however many chunks an event takes.
+   */
   split(chunk: Buffer): StreamEvent[] {
-    const bytes =
-      this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
     const events: StreamEvent[] = [];
     let start = 0;
-    for (;;) {
-      const at = bytes.indexOf(BOUNDARY, start);
-      if (at < 0) {
+    while (!this.hasOversized && start < chunk.length) {
+      const end = this.findEnd(chunk, start);
+      const part = chunk.subarray(start, end);
+      if (end === undefined) {
+        this.addPending(part);
         break;
       }
-      const end = at + BOUNDARY.length;
-      const event = bytes.subarray(start, end);
-      const id = ID_LINE.exec(event.toString('latin1'))?.[1];
-      events.push({bytes: event, id});
+      if (this.pending.length === 0) {
+        events.push(createEvent(part));
+      } else if (this.addPending(part)) {
+        events.push(createEvent(Buffer.concat(this.pending.takeBlocks())));
+      }
       start = end;
     }
-    this.pending = bytes.subarray(start);
     return events;
   }
+
+  /** Finds the end of the event that continues at `start`; its boundary may begin in what is pending. */
+  private findEnd(chunk: Buffer, start: number): number | undefined {
+    if (this.pending.lastByte === LINE_END && chunk[start] === LINE_END) {
+      return start + 1;
+    }
+    const at = chunk.indexOf(BOUNDARY, start);
+    return at < 0 ? undefined : at + BOUNDARY.length;
+  }
+
+  private addPending(part: Buffer): boolean {
+    const isHeld = this.pending.add(part);
+    this.hasOversized ||= !isHeld;
+    return isHeld;
+  }
+}
+
+function createEvent(bytes: Buffer): StreamEvent {
+  return {bytes, id: findId(bytes)};
+}
+
+/** Finds the first id, and decodes only the lines that may have one. */
+function findId(bytes: Buffer): string | undefined {
+  let start = bytes.subarray(0, ID_FIELD.length).equals(ID_FIELD)
+    ? 0
+    : findIdLine(bytes, 0);
+  while (start > -1) {
+    const end = bytes.indexOf(LINE_END, start);
+    const id = ID_LINE.exec(bytes.toString('latin1', start, end))?.[1];
+    if (id !== undefined) {
+      return id;
+    }
+    start = findIdLine(bytes, end);
+  }
+  return undefined;
+}
+
+/** Finds the next line with an id field that begins after a line end at or after `from`; -1 if there is none. */
+function findIdLine(bytes: Buffer, from: number): number {
+  const at = bytes.indexOf(NEXT_ID_FIELD, from);
+  return at < 0 ? -1 : at + 1;
 }
--- a/src/gateway/responses/rejection_cause.ts
+++ b/src/gateway/responses/rejection_cause.ts
@@ -4,7 +4,7 @@
  * backend server does not vouch for a success. `oversized-head`: the bytes before
  * the end of its head exceed their limit. `oversized-framing`: the chunk framing or
  * the trailers do. `oversized-body`: it is no stream, and its body is longer than
- * what is held for a request.
+ * what is held for a request. `oversized-event`: one event of a stream is.
  */
 export type RejectionCause =
   | 'foreign'
@@ -12,4 +12,5 @@
   | 'unsealed'
   | 'oversized-head'
   | 'oversized-framing'
-  | 'oversized-body';
+  | 'oversized-body'
+  | 'oversized-event';
--- a/src/gateway/responses/response_log.ts
+++ b/src/gateway/responses/response_log.ts
@@ -24,6 +24,7 @@
   'oversized-head': 'the head of the answer is too long',
   'oversized-framing': 'the answer has too many bytes besides its body',
   'oversized-body': 'the answer is too large to hold',
+  'oversized-event': 'an event of the stream is too large to hold',
 };
 
 /** Records at most one line a second for each backend server and kind of response. */
--- a/src/gateway/responses/response_relay.ts
+++ b/src/gateway/responses/response_relay.ts
@@ -75,7 +75,7 @@
       this.splitter
         .split(chunk)
         .forEach(event => this.forwardEvent(event.bytes, event.id));
-      return undefined;
+      return this.splitter.isOversized ? 'oversized-event' : undefined;
     }
     return this.buffered.add(chunk) ? undefined : 'oversized-body';
   }
--- a/test/gateway/endless_responses.test.ts
+++ b/test/gateway/endless_responses.test.ts
@@ -1,6 +1,13 @@
 // Guards against requests that are held, and gateways that fill up, while a backend server sends bytes without end.
 import {describe, expect, test} from 'vitest';
-import {encodeChunk, startFixture, writeRaw} from '../support/backend_scripts';
+import {
+  STREAM_HEAD,
+  encodeChunk,
+  encodeEvents,
+  sendStream,
+  startFixture,
+  writeRaw,
+} from '../support/backend_scripts';
 import {EndlessResponse} from '../support/endless_response';
 import {FakeBackend} from '../support/fake_backend';
 import {waitUntil} from '../support/wait_until';
@@ -10,6 +17,7 @@
 
 const MARKS = 'request-id: REQUEST_ID\nseal: s\n';
 const CHUNKED = `HTTP/1.1 200 OK\n${MARKS}transfer-encoding: chunked\n\n`;
+const STREAM = CHUNKED.replace('\n\n', '\ncontent-type: text/event-stream\n\n');
 const CHUNK = encodeChunk('x'.repeat(1_000));
 
 /** Answers with the id of the request. */
@@ -69,6 +77,13 @@
     'x'.repeat(1_000),
     'oversized-body',
   ],
+  ['one event of a stream', STREAM, CHUNK, 'oversized-event'],
+  [
+    'one event of a stream in single bytes',
+    STREAM,
+    encodeChunk('x'),
+    'oversized-event',
+  ],
 ])('%s without end', (_name, start, piece, cause) => {
   test('is cut off, and another backend server answers a safe request', async () => {
     const endless = EndlessResponse.create({start, piece});
@@ -150,6 +165,27 @@
   expect(received.body === body).toBe(true);
 });
 
+// The stream paused until its deadline, or until it counted as stalled.
+test('a stream with an event without end is resumed elsewhere after the events before it', async () => {
+  const endless = EndlessResponse.create({start: '', piece: CHUNK});
+  const {fixture, backends} = await startFixture(
+    [
+      arrived => {
+        writeRaw(STREAM_HEAD)(arrived);
+        arrived.socket.write(encodeChunk(encodeEvents(1, 2)));
+        endless.handle(arrived);
+      },
+      sendStream('second', [3], 'whole'),
+    ],
+    {kind: 'stream', isResumable: true},
+  );
+  const received = await fixture.send();
+  expect(received).toMatchObject({isWhole: true, body: encodeEvents(1, 2, 3)});
+  expect(backends[1].requests[0].headers.get('last-event-id')).toBe('2');
+  await waitUntil('the connection closes', () => endless.isClosed);
+  expect(listCauses(fixture)).toEqual(['oversized-event']);
+});
+
 const FULL = 'HTTP/1.1 503 Full\nrequest-id: REQUEST_ID\nnot-run: 1\n';
 
 // The outcome is known at the head; the request waited for the body until its deadline.
--- /dev/null
+++ b/test/gateway/event_stream_splitter.test.ts
@@ -0,0 +1,98 @@
+// Guards against events that are split wrongly, and against work that grows faster than the bytes of an event.
+import * as fc from 'fast-check';
+import {afterEach, describe, expect, test, vi} from 'vitest';
+import {EventStreamSplitter} from '../../src/gateway/responses/event_stream_splitter';
+
+afterEach(() => {
+  vi.restoreAllMocks();
+});
+
+describe('an event that arrives in many chunks', () => {
+  const CHUNK = Buffer.alloc(16 * 1024, 'x');
+
+  /** Counts the bytes that are copied, joined and searched while an event of so many chunks is split. */
+  function countWork(chunks: number): number {
+    const splitter = EventStreamSplitter.create();
+    let work = 0;
+    const {concat} = Buffer;
+    const {copy, indexOf} = Buffer.prototype;
+    vi.spyOn(Buffer, 'concat').mockImplementation(list => {
+      const joined = concat(list);
+      work += joined.length;
+      return joined;
+    });
+    vi.spyOn(Buffer.prototype, 'copy').mockImplementation(function (
+      this: Buffer,
+      ...given
+    ) {
+      const count = copy.apply(this, given);
+      work += count;
+      return count;
+    });
+    vi.spyOn(Buffer.prototype, 'indexOf').mockImplementation(function (
+      this: Buffer,
+      ...given: unknown[]
+    ) {
+      const at = indexOf.apply(this, given as [Buffer, number]);
+      const end = at < 0 ? this.length : at;
+      work += end - ((given[1] as number | undefined) ?? 0);
+      return at;
+    });
+    for (let at = 0; at < chunks; at += 1) {
+      expect(splitter.split(CHUNK)).toEqual([]);
+    }
+    expect(splitter.split(Buffer.from('\n\n'))).toHaveLength(1);
+    vi.restoreAllMocks();
+    return work;
+  }
+
+  // All that had arrived was joined and searched again with each chunk.
+  test('takes work in proportion to its bytes', () => {
+    for (const chunks of [8, 128]) {
+      // Searched for its end, copied, joined, and searched for its id.
+      const bound = 4 * chunks * CHUNK.length + 1024;
+      expect(countWork(chunks)).toBeLessThanOrEqual(bound);
+    }
+  });
+});
+
+test('an event beyond the limit ends the stream, and the events before it count', () => {
+  const splitter = EventStreamSplitter.create();
+  const chunk = Buffer.alloc(1024 * 1024, 'x');
+  const first = Buffer.concat([Buffer.from('id: 1\n\n'), chunk]);
+  expect(splitter.split(first).map(({id}) => id)).toEqual(['1']);
+  for (let at = 0; at < 3; at += 1) {
+    expect(splitter.split(chunk)).toEqual([]);
+    expect(splitter.isOversized).toBe(false);
+  }
+  expect(splitter.split(Buffer.from('x\n\nid: 2\n\n'))).toEqual([]);
+  expect(splitter.isOversized).toBe(true);
+});
+
+test('streams are split at the same places, however their bytes arrive', () => {
+  const text = fc
+    .array(fc.constantFrom('\n', 'id:', 'id: ', ' ', 'x', '7', 'data: ', 'é'))
+    .map(parts => parts.join(''));
+  const cuts = fc.array(fc.nat(20));
+  fc.assert(
+    fc.property(text, cuts, (stream, lengths) => {
+      const splitter = EventStreamSplitter.create();
+      const bytes = Buffer.from(stream);
+      const events = [];
+      let at = 0;
+      for (const length of [...lengths, bytes.length]) {
+        events.push(...splitter.split(bytes.subarray(at, at + length)));
+        at += length;
+      }
+      const whole = stream.split('\n\n').slice(0, -1);
+      expect(events.map(event => event.bytes.toString())).toEqual(
+        whole.map(event => `${event}\n\n`),
+      );
+      expect(events.map(({id}) => id)).toEqual(
+        whole.map(event => /^id:[ ]?(\S+)/m.exec(event)?.[1]),
+      );
+      const rest = stream.split('\n\n').at(-1) ?? '';
+      expect(splitter.pendingBytes).toBe(Buffer.byteLength(rest));
+    }),
+  );
+});
