fix(gateway): incomplete responses of a gateway share one memory limit

Callers could see: a gateway that ends for lack of memory, with all of their requests, when many backend servers send long responses at once. Each request was limited to 8 MiB, but nothing limited all of them together.

When it is spent, the attempt that holds the most ends as `buffers-full`, be it the one that wants more or another. Weighed: the one that wants more always ends. Then a few responses without end would end every proper one that comes meanwhile.

--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -31,6 +31,8 @@
 import {RequestLog} from './request_log';
 import {RequestResult} from './request_result';
 import {ResponseLog} from './responses/response_log';
+import {computeResponseMemoryBytes} from './responses/compute_response_memory_bytes';
+import {ResponseMemory} from './responses/response_memory';
 import {ResponseWriter} from './responses/response_writer';
 import {LoadBalancer} from './routing/load_balancer';
 import {ZoneGuard} from './routing/zone_guard';
@@ -49,6 +51,9 @@
   private readonly clock = systemClock;
   private readonly clientPool = HttpClientPool.create();
   private readonly responseLog = ResponseLog.create(this.events, systemClock);
+  private readonly responseMemory = ResponseMemory.create(
+    computeResponseMemoryBytes(),
+  );
   private readonly balancer: LoadBalancer;
   private readonly poller: ControlPoller;
   private readonly requestLog: RequestLog;
@@ -312,6 +317,7 @@
       budget: this.retryBudgets.find(pool.name),
       retryLog: this.retryBudgets.log,
       responseLog: this.responseLog,
+      responseMemory: this.responseMemory,
       forecast: this.forecast,
       containment: this.containment,
       signals: this.signals,
--- a/src/gateway/proxied_request.ts
+++ b/src/gateway/proxied_request.ts
@@ -55,6 +55,9 @@
     this.crashCheck = CrashCheck.create({...options, trial: this.trial});
     this.relay = ResponseRelay.create({
       response,
+      memory: options.responseMemory,
+      canEvict: () => this.sender.attempt !== undefined,
+      onEvicted: () => this.sender.attempt?.reject('buffers-full'),
       lastEventId: request.lastEventId,
       onForwarded: hasRoom => this.recordForwarded(hasRoom),
     });
--- a/src/gateway/proxied_request_options.ts
+++ b/src/gateway/proxied_request_options.ts
@@ -12,6 +12,7 @@
 import {RequestIdentity} from './crashes/request_identity';
 import {RequestResult} from './request_result';
 import {ResponseLog} from './responses/response_log';
+import {ResponseMemory} from './responses/response_memory';
 import {ResponseWriter} from './responses/response_writer';
 import {LoadBalancer} from './routing/load_balancer';
 
@@ -36,6 +37,8 @@
   readonly budget: RetryBudget;
   readonly retryLog: RetryLog;
   readonly responseLog: ResponseLog;
+  /** Shared by all requests of the gateway. */
+  readonly responseMemory: ResponseMemory;
   readonly forecast: SlotForecast;
   readonly containment: CrashContainment;
   readonly signals: BackendSignals;
--- a/src/gateway/responses/event_stream_splitter.ts
+++ b/src/gateway/responses/event_stream_splitter.ts
@@ -1,6 +1,9 @@
 /** Splits a stream of server-sent events at event boundaries. */
 import {MAX_HELD_BYTES} from './max_held_bytes';
 import {ResponseBuffer} from './response_buffer';
+import {ResponseMemory} from './response_memory';
+
+type MemoryShare = ReturnType<ResponseMemory['createShare']>;
 
 const BOUNDARY = Buffer.from('\n\n');
 const [LINE_END] = BOUNDARY;
@@ -19,20 +22,22 @@
 
 /** Yields complete events only, so that a broken connection never forwards part of one. */
 export class EventStreamSplitter {
-  private readonly pending = ResponseBuffer.create(MAX_EVENT_BYTES);
-  private hasOversized = false;
+  private readonly pending: ResponseBuffer;
+  private heldFailure: ReturnType<ResponseBuffer['add']>;
 
-  private constructor() {}
+  private constructor(share: MemoryShare) {
+    this.pending = ResponseBuffer.create(MAX_EVENT_BYTES, share);
+  }
 
   /**
    * Creates a splitter for one response.
    *
    * @example
-   * const splitter = EventStreamSplitter.create();
+   * const splitter = EventStreamSplitter.create(memory.createShare(options));
    * for (const event of splitter.split(chunk)) write(event.bytes);
    */
-  static create(): EventStreamSplitter {
-    return new EventStreamSplitter();
+  static create(share: MemoryShare): EventStreamSplitter {
+    return new EventStreamSplitter(share);
   }
 
   /** Number of buffered bytes that belong to an incomplete event. */
@@ -40,9 +45,9 @@
     return this.pending.length;
   }
 
-  /** True once an event was too long to be held; the stream cannot be continued. */
-  get isOversized(): boolean {
-    return this.hasOversized;
+  /** Why an event cannot be held, after which the stream cannot be continued; undefined if none was denied. */
+  get failure(): ReturnType<ResponseBuffer['add']> {
+    return this.heldFailure;
   }
 
   /**
@@ -52,7 +57,7 @@
   split(chunk: Buffer): StreamEvent[] {
     const events: StreamEvent[] = [];
     let start = 0;
-    while (!this.hasOversized && start < chunk.length) {
+    while (!this.heldFailure && start < chunk.length) {
       const end = this.findEnd(chunk, start);
       const part = chunk.subarray(start, end);
       if (end === undefined) {
@@ -79,9 +84,8 @@
   }
 
   private addPending(part: Buffer): boolean {
-    const isHeld = this.pending.add(part);
-    this.hasOversized ||= !isHeld;
-    return isHeld;
+    this.heldFailure = this.pending.add(part);
+    return !this.heldFailure;
   }
 }
 
--- a/src/gateway/responses/rejection_cause.ts
+++ b/src/gateway/responses/rejection_cause.ts
@@ -5,6 +5,8 @@
  * the end of its head exceed their limit. `oversized-framing`: the chunk framing or
  * the trailers do. `oversized-body`: it is no stream, and its body is longer than
  * what is held for a request. `oversized-event`: one event of a stream is.
+ * `buffers-full`: it held the most when the requests of the gateway together held
+ * all that they may.
  */
 export type RejectionCause =
   | 'foreign'
@@ -13,4 +15,5 @@
   | 'oversized-head'
   | 'oversized-framing'
   | 'oversized-body'
-  | 'oversized-event';
+  | 'oversized-event'
+  | 'buffers-full';
--- a/src/gateway/responses/response_log.ts
+++ b/src/gateway/responses/response_log.ts
@@ -25,6 +25,7 @@
   'oversized-framing': 'the answer has too many bytes besides its body',
   'oversized-body': 'the answer is too large to hold',
   'oversized-event': 'an event of the stream is too large to hold',
+  'buffers-full': 'the memory for answers is full, and this one held the most',
 };
 
 /** Records at most one line a second for each backend server and kind of response. */
--- a/src/gateway/responses/response_relay.ts
+++ b/src/gateway/responses/response_relay.ts
@@ -3,33 +3,53 @@
 import {MAX_HELD_BYTES} from './max_held_bytes';
 import {RejectionCause} from './rejection_cause';
 import {ResponseBuffer} from './response_buffer';
+import {ResponseMemory} from './response_memory';
 import {ResponseHead} from '../response_head';
 import {ResponseWriter} from './response_writer';
 
 interface ResponseRelayOptions {
   readonly response: ResponseWriter;
+  /** The memory of the gateway; `canEvict` and `onEvicted` are for the share of this response. */
+  readonly memory: ResponseMemory;
+  readonly canEvict: () => boolean;
+  readonly onEvicted: () => void;
   /** The last event that the caller received before this request. */
   readonly lastEventId: string | undefined;
   /** Called for each forwarded event; `hasRoom` is false when the caller reads too slowly. */
   readonly onForwarded: (hasRoom: boolean) => void;
 }
 
+type HoldFailure = NonNullable<ReturnType<ResponseBuffer['add']>>;
+
+const EVENT_CAUSES: Readonly<Record<HoldFailure, RejectionCause>> = {
+  'too-long': 'oversized-event',
+  'no-room': 'buffers-full',
+};
+const BODY_CAUSES: Readonly<Record<HoldFailure, RejectionCause>> = {
+  'too-long': 'oversized-body',
+  'no-room': 'buffers-full',
+};
+
 /** Assembles one response from one or more attempts. */
 export class ResponseRelay {
   private callerHead: ResponseHead | undefined;
-  private splitter = EventStreamSplitter.create();
-  private readonly buffered = ResponseBuffer.create(MAX_HELD_BYTES);
+  private readonly share: ReturnType<ResponseMemory['createShare']>;
+  private splitter: EventStreamSplitter;
+  private readonly buffered: ResponseBuffer;
   private lastForwardedId: string | undefined;
 
   private constructor(private readonly options: ResponseRelayOptions) {
     this.lastForwardedId = options.lastEventId;
+    this.share = options.memory.createShare(options);
+    this.splitter = EventStreamSplitter.create(this.share);
+    this.buffered = ResponseBuffer.create(MAX_HELD_BYTES, this.share);
   }
 
   /**
    * Creates a relay that has forwarded nothing.
    *
    * @example
-   * const relay = ResponseRelay.create({response, lastEventId, onForwarded});
+   * const relay = ResponseRelay.create({response, memory, canEvict, onEvicted, lastEventId, onForwarded});
    */
   static create(options: ResponseRelayOptions): ResponseRelay {
     return new ResponseRelay(options);
@@ -52,7 +72,7 @@
 
   /** Discards what an attempt left incomplete. */
   reset(): void {
-    this.splitter = EventStreamSplitter.create();
+    this.splitter = EventStreamSplitter.create(this.share);
     this.buffered.clear();
   }
 
@@ -75,9 +95,11 @@
       this.splitter
         .split(chunk)
         .forEach(event => this.forwardEvent(event.bytes, event.id));
-      return this.splitter.isOversized ? 'oversized-event' : undefined;
+      const {failure} = this.splitter;
+      return failure && EVENT_CAUSES[failure];
     }
-    return this.buffered.add(chunk) ? undefined : 'oversized-body';
+    const failure = this.buffered.add(chunk);
+    return failure && BODY_CAUSES[failure];
   }
 
   /** Ends a complete stream. */
--- a/test/gateway/event_stream_splitter.test.ts
+++ b/test/gateway/event_stream_splitter.test.ts
@@ -1,8 +1,18 @@
 // Guards against events that are split wrongly, and against work that grows faster than the bytes of an event.
 import * as fc from 'fast-check';
 import {afterEach, describe, expect, test, vi} from 'vitest';
+import {ResponseMemory} from '../../src/gateway/responses/response_memory';
 import {EventStreamSplitter} from '../../src/gateway/responses/event_stream_splitter';
 
+function createSplitter() {
+  const memory = ResponseMemory.create(64 * 1024 * 1024);
+  const share = memory.createShare({
+    canEvict: () => true,
+    onEvicted: () => undefined,
+  });
+  return EventStreamSplitter.create(share);
+}
+
 afterEach(() => {
   vi.restoreAllMocks();
 });
@@ -12,7 +22,7 @@
 
   /** Counts the bytes that are copied, joined and searched while an event of so many chunks is split. */
   function countWork(chunks: number): number {
-    const splitter = EventStreamSplitter.create();
+    const splitter = createSplitter();
     let work = 0;
     const {concat} = Buffer;
     const {copy, indexOf} = Buffer.prototype;
@@ -57,16 +67,16 @@
 });
 
 test('an event beyond the limit ends the stream, and the events before it count', () => {
-  const splitter = EventStreamSplitter.create();
+  const splitter = createSplitter();
   const chunk = Buffer.alloc(1024 * 1024, 'x');
   const first = Buffer.concat([Buffer.from('id: 1\n\n'), chunk]);
   expect(splitter.split(first).map(({id}) => id)).toEqual(['1']);
   for (let at = 0; at < 3; at += 1) {
     expect(splitter.split(chunk)).toEqual([]);
-    expect(splitter.isOversized).toBe(false);
+    expect(splitter.failure).toBeUndefined();
   }
   expect(splitter.split(Buffer.from('x\n\nid: 2\n\n'))).toEqual([]);
-  expect(splitter.isOversized).toBe(true);
+  expect(splitter.failure).toBe('too-long');
 });
 
 test('streams are split at the same places, however their bytes arrive', () => {
@@ -76,7 +86,7 @@
   const cuts = fc.array(fc.nat(20));
   fc.assert(
     fc.property(text, cuts, (stream, lengths) => {
-      const splitter = EventStreamSplitter.create();
+      const splitter = createSplitter();
       const bytes = Buffer.from(stream);
       const events = [];
       let at = 0;
--- a/test/support/proxy_fixture.ts
+++ b/test/support/proxy_fixture.ts
@@ -7,6 +7,7 @@
 import {BackendSignals} from '../../src/gateway/limits/backend_signals';
 import {CrashDetector} from '../../src/gateway/crashes/crash_detector';
 import {ResponseLog} from '../../src/gateway/responses/response_log';
+import {ResponseMemory} from '../../src/gateway/responses/response_memory';
 import {ResponseWriter} from '../../src/gateway/responses/response_writer';
 import {CrashContainment} from '../../src/gateway/crashes/crash_containment';
 import {RequestResult} from '../../src/gateway/request_result';
@@ -70,6 +71,8 @@
     describeGateways: () => ({gateways: 1, countedMsAgo: 0}),
   });
   private readonly responseLog = ResponseLog.create(this.events, systemClock);
+  /** Ample by default. */
+  responseMemory = ResponseMemory.create(256 * 1024 * 1024);
   /** Answers a request for a loan in place of the leader. */
   answerLoan = () => Promise.resolve({granted: 0, pauseMs: 1_000});
   /** Answers a permit request in place of the leader; rejects by default, as without a leader. */
@@ -234,6 +237,7 @@
         }),
         retryLog: this.retryLog,
         responseLog: this.responseLog,
+        responseMemory: this.responseMemory,
         forecast: this.forecast,
         dialect: plainDialect,
         clock: systemClock,
