--- a/src/gateway/responses/rejection_cause.ts
+++ b/src/gateway/responses/rejection_cause.ts
@@ -6,6 +6,8 @@
  * `oversized-head`: the bytes before the end of its head exceed their limit.
  * `oversized-framing`: the chunk framing or the trailers do. `oversized-body`: it is
  * no stream, and its body is longer than what is held for a request.
+ * `oversized-event`: one event of a stream is. `buffers-full`: it held the most when
+ * the requests of the gateway together held all that they may.
  */
 export type RejectionCause =
   | 'foreign'
@@ -14,4 +16,6 @@
   | 'unmarked'
   | 'oversized-head'
   | 'oversized-framing'
-  | 'oversized-body';
+  | 'oversized-body'
+  | 'oversized-event'
+  | 'buffers-full';
