fix(gateway): the mark 'not executed' counts only on a status of a refusal

A backend server that had executed a request could answer 200, 500 or 504 with the mark, which contradicts its status. The gateway believed the mark: the request was sent to another server, or its caller got 503.

Such an answer is rejected (cause 'contradictory') and the attempt ends as one that may have run. Found by review; three tests failed before (200, 500, 504: a second server ran the request).

--- a/src/gateway/responses/find_rejection_cause.ts
+++ b/src/gateway/responses/find_rejection_cause.ts
@@ -4,6 +4,9 @@
 /** Statuses that tell a caller that its request was not executed and never will be. */
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Statuses of responses that may state that the request was not executed. */
+const REFUSALS: ReadonlySet<number> = new Set([400, 408, 421, 429, 503]);
+
 /**
  * Checks whether a response belongs to a request. Whatever else a response
  * states, a refusal included, is true only of the request whose id it carries.
@@ -25,6 +28,10 @@
   if (head.requestId !== requestId) {
     return 'foreign';
   }
+  const isRefusal = REFUSALS.has(head.status) || head.isWrongIncarnation;
+  if (head.isNotRun && !isRefusal) {
+    return 'contradictory';
+  }
   if (head.isNotRun || head.isWrongIncarnation) {
     return undefined;
   }
--- a/src/gateway/responses/rejection_cause.ts
+++ b/src/gateway/responses/rejection_cause.ts
@@ -3,6 +3,7 @@
  * the id of another request. `unidentified`: it carries no id. `unsealed`: the
  * backend server does not vouch for a success. `unmarked`: its status promises that
  * the request was not executed, but the backend server does not state it.
+ * `contradictory`: it states that although its status says the opposite.
  * `oversized-head`: the bytes before the end of its head exceed their limit.
  * `oversized-framing`: the chunk framing or the trailers do. `oversized-body`: it is
  * no stream, and its body is longer than what is held for a request.
@@ -14,6 +15,7 @@
   | 'unidentified'
   | 'unsealed'
   | 'unmarked'
+  | 'contradictory'
   | 'oversized-head'
   | 'oversized-framing'
   | 'oversized-body'
--- a/src/gateway/responses/response_log.ts
+++ b/src/gateway/responses/response_log.ts
@@ -22,6 +22,8 @@
   unidentified: 'the answer names no request',
   unsealed: 'the backend server does not vouch for its answer',
   unmarked: 'the backend server does not state that the request was not run',
+  contradictory:
+    'the backend server states that the request was not run, with a status of one that was',
   'oversized-head': 'the head of the answer is too long',
   'oversized-framing': 'the answer has too many bytes besides its body',
   'oversized-body': 'the answer is too large to hold',
--- a/test/gateway/unmarked_refusal.test.ts
+++ b/test/gateway/unmarked_refusal.test.ts
@@ -1,6 +1,11 @@
 // Guards against passing on a status that promises 'not executed' for a request that may have run.
 import {expect, test} from 'vitest';
-import {sendOk, startFixture, writeRaw} from '../support/backend_scripts';
+import {
+  resetConnection,
+  sendOk,
+  startFixture,
+  writeRaw,
+} from '../support/backend_scripts';
 
 function sendUnmarked(status: number) {
   return writeRaw(
@@ -30,3 +35,25 @@
   const {fixture} = await startFixture([sendUnmarked(503), sendOk('second')]);
   expect((await fixture.send()).body).toBe('second');
 });
+
+test.each(['200 OK', '500 Error', '504 Timeout'])(
+  'the mark on a %s is no promise that the request was not executed',
+  async status => {
+    const {fixture, backends} = await startFixture(
+      [
+        writeRaw(
+          `HTTP/1.1 ${status}\nrequest-id: q\nseal: s\nnot-run: 1\ncontent-length: 2\n\nok`,
+        ),
+        sendOk('second'),
+      ],
+      {kind: 'unsafe'},
+    );
+    expect((await fixture.send({}, 'order')).status).toBe(502);
+    expect(backends[1].requests).toHaveLength(0);
+  },
+);
+
+test('a request that was sent twice gets no unmarked 503 of the second backend server', async () => {
+  const {fixture} = await startFixture([resetConnection, sendUnmarked(503)]);
+  expect((await fixture.send()).status).toBe(502);
+});
