fix(gateway): a stream is resumed only by what goes on after its last event

After a broken attempt the gateway asks another backend server for the rest, and passed on whatever came: a server that ignored the position repeated or left out events in a stream that ended as whole, and an error with the type of an event stream was appended to a 200. An event id that is no header value made the client reject the next request, which counted as an unreachable server.

The rest must have the status of the head that was sent, ids that can be sent back and numbers that rise; where they have risen by one, the first event of the rest must be the next. Otherwise the attempt ends ('disordered') and another one may be made. Ids that are no numbers are not compared.

Four tests failed before: 1 2 3 1 2 3 4 and 1 2 3 7 8 as whole streams, an error appended, and a healthy server avoided.

--- /dev/null
+++ b/src/gateway/responses/event_order.ts
@@ -0,0 +1,68 @@
+const WHOLE_NUMBER = /^\d{1,15}$/;
+/** An id is sent back in a header when its stream is resumed. */
+const HEADER_VALUE = /^[\x21-\x7e]+$/;
+
+/** Checks the ids of the events of one response, which may come from several backend servers. */
+export class EventOrder {
+  private lastId: string | undefined;
+  /** All numbered events so far followed each other by one. */
+  private isConsecutive: boolean | undefined;
+  private isResumed = false;
+
+  private constructor(lastId: string | undefined) {
+    this.lastId = lastId;
+  }
+
+  /**
+   * Creates the order of a response that continues after an event.
+   *
+   * @param lastId the last event that the caller has
+   * @example
+   * const order = EventOrder.create(request.lastEventId);
+   * const isNext = order.accept('13');
+   */
+  static create(lastId: string | undefined): EventOrder {
+    return new EventOrder(lastId);
+  }
+
+  /** The id of the last event that was accepted. */
+  get last(): string | undefined {
+    return this.lastId;
+  }
+
+  /** Records that the next event comes from another attempt. */
+  resume(): void {
+    this.isResumed = true;
+  }
+
+  /**
+   * Accepts the id of the next event. Numbers must rise; where they have risen by
+   * one, the first event of a resumed stream must not leave one out.
+   *
+   * @returns false if the event is not the next one
+   */
+  accept(id: string | undefined): boolean {
+    if (id === undefined) {
+      return true;
+    }
+    if (!HEADER_VALUE.test(id) || !this.isNext(id)) {
+      return false;
+    }
+    this.lastId = id;
+    this.isResumed = false;
+    return true;
+  }
+
+  private isNext(id: string): boolean {
+    const {lastId = ''} = this;
+    if (!WHOLE_NUMBER.test(id) || !WHOLE_NUMBER.test(lastId)) {
+      return true;
+    }
+    const step = Number(id) - Number(lastId);
+    if (step <= 0 || (this.isResumed && this.isConsecutive && step > 1)) {
+      return false;
+    }
+    this.isConsecutive = (this.isConsecutive ?? true) && step === 1;
+    return true;
+  }
+}
--- a/src/gateway/responses/response_log.ts
+++ b/src/gateway/responses/response_log.ts
@@ -24,6 +24,7 @@
   unmarked: 'the backend server does not state that the request was not run',
   contradictory:
     'the backend server states that the request was not run, with a status of one that was',
+  disordered: 'an event of the stream is not the one after the last',
   'oversized-head': 'the head of the answer is too long',
   'oversized-framing': 'the answer has too many bytes besides its body',
   'oversized-body': 'the answer is too large to hold',
--- a/src/gateway/responses/response_relay.ts
+++ b/src/gateway/responses/response_relay.ts
@@ -1,4 +1,5 @@
 /** Forwards response bodies to the caller: streams event by event, everything else once it is complete. */
+import {EventOrder} from './event_order';
 import {EventStreamSplitter} from './event_stream_splitter';
 import {MAX_HELD_BYTES} from './max_held_bytes';
 import {RejectionCause} from './rejection_cause';
@@ -36,10 +37,10 @@
   private readonly share: ReturnType<ResponseMemory['createShare']>;
   private splitter: EventStreamSplitter;
   private readonly buffered: ResponseBuffer;
-  private lastForwardedId: string | undefined;
+  private readonly order: EventOrder;
 
   private constructor(private readonly options: ResponseRelayOptions) {
-    this.lastForwardedId = options.lastEventId;
+    this.order = EventOrder.create(options.lastEventId);
     this.share = options.memory.createShare(options);
     this.splitter = EventStreamSplitter.create(this.share);
     this.buffered = ResponseBuffer.create(MAX_HELD_BYTES, this.share);
@@ -62,7 +63,7 @@
 
   /** The id of the last event that was sent to the caller. */
   get lastEventId(): string | undefined {
-    return this.lastForwardedId;
+    return this.order.last;
   }
 
   /** True when part of an event is pending. */
@@ -74,12 +75,15 @@
   reset(): void {
     this.splitter = EventStreamSplitter.create(this.share);
     this.buffered.clear();
+    this.order.resume();
   }
 
   /** Accepts the head of an attempt; returns a reason when it cannot continue what the caller has received. */
   acceptHead(head: ResponseHead): string | undefined {
     const {response} = this.options;
-    if (response.hasSentHead && !head.isEventStream) {
+    const isRest =
+      head.isEventStream && head.status === this.callerHead?.status;
+    if (response.hasSentHead && !isRest) {
       return `status ${head.status} in place of the rest`;
     }
     // A resumed stream keeps the head that was already sent.
@@ -92,9 +96,12 @@
   /** Accepts part of a body; returns the cause if it cannot be forwarded. */
   acceptData(chunk: Buffer): RejectionCause | undefined {
     if (this.callerHead?.isEventStream) {
-      this.splitter
-        .split(chunk)
-        .forEach(event => this.forwardEvent(event.bytes, event.id));
+      for (const {bytes, id} of this.splitter.split(chunk)) {
+        if (!this.order.accept(id)) {
+          return 'disordered';
+        }
+        this.forwardEvent(bytes);
+      }
       const {failure} = this.splitter;
       return failure && EVENT_CAUSES[failure];
     }
@@ -116,7 +123,7 @@
     this.options.response.sendComplete(head, this.buffered.takeBlocks());
   }
 
-  private forwardEvent(bytes: Buffer, id: string | undefined): void {
+  private forwardEvent(bytes: Buffer): void {
     const {response, onForwarded} = this.options;
     if (!this.callerHead || response.isDisconnected) {
       return;
@@ -124,7 +131,6 @@
     if (!response.hasSentHead) {
       response.sendHead(this.callerHead);
     }
-    this.lastForwardedId = id ?? this.lastForwardedId;
     onForwarded(response.write(bytes));
   }
 }
--- /dev/null
+++ b/test/gateway/resumed_stream.test.ts
@@ -0,0 +1,105 @@
+// Guards against a resumed stream that does not go on after its last event.
+import {expect, test} from 'vitest';
+import {EventOrder} from '../../src/gateway/responses/event_order';
+import {
+  STREAM_HEAD,
+  encodeChunk,
+  encodeEvents,
+  sendStream,
+  startFixture,
+} from '../support/backend_scripts';
+import {FakeBackend} from '../support/fake_backend';
+
+type Handler = Parameters<typeof FakeBackend.create>[0];
+
+const RESUMABLE = {kind: 'stream', isResumable: true} as const;
+
+/** Sends an event stream with this status line, whose chunks are these texts. */
+function sendChunks(statusLine: string, ...texts: string[]): Handler {
+  return ({socket}) => {
+    const head = STREAM_HEAD.replace('HTTP/1.1 200 OK', statusLine);
+    socket.write(head.replaceAll('\n', '\r\n'));
+    socket.write(texts.map(encodeChunk).join('') + '0\r\n\r\n');
+  };
+}
+
+function readEventIds(body: string): number[] {
+  return [...body.matchAll(/^id: (\d+)/gm)].map(([, id]) => Number(id));
+}
+
+// The gateway names the last event in its request, and does not check that the server goes on after it.
+test.each([
+  ['repeats', [1, 2, 3, 4]],
+  ['skips', [7, 8]],
+])('a resumed stream that %s events is not whole', async (_name, ids) => {
+  const {fixture} = await startFixture(
+    [sendStream('a', [1, 2, 3], 'reset'), sendStream('b', ids, 'whole')],
+    RESUMABLE,
+  );
+  const {body, isWhole} = await fixture.send();
+  const received = readEventIds(body);
+  const isOrdered = received.every((id, at) => id === at + 1);
+  expect({isOrdered, isFalselyWhole: isWhole && !isOrdered}).toEqual({
+    isOrdered: true,
+    isFalselyWhole: false,
+  });
+});
+
+// A head was checked only for being an event stream.
+test('an error response does not continue a stream that began with 200', async () => {
+  const {fixture} = await startFixture(
+    [
+      sendStream('a', [1, 2, 3], 'reset'),
+      sendChunks('HTTP/1.1 500 Error', 'event: error\ndata: failed\n\n'),
+    ],
+    RESUMABLE,
+  );
+  const {body, isWhole} = await fixture.send();
+  expect({body, isWhole}).toEqual({
+    body: encodeEvents(1, 2, 3),
+    isWhole: false,
+  });
+});
+
+// The HTTP client rejects the header before it connects, which counted as an unreachable server.
+test('an event id that is no header value does not make other servers count as unreachable', async () => {
+  const {fixture, backends} = await startFixture(
+    [
+      ({socket}) => {
+        socket.write(STREAM_HEAD.replaceAll('\n', '\r\n'));
+        socket.write(encodeChunk('id: 3\u0001\ndata: t\n\n'));
+        setTimeout(() => socket.resetAndDestroy(), 10);
+      },
+      sendStream('b', [1], 'whole'),
+    ],
+    RESUMABLE,
+  );
+  await fixture.send();
+  const {incarnation} = fixture.targets[1][1];
+  fixture.balancer.setTargets(new Map([fixture.targets[1]]));
+  expect(
+    fixture.balancer.choose({
+      pool: 'p',
+      model: undefined,
+      mayQueue: true,
+      excludesLimited: false,
+      excluded: new Set(),
+    })?.incarnation,
+  ).toBe(incarnation);
+  expect(backends[1].requests.length).toBeLessThanOrEqual(1);
+});
+
+test.each([
+  ['numbers that rise by other steps', ['3', '6', '9'], '10', true],
+  ['numbers that have risen by one', ['3', '4', '5'], '7', false],
+  ['a number that comes again', ['3', '6'], '6', false],
+  ['ids that are no numbers', ['a', 'b'], 'a', true],
+])(
+  'after %s, a resumed stream may go on as stated',
+  (_name, ids, id, isNext) => {
+    const order = EventOrder.create(undefined);
+    expect(ids.map(each => order.accept(each))).toEqual(ids.map(() => true));
+    order.resume();
+    expect(order.accept(id)).toBe(isNext);
+  },
+);
