fix(gateway): the events of one read are written to the caller together

Callers of other requests could see late answers while a backend server sends complete events without end: one read of 64 KiB holds 32,768 empty events, and each was a write of its own, all within one turn of the event loop.

The complete events of a read are now forwarded with one write. Each still counts as an event, and the caller gets the same bytes; backpressure works as before.

--- a/src/gateway/proxied_request.ts
+++ b/src/gateway/proxied_request.ts
@@ -59,7 +59,7 @@
       canEvict: () => this.sender.attempt !== undefined,
       onEvicted: () => this.sender.attempt?.reject('buffers-full'),
       lastEventId: request.lastEventId,
-      onForwarded: hasRoom => this.recordForwarded(hasRoom),
+      onForwarded: (count, hasRoom) => this.recordForwarded(count, hasRoom),
     });
     this.sender = RequestSender.create({
       ...policies,
@@ -224,10 +224,10 @@
     }
   }
 
-  private recordForwarded(hasRoom: boolean): void {
+  private recordForwarded(eventCount: number, hasRoom: boolean): void {
     const {response, clock} = this.options;
     const {attempt} = this.sender;
-    this.history.recordEvent(clock.now());
+    this.history.recordEvents(eventCount, clock.now());
     this.options.containment.recordBegun(this.options.identity);
     if (!hasRoom && attempt) {
       attempt.pause();
--- a/src/gateway/request_history.ts
+++ b/src/gateway/request_history.ts
@@ -49,9 +49,9 @@
     return this.targets.length === 1 ? this.eventCount : undefined;
   }
 
-  /** Records that an event was forwarded to the caller. */
-  recordEvent(now: number): void {
-    this.eventCount += 1;
+  /** Records that events were forwarded to the caller. */
+  recordEvents(count: number, now: number): void {
+    this.eventCount += count;
     this.firstEventAt ??= now;
     this.lastForwardedAt = now;
   }
--- a/src/gateway/responses/response_relay.ts
+++ b/src/gateway/responses/response_relay.ts
@@ -15,10 +15,11 @@
   readonly onEvicted: () => void;
   /** The last event that the caller received before this request. */
   readonly lastEventId: string | undefined;
-  /** Called for each forwarded event; `hasRoom` is false when the caller reads too slowly. */
-  readonly onForwarded: (hasRoom: boolean) => void;
+  /** Called after events were forwarded together; `hasRoom` is false when the caller reads too slowly. */
+  readonly onForwarded: (eventCount: number, hasRoom: boolean) => void;
 }
 
+type StreamEvents = ReturnType<EventStreamSplitter['split']>;
 type HoldFailure = NonNullable<ReturnType<ResponseBuffer['add']>>;
 
 const EVENT_CAUSES: Readonly<Record<HoldFailure, RejectionCause>> = {
@@ -92,9 +93,7 @@
   /** Accepts part of a body; returns the cause if it cannot be forwarded. */
   acceptData(chunk: Buffer): RejectionCause | undefined {
     if (this.callerHead?.isEventStream) {
-      this.splitter
-        .split(chunk)
-        .forEach(event => this.forwardEvent(event.bytes, event.id));
+      this.forwardEvents(this.splitter.split(chunk));
       const {failure} = this.splitter;
       return failure && EVENT_CAUSES[failure];
     }
@@ -116,15 +115,19 @@
     this.options.response.sendComplete(head, this.buffered.takeBlocks());
   }
 
-  private forwardEvent(bytes: Buffer, id: string | undefined): void {
+  /** Writes events that came together at once, as a read may hold thousands of short ones. */
+  private forwardEvents(events: StreamEvents): void {
     const {response, onForwarded} = this.options;
-    if (!this.callerHead || response.isDisconnected) {
+    if (events.length === 0 || !this.callerHead || response.isDisconnected) {
       return;
     }
     if (!response.hasSentHead) {
       response.sendHead(this.callerHead);
     }
-    this.lastForwardedId = id ?? this.lastForwardedId;
-    onForwarded(response.write(bytes));
+    this.lastForwardedId =
+      events.findLast(({id}) => id !== undefined)?.id ?? this.lastForwardedId;
+    const parts = events.map(({bytes}) => bytes);
+    const bytes = parts.length === 1 ? parts[0] : Buffer.concat(parts);
+    onForwarded(events.length, response.write(bytes));
   }
 }
