--- a/src/gateway/responses/response_relay.ts
+++ b/src/gateway/responses/response_relay.ts
@@ -16,10 +16,11 @@
   readonly onEvicted: () => void;
   /** The last event that the caller received before this request. */
   readonly lastEventId: string | undefined;
-  /** Called for each forwarded event; `hasRoom` is false when the caller reads too slowly. */
-  readonly onForwarded: (hasRoom: boolean) => void;
+  /** Called after events were forwarded together; `hasRoom` is false when the caller reads too slowly. */
+  readonly onForwarded: (eventCount: number, hasRoom: boolean) => void;
 }
 
+type StreamEvents = ReturnType<EventStreamSplitter['split']>;
 type HoldFailure = NonNullable<ReturnType<ResponseBuffer['add']>>;
 
 const EVENT_CAUSES: Readonly<Record<HoldFailure, RejectionCause>> = {
@@ -96,11 +97,11 @@
   /** Accepts part of a body; returns the cause if it cannot be forwarded. */
   acceptData(chunk: Buffer): RejectionCause | undefined {
     if (this.callerHead?.isEventStream) {
-      for (const {bytes, id} of this.splitter.split(chunk)) {
-        if (!this.order.accept(id)) {
-          return 'disordered';
-        }
-        this.forwardEvent(bytes);
+      const events = this.splitter.split(chunk);
+      const at = events.findIndex(({id}) => !this.order.accept(id));
+      this.forwardEvents(at < 0 ? events : events.slice(0, at));
+      if (at >= 0) {
+        return 'disordered';
       }
       const {failure} = this.splitter;
       return failure && EVENT_CAUSES[failure];
@@ -123,14 +124,17 @@
     this.options.response.sendComplete(head, this.buffered.takeBlocks());
   }
 
-  private forwardEvent(bytes: Buffer): void {
+  /** Writes events that came together at once, as a read may hold thousands of short ones. */
+  private forwardEvents(events: StreamEvents): void {
     const {response, onForwarded} = this.options;
-    if (!this.callerHead || response.isDisconnected) {
+    if (events.length === 0 || !this.callerHead || response.isDisconnected) {
       return;
     }
     if (!response.hasSentHead) {
       response.sendHead(this.callerHead);
     }
-    onForwarded(response.write(bytes));
+    const parts = events.map(({bytes}) => bytes);
+    const bytes = parts.length === 1 ? parts[0] : Buffer.concat(parts);
+    onForwarded(events.length, response.write(bytes));
   }
 }
