fix(host): a late second response is not given to the next request

What callers could see: the response of another caller's request, as their own and with the outcome `answered`. An order to an engine could count as accepted by the 200 that belonged to a caller's request.

Cause: the host process kept connections to its backend server. The interface asks the server to return no id, so a surplus copy of a response, sent late, was read as the response to the next request on that connection, whatever its status.

Each request now has a connection of its own (`pipelining: 0`), which is closed after one response, so whatever else arrives on it reaches nobody.

Weighed: an id header that the server returns. It would be a new duty of every backend server, and a copy for the same request under the same id would still pass. The connection needs nothing from the server.

--- a/src/transport/backend_http_client.ts
+++ b/src/transport/backend_http_client.ts
@@ -1,4 +1,4 @@
-/** HTTP client of a host process for the backend server on its host. */
+/** HTTP client of a host process for the backend server on its host, with a new connection for each request. */
 import {Agent, Dispatcher, errors} from 'undici';
 import {TransportError} from './transport_error';
 
@@ -20,7 +20,7 @@
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: AsyncIterable<Buffer>;
-  /** Reads and drops the rest of the body, so that the connection can be reused. */
+  /** Reads and drops the rest of the body. */
   readonly discard: () => Promise<void>;
 }
 
@@ -29,15 +29,16 @@
   private constructor(private readonly agent: Agent) {}
 
   /**
-   * Creates a client with its own connections. Each carries one request at a time:
-   * with pipelining, undici would resend the requests queued behind a failed one.
+   * Creates a client. A backend server does not return the id of its request, so
+   * only a connection that carries no other request shows whose a response is.
    *
    * @example
    * const backend = BackendHttpClient.create();
    */
   static create(): BackendHttpClient {
     const agent = new Agent({
-      pipelining: 1,
+      // Closes each connection after one response.
+      pipelining: 0,
       connect: {timeout: CONNECT_TIMEOUT_MS},
       headersTimeout: HEADERS_TIMEOUT_MS,
       bodyTimeout: HEADERS_TIMEOUT_MS,
