fix(host): a response that ends with a reset is not taken for complete

What callers could see: half of a body as a whole one, with the outcome `answered`, when a backend server without a content length was killed or reset its connection.

Cause: undici takes ECONNRESET for the end of a response that names no length. `createConnector` changes this code for the gateway; the client of the host process did not use it.

Evidence: the new test failed before with `promise resolved "'half'" instead of rejecting`.

The client now uses `createConnector`, so that the body ends with an error and the attempt with `unknown`.

--- a/src/transport/backend_http_client.ts
+++ b/src/transport/backend_http_client.ts
@@ -1,9 +1,12 @@
 /** HTTP client of a host process for the backend server on its host, with a new connection for each request. */
-import {Agent, Dispatcher, errors} from 'undici';
+import {Agent, Dispatcher} from 'undici';
+import {createConnector} from './create_connector';
 import {TransportError} from './transport_error';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const HEADERS_TIMEOUT_MS = 120_000;
+/** Errors of connections that were never made. */
+const NEVER_SENT_CODES = new Set(['UND_ERR_CONNECT_TIMEOUT', 'ECONNREFUSED']);
 
 /** One HTTP request to a backend server. */
 interface BackendRequest {
@@ -39,7 +42,7 @@
     const agent = new Agent({
       // Closes each connection after one response.
       pipelining: 0,
-      connect: {timeout: CONNECT_TIMEOUT_MS},
+      connect: createConnector(CONNECT_TIMEOUT_MS),
       headersTimeout: HEADERS_TIMEOUT_MS,
       bodyTimeout: HEADERS_TIMEOUT_MS,
     });
@@ -86,7 +89,7 @@
 
 function isNeverSent(error: Error): boolean {
   const code = (error as NodeJS.ErrnoException).code ?? '';
-  return error instanceof errors.ConnectTimeoutError || code === 'ECONNREFUSED';
+  return NEVER_SENT_CODES.has(code);
 }
 
 function flattenHeaders(
--- a/test/transport/backend_http_client.test.ts
+++ b/test/transport/backend_http_client.test.ts
@@ -61,3 +61,14 @@
 
   expect(texts).toEqual(['for a', 'for b', 'for c']);
 });
+
+// A reset after a response without a content length was taken for its end.
+test('a response that ends with a reset is not complete', async () => {
+  const {call} = await start(({socket}) => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\nhalf');
+    setTimeout(() => socket.resetAndDestroy(), 20);
+  });
+  const response = await call('a');
+
+  await expect(readText(response.body)).rejects.toThrow();
+});
