fix(host): bytes without end that are no response end their attempt

What callers could see: an attempt that held its connection for 120 s or until its caller left, while the host process parsed whatever the backend server wrote: a status line, interim responses, the extensions or the size of a chunk, trailers.

Cause: undici limits the size of headers only; it counts neither the other parts nor all of them together.

`BackendExchange` runs one request on one connection with `http.request` of Node.js, whose parser limits heads with their status line, trailers and the extensions of one chunk to 16 KiB. It also counts the bytes of the connection: 64 KiB before the response, then 1 MiB and 16 for each byte of the body that was read. A chunk of one byte takes six. Beyond that the connection is closed and the attempt ends as `unknown`; it ends as `not-run` only when no connection was made, which is now known from the connection and no longer from error codes.

Bytes after a complete response (a second one, or none at all), a reset after it, a reset instead of its end, and a body in chunks of one byte have tests, too. The body timer runs only while the body is being read, so a slow caller does not end an attempt.

Each request still opens a connection. Ports of closed ones on loopback are reused after 1 s where tcp_tw_reuse is 2, as it is on this machine.

--- a/src/host/engine_controller.ts
+++ b/src/host/engine_controller.ts
@@ -150,7 +150,7 @@
       body: Buffer.from(JSON.stringify(order)),
       signal: AbortSignal.timeout(ORDER_TIMEOUT_MS),
     });
-    await answer.discard();
+    answer.discard();
     return answer.status === OK;
   }
 }
--- a/src/host/host_server.ts
+++ b/src/host/host_server.ts
@@ -153,7 +153,7 @@
     this.runner.close();
     await this.server?.close();
     await this.announceListener?.close();
-    await this.backendClient.close();
+    this.backendClient.close();
   }
 
   private async start(): Promise<void> {
--- a/src/transport/backend_http_client.ts
+++ b/src/transport/backend_http_client.ts
@@ -1,35 +1,22 @@
-/** HTTP client of a host process for the backend server on its host, with a new connection for each request. */
-import {Agent, Dispatcher} from 'undici';
-import {createConnector} from './create_connector';
-import {TransportError} from './transport_error';
+/** HTTP client of a host process for the backend server on its host. */
+import {BackendExchange} from './backend_exchange';
 
-const CONNECT_TIMEOUT_MS = 1_000;
-const HEADERS_TIMEOUT_MS = 120_000;
-/** Errors of connections that were never made. */
-const NEVER_SENT_CODES = new Set(['UND_ERR_CONNECT_TIMEOUT', 'ECONNREFUSED']);
-
-/** One HTTP request to a backend server. */
-interface BackendRequest {
-  readonly url: string;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
-  readonly body: Uint8Array;
-  readonly signal: AbortSignal;
-}
+type BackendRequest = Parameters<typeof BackendExchange.create>[0];
 
 /** Status and headers of a response; `body` streams the rest. */
 interface BackendResponse {
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: AsyncIterable<Buffer>;
-  /** Reads and drops the rest of the body. */
-  readonly discard: () => Promise<void>;
+  /** Drops the rest of the body and closes the connection. */
+  readonly discard: () => void;
 }
 
-/** Sends requests to backend servers and never retries one. */
+/** Sends requests to backend servers, each over a new connection, and never retries one. */
 export class BackendHttpClient {
-  private constructor(private readonly agent: Agent) {}
+  private readonly exchanges = new Set<BackendExchange>();
+
+  private constructor() {}
 
   /**
    * Creates a client. A backend server does not return the id of its request, so
@@ -39,14 +26,7 @@
    * const backend = BackendHttpClient.create();
    */
   static create(): BackendHttpClient {
-    const agent = new Agent({
-      // Closes each connection after one response.
-      pipelining: 0,
-      connect: createConnector(CONNECT_TIMEOUT_MS),
-      headersTimeout: HEADERS_TIMEOUT_MS,
-      bodyTimeout: HEADERS_TIMEOUT_MS,
-    });
-    return new BackendHttpClient(agent);
+    return new BackendHttpClient();
   }
 
   /**
@@ -56,50 +36,20 @@
    *     that the request cannot have run; named `Broken` when it may have
    */
   async call(request: BackendRequest): Promise<BackendResponse> {
-    let response: Dispatcher.ResponseData;
-    try {
-      response = await this.agent.request({
-        origin: request.url,
-        method: request.method as Dispatcher.HttpMethod,
-        path: request.path,
-        headers: request.headers,
-        body: request.body.length === 0 ? null : request.body,
-        signal: request.signal,
-      });
-    } catch (error) {
-      const name = isNeverSent(error as Error) ? 'NeverSent' : 'Broken';
-      throw new TransportError(
-        {cause: error as Error, name},
-        'the backend server broke off',
-      );
-    }
+    const exchange = BackendExchange.create(request);
+    this.exchanges.add(exchange);
+    void exchange.closed.then(() => this.exchanges.delete(exchange));
+    const {status, headers} = await exchange.head;
     return {
-      status: response.statusCode,
-      headers: flattenHeaders(response.headers),
-      body: response.body,
-      discard: () => response.body.dump(),
+      status,
+      headers,
+      body: exchange.readBody(),
+      discard: () => exchange.close(),
     };
   }
 
   /** Closes all connections at once. */
-  async close(): Promise<void> {
-    await this.agent.destroy();
-  }
-}
-
-function isNeverSent(error: Error): boolean {
-  const code = (error as NodeJS.ErrnoException).code ?? '';
-  return NEVER_SENT_CODES.has(code);
-}
-
-function flattenHeaders(
-  headers: Dispatcher.ResponseData['headers'],
-): Record<string, string> {
-  const flat: Record<string, string> = {};
-  for (const [name, value] of Object.entries(headers)) {
-    if (value !== undefined) {
-      flat[name] = Array.isArray(value) ? value.join(', ') : value;
-    }
+  close(): void {
+    this.exchanges.forEach(exchange => exchange.close());
   }
-  return flat;
 }
--- a/test/transport/backend_http_client.test.ts
+++ b/test/transport/backend_http_client.test.ts
@@ -2,6 +2,7 @@
 import {afterEach, expect, test} from 'vitest';
 import {BackendHttpClient} from '../../src/transport/backend_http_client';
 import {FakeBackend} from '../support/fake_backend';
+import {waitUntil} from '../support/wait_until';
 
 const closers: Array<() => unknown> = [];
 
@@ -70,5 +71,115 @@
   });
   const response = await call('a');
 
-  await expect(readText(response.body)).rejects.toThrow();
+  await expect(readText(response.body)).rejects.toThrow(
+    'the backend server broke off',
+  );
+});
+
+const HEAD = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
+const ENDLESS: Record<string, {start: string; part: string}> = {
+  'status line': {start: 'HTTP/1.1 200 ', part: 'x'.repeat(1_024)},
+  header: {start: 'HTTP/1.1 200 OK\r\nx: ', part: 'x'.repeat(1_024)},
+  'list of headers': {start: 'HTTP/1.1 200 OK\r\n', part: 'x: y\r\n'},
+  'series of interim responses': {
+    start: '',
+    part: 'HTTP/1.1 103 Early Hints\r\n\r\n',
+  },
+  'chunk extension': {start: `${HEAD}1;`, part: 'x'.repeat(1_024)},
+  'series of chunks with extensions': {
+    start: HEAD,
+    part: `1;${'x'.repeat(1_024)}\r\na\r\n`,
+  },
+  'chunk size': {start: HEAD, part: '0'.repeat(1_024)},
+  trailer: {start: `${HEAD}1\r\na\r\n0\r\nx: `, part: 'x'.repeat(1_024)},
+  'list of trailers': {start: `${HEAD}1\r\na\r\n0\r\n`, part: 'x: y\r\n'},
+};
+
+/** Writes until the connection is closed; returns how many bytes were written. */
+function writeWithoutEnd(
+  socket: Socket,
+  {start, part}: {start: string; part: string},
+): Promise<number> {
+  let isClosed = false;
+  socket.write(start);
+  const write = () => {
+    while (!isClosed && socket.write(part)) {
+      // Goes on until the socket asks to wait.
+    }
+  };
+  socket.on('drain', () => setImmediate(write));
+  write();
+  return new Promise(resolve =>
+    socket.once('close', () => {
+      isClosed = true;
+      resolve(socket.bytesWritten);
+    }),
+  );
+}
+
+// What follows a complete response on its connection must not change it.
+test.for(['HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nb', 'no response'])(
+  'a complete response is returned whole when "%s" follows it',
+  async surplus => {
+    const {backend, call} = await start(({socket}) =>
+      socket.write(`${createResponse('a')}${surplus}`),
+    );
+    const response = await call('a');
+
+    expect(await readText(response.body)).toBe('a');
+    await waitUntil('the end', () => backend.openConnectionCount === 0);
+  },
+);
+
+// Node.js has read the whole response by then, and its reader has not.
+test('a complete response that is read after its connection was reset is returned whole', async () => {
+  const {backend, call} = await start(({socket}) => {
+    socket.write(createResponse('a'));
+    setTimeout(() => socket.resetAndDestroy(), 20);
+  });
+  const response = await call('a');
+  await waitUntil('the end', () => backend.openConnectionCount === 0);
+  await new Promise(resolve => setTimeout(resolve, 20));
+
+  expect(await readText(response.body)).toBe('a');
+});
+
+test('a request to an address where nobody listens was never sent', async () => {
+  const {backend, call} = await start(() => undefined);
+  backend.close();
+
+  await expect(call('a')).rejects.toMatchObject({name: 'NeverSent'});
+});
+
+test('a request whose connection closes without a response may have run', async () => {
+  const {call} = await start(({socket}) => socket.destroy());
+
+  await expect(call('a')).rejects.toMatchObject({name: 'Broken'});
+});
+
+// A small chunk takes many times its size on the connection.
+test('a response in chunks of one byte is returned whole', async () => {
+  const body = 'x'.repeat(300_000);
+  const {call} = await start(({socket}) => {
+    socket.write(`${HEAD}${'1\r\nx\r\n'.repeat(body.length)}0\r\n\r\n`);
+  });
+  const response = await call('a');
+
+  expect(await readText(response.body)).toBe(body);
 });
+
+// Such a response held its connection until the time limit for headers, 120 s, or for ever.
+test.for(Object.keys(ENDLESS))(
+  'a %s without an end closes the connection and fails the request',
+  async name => {
+    let written: Promise<number> | undefined;
+    const {call} = await start(({socket}) => {
+      written = writeWithoutEnd(socket, ENDLESS[name]);
+    });
+    const readAll = async () => readText((await call('a')).body);
+
+    await expect(readAll()).rejects.toMatchObject({name: 'Broken'});
+    // 1 MiB is read at most; the rest is in the buffers of both sockets.
+    expect(await written).toBeLessThan(8 * 1024 * 1024);
+  },
+);
