fix(protocol): splitting an event takes time in proportion to its size

What callers could see: other answers of the same host process delayed while a backend server sent one event in small pieces.

Cause: each piece was joined with all that was pending, and the whole was searched again. Up to the limit of an event, 1 MiB, that is a copy of the event for each piece.

Pieces are copied into one buffer that doubles (`ByteAccumulator`), and only the new piece is searched. What is pending holds at most twice its size, and no longer keeps the buffers of the connection.

--- /dev/null
+++ b/src/common/byte_accumulator.ts
@@ -0,0 +1,54 @@
+/** Bytes that arrive in pieces of any size and are taken as one buffer. */
+
+const MIN_CAPACITY_BYTES = 256;
+
+/** Copies pieces into one buffer, so that many small ones take neither quadratic time nor an object each. */
+export class ByteAccumulator {
+  private storage = Buffer.alloc(0);
+  private length = 0;
+
+  private constructor() {}
+
+  /**
+   * Creates an empty accumulator.
+   *
+   * @example
+   * const bytes = ByteAccumulator.create();
+   * bytes.add(chunk);
+   * const whole = bytes.take();
+   */
+  static create(): ByteAccumulator {
+    return new ByteAccumulator();
+  }
+
+  /** Number of bytes that were added and not taken. */
+  get size(): number {
+    return this.length;
+  }
+
+  /** The byte that was added last; undefined when there is none. */
+  get last(): number | undefined {
+    return this.length > 0 ? this.storage[this.length - 1] : undefined;
+  }
+
+  /** Adds a copy of the bytes. */
+  add(bytes: Uint8Array): void {
+    const needed = this.length + bytes.length;
+    if (needed > this.storage.length) {
+      const capacity = Math.max(MIN_CAPACITY_BYTES, needed, this.length * 2);
+      const storage = Buffer.allocUnsafeSlow(capacity);
+      storage.set(this.storage.subarray(0, this.length));
+      this.storage = storage;
+    }
+    this.storage.set(bytes, this.length);
+    this.length = needed;
+  }
+
+  /** Returns all bytes and forgets them. */
+  take(): Buffer {
+    const bytes = this.storage.subarray(0, this.length);
+    this.storage = Buffer.alloc(0);
+    this.length = 0;
+    return bytes;
+  }
+}
--- a/src/protocol/sse_splitter.ts
+++ b/src/protocol/sse_splitter.ts
@@ -1,4 +1,5 @@
 /** Splits a stream of server-sent events at event boundaries. */
+import {ByteAccumulator} from '../common/byte_accumulator';
 
 const BOUNDARY = Buffer.from('\n\n');
 const END_MARKER = Buffer.from('data: [DONE]\n\n');
@@ -7,7 +8,7 @@
 
 /** Returns complete events only, so that an interrupted stream never ends within an event. */
 export class SseSplitter {
-  private pending: Buffer = Buffer.alloc(0);
+  private readonly pending = ByteAccumulator.create();
   private hasEndMarker = false;
 
   private constructor() {}
@@ -25,29 +26,42 @@
 
   /** True after the `[DONE]` event, when no bytes are pending. */
   get isComplete(): boolean {
-    return this.hasEndMarker && this.pending.length === 0;
+    return this.hasEndMarker && this.pending.size === 0;
   }
 
   /** Number of buffered bytes of an incomplete event. */
   get pendingBytes(): number {
-    return this.pending.length;
+    return this.pending.size;
   }
 
   /** Adds a chunk; returns the events that it completes in one buffer, which may be empty. */
   split(chunk: Buffer): Buffer {
-    const bytes =
-      this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
-    const at = bytes.lastIndexOf(BOUNDARY);
-    if (at === NOT_FOUND) {
-      this.pending = bytes;
-      return bytes.subarray(0, 0);
+    const end = this.findLastEnd(chunk);
+    const rest = chunk.subarray(end);
+    if (end === 0) {
+      this.pending.add(rest);
+      return chunk.subarray(0, 0);
     }
-    const end = at + BOUNDARY.length;
-    this.pending = bytes.subarray(end);
-    const complete = bytes.subarray(0, end);
+    let complete = chunk.subarray(0, end);
+    if (this.pending.size > 0) {
+      this.pending.add(complete);
+      complete = this.pending.take();
+    }
+    this.pending.add(rest);
     this.hasEndMarker = isEndMarker(complete);
     return complete;
   }
+
+  /** Finds where the last event that the chunk completes ends in it; 0 when it completes none. */
+  private findLastEnd(chunk: Buffer): number {
+    const at = chunk.lastIndexOf(BOUNDARY);
+    if (at !== NOT_FOUND) {
+      return at + BOUNDARY.length;
+    }
+    const isSplitBoundary =
+      this.pending.last === LINE_FEED && chunk[0] === LINE_FEED;
+    return isSplitBoundary ? 1 : 0;
+  }
 }
 
 /** True when the last event is the end marker, and not an event whose text ends with it. */
