fix(host): events are never cut between frames

What callers could see: after a connection between the programs broke, half an event, followed by the whole next one from another replica; or an event twice, when the cut was within the empty line that ends it and the entry counted one event too few.

Cause: complete events were sent in frames of at most 64 KiB, cut at any byte, while the entry counts the events of each frame by itself and passes each frame on. An event, or a batch of them, over 64 KiB was cut.

--- a/src/host/running_attempt.ts
+++ b/src/host/running_attempt.ts
@@ -127,7 +127,9 @@
     const splitter = isEvents ? SseSplitter.create() : undefined;
     for await (const chunk of answer.body) {
       this.checkNotStopped();
-      await this.sendChunks(splitter ? splitter.split(chunk) : chunk);
+      await (splitter
+        ? this.sendData(splitter.split(chunk))
+        : this.sendChunks(chunk));
       if ((splitter?.pendingBytes ?? 0) > MAX_EVENT_BYTES) {
         return {
           outcome: 'failed',
@@ -157,21 +159,26 @@
       offset < bytes.length;
       offset += MAX_FRAME_DATA_BYTES
     ) {
-      const chunk = bytes.subarray(offset, offset + MAX_FRAME_DATA_BYTES);
-      while (this.credit <= 0) {
-        await new Promise<void>(resolve => (this.resumeSending = resolve));
-        this.checkNotStopped();
-      }
-      this.credit -= chunk.length;
-      const {stream} = this.options.dispatch;
-      this.options.send({
-        type: 'data',
-        stream,
-        sequence: this.sequence,
-        bytes: chunk,
-      });
-      this.sequence += 1;
+      await this.sendData(
+        bytes.subarray(offset, offset + MAX_FRAME_DATA_BYTES),
+      );
+    }
+  }
+
+  /** Sends one frame, which may exceed the credit: cut events could not be resumed after a break. */
+  private async sendData(bytes: Buffer): Promise<void> {
+    if (bytes.length === 0) {
+      return;
+    }
+    while (this.credit <= 0) {
+      await new Promise<void>(resolve => (this.resumeSending = resolve));
+      this.checkNotStopped();
     }
+    this.credit -= bytes.length;
+    const {stream} = this.options.dispatch;
+    const {sequence} = this;
+    this.options.send({type: 'data', stream, sequence, bytes});
+    this.sequence += 1;
   }
 
   /** Throws when the attempt was stopped or is no longer allowed to run. */
