fix(entry): a response has no header of an earlier attempt

What callers could see: headers of a failed attempt (an encoding, a length of time, a content type) with the body of the next one. Where the failed one was a stream of events and the next one was not, the caller got `Failed` or nothing, and an uncaught exception (`Trailers are invalid with this transfer encoding`) could end the entry process.

Cause: `CallerResponse.start` discarded the buffered body of an earlier attempt and kept its headers, among them `trailer`, which the entry sets for streams.

`start` now clears the headers, except for the id of the request, as `fail` did already.

--- a/src/entry/caller_response.ts
+++ b/src/entry/caller_response.ts
@@ -77,8 +77,9 @@
     this.onDisconnect = callback;
   }
 
-  /** Sets the status and headers, and discards the buffered body of an earlier attempt. */
+  /** Sets the status and headers, and discards those and the buffered body of an earlier attempt. */
   start(status: number, headers: Readonly<Record<string, string>>): void {
+    this.clearHeaders();
     this.isEvents = headers['content-type']?.startsWith(EVENT_STREAM) ?? false;
     this.bufferedChunks = this.isEvents ? undefined : [];
     this.bufferedBytes = 0;
--- a/test/entry/request_runner.test.ts
+++ b/test/entry/request_runner.test.ts
@@ -31,11 +31,8 @@
   return {id, epoch: 1, fencing: 1, ...place, members, isDraining: false};
 }
 
-/** Runs one request on the given hosts, which are its only replicas. */
-async function sendRequest(
-  hosts: readonly FakeHost[],
-  changes: Partial<CallerRequest> = {},
-) {
+/** Starts a runner for the given hosts, which are the only replicas of every request. */
+async function startRunner(hosts: readonly FakeHost[]) {
   const connections = HostConnections.create({identity, clock: systemClock});
   const groups = hosts.map((host, at) => createGroup(`g${at}`, host.address));
   connections.setAddresses(hosts.map(host => host.address));
@@ -53,7 +50,7 @@
     // Always chooses the first replica that was not tried.
     random: () => 0,
   });
-  const request: CallerRequest = {
+  const createRequest = (changes: Partial<CallerRequest>): CallerRequest => ({
     requestId: 'r',
     workspace: 'w',
     priority: 5,
@@ -67,8 +64,10 @@
     idempotencyKey: 'r',
     deadline: systemClock.now() + 5_000,
     ...changes,
-  };
+  });
+  const requests: CallerRequest[] = [];
   const server = http.createServer((_, response) => {
+    const request = requests.shift() as CallerRequest;
     void runner.run(request, CallerResponse.create(response));
   });
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
@@ -77,7 +76,20 @@
     () => server.close(),
   );
   const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}/`;
-  return call({url, method: 'POST', headers: {}, body: ''});
+  const send = (changes: Partial<CallerRequest> = {}) => {
+    requests.push(createRequest(changes));
+    return call({url, method: 'POST', headers: {}, body: ''});
+  };
+  return {send};
+}
+
+/** Runs one request on the given hosts, which are its only replicas. */
+async function sendRequest(
+  hosts: readonly FakeHost[],
+  changes: Partial<CallerRequest> = {},
+) {
+  const {send} = await startRunner(hosts);
+  return send(changes);
 }
 
 async function createHost(
@@ -175,6 +187,35 @@
   });
 });
 
+const breakAfterHead: Parameters<typeof FakeHost.create>[0] = (
+  dispatch,
+  send,
+) => {
+  const {stream} = dispatch;
+  const headers = {...EVENTS, 'x-of-first': 'a', 'whinreel-request-id': 'b'};
+  send({type: 'head', stream, status: 200, headers});
+  send({type: 'end', stream, frames: 0, outcome: 'failed', reason: 'broke'});
+};
+
+describe('the head of a response', () => {
+  // Headers of a failed attempt were sent with the response to the next one.
+  test('has no header of an earlier attempt', async () => {
+    const first = await createHost(breakAfterHead);
+    const second = await createHost((dispatch, send) => {
+      const {stream} = dispatch;
+      send({type: 'head', stream, status: 200, headers: {'x-of-second': 'c'}});
+      send(data(stream, 0, 'a'));
+      send(end(stream, 1));
+    });
+    const answer = await sendRequest([first, second]);
+
+    expect(answer.text).toBe('data: a\n\n');
+    expect(answer.headers).toMatchObject({'x-of-second': 'c'});
+    expect(Object.keys(answer.headers)).not.toContain('x-of-first');
+    expect(Object.keys(answer.headers)).not.toContain('trailer');
+  });
+});
+
 describe('a request', () => {
   test('that one replica refused runs on the next one under another attempt id', async () => {
     const refusing = await createHost((dispatch, send) => {
--- a/test/support/caller.ts
+++ b/test/support/caller.ts
@@ -14,6 +14,7 @@
 export interface CallResult {
   readonly status: number;
   readonly outcome: string;
+  readonly headers: http.IncomingHttpHeaders;
   readonly text: string;
   /** The connection failed before the end of the response. */
   readonly isBroken: boolean;
@@ -22,7 +23,13 @@
 /** Sends one request; never rejects: a failed connection has status 0. */
 export function call(options: CallOptions): Promise<CallResult> {
   return new Promise(resolve => {
-    const failed = {status: 0, outcome: 'connection', text: '', isBroken: true};
+    const failed = {
+      status: 0,
+      outcome: 'connection',
+      headers: {},
+      text: '',
+      isBroken: true,
+    };
     const {method, body} = options;
     const headers = {
       ...options.headers,
@@ -38,7 +45,8 @@
             response.headers['whinreel-outcome'] ??
             response.trailers['whinreel-outcome'];
           const outcome = header?.toString() ?? '';
-          resolve({status: response.statusCode ?? 0, outcome, text, isBroken});
+          const {statusCode: status = 0, headers} = response;
+          resolve({status, outcome, headers, text, isBroken});
         };
         response.setEncoding('utf8');
         response.on('data', data => (text += String(data)));
