fix(entry): no header of a backend server speaks for the entry

What callers could see: `whinreel-outcome: not-run` in the head of a stream that ran, a promise that the request can be sent again; the id of another request in `whinreel-request-id`; and, after a `trailer` header with a plain body, `Failed` for a response that was complete, with an uncaught exception in the entry process.

Cause: headers of backend servers were forwarded after the entry had set its own, which they replaced, and `trailer` names what the entry sends.

Evidence: both new tests failed before: `expected 'not-run' to be 'answered'`, and `expected '{"type":"about:blank","title":"Failed…' to be 'data: a\n\n'` with `Trailers are invalid with this transfer encoding`. The entry forwards no header that begins with `whinreel-` and no `trailer`.

--- a/src/entry/caller_response.ts
+++ b/src/entry/caller_response.ts
@@ -11,11 +11,14 @@
 const LINE_FEED = 10;
 const OK = 200;
 const EVENT_STREAM = 'text/event-stream';
+/** Headers with this prefix are the entry's own statements to the caller. */
+const OWN_HEADER_PREFIX = 'whinreel-';
 const NOT_FORWARDED_HEADERS = new Set([
   'connection',
   'keep-alive',
   'transfer-encoding',
   'content-length',
+  'trailer',
 ]);
 
 /** Writes the frames of one or more attempts to one HTTP response. */
@@ -85,7 +88,8 @@
     this.bufferedBytes = 0;
     this.response.statusCode = status;
     for (const [name, value] of Object.entries(headers)) {
-      if (!NOT_FORWARDED_HEADERS.has(name)) {
+      const isOwn = name.startsWith(OWN_HEADER_PREFIX);
+      if (!isOwn && !NOT_FORWARDED_HEADERS.has(name)) {
         this.response.setHeader(name, value);
       }
     }
--- a/test/entry/request_runner.test.ts
+++ b/test/entry/request_runner.test.ts
@@ -214,6 +214,41 @@
     expect(Object.keys(answer.headers)).not.toContain('x-of-first');
     expect(Object.keys(answer.headers)).not.toContain('trailer');
   });
+
+  // A backend server could replace the id of the request and promise that it did not run.
+  test('takes the outcome and the id of the request from no backend server', async () => {
+    const host = await createHost((dispatch, send) => {
+      const {stream} = dispatch;
+      const headers = {
+        ...EVENTS,
+        'whinreel-outcome': 'not-run',
+        'whinreel-request-id': 'other',
+      };
+      send({type: 'head', stream, status: 200, headers});
+      send(data(stream, 0, '[DONE]'));
+      send(end(stream, 1));
+    });
+    const answer = await sendRequest([host]);
+
+    expect(answer.outcome).toBe('answered');
+    expect(
+      Object.keys(answer.headers).filter(name => name.startsWith('whinreel')),
+    ).toEqual([]);
+  });
+
+  // Node.js threw for a trailer that a whole body cannot have, and the host was disconnected.
+  test('announces no trailer of a backend server', async () => {
+    const host = await createHost((dispatch, send) => {
+      const {stream} = dispatch;
+      send({type: 'head', stream, status: 200, headers: {trailer: 'x'}});
+      send(data(stream, 0, 'a'));
+      send(end(stream, 1));
+    });
+    const answer = await sendRequest([host]);
+
+    expect(answer.text).toBe('data: a\n\n');
+    expect(answer.outcome).toBe('answered');
+  });
 });
 
 describe('a request', () => {
