fix(entry): a head that HTTP forbids fails its own attempt only

What callers could see: `unknown` for every request that the entry had at a host process, at the moment when the backend server answered one of them with a status below 200 or with a header that Node.js refuses to set; an uncaught exception in the entry process on top.

Cause: `setHeader` and `end` throw for such a head. The error left the handler of the connection to the host process, which was closed with all its attempts.

Evidence: four new tests failed before, each after 5 s with `expected 'unknown' to be 'answered'` for the other request, and with `Invalid status code: 99`, `Invalid character in header content` and `Header name must be a valid HTTP token` uncaught.

The head is checked before anything is set; the attempt ends as `failed` (`unknown` when the request must run at most once) and is cancelled where that is allowed.

--- a/src/entry/caller_response.ts
+++ b/src/entry/caller_response.ts
@@ -1,5 +1,9 @@
 /** The HTTP response to one caller: a buffered body, or an event stream with an explicit end. */
-import {ServerResponse} from 'node:http';
+import {
+  ServerResponse,
+  validateHeaderName,
+  validateHeaderValue,
+} from 'node:http';
 import {RequestOutcome} from '../protocol/request_outcome';
 import {Problem} from './problem';
 import {sendProblem} from './send_problem';
@@ -10,6 +14,8 @@
 const RESUMED_FROM_HEADER = 'whinreel-resumed-from';
 const LINE_FEED = 10;
 const OK = 200;
+/** Node.js throws for any other final status. */
+const MAX_STATUS = 999;
 const EVENT_STREAM = 'text/event-stream';
 /** Headers with this prefix are the entry's own statements to the caller. */
 const OWN_HEADER_PREFIX = 'whinreel-';
@@ -80,6 +86,19 @@
     this.onDisconnect = callback;
   }
 
+  /** Returns whether HTTP allows the status and headers, so that `start` does not throw for them. */
+  canStart(status: number, headers: Readonly<Record<string, string>>): boolean {
+    try {
+      for (const [name, value] of Object.entries(headers)) {
+        validateHeaderName(name);
+        validateHeaderValue(name, value);
+      }
+    } catch {
+      return false;
+    }
+    return status >= OK && status <= MAX_STATUS;
+  }
+
   /** Sets the status and headers, and discards those and the buffered body of an earlier attempt. */
   start(status: number, headers: Readonly<Record<string, string>>): void {
     this.clearHeaders();
--- a/src/entry/request_runner.ts
+++ b/src/entry/request_runner.ts
@@ -237,7 +237,9 @@
             if (isSettled) {
               return;
             }
-            if (!response.hasDelivered) {
+            if (!response.canStart(status, headers)) {
+              abandon('the answer has a status or header that HTTP forbids');
+            } else if (!response.hasDelivered) {
               response.start(status, headers);
             } else if (!response.isContinuedBy(status, headers)) {
               abandon('the answer broke off and could not be resumed');
--- a/test/entry/request_runner.test.ts
+++ b/test/entry/request_runner.test.ts
@@ -249,6 +249,43 @@
     expect(answer.text).toBe('data: a\n\n');
     expect(answer.outcome).toBe('answered');
   });
+
+  // An error while one response was written closed the connection of all others to the host.
+  const INVALID_HEADS: ReadonlyArray<{
+    status: number;
+    headers: Record<string, string>;
+  }> = [
+    {status: 99, headers: {}},
+    {status: 200, headers: {x: 'line\nbreak'}},
+    {status: 200, headers: {x: '\u2713'}},
+    {status: 200, headers: {'not a name': 'x'}},
+  ];
+  test.for(INVALID_HEADS)(
+    'that HTTP does not allow fails its own attempt only: %o',
+    async head => {
+      let finishOther: (() => void) | undefined;
+      const host = await createHost((dispatch, send) => {
+        const {stream} = dispatch;
+        if (!finishOther) {
+          finishOther = () => {
+            send({type: 'head', stream, status: 200, headers: {}});
+            send(end(stream, 0));
+          };
+          return;
+        }
+        send({type: 'head', stream, ...head});
+        send(end(stream, 0));
+      });
+      const {send} = await startRunner([host]);
+      const other = send({requestId: 'other'});
+      await waitUntil('the other request', () => finishOther);
+      const answer = await send({requestId: 'r'});
+      finishOther?.();
+
+      expect(answer.outcome).toBe('failed');
+      expect((await other).outcome).toBe('answered');
+    },
+  );
 });
 
 describe('a request', () => {
