fix(entry): a stream is continued by a stream of events only

What callers could see: a stream that ended as `answered` without `data: [DONE]`, or within an event, after it was resumed by a response that was no stream of events.

Cause: a resumed response was believed by its status and by `whinreel-resumed-from`. The host process cuts at events and asks for the end mark only where the content type says so.

Evidence: the new test failed before with `expected 'data: a\n\ndata: b\n\n' not to contain 'data: b'`. The content type counts now, too.

--- a/src/entry/caller_response.ts
+++ b/src/entry/caller_response.ts
@@ -102,7 +102,7 @@
   /** Sets the status and headers, and discards those and the buffered body of an earlier attempt. */
   start(status: number, headers: Readonly<Record<string, string>>): void {
     this.clearHeaders();
-    this.isEvents = headers['content-type']?.startsWith(EVENT_STREAM) ?? false;
+    this.isEvents = isEventStream(headers);
     this.bufferedChunks = this.isEvents ? undefined : [];
     this.bufferedBytes = 0;
     this.response.statusCode = status;
@@ -126,7 +126,11 @@
     headers: Readonly<Record<string, string>>,
   ): boolean {
     const resumedFrom = headers[RESUMED_FROM_HEADER];
-    return status === OK && resumedFrom === String(this.eventCount);
+    return (
+      status === OK &&
+      isEventStream(headers) &&
+      resumedFrom === String(this.eventCount)
+    );
   }
 
   /** Buffers or sends a chunk of the body; `onWritten` is called when there is room for more. */
@@ -225,6 +229,10 @@
   }
 }
 
+function isEventStream(headers: Readonly<Record<string, string>>): boolean {
+  return headers['content-type']?.startsWith(EVENT_STREAM) ?? false;
+}
+
 /** Counts empty lines: each ends an event, and a frame holds complete events only. */
 function countEvents(bytes: Uint8Array): number {
   let count = 0;
--- /dev/null
+++ b/test/entry/faulty_response.test.ts
@@ -0,0 +1,179 @@
+import {afterEach, describe, expect, test} from 'vitest';
+import {CallerRequest} from '../../src/entry/caller_request';
+import {RequestMessage} from '../../src/protocol/request_message';
+import {FakeHost} from '../support/fake_host';
+import {startEntryRunner} from '../support/start_entry_runner';
+import {waitUntil} from '../support/wait_until';
+
+const EVENTS = {'content-type': 'text/event-stream'};
+const closers: Array<() => unknown> = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) {
+    await close();
+  }
+});
+
+/** Starts a runner that ends with the test. */
+async function startRunner(
+  ...args: Parameters<typeof startEntryRunner>
+): ReturnType<typeof startEntryRunner> {
+  const runner = await startEntryRunner(...args);
+  closers.push(runner.close);
+  return runner;
+}
+
+/** Runs one request on the given hosts, which are its only replicas. */
+async function sendRequest(
+  hosts: readonly FakeHost[],
+  changes: Partial<CallerRequest> = {},
+) {
+  const {send} = await startRunner(hosts);
+  return send(changes);
+}
+
+async function createHost(
+  ...args: Parameters<typeof FakeHost.create>
+): Promise<FakeHost> {
+  const host = await FakeHost.create(...args);
+  closers.push(() => host.close());
+  return host;
+}
+
+function data(stream: number, sequence: number, text: string): RequestMessage {
+  return {
+    type: 'data',
+    stream,
+    sequence,
+    bytes: Buffer.from(`data: ${text}\n\n`),
+  };
+}
+
+function end(stream: number, frames: number): RequestMessage {
+  return {type: 'end', stream, frames, outcome: 'answered', reason: ''};
+}
+
+const breakAfterHead: Parameters<typeof FakeHost.create>[0] = (
+  dispatch,
+  send,
+) => {
+  const {stream} = dispatch;
+  const headers = {...EVENTS, 'x-of-first': 'a', 'whinreel-request-id': 'b'};
+  send({type: 'head', stream, status: 200, headers});
+  send({type: 'end', stream, frames: 0, outcome: 'failed', reason: 'broke'});
+};
+
+describe('the head of a response', () => {
+  // Headers of a failed attempt were sent with the response to the next one.
+  test('has no header of an earlier attempt', async () => {
+    const first = await createHost(breakAfterHead);
+    const second = await createHost((dispatch, send) => {
+      const {stream} = dispatch;
+      send({type: 'head', stream, status: 200, headers: {'x-of-second': 'c'}});
+      send(data(stream, 0, 'a'));
+      send(end(stream, 1));
+    });
+    const answer = await sendRequest([first, second]);
+
+    expect(answer.text).toBe('data: a\n\n');
+    expect(answer.headers).toMatchObject({'x-of-second': 'c'});
+    expect(Object.keys(answer.headers)).not.toContain('x-of-first');
+    expect(Object.keys(answer.headers)).not.toContain('trailer');
+  });
+
+  // A backend server could replace the id of the request and promise that it did not run.
+  test('takes the outcome and the id of the request from no backend server', async () => {
+    const host = await createHost((dispatch, send) => {
+      const {stream} = dispatch;
+      const headers = {
+        ...EVENTS,
+        'whinreel-outcome': 'not-run',
+        'whinreel-request-id': 'other',
+      };
+      send({type: 'head', stream, status: 200, headers});
+      send(data(stream, 0, '[DONE]'));
+      send(end(stream, 1));
+    });
+    const answer = await sendRequest([host]);
+
+    expect(answer.outcome).toBe('answered');
+    expect(
+      Object.keys(answer.headers).filter(name => name.startsWith('whinreel')),
+    ).toEqual([]);
+  });
+
+  // Node.js threw for a trailer that a whole body cannot have, and the host was disconnected.
+  test('announces no trailer of a backend server', async () => {
+    const host = await createHost((dispatch, send) => {
+      const {stream} = dispatch;
+      send({type: 'head', stream, status: 200, headers: {trailer: 'x'}});
+      send(data(stream, 0, 'a'));
+      send(end(stream, 1));
+    });
+    const answer = await sendRequest([host]);
+
+    expect(answer.text).toBe('data: a\n\n');
+    expect(answer.outcome).toBe('answered');
+  });
+
+  // An error while one response was written closed the connection of all others to the host.
+  const INVALID_HEADS: ReadonlyArray<{
+    status: number;
+    headers: Record<string, string>;
+  }> = [
+    {status: 99, headers: {}},
+    {status: 200, headers: {x: 'line\nbreak'}},
+    {status: 200, headers: {x: '\u2713'}},
+    {status: 200, headers: {'not a name': 'x'}},
+  ];
+  test.for(INVALID_HEADS)(
+    'that HTTP does not allow fails its own attempt only: %o',
+    async head => {
+      let finishOther: (() => void) | undefined;
+      const host = await createHost((dispatch, send) => {
+        const {stream} = dispatch;
+        if (!finishOther) {
+          finishOther = () => {
+            send({type: 'head', stream, status: 200, headers: {}});
+            send(end(stream, 0));
+          };
+          return;
+        }
+        send({type: 'head', stream, ...head});
+        send(end(stream, 0));
+      });
+      const {send} = await startRunner([host]);
+      const other = send({requestId: 'other'});
+      await waitUntil('the other request', () => finishOther);
+      const answer = await send({requestId: 'r'});
+      finishOther?.();
+
+      expect(answer.outcome).toBe('failed');
+      expect((await other).outcome).toBe('answered');
+    },
+  );
+});
+
+describe('a response', () => {
+  // A plain body is not cut at events and needs no end mark, so the stream could end anywhere.
+  test('is not continued by a body that is no stream of events', async () => {
+    const first = await createHost((dispatch, send, peer) => {
+      const {stream} = dispatch;
+      send({type: 'head', stream, status: 200, headers: EVENTS});
+      send(data(stream, 0, 'a'));
+      peer.end();
+    });
+    const second = await createHost((dispatch, send) => {
+      const {stream} = dispatch;
+      const headers = {'whinreel-resumed-from': '1'};
+      send({type: 'head', stream, status: 200, headers});
+      send(data(stream, 0, 'b'));
+      send(end(stream, 1));
+    });
+    const answer = await sendRequest([first, second]);
+
+    expect(answer.text).not.toContain('data: b');
+    // How the first attempt ended is not known.
+    expect(answer.outcome).toBe('unknown');
+  });
+});
