fix(entry): a response without an end is not read for ever

What callers could see: other answers delayed, for as long as a faulty backend server wrote, by the response to a request that must run at most once, after its deadline or after its entry had gone.

Cause: such an attempt is not cancelled, since it may have had its effect, and its outcome is wanted. The entry dropped its data and gave the credit back; the host process without an entry had endless credit.

Both now read 16 MiB of a response that nobody waits for. Then the attempt is stopped and its connection closed; its outcome is `failed`, since it ran. A response that comes slowly without an end is not ended by this, and holds one connection and no growing memory.

--- a/src/entry/request_runner.ts
+++ b/src/entry/request_runner.ts
@@ -17,6 +17,8 @@
 /** Milliseconds within which a host must start a dispatch; it refuses later ones. */
 const START_WITHIN_MS = 2_000;
 const NO_REPLICA_RETRY_MS = 1_000;
+/** Bytes of an abandoned attempt after which it is cancelled even if it must run at most once. */
+const MAX_IGNORED_BYTES = 16 * 1024 * 1024;
 /** Asks a backend server to skip this many events of its response. */
 const RESUME_HEADER = 'whinreel-resume-after';
 
@@ -201,6 +203,7 @@
       let hasStarted = false;
       // Frames of an abandoned attempt may still arrive and are ignored.
       let isSettled = false;
+      let ignoredBytes = 0;
       const finish = (end: AttemptOutcome) => {
         isSettled = true;
         clearTimeout(timer);
@@ -247,7 +250,12 @@
           },
           onData: (bytes, returnCredit) => {
             if (isSettled) {
-              returnCredit();
+              ignoredBytes += bytes.length;
+              if (ignoredBytes <= MAX_IGNORED_BYTES) {
+                returnCredit();
+              } else {
+                cancel();
+              }
             } else {
               response.write(bytes, returnCredit);
             }
--- a/src/host/attempt_runner.ts
+++ b/src/host/attempt_runner.ts
@@ -205,7 +205,7 @@
    */
   private handleEntryDisconnect(attempt: RunningAttempt): void {
     if (this.running.get(attempt)?.isRepeatable === false) {
-      attempt.addCredit(Infinity);
+      attempt.finishUnheard();
     } else {
       attempt.stop({outcome: 'unknown', reason: 'the entry went away'});
     }
--- a/src/host/running_attempt.ts
+++ b/src/host/running_attempt.ts
@@ -8,6 +8,8 @@
 
 const MAX_FRAME_DATA_BYTES = 64 * 1024;
 const MAX_EVENT_BYTES = 1024 * 1024;
+/** Bytes of a response that are read without an entry, only to learn how the attempt ends. */
+const MAX_UNHEARD_BYTES = 16 * 1024 * 1024;
 const SERVER_ERROR = 500;
 const EVENT_STREAM = 'text/event-stream';
 
@@ -37,6 +39,7 @@
   private credit: number;
   private resumeSending: (() => void) | undefined;
   private sequence = 0;
+  private isUnheard = false;
   private stopEnd: AttemptOutcome | undefined;
 
   private constructor(private readonly options: RunningAttemptOptions) {
@@ -60,6 +63,12 @@
     this.resumeSending?.();
   }
 
+  /** Continues without the entry, up to a limit, so that the outcome becomes known. */
+  finishUnheard(): void {
+    this.isUnheard = true;
+    this.addCredit(MAX_UNHEARD_BYTES);
+  }
+
   /** Stops the attempt; the first reason is kept. */
   stop(end: AttemptOutcome): void {
     this.stopEnd ??= end;
@@ -171,6 +180,11 @@
       return;
     }
     while (this.credit <= 0) {
+      if (this.isUnheard) {
+        const reason = 'the response is too long to be read without its entry';
+        this.stop({outcome: 'failed', reason});
+        this.checkNotStopped();
+      }
       await new Promise<void>(resolve => (this.resumeSending = resolve));
       this.checkNotStopped();
     }
--- a/test/entry/faulty_response.test.ts
+++ b/test/entry/faulty_response.test.ts
@@ -1,10 +1,17 @@
 import {afterEach, describe, expect, test} from 'vitest';
+import {systemClock} from '../../src/common/system_clock';
 import {CallerRequest} from '../../src/entry/caller_request';
+import {IdempotencyClaims} from '../../src/entry/idempotency_claims';
 import {RequestMessage} from '../../src/protocol/request_message';
 import {FakeHost} from '../support/fake_host';
 import {startEntryRunner} from '../support/start_entry_runner';
 import {waitUntil} from '../support/wait_until';
 
+/** Grants every claim. */
+const GRANTED = {
+  claim: async () => undefined,
+  resolve: async () => undefined,
+} as unknown as IdempotencyClaims;
 const EVENTS = {'content-type': 'text/event-stream'};
 const closers: Array<() => unknown> = [];
 
@@ -176,4 +183,33 @@
     // How the first attempt ended is not known.
     expect(answer.outcome).toBe('unknown');
   });
+
+  // A request that must run at most once is not cancelled at its deadline.
+  test('without an end is cancelled once its caller has waited in vain', async () => {
+    let sentBytes = 0;
+    let timer: NodeJS.Timeout | undefined;
+    const piece = Buffer.alloc(64 * 1024);
+    const host = await createHost((dispatch, send) => {
+      const {stream} = dispatch;
+      let sequence = 0;
+      send({type: 'head', stream, status: 200, headers: EVENTS});
+      timer = setInterval(() => {
+        send({type: 'data', stream, sequence, bytes: piece});
+        sequence += 1;
+        sentBytes += piece.length;
+      }, 1);
+    });
+    closers.push(() => clearInterval(timer));
+    const {send} = await startRunner([host], GRANTED);
+    const answer = await send({
+      isRepeatable: false,
+      deadline: systemClock.now() + 100,
+    });
+
+    expect(answer.outcome).toBe('unknown');
+    await waitUntil('the cancel', () =>
+      host.messages.some(({type}) => type === 'cancel'),
+    );
+    expect(sentBytes).toBeLessThan(64 * 1024 * 1024);
+  });
 });
--- a/test/host/running_attempt.test.ts
+++ b/test/host/running_attempt.test.ts
@@ -96,3 +96,28 @@
   expect((await attempt.ended).outcome).toBe('unknown');
   expect(sent.map(({type}) => type)).toEqual(['end']);
 });
+
+// An attempt that must run at most once goes on without its entry, and read such a response for ever.
+test('a response without an end is not read for ever once its entry went away', async () => {
+  const {backend, attempt} = await run(
+    ({socket}) => {
+      const piece = Buffer.alloc(64 * 1024);
+      const write = () => {
+        while (!socket.destroyed && socket.write(piece)) {
+          // Goes on until the socket asks to wait.
+        }
+      };
+      socket.on('drain', () => setImmediate(write));
+      socket.write('HTTP/1.1 200 OK\r\n\r\n');
+      write();
+    },
+    {credit: 1},
+  );
+  attempt.finishUnheard();
+
+  expect(await attempt.ended).toEqual({
+    outcome: 'failed',
+    reason: 'the response is too long to be read without its entry',
+  });
+  await waitUntil('the end', () => backend.openConnectionCount === 0);
+});
