fix(entry): a body in small pieces is held in one buffer

What callers could see: an entry that runs out of memory, with all its requests, because of backend servers that send bodies in small pieces.

Cause: a body up to 1 MiB is held until its outcome is known, and each piece was kept as an object, with the buffer that it arrived in.

Evidence: the new test holds 1 MiB in pieces of one byte; before it failed with `expected to be less than 8388608`. The pieces are now copied into one `ByteAccumulator`, which holds at most twice the size of the body.

--- a/src/entry/caller_response.ts
+++ b/src/entry/caller_response.ts
@@ -4,6 +4,7 @@
   validateHeaderName,
   validateHeaderValue,
 } from 'node:http';
+import {ByteAccumulator} from '../common/byte_accumulator';
 import {RequestOutcome} from '../protocol/request_outcome';
 import {Problem} from './problem';
 import {sendProblem} from './send_problem';
@@ -29,12 +30,11 @@
 
 /** Writes the frames of one or more attempts to one HTTP response. */
 export class CallerResponse {
-  private bufferedChunks: Uint8Array[] | undefined;
+  private buffered: ByteAccumulator | undefined;
   /** Called when the caller disconnects. */
   private onDisconnect: (() => void) | undefined;
   /** Called when the socket drains or closes. */
   private readonly drainCallbacks: Array<() => void> = [];
-  private bufferedBytes = 0;
   private isEvents = false;
   private hasDeliveredData = false;
   private eventCount = 0;
@@ -103,8 +103,7 @@
   start(status: number, headers: Readonly<Record<string, string>>): void {
     this.clearHeaders();
     this.isEvents = isEventStream(headers);
-    this.bufferedChunks = this.isEvents ? undefined : [];
-    this.bufferedBytes = 0;
+    this.buffered = this.isEvents ? undefined : ByteAccumulator.create();
     this.response.statusCode = status;
     for (const [name, value] of Object.entries(headers)) {
       const isOwn = name.startsWith(OWN_HEADER_PREFIX);
@@ -136,11 +135,10 @@
   /** Buffers or sends a chunk of the body; `onWritten` is called when there is room for more. */
   write(bytes: Uint8Array, onWritten: () => void): void {
     if (
-      this.bufferedChunks &&
-      this.bufferedBytes + bytes.length <= MAX_BUFFERED_BYTES
+      this.buffered &&
+      this.buffered.size + bytes.length <= MAX_BUFFERED_BYTES
     ) {
-      this.bufferedChunks.push(bytes);
-      this.bufferedBytes += bytes.length;
+      this.buffered.add(bytes);
       onWritten();
       return;
     }
@@ -157,10 +155,10 @@
 
   /** Ends a complete response. */
   finish(): void {
-    if (this.bufferedChunks) {
+    if (this.buffered) {
       this.response.setHeader(OUTCOME_HEADER, 'answered');
-      this.response.setHeader('content-length', String(this.bufferedBytes));
-      this.response.end(Buffer.concat(this.bufferedChunks));
+      this.response.setHeader('content-length', String(this.buffered.size));
+      this.response.end(this.buffered.take());
       return;
     }
     this.addTrailer('answered');
@@ -209,9 +207,11 @@
   }
 
   private flushBuffered(): void {
-    const chunks = this.bufferedChunks;
-    this.bufferedChunks = undefined;
-    chunks?.forEach(bytes => this.response.write(bytes));
+    const bytes = this.buffered?.take();
+    this.buffered = undefined;
+    if (bytes && bytes.length > 0) {
+      this.response.write(bytes);
+    }
   }
 
   private addTrailer(outcome: RequestOutcome): void {
--- a/test/entry/caller_response.test.ts
+++ b/test/entry/caller_response.test.ts
@@ -1,5 +1,7 @@
 import * as http from 'node:http';
 import {AddressInfo, connect} from 'node:net';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
 import {afterEach, expect, test} from 'vitest';
 import {CallerResponse} from '../../src/entry/caller_response';
 import {waitUntil} from '../support/wait_until';
@@ -52,3 +54,26 @@
 
   expect(notified).toEqual(['second']);
 });
+
+// Each piece was kept as an object of its own, with the buffer that it arrived in.
+test('a body in pieces of one byte is held in less than 8 MB', async () => {
+  setFlagsFromString('--expose-gc');
+  const collectGarbage = runInNewContext('gc') as () => void;
+  const measure = () => {
+    collectGarbage();
+    const {heapUsed, external} = process.memoryUsage();
+    return heapUsed + external;
+  };
+  const response = await respondToStalledReader();
+  const callerResponse = CallerResponse.create(response);
+  callerResponse.start(200, {});
+  const before = measure();
+  for (let size = 0; size < 1024 * 1024; size += 1) {
+    callerResponse.write(Buffer.from('x'), () => undefined);
+  }
+  const held = measure() - before;
+  callerResponse.finish();
+
+  expect(held).toBeLessThan(8 * 1024 * 1024);
+  expect(response.getHeader('content-length')).toBe(String(1024 * 1024));
+});
