--- a/src/entry/caller_response.ts
+++ b/src/entry/caller_response.ts
@@ -1,5 +1,10 @@
 /** The HTTP response to one caller: a buffered body, or an event stream with an explicit end. */
-import {ServerResponse} from 'node:http';
+import {
+  ServerResponse,
+  validateHeaderName,
+  validateHeaderValue,
+} from 'node:http';
+import {ByteAccumulator} from '../common/byte_accumulator';
 import {RequestOutcome} from '../protocol/request_outcome';
 import {Problem} from './problem';
 import {sendProblem} from './send_problem';
@@ -10,22 +15,26 @@
 const RESUMED_FROM_HEADER = 'whinreel-resumed-from';
 const LINE_FEED = 10;
 const OK = 200;
+/** Node.js throws for any other final status. */
+const MAX_STATUS = 999;
 const EVENT_STREAM = 'text/event-stream';
+/** Headers with this prefix are the entry's own statements to the caller. */
+const OWN_HEADER_PREFIX = 'whinreel-';
 const NOT_FORWARDED_HEADERS = new Set([
   'connection',
   'keep-alive',
   'transfer-encoding',
   'content-length',
+  'trailer',
 ]);
 
 /** Writes the frames of one or more attempts to one HTTP response. */
 export class CallerResponse {
-  private bufferedChunks: Uint8Array[] | undefined;
+  private buffered: ByteAccumulator | undefined;
   /** Called when the caller disconnects. */
   private onDisconnect: (() => void) | undefined;
   /** Called when the socket drains or closes. */
   private readonly drainCallbacks: Array<() => void> = [];
-  private bufferedBytes = 0;
   private isEvents = false;
   private hasDeliveredData = false;
   private eventCount = 0;
@@ -77,14 +86,28 @@
     this.onDisconnect = callback;
   }
 
-  /** Sets the status and headers, and discards the buffered body of an earlier attempt. */
+  /** Returns whether HTTP allows the status and headers, so that `start` does not throw for them. */
+  canStart(status: number, headers: Readonly<Record<string, string>>): boolean {
+    try {
+      for (const [name, value] of Object.entries(headers)) {
+        validateHeaderName(name);
+        validateHeaderValue(name, value);
+      }
+    } catch {
+      return false;
+    }
+    return status >= OK && status <= MAX_STATUS;
+  }
+
+  /** Sets the status and headers, and discards those and the buffered body of an earlier attempt. */
   start(status: number, headers: Readonly<Record<string, string>>): void {
-    this.isEvents = headers['content-type']?.startsWith(EVENT_STREAM) ?? false;
-    this.bufferedChunks = this.isEvents ? undefined : [];
-    this.bufferedBytes = 0;
+    this.clearHeaders();
+    this.isEvents = isEventStream(headers);
+    this.buffered = this.isEvents ? undefined : ByteAccumulator.create();
     this.response.statusCode = status;
     for (const [name, value] of Object.entries(headers)) {
-      if (!NOT_FORWARDED_HEADERS.has(name)) {
+      const isOwn = name.startsWith(OWN_HEADER_PREFIX);
+      if (!isOwn && !NOT_FORWARDED_HEADERS.has(name)) {
         this.response.setHeader(name, value);
       }
     }
@@ -102,17 +125,20 @@
     headers: Readonly<Record<string, string>>,
   ): boolean {
     const resumedFrom = headers[RESUMED_FROM_HEADER];
-    return status === OK && resumedFrom === String(this.eventCount);
+    return (
+      status === OK &&
+      isEventStream(headers) &&
+      resumedFrom === String(this.eventCount)
+    );
   }
 
   /** Buffers or sends a chunk of the body; `onWritten` is called when there is room for more. */
   write(bytes: Uint8Array, onWritten: () => void): void {
     if (
-      this.bufferedChunks &&
-      this.bufferedBytes + bytes.length <= MAX_BUFFERED_BYTES
+      this.buffered &&
+      this.buffered.size + bytes.length <= MAX_BUFFERED_BYTES
     ) {
-      this.bufferedChunks.push(bytes);
-      this.bufferedBytes += bytes.length;
+      this.buffered.add(bytes);
       onWritten();
       return;
     }
@@ -129,10 +155,10 @@
 
   /** Ends a complete response. */
   finish(): void {
-    if (this.bufferedChunks) {
+    if (this.buffered) {
       this.response.setHeader(OUTCOME_HEADER, 'answered');
-      this.response.setHeader('content-length', String(this.bufferedBytes));
-      this.response.end(Buffer.concat(this.bufferedChunks));
+      this.response.setHeader('content-length', String(this.buffered.size));
+      this.response.end(this.buffered.take());
       return;
     }
     this.addTrailer('answered');
@@ -181,9 +207,11 @@
   }
 
   private flushBuffered(): void {
-    const chunks = this.bufferedChunks;
-    this.bufferedChunks = undefined;
-    chunks?.forEach(bytes => this.response.write(bytes));
+    const bytes = this.buffered?.take();
+    this.buffered = undefined;
+    if (bytes && bytes.length > 0) {
+      this.response.write(bytes);
+    }
   }
 
   private addTrailer(outcome: RequestOutcome): void {
@@ -201,6 +229,10 @@
   }
 }
 
+function isEventStream(headers: Readonly<Record<string, string>>): boolean {
+  return headers['content-type']?.startsWith(EVENT_STREAM) ?? false;
+}
+
 /** Counts empty lines: each ends an event, and a frame holds complete events only. */
 function countEvents(bytes: Uint8Array): number {
   let count = 0;
--- a/src/host/running_attempt.ts
+++ b/src/host/running_attempt.ts
@@ -8,6 +8,8 @@
 
 const MAX_FRAME_DATA_BYTES = 64 * 1024;
 const MAX_EVENT_BYTES = 1024 * 1024;
+/** Bytes of a response that are read without an entry, only to learn how the attempt ends. */
+const MAX_UNHEARD_BYTES = 16 * 1024 * 1024;
 const SERVER_ERROR = 500;
 const EVENT_STREAM = 'text/event-stream';
 
@@ -37,6 +39,7 @@
   private credit: number;
   private resumeSending: (() => void) | undefined;
   private sequence = 0;
+  private isUnheard = false;
   private stopEnd: AttemptOutcome | undefined;
 
   private constructor(private readonly options: RunningAttemptOptions) {
@@ -60,6 +63,12 @@
     this.resumeSending?.();
   }
 
+  /** Continues without the entry, up to a limit, so that the outcome becomes known. */
+  finishUnheard(): void {
+    this.isUnheard = true;
+    this.addCredit(MAX_UNHEARD_BYTES);
+  }
+
   /** Stops the attempt; the first reason is kept. */
   stop(end: AttemptOutcome): void {
     this.stopEnd ??= end;
@@ -127,7 +136,9 @@
     const splitter = isEvents ? SseSplitter.create() : undefined;
     for await (const chunk of answer.body) {
       this.checkNotStopped();
-      await this.sendChunks(splitter ? splitter.split(chunk) : chunk);
+      await (splitter
+        ? this.sendData(splitter.split(chunk))
+        : this.sendChunks(chunk));
       if ((splitter?.pendingBytes ?? 0) > MAX_EVENT_BYTES) {
         return {
           outcome: 'failed',
@@ -157,21 +168,31 @@
       offset < bytes.length;
       offset += MAX_FRAME_DATA_BYTES
     ) {
-      const chunk = bytes.subarray(offset, offset + MAX_FRAME_DATA_BYTES);
-      while (this.credit <= 0) {
-        await new Promise<void>(resolve => (this.resumeSending = resolve));
+      await this.sendData(
+        bytes.subarray(offset, offset + MAX_FRAME_DATA_BYTES),
+      );
+    }
+  }
+
+  /** Sends one frame, which may exceed the credit: cut events could not be resumed after a break. */
+  private async sendData(bytes: Buffer): Promise<void> {
+    if (bytes.length === 0) {
+      return;
+    }
+    while (this.credit <= 0) {
+      if (this.isUnheard) {
+        const reason = 'the response is too long to be read without its entry';
+        this.stop({outcome: 'failed', reason});
         this.checkNotStopped();
       }
-      this.credit -= chunk.length;
-      const {stream} = this.options.dispatch;
-      this.options.send({
-        type: 'data',
-        stream,
-        sequence: this.sequence,
-        bytes: chunk,
-      });
-      this.sequence += 1;
+      await new Promise<void>(resolve => (this.resumeSending = resolve));
+      this.checkNotStopped();
     }
+    this.credit -= bytes.length;
+    const {stream} = this.options.dispatch;
+    const {sequence} = this;
+    this.options.send({type: 'data', stream, sequence, bytes});
+    this.sequence += 1;
   }
 
   /** Throws when the attempt was stopped or is no longer allowed to run. */
--- a/test/entry/request_runner.test.ts
+++ b/test/entry/request_runner.test.ts
@@ -1,21 +1,11 @@
-import * as http from 'node:http';
-import {AddressInfo} from 'node:net';
 import {afterEach, describe, expect, test} from 'vitest';
 import {systemClock} from '../../src/common/system_clock';
 import {CallerRequest} from '../../src/entry/caller_request';
-import {CallerResponse} from '../../src/entry/caller_response';
-import {HostConnections} from '../../src/entry/host_connections';
-import {IdempotencyClaims} from '../../src/entry/idempotency_claims';
-import {RequestRunner} from '../../src/entry/request_runner';
-import {RoutingTable} from '../../src/entry/routing_table';
-import {ControlClient} from '../../src/protocol/control_client';
-import {Group} from '../../src/protocol/group';
 import {RequestMessage} from '../../src/protocol/request_message';
-import {call} from '../support/caller';
 import {FakeHost} from '../support/fake_host';
+import {startEntryRunner} from '../support/start_entry_runner';
 import {waitUntil} from '../support/wait_until';
 
-const identity = {program: 'entry', id: 'e', incarnation: 'i'} as const;
 const EVENTS = {'content-type': 'text/event-stream'};
 const closers: Array<() => unknown> = [];
 
@@ -25,10 +15,13 @@
   }
 });
 
-function createGroup(id: string, address: string): Group {
-  const members = [{hostId: id, incarnation: 'fake', address}];
-  const place = {kind: 'model', name: 'm', domain: 'd', zone: 'z'} as const;
-  return {id, epoch: 1, fencing: 1, ...place, members, isDraining: false};
+/** Starts a runner that ends with the test. */
+async function startRunner(
+  ...args: Parameters<typeof startEntryRunner>
+): ReturnType<typeof startEntryRunner> {
+  const runner = await startEntryRunner(...args);
+  closers.push(runner.close);
+  return runner;
 }
 
 /** Runs one request on the given hosts, which are its only replicas. */
@@ -36,48 +29,8 @@
   hosts: readonly FakeHost[],
   changes: Partial<CallerRequest> = {},
 ) {
-  const connections = HostConnections.create({identity, clock: systemClock});
-  const groups = hosts.map((host, at) => createGroup(`g${at}`, host.address));
-  connections.setAddresses(hosts.map(host => host.address));
-  await waitUntil('connections', () =>
-    hosts.every(host => connections.find(host.address)),
-  );
-  const runner = RequestRunner.create({
-    clock: systemClock,
-    table: {groups} as unknown as RoutingTable,
-    connections,
-    claims: IdempotencyClaims.create({
-      client: ControlClient.create({addresses: [], identity}),
-      connections,
-    }),
-    // Always chooses the first replica that was not tried.
-    random: () => 0,
-  });
-  const request: CallerRequest = {
-    requestId: 'r',
-    workspace: 'w',
-    priority: 5,
-    kind: 'model',
-    name: 'm',
-    method: 'POST',
-    path: '/',
-    headers: {},
-    body: Buffer.from('body'),
-    isRepeatable: true,
-    idempotencyKey: 'r',
-    deadline: systemClock.now() + 5_000,
-    ...changes,
-  };
-  const server = http.createServer((_, response) => {
-    void runner.run(request, CallerResponse.create(response));
-  });
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  closers.push(
-    () => connections.close(),
-    () => server.close(),
-  );
-  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}/`;
-  return call({url, method: 'POST', headers: {}, body: ''});
+  const {send} = await startRunner(hosts);
+  return send(changes);
 }
 
 async function createHost(
