test(soak): late copies of answers and bytes without end

Two more lanes of drawn faults overlap with the others; they draw from seeds of their own, so that the other lanes draw what they always did. Backend servers send copies of 503, 429, 421 and 200 with an earlier request's id, or without one, while they run a request, some with a limit, a rest or a departure; refuse a request and send the refusal once more when it comes again on the same connection; and send bytes without end in 14 places of an answer.

--- a/test/soak/soak_faults.ts
+++ b/test/soak/soak_faults.ts
@@ -13,6 +13,9 @@
 /** A quorum that lost a disk needs this long to be whole again, before the next loss. */
 const REPAIR_MS = 1_000;
 const MAX_DELAY_MS = 200;
+/** Lanes that were added later draw from seeds of their own, so that the others draw what they always did. */
+const ANSWER_SEEDS = 4_000_000;
+const ANSWER_LANES = 2;
 
 /** What faults work with. */
 interface SoakFaultsOptions {
@@ -65,6 +68,10 @@
     const lanes = lists.map((list, at) =>
       this.repeat(list, createRandom(seed * lists.length + at)),
     );
+    for (let at = 0; at < ANSWER_LANES; at += 1) {
+      const random = createRandom(ANSWER_SEEDS + seed * ANSWER_LANES + at);
+      lanes.push(this.repeat(() => this.listAnswerFaults(random), random));
+    }
     try {
       await Promise.all(lanes);
     } finally {
@@ -194,6 +201,29 @@
     };
   }
 
+  /** Backend servers send what is no answer to the request; which requests it meets is drawn by each for itself. */
+  private listAnswerFaults(random: Random): Faults {
+    const {backends} = this.options.fleet;
+    const {incarnation, copies, endless} = pick(backends, random).options;
+    const durationMs = drawMs(random);
+    const last = async (begin: () => void) => {
+      begin();
+      await sleep(durationMs);
+    };
+    return {
+      [`late copies from ${incarnation}`]: () =>
+        last(() => copies.beginForeign(durationMs)),
+      [`bytes without end from ${incarnation}`]: () =>
+        last(() => endless.begin(durationMs)),
+      'refusals come twice': () =>
+        last(() =>
+          backends.forEach(({options}) =>
+            options.copies.beginTwice(durationMs),
+          ),
+        ),
+    };
+  }
+
   private tell(what: string): void {
     this.lines.push(`${new Date().toISOString()} ${what}`);
   }
--- a/test/soak/soak_reply.ts
+++ b/test/soak/soak_reply.ts
@@ -3,6 +3,8 @@
   /** 0 where no head came. */
   readonly status: number;
   readonly body: string;
+  /** The request id that the answer carries. */
+  readonly answeredId?: string;
   /** The answer came to the end that its framing promises. */
   readonly isWhole: boolean;
   /** Bytes of the answer, its head included. */
