test(soak): answers whose status promises that nothing ran, though it did

Three of a hundred plain answers of the soak's backend servers say 408, 429 or 503 without the mark that the request was not executed.

--- a/test/soak/late_copies.ts
+++ b/test/soak/late_copies.ts
@@ -3,7 +3,7 @@
 import {falseClaims} from './false_claims';
 
 /** Part of the requests on kept connections that get a copy while the fault lasts. */
-const COPY_SHARE = 0.3;
+const COPY_SHARE = 0.5;
 /** Part of the copies that carry no request id. */
 const UNIDENTIFIED_SHARE = 0.15;
 /** Part of the copies that also state something about their backend server. */
--- a/test/soak/soak_backend.ts
+++ b/test/soak/soak_backend.ts
@@ -15,6 +15,10 @@
 /** Parts of the requests that are refused, and broken off. */
 const REFUSED_SHARE = 0.04;
 const BROKEN_SHARE = 0.04;
+/** Part of the plain answers whose status says that nothing ran, without the mark, though it did. */
+const UNMARKED_SHARE = 0.03;
+const UNMARKED_STATUSES = [408, 429, 503];
+const OK = 200;
 const ANSWER_WITHIN_MS = 40;
 /** A stream takes from this long to this much longer. */
 const STREAM_MS = 100;
@@ -151,7 +155,7 @@
         this.breakOff(arrival);
         return;
       }
-      response.writeHead(200, this.createHead(id, 'text/plain'));
+      response.writeHead(this.drawStatus(), this.createHead(id, 'text/plain'));
       response.end(`ran ${id}`);
     }, this.options.random() * ANSWER_WITHIN_MS);
   }
@@ -190,6 +194,12 @@
     request.socket.resetAndDestroy();
   }
 
+  private drawStatus(): number {
+    const {random} = this.options;
+    const at = Math.floor(random() * UNMARKED_STATUSES.length);
+    return random() < UNMARKED_SHARE ? UNMARKED_STATUSES[at] : OK;
+  }
+
   private createHead(id: string, type: string): Record<string, string> {
     return {
       'content-type': type,
