--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -9,6 +9,7 @@
 import {GatewayRequest} from './gateway_request';
 import {HttpDialect} from './http_dialect';
 import {ResponseHead} from './response_head';
+import {canHoldBody} from './responses/can_hold_body';
 import {findRejectionCause} from './responses/find_rejection_cause';
 import {RejectionCause} from './responses/rejection_cause';
 import {ResponseLog} from './responses/response_log';
@@ -124,6 +125,13 @@
     this.handle?.abort();
   }
 
+  /** Ends the attempt because of a response that is not taken as the answer to its request. */
+  reject(cause: RejectionCause): void {
+    if (!this.isEnded) {
+      this.rejectResponse(cause, this.head);
+    }
+  }
+
   /** Stops reading the response until `resume`, as backpressure from the caller. */
   pause(): void {
     this.isReadPaused = true;
@@ -167,7 +175,10 @@
       {
         onSent: use => this.handleSent(use),
         onHead: (status, raw) =>
-          this.handleHead(dialect.readResponseHead(status, raw)),
+          this.handleHead(
+            dialect.readResponseHead(status, raw),
+            Number(raw['content-length'] ?? 0),
+          ),
         onData: chunk => this.handleData(chunk),
         onEnd: () => this.handleEnd(),
         onError: error => this.handleError(error),
@@ -197,7 +208,7 @@
     return true;
   }
 
-  private handleHead(head: ResponseHead): void {
+  private handleHead(head: ResponseHead, announcedBytes: number): void {
     if (this.isEnded) {
       return;
     }
@@ -208,11 +219,14 @@
       return;
     }
     this.head = head;
-    if (this.hasResult) {
+    const {method} = this.options.request;
+    if (!this.hasResult) {
+      this.handleRefusal(head);
+    } else if (!canHoldBody(head, method, announcedBytes)) {
+      this.reject('oversized-body');
+    } else {
       this.recordSignals(head);
       this.options.onHead(head);
-    } else {
-      this.handleRefusal(head);
     }
   }
 
@@ -226,6 +240,11 @@
       this.recordSignals(head);
       balancer.recordFull(target.incarnation);
     }
+    // Most refusals are complete by then, which leaves their connection free for the next request.
+    queueMicrotask(() => {
+      this.finishRefused();
+      this.handle?.drain();
+    });
   }
 
   /** Records what the backend server states about itself in the head of a response. */
@@ -238,20 +257,19 @@
     this.recordAccepted?.(!head.isNotRun && head.restMs === undefined);
   }
 
-  /** Ends the attempt because of a response that is not the answer to its request. */
-  private rejectResponse(cause: RejectionCause, head: ResponseHead): void {
+  private rejectResponse(cause: RejectionCause, head?: ResponseHead): void {
     const {responseLog} = this.options;
     const response = this.describeResponse(head);
     this.stop(responseLog.recordRejection(cause, response));
   }
 
-  private describeResponse({status, requestId}: ResponseHead) {
+  private describeResponse(head: ResponseHead | undefined) {
     const {request, target} = this.options;
     return {
       requestId: request.id,
       target: target.incarnation,
-      status,
-      answeredId: requestId,
+      status: head?.status,
+      answeredId: head?.requestId,
       connection: this.connection,
     };
   }
@@ -276,6 +294,11 @@
       this.finish({kind: 'whole', reason: 'answered'});
       return;
     }
+    this.finishRefused();
+  }
+
+  /** Ends the attempt at the head of a refusal: its body changes nothing, and may not end. */
+  private finishRefused(): void {
     const status = this.head?.status ?? 0;
     const reason = `refused with status ${status}`;
     const isFull = this.head !== undefined && !this.head.isWrongIncarnation;
@@ -297,6 +320,10 @@
       this.finish({kind: 'not-run', reason: 'refused, then broken off'});
       return;
     }
+    if (error.name === 'Oversized') {
+      this.reject(this.head ? 'oversized-framing' : 'oversized-head');
+      return;
+    }
     this.finish({
       kind: 'broken',
       reason: 'the connection broke',
--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -1,6 +1,8 @@
 /** HTTP client for many servers with keep-alive connections; it never retries a request. */
 import {Dispatcher} from 'undici';
 import {ConnectionUse} from './connection_use';
+import {ExchangeControl} from './exchange_control';
+import {OVERFLOW_CODE} from './overflow_code';
 import {ServerConnections} from './server_connections';
 import {TransportError} from './transport_error';
 
@@ -30,13 +32,18 @@
   readonly onData: (chunk: Buffer) => void;
   /** The response is complete. */
   readonly onEnd: () => void;
-  /** Called instead of `onEnd`. */
+  /**
+   * Called instead of `onEnd`. Its name is `NeverSent` if the request cannot have run,
+   * `Oversized` if the response has too many bytes besides its body, and else `Broken`.
+   */
   readonly onError: (error: TransportError) => void;
 }
 
 /** Controls a request; `abort` closes its connection, so that the server notices. */
 interface HttpClientHandle {
   readonly abort: () => void;
+  /** Discards the rest of the response, and keeps its connection if the rest is short and ends soon. */
+  readonly drain: () => void;
   readonly pause: () => void;
   readonly resume: () => void;
 }
@@ -58,9 +65,9 @@
     return new HttpClientPool();
   }
 
-  /** Starts a request. An error named `NeverSent` means that it cannot have run. */
+  /** Starts a request. */
   call(request: HttpClientRequest, events: HttpClientEvents): HttpClientHandle {
-    let controller: Dispatcher.DispatchController | undefined;
+    let control: ExchangeControl | undefined;
     let isAborted = false;
     let isSent = false;
     const abortReason = new Error('the request was aborted');
@@ -74,7 +81,7 @@
       },
       {
         onStart: (started, use) => {
-          controller = started;
+          control = started;
           if (isAborted) {
             started.abort(abortReason);
             return;
@@ -94,10 +101,11 @@
     return {
       abort: () => {
         isAborted = true;
-        controller?.abort(abortReason);
+        control?.abort(abortReason);
       },
-      pause: () => controller?.pause(),
-      resume: () => controller?.resume(),
+      drain: () => control?.drain(),
+      pause: () => control?.pause(),
+      resume: () => control?.resume(),
     };
   }
 
@@ -134,9 +142,13 @@
   }
 }
 
-function wrapError(error: Error, isSent: boolean): TransportError {
+function wrapError(
+  error: NodeJS.ErrnoException,
+  isSent: boolean,
+): TransportError {
+  const sentName = error.code === OVERFLOW_CODE ? 'Oversized' : 'Broken';
   // The error code does not tell: an open connection can fail with the same codes as one that was never made.
-  const name = isSent ? 'Broken' : 'NeverSent';
+  const name = isSent ? sentName : 'NeverSent';
   return new TransportError(
     {cause: error, name},
     'the request to the backend server failed',
