--- a/src/gateway/responses/rejection_cause.ts
+++ b/src/gateway/responses/rejection_cause.ts
@@ -3,15 +3,21 @@
  * the id of another request. `unidentified`: it carries no id. `unsealed`: the
  * backend server does not vouch for a success. `unmarked`: its status promises that
  * the request was not executed, but the backend server does not state it.
+ * `contradictory`: it states that although its status says the opposite.
  * `oversized-head`: the bytes before the end of its head exceed their limit.
  * `oversized-framing`: the chunk framing or the trailers do. `oversized-body`: it is
  * no stream, and its body is longer than what is held for a request.
+ * `oversized-event`: one event of a stream is. `buffers-full`: it held the most when
+ * the requests of the gateway together held all that they may.
  */
 export type RejectionCause =
   | 'foreign'
   | 'unidentified'
   | 'unsealed'
   | 'unmarked'
+  | 'contradictory'
   | 'oversized-head'
   | 'oversized-framing'
-  | 'oversized-body';
+  | 'oversized-body'
+  | 'oversized-event'
+  | 'buffers-full';
--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -71,7 +71,7 @@
     let isAborted = false;
     let isSent = false;
     const abortReason = new Error('the request was aborted');
-    this.findPool(request).dispatch(
+    const withdraw = this.findPool(request).dispatch(
       request.id,
       {
         method: request.method as Dispatcher.HttpMethod,
@@ -101,7 +101,11 @@
     return {
       abort: () => {
         isAborted = true;
-        control?.abort(abortReason);
+        if (control) {
+          control.abort(abortReason);
+        } else {
+          withdraw(abortReason);
+        }
       },
       drain: () => control?.drain(),
       pause: () => control?.pause(),
@@ -114,7 +118,7 @@
     for (const [address, pool] of this.pools) {
       if (!addresses.has(address)) {
         this.pools.delete(address);
-        pool.close();
+        pool.retire();
       }
     }
   }
@@ -123,7 +127,7 @@
   async close(): Promise<void> {
     const pools = [...this.pools.values()];
     this.pools.clear();
-    await Promise.all(pools.map(pool => pool.destroy()));
+    await Promise.all(pools.map(pool => pool.close()));
   }
 
   private findPool({
@@ -135,7 +139,7 @@
       return known;
     }
     // The limit of a pool is fixed; the old one closes once its requests have ended.
-    known?.close();
+    known?.retire();
     const pool = ServerConnections.create(address, maxConnections);
     this.pools.set(address, pool);
     return pool;
--- a/src/transport/server_connections.ts
+++ b/src/transport/server_connections.ts
@@ -37,30 +37,45 @@
   /**
    * Sends a request on a free connection, or as soon as one is free. No
    * connection carries two requests with the same id.
+   *
+   * @returns a function that withdraws the request while it waits
    */
   dispatch(
     id: string,
     options: Dispatcher.DispatchOptions,
     events: ExchangeEvents,
-  ): void {
-    this.waiting.push({id, options, events});
+  ): (reason: Error) => void {
+    const request = {id, options, events};
+    this.waiting.push(request);
     this.dispatchWaiting();
+    return reason => this.withdraw(request, reason);
   }
 
   /** Closes the connections once all requests have ended. */
-  close(): void {
+  retire(): void {
     this.isClosing = true;
     this.closeIdle();
   }
 
   /** Closes all connections at once. */
-  async destroy(): Promise<void> {
+  async close(): Promise<void> {
     this.isClosing = true;
     const error = new Error('the client is closed');
     for (const {events} of this.waiting.splice(0)) {
       events.onError(error);
     }
-    await Promise.all(this.connections.map(each => each.destroy()));
+    // A request that fails drops its connection from the list.
+    const open = this.connections.splice(0);
+    await Promise.all(open.map(each => each.close()));
+  }
+
+  private withdraw(request: WaitingRequest, reason: Error): void {
+    const at = this.waiting.indexOf(request);
+    if (at >= 0) {
+      this.waiting.splice(at, 1);
+      request.events.onError(reason);
+      this.closeIdle();
+    }
   }
 
   private dispatchWaiting(): void {
@@ -79,9 +94,9 @@
   /** Finds a free connection that has not carried the id, or opens one; an unusable free one gives its place. */
   private findFree(id: string): ServerConnection | undefined {
     const free = this.connections.filter(({isBusy}) => !isBusy);
-    const usable = free.find(connection => !connection.hasCarried(id));
-    if (usable) {
-      return usable;
+    const usable = free.filter(connection => !connection.hasCarried(id));
+    if (usable.length > 0) {
+      return usable.find(({isOpen}) => isOpen) ?? usable[0];
     }
     if (this.connections.length >= this.limit) {
       if (free.length === 0) {
@@ -107,7 +122,7 @@
     if (at >= 0) {
       this.connections.splice(at, 1);
     }
-    connection.close();
+    connection.retire();
   }
 
   private closeIdle(): void {
