test(soak): answers whose mark 'not executed' contradicts their status

Four of a hundred plain answers of the soak's backend servers, of requests that ran, say 408, 429 or 503 without the mark, or 200 or 500 with it.

--- a/test/soak/soak_backend.ts
+++ b/test/soak/soak_backend.ts
@@ -15,10 +15,17 @@
 /** Parts of the requests that are refused, and broken off. */
 const REFUSED_SHARE = 0.04;
 const BROKEN_SHARE = 0.04;
-/** Part of the plain answers whose status says that nothing ran, without the mark, though it did. */
-const UNMARKED_SHARE = 0.03;
-const UNMARKED_STATUSES = [408, 429, 503];
 const OK = 200;
+const NOT_EXECUTED = {'x-whinreel-not-executed': '1'};
+/** Part of the plain answers whose status and mark contradict each other, of requests that ran. */
+const CONTRADICTORY_SHARE = 0.04;
+const CONTRADICTIONS = [
+  {status: 408, mark: {}},
+  {status: 429, mark: {}},
+  {status: 503, mark: {}},
+  {status: OK, mark: NOT_EXECUTED},
+  {status: 500, mark: NOT_EXECUTED},
+];
 const ANSWER_WITHIN_MS = 40;
 /** A stream takes from this long to this much longer. */
 const STREAM_MS = 100;
@@ -107,7 +114,7 @@
     if (chance < REFUSED_SHARE || copies.mustRefuse(id, socket)) {
       response.writeHead(503, {
         'x-whinreel-request-id': id,
-        'x-whinreel-not-executed': '1',
+        ...NOT_EXECUTED,
         ...signals.createRefusal(),
       });
       response.end();
@@ -155,7 +162,9 @@
         this.breakOff(arrival);
         return;
       }
-      response.writeHead(this.drawStatus(), this.createHead(id, 'text/plain'));
+      const {status, mark} = this.drawOutcome();
+      const head = this.createHead(id, 'text/plain');
+      response.writeHead(status, {...head, ...mark});
       response.end(`ran ${id}`);
     }, this.options.random() * ANSWER_WITHIN_MS);
   }
@@ -194,10 +203,11 @@
     request.socket.resetAndDestroy();
   }
 
-  private drawStatus(): number {
+  private drawOutcome(): {status: number; mark: Record<string, string>} {
     const {random} = this.options;
-    const at = Math.floor(random() * UNMARKED_STATUSES.length);
-    return random() < UNMARKED_SHARE ? UNMARKED_STATUSES[at] : OK;
+    const at = Math.floor(random() * CONTRADICTIONS.length);
+    const contradicts = random() < CONTRADICTORY_SHARE;
+    return contradicts ? CONTRADICTIONS[at] : {status: OK, mark: {}};
   }
 
   private createHead(id: string, type: string): Record<string, string> {
