fix(transport): a surplus response meets an idle connection more often than a request

The client took the first free connection, which is mostly the one that was used last, so a second copy of an answer that came a moment later was in the place of the next request's answer. The promise holds, but a request that may not be repeated gets 502 for it.

The connection that has been idle longest is taken now; a copy that arrives while a connection is idle closes it and costs no request. The test failed before: the first connection carried all three.

--- a/src/transport/server_connections.ts
+++ b/src/transport/server_connections.ts
@@ -110,13 +110,27 @@
   }
 
   private handleFree(connection: ServerConnection): void {
-    if (!connection.isOpen) {
+    if (connection.isOpen) {
+      this.moveToEnd(connection);
+    } else {
       this.drop(connection);
     }
     this.dispatchWaiting();
     this.closeIdle();
   }
 
+  /**
+   * Makes the connection that was used last the last choice. A surplus response to its
+   * request costs no other request if it arrives while the connection is idle.
+   */
+  private moveToEnd(connection: ServerConnection): void {
+    const at = this.connections.indexOf(connection);
+    if (at >= 0) {
+      this.connections.splice(at, 1);
+      this.connections.push(connection);
+    }
+  }
+
   private drop(connection: ServerConnection): void {
     const at = this.connections.indexOf(connection);
     if (at >= 0) {
--- a/test/transport/http_client_pool.test.ts
+++ b/test/transport/http_client_pool.test.ts
@@ -104,3 +104,22 @@
   await Promise.all(sent);
   expect(new Set(sockets).size).toBe(2);
 });
+
+// A late surplus response hit the next request when the connection that was used last was used again at once.
+test('the connection that has been idle longest carries the next request', async () => {
+  const {held, sockets, send} = await start();
+  const early = [send(2), send(2)];
+  await waitUntil('requests arrive', () => held.length === 2);
+  held[0].end();
+  await early[0];
+  held[1].end();
+  await early[1];
+  for (const count of [2, 3, 4]) {
+    const sent = send(2);
+    await waitUntil('request arrives', () => held.length > count);
+    held[count].end();
+    await sent;
+  }
+  const [first, second] = sockets;
+  expect(sockets.slice(2)).toEqual([first, second, first]);
+});
