feat(gateway): a failed request's own line names the answer that was rejected

response-rejected is limited to a line a second for each server and cause, so in a burst most requests had only the reason in their line. A received id is cut at 64 characters; one of 12,000 made a line of 12 kB. Found by review.

--- a/src/gateway/responses/response_log.ts
+++ b/src/gateway/responses/response_log.ts
@@ -32,6 +32,9 @@
   'buffers-full': 'the memory for answers is full, and this one held the most',
 };
 
+/** Limits a line; the id comes from a faulty backend server. */
+const MAX_ID_LENGTH = 64;
+
 /** Records at most one line a second for each backend server and kind of response. */
 export class ResponseLog {
   private readonly throttled: ThrottledEventLog;
@@ -63,10 +66,10 @@
   /**
    * Records a response that is not taken as the answer to the request.
    *
-   * @returns the reason as text
+   * @returns the reason with what was received, as text
    */
   recordRejection(cause: RejectionCause, response: ReceivedResponse): string {
-    const reason = REASONS[cause];
+    const reason = `${REASONS[cause]} (${formatResponse(response)})`;
     this.record('response-rejected', reason, response, {cause});
     return reason;
   }
@@ -77,7 +80,7 @@
     {requestId, target, status, answeredId, connection}: ReceivedResponse,
     details: Readonly<Record<string, string>> = {},
   ): void {
-    this.throttled.record(`${reason} ${target}`, {
+    this.throttled.record(`${type} ${details.cause ?? ''} ${target}`, {
       type,
       subject: 'request',
       id: requestId,
@@ -86,10 +89,24 @@
         ...details,
         target,
         status: status ?? 0,
-        answeredId: answeredId ?? '',
+        answeredId: truncateId(answeredId),
         connectionRequests: connection?.requestCount ?? 0,
         connectionAgeMs: Math.round(connection?.ageMs ?? 0),
       },
     });
   }
 }
+
+function formatResponse(response: ReceivedResponse): string {
+  const {status, answeredId, connection} = response;
+  const parts = [
+    status === undefined ? 'no head' : `status ${status}`,
+    answeredId === undefined ? 'no id' : `id ${truncateId(answeredId)}`,
+    `request ${connection?.requestCount ?? 0} on its connection`,
+  ];
+  return parts.join(', ');
+}
+
+function truncateId(id = ''): string {
+  return id.slice(0, MAX_ID_LENGTH);
+}
--- a/test/gateway/foreign_refusal.test.ts
+++ b/test/gateway/foreign_refusal.test.ts
@@ -66,6 +66,14 @@
     expect(backends[1].requests).toHaveLength(0);
   });
 
+  test('is named in the line of the request, whatever lines are left out', async () => {
+    const {fixture} = await run();
+    const id = cause === 'foreign' ? 'id early' : 'no id';
+    expect(fixture.results[1].reason).toContain(
+      `, ${id}, request 2 on its connection)`,
+    );
+  });
+
   test('changes nothing that is known of its backend server', async () => {
     const {fixture, backends} = await run();
     await fixture.send({'request-id': 'next'}, 'order');
@@ -118,3 +126,20 @@
 
   expect({runs, status: received.status}).toEqual({runs: 1, status: 200});
 });
+
+test('the log cuts off a long id of a faulty backend server', async () => {
+  const id = 'x'.repeat(10_000);
+  const {fixture} = await startFixture(
+    [
+      writeRaw(
+        `HTTP/1.1 503 Full\nrequest-id: ${id}\nnot-run: 1\ncontent-length: 0\n\n`,
+      ),
+    ],
+    {kind: 'unsafe'},
+  );
+  await fixture.send({}, 'order');
+  const [{details}] = fixture.events
+    .listSince(0)
+    .filter(({type}) => type === 'response-rejected');
+  expect(details?.answeredId).toBe('x'.repeat(64));
+});
