fix(transport): a request that cannot be written fails after the call has returned

The client reported it within the call. A retry that was started there was then replaced by the attempt that had failed, so that a stop reached the wrong one. Found by review; the test failed before.

--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -70,6 +70,7 @@
     let control: ExchangeControl | undefined;
     let isAborted = false;
     let isSent = false;
+    let hasReturned = false;
     const abortReason = new Error('the request was aborted');
     const withdraw = this.findPool(request).dispatch(
       request.id,
@@ -95,9 +96,18 @@
         onHead: events.onHead,
         onData: events.onData,
         onEnd: events.onEnd,
-        onError: error => events.onError(wrapError(error, isSent)),
+        onError: error => {
+          const report = () => events.onError(wrapError(error, isSent));
+          // The caller needs the handle before it hears of the end.
+          if (hasReturned) {
+            report();
+          } else {
+            queueMicrotask(report);
+          }
+        },
       },
     );
+    hasReturned = true;
     return {
       abort: () => {
         isAborted = true;
--- a/test/transport/http_client_pool.test.ts
+++ b/test/transport/http_client_pool.test.ts
@@ -123,3 +123,32 @@
   const [first, second] = sockets;
   expect(sockets.slice(2)).toEqual([first, second, first]);
 });
+
+// A retry was started within the call, and the attempt that had failed took its place.
+test('a request that cannot be written fails only after the call has returned', async () => {
+  const client = HttpClientPool.create();
+  closers.push(() => client.close());
+  let hasReturned = false;
+  const failed = new Promise<boolean>(resolve => {
+    client.call(
+      {
+        id: 'q',
+        address: '127.0.0.1:1',
+        method: 'GET',
+        path: '/',
+        headers: ['name', 'control \u0001'],
+        body: null,
+        maxConnections: 1,
+      },
+      {
+        onSent: () => true,
+        onHead: () => undefined,
+        onData: () => undefined,
+        onEnd: () => undefined,
+        onError: () => resolve(hasReturned),
+      },
+    );
+    hasReturned = true;
+  });
+  expect(await failed).toBe(true);
+});
