fix(gateway): an event id of any byte that a header can carry is accepted

The check of ids refused every byte beyond ASCII, so a stream with such an id would have been broken off.

--- a/src/gateway/responses/event_order.ts
+++ b/src/gateway/responses/event_order.ts
@@ -1,6 +1,6 @@
 const WHOLE_NUMBER = /^\d{1,15}$/;
 /** An id is sent back in a header when its stream is resumed. */
-const HEADER_VALUE = /^[\x21-\x7e]+$/;
+const HEADER_VALUE = /^[\x21-\x7e\x80-\xff]+$/;
 
 /** Checks the ids of the events of one response, which may come from several backend servers. */
 export class EventOrder {
--- a/test/gateway/resumed_stream.test.ts
+++ b/test/gateway/resumed_stream.test.ts
@@ -94,6 +94,8 @@
   ['numbers that have risen by one', ['3', '4', '5'], '7', false],
   ['a number that comes again', ['3', '6'], '6', false],
   ['ids that are no numbers', ['a', 'b'], 'a', true],
+  ['an id of other bytes', ['\u00c3\u00a9'], '\u00c3\u00a8', true],
+  ['an id that no header can carry', ['a'], 'b\u0001', false],
 ])(
   'after %s, a resumed stream may go on as stated',
   (_name, ids, id, isNext) => {
