fix(gateway): a caller is not told the id of another request

The reason of a rejected answer, which the caller gets in the body of its 502, named the id that the answer carried since the line of a failed request does. What was received is a field of the log line alone, and explain prints it.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -120,8 +120,8 @@
   }
 
   /** Ends the attempt and closes its connection, so that the backend server notices. */
-  stop(reason: string): void {
-    this.finish({kind: this.isSent ? 'broken' : 'not-run', reason});
+  stop(reason: string, received?: string): void {
+    this.finish({kind: this.isSent ? 'broken' : 'not-run', reason, received});
     this.handle?.abort();
   }
 
@@ -260,7 +260,8 @@
   private rejectResponse(cause: RejectionCause, head?: ResponseHead): void {
     const {responseLog} = this.options;
     const response = this.describeResponse(head);
-    this.stop(responseLog.recordRejection(cause, response));
+    const {reason, received} = responseLog.recordRejection(cause, response);
+    this.stop(reason, received);
   }
 
   private describeResponse(head: ResponseHead | undefined) {
--- a/src/gateway/proxied_request.ts
+++ b/src/gateway/proxied_request.ts
@@ -241,6 +241,9 @@
     if (end.kind !== 'whole') {
       this.relay.reset();
     }
+    if (end.received !== undefined) {
+      this.history.recordReceived(end.received);
+    }
     this.trial.end();
     this.wait.recordSlotFreed(end, this.history.eventsOfOneAttempt);
     const hasRun = end.kind !== 'not-run';
--- a/src/gateway/request_history.ts
+++ b/src/gateway/request_history.ts
@@ -8,6 +8,7 @@
   lastForwardedAt: number;
   private runningAtTarget = -1;
   private identity: string | undefined;
+  private received: string | undefined;
 
   private constructor(private readonly arrivedAt: number) {
     this.lastForwardedAt = arrivedAt;
@@ -61,6 +62,11 @@
     this.identity = identity;
   }
 
+  /** Records what came in place of an answer. */
+  recordReceived(received: string): void {
+    this.received = received;
+  }
+
   /** Returns the fields for the log, at the end of the request. */
   describe(now: number) {
     const {arrivedAt, firstEventAt} = this;
@@ -73,6 +79,7 @@
       runningAtTarget: this.runningAtTarget,
       tookMs: Math.round(now - arrivedAt),
       identity: this.identity,
+      received: this.received,
     };
   }
 }
--- a/src/gateway/request_log.ts
+++ b/src/gateway/request_log.ts
@@ -52,6 +52,7 @@
     result: RequestResult,
   ): void {
     const {outcome, reason, targets, identity = '', ...figures} = result;
+    const {received, ...others} = figures;
     this.events.record({
       type: `request-${outcome}`,
       subject: 'request',
@@ -60,7 +61,8 @@
       details: {
         route,
         targets: targets.join(' '),
-        ...figures,
+        ...others,
+        ...(received === undefined ? {} : {received}),
         model: request.model ?? '',
         promptTokens: request.promptTokens,
         rules: this.poller.index?.rules.version ?? 0,
--- a/src/gateway/request_result.ts
+++ b/src/gateway/request_result.ts
@@ -15,4 +15,6 @@
   readonly tookMs: number;
   /** Identifies repetitions of the request by its caller; set only if a connection was lost. */
   readonly identity?: string;
+  /** Describes the last response that was rejected, for the log. */
+  readonly received?: string;
 }
--- a/src/gateway/responses/response_log.ts
+++ b/src/gateway/responses/response_log.ts
@@ -66,12 +66,13 @@
   /**
    * Records a response that is not taken as the answer to the request.
    *
-   * @returns the reason with what was received, as text
+   * @returns the reason for the caller, and what was received for the log, which may
+   *     name another request
    */
-  recordRejection(cause: RejectionCause, response: ReceivedResponse): string {
-    const reason = `${REASONS[cause]} (${formatResponse(response)})`;
+  recordRejection(cause: RejectionCause, response: ReceivedResponse) {
+    const reason = REASONS[cause];
     this.record('response-rejected', reason, response, {cause});
-    return reason;
+    return {reason, received: formatResponse(response)};
   }
 
   private record(
--- a/src/operator/explain_request.ts
+++ b/src/operator/explain_request.ts
@@ -61,12 +61,18 @@
       line =>
         line.id === id || isOrder(line) || (isRelated(line) && isRecent(line)),
     )
-    .map(({time, program, event, id: subject, reason}) => {
-      return {time, program, event, id: subject, reason};
+    .map(line => {
+      const {time, program, event, id: subject} = line;
+      return {time, program, event, id: subject, reason: formatReason(line)};
     })
     .sort((left, right) => Date.parse(left.time) - Date.parse(right.time));
 }
 
+/** Appends what was received in place of an answer. */
+function formatReason({reason, received}: LogLine): string {
+  return typeof received === 'string' ? `${reason} (${received})` : reason;
+}
+
 /** Skips lines that are not events, such as the line that a daemon prints when it is ready. */
 function parseLine(line: string): LogLine[] {
   const jsonStart = line.indexOf('{');
--- a/test/gateway/foreign_refusal.test.ts
+++ b/test/gateway/foreign_refusal.test.ts
@@ -66,12 +66,13 @@
     expect(backends[1].requests).toHaveLength(0);
   });
 
-  test('is named in the line of the request, whatever lines are left out', async () => {
-    const {fixture} = await run();
+  test('is named in the line of the request, and not to its caller', async () => {
+    const {fixture, received} = await run();
     const id = cause === 'foreign' ? 'id early' : 'no id';
-    expect(fixture.results[1].reason).toContain(
-      `, ${id}, request 2 on its connection)`,
+    expect(fixture.results[1].received).toContain(
+      `, ${id}, request 2 on its connection`,
     );
+    expect(received.body).not.toContain('early');
   });
 
   test('changes nothing that is known of its backend server', async () => {
--- a/test/gateway/unmarked_refusal.test.ts
+++ b/test/gateway/unmarked_refusal.test.ts
@@ -25,9 +25,10 @@
     expect(received.status).toBe(502);
     expect(received.headers['seal']).toBeUndefined();
     expect(backends[1].requests).toHaveLength(0);
-    expect(fixture.results[0].reason).toBe(
-      `the backend server does not state that the request was not run (status ${status}, id q, request 1 on its connection)`,
-    );
+    expect(fixture.results[0]).toMatchObject({
+      reason: 'the backend server does not state that the request was not run',
+      received: `status ${status}, id q, request 1 on its connection`,
+    });
   },
 );
 
--- a/test/operator/explain_request.test.ts
+++ b/test/operator/explain_request.test.ts
@@ -106,3 +106,9 @@
   ].join('\n');
   expect(explainRequest(log, 'q4').map(({id}) => id)).toEqual(['q0', 'q4']);
 });
+
+test('a failed request is explained by what was received in place of its answer', () => {
+  const received = 'status 503, id q0, request 2 on its connection';
+  const log = createLine(21, 'request-failed', 'q4', {targets: 'a', received});
+  expect(explainRequest(log, 'q4')[0].reason).toBe(`r (${received})`);
+});
