--- a/test/soak/endless_responses.ts
+++ b/test/soak/endless_responses.ts
@@ -50,7 +50,7 @@
   }
 
   /** The name of a kind in `endlessKinds`, if the request is drawn. */
-  draw(isStream: boolean): string | undefined {
+  chooseKind(isStream: boolean): string | undefined {
     const {random} = this.options;
     const underWay = this.exchanges.filter(({to}) => to === Infinity);
     const isDue =
--- a/test/soak/late_copies.ts
+++ b/test/soak/late_copies.ts
@@ -52,8 +52,8 @@
     this.twiceUntil = performance.now() + durationMs;
   }
 
-  /** True for a request that is refused at its first arrival. */
-  mustRefuse(id: string, socket: Socket): boolean {
+  /** True for a request that is to be refused: at its first arrival, while refusals come twice. */
+  takeRefusal(id: string, socket: Socket): boolean {
     const isDue =
       performance.now() < this.twiceUntil &&
       Number(id.slice(1)) % REFUSED_EVERY === 0 &&
@@ -74,7 +74,7 @@
     const {lastAnswered, refused} = this.find(socket);
     const copy = refused.has(id)
       ? formatCopy(id, STATUS_LINES[0])
-      : this.drawForeign(id, lastAnswered);
+      : this.createForeign(id, lastAnswered);
     if (copy === undefined) {
       return false;
     }
@@ -83,7 +83,7 @@
     return true;
   }
 
-  private drawForeign(id: string, earlier?: string): string | undefined {
+  private createForeign(id: string, earlier?: string): string | undefined {
     const {random} = this;
     const isDue =
       earlier !== undefined &&
@@ -93,16 +93,16 @@
     if (!isDue) {
       return undefined;
     }
-    const statusLine = this.pick(STATUS_LINES);
+    const statusLine = this.choose(STATUS_LINES);
     if (random() < UNIDENTIFIED_SHARE) {
       return formatCopy(undefined, statusLine);
     }
     const claim =
-      random() < CLAIMING_SHARE ? this.pick(falseClaims).header : '';
+      random() < CLAIMING_SHARE ? this.choose(falseClaims).header : '';
     return formatCopy(earlier, `${statusLine}${claim}`);
   }
 
-  private pick<T>(list: readonly T[]): T {
+  private choose<T>(list: readonly T[]): T {
     return list[Math.floor(this.random() * list.length)];
   }
 
--- a/test/soak/soak_backend.ts
+++ b/test/soak/soak_backend.ts
@@ -111,7 +111,7 @@
       return;
     }
     signals.recordReached();
-    if (chance < REFUSED_SHARE || copies.mustRefuse(id, socket)) {
+    if (chance < REFUSED_SHARE || copies.takeRefusal(id, socket)) {
       response.writeHead(503, {
         'x-whinreel-request-id': id,
         ...NOT_EXECUTED,
@@ -121,7 +121,7 @@
       return;
     }
     const isStream = findRouteType(request) === 'stream';
-    const kind = endless.draw(isStream);
+    const kind = endless.chooseKind(isStream);
     if (kind === undefined || endlessKinds[kind].runs) {
       this.recordRun(key);
     }
@@ -162,7 +162,7 @@
         this.breakOff(arrival);
         return;
       }
-      const {status, mark} = this.drawOutcome();
+      const {status, mark} = this.chooseOutcome();
       const head = this.createHead(id, 'text/plain');
       response.writeHead(status, {...head, ...mark});
       response.end(`ran ${id}`);
@@ -203,7 +203,7 @@
     request.socket.resetAndDestroy();
   }
 
-  private drawOutcome(): {status: number; mark: Record<string, string>} {
+  private chooseOutcome(): {status: number; mark: Record<string, string>} {
     const {random} = this.options;
     const at = Math.floor(random() * CONTRADICTIONS.length);
     const contradicts = random() < CONTRADICTORY_SHARE;
--- a/test/soak/soak_endless.ts
+++ b/test/soak/soak_endless.ts
@@ -54,7 +54,7 @@
       figures.count += 1;
       figures.longestMs = Math.max(figures.longestMs, Math.round(to - from));
       figures.mostKb = Math.max(figures.mostKb, Math.round(bytes / 1_024));
-      if (this.wasHeld(key)) {
+      if (this.isHeld(key)) {
         held.push(`${key}: ${kind}`);
       }
     }
@@ -80,7 +80,7 @@
     });
   }
 
-  private wasHeld(key: string): boolean {
+  private isHeld(key: string): boolean {
     const request = this.findRequest(key);
     if (!request) {
       return false;
--- a/test/soak/soak_faults.ts
+++ b/test/soak/soak_faults.ts
@@ -206,17 +206,17 @@
     const {backends} = this.options.fleet;
     const {incarnation, copies, endless} = pick(backends, random).options;
     const durationMs = drawMs(random);
-    const last = async (begin: () => void) => {
+    const runWhile = async (begin: () => void) => {
       begin();
       await sleep(durationMs);
     };
     return {
       [`late copies from ${incarnation}`]: () =>
-        last(() => copies.beginForeign(durationMs)),
+        runWhile(() => copies.beginForeign(durationMs)),
       [`bytes without end from ${incarnation}`]: () =>
-        last(() => endless.begin(durationMs)),
+        runWhile(() => endless.begin(durationMs)),
       'refusals come twice': () =>
-        last(() =>
+        runWhile(() =>
           backends.forEach(({options}) =>
             options.copies.beginTwice(durationMs),
           ),
