test(control): an attempt that hangs does so for good, however slow the machine is

Traced: an attempt without a greeting ends after 2 s, and the test's second process took longer to start and be elected.

The time-out of the greeting no longer ends the attempt in this test, so the leader can only be found by connecting back.

--- a/test/control/connect_back.test.ts
+++ b/test/control/connect_back.test.ts
@@ -1,5 +1,5 @@
 import * as net from 'node:net';
-import {afterEach, expect, test} from 'vitest';
+import {afterEach, expect, test, vi} from 'vitest';
 import {ControlServer} from '../../src/control/control_server';
 import {reservePort} from '../support/reserve_port';
 import {startSeededControl} from '../support/start_seeded_control';
@@ -7,6 +7,9 @@
 
 // Guards against an election that waits for an attempt to connect from before a machine came back.
 
+/** Time for the greeting of a connection, after which an attempt fails. */
+const GREETING_TIMEOUT_MS = 2_000;
+
 const closers: Array<() => unknown> = [];
 
 afterEach(async () => {
@@ -15,6 +18,19 @@
   }
 });
 
+/** Keeps attempts without a greeting open for good, however slow the machine is. */
+function suspendGreetingTimeouts(): void {
+  const schedule = globalThis.setTimeout;
+  const suspended = vi
+    .spyOn(globalThis, 'setTimeout')
+    .mockImplementation(((callback: () => void, delayMs?: number) =>
+      schedule(
+        callback,
+        delayMs === GREETING_TIMEOUT_MS ? 2 ** 31 - 1 : delayMs,
+      )) as typeof setTimeout);
+  closers.push(() => suspended.mockRestore());
+}
+
 async function start(name: string, seeds: string[]): Promise<ControlServer> {
   const control = await startSeededControl({
     name,
@@ -27,6 +43,7 @@
 }
 
 test('a process that connects is connected back while an older attempt still hangs', async () => {
+  suspendGreetingTimeouts();
   const names = [
     `127.0.0.1:${await reservePort()}`,
     `127.0.0.1:${await reservePort()}`,
