test(gateway): a paced stream of the fake server sends its events in order

Traced: after the pause of the test's process its timers fired out of order, and the fake server sent events 8, 10, 9 of one stream. The gateway rejects that ('disordered'), rightly; the test had passed while it only looked at the end.

--- a/test/support/backend_scripts.ts
+++ b/test/support/backend_scripts.ts
@@ -95,10 +95,13 @@
         '\r\n',
       ),
     );
+    let sent = 0;
     for (let at = 1; at <= count; at += 1) {
+      // After a pause of this process, timers of different delays fire in another order.
       setTimeout(() => {
-        const last = at === count ? '0\r\n\r\n' : '';
-        socket.write(encodeChunk(encodeEvents(at)) + last);
+        sent += 1;
+        const last = sent === count ? '0\r\n\r\n' : '';
+        socket.write(encodeChunk(encodeEvents(sent)) + last);
       }, at * intervalMs);
     }
   };
