refactor: names and comments of the change, read as a newcomer

Change: finishDetached, MAX_DETACHED_BYTES, HELLO_TIMEOUT_MS; the comment tells the reason; HttpClientEvents takes what it shares from ExchangeEvents.

Result: no behaviour changes; host, transport, connect_back and engine_client tests pass (80).

--- a/src/host/attempt_runner.ts
+++ b/src/host/attempt_runner.ts
@@ -205,7 +205,7 @@
    */
   private handleEntryDisconnect(attempt: RunningAttempt): void {
     if (this.running.get(attempt)?.isRepeatable === false) {
-      attempt.finishUnheard();
+      attempt.finishDetached();
     } else {
       attempt.stop({outcome: 'unknown', reason: 'the entry went away'});
     }
--- a/src/host/running_attempt.ts
+++ b/src/host/running_attempt.ts
@@ -9,7 +9,7 @@
 const MAX_FRAME_DATA_BYTES = 64 * 1024;
 const MAX_EVENT_BYTES = 1024 * 1024;
 /** Bytes of a response that are read without an entry, only to learn how the attempt ends. */
-const MAX_UNHEARD_BYTES = 16 * 1024 * 1024;
+const MAX_DETACHED_BYTES = 16 * 1024 * 1024;
 const SERVER_ERROR = 500;
 const EVENT_STREAM = 'text/event-stream';
 
@@ -39,7 +39,7 @@
   private credit: number;
   private resumeSending: (() => void) | undefined;
   private sequence = 0;
-  private isUnheard = false;
+  private isDetached = false;
   private stopEnd: AttemptOutcome | undefined;
 
   private constructor(private readonly options: RunningAttemptOptions) {
@@ -64,9 +64,9 @@
   }
 
   /** Continues without the entry, up to a limit, so that the outcome becomes known. */
-  finishUnheard(): void {
-    this.isUnheard = true;
-    this.addCredit(MAX_UNHEARD_BYTES);
+  finishDetached(): void {
+    this.isDetached = true;
+    this.addCredit(MAX_DETACHED_BYTES);
   }
 
   /** Stops the attempt; the first reason is kept. */
@@ -180,7 +180,7 @@
       return;
     }
     while (this.credit <= 0) {
-      if (this.isUnheard) {
+      if (this.isDetached) {
         const reason = 'the response is too long to be read without its entry';
         this.stop({outcome: 'failed', reason});
         this.checkNotStopped();
--- a/src/transport/exchange_events.ts
+++ b/src/transport/exchange_events.ts
@@ -11,6 +11,7 @@
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ) => void;
   readonly onData: (chunk: Buffer) => void;
+  /** The response is complete. */
   readonly onEnd: () => void;
   /** Called instead of `onEnd`. */
   readonly onError: (error: Error) => void;
--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -2,6 +2,7 @@
 import {Dispatcher} from 'undici';
 import {ConnectionUse} from './connection_use';
 import {ExchangeControl} from './exchange_control';
+import {ExchangeEvents} from './exchange_events';
 import {OVERFLOW_CODE} from './overflow_code';
 import {ServerConnections} from './server_connections';
 import {TransportError} from './transport_error';
@@ -22,16 +23,12 @@
 }
 
 /** Callbacks for the progress of a request, in the order of their calls. */
-interface HttpClientEvents {
+interface HttpClientEvents extends Pick<
+  ExchangeEvents,
+  'onHead' | 'onData' | 'onEnd'
+> {
   /** The request is about to be written to a connection: from now on it may run. False aborts it before the first byte. */
   readonly onSent: (use: ConnectionUse) => boolean;
-  readonly onHead: (
-    status: number,
-    headers: Readonly<Record<string, string | string[] | undefined>>,
-  ) => void;
-  readonly onData: (chunk: Buffer) => void;
-  /** The response is complete. */
-  readonly onEnd: () => void;
   /**
    * Called instead of `onEnd`. Its name is `NeverSent` if the request cannot have run,
    * `Oversized` if the response has too many bytes besides its body, and else `Broken`.
--- a/src/transport/server_connections.ts
+++ b/src/transport/server_connections.ts
@@ -11,7 +11,7 @@
   readonly events: ExchangeEvents;
 }
 
-/** Opens a connection only when no open one is free. */
+/** Lends a connection to each request, and opens one only when no open one is free. */
 export class ServerConnections {
   private readonly connections: ServerConnection[] = [];
   private readonly waiting: WaitingRequest[] = [];
--- a/test/control/connect_back.test.ts
+++ b/test/control/connect_back.test.ts
@@ -7,8 +7,8 @@
 
 // Guards against an election that waits for an attempt to connect from before a machine came back.
 
-/** Time for the greeting of a connection, after which an attempt fails. */
-const GREETING_TIMEOUT_MS = 2_000;
+/** Time for the hello of the other process, after which an attempt fails. */
+const HELLO_TIMEOUT_MS = 2_000;
 
 const closers: Array<() => unknown> = [];
 
@@ -18,15 +18,15 @@
   }
 });
 
-/** Keeps attempts without a greeting open for good, however slow the machine is. */
-function suspendGreetingTimeouts(): void {
+/** Keeps attempts without a hello open for good, however slow the machine is. */
+function suspendHelloTimeouts(): void {
   const schedule = globalThis.setTimeout;
   const suspended = vi
     .spyOn(globalThis, 'setTimeout')
     .mockImplementation(((callback: () => void, delayMs?: number) =>
       schedule(
         callback,
-        delayMs === GREETING_TIMEOUT_MS ? 2 ** 31 - 1 : delayMs,
+        delayMs === HELLO_TIMEOUT_MS ? 2 ** 31 - 1 : delayMs,
       )) as typeof setTimeout);
   closers.push(() => suspended.mockRestore());
 }
@@ -43,7 +43,7 @@
 }
 
 test('a process that connects is connected back while an older attempt still hangs', async () => {
-  suspendGreetingTimeouts();
+  suspendHelloTimeouts();
   const names = [
     `127.0.0.1:${await reservePort()}`,
     `127.0.0.1:${await reservePort()}`,
--- a/test/host/running_attempt.test.ts
+++ b/test/host/running_attempt.test.ts
@@ -113,7 +113,7 @@
     },
     {credit: 1},
   );
-  attempt.finishUnheard();
+  attempt.finishDetached();
 
   expect(await attempt.ended).toEqual({
     outcome: 'failed',
