test(entry): the scripts of fake hosts stand once

Change: test/support/entry_scripts has them, with names that say what they make. No test changes what it sends or expects.

--- a/test/entry/faulty_response.test.ts
+++ b/test/entry/faulty_response.test.ts
@@ -1,10 +1,15 @@
-import {afterEach, describe, expect, test} from 'vitest';
+import {describe, expect, onTestFinished, test} from 'vitest';
 import {systemClock} from '../../src/common/system_clock';
-import {CallerRequest} from '../../src/entry/caller_request';
 import {IdempotencyClaims} from '../../src/entry/idempotency_claims';
-import {RequestMessage} from '../../src/protocol/request_message';
 import {FakeHost} from '../support/fake_host';
-import {startEntryRunner} from '../support/start_entry_runner';
+import {
+  EVENT_STREAM,
+  createDataFrame,
+  createEndFrame,
+  createHost,
+  sendRequest,
+  startRunner,
+} from '../support/entry_scripts';
 import {waitUntil} from '../support/wait_until';
 
 /** Grants every claim. */
@@ -12,60 +17,16 @@
   claim: async () => undefined,
   resolve: async () => undefined,
 } as unknown as IdempotencyClaims;
-const EVENTS = {'content-type': 'text/event-stream'};
-const closers: Array<() => unknown> = [];
-
-afterEach(async () => {
-  for (const close of closers.splice(0).reverse()) {
-    await close();
-  }
-});
-
-/** Starts a runner that ends with the test. */
-async function startRunner(
-  ...args: Parameters<typeof startEntryRunner>
-): ReturnType<typeof startEntryRunner> {
-  const runner = await startEntryRunner(...args);
-  closers.push(runner.close);
-  return runner;
-}
-
-/** Runs one request on the given hosts, which are its only replicas. */
-async function sendRequest(
-  hosts: readonly FakeHost[],
-  changes: Partial<CallerRequest> = {},
-) {
-  const {send} = await startRunner(hosts);
-  return send(changes);
-}
-
-async function createHost(
-  ...args: Parameters<typeof FakeHost.create>
-): Promise<FakeHost> {
-  const host = await FakeHost.create(...args);
-  closers.push(() => host.close());
-  return host;
-}
-
-function data(stream: number, sequence: number, text: string): RequestMessage {
-  return {
-    type: 'data',
-    stream,
-    sequence,
-    bytes: Buffer.from(`data: ${text}\n\n`),
-  };
-}
-
-function end(stream: number, frames: number): RequestMessage {
-  return {type: 'end', stream, frames, outcome: 'answered', reason: ''};
-}
-
 const breakAfterHead: Parameters<typeof FakeHost.create>[0] = (
   dispatch,
   send,
 ) => {
   const {stream} = dispatch;
-  const headers = {...EVENTS, 'x-of-first': 'a', 'whinreel-request-id': 'b'};
+  const headers = {
+    ...EVENT_STREAM,
+    'x-of-first': 'a',
+    'whinreel-request-id': 'b',
+  };
   send({type: 'head', stream, status: 200, headers});
   send({type: 'end', stream, frames: 0, outcome: 'failed', reason: 'broke'});
 };
@@ -77,8 +38,8 @@
     const second = await createHost((dispatch, send) => {
       const {stream} = dispatch;
       send({type: 'head', stream, status: 200, headers: {'x-of-second': 'c'}});
-      send(data(stream, 0, 'a'));
-      send(end(stream, 1));
+      send(createDataFrame(stream, 0, 'a'));
+      send(createEndFrame(stream, 1));
     });
     const answer = await sendRequest([first, second]);
 
@@ -93,13 +54,13 @@
     const host = await createHost((dispatch, send) => {
       const {stream} = dispatch;
       const headers = {
-        ...EVENTS,
+        ...EVENT_STREAM,
         'whinreel-outcome': 'not-run',
         'whinreel-request-id': 'other',
       };
       send({type: 'head', stream, status: 200, headers});
-      send(data(stream, 0, '[DONE]'));
-      send(end(stream, 1));
+      send(createDataFrame(stream, 0, '[DONE]'));
+      send(createEndFrame(stream, 1));
     });
     const answer = await sendRequest([host]);
 
@@ -114,8 +75,8 @@
     const host = await createHost((dispatch, send) => {
       const {stream} = dispatch;
       send({type: 'head', stream, status: 200, headers: {trailer: 'x'}});
-      send(data(stream, 0, 'a'));
-      send(end(stream, 1));
+      send(createDataFrame(stream, 0, 'a'));
+      send(createEndFrame(stream, 1));
     });
     const answer = await sendRequest([host]);
 
@@ -142,12 +103,12 @@
         if (!finishOther) {
           finishOther = () => {
             send({type: 'head', stream, status: 200, headers: {}});
-            send(end(stream, 0));
+            send(createEndFrame(stream, 0));
           };
           return;
         }
         send({type: 'head', stream, ...head});
-        send(end(stream, 0));
+        send(createEndFrame(stream, 0));
       });
       const {send} = await startRunner([host]);
       const other = send({requestId: 'other'});
@@ -166,16 +127,16 @@
   test('is not continued by a body that is no stream of events', async () => {
     const first = await createHost((dispatch, send, peer) => {
       const {stream} = dispatch;
-      send({type: 'head', stream, status: 200, headers: EVENTS});
-      send(data(stream, 0, 'a'));
+      send({type: 'head', stream, status: 200, headers: EVENT_STREAM});
+      send(createDataFrame(stream, 0, 'a'));
       peer.end();
     });
     const second = await createHost((dispatch, send) => {
       const {stream} = dispatch;
       const headers = {'whinreel-resumed-from': '1'};
       send({type: 'head', stream, status: 200, headers});
-      send(data(stream, 0, 'b'));
-      send(end(stream, 1));
+      send(createDataFrame(stream, 0, 'b'));
+      send(createEndFrame(stream, 1));
     });
     const answer = await sendRequest([first, second]);
 
@@ -192,14 +153,14 @@
     const host = await createHost((dispatch, send) => {
       const {stream} = dispatch;
       let sequence = 0;
-      send({type: 'head', stream, status: 200, headers: EVENTS});
+      send({type: 'head', stream, status: 200, headers: EVENT_STREAM});
       timer = setInterval(() => {
         send({type: 'data', stream, sequence, bytes: piece});
         sequence += 1;
         sentBytes += piece.length;
       }, 1);
     });
-    closers.push(() => clearInterval(timer));
+    onTestFinished(() => clearInterval(timer));
     const {send} = await startRunner([host], GRANTED);
     const answer = await send({
       isRepeatable: false,
--- a/test/entry/request_runner.test.ts
+++ b/test/entry/request_runner.test.ts
@@ -1,59 +1,15 @@
-import {afterEach, describe, expect, test} from 'vitest';
+import {describe, expect, test} from 'vitest';
 import {systemClock} from '../../src/common/system_clock';
-import {CallerRequest} from '../../src/entry/caller_request';
-import {RequestMessage} from '../../src/protocol/request_message';
 import {FakeHost} from '../support/fake_host';
-import {startEntryRunner} from '../support/start_entry_runner';
+import {
+  EVENT_STREAM,
+  createDataFrame,
+  createEndFrame,
+  createHost,
+  sendRequest,
+} from '../support/entry_scripts';
 import {waitUntil} from '../support/wait_until';
 
-const EVENTS = {'content-type': 'text/event-stream'};
-const closers: Array<() => unknown> = [];
-
-afterEach(async () => {
-  for (const close of closers.splice(0).reverse()) {
-    await close();
-  }
-});
-
-/** Starts a runner that ends with the test. */
-async function startRunner(
-  ...args: Parameters<typeof startEntryRunner>
-): ReturnType<typeof startEntryRunner> {
-  const runner = await startEntryRunner(...args);
-  closers.push(runner.close);
-  return runner;
-}
-
-/** Runs one request on the given hosts, which are its only replicas. */
-async function sendRequest(
-  hosts: readonly FakeHost[],
-  changes: Partial<CallerRequest> = {},
-) {
-  const {send} = await startRunner(hosts);
-  return send(changes);
-}
-
-async function createHost(
-  ...args: Parameters<typeof FakeHost.create>
-): Promise<FakeHost> {
-  const host = await FakeHost.create(...args);
-  closers.push(() => host.close());
-  return host;
-}
-
-function data(stream: number, sequence: number, text: string): RequestMessage {
-  return {
-    type: 'data',
-    stream,
-    sequence,
-    bytes: Buffer.from(`data: ${text}\n\n`),
-  };
-}
-
-function end(stream: number, frames: number): RequestMessage {
-  return {type: 'end', stream, frames, outcome: 'answered', reason: ''};
-}
-
 describe('a response', () => {
   test('whose frames are lost, repeated or reordered never ends as complete', async () => {
     const orders = [
@@ -65,9 +21,11 @@
     for (const order of orders) {
       const host = await createHost((dispatch, send) => {
         const {stream} = dispatch;
-        send({type: 'head', stream, status: 200, headers: EVENTS});
-        order.forEach(sequence => send(data(stream, sequence, `t${sequence}`)));
-        send(end(stream, 3));
+        send({type: 'head', stream, status: 200, headers: EVENT_STREAM});
+        order.forEach(sequence =>
+          send(createDataFrame(stream, sequence, `t${sequence}`)),
+        );
+        send(createEndFrame(stream, 3));
       });
       const answer = await sendRequest([host], {isRepeatable: true});
 
@@ -80,23 +38,23 @@
     const lateSends: Array<() => void> = [];
     const first = await createHost((dispatch, send) => {
       const {stream} = dispatch;
-      send({type: 'head', stream, status: 200, headers: EVENTS});
-      send(data(stream, 0, 'a'));
-      send(data(stream, 5, 'gap'));
+      send({type: 'head', stream, status: 200, headers: EVENT_STREAM});
+      send(createDataFrame(stream, 0, 'a'));
+      send(createDataFrame(stream, 5, 'gap'));
       lateSends.push(() => {
-        send(data(stream, 1, 'late'));
-        send(end(stream, 2));
+        send(createDataFrame(stream, 1, 'late'));
+        send(createEndFrame(stream, 2));
       });
     });
     const second = await createHost((dispatch, send) => {
       const {stream} = dispatch;
-      const resumed = {...EVENTS, 'whinreel-resumed-from': '1'};
+      const resumed = {...EVENT_STREAM, 'whinreel-resumed-from': '1'};
       lateSends.forEach(send => send());
       setTimeout(() => {
         send({type: 'head', stream, status: 200, headers: resumed});
-        send(data(stream, 0, 'b'));
-        send(data(stream, 1, '[DONE]'));
-        send(end(stream, 2));
+        send(createDataFrame(stream, 0, 'b'));
+        send(createDataFrame(stream, 1, '[DONE]'));
+        send(createEndFrame(stream, 2));
       }, 50);
     });
     const answer = await sendRequest([first, second]);
@@ -111,15 +69,15 @@
   test('is not continued by a replica that starts from the beginning', async () => {
     const first = await createHost((dispatch, send, peer) => {
       const {stream} = dispatch;
-      send({type: 'head', stream, status: 200, headers: EVENTS});
-      send(data(stream, 0, 'a'));
+      send({type: 'head', stream, status: 200, headers: EVENT_STREAM});
+      send(createDataFrame(stream, 0, 'a'));
       peer.end();
     });
     const second = await createHost((dispatch, send) => {
       const {stream} = dispatch;
-      send({type: 'head', stream, status: 200, headers: EVENTS});
-      send(data(stream, 0, 'a'));
-      send(end(stream, 1));
+      send({type: 'head', stream, status: 200, headers: EVENT_STREAM});
+      send(createDataFrame(stream, 0, 'a'));
+      send(createEndFrame(stream, 1));
     });
     const answer = await sendRequest([first, second]);
 
@@ -141,7 +99,7 @@
     const answering = await createHost((dispatch, send) => {
       const {stream} = dispatch;
       send({type: 'head', stream, status: 200, headers: {}});
-      send(end(stream, 0));
+      send(createEndFrame(stream, 0));
     });
     const answer = await sendRequest([refusing, answering]);
 
