fix(gateway): a rejected answer does not end the time for which its server is full

Cause: the end of any attempt cleared the mark that a server has no free slot, so a foreign answer to one request cleared what the refusal of another had set, and the server got requests that it would refuse.

Change: the end of an attempt whose answer was rejected leaves the mark, as it does not tell that the server has ended the request. Every other end clears it as before; that a refused attempt's own end does so is older and stays open.

Result: two tests failed before, one with a whole request path ('next' went to the full server), and pass.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -355,11 +355,10 @@
     }
     const isWholeStream =
       end.kind === 'whole' && (this.head?.isEventStream ?? false);
-    balancer.recordRequestEnd(
-      target.incarnation,
-      request.promptTokens,
-      isWholeStream ? this.chunkCount : undefined,
-    );
+    balancer.recordRequestEnd(target.incarnation, request.promptTokens, {
+      events: isWholeStream ? this.chunkCount : undefined,
+      wasRejected: end.received !== undefined,
+    });
     this.options.onEnd(end);
   }
 }
--- a/src/gateway/routing/load_balancer.ts
+++ b/src/gateway/routing/load_balancer.ts
@@ -6,6 +6,7 @@
 import {createQueueKey} from './create_queue_key';
 import {createTargetState} from './create_target_state';
 import {RepairTimes} from './repair_times';
+import {RequestEnd} from './request_end';
 import {RequestSizes} from './request_sizes';
 import {RunningGrowth} from './running_growth';
 import {TargetAvailability} from './target_availability';
@@ -209,11 +210,11 @@
     }
   }
 
-  /** @param events events of a complete stream; undefined for any other response */
+  /** Records that a request is over, which frees its slot unless its response was rejected. */
   recordRequestEnd(
     incarnation: string,
     promptTokens = 0,
-    events?: number,
+    {events, wasRejected = false}: RequestEnd = {},
   ): void {
     const state = this.states.get(incarnation);
     if (state) {
@@ -227,7 +228,10 @@
       // began.
       state.running = Math.max(0, running - 1);
       state.promptTokens = Math.max(0, state.promptTokens - promptTokens);
-      state.fullUntil = -Infinity;
+      // A rejected response does not tell that the target has ended the request.
+      if (!wasRejected) {
+        state.fullUntil = -Infinity;
+      }
       if (events !== undefined) {
         this.sizes.recordEvents(createQueueKey(state.target), events);
       }
--- a/test/gateway/foreign_refusal.test.ts
+++ b/test/gateway/foreign_refusal.test.ts
@@ -128,6 +128,31 @@
   expect({runs, status: received.status}).toEqual({runs: 1, status: 200});
 });
 
+test('a foreign answer does not end the time for which its backend server is full', async () => {
+  const foreign =
+    'HTTP/1.1 503 Full\nrequest-id: early\nnot-run: 1\ncontent-length: 0\n\n';
+  const answer = answerWithForeign(foreign);
+  const {fixture, backends} = await startFixture(
+    [
+      arrived => {
+        if (readId(arrived) === 'late') {
+          fixture.balancer.recordFull('i0');
+        }
+        answer(arrived);
+      },
+      answerOk,
+    ],
+    {kind: 'unsafe'},
+  );
+  for (const id of ['early', 'late', 'next']) {
+    await fixture.send({'request-id': id}, 'order');
+  }
+  expect(backends.map(({requests}) => requests.map(readId))).toEqual([
+    ['early', 'late'],
+    ['next'],
+  ]);
+});
+
 test('the log cuts off a long id of a faulty backend server', async () => {
   const id = 'x'.repeat(10_000);
   const {fixture} = await startFixture(
--- a/test/gateway/target_refusals.test.ts
+++ b/test/gateway/target_refusals.test.ts
@@ -95,12 +95,21 @@
   });
 });
 
+// A foreign answer to one request cleared the mark that the refusal of another had set.
+test('a target that refused a request as full stays full when another response is rejected', () => {
+  const {balancer, choose} = create();
+  balancer.recordRequestStart('i', 10);
+  balancer.recordFull('i');
+  balancer.recordRequestEnd('i', 10, {wasRejected: true});
+  expect(choose()).toBeUndefined();
+});
+
 describe('the memory of an engine', () => {
   test('is not exceeded by prompts and expected answers', () => {
     const {balancer, choose} = create([{...TARGET, slots: 34}]);
     balancer.recordRequestStart('i', 300);
     // Ten events of three tokens: the expected answer has 30 tokens.
-    balancer.recordRequestEnd('i', 300, 10);
+    balancer.recordRequestEnd('i', 300, {events: 10});
     balancer.recordRequestStart('i', 300);
     expect(choose(false, 600)).toBe('i');
     expect(choose(false, 650)).toBeUndefined();
