feat(control): the log says why hosts serve nobody and what ends by choice cost

The incident of a model that is served too little could not be told apart by its lines: whether an idle host loads, waits for an order or lacks others of its domain; what a model without its groups waits for; how long an end by choice kept hosts from use; how long a request waited at the gateway and how long at the engine.

Lines: host-idle, host-used (one for each change of the reason, checked every 500 ms), model-short, model-complete, move-finished; firstSentMs in the lines of requests. No logic changes.

--- a/src/control/engine_group_planner_loop.ts
+++ b/src/control/engine_group_planner_loop.ts
@@ -18,7 +18,9 @@
 import {BackendRegistry} from './backend_registry';
 import {ControlSettings} from './control_settings';
 import {GatewayService} from './gateway_service';
+import {GroupMoveLog} from './group_move_log';
 import {HeadStopDetector} from './head_stop_detector';
+import {IdleHostLog} from './idle_host_log';
 import {OrderDispatcher} from './order_dispatcher';
 import {RaftRuntime} from './raft_runtime';
 
@@ -52,6 +54,8 @@
   private readonly health: BackendHealth;
   private readonly headStops: HeadStopDetector;
   private readonly orders: OrderDispatcher;
+  private readonly idleHosts: IdleHostLog;
+  private readonly moves: GroupMoveLog;
   /** When hosts were last moved to another model, which limits how often that happens. */
   private rebalancedAt = -Infinity;
   /** Adjusts the shares of the models to the demand, by pool. */
@@ -70,6 +74,8 @@
     });
     this.headStops = HeadStopDetector.create(registry, poolSettings.stallMs);
     this.orders = OrderDispatcher.create(options);
+    this.idleHosts = IdleHostLog.create(events);
+    this.moves = GroupMoveLog.create(events);
     this.timer = setInterval(() => void this.run(), PLAN_EVERY_MS);
   }
 
@@ -103,6 +109,8 @@
       this.orders.clear();
       this.health.clear();
       this.shareAdjusters.clear();
+      this.idleHosts.clear();
+      this.moves.clear();
     }
     registry.expire(now);
     const known = registry.list().map(view => view.registration.incarnation);
@@ -157,7 +165,10 @@
       hasDepartedMember: (group: EngineGroup) =>
         this.headStops.hasDepartedMember(group),
     };
-    const actions = planEngineGroups(this.applyDemand(input, domains));
+    const planInput = this.applyDemand(input, domains);
+    this.idleHosts.record(planInput);
+    const actions = planEngineGroups(planInput);
+    this.moves.record(actions, planInput);
     if (actions.some(action => 'isMove' in action && action.isMove)) {
       this.rebalancedAt = now;
     }
--- a/src/gateway/request_history.ts
+++ b/src/gateway/request_history.ts
@@ -4,6 +4,7 @@
   private eventCount = 0;
   private firstEventAt: number | undefined;
   private sentAt = 0;
+  private firstSentAt: number | undefined;
   /** When an event was last forwarded to the caller; the arrival time before the first. */
   lastForwardedAt: number;
   private runningAtTarget = -1;
@@ -35,6 +36,7 @@
     this.targets.push(incarnation);
     this.runningAtTarget = running;
     this.sentAt = now;
+    this.firstSentAt ??= now;
   }
 
   /** From sending to the first event, in milliseconds; undefined unless it was sent exactly once, as other times do not show an engine's speed. */
@@ -69,13 +71,15 @@
 
   /** Returns the fields for the log, at the end of the request. */
   describe(now: number) {
-    const {arrivedAt, firstEventAt} = this;
+    const {arrivedAt, firstEventAt, firstSentAt} = this;
     const firstEventMs =
       firstEventAt === undefined ? -1 : Math.round(firstEventAt - arrivedAt);
     return {
       targets: this.targets,
       events: this.eventCount,
       firstEventMs,
+      firstSentMs:
+        firstSentAt === undefined ? -1 : Math.round(firstSentAt - arrivedAt),
       runningAtTarget: this.runningAtTarget,
       tookMs: Math.round(now - arrivedAt),
       identity: this.identity,
--- a/src/gateway/request_result.ts
+++ b/src/gateway/request_result.ts
@@ -10,6 +10,8 @@
   readonly events: number;
   /** From arrival to the first forwarded event; -1 if there was none. */
   readonly firstEventMs: number;
+  /** From arrival until it was first sent to a backend server; -1 if it never was. */
+  readonly firstSentMs: number;
   /** Requests known to run at the last target when it was chosen; -1 if none was chosen. */
   readonly runningAtTarget: number;
   readonly tookMs: number;
--- a/test/support/engine_plan.ts
+++ b/test/support/engine_plan.ts
@@ -94,9 +94,11 @@
   return {group: {name: 'low-1', epoch, rank, state}};
 }
 
-/** Plans with a default input that has no groups, hosts or failures. */
-export function createPlan(changes: Partial<EnginePlanInput>): EngineAction[] {
-  return planEngineGroups({
+/** Creates a planner's input that has no groups, hosts or failures unless the changes say so. */
+export function createPlanInput(
+  changes: Partial<EnginePlanInput>,
+): EnginePlanInput {
+  return {
     pool: 'p',
     profile: PROFILE,
     groups: [],
@@ -115,7 +117,12 @@
     isHeadStopped: () => false,
     hasDepartedMember: () => false,
     ...changes,
-  });
+  };
+}
+
+/** Plans with a default input that has no groups, hosts or failures. */
+export function createPlan(changes: Partial<EnginePlanInput>): EngineAction[] {
+  return planEngineGroups(createPlanInput(changes));
 }
 
 /** Describes orders as `kind incarnation` and changes of groups as `type name`. */
