fix(control): a load that never began holds neither its host nor a place of the store

What callers saw: a model short of groups refused requests while empty hosts did nothing.

Cause: a load was recorded when it was ordered and ended by its expected time only. Whatever the answer, the planner took the host for loading, and the dispatcher counted one of the concurrent loads.

Change: a load counts as running once the engine says that it has begun. Until then the order is sent again, as other orders are, under the same place and the same token of the rate: the engine carries out one of them at most, as each names the expected count of orders. An unanswered one gives its place up after 3 s.

Both tests failed before (findLoadingModel gave 'low'; 'join g' was never sent).

--- a/src/control/order_dispatcher.ts
+++ b/src/control/order_dispatcher.ts
@@ -28,6 +28,11 @@
 const CLOSE_POLL_MS = 250;
 /** Concurrent loads slow each other down; one that exceeds its expected time by this factor is taken for lost. */
 const LOAD_TIMEOUT_FACTOR = 2;
+/**
+ * An unanswered order may be carried out this much later. It is sent again meanwhile, and the
+ * engine carries out one of them, so that they share one place of the store.
+ */
+const UNANSWERED_LOAD_MS = 3_000;
 /** Part of the pool's load rate that is used, which leaves room for loads that the previous leader started. */
 const SERVING_LOAD_FACTOR = 0.9;
 /** Part of the concurrent loads available to second copies: hosts without any weights come first. */
@@ -51,9 +56,12 @@
 /** A load of weights that was ordered. */
 interface Load {
   readonly model: string;
+  /** When it ends; until the order is answered, when its place is given up. */
   readonly endsAt: number;
   /** The host already has the weights of another model. */
   readonly isSecondCopy: boolean;
+  /** The engine answered that it has begun, or has not answered yet. */
+  readonly isExpected: boolean;
 }
 
 /** Dependencies of the dispatcher. */
@@ -116,9 +124,10 @@
     }
   }
 
-  /** The model of the last ordered load of an engine, while the load may still be running. */
+  /** The model that an engine is loading; undefined if its answer to the order does not say that it has begun. */
   findLoadingModel(incarnation: string): string | undefined {
-    return this.loads.get(incarnation)?.model;
+    const load = this.loads.get(incarnation);
+    return load?.isExpected ? load.model : undefined;
   }
 
   /** Sends an order unless an answer is outstanding or the same order hasn't taken effect yet. */
@@ -150,6 +159,9 @@
         this.recordEffect(order, outcome);
         // An engine that refuses to stage a copy is loading another one.
         const isBusy = kind === 'stage' && outcome === 'unfit';
+        if (order.isLoad && !isLoading && !isBusy) {
+          this.recordUnconfirmedLoad(incarnation);
+        }
         const waitMs =
           isLoading || isBusy
             ? loadMs * LOAD_TIMEOUT_FACTOR
@@ -177,20 +189,34 @@
         this.loads.delete(incarnation);
       }
     }
+    const {incarnation, model = ''} = order;
     const isSecondCopy = order.kind === 'stage';
+    const loadMs = profile.models.find(({name}) => name === model)?.loadMs ?? 0;
+    const load = {model, endsAt: now + loadMs, isSecondCopy, isExpected: true};
+    const ordered = this.loads.get(incarnation);
+    if (ordered?.isExpected === false && ordered.model === model) {
+      this.loads.set(incarnation, load);
+      return true;
+    }
     const isFull = hasServed && this.isFull(isSecondCopy, profile);
     const factor = hasServed ? SERVING_LOAD_FACTOR : EARLY_LOAD_FACTOR;
     const perSecond = profile.loadsPerSecond * factor;
     if (isFull || !this.loadBucket.take(perSecond, now)) {
       return false;
     }
-    const loadMs =
-      profile.models.find(({name}) => name === order.model)?.loadMs ?? 0;
-    const {incarnation, model = ''} = order;
-    this.loads.set(incarnation, {model, endsAt: now + loadMs, isSecondCopy});
+    this.loads.set(incarnation, load);
     return true;
   }
 
+  /** Shortens the time for which a load holds its place that the engine has not confirmed. */
+  private recordUnconfirmedLoad(incarnation: string): void {
+    const load = this.loads.get(incarnation);
+    if (load) {
+      const endsAt = this.options.clock.now() + UNANSWERED_LOAD_MS;
+      this.loads.set(incarnation, {...load, endsAt, isExpected: false});
+    }
+  }
+
   /** Limits concurrent loads, which slow each other down; second copies don't count against first ones. */
   private isFull(
     isSecondCopy: boolean,
--- a/test/control/engine_orders.test.ts
+++ b/test/control/engine_orders.test.ts
@@ -207,6 +207,56 @@
     expect(dispatcher.findLoadingModel('e6')).toBe('low');
   });
 
+  // Guards against a host that stays idle for the length of a load that never began, and
+  // against a place of the weight store that the load holds meanwhile.
+  test('a load whose order was not answered is ordered again and takes one place', async () => {
+    const {clock, sent, answers, dispatcher, dispatch} = create(true);
+    const load = (incarnation: string) =>
+      dispatch({
+        ...createOrder('join', true),
+        incarnation,
+        isParking: true,
+      });
+    await load('none');
+    clock.time += 1_000;
+    answers.push({outcome: 'unanswered'}, {outcome: 'unanswered'});
+    await load('a');
+    expect(dispatcher.findLoadingModel('a')).toBeUndefined();
+    clock.time += 500;
+    await load('a');
+    clock.time += 500;
+    await load('a');
+    expect(sent).toEqual(['join a', 'join a', 'join a']);
+    expect(dispatcher.findLoadingModel('a')).toBe('low');
+
+    for (const incarnation of ['b', 'c', 'd', 'e', 'f', 'g']) {
+      clock.time += 500;
+      await load(incarnation);
+    }
+    expect(sent.slice(3)).toEqual([
+      'join b',
+      'join c',
+      'join d',
+      'join e',
+      'join f',
+    ]);
+  });
+
+  test('a load whose order stays unanswered gives its place up', async () => {
+    const {clock, sent, answers, dispatch} = create(true);
+    const load = (incarnation: string) =>
+      dispatch({...createOrder('join', true), incarnation, isParking: true});
+    await load('none');
+    for (const incarnation of ['a', 'b', 'c', 'd', 'e', 'f']) {
+      clock.time += 500;
+      answers.push({outcome: 'unanswered'});
+      await load(incarnation);
+    }
+    clock.time += 3_500;
+    await load('g');
+    expect(sent.at(-1)).toBe('join g');
+  });
+
   test('loads above the rate limit wait', async () => {
     const {clock, sent, dispatch} = create(true);
     await dispatch(createOrder('join', true));
