fix(groups): a model that lacks groups keeps the hosts that hold its weights

What callers saw: the large model's requests refused for 6 and 14 s while five of the six hosts of a group held its weights.

Cause: hosts were reserved for a model in one domain only, and only where the hosts that are known suffice; what was not reserved went to any model with more hosts than it should have. And the need of models was compared by their shares.

Change: as many reservations as the model lacks groups, one a domain; a model that has its groups leaves all hosts with the weights of one that lacks some and has the greater need; a new leader forms no further groups until it has heard all hosts while a model lacks groups. Need is how many answers a second a group brings in time for each host, by the measured demand, where urgency does not decide.

--- a/src/coordination/groups/create_engine_plan_input.ts
+++ b/src/coordination/groups/create_engine_plan_input.ts
@@ -2,6 +2,7 @@
 import {ModelDemand} from '../../protocol/model_demand';
 import {computeDesiredGroups} from './compute_desired_groups';
 import {computeModelNeeds} from './compute_model_needs';
+import {DemandForecast} from './demand_forecast';
 import {dropEvacuated} from './drop_evacuated';
 import {ShareAdjuster} from './share_adjuster';
 import {ModelCounts} from './model_counts';
@@ -35,11 +36,13 @@
   weights,
 }: DemandOptions) {
   const needs = computeModelNeeds({profile: input.profile, demand, weights});
+  const forecast = DemandForecast.create({profile: input.profile, demand});
   const isSplitByUrgency = input.policy?.splitsByUrgency !== false;
   const applyShares = (profile: EngineProfile): EnginePlanInput => ({
     ...input,
     profile,
     needs,
+    forecast,
     desiredGroups: computeDesiredGroups(profile, domains),
   });
   const counts = ModelCounts.createWithHeld(dropEvacuated(input));
--- a/src/coordination/groups/engine_plan_input.ts
+++ b/src/coordination/groups/engine_plan_input.ts
@@ -1,6 +1,7 @@
 import {EngineGroup} from '../../protocol/engine_group';
 import {EngineProfile} from '../../protocol/engine_profile';
 import {BackendView} from './backend_view';
+import {DemandForecast} from './demand_forecast';
 import {EnginePolicy} from './engine_policy';
 import {ModelNeed} from './model_need';
 
@@ -31,6 +32,8 @@
   readonly recipientModel?: string;
   /** Urgency and measured need by model; absent where urgency does not count. */
   readonly needs?: ReadonlyMap<string, ModelNeed>;
+  /** What the measured demand makes of a number of groups; absent while it is not measured. */
+  readonly forecast?: DemandForecast;
   /** The model is saturated: its requests are refused for lack of free slots. */
   readonly isSaturated: (model: string) => boolean;
   /** The backend server is draining or has announced that it stops. */
--- a/src/coordination/groups/plan_engine_formation.ts
+++ b/src/coordination/groups/plan_engine_formation.ts
@@ -1,6 +1,7 @@
 /** Decides which free engines form new groups. */
 import {EngineProfile} from '../../protocol/engine_profile';
 import {BackendView} from './backend_view';
+import {computeGainPerHost} from './compute_gain_per_host';
 import {computeReadyMs} from './compute_ready_ms';
 import {computeSpares} from './compute_spares';
 import {countCold} from './count_cold';
@@ -12,11 +13,13 @@
 import {countByDomainName} from './count_by_domain_name';
 import {splitByDomain} from './split_by_domain';
 import {listFreeEngines} from './list_free_engines';
+import {isBelowDesired} from './is_below_desired';
 import {isHeldByUnreachableHead} from './is_held_by_unreachable_head';
 import {isMoreUrgent} from './is_more_urgent';
 import {isOvertakenBy} from './is_overtaken_by';
 import {isShortOfGroups} from './is_short_of_groups';
-import {reserveEngines} from './reserve_engines';
+import {listReservations} from './list_reservations';
+import {listUnreserved} from './list_unreserved';
 
 /** Joins the domain names of a group that spans several. */
 const DOMAIN_SEPARATOR = '+';
@@ -47,6 +50,8 @@
   readonly weight: number;
   /** Every other group of the model is in the same domain, so that one loss would take all. */
   readonly isOnlyDomain: boolean;
+  /** Answers a second that each host brings in time. */
+  readonly gainPerHost: number;
   /** Hosts of the model relative to its share of the load, without this group. */
   readonly hostsPerShare: number;
   /** Breaks ties between domains, the lowest first. */
@@ -117,30 +122,6 @@
   }
 }
 
-/** Reserves hosts for each model that lacks groups and can form none from the free hosts now. */
-function listReservations(
-  input: EnginePlanInput,
-  free: readonly BackendView[],
-  counts: ModelCounts,
-): EngineReservation[] {
-  if (input.policy?.reservesHosts === false) {
-    return [];
-  }
-  return input.profile.models.flatMap(model => {
-    const lacksGroups =
-      input.isSaturated(model.name) || isBelowDesired(model, input, counts);
-    return (lacksGroups && reserveEngines(model, free, input)) || [];
-  });
-}
-
-function isBelowDesired(
-  {name}: Model,
-  {desiredGroups}: EnginePlanInput,
-  counts: ModelCounts,
-): boolean {
-  return counts.countGroups(name) < (desiredGroups.get(name) ?? 0);
-}
-
 /**
  * Checks whether a model has the groups for its measured demand and one for the loss
  * of a domain, while a more urgent model lacks groups for its own.
@@ -159,28 +140,6 @@
   );
 }
 
-/** Lists the free hosts that are not reserved for a model with greater need. */
-function listUnreserved(
-  model: Model,
-  free: readonly BackendView[],
-  counts: ModelCounts,
-  reservations: readonly EngineReservation[],
-  input: EnginePlanInput,
-): BackendView[] {
-  const hostsPerShare = counts.computeHostsPerShare(model);
-  const reserved = new Set(
-    reservations
-      .filter(
-        ({model: other}) =>
-          isOvertakenBy(other.name, model.name, counts, input) ||
-          (counts.computeHostsPerShare(other) < hostsPerShare &&
-            !isOvertakenBy(model.name, other.name, counts, input)),
-      )
-      .flatMap(({hosts}) => hosts),
-  );
-  return free.filter(host => !reserved.has(host));
-}
-
 function compareOptions(left: FormationOption, right: FormationOption): number {
   return (
     Number(left.needsLoad) - Number(right.needsLoad) ||
@@ -188,6 +147,7 @@
     right.tier - left.tier ||
     right.weight - left.weight ||
     Number(right.isBelowDesired) - Number(left.isBelowDesired) ||
+    right.gainPerHost - left.gainPerHost ||
     left.hostsPerShare - right.hostsPerShare ||
     // Larger models first: the remaining hosts are more likely to fit a smaller one.
     right.model.size - left.model.size ||
@@ -207,8 +167,16 @@
   domainSizes: ReadonlyMap<string, number>,
   allowsCrossDomain: boolean,
 ): FormationOption[] {
+  const isAnyBelow = input.profile.models.some(model =>
+    isBelowDesired(model, input, counts),
+  );
+  // A new leader has not heard all hosts of a group that another model lacks.
+  const isPartlyKnown =
+    input.isInGracePeriod && !input.isColdStart && isAnyBelow;
   const models = input.profile.models.filter(
-    model => !isToWait(model, counts, input),
+    model =>
+      !isToWait(model, counts, input) &&
+      (!isPartlyKnown || isBelowDesired(model, input, counts)),
   );
   return models.flatMap(model => {
     const hosts = listUnreserved(model, free, counts, reservations, input);
@@ -262,6 +230,7 @@
     hosts: chosen.map(({host}) => host),
     readyMs,
     needsLoad,
+    gainPerHost: computeGainPerHost(model, counts, input),
     hostsPerShare: counts.computeHostsPerShare(model),
     // Best fit at the cold start, so that large domains stay usable; later the domain that keeps most spares.
     domainOrder: isColdStart ? hosts.length : -hosts.length,
@@ -310,6 +279,7 @@
       hosts,
       readyMs: Math.max(...hosts.map(host => computeReadyMs(host, model))),
       needsLoad: false,
+      gainPerHost: computeGainPerHost(model, counts, input),
       hostsPerShare: counts.computeHostsPerShare(model),
       domainOrder: 0,
     },
--- a/src/coordination/groups/reserve_engines.ts
+++ b/src/coordination/groups/reserve_engines.ts
@@ -14,18 +14,20 @@
 type Model = EngineProfile['models'][number];
 
 /**
- * Reserves hosts in the domain that is closest to a complete group of the model;
- * undefined if no domain has enough hosts, including those that would have to load.
+ * Reserves hosts in the domains that are closest to a complete group of the model; none in
+ * a domain that has not enough hosts, including those that would have to load.
  *
  * @param free hosts that are in no group of the plan
+ * @param groups number of groups that the model lacks
  * @example
- * const reservation = reserveEngines(model, free, input);
+ * const reservations = reserveEngines(model, free, input, 1);
  */
 export function reserveEngines(
   model: Model,
   free: readonly BackendView[],
   input: EnginePlanInput,
-): EngineReservation | undefined {
+  groups: number,
+): EngineReservation[] {
   const leaving = listLeaving(input);
   const held = input.policy?.reservesHeldHosts === false ? [] : listHeld(input);
   const freeByDomain = splitByDomain(free);
@@ -48,8 +50,9 @@
         right.possible - left.possible ||
         (left.domain < right.domain ? -1 : 1),
     );
-  const [best] = options;
-  return best && {model, domain: best.domain, hosts: best.hosts};
+  return options
+    .slice(0, groups)
+    .map(({domain, hosts}) => ({model, domain, hosts}));
 }
 
 function createOption(
