fix(groups): groups end by choice only where that brings more than it costs

And from 38 s on the only group of the large model ran over two domains at a third of its speed, though six hosts of one domain could form a full one, as a model's only group was never ended while it is saturated.

Cause: both moves were decided by a yes or no (is the other model saturated and better supplied; is it the only group) without what they cost and bring.

Change: a move is made where the requests that the models miss less, for as long as the new group can be expected to last, outweigh those missed while the hosts are out of use. Both follow from the measured demand, the drain of the model's answers, the slowdown over domains that the configuration states, and the losses that the leader has counted. A model's misses count as a part of its requests. Need is likewise supply for the measured need, so that a shortage is shared. Where urgency counts, or the demand is not measured, the former rules stay.

Tests: starved_model (the move at 12.06 s, a model without any group, the group over two domains with a long and a short life).

--- a/src/control/engine_group_planner_loop.ts
+++ b/src/control/engine_group_planner_loop.ts
@@ -21,6 +21,7 @@
 import {GroupMoveLog} from './group_move_log';
 import {HeadStopDetector} from './head_stop_detector';
 import {IdleHostLog} from './idle_host_log';
+import {LossMeter} from './loss_meter';
 import {OrderDispatcher} from './order_dispatcher';
 import {RaftRuntime} from './raft_runtime';
 
@@ -60,6 +61,8 @@
   private rebalancedAt = -Infinity;
   /** Adjusts the shares of the models to the demand, by pool. */
   private readonly shareAdjusters = new Map<string, ShareAdjuster>();
+  /** Losses of members, by pool. */
+  private readonly losses = new Map<string, LossMeter>();
   private plannedTerm = -1;
   private isCommitting = false;
 
@@ -111,6 +114,7 @@
       this.shareAdjusters.clear();
       this.idleHosts.clear();
       this.moves.clear();
+      this.losses.clear();
     }
     registry.expire(now);
     const known = registry.list().map(view => view.registration.incarnation);
@@ -141,6 +145,9 @@
     this.recordLoadedModels(groups);
     this.health.refresh(groups, now);
     const domains = countByDomain(this.listHealthy(backends));
+    const losses = this.losses.get(pool.name) ?? LossMeter.create();
+    this.losses.set(pool.name, losses);
+    losses.advance(groups.flatMap(({members}) => members).length, now);
     const input = {
       pool: pool.name,
       profile: pool.engine,
@@ -154,6 +161,7 @@
         poolSettings.heartbeatMs * SILENT_INTERVALS,
       isRetired: (incarnation: string) => engines.isRetired(incarnation),
       isEvacuated: (zone: string) => evacuations.has(zone),
+      estimateLifetimeMs: (size: number) => losses.estimateLifetimeMs(size),
       mayRebalance: now - this.rebalancedAt > REBALANCE_INTERVAL_MS,
       epoch: runtime.raft.commitIndex,
       findLoadingModel: (incarnation: string) =>
@@ -172,6 +180,9 @@
     if (actions.some(action => 'isMove' in action && action.isMove)) {
       this.rebalancedAt = now;
     }
+    actions
+      .filter(action => action.type === 'end-group' && !action.isMove)
+      .forEach(() => losses.recordLoss());
     await this.commitChanges(actions);
     for (const action of actions) {
       if (action.type === 'order') {
--- a/src/coordination/groups/demand_forecast.ts
+++ b/src/coordination/groups/demand_forecast.ts
@@ -7,6 +7,9 @@
 /** The longest running answer has about twice the mean length. */
 const LONGEST_ANSWER_FACTOR = 2;
 
+/** Part of the answers of an overloaded model that are in time. */
+const IN_TIME_IN_OVERLOAD = 0.8;
+
 type Model = EngineProfile['models'][number];
 
 /** The models of a pool and their demand. */
@@ -15,7 +18,7 @@
   readonly demand: Readonly<Record<string, ModelDemand>>;
 }
 
-/** Late answers and drain times by model. */
+/** Busy groups, missed objectives and drain times by model. */
 export class DemandForecast {
   private constructor(private readonly input: ForecastInput) {}
 
@@ -33,34 +36,36 @@
     return isKnown ? new DemandForecast(input) : undefined;
   }
 
+  /** Computes how many groups the demand of a model keeps busy; above 0, since its demand is measured. */
+  computeBusyGroups(name: string): number {
+    const {profile, demand} = this.input;
+    const model = this.findModel(name);
+    return model
+      ? computeBusyGroups({profile, model, demand: demand[name]})
+      : Number.EPSILON;
+  }
+
   /**
-   * Estimates how many answers of a model are late or refused a second. Beyond the capacity
-   * of its groups, each of them serves what it can and the rest is refused.
+   * Estimates the fraction of a model's requests that are not answered in time. An overloaded
+   * model refuses the rest at once, so that most of what it serves is in time.
    *
    * @param groups a slow group counts in part
    */
-  estimateLate(name: string, groups: number): number {
+  estimateMissed(name: string, groups: number): number {
+    const {profile, demand} = this.input;
     const model = this.findModel(name);
-    const demand = this.input.demand[name];
-    if (!model || !demand) {
+    if (!model) {
       return 0;
     }
-    const shared = {profile: this.input.profile, model, demand};
-    const needed = computeBusyGroups(shared);
-    const isEnough = groups >= needed;
-    const lateFraction = estimateLateFraction({
-      ...shared,
-      groups: isEnough ? groups : needed,
+    const needed = this.computeBusyGroups(name);
+    const late = estimateLateFraction({
+      profile,
+      model,
+      demand: demand[name],
+      groups,
     });
-    const servedFraction = isEnough ? 1 : groups / needed;
-    return demand.requestsPerSecond * (1 - (1 - lateFraction) * servedFraction);
-  }
-
-  /** Estimates how many answers a second another group of a model brings in time. */
-  estimateGain(name: string, groups: number): number {
-    return (
-      this.estimateLate(name, groups) - this.estimateLate(name, groups + 1)
-    );
+    const inTime = IN_TIME_IN_OVERLOAD * Math.min(1, groups / needed);
+    return 1 - Math.max(1 - late, inTime);
   }
 
   /** Estimates how long the running requests of a group take to end, in milliseconds. */
--- a/src/coordination/groups/engine_plan_input.ts
+++ b/src/coordination/groups/engine_plan_input.ts
@@ -34,6 +34,8 @@
   readonly needs?: ReadonlyMap<string, ModelNeed>;
   /** What the measured demand makes of a number of groups; absent while it is not measured. */
   readonly forecast?: DemandForecast;
+  /** How long a group of so many members can be expected to last, in milliseconds; absent if no losses are counted. */
+  readonly estimateLifetimeMs?: (size: number) => number;
   /** The model is saturated: its requests are refused for lack of free slots. */
   readonly isSaturated: (model: string) => boolean;
   /** The backend server is draining or has announced that it stops. */
--- a/src/coordination/groups/has_greater_need.ts
+++ b/src/coordination/groups/has_greater_need.ts
@@ -1,13 +1,13 @@
 import {EngineProfile} from '../../protocol/engine_profile';
-import {computeGainPerHost} from './compute_gain_per_host';
+import {computeSupply} from './compute_supply';
 import {EnginePlanInput} from './engine_plan_input';
 import {ModelCounts} from './model_counts';
 
 type Model = EngineProfile['models'][number];
 
 /**
- * Checks whether hosts bring more to one model than to another: answers in time where the
- * demand is measured, otherwise by the hosts that each has relative to its share of the load.
+ * Checks whether a model has less supply for its need than another, so that a shortage is
+ * shared by both.
  *
  * @example
  * const isNeedier = hasGreaterNeed(big, low, counts, input);
@@ -18,9 +18,7 @@
   counts: ModelCounts,
   input: EnginePlanInput,
 ): boolean {
-  const gain = computeGainPerHost(model, counts, input);
-  const otherGain = computeGainPerHost(other, counts, input);
-  return gain === otherGain
-    ? counts.computeHostsPerShare(model) < counts.computeHostsPerShare(other)
-    : gain > otherGain;
+  return (
+    computeSupply(model, counts, input) < computeSupply(other, counts, input)
+  );
 }
--- a/src/coordination/groups/plan_consolidation.ts
+++ b/src/coordination/groups/plan_consolidation.ts
@@ -1,8 +1,11 @@
 /** Plans when a slow cross-domain group can be replaced with one in a single domain. */
 import {EngineGroup} from '../../protocol/engine_group';
 import {computeReadyMs} from './compute_ready_ms';
+import {countCapacity} from './count_capacity';
 import {EngineAction} from './engine_action';
 import {EnginePlanInput} from './engine_plan_input';
+import {isCrossDomain} from './is_cross_domain';
+import {isMoveWorthwhile} from './is_move_worthwhile';
 import {listFreeEngines} from './list_free_engines';
 
 /** Fabric domains of backend servers, by incarnation. */
@@ -10,7 +13,7 @@
 
 /**
  * Ends a cross-domain group if its hosts and the free ones could form a group of the
- * same model in one domain without a load.
+ * same model in one domain without a load, and that brings more than the end costs.
  *
  * @example
  * const actions = planConsolidation(input);
@@ -25,9 +28,9 @@
   const crossDomain = input.groups.find(
     group =>
       !group.isEnding &&
-      isCrossDomain(group, domains) &&
-      !isNeeded(group, input) &&
-      canFitOneDomain(group, input, domains),
+      isCrossDomain(group, input) &&
+      canFitOneDomain(group, input, domains) &&
+      (input.forecast ? isWorthwhile(group, input) : !isNeeded(group, input)),
   );
   if (!crossDomain) {
     return [];
@@ -55,11 +58,22 @@
   return members.flatMap(({incarnation}) => domains.get(incarnation) ?? []);
 }
 
-function isCrossDomain(
-  group: EngineGroup,
-  domains: DomainByIncarnation,
-): boolean {
-  return new Set(listDomains(group, domains)).size > 1;
+/** Weighs the full speed of the new group against the time without any. */
+function isWorthwhile({model}: EngineGroup, input: EnginePlanInput): boolean {
+  const {profile, forecast, estimateLifetimeMs} = input;
+  const {crossDomainSlowdown = 1, openMs, models} = profile;
+  const size = models.find(({name}) => name === model)?.size ?? 1;
+  const before = countCapacity(input);
+  const without = (before.get(model) ?? 0) - 1 / crossDomainSlowdown;
+  const drainMs = forecast?.estimateDrainMs(model) ?? 0;
+  const move = {
+    before,
+    during: new Map(before).set(model, without),
+    after: new Map(before).set(model, without + 1),
+    movingMs: drainMs * crossDomainSlowdown + openMs,
+    lifetimeMs: estimateLifetimeMs?.(size) ?? Infinity,
+  };
+  return isMoveWorthwhile(move, input);
 }
 
 function canFitOneDomain(
--- a/src/coordination/groups/plan_engine_formation.ts
+++ b/src/coordination/groups/plan_engine_formation.ts
@@ -1,9 +1,9 @@
 /** Decides which free engines form new groups. */
 import {EngineProfile} from '../../protocol/engine_profile';
 import {BackendView} from './backend_view';
-import {computeGainPerHost} from './compute_gain_per_host';
 import {computeReadyMs} from './compute_ready_ms';
 import {computeSpares} from './compute_spares';
+import {computeSupply} from './compute_supply';
 import {countCold} from './count_cold';
 import {EngineAction} from './engine_action';
 import {ModelCounts} from './model_counts';
@@ -50,10 +50,8 @@
   readonly weight: number;
   /** Every other group of the model is in the same domain, so that one loss would take all. */
   readonly isOnlyDomain: boolean;
-  /** Answers a second that each host brings in time. */
-  readonly gainPerHost: number;
-  /** Hosts of the model relative to its share of the load, without this group. */
-  readonly hostsPerShare: number;
+  /** Supply of the model relative to its need, without this group. */
+  readonly supply: number;
   /** Breaks ties between domains, the lowest first. */
   readonly domainOrder: number;
 }
@@ -147,8 +145,7 @@
     right.tier - left.tier ||
     right.weight - left.weight ||
     Number(right.isBelowDesired) - Number(left.isBelowDesired) ||
-    right.gainPerHost - left.gainPerHost ||
-    left.hostsPerShare - right.hostsPerShare ||
+    left.supply - right.supply ||
     // Larger models first: the remaining hosts are more likely to fit a smaller one.
     right.model.size - left.model.size ||
     Number(left.isOnlyDomain) - Number(right.isOnlyDomain) ||
@@ -230,8 +227,7 @@
     hosts: chosen.map(({host}) => host),
     readyMs,
     needsLoad,
-    gainPerHost: computeGainPerHost(model, counts, input),
-    hostsPerShare: counts.computeHostsPerShare(model),
+    supply: computeSupply(model, counts, input),
     // Best fit at the cold start, so that large domains stay usable; later the domain that keeps most spares.
     domainOrder: isColdStart ? hosts.length : -hosts.length,
   };
@@ -279,8 +275,7 @@
       hosts,
       readyMs: Math.max(...hosts.map(host => computeReadyMs(host, model))),
       needsLoad: false,
-      gainPerHost: computeGainPerHost(model, counts, input),
-      hostsPerShare: counts.computeHostsPerShare(model),
+      supply: computeSupply(model, counts, input),
       domainOrder: 0,
     },
   ];
--- a/src/coordination/groups/plan_rebalance.ts
+++ b/src/coordination/groups/plan_rebalance.ts
@@ -3,11 +3,13 @@
 import {EngineProfile} from '../../protocol/engine_profile';
 import {BackendView} from './backend_view';
 import {computeReadyMs} from './compute_ready_ms';
+import {countCapacity} from './count_capacity';
 import {EngineAction} from './engine_action';
 import {ModelCounts} from './model_counts';
 import {EnginePlanInput} from './engine_plan_input';
 import {isHeldByUnreachableHead} from './is_held_by_unreachable_head';
 import {isMoreUrgent} from './is_more_urgent';
+import {isMoveWorthwhile} from './is_move_worthwhile';
 import {isShortOfGroups} from './is_short_of_groups';
 import {listFreeEngines} from './list_free_engines';
 
@@ -60,7 +62,7 @@
     );
   for (const model of recipients) {
     const donors = findDonors(model, counts, input);
-    if (donors) {
+    if (donors && isWorthwhile(model, donors, input)) {
       const reason = `${model.name} lacks hosts for its share of the work`;
       return donors.map(({name, epoch}) => ({
         type: 'end-group',
@@ -74,6 +76,35 @@
   return [];
 }
 
+/** Weighs a group of one model against those that end for it; where urgency counts, that decides. */
+function isWorthwhile(
+  recipient: Model,
+  donors: readonly EngineGroup[],
+  input: EnginePlanInput,
+): boolean {
+  const {needs, forecast, profile, estimateLifetimeMs} = input;
+  if (needs || !forecast) {
+    return true;
+  }
+  const before = countCapacity(input);
+  const during = new Map(before);
+  for (const {model} of donors) {
+    during.set(model, Math.max(0, (during.get(model) ?? 0) - 1));
+  }
+  const {name, size, warmMs} = recipient;
+  const drainMs = Math.max(
+    ...donors.map(({model}) => forecast.estimateDrainMs(model)),
+  );
+  const move = {
+    before,
+    during,
+    after: new Map(during).set(name, (during.get(name) ?? 0) + 1),
+    movingMs: drainMs + warmMs + profile.openMs,
+    lifetimeMs: estimateLifetimeMs?.(size) ?? Infinity,
+  };
+  return isMoveWorthwhile(move, input);
+}
+
 /** Checks whether a model lacks groups for its measured demand. Groups held by an unreachable head do not serve. */
 function isUrgentlyShort(model: string, input: EnginePlanInput): boolean {
   return (
--- a/src/protocol/engine_profile.ts
+++ b/src/protocol/engine_profile.ts
@@ -39,6 +39,8 @@
   concurrentLoads: z.int().positive(),
   /** Number of models whose weights a host keeps in addition to the loaded one. */
   keptModels: z.int().nonnegative(),
+  /** Factor on all times of a replica whose hosts are in several fabric domains; 1 if absent. */
+  crossDomainSlowdown: z.number().min(1).optional(),
   /** Time from the `open` order until the replica serves. */
   openMs: Milliseconds,
 });
--- a/test/coordination/starved_model.test.ts
+++ b/test/coordination/starved_model.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, test} from 'vitest';
 import {BackendView} from '../../src/coordination/groups/backend_view';
+import {DemandForecast} from '../../src/coordination/groups/demand_forecast';
 import {EngineGroup} from '../../src/protocol/engine_group';
 import {
   PROFILE,
@@ -101,3 +102,103 @@
     expect(listFormed(actions)).toEqual([]);
   });
 });
+
+/** One group of the large model is nearly two thirds of what is needed, two of the small one are just enough. */
+const forecast = DemandForecast.create({
+  profile,
+  demand: {
+    big: {
+      requestsPerSecond: 26,
+      promptTokensPerSecond: 36_000,
+      answerTokensPerSecond: 2_000,
+    },
+    low: {
+      requestsPerSecond: 50,
+      promptTokensPerSecond: 30_000,
+      answerTokensPerSecond: 5_500,
+    },
+  },
+});
+
+function listEnded(actions: ReturnType<typeof createPlan>): string[] {
+  return describeActions(actions).filter(text => text.startsWith('end-group'));
+}
+
+// Guards against a group that was ended for a third one of the other model: the model that
+// gave it refused a quarter of its requests until the hosts were free.
+describe('a model whose groups are just enough', () => {
+  const lows = [1, 2, 3].map(number => createOpen('low', 'd', number));
+  const bigs = ['e', 'f'].map(domain => createOpen('big', domain));
+  const open = [...lows, ...bigs];
+  const both = open.flatMap(({views}) =>
+    views.map(view => ({
+      ...view,
+      registration: {...view.registration, stagedModels: ['big', 'low']},
+    })),
+  );
+  const input = {
+    profile,
+    desiredGroups,
+    forecast,
+    backends: [...both, ...createHosts('d', 3, {model: 'big', domain: 'd'})],
+    isSaturated: (model: string) => model === 'big',
+    isInGracePeriod: true,
+    estimateLifetimeMs: () => 15_000,
+  };
+
+  test('gives none to a model that gains less than it loses', () => {
+    const groups = open.map(({group}) => group);
+    expect(listEnded(createPlan({...input, groups}))).toEqual([]);
+  });
+
+  test('gives one to a model without any', () => {
+    const groups = lows.map(({group}) => group);
+    expect(listEnded(createPlan({...input, groups}))).toHaveLength(1);
+  });
+});
+
+// Guards against a slow group that stayed the only one of its model for ten seconds though six
+// hosts of one domain could form a full one.
+describe('a group over several domains', () => {
+  const members = ['x0', 'x1', 'x2', 'x3', 'x4', 'y0'];
+  const group = createGroup(members, {
+    name: 'big-1',
+    model: 'big',
+    domain: 'x+y',
+  });
+  const backends = [
+    ...members.map((incarnation, rank) =>
+      createHost(incarnation, {
+        domain: incarnation[0],
+        model: 'big',
+        group: {
+          name: 'big-1',
+          epoch: 7,
+          rank,
+          state: rank === 0 ? 'open' : 'ready',
+        },
+      }),
+    ),
+    createHost('x5', {domain: 'x', model: 'big'}),
+  ];
+  const input = {
+    profile,
+    desiredGroups: new Map([['big', 3]]),
+    forecast,
+    groups: [group],
+    backends,
+    isSaturated: () => true,
+  };
+
+  test('ends for a full one that lasts longer than the end costs', () => {
+    const estimateLifetimeMs = () => 15_000;
+    expect(listEnded(createPlan({...input, estimateLifetimeMs}))).toEqual([
+      'end-group big-1',
+    ]);
+  });
+
+  test('stays where a full one is not expected to last', () => {
+    const estimateLifetimeMs = () => 2_000;
+    expect(listEnded(createPlan({...input, estimateLifetimeMs}))).toEqual([]);
+  });
+});
--- a/test/support/engine_plan.ts
+++ b/test/support/engine_plan.ts
@@ -29,6 +29,7 @@
   concurrentLoads: 6,
   keptModels: 1,
   openMs: 300,
+  crossDomainSlowdown: 3,
 };
 
 /** Creates a host with no model and no group unless the changes say so. */
