fix(groups): a group goes on serving until the replacement of a leaving member is ready

What callers saw: each announced departure of one member took its whole group from the announcement on.

Cause: 'X is leaving' ended a group as 'X is lost' does, and gateways were told at once to send it nothing.

Change: an open group whose head does not leave is kept until free hosts of its domain have the model in memory; one that has it on disk is told to load it meanwhile, and is kept for the group. Without such a host it serves until the member is gone: lost, or silent for two thirds of the time that excludes hosts. Requests reach only the head, so none is sent to a server that leaves.

--- a/src/control/target_table.ts
+++ b/src/control/target_table.ts
@@ -275,12 +275,11 @@
       group?.state === 'open' &&
       group.name === committed?.name &&
       group.epoch === committed.epoch;
-    const isWhole =
-      committed?.isEnding === false &&
-      committed.members.every(member => !engines.isRetired(member.incarnation));
+    // A leaving member stays until the head's requests have ended; the head itself is retired above.
+    const isServing = committed?.isEnding === false;
     const epoch = committed?.epoch ?? 0;
     const isClosed = this.options.closedHeads.has({incarnation, epoch});
-    return isOpen && isWhole && !isClosed
+    return isOpen && isServing && !isClosed
       ? {...target, model: committed?.model, epoch: committed?.epoch}
       : undefined;
   }
--- a/src/coordination/groups/engine_plan_input.ts
+++ b/src/coordination/groups/engine_plan_input.ts
@@ -42,6 +42,8 @@
   readonly isRetired: (incarnation: string) => boolean;
   /** No requests are sent to backend servers of this availability zone; absent where none is evacuated. */
   readonly isEvacuated?: (zone: string) => boolean;
+  /** Free hosts that are kept to replace a leaving member; none by default. */
+  readonly replacements?: ReadonlySet<string>;
   /** The backend server does not answer, so its group has stalled or soon will. */
   readonly isLost: (incarnation: string) => boolean;
   /** The unreachable or dead head is known to use none of its members any more. */
--- a/src/coordination/groups/list_free_engines.ts
+++ b/src/coordination/groups/list_free_engines.ts
@@ -2,7 +2,7 @@
 import {EnginePlanInput} from './engine_plan_input';
 
 /**
- * Lists the engines that are healthy, in no committed group and not leaving. The
+ * Lists the engines that are healthy, in no committed group, not kept for one and not leaving. The
  * order is fixed, so that plans are deterministic.
  *
  * @example
@@ -22,6 +22,7 @@
         domain !== undefined &&
         !isServing &&
         !assigned.has(incarnation) &&
+        !input.replacements?.has(incarnation) &&
         !input.isRetired(incarnation) &&
         !input.isLost(incarnation) &&
         input.now - seenAt < input.silentAfterMs
--- a/src/coordination/groups/plan_engine_groups.ts
+++ b/src/coordination/groups/plan_engine_groups.ts
@@ -5,6 +5,7 @@
 import {EnginePlanInput} from './engine_plan_input';
 import {dropEvacuated} from './drop_evacuated';
 import {findEvacuationFault} from './find_evacuation_fault';
+import {planDepartures} from './plan_departures';
 import {planEngineFormation} from './plan_engine_formation';
 import {planRebalance} from './plan_rebalance';
 import {planConsolidation} from './plan_consolidation';
@@ -25,17 +26,19 @@
   const views = new Map(
     input.backends.map(view => [view.registration.incarnation, view]),
   );
+  const departures = planDepartures(input);
   const steps = input.groups.flatMap(group => {
     if (group.isEnding) {
       return planRemoval(group, views, input);
     }
-    const reason = findFault(group, views, input);
+    const reason = findFault(group, views, input, departures.kept);
     const {name, epoch} = group;
     return reason
       ? [{type: 'end-group' as const, name, epoch, reason}]
       : planJoinAndOpen(group, views);
   });
-  const usable = dropEvacuated(input);
+  const {replacements} = departures;
+  const usable = {...dropEvacuated(input), replacements};
   const moves = planMoves(usable);
   const {actions: formations, reservations} = planEngineFormation(
     usable,
@@ -48,6 +51,7 @@
   return [
     ...steps,
     ...planOrphans(input),
+    ...departures.orders,
     // New groups may use the hosts that a move relies on.
     ...(formations.length === 0 ? moves : []),
     ...formations,
@@ -66,14 +70,15 @@
   group: EngineGroup,
   views: Views,
   input: EnginePlanInput,
+  kept: ReadonlySet<string>,
 ): string | undefined {
   const lost = findLost(group, views, input);
   if (lost) {
     return `${lost.incarnation} is lost`;
   }
-  const retired = group.members.find(member =>
-    input.isRetired(member.incarnation),
-  );
+  const retired = kept.has(group.name)
+    ? undefined
+    : group.members.find(member => input.isRetired(member.incarnation));
   if (retired) {
     return `${retired.incarnation} is leaving`;
   }
--- a/src/coordination/groups/plan_preloads.ts
+++ b/src/coordination/groups/plan_preloads.ts
@@ -6,6 +6,7 @@
  */
 import {EngineProfile} from '../../protocol/engine_profile';
 import {BackendView} from './backend_view';
+import {createMemoryLoad} from './create_memory_load';
 import {EngineAction} from './engine_action';
 import {ModelCounts} from './model_counts';
 import {EnginePlanInput} from './engine_plan_input';
@@ -104,35 +105,6 @@
   });
 }
 
-/** Creates the order that loads a free host's memory, through a single-host group that never opens. */
-function createMemoryLoad(
-  {registration}: BackendView,
-  model: Model,
-  {pool, epoch}: EnginePlanInput,
-): EngineAction {
-  const {incarnation, address, domain, stagedModels} = registration;
-  return {
-    type: 'order',
-    kind: 'join',
-    incarnation,
-    address,
-    group: {
-      name: `parked-${incarnation}`,
-      epoch,
-      pool,
-      model: model.name,
-      domain: domain ?? '',
-      members: [{incarnation, address}],
-      isEnding: false,
-      isReleased: false,
-    },
-    isParking: true,
-    model: model.name,
-    isLoad: !stagedModels.includes(model.name),
-    reason: 'a spare takes a model into memory',
-  };
-}
-
 function planDiskCopy(
   {registration, loadedModel}: BackendView,
   models: readonly Model[],
