--- a/test/support/engine_fleet.ts
+++ b/test/support/engine_fleet.ts
@@ -174,7 +174,7 @@
   }
 
   private plan(): void {
-    const {policy, profile} = this.options;
+    const {policy, profile, onPlan} = this.options;
     const {now} = this;
     const backends = [...this.hosts.values()]
       .filter(
@@ -184,35 +184,34 @@
     const domains = countByDomain(
       backends.filter(view => !this.isLost(view.registration.incarnation)),
     );
-    const actions = planEngineGroups(
-      this.createPlanInput(domains, {
-        pool: 'p',
-        profile,
-        groups: this.groups,
-        backends,
-        isColdStart: this.groups.length === 0,
-        now,
-        silentAfterMs: SILENT_AFTER_MS,
-        isInGracePeriod: false,
-        mayRebalance: now - this.rebalancedAt > REBALANCE_EVERY_MS,
-        epoch: this.epoch,
-        findLoadingModel: id => this.hosts.get(id)?.loading,
-        isSaturated: model =>
-          now - (this.pressedAt.get(model) ?? -Infinity) < PRESSED_MS,
-        isRetired: () => false,
-        isLost: id => this.isLost(id),
-        isHeadStopped: ({epoch}) =>
-          now - (this.releasedAt.get(epoch) ?? Infinity) > HEAD_STOP_MS,
-        hasDepartedMember: group =>
-          group.members
-            .slice(1)
-            .some(
-              ({incarnation}) =>
-                !this.hosts.get(incarnation)?.isMemberOf(group),
-            ),
-        policy,
-      }),
-    );
+    const input = this.createPlanInput(domains, {
+      pool: 'p',
+      profile,
+      groups: this.groups,
+      backends,
+      isColdStart: this.groups.length === 0,
+      now,
+      silentAfterMs: SILENT_AFTER_MS,
+      isInGracePeriod: false,
+      mayRebalance: now - this.rebalancedAt > REBALANCE_EVERY_MS,
+      epoch: this.epoch,
+      findLoadingModel: id => this.hosts.get(id)?.loading,
+      isSaturated: model =>
+        now - (this.pressedAt.get(model) ?? -Infinity) < PRESSED_MS,
+      isRetired: () => false,
+      isLost: id => this.isLost(id),
+      isHeadStopped: ({epoch}) =>
+        now - (this.releasedAt.get(epoch) ?? Infinity) > HEAD_STOP_MS,
+      hasDepartedMember: group =>
+        group.members
+          .slice(1)
+          .some(
+            ({incarnation}) => !this.hosts.get(incarnation)?.isMemberOf(group),
+          ),
+      policy,
+    });
+    onPlan?.(input);
+    const actions = planEngineGroups(input);
     if (actions.some(action => 'isMove' in action && action.isMove)) {
       this.rebalancedAt = now;
     }
--- a/test/support/engine_fleet_options.ts
+++ b/test/support/engine_fleet_options.ts
@@ -1,4 +1,5 @@
 import {EnginePolicy} from '../../src/coordination/groups/engine_policy';
+import {EnginePlanInput} from '../../src/coordination/groups/engine_plan_input';
 import {EngineProfile} from '../../src/protocol/engine_profile';
 import {ModelDemand} from '../../src/protocol/model_demand';
 import {FleetEvent} from './fleet_event';
@@ -27,4 +28,6 @@
   /** Uniform in [0, 1), seeded. */
   readonly random: () => number;
   readonly policy?: EnginePolicy;
+  /** Called with the input of each plan, those before the first event included. */
+  readonly onPlan?: (input: EnginePlanInput) => void;
 }
