refactor(groups): the domains of hosts are listed once for each plan

The check for groups over several domains and the one for leaving members went through all hosts for each group, every 40 ms; with thousands of hosts that is most of a leader's processor. Where the slowdown over domains is not configured, the former rule decides about ending such a group.

--- a/src/coordination/groups/demand_forecast.ts
+++ b/src/coordination/groups/demand_forecast.ts
@@ -7,7 +7,7 @@
 /** The longest running answer has about twice the mean length. */
 const LONGEST_ANSWER_FACTOR = 2;
 
-/** Part of the answers of an overloaded model that are in time. */
+/** Part of the answers of an overloaded model that are in time: gateways refuse what cannot be, and a few miss it at the engine. */
 const IN_TIME_IN_OVERLOAD = 0.8;
 
 type Model = EngineProfile['models'][number];
--- a/src/coordination/groups/is_cross_domain.ts
+++ b/src/coordination/groups/is_cross_domain.ts
@@ -1,21 +1,18 @@
 import {EngineGroup} from '../../protocol/engine_group';
-import {EnginePlanInput} from './engine_plan_input';
 
 /**
  * Checks whether the members of a group are in several fabric domains, as far as they are known.
  *
+ * @param domains fabric domains of backend servers, by incarnation
  * @example
- * const slow = input.groups.filter(group => isCrossDomain(group, input));
+ * const slow = groups.filter(group => isCrossDomain(group, listHostDomains(backends)));
  */
 export function isCrossDomain(
   {members}: EngineGroup,
-  {backends}: Pick<EnginePlanInput, 'backends'>,
+  domains: ReadonlyMap<string, string | undefined>,
 ): boolean {
-  const ids = new Set(members.map(({incarnation}) => incarnation));
-  const domains = new Set(
-    backends
-      .filter(({registration}) => ids.has(registration.incarnation))
-      .map(({registration}) => registration.domain),
+  const known = members.flatMap(
+    ({incarnation}) => domains.get(incarnation) ?? [],
   );
-  return domains.size > 1;
+  return new Set(known).size > 1;
 }
--- a/src/coordination/groups/plan_consolidation.ts
+++ b/src/coordination/groups/plan_consolidation.ts
@@ -7,6 +7,7 @@
 import {isCrossDomain} from './is_cross_domain';
 import {isMoveWorthwhile} from './is_move_worthwhile';
 import {listFreeEngines} from './list_free_engines';
+import {listHostDomains} from './list_host_domains';
 
 /** Fabric domains of backend servers, by incarnation. */
 type DomainByIncarnation = ReadonlyMap<string, string | undefined>;
@@ -19,18 +20,15 @@
  * const actions = planConsolidation(input);
  */
 export function planConsolidation(input: EnginePlanInput): EngineAction[] {
-  const domains = new Map(
-    input.backends.map(({registration}) => [
-      registration.incarnation,
-      registration.domain,
-    ]),
-  );
+  const domains = listHostDomains(input.backends);
   const crossDomain = input.groups.find(
     group =>
       !group.isEnding &&
-      isCrossDomain(group, input) &&
+      isCrossDomain(group, domains) &&
       canFitOneDomain(group, input, domains) &&
-      (input.forecast ? isWorthwhile(group, input) : !isNeeded(group, input)),
+      (input.forecast && input.profile.crossDomainSlowdown
+        ? isWorthwhile(group, input)
+        : !isNeeded(group, input)),
   );
   if (!crossDomain) {
     return [];
--- a/src/coordination/groups/plan_departures.ts
+++ b/src/coordination/groups/plan_departures.ts
@@ -32,11 +32,20 @@
   const kept = new Set<string>();
   const replacements = new Set<string>();
   const orders: EngineAction[] = [];
+  const departing = input.groups.filter(
+    group => listLeaving(group, input).length > 0,
+  );
+  if (departing.length === 0) {
+    return {kept, replacements, orders};
+  }
   const free = listFreeEngines(input);
-  for (const group of input.groups.filter(other => canStay(other, input))) {
+  const views = new Map(
+    input.backends.map(view => [view.registration.incarnation, view]),
+  );
+  for (const group of departing.filter(one => canStay(one, views, input))) {
     const model = input.profile.models.find(({name}) => name === group.model);
     const needed = listLeaving(group, input).length;
-    if (!model || needed === 0) {
+    if (!model) {
       continue;
     }
     const hosts = free
@@ -68,10 +77,11 @@
 }
 
 /** Checks whether a group is open and neither its head nor a silent member is leaving. */
-function canStay(group: EngineGroup, input: EnginePlanInput): boolean {
-  const views = new Map(
-    input.backends.map(view => [view.registration.incarnation, view]),
-  );
+function canStay(
+  group: EngineGroup,
+  views: ReadonlyMap<string, BackendView>,
+  input: EnginePlanInput,
+): boolean {
   const [head] = group.members;
   const reported = views.get(head.incarnation)?.registration.group;
   const isOpen =
