fix(groups): hosts that complete a large group are not split for a small one

Change: need is compared by hosts relative to the share again, which follows the demand more slowly. Reservations and the weighing of ends by choice stay.

--- a/src/coordination/groups/demand_forecast.ts
+++ b/src/coordination/groups/demand_forecast.ts
@@ -36,15 +36,6 @@
     return isKnown ? new DemandForecast(input) : undefined;
   }
 
-  /** Computes how many groups the demand of a model keeps busy; above 0, since its demand is measured. */
-  computeBusyGroups(name: string): number {
-    const {profile, demand} = this.input;
-    const model = this.findModel(name);
-    return model
-      ? computeBusyGroups({profile, model, demand: demand[name]})
-      : Number.EPSILON;
-  }
-
   /**
    * Estimates the fraction of a model's requests that are not answered in time. An overloaded
    * model refuses the rest at once, so that most of what it serves is in time.
@@ -78,6 +69,14 @@
     return LONGEST_ANSWER_FACTOR * tokens * tokenMs;
   }
 
+  private computeBusyGroups(name: string): number {
+    const {profile, demand} = this.input;
+    const model = this.findModel(name);
+    return model
+      ? computeBusyGroups({profile, model, demand: demand[name]})
+      : Number.EPSILON;
+  }
+
   private findModel(name: string): Model | undefined {
     return this.input.profile.models.find(model => model.name === name);
   }
--- a/src/coordination/groups/list_unreserved.ts
+++ b/src/coordination/groups/list_unreserved.ts
@@ -3,7 +3,6 @@
 import {computeReadyMs} from './compute_ready_ms';
 import {EnginePlanInput} from './engine_plan_input';
 import {EngineReservation} from './engine_reservation';
-import {hasGreaterNeed} from './has_greater_need';
 import {isBelowDesired} from './is_below_desired';
 import {isOvertakenBy} from './is_overtaken_by';
 import {ModelCounts} from './model_counts';
@@ -25,9 +24,10 @@
   reservations: readonly EngineReservation[],
   input: EnginePlanInput,
 ): BackendView[] {
+  const hostsPerShare = counts.computeHostsPerShare(model);
   const isNeedier = (other: Model) =>
     isOvertakenBy(other.name, model.name, counts, input) ||
-    (hasGreaterNeed(other, model, counts, input) &&
+    (counts.computeHostsPerShare(other) < hostsPerShare &&
       !isOvertakenBy(model.name, other.name, counts, input));
   const reserved = new Set(
     reservations
--- a/src/coordination/groups/plan_engine_formation.ts
+++ b/src/coordination/groups/plan_engine_formation.ts
@@ -3,7 +3,6 @@
 import {BackendView} from './backend_view';
 import {computeReadyMs} from './compute_ready_ms';
 import {computeSpares} from './compute_spares';
-import {computeSupply} from './compute_supply';
 import {countCold} from './count_cold';
 import {EngineAction} from './engine_action';
 import {ModelCounts} from './model_counts';
@@ -50,8 +49,8 @@
   readonly weight: number;
   /** Every other group of the model is in the same domain, so that one loss would take all. */
   readonly isOnlyDomain: boolean;
-  /** Supply of the model relative to its need, without this group. */
-  readonly supply: number;
+  /** Hosts of the model relative to its share of the load, without this group. */
+  readonly hostsPerShare: number;
   /** Breaks ties between domains, the lowest first. */
   readonly domainOrder: number;
 }
@@ -145,7 +144,7 @@
     right.tier - left.tier ||
     right.weight - left.weight ||
     Number(right.isBelowDesired) - Number(left.isBelowDesired) ||
-    left.supply - right.supply ||
+    left.hostsPerShare - right.hostsPerShare ||
     // Larger models first: the remaining hosts are more likely to fit a smaller one.
     right.model.size - left.model.size ||
     Number(left.isOnlyDomain) - Number(right.isOnlyDomain) ||
@@ -227,7 +226,7 @@
     hosts: chosen.map(({host}) => host),
     readyMs,
     needsLoad,
-    supply: computeSupply(model, counts, input),
+    hostsPerShare: counts.computeHostsPerShare(model),
     // Best fit at the cold start, so that large domains stay usable; later the domain that keeps most spares.
     domainOrder: isColdStart ? hosts.length : -hosts.length,
   };
@@ -275,7 +274,7 @@
       hosts,
       readyMs: Math.max(...hosts.map(host => computeReadyMs(host, model))),
       needsLoad: false,
-      supply: computeSupply(model, counts, input),
+      hostsPerShare: counts.computeHostsPerShare(model),
       domainOrder: 0,
     },
   ];
--- a/test/coordination/starved_model.test.ts
+++ b/test/coordination/starved_model.test.ts
@@ -202,3 +202,30 @@
     expect(listEnded(createPlan({...input, estimateLifetimeMs}))).toEqual([]);
   });
 });
+
+// Guards against a small group formed of three members of a large group that had just lost one:
+// both models lacked a group, and the hosts of the small one were to return within seconds.
+test('hosts that complete a large group are not split while the small model waits for its own', () => {
+  const lows = ['e', 'f'].map(domain => createOpen('low', domain));
+  const bigs = ['e', 'f'].map(domain => createOpen('big', domain));
+  const held = createGroup(['h0', 'h1', 'h2'], {
+    name: 'low-1',
+    domain: 'g',
+    isEnding: true,
+    isReleased: true,
+  });
+  const open = [...lows, ...bigs];
+  const actions = createPlan({
+    profile,
+    desiredGroups,
+    forecast,
+    groups: [...open.map(({group}) => group), held],
+    backends: [
+      ...open.flatMap(({views}) => views),
+      ...createHosts('d', 7, {model: 'big', stagedModels: ['low']}),
+    ],
+    isLost: name => name === 'h0',
+    isInGracePeriod: true,
+  });
+  expect(listFormed(actions)).toEqual(['set-group big-1']);
+});
