fix(gateway): one caller's long patience does not make all others count as having waited

The time that a caller states is compared with the longest one of its route. A caller that states more than the route allows made all others look as if they had waited in a refused attempt, so that they came last in a shortage. What is compared is bounded by the route's timeout now, as the request's own time is.

Two comments say the reason again that they had lost.

--- a/src/gateway/create_request_policies.ts
+++ b/src/gateway/create_request_policies.ts
@@ -34,7 +34,10 @@
       work,
       objectiveMs: route.objectiveMs,
       arrivedAt,
-      waitedMs: forecast.estimateWaitedMs(work, request.waitMs),
+      waitedMs: forecast.estimateWaitedMs(
+        work,
+        request.waitMs === undefined ? undefined : timeoutMs,
+      ),
       deadlineAt,
       isStream: route.kind === 'stream',
       maxRetryAfterFraction: dialect.maxRetryAfterFraction,
--- a/src/gateway/routing/load_balancer.ts
+++ b/src/gateway/routing/load_balancer.ts
@@ -29,7 +29,7 @@
 const FULL_COOLDOWN_MS = 300;
 /** A target counts as active if it sent bytes within this time; spans a few event intervals. */
 const RECENT_ACTIVITY_MS = 600;
-/** A freed slot is reported as taken for one check interval, in which requests that wait here reuse it. */
+/** One check interval, in which waiting requests reuse a freed slot; until then it is reported as taken, or every other gateway would send to it. */
 const HELD_SLOT_MS = 20;
 const ALWAYS_AVAILABLE: TargetAvailability = {
   isAvailable: () => true,
--- a/src/gateway/scheduling/slot_forecast.ts
+++ b/src/gateway/scheduling/slot_forecast.ts
@@ -67,7 +67,8 @@
    * Estimates how long a caller has waited before this attempt: callers whose first attempt
    * was refused have less time left than others ask with.
    *
-   * @param statedMs the time that the caller says it will wait; undefined if it does not say
+   * @param statedMs the time that the caller says it will wait, at most the timeout of its
+   * route; undefined if it does not say
    * @returns milliseconds; 0 for a first attempt
    */
   estimateWaitedMs(work: string, statedMs: number | undefined): number {
--- a/src/gateway/scheduling/wait_estimate.ts
+++ b/src/gateway/scheduling/wait_estimate.ts
@@ -10,6 +10,6 @@
   readonly slotMs: number;
   /** True if it will begin before its caller disconnects. */
   readonly canWait: boolean;
-  /** False for a request that can only be late while arrivals exceed what the slots can work off: it would make others late. */
+  /** False for a request that can only be late while others are turned away that could be in time. */
   readonly mayBegin: boolean;
 }
