--- a/src/control/engine_group_planner_loop.ts
+++ b/src/control/engine_group_planner_loop.ts
@@ -22,6 +22,7 @@
 import {HeadStopDetector} from './head_stop_detector';
 import {IdleHostLog} from './idle_host_log';
 import {LossMeter} from './loss_meter';
+import {ModelShortageLog} from './model_shortage_log';
 import {OrderDispatcher} from './order_dispatcher';
 import {RaftRuntime} from './raft_runtime';
 
@@ -56,6 +57,7 @@
   private readonly headStops: HeadStopDetector;
   private readonly orders: OrderDispatcher;
   private readonly idleHosts: IdleHostLog;
+  private readonly shortages: ModelShortageLog;
   private readonly moves: GroupMoveLog;
   /** When hosts were last moved to another model, which limits how often that happens. */
   private rebalancedAt = -Infinity;
@@ -78,6 +80,7 @@
     this.headStops = HeadStopDetector.create(registry, poolSettings.stallMs);
     this.orders = OrderDispatcher.create(options);
     this.idleHosts = IdleHostLog.create(events);
+    this.shortages = ModelShortageLog.create(events);
     this.moves = GroupMoveLog.create(events);
     this.timer = setInterval(() => void this.run(), PLAN_EVERY_MS);
   }
@@ -113,6 +116,7 @@
       this.health.clear();
       this.shareAdjusters.clear();
       this.idleHosts.clear();
+      this.shortages.clear();
       this.moves.clear();
       this.losses.clear();
     }
@@ -175,6 +179,7 @@
     };
     const planInput = this.applyDemand(input, domains);
     this.idleHosts.record(planInput);
+    this.shortages.record(planInput);
     const actions = planEngineGroups(planInput);
     this.moves.record(actions, planInput);
     if (actions.some(action => 'isMove' in action && action.isMove)) {
--- a/src/control/group_move_log.ts
+++ b/src/control/group_move_log.ts
@@ -5,6 +5,8 @@
 
 /** A group that was ended for a better use of its hosts. */
 interface Move {
+  readonly pool: string;
+  readonly name: string;
   readonly endedAt: number;
   readonly model: string;
   readonly reason: string;
@@ -35,19 +37,19 @@
   /** Records which moves of a pool have ended, and takes note of those that the plan begins. */
   record(actions: readonly EngineAction[], input: EnginePlanInput): void {
     const {now, pool, groups, isSaturated} = input;
-    for (const [key, {endedAt, model, reason}] of this.moves) {
+    for (const [key, move] of this.moves) {
       const isGone = !groups.some(group => createKey(group) === key);
-      if (key.startsWith(`${pool} `) && isGone) {
+      if (move.pool === pool && isGone) {
         this.moves.delete(key);
         this.events.record({
           type: 'move-finished',
           subject: 'group',
-          id: key.split(' ')[1],
-          reason,
+          id: move.name,
+          reason: move.reason,
           details: {
-            model,
-            tookMs: Math.round(now - endedAt),
-            isSaturated: isSaturated(model),
+            model: move.model,
+            tookMs: Math.round(now - move.endedAt),
+            isSaturated: isSaturated(move.model),
           },
         });
       }
@@ -60,9 +62,10 @@
             )
           : undefined;
       if (group) {
-        const {model} = group;
+        const {name, model} = group;
         const {reason} = action;
-        this.moves.set(createKey(group), {endedAt: now, model, reason});
+        const move = {pool, name, model, reason, endedAt: now};
+        this.moves.set(createKey(group), move);
       }
     }
   }
--- a/src/control/idle_host_log.ts
+++ b/src/control/idle_host_log.ts
@@ -1,8 +1,7 @@
-/** Logs why hosts serve nobody, and which models lack groups meanwhile. */
+/** Logs why hosts serve nobody. */
 import {EventRing} from '../common/event_ring';
 import {EnginePlanInput} from '../coordination/groups/engine_plan_input';
 import {IdleHost} from '../coordination/groups/idle_host';
-import {isHeldByUnreachableHead} from '../coordination/groups/is_held_by_unreachable_head';
 import {listIdleHosts} from '../coordination/groups/list_idle_hosts';
 
 /** Hosts pass through states that last shorter; a line for each would say little. */
@@ -14,10 +13,9 @@
   readonly since: number;
 }
 
-/** Records a line when the reason of a host changes, and one when the groups of a model do. */
+/** Records a line when the reason of a host changes, and one when it serves again. */
 export class IdleHostLog {
   private readonly reasons = new Map<string, Entry>();
-  private readonly shortages = new Map<string, string>();
   private readonly checkedAt = new Map<string, number>();
 
   private constructor(private readonly events: EventRing) {}
@@ -36,7 +34,6 @@
   /** Forgets what was recorded, since another process led meanwhile. */
   clear(): void {
     this.reasons.clear();
-    this.shortages.clear();
     this.checkedAt.clear();
   }
 
@@ -47,11 +44,7 @@
       return;
     }
     this.checkedAt.set(pool, now);
-    const idle = listIdleHosts(input);
-    this.recordHosts(idle, input);
-    for (const {name} of input.profile.models) {
-      this.recordShortage(name, input);
-    }
+    this.recordHosts(listIdleHosts(input), input);
   }
 
   private recordHosts(
@@ -93,36 +86,4 @@
       }
     }
   }
-
-  /** Records the groups of a model that has fewer than it should; one more line once it has them again. */
-  private recordShortage(model: string, input: EnginePlanInput): void {
-    const groups = input.groups.filter(group => group.model === model);
-    const active = groups.filter(({isEnding}) => !isEnding);
-    const held = groups.filter(group => isHeldByUnreachableHead(group, input));
-    const desired = input.desiredGroups.get(model) ?? 0;
-    const isShort = active.length < desired;
-    const details = {
-      pool: input.pool,
-      groups: active.length,
-      ending: groups.length - active.length - held.length,
-      held: held.length,
-      desired,
-      isSaturated: input.isSaturated(model),
-    };
-    const text = isShort ? JSON.stringify(details) : '';
-    const key = `${input.pool} ${model}`;
-    if ((this.shortages.get(key) ?? '') === text) {
-      return;
-    }
-    this.shortages.set(key, text);
-    this.events.record({
-      type: isShort ? 'model-short' : 'model-complete',
-      subject: 'group',
-      id: model,
-      reason: isShort
-        ? 'it has fewer groups than its share of the hosts'
-        : 'it has the groups of its share again',
-      details,
-    });
-  }
 }
--- a/test/control/idle_host_log.test.ts
+++ b/test/control/idle_host_log.test.ts
@@ -2,6 +2,7 @@
 import {EventRing} from '../../src/common/event_ring';
 import {GroupMoveLog} from '../../src/control/group_move_log';
 import {IdleHostLog} from '../../src/control/idle_host_log';
+import {ModelShortageLog} from '../../src/control/model_shortage_log';
 import {EngineAction} from '../../src/coordination/groups/engine_action';
 import {EnginePlanInput} from '../../src/coordination/groups/engine_plan_input';
 import {
@@ -52,7 +53,6 @@
     'host-idle d0: its domain has 2 of 4 hosts for big',
     'host-idle d1: its domain has 2 of 4 hosts for big',
     'host-idle e0: it has no weights and loads none',
-    'model-short big: it has fewer groups than its share of the hosts',
   ]);
 });
 
@@ -78,6 +78,26 @@
   ]);
 });
 
+test('a model that lacks groups is logged when its groups change, and once more when it has them', () => {
+  const events = EventRing.create();
+  const log = ModelShortageLog.create(events);
+  const desiredGroups = new Map([['low', 2]]);
+  const one = createGroup(['a', 'b']);
+  const two = createGroup(['c', 'd'], {name: 'low-2', epoch: 8});
+  const record = (groups: EnginePlanInput['groups']) =>
+    log.record(createPlanInput({groups, desiredGroups}));
+  record([one]);
+  record([one]);
+  record([one, {...two, isEnding: true}]);
+  record([one, two]);
+  record([one, two]);
+  expect(events.listSince(0)).toMatchObject([
+    {type: 'model-short', id: 'low', details: {groups: 1, ending: 0}},
+    {type: 'model-short', id: 'low', details: {groups: 1, held: 1}},
+    {type: 'model-complete', id: 'low', details: {groups: 2}},
+  ]);
+});
+
 test('a group that ended by choice is followed until its hosts are free', () => {
   const events = EventRing.create();
   const log = GroupMoveLog.create(events);
--- a/test/coordination/plan_under_losses.test.ts
+++ b/test/coordination/plan_under_losses.test.ts
@@ -8,25 +8,18 @@
 import {createRandom} from '../support/create_random';
 import {drawLosses} from '../support/draw_losses';
 import {
-  PROFILE,
-  describeActions,
   createGroup,
   createHost,
   createPlan,
+  createSizedProfile,
+  describeActions,
 } from '../support/engine_plan';
 
 const DOMAINS = {a: 11, b: 11, c: 11};
 const LENGTH_MS = 56_000;
 const SEEDS = Array.from({length: 8}, (_, seed) => seed);
 
-const [big, low] = PROFILE.models;
-const profile = {
-  ...PROFILE,
-  models: [
-    {...big, size: 6},
-    {...low, size: 3},
-  ],
-};
+const profile = createSizedProfile(6, 3);
 
 function simulate(policy?: Parameters<typeof EngineFleet.run>[0]['policy']) {
   const results = SEEDS.map(seed =>
--- a/test/coordination/starved_model.test.ts
+++ b/test/coordination/starved_model.test.ts
@@ -3,22 +3,17 @@
 import {DemandForecast} from '../../src/coordination/groups/demand_forecast';
 import {EngineGroup} from '../../src/protocol/engine_group';
 import {
-  PROFILE,
   createGroup,
   createHost,
   createHosts,
   createPlan,
+  createSizedProfile,
   describeActions,
 } from '../support/engine_plan';
 
-const [big, low] = PROFILE.models;
-const profile = {
-  ...PROFILE,
-  models: [
-    {...big, size: 6},
-    {...low, size: 3, pace: 0.6},
-  ],
-};
+const sized = createSizedProfile(6, 3);
+const [big, low] = sized.models;
+const profile = {...sized, models: [big, {...low, pace: 0.6}]};
 const desiredGroups = new Map([
   ['big', 3],
   ['low', 3],
--- a/test/support/engine_fleet.ts
+++ b/test/support/engine_fleet.ts
@@ -210,8 +210,8 @@
           ),
       policy,
     });
-    onPlan?.(input);
     const actions = planEngineGroups(input);
+    onPlan?.(input, actions);
     if (actions.some(action => 'isMove' in action && action.isMove)) {
       this.rebalancedAt = now;
     }
--- a/test/support/engine_fleet_options.ts
+++ b/test/support/engine_fleet_options.ts
@@ -1,4 +1,5 @@
 import {EnginePolicy} from '../../src/coordination/groups/engine_policy';
+import {EngineAction} from '../../src/coordination/groups/engine_action';
 import {EnginePlanInput} from '../../src/coordination/groups/engine_plan_input';
 import {EngineProfile} from '../../src/protocol/engine_profile';
 import {ModelDemand} from '../../src/protocol/model_demand';
@@ -28,6 +29,9 @@
   /** Uniform in [0, 1), seeded. */
   readonly random: () => number;
   readonly policy?: EnginePolicy;
-  /** Called with the input of each plan, those before the first event included. */
-  readonly onPlan?: (input: EnginePlanInput) => void;
+  /** Called with each plan, those before the first event included. */
+  readonly onPlan?: (
+    input: EnginePlanInput,
+    actions: readonly EngineAction[],
+  ) => void;
 }
--- a/test/support/engine_plan.ts
+++ b/test/support/engine_plan.ts
@@ -32,6 +32,21 @@
   crossDomainSlowdown: 3,
 };
 
+/** Creates the profile with other group sizes of the large and the small model. */
+export function createSizedProfile(
+  bigSize: number,
+  lowSize: number,
+): EngineProfile {
+  const [big, low] = PROFILE.models;
+  return {
+    ...PROFILE,
+    models: [
+      {...big, size: bigSize},
+      {...low, size: lowSize},
+    ],
+  };
+}
+
 /** Creates a host with no model and no group unless the changes say so. */
 export function createHost(
   incarnation: string,
