test(platform): an endless answer is not told by the HTTP parser's wording

"is disconnected at the limit, not at the timeout: no HTTP" compared the whole message of the HTTP parser.

The test now asserts what is ours, as strictly: the prefix of the call, that the parser refused the bytes (neither the limit of the whole answer, the timeout nor a closed connection), and as before the bound on what was sent. The rows that meet the limit of the whole answer still compare the whole text.

--- a/test/platform/engine_client.test.ts
+++ b/test/platform/engine_client.test.ts
@@ -13,6 +13,10 @@
 const MAX_CHUNKS = 10;
 const HEAD = 'HTTP/1.1 200 OK\r\n';
 const OVER_LIMIT = 'the answer is over 65536 bytes';
+/** What follows the prefix is the HTTP parser's own wording, which differs between releases of Node.js 20. */
+const PARSER_ERROR = expect.stringMatching(
+  /^the call to 127\.0\.0\.1:\d+ failed: Parse Error: /,
+) as string;
 const closers: Array<() => unknown> = [];
 
 afterEach(async () => {
@@ -147,22 +151,22 @@
       'a chunk extension',
       `${HEAD}transfer-encoding: chunked\r\n\r\n1;a=`,
       'a',
-      'Parse Error: Chunk extensions overflow',
+      PARSER_ERROR,
     ],
     [
       'trailers',
       `${HEAD}transfer-encoding: chunked\r\n\r\n0\r\n`,
       'name: value\r\n',
-      'Parse Error: Header overflow',
+      PARSER_ERROR,
     ],
-    ['a head', HEAD, 'name: value\r\n', 'Parse Error: Header overflow'],
-    ['a header', `${HEAD}name: `, 'a', 'Parse Error: Header overflow'],
-    ['a status line', 'HTTP/1.1 200 ', 'a', 'Parse Error: Header overflow'],
+    ['a head', HEAD, 'name: value\r\n', PARSER_ERROR],
+    ['a header', `${HEAD}name: `, 'a', PARSER_ERROR],
+    ['a status line', 'HTTP/1.1 200 ', 'a', PARSER_ERROR],
     ['interim responses', '', 'HTTP/1.1 103 Early Hints\r\n\r\n'],
-    ['no HTTP', '', '\u0000', 'Parse Error: Expected HTTP/, RTSP/ or ICE/'],
+    ['no HTTP', '', '\u0000', PARSER_ERROR],
   ])(
     'is disconnected at the limit, not at the timeout: %s',
-    async (_what, head, text, reason = OVER_LIMIT) => {
+    async (_what, head, text, failure?: string) => {
       const closed: number[] = [];
       const address = await listen(socket => {
         let chunks = 0;
@@ -182,7 +186,7 @@
 
       expect(await engineClient.send(createCall(address))).toEqual({
         outcome: 'unanswered',
-        failure: `the call to ${address} failed: ${reason}`,
+        failure: failure ?? `the call to ${address} failed: ${OVER_LIMIT}`,
       });
       expect(await engineClient.probe(address, INCARNATION)).toBe(false);
       await expect.poll(() => closed.length).toBe(2);
