feat(gateway): a line for each response that ends with its connection

The logs could not tell the hypotheses on streams that end early apart: no line said that a response had neither a length nor chunks and ended with its connection, nor whether the process that sent it was still there.

"response-ended-by-connection" names the backend server and whether it still listens. `whinreel logs explain` prints the line with the requests of its target. What becomes of the response does not change here, but that it waits for the probe (one round trip).

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -180,6 +180,12 @@
             Number(raw['content-length'] ?? 0),
           ),
         onData: chunk => this.handleData(chunk),
+        onEndedByConnection: state => {
+          if (!this.isEnded) {
+            const response = this.describeResponse(this.head);
+            this.options.responseLog.recordEndByConnection(state, response);
+          }
+        },
         onEnd: () => this.handleEnd(),
         onError: error => this.handleError(error),
       },
--- a/src/gateway/responses/response_log.ts
+++ b/src/gateway/responses/response_log.ts
@@ -32,6 +32,15 @@
   'buffers-full': 'the memory for answers is full, and this one held the most',
 };
 
+/** By whether a server still listens after the connection of its response has ended. */
+const CONNECTION_ENDS = {
+  listens: 'the response ended with its connection, and its server listens',
+  refuses:
+    'the response ended with its connection, and its server listens no more',
+  silent:
+    'the response ended with its connection, and its server can not be reached',
+} as const;
+
 /** Limits a line; the id comes from a faulty backend server. */
 const MAX_ID_LENGTH = 64;
 
@@ -63,6 +72,15 @@
     );
   }
 
+  /** Records that a response without a length or chunks ended with its connection. */
+  recordEndByConnection(
+    state: keyof typeof CONNECTION_ENDS,
+    response: ReceivedResponse,
+  ): void {
+    const reason = CONNECTION_ENDS[state];
+    this.record('response-ended-by-connection', reason, response, {state});
+  }
+
   /**
    * Records a response that is not taken as the answer to the request.
    *
@@ -81,20 +99,23 @@
     {requestId, target, status, answeredId, connection}: ReceivedResponse,
     details: Readonly<Record<string, string>> = {},
   ): void {
-    this.throttled.record(`${type} ${details.cause ?? ''} ${target}`, {
-      type,
-      subject: 'request',
-      id: requestId,
-      reason,
-      details: {
-        ...details,
-        target,
-        status: status ?? 0,
-        answeredId: truncateId(answeredId),
-        connectionRequests: connection?.requestCount ?? 0,
-        connectionAgeMs: Math.round(connection?.ageMs ?? 0),
+    this.throttled.record(
+      `${type} ${details.cause ?? details.state ?? ''} ${target}`,
+      {
+        type,
+        subject: 'request',
+        id: requestId,
+        reason,
+        details: {
+          ...details,
+          target,
+          status: status ?? 0,
+          answeredId: truncateId(answeredId),
+          connectionRequests: connection?.requestCount ?? 0,
+          connectionAgeMs: Math.round(connection?.ageMs ?? 0),
+        },
       },
-    });
+    );
   }
 }
 
--- a/src/operator/explain_request.ts
+++ b/src/operator/explain_request.ts
@@ -2,6 +2,11 @@
 
 /** Events up to this long before the request ended may explain its outcome. */
 const LOOKBACK_MS = 15_000;
+/** Events about a response, which name its backend server as the target. */
+const RESPONSE_EVENTS: ReadonlySet<string> = new Set([
+  'response-rejected',
+  'response-ended-by-connection',
+]);
 
 /** A log line, reduced to the fields that are shown. */
 interface LogLineSummary {
@@ -21,8 +26,8 @@
  * groups of its model and about control are selected too. Orders for a zone that its
  * reason names as evacuated are selected whatever their age. For a request that was
  * denied a retry, the decisions about the budget of its pool are selected. Lines
- * about responses that were not taken as an answer count as lines about the backend
- * server that sent them.
+ * about responses that were not taken as an answer, or that ended with their
+ * connection, count as lines about the backend server that sent them.
  *
  * @param text log lines of any number of processes; a prefix before the `{` of a
  *     line, such as a host name, is ignored
@@ -42,7 +47,7 @@
   const endedAt = Date.parse(last.time);
   const isRelated = (line: LogLine) =>
     targets.has(line.id) ||
-    (line.event === 'response-rejected' && targets.has(String(line.target))) ||
+    (RESPONSE_EVENTS.has(line.event) && targets.has(String(line.target))) ||
     groups.has(line.id) ||
     (line.subject === 'host' && last.reason.includes(line.id)) ||
     (line.subject === 'pool' && last.reason.includes(`pool ${line.id} `)) ||
--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -3,6 +3,8 @@
 import {ConnectionUse} from './connection_use';
 import {ExchangeControl} from './exchange_control';
 import {ExchangeEvents} from './exchange_events';
+import {isDelimitedByConnection} from './is_delimited_by_connection';
+import {ListenerChecks} from './listener_checks';
 import {OVERFLOW_CODE} from './overflow_code';
 import {ServerConnections} from './server_connections';
 import {TransportError} from './transport_error';
@@ -29,6 +31,10 @@
 > {
   /** The request is about to be written to a connection: from now on it may run. False aborts it before the first byte. */
   readonly onSent: (use: ConnectionUse) => boolean;
+  /** The body ended with its connection; called before `onEnd`, with whether the server still listens. */
+  readonly onEndedByConnection?: (
+    state: Awaited<ReturnType<ListenerChecks['check']>>,
+  ) => void;
   /**
    * Called instead of `onEnd`. Its name is `NeverSent` if the request cannot have run,
    * `Oversized` if the response has too many bytes besides its body, and else `Broken`.
@@ -48,6 +54,7 @@
 /** Sends requests over one connection pool for each server. */
 export class HttpClientPool {
   private readonly pools = new Map<string, ServerConnections>();
+  private readonly listeners = ListenerChecks.create();
 
   private constructor() {}
 
@@ -68,6 +75,8 @@
     let isAborted = false;
     let isSent = false;
     let hasReturned = false;
+    let endsWithConnection = false;
+    let isNeeded = true;
     const abortReason = new Error('the request was aborted');
     const withdraw = this.findPool(request).dispatch(
       request.id,
@@ -90,9 +99,19 @@
             started.abort(abortReason);
           }
         },
-        onHead: events.onHead,
+        onHead: (status, headers) => {
+          const {method} = request;
+          endsWithConnection = isDelimitedByConnection(method, status, headers);
+          events.onHead(status, headers);
+        },
         onData: events.onData,
-        onEnd: events.onEnd,
+        onEnd: () => {
+          if (endsWithConnection && isNeeded) {
+            void this.checkEnd(request.address, events);
+          } else {
+            events.onEnd();
+          }
+        },
         onError: error => {
           const report = () => events.onError(wrapError(error, isSent));
           // The caller needs the handle before it hears of the end.
@@ -108,13 +127,17 @@
     return {
       abort: () => {
         isAborted = true;
+        isNeeded = false;
         if (control) {
           control.abort(abortReason);
         } else {
           withdraw(abortReason);
         }
       },
-      drain: () => control?.drain(),
+      drain: () => {
+        isNeeded = false;
+        control?.drain();
+      },
       pause: () => control?.pause(),
       resume: () => control?.resume(),
     };
@@ -137,6 +160,14 @@
     await Promise.all(pools.map(pool => pool.close()));
   }
 
+  private async checkEnd(
+    address: string,
+    {onEndedByConnection, onEnd}: HttpClientEvents,
+  ): Promise<void> {
+    onEndedByConnection?.(await this.listeners.check(address));
+    onEnd();
+  }
+
   private findPool({
     address,
     maxConnections,
