--- a/test/support/fake_backend.ts
+++ b/test/support/fake_backend.ts
@@ -35,6 +35,11 @@
     return this.sockets.size;
   }
 
+  /** Refuses new connections and keeps the open ones. */
+  stopListening(): void {
+    this.server.close();
+  }
+
   close(): void {
     this.server.close();
     this.sockets.forEach(socket => socket.destroy());
--- a/test/support/proxy_fixture.ts
+++ b/test/support/proxy_fixture.ts
@@ -162,14 +162,18 @@
     });
   }
 
+  /** The port for callers. */
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
   /** Sends one request and leaves its response to the test. */
   startRequest(
     headers: Record<string, string> = {},
     body = '',
   ): http.ClientRequest {
-    const {port} = this.server.address() as AddressInfo;
     const request = http.request({
-      port,
+      port: this.port,
       host: '127.0.0.1',
       method: body ? 'POST' : 'GET',
       path: '/x?y=1',
