fix(gateway): a response that ends with its killed server is not whole

On the request path: three of six events, complete, also on a route that may be resumed.

Cause: a response without a length or chunks ends with its connection, and the gateway took each orderly end for the end of the response. The kernel ends the connections of a killed process in order, too. Class: the end of a connection is taken for the end of a message.

Change: after such an end the gateway opens a connection to the same address.

Ruled out: asking another server for more (a prompt for each stream), registrations (once a second), other open connections (closed one by one by a dying process as well), never taking such a response as whole (allowed).

--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -160,12 +160,23 @@
     await Promise.all(pools.map(pool => pool.close()));
   }
 
+  /**
+   * Completes a response that ended with its connection. The kernel ends the connections
+   * of a killed process in order as well, so that only a server that still listens is
+   * known to have ended the response itself.
+   */
   private async checkEnd(
     address: string,
-    {onEndedByConnection, onEnd}: HttpClientEvents,
+    {onEndedByConnection, onEnd, onError}: HttpClientEvents,
   ): Promise<void> {
-    onEndedByConnection?.(await this.listeners.check(address));
-    onEnd();
+    const state = await this.listeners.check(address);
+    onEndedByConnection?.(state);
+    if (state === 'listens') {
+      onEnd();
+      return;
+    }
+    const name = 'Broken';
+    onError(new TransportError({name}, 'the server ended with its response'));
   }
 
   private findPool({
--- a/src/transport/listener_checks.ts
+++ b/src/transport/listener_checks.ts
@@ -1,33 +1,32 @@
-/** Checks whether servers still listen, with at most one probe of each server under way. */
-import {probePort} from './probe_port';
+/** Checks whether servers still listen, with at most one check of each server under way. */
+import {confirmListener} from './confirm_listener';
 
-/** A refusal takes one round trip; a longer silence tells nothing about the process. */
-const PROBE_MS = 300;
+type ListenerState = Awaited<ReturnType<typeof confirmListener>>;
 
-type ListenerState = Awaited<ReturnType<typeof probePort>>;
-
-/** Probes the ports of servers for many requests. */
+/** Checks servers for many requests. */
 export class ListenerChecks {
   private readonly running = new Map<string, Promise<ListenerState>>();
   private readonly next = new Map<string, Promise<ListenerState>>();
 
-  private constructor(private readonly probe: typeof probePort) {}
+  private constructor(private readonly confirm: typeof confirmListener) {}
 
   /**
-   * Creates checks that have probed nothing.
+   * Creates checks that have not begun.
    *
    * @example
    * const checks = ListenerChecks.create();
    * const state = await checks.check('10.0.0.4:8080');
    */
-  static create(probe: typeof probePort = probePort): ListenerChecks {
-    return new ListenerChecks(probe);
+  static create(
+    confirm: typeof confirmListener = confirmListener,
+  ): ListenerChecks {
+    return new ListenerChecks(confirm);
   }
 
   /**
-   * Finds out whether a process listens now. The probe begins after the call, since an
-   * earlier one tells nothing about what has ended meanwhile; calls that come while one is
-   * under way share the next.
+   * Finds out whether a process listens from now on. The check begins after the call, since
+   * an earlier one tells nothing about what has ended meanwhile; calls that come while one
+   * is under way share the next.
    *
    * @param address `host:port`
    */
@@ -49,10 +48,8 @@
   }
 
   private start(address: string): Promise<ListenerState> {
-    const {hostname, port} = new URL(`http://${address}`);
-    const host = hostname.replace(/^\[|\]$/g, '');
-    const probed = this.probe({host, port: Number(port)}, PROBE_MS);
-    const running = probed.finally(() => this.running.delete(address));
+    const confirmed = this.confirm(address);
+    const running = confirmed.finally(() => this.running.delete(address));
     this.running.set(address, running);
     return running;
   }
--- a/test/transport/listener_checks.test.ts
+++ b/test/transport/listener_checks.test.ts
@@ -5,7 +5,7 @@
 type Probe = NonNullable<Parameters<typeof ListenerChecks.create>[0]>;
 type State = Awaited<ReturnType<Probe>>;
 
-/** Creates checks whose probes end when the test says so. */
+/** Creates checks whose checks end when the test says so. */
 function createChecks() {
   const answers: Array<(state: State) => void> = [];
   const checks = ListenerChecks.create(
