test(gateway): the check after a response may close its connection later

"leaves no connection that another request is sent on" counted open connections right after the second response. The test now waits until no connection is open, which is as strict: one that stays open fails it.

--- a/test/gateway/close_delimited_response.test.ts
+++ b/test/gateway/close_delimited_response.test.ts
@@ -2,6 +2,7 @@
 import {describe, expect, test} from 'vitest';
 import {FakeBackend} from '../support/fake_backend';
 import {encodeEvents, sendOk, startFixture} from '../support/backend_scripts';
+import {waitUntil} from '../support/wait_until';
 
 type Handler = Parameters<typeof FakeBackend.create>[0];
 
@@ -60,7 +61,7 @@
     const [first, second] = backends[0].requests;
 
     expect(first.socket).not.toBe(second.socket);
-    expect(backends[0].openConnectionCount).toBe(0);
+    await waitUntil('closed', () => backends[0].openConnectionCount === 0);
   });
 });
 
