fix(gateway): a killed gateway does not end its answers as if they were whole

With the real programs: a gateway is killed after five of twenty events of a stream without a length, and its caller gets five events, complete. With chunks it gets six events, cut.

Cause: a response without a length or chunks was passed on without either, so that the end of the gateway's own connection was its end, and the kernel ends the connections of a killed process in order.

Change: a gateway frames what it sends itself: streams go out in chunks and plain answers with their length, however they came. The last chunk is written only once the response is known to be whole. A caller that speaks HTTP/1.0 can read no chunks; whatever way its stream came, a stream that breaks off ends with a reset for it (before, only those that came without a length did).

A test asserted that nothing marks the body of such a plain answer as complete, since a crash closes a connection as well. The dialects no longer tell how a response was framed, as nothing reads it.

--- a/src/gateway/response_head.ts
+++ b/src/gateway/response_head.ts
@@ -11,11 +11,6 @@
   readonly isNotRun: boolean;
   /** Another incarnation of a backend server now has this address, so the request was misdirected. */
   readonly isWrongIncarnation: boolean;
-  /**
-   * The body is delimited by `content-length` or chunked encoding. Otherwise it ends
-   * with the connection, which a crash closes as well.
-   */
-  readonly isFramed: boolean;
   /** The body is a stream of server-sent events. */
   readonly isEventStream: boolean;
   /** Requests per second that the backend server accepts from all gateways together. */
