--- a/test/gateway/killed_process_streams.test.ts
+++ b/test/gateway/killed_process_streams.test.ts
@@ -154,18 +154,25 @@
     expect(text.toLowerCase()).toContain('content-length: 4');
   });
 
-  test('and its caller who can read no chunks gets a reset when a stream breaks off', async () => {
-    const {fixture} = await startFixture(
-      [
-        ({socket}) => {
-          socket.write(STREAM_HEAD + encodeEvents(1));
-          setTimeout(() => socket.resetAndDestroy(), ARRIVES_MS);
-        },
-      ],
-      {kind: 'stream', isResumable: false},
-    );
-    const text = await readRaw(fixture, '1.0', 'nothing');
-    expect(text.toLowerCase()).not.toContain('chunked');
-    expect(text).toContain('(reset)');
-  });
+  test.each([
+    [
+      'a stream without a length',
+      ({socket}) => {
+        socket.write(STREAM_HEAD + encodeEvents(1));
+        setTimeout(() => socket.resetAndDestroy(), ARRIVES_MS);
+      },
+    ],
+    ['a stream in chunks', sendStream('a', [1], 'reset')],
+  ] as Array<[string, Handler]>)(
+    'resets the connection of a caller that reads no chunks when %s breaks off',
+    async (_what, handler) => {
+      const {fixture} = await startFixture([handler], {
+        kind: 'stream',
+        isResumable: false,
+      });
+      const text = await readRaw(fixture, '1.0', 'nothing');
+      expect(text.toLowerCase()).not.toContain('chunked');
+      expect(text).toContain('(reset)');
+    },
+  );
 });
