fix(gateway): a stream is not resumed where its position is not known

What callers saw (own runs on the request path): events 1 2 3 1 2 3 4 5 6, complete, of a stream whose events have no ids and whose connection broke after the third; and -3 after 5, 1.2 after 1.5.

Cause: a resumable stream was sent again whenever its route allowed it, with the last id that had been seen, or with none. Events behind that id had been passed on, so the second run repeated them. And of ids only whole numbers were compared, so that others could go back. Class: a position is believed that was never stated.

Change: after an event with data and without an id the stream can be neither resumed nor moved off a stalled server, until an event with an id comes; its caller gets it cut. Comments and fields without data do not count. Ids that are decimal numbers with a sign or a fraction are compared as well. Ids that are no numbers can't be compared.

Evidence: six tests of resumed_stream failed before (two streams joined with another run, four orders of ids) and pass now; a comment behind the last id, a first event that was never passed on and a later id still let a stream go on.

--- a/src/gateway/proxied_request.ts
+++ b/src/gateway/proxied_request.ts
@@ -1,6 +1,7 @@
 /** Proxies one request: its attempts, retries, resumed streams and final response. */
 import {Attempt} from './attempt';
 import {AttemptOutcome} from './attempt_outcome';
+import {CONVICTED_REASON} from './crashes/convicted_reason';
 import {CrashCheck} from './crashes/crash_check';
 import {createRequestPolicies} from './create_request_policies';
 import {ERROR_STATUS} from './responses/error_status';
@@ -19,10 +20,6 @@
 import {StallDetector} from './responses/stall_detector';
 import {SuspectTrial} from './crashes/suspect_trial';
 
-/** Sent to the caller as the reason why the request is permanently rejected. */
-const CONVICTED_REASON =
-  'backend servers end when they begin this request, or any with a part of its prompt: it is not sent again';
-
 /** The state machine of one request, from its arrival until its caller has a final response. */
 export class ProxiedRequest {
   private readonly sender: RequestSender;
@@ -168,7 +165,7 @@
   private checkStall(now: number): void {
     const {policy, sender} = this;
     const {attempt} = sender;
-    if (!attempt || !policy.canFailOver) {
+    if (!attempt || !policy.canFailOver || !this.relay.canResume) {
       return;
     }
     const reason = this.stall.findFailoverReason(attempt, now);
@@ -257,18 +254,19 @@
   }
 
   private handleOutcome(end: AttemptOutcome): void {
-    const {policy} = this;
+    const {policy, relay} = this;
     if (end.kind === 'not-run') {
       policy.recordRefusal();
       this.retry(end.reason, policy.canRetryAfterRefusal, 'not-run');
       return;
     }
     policy.recordRun();
+    const mayRetry = policy.canRetry && relay.canResume;
     if (end.kind === 'broken') {
-      this.retry(end.reason, policy.canRetry, 'broken');
+      this.retry(end.reason, mayRetry, 'broken');
       return;
     }
-    this.handleComplete(policy.canRetry);
+    this.handleComplete(mayRetry);
   }
 
   private async handleConnectionLoss(
--- a/src/gateway/responses/event_order.ts
+++ b/src/gateway/responses/event_order.ts
@@ -1,4 +1,4 @@
-const WHOLE_NUMBER = /^\d{1,15}$/;
+const NUMBER = /^-?\d{1,15}(?:\.\d{1,15})?$/;
 /** An id is sent back in a header when its stream is resumed. */
 const HEADER_VALUE = /^[\x21-\x7e\x80-\xff]+$/;
 
@@ -8,6 +8,7 @@
   /** All numbered events so far followed each other by one. */
   private isConsecutive: boolean | undefined;
   private isResumed = false;
+  private isLastKnown = true;
 
   private constructor(lastId: string | undefined) {
     this.lastId = lastId;
@@ -30,6 +31,11 @@
     return this.lastId;
   }
 
+  /** False after an event without an id: a new run could not go on behind it. */
+  get canResume(): boolean {
+    return this.isLastKnown;
+  }
+
   /** Records that the next event comes from another attempt. */
   resume(): void {
     this.isResumed = true;
@@ -39,23 +45,26 @@
    * Accepts the id of the next event. Numbers must rise; where they have risen by
    * one, the first event of a resumed stream must not leave one out.
    *
+   * @param hasData false if the caller can do without the event
    * @returns false if the event is not the next one
    */
-  accept(id: string | undefined): boolean {
+  accept(id: string | undefined, hasData = true): boolean {
     if (id === undefined) {
+      this.isLastKnown &&= !hasData;
       return true;
     }
     if (!HEADER_VALUE.test(id) || !this.isNext(id)) {
       return false;
     }
     this.lastId = id;
+    this.isLastKnown = true;
     this.isResumed = false;
     return true;
   }
 
   private isNext(id: string): boolean {
     const {lastId = ''} = this;
-    if (!WHOLE_NUMBER.test(id) || !WHOLE_NUMBER.test(lastId)) {
+    if (!NUMBER.test(id) || !NUMBER.test(lastId)) {
       return true;
     }
     const step = Number(id) - Number(lastId);
--- a/src/gateway/responses/event_stream_splitter.ts
+++ b/src/gateway/responses/event_stream_splitter.ts
@@ -9,6 +9,9 @@
 const [LINE_END] = BOUNDARY;
 const ID_FIELD = Buffer.from('id:');
 const NEXT_ID_FIELD = Buffer.from('\nid:');
+/** A comment, and the fields that are neither data nor an id. */
+const DATALESS_FIELDS = [':', 'event', 'retry'].map(each => Buffer.from(each));
+const NEXT_DATA_FIELD = Buffer.from('\ndata');
 const ID_LINE = /^id:[ ]?(\S+)/;
 /** Half of what a request may hold, because an event that came in pieces is joined before it is forwarded. */
 const MAX_EVENT_BYTES = MAX_HELD_BYTES / 2;
@@ -18,6 +21,8 @@
   /** The unchanged bytes, including the empty line at the end. */
   readonly bytes: Buffer;
   readonly id: string | undefined;
+  /** False for comments and the like, which carry nothing of a run. */
+  readonly hasData: boolean;
 }
 
 /** Yields complete events only, so that a broken connection never forwards part of one. */
@@ -90,7 +95,17 @@
 }
 
 function createEvent(bytes: Buffer): StreamEvent {
-  return {bytes, id: findId(bytes)};
+  const id = findId(bytes);
+  // An event with an id marks a position whether it has data or not.
+  return {bytes, id, hasData: id !== undefined || hasDataLine(bytes)};
+}
+
+/** Looks for data only behind a first line that is known to have none, as most events without an id begin with it. */
+function hasDataLine(bytes: Buffer): boolean {
+  const beginsWithout = DATALESS_FIELDS.some(field =>
+    bytes.subarray(0, field.length).equals(field),
+  );
+  return !beginsWithout || bytes.includes(NEXT_DATA_FIELD);
 }
 
 /** Finds the first id, and decodes only the lines that may have one. */
--- a/src/gateway/responses/response_relay.ts
+++ b/src/gateway/responses/response_relay.ts
@@ -67,6 +67,11 @@
     return this.order.last;
   }
 
+  /** False if another run could not go on after what was sent to the caller. */
+  get canResume(): boolean {
+    return this.order.canResume;
+  }
+
   /** True when part of an event is pending. */
   get hasPartialEvent(): boolean {
     return this.splitter.pendingBytes > 0;
@@ -98,7 +103,9 @@
   acceptData(chunk: Buffer): RejectionCause | undefined {
     if (this.callerHead?.isEventStream) {
       const events = this.splitter.split(chunk);
-      const at = events.findIndex(({id}) => !this.order.accept(id));
+      const at = events.findIndex(
+        ({id, hasData}) => !this.order.accept(id, hasData),
+      );
       this.forwardEvents(at < 0 ? events : events.slice(0, at));
       if (at >= 0) {
         return 'disordered';
--- a/test/gateway/resumed_stream.test.ts
+++ b/test/gateway/resumed_stream.test.ts
@@ -1,5 +1,5 @@
 // Guards against a resumed stream that does not go on after its last event.
-import {expect, test} from 'vitest';
+import {describe, expect, test} from 'vitest';
 import {EventOrder} from '../../src/gateway/responses/event_order';
 import {
   STREAM_HEAD,
@@ -105,3 +105,72 @@
     expect(order.accept(id)).toBe(isNext);
   },
 );
+
+// The new run was asked for all events again, or for those after an earlier one.
+describe('a stream whose last event has no id', () => {
+  const event = (at: number) => `data: t${at}\n\n`;
+  const sendAll = sendChunks(
+    'HTTP/1.1 200 OK',
+    [1, 2, 3, 4].map(event).join(''),
+  );
+
+  function sendAndReset(text: string): Handler {
+    return ({socket}) => {
+      socket.write(STREAM_HEAD.replaceAll('\n', '\r\n') + encodeChunk(text));
+      setTimeout(() => socket.resetAndDestroy(), 10);
+    };
+  }
+
+  test.each([
+    ['none of its events has', event(1) + event(2)],
+    ['the events before it have', `${encodeEvents(1, 2)}${event(3)}`],
+  ])('is cut and not joined with another run: %s', async (_which, text) => {
+    const {fixture, backends} = await startFixture(
+      [sendAndReset(text), sendAll],
+      RESUMABLE,
+    );
+    expect(await fixture.send()).toMatchObject({body: text, isWhole: false});
+    expect(backends[1].requests).toHaveLength(0);
+  });
+
+  test('is resumed all the same when that event has no data', async () => {
+    const text = `${encodeEvents(1, 2)}: comment\n\n`;
+    const {fixture} = await startFixture(
+      [sendAndReset(text), sendStream('b', [3], 'whole')],
+      RESUMABLE,
+    );
+    const body = text + encodeEvents(3);
+    expect(await fixture.send()).toMatchObject({body, isWhole: true});
+  });
+
+  test('is repeated when no event was passed on', async () => {
+    const {fixture} = await startFixture(
+      [sendAndReset('data: t'), sendAll],
+      RESUMABLE,
+    );
+    const body = [1, 2, 3, 4].map(event).join('');
+    expect(await fixture.send()).toMatchObject({body, isWhole: true});
+  });
+
+  test('is resumed after a later event with an id', async () => {
+    const text = event(1) + encodeEvents(2);
+    const {fixture} = await startFixture(
+      [sendAndReset(text), sendStream('b', [3], 'whole')],
+      RESUMABLE,
+    );
+    const body = text + encodeEvents(3);
+    expect(await fixture.send()).toMatchObject({body, isWhole: true});
+  });
+});
+
+// Only whole numbers were compared.
+test.each([
+  ['5', '-3'],
+  ['1.5', '1.2'],
+  ['-1', '-2'],
+  ['2', '1.5'],
+])('an event %s that is followed by %s is not passed on', (first, second) => {
+  const order = EventOrder.create(undefined);
+  expect(order.accept(first)).toBe(true);
+  expect(order.accept(second)).toBe(false);
+});
