--- a/src/gateway/responses/response_writer.ts
+++ b/src/gateway/responses/response_writer.ts
@@ -98,7 +98,7 @@
   sendComplete(head: ResponseHead, blocks: readonly Buffer[]): void {
     this.prepareConnection();
     const bytes = blocks.reduce((sum, {length}) => sum + length, 0);
-    const length = this.mayHaveBody(head)
+    const length = this.canHaveBody(head)
       ? {'content-length': String(bytes)}
       : {};
     this.response.cork();
@@ -145,7 +145,7 @@
     this.response.once('close', callback);
   }
 
-  private mayHaveBody({status}: ResponseHead): boolean {
+  private canHaveBody({status}: ResponseHead): boolean {
     return this.response.req.method !== 'HEAD' && !BODYLESS.has(status);
   }
 
--- a/src/transport/listener_checks.ts
+++ b/src/transport/listener_checks.ts
@@ -1,14 +1,14 @@
 /** Checks whether servers still listen, with at most one check of each server under way. */
-import {confirmListener} from './confirm_listener';
+import {probeListener} from './probe_listener';
 
-type ListenerState = Awaited<ReturnType<typeof confirmListener>>;
+type ListenerState = Awaited<ReturnType<typeof probeListener>>;
 
 /** Checks servers for many requests. */
 export class ListenerChecks {
   private readonly running = new Map<string, Promise<ListenerState>>();
   private readonly next = new Map<string, Promise<ListenerState>>();
 
-  private constructor(private readonly confirm: typeof confirmListener) {}
+  private constructor(private readonly probe: typeof probeListener) {}
 
   /**
    * Creates checks that have not begun.
@@ -17,10 +17,8 @@
    * const checks = ListenerChecks.create();
    * const state = await checks.check('10.0.0.4:8080');
    */
-  static create(
-    confirm: typeof confirmListener = confirmListener,
-  ): ListenerChecks {
-    return new ListenerChecks(confirm);
+  static create(probe: typeof probeListener = probeListener): ListenerChecks {
+    return new ListenerChecks(probe);
   }
 
   /**
@@ -48,8 +46,8 @@
   }
 
   private start(address: string): Promise<ListenerState> {
-    const confirmed = this.confirm(address);
-    const running = confirmed.finally(() => this.running.delete(address));
+    const probed = this.probe(address);
+    const running = probed.finally(() => this.running.delete(address));
     this.running.set(address, running);
     return running;
   }
--- a/src/transport/confirm_listener.ts
+++ b/src/transport/probe_listener.ts
@@ -25,13 +25,13 @@
  * @returns `refuses` if the machine runs and no process listens there; `silent` if it can
  *     not be reached
  * @example
- * const state = await confirmListener('10.0.0.4:8080');
+ * const state = await probeListener('10.0.0.4:8080');
  */
-export async function confirmListener(
+export async function probeListener(
   address: string,
 ): Promise<'listens' | 'refuses' | 'silent'> {
   for (let count = 0; count < MAX_CONNECTIONS; count += 1) {
-    const result = await tryConnection(address);
+    const result = await probeConnection(address);
     if (result === 'refuses' || result === 'silent') {
       return result;
     }
@@ -43,7 +43,7 @@
 }
 
 /** Opens a connection, and closes it after a while if the server has not. */
-function tryConnection(address: string): Promise<ConnectionResult> {
+function probeConnection(address: string): Promise<ConnectionResult> {
   const {hostname, port} = new URL(`http://${address}`);
   const host = hostname.replace(/^\[|\]$/g, '');
   return new Promise(resolve => {
