fix(gateway): a crash is seen although the port is the last that its process closes

Found by looking for the cause of the streams that ended early elsewhere. The crash detector opens one connection after others broke, and took a reset of it for silence, or an accepted one for a living process. A process that ends may close its port last, and the kernel accepts and then resets connections until it does; the crash then was not recorded, and the requests under it were not held back.

The detector uses the same probe as responses that end with their connection: an accepted connection must stay for 50 ms, one that is closed is tried again. A refusal is reported as soon as before.

Evidence: the new test got "unknown" before and gets "ended" now.

--- a/src/gateway/crashes/crash_detector.ts
+++ b/src/gateway/crashes/crash_detector.ts
@@ -1,15 +1,9 @@
 /** Finds out whether backend servers whose connections broke have crashed. */
 import {Clock} from '../../common/clock';
 import {EventRing} from '../../common/event_ring';
-import {parseAddress} from '../../protocol/parse_address';
-import {probePort} from '../../transport/probe_port';
+import {probeListener} from '../../transport/probe_listener';
 import {InterruptedAttempt} from '../interrupted_attempt';
 
-/**
- * A refused connection is reported within a round trip; a longer silence says
- * nothing.
- */
-const PROBE_MS = 300;
 /**
  * All connections to a backend server break within milliseconds when its
  * process ends; a later break is probed again.
@@ -46,7 +40,7 @@
 interface CrashDetectorOptions {
   readonly clock: Clock;
   readonly events: EventRing;
-  readonly probe?: typeof probePort;
+  readonly probe?: typeof probeListener;
 }
 
 /** Probes once per connection loss, however many requests it affects. */
@@ -84,8 +78,8 @@
   }
 
   private async probe({target}: InterruptedAttempt): Promise<ProcessState> {
-    const {probe = probePort} = this.options;
-    return STATES[await probe(parseAddress(target.address), PROBE_MS)];
+    const {probe = probeListener} = this.options;
+    return STATES[await probe(target.address)];
   }
 
   private expire(now: number): void {
--- a/test/gateway/crash_detector.test.ts
+++ b/test/gateway/crash_detector.test.ts
@@ -1,3 +1,4 @@
+import * as net from 'node:net';
 import {afterEach, expect, test} from 'vitest';
 import {EventRing} from '../../src/common/event_ring';
 import {systemClock} from '../../src/common/system_clock';
@@ -59,3 +60,20 @@
   });
   expect(state).toBe('unknown');
 });
+
+// A process that ends may close its port last, and its kernel accepts connections until it does.
+test('a backend server whose port is the last that its process closes has ended', async () => {
+  const backend = net.createServer(socket => {
+    backend.close();
+    socket.resetAndDestroy();
+  });
+  await new Promise<void>(resolve => backend.listen(0, '127.0.0.1', resolve));
+  const {port} = backend.address() as net.AddressInfo;
+  const target = {incarnation: 'i0', address: `127.0.0.1:${port}`};
+  const detector = CrashDetector.create({
+    clock: systemClock,
+    events: EventRing.create(),
+  });
+  const loss = {target, name: 'a', hasResponseStarted: false};
+  expect(await detector.detectState(loss)).toBe('ended');
+});
