fix(gateway): a reset is not the end of a response without a length

Callers saw: a backend server answered an upload at once with a 200 without a length, sent part of its body and reset the connection; the part reached the caller as a complete 200, 20 of 20 times at 64 KiB, 256 KiB, 1 MiB and 8 MiB, and without a body as well when part and reset arrived together.

Cause: Node.js reports such a reset as an end. When epoll returns IN, ERR and HUP at once, libuv reads the data and then, because of the HUP, reports the end without another read, so nobody gets the error (strace: epoll_pwait IN| ERR|HUP, read "part", no further read; the next write returns ECONNRESET). While bytes of the request are waiting, the write that is under way takes the error instead. In both cases undici completes the response at the end. So "the upload has been handed to the kernel" alone does not tell: the 64 KiB upload always was.

Change: ConnectionEnd decides at the end of the connection. A response that ends with it is whole only if nothing of the request is left to write and an empty write succeeds: after a FIN the connection still takes writes, after a RST it does not, whoever took the error before. An empty write sends nothing. A server that closes with the request unread counts as a reset, too, as the kernel sends one. The attempt ends as one that may have run.

--- a/src/transport/server_connection.ts
+++ b/src/transport/server_connection.ts
@@ -1,6 +1,7 @@
 /** A keep-alive connection to one server that carries one request at a time. */
 import {Socket} from 'node:net';
 import {Client, Dispatcher, buildConnector} from 'undici';
+import {ConnectionEnd} from './connection_end';
 import {ConnectionUse} from './connection_use';
 import {createConnector} from './create_connector';
 import {ExchangeEvents} from './exchange_events';
@@ -27,6 +28,7 @@
   private readonly client: Client;
   private socket: Socket | undefined;
   private meter: FramingMeter | undefined;
+  private end: ConnectionEnd | undefined;
   /** Of the request that was written and has not ended. */
   private controller: Dispatcher.DispatchController | undefined;
   private openedAt = 0;
@@ -122,7 +124,7 @@
         drain.recordBody(chunk.length);
       },
       onResponseEnd: () => {
-        events.onEnd();
+        this.reportEnd(events);
         this.closeIfUnsent();
         release();
       },
@@ -143,6 +145,17 @@
     await this.client.destroy();
   }
 
+  /** Reports the end of a response; one that ended with its connection is whole only if that was not reset. */
+  private reportEnd(events: ExchangeEvents): void {
+    const hasEnded = this.socket?.readableEnded ?? true;
+    const fault = hasEnded ? this.end?.findFault() : undefined;
+    if (fault) {
+      events.onError(new TransportError(fault));
+    } else {
+      events.onEnd();
+    }
+  }
+
   /** Closes the connection if the server answered before the request was sent: the next one would wait behind its rest. */
   private closeIfUnsent(): void {
     if (this.socket && this.socket.writableLength > 0) {
@@ -163,6 +176,7 @@
   private recordOpened(socket: Socket | null): void {
     this.socket = socket ?? undefined;
     this.meter = undefined;
+    this.end = socket ? ConnectionEnd.create(socket) : undefined;
     this.openedAt = performance.now();
     this.requestCount = 0;
     this.carriedIds.clear();
--- a/test/support/backend_scripts.ts
+++ b/test/support/backend_scripts.ts
@@ -21,9 +21,10 @@
   handlers: readonly Handler[],
   route: Partial<Route> = {},
   target: Partial<GatewayTarget> = {},
+  options: Parameters<typeof FakeBackend.create>[1] = {},
 ) {
   const backends = await Promise.all(
-    handlers.map(handle => FakeBackend.create(handle)),
+    handlers.map(handle => FakeBackend.create(handle, options)),
   );
   const fixture = await ProxyFixture.create(backends, route, target);
   closers.push(...backends.map(backend => () => backend.close()), () =>
--- a/test/support/fake_backend.ts
+++ b/test/support/fake_backend.ts
@@ -11,6 +11,11 @@
 
 type Handler = (request: ArrivedRequest) => void;
 
+interface FakeBackendOptions {
+  /** Passes a request to the handler when its head has arrived, and reads no more of it. */
+  readonly answersEarly?: boolean;
+}
+
 /** Listens on loopback and passes each request to the handler. */
 export class FakeBackend {
   readonly requests: ArrivedRequest[] = [];
@@ -19,13 +24,18 @@
   private constructor(
     private readonly server: net.Server,
     readonly address: string,
+    private readonly options: FakeBackendOptions,
   ) {}
 
-  static async create(handle: Handler): Promise<FakeBackend> {
+  static async create(
+    handle: Handler,
+    options: FakeBackendOptions = {},
+  ): Promise<FakeBackend> {
     const server = net.createServer();
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
     const {port} = server.address() as net.AddressInfo;
-    const backend = new FakeBackend(server, `127.0.0.1:${port}`);
+    const address = `127.0.0.1:${port}`;
+    const backend = new FakeBackend(server, address, options);
     server.on('connection', socket => backend.accept(socket, handle));
     return backend;
   }
@@ -62,7 +72,12 @@
             return [line.slice(0, at).toLowerCase(), value] as const;
           }),
       );
-      const length = Number(headers.get('content-length') ?? 0);
+      if (this.options.answersEarly) {
+        socket.pause();
+      }
+      const length = this.options.answersEarly
+        ? 0
+        : Number(headers.get('content-length') ?? 0);
       if (pending.length < end + 4 + length) {
         return;
       }
