fix(transport): a reset is not the end of a response at host and control

What was seen: BackendHttpClient (whinreel-host) and callOnNewConnection (control's orders and reports to engines) returned a part of a response without a length as whole when its connection was reset: 20 of 20 with the reset at once, at 0 bytes to 8 MiB of upload, and 1 to 3 of 20 after 1 ms.

The clients knew the errors of a reset, but libuv reports one that arrives together with data as an end.

Change: both ask ConnectionEnd at the end of their connection and fail a response that is not complete by then. It looks before the HTTP parser is told of the end, so the response never completes.

--- a/src/transport/backend_exchange.ts
+++ b/src/transport/backend_exchange.ts
@@ -1,5 +1,6 @@
 /** One HTTP request to a backend server and its response, over a connection of its own. */
 import * as http from 'node:http';
+import {ConnectionEnd} from './connection_end';
 import {TransportError} from './transport_error';
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -118,6 +119,9 @@
       ];
       const settle = () => timers.forEach(timer => clearTimeout(timer));
       this.request.once('socket', socket => {
+        ConnectionEnd.create(socket, reason =>
+          this.failResponse(new Error(reason)),
+        );
         socket.once('connect', () => (this.isConnected = true));
         socket.on('data', (chunk: Buffer) => this.countReceived(chunk.length));
       });
--- a/src/transport/call_on_new_connection.ts
+++ b/src/transport/call_on_new_connection.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http';
+import {ConnectionEnd} from './connection_end';
 import {TransportError} from './transport_error';
 
 /** One call, and how long and how large its answer may be. */
@@ -53,6 +54,11 @@
       watchReceivedBytes(socket, call.maxAnswerBytes, fail),
     );
     request.on('response', response => {
+      ConnectionEnd.create(response.socket, reason => {
+        if (!response.complete) {
+          fail(new Error(reason));
+        }
+      });
       const chunks: Buffer[] = [];
       response.on('error', fail);
       response.on('data', (chunk: Buffer) => chunks.push(chunk));
--- a/src/transport/connection_end.ts
+++ b/src/transport/connection_end.ts
@@ -14,15 +14,24 @@
   private constructor() {}
 
   /**
-   * Watches a connection; call it before whatever reads the connection handles its end.
+   * Watches a connection. It sees the end before whatever reads the connection.
    *
+   * @param onFault called at an end that ends no response
    * @example
-   * const end = ConnectionEnd.create(socket);
+   * const end = ConnectionEnd.create(socket, reason => fail(new Error(reason)));
    */
-  static create(socket: Socket): ConnectionEnd {
+  static create(
+    socket: Socket,
+    onFault: (reason: string) => void = () => undefined,
+  ): ConnectionEnd {
     const end = new ConnectionEnd();
     // Before the listener of the socket itself, after which it takes no more writes.
-    socket.prependListener('end', () => (end.fault = findEndFault(socket)));
+    socket.prependListener('end', () => {
+      end.fault = findEndFault(socket);
+      if (end.fault) {
+        onFault(end.fault);
+      }
+    });
     return end;
   }
 
