fix(transport): a response that HTTP does not allow is no answer

What was seen: a response with status 000 or 099 was returned as an answer at whinreel-host and by control's calls; one with status 600 or 999, HTTP/2.0 or HTTP/0.9 in its status line, a control byte in its reason, an unknown transfer coding (also before its chunks, so the body is not the server's) or chunks in HTTP/1.0 on the gateway's path as well.

Cause: the clients took for valid what their HTTP parser lets pass. There are three parsers, and each lets pass something else.

Change: ResponseFraming reads the bytes of a response by the grammar of HTTP/1 alone, and ResponseCheck lets it read along on the socket of each of the three clients, before the parser. A response is whole only if both agree on its status, its end and the number of bytes of its body. Whatever states its end twice, or in a way that HTTP lets a client choose, is invalid. On the gateway's path an invalid head or chunk ends the attempt before anything of it is passed on.

--- a/src/transport/backend_exchange.ts
+++ b/src/transport/backend_exchange.ts
@@ -1,6 +1,6 @@
 /** One HTTP request to a backend server and its response, over a connection of its own. */
 import * as http from 'node:http';
-import {ConnectionEnd} from './connection_end';
+import {ResponseCheck} from './response_check';
 import {TransportError} from './transport_error';
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -40,6 +40,7 @@
   readonly closed: Promise<void>;
   private readonly request: http.ClientRequest;
   private response: http.IncomingMessage | undefined;
+  private check: ResponseCheck | undefined;
   private isConnected = false;
   private receivedBytes = 0;
   private bodyBytes = 0;
@@ -88,9 +89,11 @@
       for await (const chunk of chunks) {
         clearTimeout(timer);
         this.bodyBytes += chunk.length;
+        rejectFault(this.check?.recordBody(chunk.length));
         yield chunk;
         timer = this.startBodyTimer();
       }
+      rejectFault(this.check?.findFault());
     } catch (error) {
       throw wrapError(error as Error, 'Broken');
     } finally {
@@ -119,9 +122,8 @@
       ];
       const settle = () => timers.forEach(timer => clearTimeout(timer));
       this.request.once('socket', socket => {
-        ConnectionEnd.create(socket, reason =>
-          this.failResponse(new Error(reason)),
-        );
+        this.check = ResponseCheck.create(socket);
+        this.check.begin(this.request.method);
         socket.once('connect', () => (this.isConnected = true));
         socket.on('data', (chunk: Buffer) => this.countReceived(chunk.length));
       });
@@ -131,6 +133,11 @@
         // Whoever reads the body gets the error from the iteration.
         response.on('error', () => undefined);
         const status = response.statusCode ?? 0;
+        const fault = this.check?.findHeadFault(status);
+        if (fault) {
+          this.fail(new Error(`no valid response: ${fault}`));
+          return;
+        }
         resolve({status, headers: flattenHeaders(response.headers)});
       });
       this.request.on('error', error => {
@@ -175,6 +182,12 @@
   }
 }
 
+function rejectFault(reason: string | undefined): void {
+  if (reason) {
+    throw new Error(`no valid response: ${reason}`);
+  }
+}
+
 function wrapError(error: Error, name: 'NeverSent' | 'Broken'): TransportError {
   return new TransportError(
     {cause: error, name},
--- a/src/transport/call_on_new_connection.ts
+++ b/src/transport/call_on_new_connection.ts
@@ -1,5 +1,5 @@
 import * as http from 'node:http';
-import {ConnectionEnd} from './connection_end';
+import {ResponseCheck} from './response_check';
 import {TransportError} from './transport_error';
 
 /** One call, and how long and how large its answer may be. */
@@ -37,6 +37,7 @@
     // Without an agent, Node.js opens a connection for this request alone.
     const options = {agent: false, method, headers};
     const request = http.request(`http://${address}${path}`, options);
+    let check: ResponseCheck | undefined;
     const end = () => {
       clearTimeout(timer);
       request.destroy();
@@ -50,23 +51,26 @@
       timeoutMs,
     );
     request.on('error', fail);
-    request.on('socket', socket =>
-      watchReceivedBytes(socket, call.maxAnswerBytes, fail),
-    );
+    request.on('socket', socket => {
+      check = ResponseCheck.create(socket);
+      check.begin(method);
+      watchReceivedBytes(socket, call.maxAnswerBytes, fail);
+    });
     request.on('response', response => {
-      ConnectionEnd.create(response.socket, reason => {
-        if (!response.complete) {
-          fail(new Error(reason));
-        }
-      });
+      const status = response.statusCode ?? 0;
       const chunks: Buffer[] = [];
       response.on('error', fail);
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('data', (chunk: Buffer) => {
+        check?.recordBody(chunk.length);
+        chunks.push(chunk);
+      });
       response.on('end', () => {
-        resolve({
-          status: response.statusCode ?? 0,
-          body: Buffer.concat(chunks),
-        });
+        const fault = check?.findHeadFault(status) ?? check?.findFault();
+        if (fault) {
+          fail(new Error(`no valid response: ${fault}`));
+          return;
+        }
+        resolve({status, body: Buffer.concat(chunks)});
         end();
       });
     });
--- a/src/transport/connection_end.ts
+++ b/src/transport/connection_end.ts
@@ -16,22 +16,13 @@
   /**
    * Watches a connection. It sees the end before whatever reads the connection.
    *
-   * @param onFault called at an end that ends no response
    * @example
-   * const end = ConnectionEnd.create(socket, reason => fail(new Error(reason)));
+   * const end = ConnectionEnd.create(socket);
    */
-  static create(
-    socket: Socket,
-    onFault: (reason: string) => void = () => undefined,
-  ): ConnectionEnd {
+  static create(socket: Socket): ConnectionEnd {
     const end = new ConnectionEnd();
     // Before the listener of the socket itself, after which it takes no more writes.
-    socket.prependListener('end', () => {
-      end.fault = findEndFault(socket);
-      if (end.fault) {
-        onFault(end.fault);
-      }
-    });
+    socket.prependListener('end', () => (end.fault = findEndFault(socket)));
     return end;
   }
 
--- a/src/transport/server_connection.ts
+++ b/src/transport/server_connection.ts
@@ -1,12 +1,12 @@
 /** A keep-alive connection to one server that carries one request at a time. */
 import {Socket} from 'node:net';
 import {Client, Dispatcher, buildConnector} from 'undici';
-import {ConnectionEnd} from './connection_end';
 import {ConnectionUse} from './connection_use';
 import {createConnector} from './create_connector';
 import {ExchangeEvents} from './exchange_events';
 import {FramingMeter} from './framing_meter';
 import {OVERFLOW_CODE} from './overflow_code';
+import {ResponseCheck} from './response_check';
 import {ResponseDrain} from './response_drain';
 import {TransportError} from './transport_error';
 
@@ -17,6 +17,8 @@
 /** Connections are closed this long before the server's keep-alive timeout. */
 const IDLE_MARGIN_MS = 1_000;
 
+/** The first status of an interim response. */
+const INTERIM_STATUS = 100;
 /** The first status of a response that is not an interim one. */
 const FINAL_STATUS = 200;
 
@@ -28,7 +30,7 @@
   private readonly client: Client;
   private socket: Socket | undefined;
   private meter: FramingMeter | undefined;
-  private end: ConnectionEnd | undefined;
+  private check: ResponseCheck | undefined;
   /** Of the request that was written and has not ended. */
   private controller: Dispatcher.DispatchController | undefined;
   private openedAt = 0;
@@ -104,6 +106,7 @@
       onRequestStart: controller => {
         this.controller = controller;
         this.startMeter();
+        this.check?.begin(options.method);
         const control = {
           abort: (reason: Error) => controller.abort(reason),
           pause: () => controller.pause(),
@@ -112,14 +115,23 @@
         };
         events.onStart(control, this.recordUse(id));
       },
-      onResponseStart: (_controller, status, headers) => {
+      onResponseStart: (controller, status, headers) => {
         // The client reports each interim response like a head; the head follows.
-        if (status >= FINAL_STATUS) {
+        const isInterim = status >= INTERIM_STATUS && status < FINAL_STATUS;
+        const fault = isInterim ? undefined : this.check?.findHeadFault(status);
+        if (fault) {
+          controller.abort(createFault(fault));
+        } else if (!isInterim) {
           events.onHead(status, headers);
         }
       },
-      onResponseData: (_controller, chunk) => {
+      onResponseData: (controller, chunk) => {
         this.meter?.recordBody(chunk.length);
+        const fault = this.check?.recordBody(chunk.length);
+        if (fault) {
+          controller.abort(createFault(fault));
+          return;
+        }
         events.onData(chunk);
         drain.recordBody(chunk.length);
       },
@@ -145,12 +157,12 @@
     await this.client.destroy();
   }
 
-  /** Reports the end of a response; one that ended with its connection is whole only if that was not reset. */
+  /** Reports the end of a response, as an error if it is not whole. */
   private reportEnd(events: ExchangeEvents): void {
-    const hasEnded = this.socket?.readableEnded ?? true;
-    const fault = hasEnded ? this.end?.findFault() : undefined;
+    const fault = this.check?.findFault();
     if (fault) {
-      events.onError(new TransportError(fault));
+      this.socket?.destroy();
+      events.onError(createFault(fault));
     } else {
       events.onEnd();
     }
@@ -176,7 +188,7 @@
   private recordOpened(socket: Socket | null): void {
     this.socket = socket ?? undefined;
     this.meter = undefined;
-    this.end = socket ? ConnectionEnd.create(socket) : undefined;
+    this.check = socket ? ResponseCheck.create(socket) : undefined;
     this.openedAt = performance.now();
     this.requestCount = 0;
     this.carriedIds.clear();
@@ -211,3 +223,7 @@
     return {requestCount: this.requestCount, ageMs};
   }
 }
+
+function createFault(reason: string): TransportError {
+  return new TransportError('no valid response: %s', reason);
+}
--- a/test/transport/reset_responses.test.ts
+++ b/test/transport/reset_responses.test.ts
@@ -3,9 +3,8 @@
  * length, when it arrives together with a part of the body or during the upload.
  */
 import {afterEach, describe, expect, test} from 'vitest';
-import {BackendHttpClient} from '../../src/transport/backend_http_client';
-import {callOnNewConnection} from '../../src/transport/call_on_new_connection';
 import {FakeBackend} from '../support/fake_backend';
+import {httpClients} from '../support/http_clients';
 
 type Handler = Parameters<typeof FakeBackend.create>[0];
 
@@ -21,38 +20,7 @@
   closers.splice(0).forEach(close => close());
 });
 
-/** Each sends one request, and resolves to the body of its response. */
-const CLIENTS = {
-  BackendHttpClient: async (address: string, body: string) => {
-    const client = BackendHttpClient.create();
-    const response = await client.call({
-      url: `http://${address}`,
-      method: 'POST',
-      path: '/',
-      headers: {},
-      body: Buffer.from(body),
-      signal: AbortSignal.timeout(5_000),
-    });
-    const chunks: Buffer[] = [];
-    for await (const chunk of response.body) {
-      chunks.push(chunk);
-    }
-    return Buffer.concat(chunks).toString();
-  },
-  callOnNewConnection: async (address: string, body: string) => {
-    const answer = await callOnNewConnection({
-      address,
-      method: 'POST',
-      path: '/',
-      body,
-      timeoutMs: 5_000,
-      maxAnswerBytes: KIB,
-    });
-    return answer.body.toString();
-  },
-};
-
-describe.each(Object.entries(CLIENTS))('%s', (_name, send) => {
+describe.each(httpClients)('%s', (_name, send) => {
   /** Counts the results of some requests, by the body or `failed`. */
   async function countResults(
     handler: Handler,
@@ -63,8 +31,11 @@
     closers.push(() => backend.close());
     const counts: Record<string, number> = {};
     for (let round = 0; round < ROUNDS; round += 1) {
-      const sent = send(backend.address, 'x'.repeat(size));
-      const result = await sent.catch(() => 'failed');
+      const sent = send(backend.address, Buffer.alloc(size, 'x'));
+      const result = await sent.then(
+        ({body}) => body,
+        () => 'failed',
+      );
       counts[result] = (counts[result] ?? 0) + 1;
     }
     return counts;
