--- a/src/transport/server_connection.ts
+++ b/src/transport/server_connection.ts
@@ -6,6 +6,7 @@
 import {ExchangeEvents} from './exchange_events';
 import {FramingMeter} from './framing_meter';
 import {OVERFLOW_CODE} from './overflow_code';
+import {ResponseCheck} from './response_check';
 import {ResponseDrain} from './response_drain';
 import {TransportError} from './transport_error';
 
@@ -16,6 +17,8 @@
 /** Connections are closed this long before the server's keep-alive timeout. */
 const IDLE_MARGIN_MS = 1_000;
 
+/** The first status of an interim response. */
+const INTERIM_STATUS = 100;
 /** The first status of a response that is not an interim one. */
 const FINAL_STATUS = 200;
 
@@ -27,6 +30,7 @@
   private readonly client: Client;
   private socket: Socket | undefined;
   private meter: FramingMeter | undefined;
+  private check: ResponseCheck | undefined;
   /** Of the request that was written and has not ended. */
   private controller: Dispatcher.DispatchController | undefined;
   private openedAt = 0;
@@ -102,6 +106,7 @@
       onRequestStart: controller => {
         this.controller = controller;
         this.startMeter();
+        this.check?.begin(options.method);
         const control = {
           abort: (reason: Error) => controller.abort(reason),
           pause: () => controller.pause(),
@@ -110,19 +115,28 @@
         };
         events.onStart(control, this.recordUse(id));
       },
-      onResponseStart: (_controller, status, headers) => {
+      onResponseStart: (controller, status, headers) => {
         // The client reports each interim response like a head; the head follows.
-        if (status >= FINAL_STATUS) {
+        const isInterim = status >= INTERIM_STATUS && status < FINAL_STATUS;
+        const fault = isInterim ? undefined : this.check?.findHeadFault(status);
+        if (fault) {
+          controller.abort(createFault(fault));
+        } else if (!isInterim) {
           events.onHead(status, headers);
         }
       },
-      onResponseData: (_controller, chunk) => {
+      onResponseData: (controller, chunk) => {
         this.meter?.recordBody(chunk.length);
+        const fault = this.check?.recordBody(chunk.length);
+        if (fault) {
+          controller.abort(createFault(fault));
+          return;
+        }
         events.onData(chunk);
         drain.recordBody(chunk.length);
       },
       onResponseEnd: () => {
-        events.onEnd();
+        this.reportEnd(events);
         this.closeIfUnsent();
         release();
       },
@@ -143,6 +157,17 @@
     await this.client.destroy();
   }
 
+  /** Reports the end of a response, as an error if it is not whole. */
+  private reportEnd(events: ExchangeEvents): void {
+    const fault = this.check?.findFault();
+    if (fault) {
+      this.socket?.destroy();
+      events.onError(createFault(fault));
+    } else {
+      events.onEnd();
+    }
+  }
+
   /** Closes the connection if the server answered before the request was sent: the next one would wait behind its rest. */
   private closeIfUnsent(): void {
     if (this.socket && this.socket.writableLength > 0) {
@@ -163,6 +188,7 @@
   private recordOpened(socket: Socket | null): void {
     this.socket = socket ?? undefined;
     this.meter = undefined;
+    this.check = socket ? ResponseCheck.create(socket) : undefined;
     this.openedAt = performance.now();
     this.requestCount = 0;
     this.carriedIds.clear();
@@ -197,3 +223,7 @@
     return {requestCount: this.requestCount, ageMs};
   }
 }
+
+function createFault(reason: string): TransportError {
+  return new TransportError('no valid response: %s', reason);
+}
