refactor(transport): one place tells how a response ends

The check that reads each response knows whether it ends with its connection, so the gateway's client need not work it out from the headers again. No behaviour changes.

--- a/src/transport/exchange_events.ts
+++ b/src/transport/exchange_events.ts
@@ -11,8 +11,8 @@
     headers: Readonly<Record<string, string | string[] | undefined>>,
   ) => void;
   readonly onData: (chunk: Buffer) => void;
-  /** The response is complete. */
-  readonly onEnd: () => void;
+  /** The response is complete; `endsWithConnection` if it had neither a length nor chunks. */
+  readonly onEnd: (endsWithConnection: boolean) => void;
   /** Called instead of `onEnd`. */
   readonly onError: (error: Error) => void;
 }
--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -3,7 +3,6 @@
 import {ConnectionUse} from './connection_use';
 import {ExchangeControl} from './exchange_control';
 import {ExchangeEvents} from './exchange_events';
-import {isDelimitedByConnection} from './is_delimited_by_connection';
 import {ListenerChecks} from './listener_checks';
 import {OVERFLOW_CODE} from './overflow_code';
 import {ServerConnections} from './server_connections';
@@ -25,16 +24,15 @@
 }
 
 /** Callbacks for the progress of a request, in the order of their calls. */
-interface HttpClientEvents extends Pick<
-  ExchangeEvents,
-  'onHead' | 'onData' | 'onEnd'
-> {
+interface HttpClientEvents extends Pick<ExchangeEvents, 'onHead' | 'onData'> {
   /** The request is about to be written to a connection: from now on it may run. False aborts it before the first byte. */
   readonly onSent: (use: ConnectionUse) => boolean;
   /** The body ended with its connection; called before `onEnd`, with whether the server still listens. */
   readonly onEndedByConnection?: (
     state: Awaited<ReturnType<ListenerChecks['check']>>,
   ) => void;
+  /** The response is whole. */
+  readonly onEnd: () => void;
   /**
    * Called instead of `onEnd`. Its name is `NeverSent` if the request cannot have run,
    * `Oversized` if the response has too many bytes besides its body, and else `Broken`.
@@ -75,7 +73,6 @@
     let isAborted = false;
     let isSent = false;
     let hasReturned = false;
-    let endsWithConnection = false;
     let isNeeded = true;
     const abortReason = new Error('the request was aborted');
     const withdraw = this.findPool(request).dispatch(
@@ -99,13 +96,9 @@
             started.abort(abortReason);
           }
         },
-        onHead: (status, headers) => {
-          const {method} = request;
-          endsWithConnection = isDelimitedByConnection(method, status, headers);
-          events.onHead(status, headers);
-        },
+        onHead: events.onHead,
         onData: events.onData,
-        onEnd: () => {
+        onEnd: endsWithConnection => {
           if (endsWithConnection && isNeeded) {
             void this.checkEnd(request.address, events);
           } else {
--- a/src/transport/response_check.ts
+++ b/src/transport/response_check.ts
@@ -38,6 +38,11 @@
     this.deliveredBytes = 0;
   }
 
+  /** True if only the end of the connection ends the response, be it by the server or with it. */
+  get endsWithConnection(): boolean {
+    return this.framing?.endsWithConnection ?? false;
+  }
+
   /** Returns why a head that the client reports is not that of a valid response; undefined if it is. */
   findHeadFault(status: number): string | undefined {
     const {fault, status: received} = this.framing ?? {};
--- a/src/transport/server_connection.ts
+++ b/src/transport/server_connection.ts
@@ -164,7 +164,7 @@
       this.socket?.destroy();
       events.onError(createFault(fault));
     } else {
-      events.onEnd();
+      events.onEnd(this.check?.endsWithConnection ?? false);
     }
   }
 
