fix(host): a response that ends with its killed server is not whole

The same cause as at the gateway, at the client of whinreel-host: a plain response without a length or chunks counted as whole when the kernel ended the connection of the killed backend server. Event streams there end with an event of their own and were not concerned.

The client opens a connection to the same address after such an end, with the probe that the gateway uses. Control's calls are left as they are: their answers are one JSON object, which can't be parsed when it is cut.

Evidence: the new test got the part as whole before and fails the response now; one whose server listens on is whole before and after.

--- a/src/transport/backend_exchange.ts
+++ b/src/transport/backend_exchange.ts
@@ -1,5 +1,6 @@
 /** One HTTP request to a backend server and its response, over a connection of its own. */
 import * as http from 'node:http';
+import {probeListener} from './probe_listener';
 import {ResponseCheck} from './response_check';
 import {TransportError} from './transport_error';
 
@@ -45,7 +46,7 @@
   private receivedBytes = 0;
   private bodyBytes = 0;
 
-  private constructor(options: BackendRequest) {
+  private constructor(private readonly options: BackendRequest) {
     const {url, method, path, headers, body, signal} = options;
     // Without an agent, Node.js never uses the connection for another request.
     this.request = http.request(url, {
@@ -94,6 +95,9 @@
         timer = this.startBodyTimer();
       }
       rejectFault(this.check?.findFault());
+      if (this.check?.endsWithConnection) {
+        rejectFault(await findServerFault(this.options.url));
+      }
     } catch (error) {
       throw wrapError(error as Error, 'Broken');
     } finally {
@@ -182,6 +186,12 @@
   }
 }
 
+/** A process that was killed leaves its connections to the kernel, which ends them in order. */
+async function findServerFault(url: string): Promise<string | undefined> {
+  const isAlive = (await probeListener(new URL(url).host)) === 'listens';
+  return isAlive ? undefined : 'the server ended with its response';
+}
+
 function rejectFault(reason: string | undefined): void {
   if (reason) {
     throw new Error(`no valid response: ${reason}`);
--- a/src/transport/probe_listener.ts
+++ b/src/transport/probe_listener.ts
@@ -2,6 +2,8 @@
 
 /** A refusal takes one round trip; a longer silence tells nothing about the process. */
 const CONNECT_TIMEOUT_MS = 300;
+/** A URL leaves this port out. */
+const DEFAULT_PORT = 80;
 /**
  * A process that ends closes its sockets one after the other, and the port that it listens
  * on may be the last: the kernel accepts a connection until then, and resets it.
@@ -47,7 +49,7 @@
   const {hostname, port} = new URL(`http://${address}`);
   const host = hostname.replace(/^\[|\]$/g, '');
   return new Promise(resolve => {
-    const socket = net.connect({host, port: Number(port)});
+    const socket = net.connect({host, port: Number(port || DEFAULT_PORT)});
     const finish = (result: ConnectionResult) => {
       clearTimeout(timer);
       socket.destroy();
--- a/test/transport/backend_http_client.test.ts
+++ b/test/transport/backend_http_client.test.ts
@@ -183,3 +183,22 @@
     expect(await written).toBeLessThan(8 * 1024 * 1024);
   },
 );
+
+// The kernel ends the connections of a killed process in order.
+test.each([
+  ['is not whole when its server was killed', true],
+  ['is whole when its server listens on', false],
+])('a response that ends with its connection %s', async (_what, isKilled) => {
+  const {backend, call} = await start(({socket}) => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\npart');
+    setTimeout(() => {
+      if (isKilled) {
+        backend.stopListening();
+      }
+      socket.end();
+    }, 20);
+  });
+  const {body} = await call('a');
+  const text = await readText(body).catch((error: Error) => error.name);
+  expect(text).toBe(isKilled ? 'Broken' : 'part');
+});
