fix(gateway): a pause of the gateway hides no restart of a backend server

Found while reviewing the check of responses that end with their connection: a gateway that is stopped or suspended reads such an end when it goes on, and the backend server may have been killed and started again at its address meanwhile. The check then meets the new process.

--- a/src/gateway/check_timer.ts
+++ b/src/gateway/check_timer.ts
@@ -9,6 +9,8 @@
 interface CheckTimerOptions {
   readonly clock: Clock;
   readonly check: (now: number) => void;
+  /** Called at each interval, also when the check is skipped. */
+  readonly onTick: () => void;
 }
 
 /**
@@ -31,7 +33,7 @@
    * Starts to check.
    *
    * @example
-   * const timer = CheckTimer.create({clock, check: now => requests.forEach(each => each.check(now))});
+   * const timer = CheckTimer.create({clock, check: now => requests.forEach(each => each.check(now)), onTick});
    */
   static create(options: CheckTimerOptions): CheckTimer {
     return new CheckTimer(options);
@@ -42,7 +44,8 @@
   }
 
   private tick(): void {
-    const {clock, check} = this.options;
+    const {clock, check, onTick} = this.options;
+    onTick();
     const now = clock.now();
     const hasPaused = now - this.lastCheckAt > MAX_CHECK_GAP_MS;
     this.lastCheckAt = now;
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -3,6 +3,7 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
 import {EventRing} from '../common/event_ring';
+import {ProcessPauses} from '../common/process_pauses';
 import {systemClock} from '../common/system_clock';
 import {ThrottledEventLog} from '../common/throttled_event_log';
 import {ControlClient} from '../protocol/control_client';
@@ -50,7 +51,10 @@
   /** Recorded events; the newest are kept in memory. */
   readonly events = EventRing.create();
   private readonly clock = systemClock;
-  private readonly clientPool = HttpClientPool.create();
+  private readonly pauses = ProcessPauses.create();
+  private readonly clientPool = HttpClientPool.create(() =>
+    this.pauses.hasPausedLately(),
+  );
   private readonly responseLog = ResponseLog.create(this.events, systemClock);
   private readonly responseMemory = ResponseMemory.create(
     computeResponseMemoryBytes(),
@@ -163,6 +167,7 @@
     this.checkTimer = CheckTimer.create({
       clock,
       check: now => this.requests.forEach(request => request.check(now)),
+      onTick: () => this.pauses.record(),
     });
   }
 
@@ -199,9 +204,8 @@
   /** Updates the seed addresses of the control plane after the settings changed. */
   setControl(addresses: readonly string[]): void {
     this.seeds = addresses;
-    this.controlAddresses = [
-      ...new Set([...this.controlAddresses, ...addresses]),
-    ];
+    const known = [...this.controlAddresses, ...addresses];
+    this.controlAddresses = [...new Set(known)];
   }
 
   /** Shuts down gracefully: serves requests until callers have noticed, and closes once all admitted ones are answered. */
--- a/src/gateway/responses/response_log.ts
+++ b/src/gateway/responses/response_log.ts
@@ -39,6 +39,8 @@
     'the response ended with its connection, and its server listens no more',
   silent:
     'the response ended with its connection, and its server can not be reached',
+  unknown:
+    'the response ended with its connection, around a pause of this process',
 } as const;
 
 /** Limits a line; the id comes from a faulty backend server. */
--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -27,9 +27,9 @@
 interface HttpClientEvents extends Pick<ExchangeEvents, 'onHead' | 'onData'> {
   /** The request is about to be written to a connection: from now on it may run. False aborts it before the first byte. */
   readonly onSent: (use: ConnectionUse) => boolean;
-  /** The body ended with its connection; called before `onEnd`, with whether the server still listens. */
+  /** The body ended with its connection; called before `onEnd`, with whether the server still listens; `unknown` after a pause of this process. */
   readonly onEndedByConnection?: (
-    state: Awaited<ReturnType<ListenerChecks['check']>>,
+    state: Awaited<ReturnType<ListenerChecks['check']>> | 'unknown',
   ) => void;
   /** The response is whole. */
   readonly onEnd: () => void;
@@ -54,17 +54,19 @@
   private readonly pools = new Map<string, ServerConnections>();
   private readonly listeners = ListenerChecks.create();
 
-  private constructor() {}
+  private constructor(private readonly hasPausedLately: () => boolean) {}
 
   /**
    * Creates a client without connections.
    *
+   * @param hasPausedLately true if this process was held up, so that what it reads may
+   *     have arrived long before
    * @example
-   * const client = HttpClientPool.create();
+   * const client = HttpClientPool.create(() => pauses.hasPausedLately());
    * const handle = client.call(request, events);
    */
-  static create(): HttpClientPool {
-    return new HttpClientPool();
+  static create(hasPausedLately: () => boolean = () => false): HttpClientPool {
+    return new HttpClientPool(hasPausedLately);
   }
 
   /** Starts a request. */
@@ -162,7 +164,9 @@
     address: string,
     {onEndedByConnection, onEnd, onError}: HttpClientEvents,
   ): Promise<void> {
-    const state = await this.listeners.check(address);
+    const listenerState = await this.listeners.check(address);
+    // A server may have ended during a pause of this process, and started again.
+    const state = this.hasPausedLately() ? 'unknown' : listenerState;
     onEndedByConnection?.(state);
     if (state === 'listens') {
       onEnd();
--- a/test/transport/http_client_pool.test.ts
+++ b/test/transport/http_client_pool.test.ts
@@ -1,5 +1,5 @@
 import * as http from 'node:http';
-import {AddressInfo} from 'node:net';
+import * as net from 'node:net';
 import {afterEach, expect, test} from 'vitest';
 import {HttpClientPool} from '../../src/transport/http_client_pool';
 import {waitUntil} from '../support/wait_until';
@@ -27,7 +27,7 @@
     () => server.closeAllConnections(),
     () => client.close(),
   );
-  const {port} = server.address() as AddressInfo;
+  const {port} = server.address() as net.AddressInfo;
   let sent = 0;
   const send = (maxConnections: number, id = `q${(sent += 1)}`) =>
     new Promise<void>((resolve, reject) => {
@@ -152,3 +152,45 @@
   });
   expect(await failed).toBe(true);
 });
+
+// The server may have been killed and started again during the pause.
+test.each([
+  [true, 'Broken'],
+  [false, 'whole'],
+])(
+  'a response that ended with its connection around a pause of this process (%s) is %s',
+  async (hasPaused, expected) => {
+    const server = net.createServer(socket => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => socket.end('HTTP/1.1 200 OK\r\n\r\npart'));
+    });
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const client = HttpClientPool.create(() => hasPaused);
+    closers.push(
+      () => server.close(),
+      () => client.close(),
+    );
+    const {port} = server.address() as net.AddressInfo;
+    const end = await new Promise<string>(resolve => {
+      client.call(
+        {
+          id: 'q',
+          address: `127.0.0.1:${port}`,
+          method: 'GET',
+          path: '/',
+          headers: [],
+          body: null,
+          maxConnections: 1,
+        },
+        {
+          onSent: () => true,
+          onHead: () => undefined,
+          onData: () => undefined,
+          onEnd: () => resolve('whole'),
+          onError: ({name}) => resolve(name),
+        },
+      );
+    });
+    expect(end).toBe(expected);
+  },
+);
