--- a/test/soak/soak_faults.ts
+++ b/test/soak/soak_faults.ts
@@ -1,13 +1,10 @@
 /** Faults of several kinds under way at once; one control machine at a time is away. */
 import {Relay} from '../support/relay';
 import {waitUntil} from '../support/wait_until';
-import {createRandom} from './create_random';
+import {FaultLanes} from './fault_lanes';
+import {listProcessFaults} from './list_process_faults';
 import {SoakFleet} from './soak_fleet';
-import {SoakMachine} from './soak_machine';
 
-/** How long a fault lasts: from this long to this much longer. */
-const FAULT_MS = 200;
-const FAULT_SPREAD_MS = 1_500;
 /** A series of stops begins within this time. */
 const SERIES_MS = 1_000;
 /** A quorum that lost a disk needs this long to be whole again, before the next loss. */
@@ -16,6 +13,7 @@
 /** Lanes that were added later draw from seeds of their own, so that the others draw what they always did. */
 const ANSWER_SEEDS = 4_000_000;
 const ANSWER_LANES = 2;
+const {drawMs, pick, sleep} = FaultLanes;
 
 /** What faults work with. */
 interface SoakFaultsOptions {
@@ -31,13 +29,10 @@
 
 /** Draws faults from a seed: each lane of its own, one after the other. */
 export class SoakFaults {
-  /** What was done when, a line each. */
-  readonly lines: string[] = [];
-  readonly counts: Record<string, number> = {};
+  private readonly lanes = FaultLanes.create();
   /** When the link to a backend server was disturbed, by its name. */
   private readonly linkHarms: Array<{name: string; from: number; to: number}> =
     [];
-  private isOver = false;
 
   private constructor(private readonly options: SoakFaultsOptions) {}
 
@@ -45,6 +40,15 @@
     return new SoakFaults(options);
   }
 
+  /** What was done when, a line each. */
+  get lines(): readonly string[] {
+    return this.lanes.lines;
+  }
+
+  get counts(): Readonly<Record<string, number>> {
+    return this.lanes.counts;
+  }
+
   /** True when the link to one of these backend servers was disturbed at some moment of this time. */
   wasLinkHarmed(names: ReadonlySet<string>, from: number, to: number): boolean {
     return this.linkHarms.some(
@@ -54,7 +58,6 @@
 
   /** Injects faults for a while; all are over when it resolves. */
   async inject(durationMs: number): Promise<void> {
-    const timer = setTimeout(() => (this.isOver = true), durationMs);
     const lists: Array<(random: Random) => Faults> = [
       random => this.listControlFaults(random),
       random => this.listEntryFaults(random),
@@ -64,42 +67,25 @@
       random => this.listSettingsFaults(random),
     ];
     const {seed} = this.options;
-    // Each lane draws for itself, so that what one draws does not depend on how long others take.
-    const lanes = lists.map((list, at) =>
-      this.repeat(list, createRandom(seed * lists.length + at)),
-    );
+    const lanes = lists.map((list, at) => ({
+      list,
+      seed: seed * lists.length + at,
+    }));
     for (let at = 0; at < ANSWER_LANES; at += 1) {
-      const random = createRandom(ANSWER_SEEDS + seed * ANSWER_LANES + at);
-      lanes.push(this.repeat(() => this.listAnswerFaults(random), random));
+      lanes.push({
+        list: random => this.listAnswerFaults(random),
+        seed: ANSWER_SEEDS + seed * ANSWER_LANES + at,
+      });
     }
     try {
-      await Promise.all(lanes);
+      await this.lanes.inject(durationMs, lanes);
     } finally {
-      clearTimeout(timer);
-      this.isOver = true;
-      // A lane that goes on would start processes after the end of the run.
-      await Promise.allSettled(lanes);
       this.options.fleet.relays
         .select('*', '*')
         .forEach(link => link.restore());
     }
   }
 
-  private async repeat(
-    list: (random: Random) => Faults,
-    random: Random,
-  ): Promise<void> {
-    while (!this.isOver) {
-      const faults = list(random);
-      const name = pick(Object.keys(faults), random);
-      this.counts[name] = (this.counts[name] ?? 0) + 1;
-      this.tell(`${name} begins`);
-      await faults[name]();
-      this.tell(`${name} ends`);
-      await sleep(drawMs(random));
-    }
-  }
-
   private listControlFaults(random: Random): Faults {
     const {controls, relays} = this.options.fleet;
     const machine = pick(controls, random);
@@ -110,7 +96,7 @@
       relays.select(options.ip, '*'),
     );
     return this.mapRepairs({
-      ...listMachineFaults('control', machine, durationMs),
+      ...listProcessFaults('control', machine, durationMs),
       [`disk of ${ip} lost`]: () => machine.restartKilled(0, true),
       [`${ip} cut off`]: () => hold(links, durationMs, link => link.break()),
       [`${ip} not heard`]: () =>
@@ -131,7 +117,7 @@
     const {entries} = this.options.fleet;
     const waits = entries.map(() => random() * SERIES_MS);
     return {
-      ...listMachineFaults('entry', pick(entries, random), drawMs(random)),
+      ...listProcessFaults('entry', pick(entries, random), drawMs(random)),
       'all entries stopped': () =>
         Promise.all(
           entries.map(async (entry, at) => {
@@ -223,23 +209,6 @@
         ),
     };
   }
-
-  private tell(what: string): void {
-    this.lines.push(`${new Date().toISOString()} ${what}`);
-  }
-}
-
-function listMachineFaults(
-  role: string,
-  machine: SoakMachine,
-  durationMs: number,
-): Faults {
-  const {ip} = machine.options;
-  return {
-    [`${role} ${ip} killed`]: () => machine.restartKilled(durationMs, false),
-    [`${role} ${ip} frozen`]: () => machine.freeze(durationMs),
-    [`${role} ${ip} stopped`]: () => machine.restartStopped(),
-  };
 }
 
 function listRelayFaults(
@@ -269,15 +238,3 @@
   await sleep(durationMs);
   links.forEach(link => link.restore());
 }
-
-function drawMs(random: Random): number {
-  return FAULT_MS + random() * FAULT_SPREAD_MS;
-}
-
-function pick<T>(list: readonly T[], random: Random): T {
-  return list[Math.floor(random() * list.length)];
-}
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -21,12 +21,17 @@
 const SIGNAL_SEEDS = 1_000_000;
 const COPY_SEEDS = 2_000_000;
 const ENDLESS_SEEDS = 3_000_000;
-/** Backend servers that name limits; the last one always takes what the others do not. */
-const LIMITED_BACKENDS = BACKENDS - 1;
 /** Stands for all entries at a link to a backend server. */
 const ENTRY_SIDE = 'entries';
 
-/** Three control processes, three entries and three backend servers, with a relay on each link. */
+/** How many there are beside the control processes. */
+interface SoakFleetOptions {
+  readonly entries?: number;
+  /** Within this process; 0 where a run brings its own. */
+  readonly backends?: number;
+}
+
+/** Three control processes, and by default three entries and three backend servers, with a relay on each link. */
 export class SoakFleet {
   readonly controls: SoakMachine[] = [];
   readonly entries: SoakMachine[] = [];
@@ -38,12 +43,18 @@
   private readonly folder = mkdtempSync(path.join(tmpdir(), 'whinreel-soak-'));
   private readonly random: () => number;
 
-  private constructor(private readonly seed: number) {
+  private constructor(
+    private readonly seed: number,
+    private readonly size: Required<SoakFleetOptions>,
+  ) {
     this.random = createRandom(seed);
   }
 
-  static async create(seed: number): Promise<SoakFleet> {
-    const fleet = new SoakFleet(seed);
+  static async create(
+    seed: number,
+    {entries = ENTRIES, backends = BACKENDS}: SoakFleetOptions = {},
+  ): Promise<SoakFleet> {
+    const fleet = new SoakFleet(seed, {entries, backends});
     const [internal, control, front, ready] = await Promise.all(
       [1, 2, 3, 4].map(() => reservePort()),
     );
@@ -72,7 +83,7 @@
 
   async start(): Promise<void> {
     await Promise.all(this.machines.map(machine => machine.start()));
-    for (let at = 0; at < BACKENDS; at += 1) {
+    for (let at = 0; at < this.size.backends; at += 1) {
       const name = `i${at}`;
       const backend = await SoakBackend.create({
         incarnation: name,
@@ -109,7 +120,8 @@
   /** Drawn apart, so that what else a seed draws stays as it is. */
   private createSignals(name: string, at: number): SoakSignals {
     const random = createRandom(this.seed + SIGNAL_SEEDS + at);
-    const isEverLimited = at < LIMITED_BACKENDS;
+    // The last one always takes what the others do not.
+    const isEverLimited = at < this.size.backends - 1;
     const signals = SoakSignals.create({name, random, isEverLimited});
     this.signals.push(signals);
     return signals;
@@ -132,7 +144,7 @@
     for (const ip of seeds) {
       this.controls.push(await create('control', ip));
     }
-    for (let at = 0; at < ENTRIES; at += 1) {
+    for (let at = 0; at < this.size.entries; at += 1) {
       const ip = formatIp(this.seed, at + 11);
       this.entries.push(await create('entry', ip));
     }
--- a/test/soak/soak_machine.ts
+++ b/test/soak/soak_machine.ts
@@ -3,6 +3,7 @@
 import {rm} from 'node:fs/promises';
 import * as path from 'node:path';
 import {ManagedProcess} from '../support/managed_process';
+import {SoakProcess} from './soak_process';
 
 /** Ports are alike on all machines, as on the platform. */
 interface SoakPorts {
@@ -28,20 +29,13 @@
 /** How long a planned stop may take, in seconds. */
 const GRACE_S = 8;
 
-/** A program that can be killed, frozen, stopped and started again, with or without its disk. */
-export class SoakMachine {
-  private process: ManagedProcess | undefined;
+/** A program with its settings and its disk. */
+export class SoakMachine extends SoakProcess {
   private isFirstStart = true;
-  /** It was told to stop and has not ended yet. */
-  private isStopping = false;
   private seeds: readonly string[];
-  private readonly earlier: string[] = [];
-  /** When it was killed or frozen, and until when; on the monotonic clock. */
-  private readonly harms: Array<{from: number; to: number}> = [];
-  /** What is done to it next begins when the last has ended. */
-  private turn: Promise<void> = Promise.resolve();
 
   private constructor(readonly options: SoakMachineOptions) {
+    super();
     this.seeds = options.seeds;
   }
 
@@ -50,27 +44,25 @@
     return new SoakMachine(options);
   }
 
-  /** Everything that its processes have written so far. */
-  get log(): string[] {
-    return [...this.earlier, ...(this.process?.lines ?? [])];
+  override get label(): string {
+    return this.options.ip;
   }
 
-  /** Set when its process ended though nobody ended it. */
-  get unexpectedEnd(): string | undefined {
-    return this.process?.hasExited && !this.isStopping
-      ? `the process of ${this.options.ip} ended by itself: ${this.process.stderr}`
-      : undefined;
-  }
-
-  /** True when it was killed or frozen at some moment of this time. */
-  wasHarmed(from: number, to: number): boolean {
-    return this.harms.some(harm => harm.from <= to && harm.to >= from);
+  /** Gives a running program other settings; a wrong file must change nothing. */
+  changeSettings(seeds: readonly string[] | 'wrong'): void {
+    // A program that starts reads its file by itself, and dies of a signal that it cannot take yet.
+    if (!this.running) {
+      return;
+    }
+    this.seeds = seeds === 'wrong' ? this.seeds : seeds;
+    this.writeSettings(seeds === 'wrong' ? 'ip = ' : this.formatSettings());
+    this.running.reload();
   }
 
-  async start(): Promise<void> {
+  protected override async launch(): Promise<ManagedProcess> {
     this.writeSettings(this.formatSettings());
-    this.process = await ManagedProcess.create({
-      label: this.options.ip,
+    const started = await ManagedProcess.create({
+      label: this.label,
       script: `platform/bin/${this.options.role}.js`,
       args: [],
       env: {
@@ -80,79 +72,12 @@
       },
     });
     this.isFirstStart = false;
+    return started;
   }
 
-  /** Ends it for good, whatever it does. */
-  async close(): Promise<void> {
-    await this.takeProcess()?.kill();
-  }
-
-  /** Kills it, and starts it again after a while, with its disk or without. */
-  restartKilled(downMs: number, losesDisk: boolean): Promise<void> {
-    return this.harm(async () => {
-      await this.takeProcess()?.kill();
-      if (losesDisk) {
-        // Not at once for all: callers and backend servers live in this process.
-        await rm(this.dataFolder, {recursive: true, force: true});
-      }
-      await new Promise(resolve => setTimeout(resolve, downMs));
-      await this.start();
-    });
-  }
-
-  /** Freezes it for a while. */
-  freeze(durationMs: number): Promise<void> {
-    return this.harm(async () => {
-      this.process?.pause();
-      await new Promise(resolve => setTimeout(resolve, durationMs));
-      this.process?.resume();
-    });
-  }
-
-  /** Stops it as planned, waits for its end and starts it again. */
-  restartStopped(): Promise<void> {
-    return this.queue(async () => {
-      this.isStopping = true;
-      await this.process?.stop();
-      this.takeProcess();
-      this.isStopping = false;
-      await this.start();
-    });
-  }
-
-  /** Gives a running program other settings; a wrong file must change nothing. */
-  changeSettings(seeds: readonly string[] | 'wrong'): void {
-    // A program that starts reads its file by itself, and dies of a signal that it cannot take yet.
-    if (!this.process) {
-      return;
-    }
-    this.seeds = seeds === 'wrong' ? this.seeds : seeds;
-    this.writeSettings(seeds === 'wrong' ? 'ip = ' : this.formatSettings());
-    this.process.reload();
-  }
-
-  private harm(step: () => Promise<void>): Promise<void> {
-    return this.queue(async () => {
-      const harm = {from: performance.now(), to: Infinity};
-      this.harms.push(harm);
-      await step();
-      harm.to = performance.now();
-    });
-  }
-
-  private queue(step: () => Promise<void>): Promise<void> {
-    const done = this.turn.then(step);
-    this.turn = done.catch(() => undefined);
-    return done;
-  }
-
-  private takeProcess(): ManagedProcess | undefined {
-    const {process} = this;
-    this.process = undefined;
-    if (process) {
-      void process.exited.then(() => this.earlier.push(...process.lines));
-    }
-    return process;
+  /** Not at once for all: callers and backend servers live in this process. */
+  protected override async deleteData(): Promise<void> {
+    await rm(this.dataFolder, {recursive: true, force: true});
   }
 
   private get settingsFile(): string {
--- a/test/soak/soak_run.ts
+++ b/test/soak/soak_run.ts
@@ -9,13 +9,11 @@
  * another request; gateways close connections on which bytes come without end; no
  * process ends by itself.
  */
-import {writeFileSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import * as path from 'node:path';
 import {waitUntil} from '../support/wait_until';
 import {checkClaims} from './check_claims';
 import {checkRequest} from './check_request';
 import {createRandom} from './create_random';
+import {saveLogs} from './save_logs';
 import {SoakCallers} from './soak_callers';
 import {SoakEndless} from './soak_endless';
 import {SoakFaults} from './soak_faults';
@@ -68,7 +66,12 @@
       await Promise.all([run.callers.stop(), run.operator.stop()]);
       run.checkAll();
       await fleet.close();
-      run.saveLogs();
+      run.logFile = saveLogs({
+        name: `soak-${options.seed}`,
+        broken: run.broken,
+        faults: run.faults.lines,
+        processes: fleet.machines,
+      });
     }
     return run;
   }
@@ -150,17 +153,4 @@
       ...fleet.machines.flatMap(({unexpectedEnd}) => unexpectedEnd ?? []),
     );
   }
-
-  private saveLogs(): void {
-    if (this.broken.length === 0) {
-      return;
-    }
-    const name = `whinreel-soak-${this.options.seed}-${process.pid}.log`;
-    this.logFile = path.join(tmpdir(), name);
-    const lines = this.fleet.machines.flatMap(({options, log}) =>
-      log.map(line => `${options.ip} ${line}`),
-    );
-    const all = [...this.broken, ...this.faults.lines, ...lines];
-    writeFileSync(this.logFile, all.join('\n'));
-  }
 }
