fix(transport): a line of a response takes time in proportion to its bytes

What callers saw (trial on the reader alone; the request path reads with it): a head from one backend server with 4,000 blanks before a control byte in the value of a field holds the process up for 17.7 s, 2,000 for 2.8 s: no answer, no readiness, no control meanwhile. A read of 60,000 blanks within a value takes 2.5 s. Backend servers may send bytes that form no answer, and the check reads a line of up to 64 KiB before any limit of a parser or meter.

Cause: the pattern of a field matched the blanks before the value, a lazy value that may hold blanks, and the blanks behind it, so the time grew with the cube of the blanks where the line does not match, and with the square where it does.

Change: the value is matched with its blanks, and only the two fields that state where the body ends allow for them, each with a pattern that can match in one way.

Blanks around a length and a coding count for nothing, before and after.

--- a/src/transport/find_body_framing.ts
+++ b/src/transport/find_body_framing.ts
@@ -5,9 +5,9 @@
   readonly status: number;
   /** The minor version of HTTP/1. */
   readonly minorVersion: number;
-  /** Values of all `content-length` fields. */
+  /** Values of all `content-length` fields, with the blanks around them. */
   readonly lengths: readonly string[];
-  /** Values of all `transfer-encoding` fields. */
+  /** Values of all `transfer-encoding` fields, with the blanks around them. */
   readonly codings: readonly string[];
 }
 
@@ -18,7 +18,8 @@
   | {readonly kind: 'invalid'; readonly reason: string};
 
 /** Fifteen digits are exact as a number. */
-const LENGTH = /^[0-9]{1,15}$/;
+const LENGTH = /^[ \t]*[0-9]{1,15}[ \t]*$/;
+const CHUNKED = /^[ \t]*chunked[ \t]*$/i;
 const FINAL_STATUS = 200;
 const NO_CONTENT = 204;
 const NOT_MODIFIED = 304;
@@ -60,7 +61,7 @@
   if (lengths.some(length => !LENGTH.test(length))) {
     return 'its content-length is no number of bytes';
   }
-  if (codings.some(coding => coding.toLowerCase() !== 'chunked')) {
+  if (codings.some(coding => !CHUNKED.test(coding))) {
     return 'its transfer-encoding is not chunked';
   }
   if (codings.length > 0 && minorVersion === 0) {
--- a/src/transport/response_framing.ts
+++ b/src/transport/response_framing.ts
@@ -2,8 +2,8 @@
 import {findBodyFraming} from './find_body_framing';
 
 const STATUS_LINE = /^HTTP\/1\.([01]) ([1-5][0-9]{2})(?: [\t -~\x80-\xff]*)?$/;
-const FIELD_LINE =
-  /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([\t -~\x80-\xff]*?)[ \t]*$/;
+/** Blanks around the value are part of it here: to match them apart takes time that grows with the cube of their number. */
+const FIELD_LINE = /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t -~\x80-\xff]*)$/;
 /** Thirteen hexadecimal digits are exact as a number. */
 const CHUNK_SIZE_LINE = /^0*([0-9A-Fa-f]{1,13})(?:[ \t]*;[\t -~\x80-\xff]*)?$/;
 
--- a/test/transport/response_framing.test.ts
+++ b/test/transport/response_framing.test.ts
@@ -9,6 +9,10 @@
 /** Until the client has paused within the first half. */
 const REST_DELAY_MS = 20;
 
+const MICROSECONDS_PER_MS = 1_000;
+/** Far above what a line takes in proportion to its bytes. */
+const MAX_LINE_MS = 200;
+
 const closers: Array<() => unknown> = [];
 
 afterEach(async () => {
@@ -121,3 +125,45 @@
   expect(await send('first')).toBe(body);
   expect(await send('second')).toBe(body);
 });
+
+// A line that took time with the square or the cube of its blanks held the whole process up.
+test.each([
+  ['blanks before a control byte', `${OK}a: ${' '.repeat(4_000)}\x01\r\n`],
+  ['blanks within a value', `${OK}a: b${' '.repeat(60_000)}c\r\n`],
+  [
+    'blanks behind a length',
+    `${OK}content-length: 1${' '.repeat(60_000)}x\r\n\r\n`,
+  ],
+  [
+    'blanks behind a coding',
+    `${OK}transfer-encoding: chunked${' '.repeat(60_000)}x\r\n\r\n`,
+  ],
+  [
+    'zeros and blanks in the size of a chunk',
+    `${OK}transfer-encoding: chunked\r\n\r\n${'0'.repeat(30_000)}${' '.repeat(30_000)}\r\n`,
+  ],
+])('a line with many %s takes little time', (_name, text) => {
+  const framing = ResponseFraming.create('GET');
+  const begin = process.cpuUsage();
+  framing.read(Buffer.from(text, 'latin1'));
+  const {user} = process.cpuUsage(begin);
+  expect(user / MICROSECONDS_PER_MS).toBeLessThan(MAX_LINE_MS);
+});
+
+test.each(['content-length:4', 'content-length: \t4 \t'])(
+  'blanks around a length (%j) count for nothing',
+  field => {
+    const framing = ResponseFraming.create('GET');
+    framing.read(Buffer.from(`${OK}${field}\r\n\r\nbody`));
+    expect(framing).toMatchObject({isComplete: true, bodyBytes: 4});
+  },
+);
+
+test.each(['transfer-encoding:chunked', 'transfer-encoding: \tChunked \t'])(
+  'blanks around a coding (%j) count for nothing',
+  field => {
+    const framing = ResponseFraming.create('GET');
+    framing.read(Buffer.from(`${OK}${field}\r\n\r\n1\r\na\r\n0\r\n\r\n`));
+    expect(framing).toMatchObject({isComplete: true, bodyBytes: 1});
+  },
+);
