fix(entry): a large body that breaks off ends with a reset for HTTP/1.0

What callers saw (own test, HTTP/1.0): a plain body of over 1 MiB that broke off at the backend server ended with its connection, in order, and so looked whole.

Cause: such a body is passed on as it comes and, without chunks, ends with the connection; the entry closed it in order to break it off. The gateway's writer resets the connection there already; this one was left out. HTTP/1.1 was not concerned, as the last chunk is missing.

It tells a reset by ConnectionEnd, as the end event alone comes for a reset, too. A kill of the entry still looks whole for such a caller.

--- a/src/entry/caller_response.ts
+++ b/src/entry/caller_response.ts
@@ -173,8 +173,7 @@
       return;
     }
     if (!this.isEvents) {
-      // Only an aborted connection shows the caller that a body without events is truncated.
-      this.response.destroy();
+      this.cancel();
       return;
     }
     const {title, detail, outcome} = problem;
@@ -188,6 +187,17 @@
     this.response.end();
   }
 
+  /**
+   * Closes the connection so that the caller sees that the body is truncated: a missing
+   * last chunk shows it, and for HTTP/1.0, which has no chunks, only a reset does.
+   */
+  private cancel(): void {
+    if (!this.response.useChunkedEncodingByDefault) {
+      this.response.socket?.resetAndDestroy();
+    }
+    this.response.destroy();
+  }
+
   /**
    * Waits for 'close' too: a socket whose caller disconnected never drains, but an
    * attempt that must run at most once has to continue.
--- a/test/entry/caller_response.test.ts
+++ b/test/entry/caller_response.test.ts
@@ -4,6 +4,7 @@
 import {runInNewContext} from 'node:vm';
 import {afterEach, expect, test} from 'vitest';
 import {CallerResponse} from '../../src/entry/caller_response';
+import {ConnectionEnd} from '../../src/transport/connection_end';
 import {waitUntil} from '../support/wait_until';
 
 const closers: Array<() => unknown> = [];
@@ -77,3 +78,39 @@
   expect(held).toBeLessThan(8 * 1024 * 1024);
   expect(response.getHeader('content-length')).toBe(String(1024 * 1024));
 });
+
+// An orderly end is the end of a body without chunks, which HTTP/1.0 can't read.
+test.each(['1.0', '1.1'])(
+  'a caller of HTTP/%s does not take a large body that broke off for a whole one',
+  async version => {
+    const server = http.createServer((_, response) => {
+      const callerResponse = CallerResponse.create(response);
+      callerResponse.start(200, {});
+      callerResponse.write(Buffer.alloc(2 * 1024 * 1024, 'x'), () =>
+        callerResponse.fail({
+          status: 502,
+          title: 'failed',
+          detail: 'the backend server broke off',
+          outcome: 'failed',
+        }),
+      );
+    });
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+    closers.push(
+      () => socket.destroy(),
+      () => server.close(),
+    );
+    const connectionEnd = ConnectionEnd.create(socket);
+    let text = '';
+    socket.on('data', bytes => (text += bytes.toString('latin1')));
+    socket.on('error', () => undefined);
+    socket.write(`GET / HTTP/${version}\r\nhost: h\r\n\r\n`);
+    await waitUntil('the end', () => socket.destroyed);
+
+    const isWhole = text.includes('Transfer-Encoding: chunked')
+      ? text.endsWith('0\r\n\r\n')
+      : connectionEnd.findFault() === undefined;
+    expect(isWhole).toBe(false);
+  },
+);
