fix(gateway): surplus empty lines do not keep a stream from being resumed

What callers saw (own runs on the request path): events 1 and 2, cut, of a resumable stream whose server wrote two more line ends after the second one, or an empty line before a comment, and was reset.

The event stream format gives empty lines no meaning of their own.

An event with data that an empty line precedes still ends what is known (test, before and after).

--- a/src/gateway/responses/event_stream_splitter.ts
+++ b/src/gateway/responses/event_stream_splitter.ts
@@ -9,8 +9,10 @@
 const [LINE_END] = BOUNDARY;
 const ID_FIELD = Buffer.from('id:');
 const NEXT_ID_FIELD = Buffer.from('\nid:');
-/** A comment, and the fields that are neither data nor an id. */
-const DATALESS_FIELDS = [':', 'event', 'retry'].map(each => Buffer.from(each));
+/** A comment, an empty line, and the fields that are neither data nor an id. */
+const DATALESS_LINES = [':', '\n', 'event', 'retry'].map(each =>
+  Buffer.from(each),
+);
 const NEXT_DATA_FIELD = Buffer.from('\ndata');
 const ID_LINE = /^id:[ ]?(\S+)/;
 /** Half of what a request may hold, because an event that came in pieces is joined before it is forwarded. */
@@ -102,8 +104,8 @@
 
 /** Looks for data only behind a first line that is known to have none, as most events without an id begin with it. */
 function hasDataLine(bytes: Buffer): boolean {
-  const beginsWithout = DATALESS_FIELDS.some(field =>
-    bytes.subarray(0, field.length).equals(field),
+  const beginsWithout = DATALESS_LINES.some(line =>
+    bytes.subarray(0, line.length).equals(line),
   );
   return !beginsWithout || bytes.includes(NEXT_DATA_FIELD);
 }
--- a/test/gateway/resumed_stream.test.ts
+++ b/test/gateway/resumed_stream.test.ts
@@ -143,6 +143,33 @@
     expect(await fixture.send()).toMatchObject({body, isWhole: true});
   });
 
+  // Surplus empty lines are no event, and the position before them stays known.
+  test.each(['\n', '\n\n', '\n\n\n', '\n: comment\n\n', '\nretry: 3\n\n'])(
+    'goes on after the last id when %j follows it',
+    async surplus => {
+      const text = `${encodeEvents(1, 2)}${surplus}`;
+      const {fixture} = await startFixture(
+        [sendAndReset(text), sendStream('b', [3], 'whole')],
+        RESUMABLE,
+      );
+      const {body, isWhole} = await fixture.send();
+      expect({ids: readEventIds(body), isWhole}).toEqual({
+        ids: [1, 2, 3],
+        isWhole: true,
+      });
+    },
+  );
+
+  test('does not go on after an event without an id that an empty line precedes', async () => {
+    const text = `${encodeEvents(1)}\ndata: 2\n\n`;
+    const {fixture} = await startFixture(
+      [sendAndReset(text), sendStream('b', [2, 3], 'whole')],
+      RESUMABLE,
+    );
+    const received = await fixture.send().catch(() => undefined);
+    expect(received?.isWhole ?? false).toBe(false);
+  });
+
   test('is repeated when no event was passed on', async () => {
     const {fixture} = await startFixture(
       [sendAndReset('data: t'), sendAll],
