fix(gateway): a stream is resumed after the last id of an event

What callers saw (trial on the request path): an event with the ids 1 and 2, then the events 2 and 3 of another run, complete.

Cause: of several id lines of one event the first was sent back as the position; the event stream format lets the last one count.

The property test of the splitter asserted the first id. That was wrong by the format; it now asserts the last one, as strictly, with an example of an event that has several lines. The id is searched from the end, so the counter of buffer work counts searches from the end, too.

Evidence: the new test of resumed streams and the property failed before and pass now. New: the work for an event of 50,000 lines that may have an id stays in proportion to its bytes.

--- a/src/gateway/responses/event_stream_splitter.ts
+++ b/src/gateway/responses/event_stream_splitter.ts
@@ -110,24 +110,24 @@
   return !beginsWithout || bytes.includes(NEXT_DATA_FIELD);
 }
 
-/** Finds the first id, and decodes only the lines that may have one. */
+/** Finds the id: of several the last one counts. Decodes only the lines that may have one. */
 function findId(bytes: Buffer): string | undefined {
-  let start = bytes.subarray(0, ID_FIELD.length).equals(ID_FIELD)
-    ? 0
-    : findIdLine(bytes, 0);
-  while (start > -1) {
-    const end = bytes.indexOf(LINE_END, start);
-    const id = ID_LINE.exec(bytes.toString('latin1', start, end))?.[1];
+  let at = bytes.lastIndexOf(NEXT_ID_FIELD);
+  while (at >= 0) {
+    const id = decodeId(bytes, at + 1);
     if (id !== undefined) {
       return id;
     }
-    start = findIdLine(bytes, end);
+    at = at === 0 ? -1 : bytes.lastIndexOf(NEXT_ID_FIELD, at - 1);
   }
-  return undefined;
+  return decodeId(bytes, 0);
 }
 
-/** Finds the next line with an id field that begins after a line end at or after `from`; -1 if there is none. */
-function findIdLine(bytes: Buffer, from: number): number {
-  const at = bytes.indexOf(NEXT_ID_FIELD, from);
-  return at < 0 ? -1 : at + 1;
+/** Decodes the id of the line that begins at `start`; undefined if it has none. */
+function decodeId(bytes: Buffer, start: number): string | undefined {
+  if (!bytes.subarray(start, start + ID_FIELD.length).equals(ID_FIELD)) {
+    return undefined;
+  }
+  const end = bytes.indexOf(LINE_END, start);
+  return ID_LINE.exec(bytes.toString('latin1', start, end))?.[1];
 }
--- a/test/gateway/event_stream_splitter.test.ts
+++ b/test/gateway/event_stream_splitter.test.ts
@@ -37,6 +37,15 @@
   });
 });
 
+test('an event of many lines that may have an id takes work in proportion to its bytes', () => {
+  const event = Buffer.from(`${'id:\n'.repeat(50_000)}\n`);
+  const splitter = createSplitter();
+  const work = countBufferWork(() =>
+    expect(splitter.split(event)).toHaveLength(1),
+  );
+  expect(work).toBeLessThanOrEqual(4 * event.length);
+});
+
 test('an event beyond the limit ends the stream, and the events before it count', () => {
   const splitter = createSplitter();
   const chunk = Buffer.alloc(1024 * 1024, 'x');
@@ -55,6 +64,11 @@
   return Buffer.from(text).toString('latin1');
 }
 
+/** The event stream format lets the last id of an event count. */
+function findLastId(event: string): string | undefined {
+  return [...event.matchAll(/^id:[ ]?(\S+)/gm)].at(-1)?.[1];
+}
+
 test('streams are split at the same places, however their bytes arrive', () => {
   const text = fc
     .array(fc.constantFrom('\n', 'id:', 'id: ', ' ', 'x', '7', 'data: ', 'é'))
@@ -75,11 +89,18 @@
         whole.map(event => `${event}\n\n`),
       );
       expect(events.map(({id}) => id)).toEqual(
-        whole.map(event => /^id:[ ]?(\S+)/m.exec(encodeLatin1(event))?.[1]),
+        whole.map(event => findLastId(encodeLatin1(event))),
       );
       const rest = stream.split('\n\n').at(-1) ?? '';
       expect(splitter.pendingBytes).toBe(Buffer.byteLength(rest));
     }),
-    {seed: -1355665138, numRuns: 1_000, examples: [['id: é\n\n', []]]},
+    {
+      seed: -1355665138,
+      numRuns: 1_000,
+      examples: [
+        ['id: é\n\n', []],
+        ['id: 1\nid: 2\ndata: x\nid: \nid:\n\n', [9]],
+      ],
+    },
   );
 });
--- a/test/gateway/resumed_stream.test.ts
+++ b/test/gateway/resumed_stream.test.ts
@@ -143,6 +143,19 @@
     expect(await fixture.send()).toMatchObject({body, isWhole: true});
   });
 
+  // The event stream format lets the last id of an event count.
+  test('goes on after the last id of an event that has two', async () => {
+    const {fixture, backends} = await startFixture(
+      [
+        sendAndReset('id: 1\nid: 2\ndata: t2\n\n'),
+        sendStream('b', [3], 'whole'),
+      ],
+      RESUMABLE,
+    );
+    expect((await fixture.send()).isWhole).toBe(true);
+    expect(backends[1].requests[0].headers.get('last-event-id')).toBe('2');
+  });
+
   // Surplus empty lines are no event, and the position before them stays known.
   test.each(['\n', '\n\n', '\n\n\n', '\n: comment\n\n', '\nretry: 3\n\n'])(
     'goes on after the last id when %j follows it',
--- a/test/support/count_buffer_work.ts
+++ b/test/support/count_buffer_work.ts
@@ -8,7 +8,7 @@
 export function countBufferWork(run: () => void): number {
   let work = 0;
   const {concat} = Buffer;
-  const {copy, indexOf} = Buffer.prototype;
+  const {copy, indexOf, lastIndexOf} = Buffer.prototype;
   const {set} = Uint8Array.prototype;
   // Plain functions: a spy would keep every buffer that it was called with.
   Buffer.concat = list => {
@@ -31,12 +31,19 @@
     work += end - ((given[1] as number | undefined) ?? 0);
     return at;
   };
+  Buffer.prototype.lastIndexOf = function (...given: unknown[]) {
+    const at = lastIndexOf.apply(this, given as [Buffer, number]);
+    const start = (given[1] as number | undefined) ?? this.length;
+    work += start - Math.max(0, at);
+    return at;
+  };
   try {
     run();
   } finally {
     Buffer.concat = concat;
     Buffer.prototype.copy = copy;
     Buffer.prototype.indexOf = indexOf;
+    Buffer.prototype.lastIndexOf = lastIndexOf;
     Uint8Array.prototype.set = set;
   }
   return work;
