fix(entry): a response given up at the stop ends with a reset for HTTP/1.0

What callers see: nothing was run through a stop of the entry. Read in the code: a large plain body that is still under way at the stop deadline was closed in order, like one that breaks off, and HTTP/1.0 takes that for its end.

Both places now use cancelResponse, which resets the connection where only the end of the connection ends the body.

The stop itself is not played.

--- a/src/entry/caller_response.ts
+++ b/src/entry/caller_response.ts
@@ -6,6 +6,7 @@
 } from 'node:http';
 import {ByteAccumulator} from '../common/byte_accumulator';
 import {RequestOutcome} from '../protocol/request_outcome';
+import {cancelResponse} from '../transport/cancel_response';
 import {Problem} from './problem';
 import {sendProblem} from './send_problem';
 
@@ -173,7 +174,7 @@
       return;
     }
     if (!this.isEvents) {
-      this.cancel();
+      cancelResponse(this.response);
       return;
     }
     const {title, detail, outcome} = problem;
@@ -187,17 +188,6 @@
     this.response.end();
   }
 
-  /**
-   * Closes the connection so that the caller sees that the body is truncated: a missing
-   * last chunk shows it, and for HTTP/1.0, which has no chunks, only a reset does.
-   */
-  private cancel(): void {
-    if (!this.response.useChunkedEncodingByDefault) {
-      this.response.socket?.resetAndDestroy();
-    }
-    this.response.destroy();
-  }
-
   /**
    * Waits for 'close' too: a socket whose caller disconnected never drains, but an
    * attempt that must run at most once has to continue.
--- a/src/entry/entry_server.ts
+++ b/src/entry/entry_server.ts
@@ -10,6 +10,7 @@
 import {AdmissionControl} from '../coordination/requests/admission_control';
 import {Bundle} from '../protocol/bundle';
 import {ControlClient} from '../protocol/control_client';
+import {cancelResponse} from '../transport/cancel_response';
 import {HttpListener} from '../transport/http_listener';
 import {readHttpBody} from '../transport/read_http_body';
 import {CallerRequest} from './caller_request';
@@ -336,7 +337,7 @@
     return;
   }
   if (response.headersSent || response.destroyed) {
-    response.destroy();
+    cancelResponse(response);
     return;
   }
   response.shouldKeepAlive = false;
