fix(entry): a stream is resumed after the events that have data

What callers would see (shown on the count alone, not played through two servers): a stream of the entry that has a surplus empty line or a comment, and breaks, goes on one event too late, and the rest looks whole. After the events 1 and 2 with an empty line between them the next server was asked to leave out three, after a comment between them three as well; it confirms that number.

Cause: each pair of line ends counted as an event. The event stream format hands its reader only events with data, and a server that goes on after N events counts those (engine_stand_in counts tokens). Class: a position is believed that was never stated.

Evidence: six of the new tests of the count failed before and pass now; the tests of the entry pass (30).

--- a/src/entry/caller_response.ts
+++ b/src/entry/caller_response.ts
@@ -15,6 +15,8 @@
 const OUTCOME_HEADER = 'whinreel-outcome';
 const RESUMED_FROM_HEADER = 'whinreel-resumed-from';
 const LINE_FEED = 10;
+const COLON = 58;
+const DATA_FIELD = Buffer.from('data');
 const OK = 200;
 /** Node.js throws for any other final status. */
 const MAX_STATUS = 999;
@@ -233,13 +235,30 @@
   return headers['content-type']?.startsWith(EVENT_STREAM) ?? false;
 }
 
-/** Counts empty lines: each ends an event, and a frame holds complete events only. */
-function countEvents(bytes: Uint8Array): number {
+/**
+ * Counts the events that reach the reader of an event stream: those with data. Surplus
+ * empty lines and comments are none, and a frame holds complete events only.
+ */
+function countEvents({buffer, byteOffset, byteLength}: Uint8Array): number {
+  const bytes = Buffer.from(buffer, byteOffset, byteLength);
   let count = 0;
-  for (let index = 1; index < bytes.length; index += 1) {
-    if (bytes[index] === LINE_FEED && bytes[index - 1] === LINE_FEED) {
-      count += 1;
-    }
+  let hasData = false;
+  let start = 0;
+  let end = bytes.indexOf(LINE_FEED);
+  while (end >= 0) {
+    const isEmpty = end === start;
+    count += isEmpty && hasData ? 1 : 0;
+    hasData = !isEmpty && (hasData || isDataLine(bytes.subarray(start, end)));
+    start = end + 1;
+    end = bytes.indexOf(LINE_FEED, start);
   }
   return count;
 }
+
+function isDataLine(line: Buffer): boolean {
+  const name = line.subarray(0, DATA_FIELD.length);
+  const hasNameOnly = line.length === DATA_FIELD.length;
+  return (
+    name.equals(DATA_FIELD) && (hasNameOnly || line[name.length] === COLON)
+  );
+}
--- a/test/entry/caller_response.test.ts
+++ b/test/entry/caller_response.test.ts
@@ -114,3 +114,22 @@
     expect(isWhole).toBe(false);
   },
 );
+
+// The number of delivered events is the position at which another server goes on.
+test.each([
+  ['data: 1\n\ndata: 2\n\n', 2],
+  ['data: 1\n\n\ndata: 2\n\n', 2],
+  ['data: 1\n\n\n\ndata: 2\n\n\n', 2],
+  ['\ndata: 1\n\n', 1],
+  ['\n\ndata: 1\n\n', 1],
+  ['data: 1\n\n: comment\n\ndata: 2\n\n', 2],
+  ['event: a\ndata: 1\ndata\n\nevent: b\n\n', 1],
+  ['data\n\ndatabase: 1\n\n', 1],
+])('the events of %j are counted as %i', async (text, count) => {
+  const response = await respondToStalledReader();
+  const callerResponse = CallerResponse.create(response);
+  callerResponse.start(200, {'content-type': 'text/event-stream'});
+  callerResponse.write(Buffer.from(text), () => undefined);
+  expect(callerResponse.deliveredEventCount).toBe(count);
+  response.destroy();
+});
