fix(transport): a connection that sends requests ahead gets its turn, not all turns

Callers saw: while 100 connections each sent 200,000 requests ahead at the callers' port, an ordinary request got no answer in 5 s.

Cause: Node's HTTP parser passes on every request of one read, up to 64 KiB with some 2,500 of them, and each was begun at once, whether or not the responses before it had been sent.

All that waits on the connections of a listener is counted (`HttpConnections`, 16 MiB); beyond that the oldest connection that holds much is ended.

--- /dev/null
+++ b/src/transport/http_connections.ts
@@ -0,0 +1,177 @@
+/** The connections of one listener: their limit, their time limits and the bytes that wait on them. */
+import {Clock} from '../common/clock';
+import {HttpConnection} from './http_connection';
+import {HttpLimits} from './http_limits';
+
+/** Between the time that a connection may rest or a head may take and the end of the connection: what is on the way then still arrives. */
+const TIME_MARGIN_MS = 1_000;
+/** For reading and dropping what a caller still sends after its connection was refused. */
+const LINGER_MS = 1_000;
+/** Bytes of unfinished heads and of requests sent ahead, on all connections of a listener together. */
+const MAX_HELD_BYTES = 16 * 1024 * 1024;
+
+type Phase = HttpConnection['phase'];
+
+interface ConnectionTimes {
+  /** Start of the current phase, in milliseconds. */
+  since: number;
+  /** How long the connection may rest by its last response, in milliseconds. */
+  statedIdleMs: number;
+  heldBytes: number;
+}
+
+/** Limits of a listener. */
+interface HttpConnectionsOptions {
+  readonly clock: Clock;
+  readonly maxConnections: number;
+  readonly maxHeldBytes?: number;
+  readonly readLimits: () => HttpLimits;
+  /** The idle time that responses state now, in milliseconds. */
+  readonly readStatedIdleMs: () => number;
+}
+
+/** Decides which connection is closed when there are too many, or when one takes too long. */
+export class HttpConnections {
+  private readonly times = new Map<HttpConnection, ConnectionTimes>();
+  /** Connections in each phase, those that have been in it the longest first. */
+  private readonly phases: Readonly<Record<Phase, Set<HttpConnection>>> = {
+    closing: new Set(),
+    idle: new Set(),
+    unfinished: new Set(),
+    answering: new Set(),
+  };
+  private readonly holders = new Set<HttpConnection>();
+  private heldBytes = 0;
+
+  private constructor(private readonly options: HttpConnectionsOptions) {}
+
+  /**
+   * Creates an empty set of connections.
+   *
+   * @example
+   * const connections = HttpConnections.create({clock, maxConnections, readLimits, readStatedIdleMs});
+   */
+  static create(options: HttpConnectionsOptions): HttpConnections {
+    return new HttpConnections(options);
+  }
+
+  get size(): number {
+    return this.times.size;
+  }
+
+  /** Adds a new connection; when there are too many, another one is closed for it, or itself if all others are being answered. */
+  add(connection: HttpConnection): void {
+    if (this.size >= this.options.maxConnections && !this.evict()) {
+      connection.close();
+      return;
+    }
+    this.times.set(connection, {
+      since: this.options.clock.now(),
+      statedIdleMs: 0,
+      heldBytes: 0,
+    });
+    this.phases[connection.phase].add(connection);
+  }
+
+  /** Closes the connection that is idle for the longest time, or else the oldest with an unfinished request; false if there is none. */
+  evict(): boolean {
+    const {closing, idle, unfinished} = this.phases;
+    for (const group of [closing, idle, unfinished]) {
+      const [oldest] = group;
+      if (oldest) {
+        this.remove(oldest);
+        oldest.close();
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Forgets a connection that has closed. */
+  remove(connection: HttpConnection): void {
+    this.heldBytes -= this.times.get(connection)?.heldBytes ?? 0;
+    this.times.delete(connection);
+    this.holders.delete(connection);
+    Object.values(this.phases).forEach(group => group.delete(connection));
+  }
+
+  /** Notes that a connection has entered another phase. */
+  move(connection: HttpConnection): void {
+    const times = this.times.get(connection);
+    if (!times) {
+      return;
+    }
+    Object.values(this.phases).forEach(group => group.delete(connection));
+    this.phases[connection.phase].add(connection);
+    times.since = this.options.clock.now();
+    times.statedIdleMs = this.options.readStatedIdleMs();
+  }
+
+  /** Counts the bytes that wait on a connection, and closes connections while there are too many on all together. */
+  updateHeld(connection: HttpConnection): void {
+    const times = this.times.get(connection);
+    if (!times) {
+      return;
+    }
+    const {heldBytes} = connection;
+    this.heldBytes += heldBytes - times.heldBytes;
+    times.heldBytes = heldBytes;
+    if (heldBytes > 0) {
+      this.holders.add(connection);
+    } else {
+      this.holders.delete(connection);
+    }
+    const {maxHeldBytes = MAX_HELD_BYTES} = this.options;
+    while (this.heldBytes > maxHeldBytes) {
+      this.releaseHolder();
+    }
+  }
+
+  /** Ends connections whose time is over. */
+  expire(): void {
+    const now = this.options.clock.now();
+    const {headerTimeoutMs, idleTimeoutMs} = this.options.readLimits();
+    this.holders.forEach(each => this.updateHeld(each));
+    this.phases.closing.forEach(each => {
+      if (now - this.readTimes(each).since > LINGER_MS) {
+        each.close();
+      }
+    });
+    this.phases.idle.forEach(each => {
+      const {since, statedIdleMs} = this.readTimes(each);
+      const idleMs = Math.max(idleTimeoutMs, statedIdleMs);
+      if (now - since > idleMs + TIME_MARGIN_MS) {
+        each.close();
+      }
+    });
+    this.phases.unfinished.forEach(each => {
+      const {since} = this.readTimes(each);
+      const isLate = now - since > headerTimeoutMs + TIME_MARGIN_MS;
+      if (each.hasUnfinishedHead && isLate) {
+        each.reject(408);
+      }
+    });
+  }
+
+  /** Ends the oldest of the connections that hold much. At least one holds the average. */
+  private releaseHolder(): void {
+    const average = this.heldBytes / this.holders.size;
+    for (const each of this.holders) {
+      if (this.readTimes(each).heldBytes >= average / 2) {
+        const isHead = each.hasUnfinishedHead;
+        if (isHead) {
+          each.reject(503);
+        } else {
+          this.remove(each);
+          each.close();
+        }
+        return;
+      }
+    }
+  }
+
+  private readTimes(connection: HttpConnection): ConnectionTimes {
+    const times = this.times.get(connection);
+    return times ?? {since: Infinity, statedIdleMs: 0, heldBytes: 0};
+  }
+}
