fix(transport): callers do not take the descriptors that control and backend servers need

Cause: a listener accepted up to 10,000 connections, more than the descriptors of any machine (4,100 on the users' machines), and idle ones of callers outside the limits stayed among them; what connects the gateway to control and to backend servers then finds no descriptor.

Fix: the limit of callers' connections follows from the descriptors of the process: `limits.max_fds` of the settings file, else the limit that the process report tells, less 200 for files and 400 for all other connections; 4,100 leave 3,500. At the limit the connection that is idle for the longest time is closed, else the oldest whose request is unfinished, never one that is being answered; if there is none, the new one is closed.

Evidence: test/transport/connection_limit.test.ts.

--- a/src/entry/entry_server.ts
+++ b/src/entry/entry_server.ts
@@ -10,6 +10,7 @@
 import {AdmissionControl} from '../coordination/requests/admission_control';
 import {Bundle} from '../protocol/bundle';
 import {ControlClient} from '../protocol/control_client';
+import {computeConnectionLimit} from '../transport/compute_connection_limit';
 import {HttpListener} from '../transport/http_listener';
 import {readHttpBody} from '../transport/read_http_body';
 import {CallerRequest} from './caller_request';
@@ -136,6 +137,7 @@
         port: settings.port,
         onRequest: (request, response) =>
           void entry.handleRequest(request, response),
+        maxConnections: computeConnectionLimit(),
       });
     } catch (error) {
       await entry.close();
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -7,6 +7,7 @@
 import {ThrottledEventLog} from '../common/throttled_event_log';
 import {ControlClient} from '../protocol/control_client';
 import {recordLeaderSearch} from '../reporting/record_leader_search';
+import {computeConnectionLimit} from '../transport/compute_connection_limit';
 import {HttpListener} from '../transport/http_listener';
 import {HttpClientPool} from '../transport/http_client_pool';
 import {hasRepeatedHost} from '../transport/has_repeated_host';
@@ -179,6 +180,8 @@
       host: settings.host,
       port: settings.port,
       onRequest: (request, response) => void gateway.handle(request, response),
+      maxConnections: computeConnectionLimit(settings.maxDescriptors),
+      readLimits: () => gateway.poller.index?.rules.limits,
     });
     // The monotonic clock of a process counts from its start.
     gateway.shutdown.recordStarted(gateway.clock.now());
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -24,4 +24,6 @@
   };
   /** From the signal to stop until the process is killed, in milliseconds. */
   readonly stopWithinMs: number;
+  /** How many descriptors the process may have open; the limit of the process by default. */
+  readonly maxDescriptors?: number;
 }
--- a/src/host/listen_for_announcements.ts
+++ b/src/host/listen_for_announcements.ts
@@ -5,6 +5,8 @@
 import {readHttpBody} from '../transport/read_http_body';
 
 const MAX_ANNOUNCEMENT_BYTES = 16 * 1024;
+/** Only the backend server of this host and its operators connect. */
+const MAX_CONNECTIONS = 64;
 
 /** The address to listen on, and what handles the requests. */
 interface AnnouncementListenerOptions {
@@ -29,6 +31,7 @@
   return HttpListener.create({
     host,
     port,
+    maxConnections: MAX_CONNECTIONS,
     onRequest: (request, response) => {
       void handleRequest(request, response, options).catch(() =>
         response.destroy(),
--- a/src/transport/http_listener.ts
+++ b/src/transport/http_listener.ts
@@ -16,7 +16,6 @@
 const REQUEST_LINE_BYTES = 1024;
 /** The parser gets only complete heads, whose size was checked before. */
 const PARSER_MAX_HEAD_BYTES = 1024 * 1024;
-const MAX_CONNECTIONS = 10_000;
 const REQUEST_TIMEOUT_MS = 60_000;
 const CHECK_INTERVAL_MS = 250;
 
@@ -31,7 +30,7 @@
     response: http.ServerResponse,
   ) => void;
   /** Open connections at any time. */
-  readonly maxConnections?: number;
+  readonly maxConnections: number;
   /** Returns the limits in force, which also hold for open connections; undefined for the defaults. */
   readonly readLimits?: () => HttpLimits | undefined;
 }
@@ -48,7 +47,7 @@
   ) {
     this.connections = HttpConnections.create({
       clock: systemClock,
-      maxConnections: options.maxConnections ?? MAX_CONNECTIONS,
+      maxConnections: options.maxConnections,
       readLimits: () => this.readLimits(),
       readStatedIdleMs: () => server.keepAliveTimeout,
     });
@@ -131,7 +130,7 @@
     server.on('checkExpectation', add);
     // Node would close idle connections by the time that responses state, without a margin for new limits.
     server.on('timeout', () => undefined);
-    // The process has no descriptor left: one connection is closed, so that the next can be accepted.
+    // The process has no descriptor left to accept a connection with: an open one is closed.
     server.on('error', () => this.connections.evict());
   }
 
--- a/test/platform/translation.test.ts
+++ b/test/platform/translation.test.ts
@@ -229,6 +229,14 @@
     }
   });
 
+  // Callers could take every descriptor of a machine whose limit the process does not know.
+  test('tells the limit on descriptors, where there is one', () => {
+    expect(read(text).limits).toBeUndefined();
+    const limited = read(`${text}[limits]\nmemory_mb = 350\nmax_fds = 4100\n`);
+    expect(limited.limits).toEqual({max_fds: 4_100});
+    expect(read(`${text}[limits]\nmemory_mb = 350\n`).limits).toEqual({});
+  });
+
   test('must be named by the environment', () => {
     expect(() => readSettings({})).toThrow('WHINREEL_NODE_FILE');
   });
--- /dev/null
+++ b/test/transport/connection_limit.test.ts
@@ -0,0 +1,163 @@
+/**
+ * Guards against callers that take the descriptors which control connections, backend
+ * servers and disks need, and against a limit that turns away those who wait for an answer.
+ */
+import {spawn} from 'node:child_process';
+import * as http from 'node:http';
+import * as path from 'node:path';
+import {afterEach, expect, test} from 'vitest';
+import {computeConnectionLimit} from '../../src/transport/compute_connection_limit';
+import {findDescriptorLimit} from '../../src/transport/find_descriptor_limit';
+import {HttpListener} from '../../src/transport/http_listener';
+import {RawCaller} from '../support/raw_caller';
+import {waitUntil} from '../support/wait_until';
+
+const CLOSERS: Array<() => unknown> = [];
+const LIMIT = 4;
+const REQUEST = 'GET /x HTTP/1.1\r\nhost: h\r\n\r\n';
+const PART_OF_BODY =
+  'POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\npart';
+
+afterEach(async () => {
+  for (const close of CLOSERS.splice(0).reverse()) {
+    await close();
+  }
+});
+
+/** Listens, and answers each request when the test says so. */
+async function start() {
+  const open: http.ServerResponse[] = [];
+  const {port, close} = await listen((message, response) => {
+    message.on('error', () => undefined).resume();
+    open.push(response);
+  });
+  const connect = async (bytes = '') => {
+    const caller = await RawCaller.create(port);
+    CLOSERS.push(() => caller.close());
+    caller.send(bytes);
+    // One that is turned away may close before it is seen as accepted.
+    await new Promise(resolve => setTimeout(resolve, 30));
+    return caller;
+  };
+  return {open, connect, close};
+}
+
+async function listen(
+  onRequest: Parameters<typeof HttpListener.create>[0]['onRequest'],
+) {
+  const listener = await HttpListener.create({
+    host: '127.0.0.1',
+    port: 0,
+    maxConnections: LIMIT,
+    onRequest,
+  });
+  CLOSERS.push(() => listener.close());
+  return {port: listener.port, close: () => listener.close()};
+}
+
+test('a gateway of 4,100 descriptors holds 3,500 callers and keeps the others for itself', () => {
+  expect(computeConnectionLimit(4_100)).toBe(3_500);
+  expect(computeConnectionLimit(1_024)).toBe(512);
+  expect(computeConnectionLimit(Infinity)).toBe(10_000);
+  expect(findDescriptorLimit()).toBeGreaterThan(0);
+  expect(computeConnectionLimit()).toBe(
+    computeConnectionLimit(findDescriptorLimit()),
+  );
+});
+
+test('the connection that is idle for the longest time is closed for a new one', async () => {
+  const {open, connect} = await start();
+  const answering = await connect(REQUEST);
+  const unfinished = await connect('GET /x HT');
+  const idle = [await connect(), await connect()];
+  const added = [await connect(REQUEST)];
+  await waitUntil('a close', () => idle[0].end === 'in order');
+  expect(idle[1].end).toBe('open');
+  added.push(await connect(REQUEST));
+  await waitUntil('a close', () => idle[1].end === 'in order');
+  await waitUntil('requests', () => open.length === 3);
+  open.forEach(response => response.end('ok'));
+  await waitUntil('answers', () =>
+    [answering, ...added].every(({statuses}) => statuses.length === 1),
+  );
+  expect(unfinished.end).toBe('open');
+});
+
+test('a connection that has rested since its last request is closed after one that has rested longer', async () => {
+  const {open, connect} = await start();
+  const callers: RawCaller[] = [];
+  for (let count = 0; count < LIMIT; count += 1) {
+    callers.push(await connect());
+  }
+  callers[0].send(REQUEST);
+  await waitUntil('a request', () => open.length === 1);
+  open[0].end('ok');
+  await waitUntil('an answer', () => callers[0].statuses.length === 1);
+  await connect();
+  await waitUntil('a close', () => callers[1].end === 'in order');
+  expect(callers.map(({end}) => end)).toEqual([
+    'open',
+    'in order',
+    'open',
+    'open',
+  ]);
+});
+
+test('without an idle one, the oldest unfinished request is closed, never one that is being answered', async () => {
+  const {open, connect} = await start();
+  const answering = await connect(REQUEST);
+  const unfinished = [
+    await connect(PART_OF_BODY),
+    await connect('GET /x HT'),
+    await connect(PART_OF_BODY),
+  ];
+  for (const [at, caller] of unfinished.entries()) {
+    await connect(REQUEST);
+    await waitUntil('a close', () => caller.end !== 'open');
+    const others = unfinished.slice(at + 1);
+    expect(others.every(({end}) => end === 'open')).toBe(true);
+  }
+  const turnedAway = await connect(REQUEST);
+  await waitUntil('a close', () => turnedAway.end !== 'open');
+  open.forEach(response => response.destroyed || response.end('ok'));
+  await waitUntil('an answer', () => answering.statuses.length === 1);
+  expect(turnedAway.statuses).toEqual([]);
+});
+
+const DESCRIPTORS = 64;
+
+test('a process without a free descriptor goes on and answers once there are some', async () => {
+  const root = path.resolve(__dirname, '../..');
+  const guard = path.join(root, 'build/test/support/exit_with_parent.js');
+  const file = path.join(root, 'build/test/support/small_listener.js');
+  const child = spawn('/bin/sh', [
+    '-c',
+    `ulimit -n ${DESCRIPTORS}; exec "$@"`,
+    'sh',
+    process.execPath,
+    '-r',
+    guard,
+    file,
+  ]);
+  CLOSERS.push(() => child.kill('SIGKILL'));
+  let text = '';
+  child.stdout.on('data', bytes => (text += String(bytes)));
+  await waitUntil('a port', () => text.includes('\n'));
+  const port = Number(text);
+  const crowd = await Promise.all(
+    Array.from({length: 4 * DESCRIPTORS}, () =>
+      RawCaller.create(port).catch(() => undefined),
+    ),
+  );
+  crowd.forEach(caller => caller?.send('GET /x HT'));
+  await new Promise(resolve => setTimeout(resolve, 1_000));
+  expect(child.exitCode).toBe(null);
+  crowd.forEach(caller => caller?.close());
+  await waitUntil('an answer', async () => {
+    const caller = await RawCaller.create(port);
+    caller.send(REQUEST);
+    await new Promise(resolve => setTimeout(resolve, 200));
+    caller.close();
+    return caller.statuses.length === 1;
+  });
+});
