fix(transport): the configuration's limits on heads and rest are in force, also on open connections

Callers saw: a connection that rested longer than 5 s (closed after 6.0 s) lost its next request, although the configuration keeps idle ones for 15 s and callers take them up after up to 12 s. An unfinished head was ended by Node's check every 30 s, 10 to 40 s after it began, where the configuration says 3 s.

A rest is kept for its whole time and 1 s more, and never shorter than the last response stated in `Keep-Alive`; a head that is unfinished gets 408 after its time and 1 s more, a head over the limit 431. Both answers are true: such a head was never parsed. Times are checked after sockets were read, so that a process that was suspended closes no connection whose next request has arrived. Unfinished heads of all connections are bounded together; the oldest get 503.

--- a/src/transport/http_connection.ts
+++ b/src/transport/http_connection.ts
@@ -16,9 +16,8 @@
 type Phase = 'closing' | 'idle' | 'unfinished' | 'answering';
 type Exchange = [http.IncomingMessage, http.ServerResponse];
 
-/** The socket, and what is told of it. */
+/** What the connections of a listener have in common. */
 interface HttpConnectionOptions {
-  readonly socket: net.Socket;
   /** Handles one request; the next one begins after its response has ended. */
   readonly onRequest: (...exchange: Exchange) => void;
   readonly onPhase: (connection: HttpConnection) => void;
@@ -33,12 +32,13 @@
  * Further requests wait as bytes, and each begins in a turn of the event loop of its own.
  */
 export class HttpConnection {
-  private readonly head = ByteAccumulator.create();
+  /** An unfinished head; most arrive whole and need none. */
+  private head: ByteAccumulator | undefined;
   /** The last two bytes of an unfinished head, which may be a part of its end. */
   private headTail: Buffer = NO_BYTES;
   /** Bytes after the request that is being answered. */
   private ahead: Buffer = NO_BYTES;
-  /** The request that was parsed last. */
+  /** The request that was parsed last, until its response is sent and its body has arrived. */
   private message: http.IncomingMessage | undefined;
   private bodyBytesLeft = 0;
   private active: http.ServerResponse | undefined;
@@ -47,6 +47,7 @@
   private currentPhase: Phase = 'idle';
 
   private constructor(
+    private readonly socket: net.Socket,
     private readonly options: HttpConnectionOptions,
     /** Node's own listener, which passes bytes to its parser. */
     private readonly parse: (bytes: Buffer) => void,
@@ -56,13 +57,15 @@
    * Takes over the bytes of a connection that an `http.Server` has just accepted.
    *
    * @example
-   * server.on('connection', socket => HttpConnection.create({socket, ...callbacks}));
+   * server.on('connection', socket => HttpConnection.create(socket, options));
    */
-  static create(options: HttpConnectionOptions): HttpConnection {
-    const {socket} = options;
+  static create(
+    socket: net.Socket,
+    options: HttpConnectionOptions,
+  ): HttpConnection {
     type Listener = (bytes: Buffer) => void;
     const parsers = socket.listeners('data') as Listener[];
-    const connection = new HttpConnection(options, bytes =>
+    const connection = new HttpConnection(socket, options, bytes =>
       parsers.forEach(parse => parse(bytes)),
     );
     parsers.forEach(parse => socket.removeListener('data', parse));
@@ -78,13 +81,14 @@
 
   /** Whether the first bytes of a head have arrived and its last has not. */
   get hasUnfinishedHead(): boolean {
-    return this.head.size > 0;
+    return this.head !== undefined;
   }
 
   /** Bytes that wait here; what the stream has read beyond them is counted twice, as the kernel may hold as much again. */
   get heldBytes(): number {
-    const {readableLength} = this.options.socket;
-    return this.head.size + this.ahead.length + 2 * readableLength;
+    const {readableLength} = this.socket;
+    const headBytes = this.head?.size ?? 0;
+    return headBytes + this.ahead.length + 2 * readableLength;
   }
 
   /** Adds a request that was parsed. */
@@ -97,12 +101,12 @@
 
   /** Closes the connection at once. */
   close(): void {
-    this.options.socket.destroy();
+    this.socket.destroy();
   }
 
   /** Answers an unfinished head with an error and closes the connection. */
   reject(status: 408 | 431 | 503): void {
-    const {socket} = this.options;
+    const {socket} = this;
     this.dropHeld();
     this.setPhase('closing');
     const reason = http.STATUS_CODES[status];
@@ -125,7 +129,7 @@
 
   /** Passes on the rest of the current body and at most one head; defers what follows. */
   private forward(bytes: Buffer): void {
-    const {socket} = this.options;
+    const {socket} = this;
     let rest = bytes;
     let hasParsedHead = false;
     while (rest.length > 0 && !socket.destroyed) {
@@ -136,7 +140,7 @@
         rest = rest.subarray(length);
         continue;
       }
-      rest = this.head.size > 0 ? rest : dropLineEnds(rest);
+      rest = this.head ? rest : dropLineEnds(rest);
       if (rest.length === 0) {
         break;
       }
@@ -157,11 +161,13 @@
   private takeHead(bytes: Buffer): number {
     const end = findHeadEnd(this.headTail, bytes);
     const added = end < 0 ? bytes.length : end;
-    if (this.head.size + added > this.options.readMaxHeadBytes()) {
+    const headBytes = (this.head?.size ?? 0) + added;
+    if (headBytes > this.options.readMaxHeadBytes()) {
       this.reject(431);
       return -1;
     }
     if (end < 0) {
+      this.head ??= ByteAccumulator.create();
       this.head.add(bytes);
       const last = Buffer.concat([this.headTail, bytes.subarray(-2)]);
       this.headTail = last.subarray(-2);
@@ -170,13 +176,13 @@
       return -1;
     }
     const last = bytes.subarray(0, end);
-    if (this.head.size === 0) {
+    if (!this.head) {
       this.parsePiece(last);
       return end;
     }
     this.head.add(last);
-    this.headTail = NO_BYTES;
     const head = this.head.take();
+    this.clearHead();
     this.options.onHeld(this);
     this.parsePiece(head);
     return end;
@@ -202,7 +208,7 @@
 
   /** Handlers begin after the parser has returned, since it must not pause for their responses. */
   private parsePiece(bytes: Buffer): void {
-    const {socket} = this.options;
+    const {socket} = this;
     if (socket.writableNeedDrain && !this.active) {
       // Node's parser asserts that no response waits when it is given a head.
       socket.destroy();
@@ -221,7 +227,7 @@
 
   private beginNext(): void {
     const exchange = this.queue.shift();
-    if (!exchange || this.options.socket.destroyed) {
+    if (!exchange || this.socket.destroyed) {
       return;
     }
     const [, response] = exchange;
@@ -232,7 +238,7 @@
 
   private endActive(): void {
     this.active = undefined;
-    if (this.options.socket.writable) {
+    if (this.socket.writable) {
       this.updatePhase();
       this.scheduleNext();
       return;
@@ -250,7 +256,7 @@
     this.isScheduled = true;
     setImmediate(() => {
       this.isScheduled = false;
-      if (!this.options.socket.destroyed && this.currentPhase !== 'closing') {
+      if (!this.socket.destroyed && this.currentPhase !== 'closing') {
         this.advance();
       }
     });
@@ -266,14 +272,14 @@
     this.ahead = NO_BYTES;
     this.forward(bytes);
     if (this.ahead.length === 0) {
-      this.options.socket.resume();
+      this.socket.resume();
     }
     this.options.onHeld(this);
   }
 
   private deferBytes(bytes: Buffer): void {
     this.ahead = bytes;
-    this.options.socket.pause();
+    this.socket.pause();
     this.options.onHeld(this);
     if (!this.active) {
       this.scheduleNext();
@@ -281,29 +287,39 @@
   }
 
   private finishHead(): void {
-    if (this.head.size > 0) {
-      this.parsePiece(this.head.take());
+    const head = this.head?.take();
+    if (head) {
+      this.clearHead();
       this.options.onHeld(this);
+      this.parsePiece(head);
     }
   }
 
+  private clearHead(): void {
+    this.head = undefined;
+    this.headTail = NO_BYTES;
+  }
+
   private dropHeld(): void {
-    this.head.take();
+    this.clearHead();
     this.queue.length = 0;
     this.ahead = NO_BYTES;
     this.options.onHeld(this);
-    this.options.socket.resume();
+    this.socket.resume();
   }
 
   private updatePhase(): void {
     if (this.currentPhase === 'closing') {
       return;
     }
-    if (this.head.size > 0 || this.isReceivingBody) {
+    if (this.head || this.isReceivingBody) {
       this.setPhase('unfinished');
       return;
     }
     const isAnswering = this.active !== undefined || this.queue.length > 0;
+    if (!isAnswering) {
+      this.message = undefined;
+    }
     this.setPhase(isAnswering ? 'answering' : 'idle');
   }
 
--- a/src/transport/http_listener.ts
+++ b/src/transport/http_listener.ts
@@ -31,6 +31,8 @@
   ) => void;
   /** Open connections at any time. */
   readonly maxConnections: number;
+  /** Bytes of unfinished heads and of requests sent ahead, on all connections together. */
+  readonly maxHeldBytes?: number;
   /** Returns the limits in force, which also hold for open connections; undefined for the defaults. */
   readonly readLimits?: () => HttpLimits | undefined;
 }
@@ -39,6 +41,13 @@
 export class HttpListener {
   private readonly connections: HttpConnections;
   private readonly connectionOf = new WeakMap<net.Socket, HttpConnection>();
+  private readonly callbacks: Parameters<typeof HttpConnection.create>[1] = {
+    onRequest: (message, response) => this.handle(message, response),
+    onPhase: changed => this.connections.move(changed),
+    onHeld: changed => this.connections.updateHeld(changed),
+    readMaxHeadBytes: () =>
+      this.readLimits().maxHeaderBytes + REQUEST_LINE_BYTES,
+  };
   private readonly timer: NodeJS.Timeout;
 
   private constructor(
@@ -48,6 +57,7 @@
     this.connections = HttpConnections.create({
       clock: systemClock,
       maxConnections: options.maxConnections,
+      maxHeldBytes: options.maxHeldBytes,
       readLimits: () => this.readLimits(),
       readStatedIdleMs: () => server.keepAliveTimeout,
     });
@@ -135,14 +145,7 @@
   }
 
   private addConnection(socket: net.Socket): void {
-    const connection = HttpConnection.create({
-      socket,
-      onRequest: (message, response) => this.handle(message, response),
-      onPhase: changed => this.connections.move(changed),
-      onHeld: changed => this.connections.updateHeld(changed),
-      readMaxHeadBytes: () =>
-        this.readLimits().maxHeaderBytes + REQUEST_LINE_BYTES,
-    });
+    const connection = HttpConnection.create(socket, this.callbacks);
     this.connectionOf.set(socket, connection);
     socket.once('close', () => this.connections.remove(connection));
     this.connections.add(connection);
@@ -167,7 +170,8 @@
 
   private check(): void {
     this.server.keepAliveTimeout = this.readLimits().idleTimeoutMs;
-    this.connections.expire();
+    // What arrived while the process was suspended is read first.
+    setImmediate(() => this.connections.expire());
   }
 
   private readLimits(): HttpLimits {
--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -37,6 +37,8 @@
   readonly coldRequestsPerSecond?: number;
   /** Connection limit of the backend server, which the gateways share among themselves and one more. */
   readonly maxConnections?: number;
+  /** Limits of callers that differ from the usual ones. */
+  readonly limits?: Partial<GatewayRules['limits']>;
 }
 
 /** The result of one request as its caller saw it. */
@@ -231,6 +233,7 @@
   route,
   maxConnections = 1_000,
   coldRequestsPerSecond,
+  limits,
 }: GatewayFleetOptions): GatewayRules {
   return {
     version: 1,
@@ -256,6 +259,7 @@
       maxBodyBytes: 100_000,
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 15_000,
+      ...limits,
     },
   };
 }
