fix(gateway): a planned stop takes no unsafe request that may outlast it

Callers saw: in a planned stop of one gateway, in calm, requests were taken and passed on, and cut at the end of the stop, among them ones that may not be repeated.

Cause: a stopping gateway takes a request of its first 2.5 s if the longest recent one of its route fits into what is left, or the objective if there is none. One that takes longer than those before it was sent and broken off while its backend server ran it. The objective of a stream ends with its first event, so a first stream was always taken.

Fix: an unsafe request needs as much time as its route and its deadline leave it; so does a stream that cannot be resumed, of a route without recent ones. The others get 503 and may go elsewhere at once. Requests that may run again are judged as before, and so are streams of routes with recent ones.

--- a/src/gateway/gateway_shutdown.ts
+++ b/src/gateway/gateway_shutdown.ts
@@ -21,7 +21,12 @@
 
 /** A request that arrived, as far as its admission during shutdown depends on it. */
 interface RequestDuringStop {
-  readonly route: {readonly name: string; readonly objectiveMs: number};
+  readonly route: {
+    readonly name: string;
+    readonly kind: 'safe' | 'unsafe' | 'stream';
+    readonly objectiveMs: number;
+    readonly isResumable: boolean;
+  };
   /** How much longer its caller waits, in milliseconds. */
   readonly leftMs: number;
   /** It is the first request on its connection. */
@@ -73,8 +78,8 @@
     if (!schedule.hasStarted) {
       return undefined;
     }
-    const longestMs = this.findLongestMs(request);
-    if (schedule.canAccept(this.options.clock.now(), longestMs)) {
+    const neededMs = this.findNeededMs(request);
+    if (schedule.canAccept(this.options.clock.now(), neededMs)) {
       this.admittedDuringStop += 1;
       return undefined;
     }
@@ -136,6 +141,19 @@
     return Math.max(RECONNECT_DELAY_MS, Math.min(delayMs, maxMs));
   }
 
+  /**
+   * Returns how much time a request must have left here. One that may not be repeated is
+   * lost when it is broken off: an unsafe one needs all the time that it may take, and
+   * so does a stream of a route without recent ones, whose objective ends with its first event.
+   */
+  private findNeededMs(request: RequestDuringStop): number {
+    const {route, leftMs} = request;
+    const isStream = route.kind === 'stream' && !route.isResumable;
+    const isUnknown = this.longestTimes.find(route.name) === 0;
+    const needsAll = route.kind === 'unsafe' || (isStream && isUnknown);
+    return needsAll ? leftMs : this.findLongestMs(request);
+  }
+
   /** Falls back to the objective of a route without recent requests. */
   private findLongestMs({route}: RequestDuringStop): number {
     return this.longestTimes.find(route.name) || route.objectiveMs;
--- a/test/gateway/gateway_shutdown.test.ts
+++ b/test/gateway/gateway_shutdown.test.ts
@@ -2,7 +2,12 @@
 import {EventRing} from '../../src/common/event_ring';
 import {GatewayShutdown} from '../../src/gateway/gateway_shutdown';
 
-const ROUTE = {name: 'r', objectiveMs: 300};
+const ROUTE = {
+  name: 'r',
+  kind: 'safe' as const,
+  objectiveMs: 300,
+  isResumable: false,
+};
 
 function create(timeoutMs = 8_000) {
   const clock = {time: 0, now: () => clock.time};
