feat(transport): an ended connection is recorded with the limit that ended it

`connection-ended` tells which limit, the open connections by what they do and the bytes that wait on them, once a second for each reason; an error of accept, which had no line, is among them. The limits are checked every 0.5 s, and only while there are connections. A test draws requests of all framings and cuts them at drawn places (200 cases: each answered once, in order).

--- a/src/entry/entry_server.ts
+++ b/src/entry/entry_server.ts
@@ -138,6 +138,7 @@
         onRequest: (request, response) =>
           void entry.handleRequest(request, response),
         maxConnections: computeConnectionLimit(),
+        log: {events: entry.events, id: settings.entryId},
       });
     } catch (error) {
       await entry.close();
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -181,6 +181,7 @@
       port: settings.port,
       onRequest: (request, response) => void gateway.handle(request, response),
       maxConnections: computeConnectionLimit(settings.maxDescriptors),
+      log: {events: gateway.events, id: settings.gatewayId},
       readLimits: () => gateway.poller.index?.rules.limits,
     });
     // The monotonic clock of a process counts from its start.
--- a/src/transport/http_connections.ts
+++ b/src/transport/http_connections.ts
@@ -29,6 +29,8 @@
   readonly readLimits: () => HttpLimits;
   /** The idle time that responses state now, in milliseconds. */
   readonly readStatedIdleMs: () => number;
+  /** A connection was ended to keep a limit. */
+  readonly onEnded: (reason: string) => void;
 }
 
 /** Decides which connection is closed when there are too many, or when one takes too long. */
@@ -60,9 +62,23 @@
     return this.times.size;
   }
 
+  /** The state that decides which connection is ended. */
+  describe(): Record<string, number> {
+    const {idle, unfinished, answering} = this.phases;
+    return {
+      connections: this.size,
+      idle: idle.size,
+      unfinished: unfinished.size,
+      answering: answering.size,
+      heldBytes: this.heldBytes,
+    };
+  }
+
   /** Adds a new connection; when there are too many, another one is closed for it, or itself if all others are being answered. */
   add(connection: HttpConnection): void {
-    if (this.size >= this.options.maxConnections && !this.evict()) {
+    const {maxConnections, onEnded} = this.options;
+    if (this.size >= maxConnections && !this.evict()) {
+      onEnded('all connections are being answered: the new one was closed');
       connection.close();
       return;
     }
@@ -82,6 +98,9 @@
     for (const group of [closing, idle, unfinished]) {
       const [oldest] = group;
       if (oldest) {
+        this.options.onEnded(
+          `there are too many connections: the oldest that was ${oldest.phase} was closed`,
+        );
         this.remove(oldest);
         oldest.close();
         return true;
@@ -156,6 +175,7 @@
       const {since} = this.readTimes(each);
       const isLate = now - since > headerTimeoutMs + TIME_MARGIN_MS;
       if (each.hasUnfinishedHead && isLate) {
+        this.options.onEnded('a head was not finished in time');
         each.reject(408);
       }
     });
@@ -167,6 +187,11 @@
     for (const each of this.holders) {
       if (this.readTimes(each).heldBytes >= average / 2) {
         const isHead = each.hasUnfinishedHead;
+        this.options.onEnded(
+          isHead
+            ? 'unfinished heads hold too much memory: an old one was refused'
+            : 'requests sent ahead hold too much memory: a connection was closed',
+        );
         if (isHead) {
           each.reject(503);
         } else {
--- a/src/transport/http_listener.ts
+++ b/src/transport/http_listener.ts
@@ -1,7 +1,9 @@
 /** HTTP server with limits on heads, idle time and connections, which answers the requests of a connection one at a time. */
 import * as http from 'node:http';
 import * as net from 'node:net';
+import {EventRing} from '../common/event_ring';
 import {systemClock} from '../common/system_clock';
+import {ThrottledEventLog} from '../common/throttled_event_log';
 import {HttpConnection} from './http_connection';
 import {HttpConnections} from './http_connections';
 import {HttpLimits} from './http_limits';
@@ -17,7 +19,7 @@
 /** The parser gets only complete heads, whose size was checked before. */
 const PARSER_MAX_HEAD_BYTES = 1024 * 1024;
 const REQUEST_TIMEOUT_MS = 60_000;
-const CHECK_INTERVAL_MS = 250;
+const CHECK_INTERVAL_MS = 500;
 
 /** Where to listen, and the request handler. */
 interface HttpListenerOptions {
@@ -33,6 +35,8 @@
   readonly maxConnections: number;
   /** Bytes of unfinished heads and of requests sent ahead, on all connections together. */
   readonly maxHeldBytes?: number;
+  /** Where it is recorded that connections are ended to keep a limit, and for which process. */
+  readonly log?: {readonly events: EventRing; readonly id: string};
   /** Returns the limits in force, which also hold for open connections; undefined for the defaults. */
   readonly readLimits?: () => HttpLimits | undefined;
 }
@@ -49,6 +53,7 @@
       this.readLimits().maxHeaderBytes + REQUEST_LINE_BYTES,
   };
   private readonly timer: NodeJS.Timeout;
+  private readonly lines: ThrottledEventLog | undefined;
 
   private constructor(
     private readonly server: http.Server,
@@ -60,7 +65,10 @@
       maxHeldBytes: options.maxHeldBytes,
       readLimits: () => this.readLimits(),
       readStatedIdleMs: () => server.keepAliveTimeout,
+      onEnded: reason => this.recordEnded(reason),
     });
+    const {log} = options;
+    this.lines = log && ThrottledEventLog.create(log.events, systemClock);
     this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
     this.timer.unref();
   }
@@ -141,7 +149,10 @@
     // Node would close idle connections by the time that responses state, without a margin for new limits.
     server.on('timeout', () => undefined);
     // The process has no descriptor left to accept a connection with: an open one is closed.
-    server.on('error', () => this.connections.evict());
+    server.on('error', ({message}) => {
+      this.recordEnded(`a connection could not be accepted: ${message}`);
+      this.connections.evict();
+    });
   }
 
   private addConnection(socket: net.Socket): void {
@@ -168,10 +179,22 @@
     this.options.onRequest(message, response);
   }
 
+  private recordEnded(reason: string): void {
+    this.lines?.record(reason, {
+      type: 'connection-ended',
+      subject: 'process',
+      id: this.options.log?.id ?? '',
+      reason,
+      details: this.connections.describe(),
+    });
+  }
+
   private check(): void {
     this.server.keepAliveTimeout = this.readLimits().idleTimeoutMs;
     // What arrived while the process was suspended is read first.
-    setImmediate(() => this.connections.expire());
+    if (this.connections.size > 0) {
+      setImmediate(() => this.connections.expire());
+    }
   }
 
   private readLimits(): HttpLimits {
--- a/test/transport/requests_ahead.test.ts
+++ b/test/transport/requests_ahead.test.ts
@@ -4,6 +4,7 @@
  * while 100 connections sent 200,000 requests ahead each, no other caller got an answer.
  */
 import * as http from 'node:http';
+import * as fc from 'fast-check';
 import {afterEach, expect, test, vi} from 'vitest';
 import {HttpListener} from '../../src/transport/http_listener';
 import {RawCaller} from '../support/raw_caller';
@@ -180,6 +181,61 @@
   },
 );
 
+const BODY = fc
+  .array(
+    fc.constantFrom(
+      '0\r\n\r\n',
+      '\n\r\n',
+      '\n\n',
+      'GET /x',
+      'a',
+      'b'.repeat(900),
+    ),
+    {maxLength: 8},
+  )
+  .map(parts => parts.join(''));
+const DRAWN_REQUEST = fc.oneof(
+  BODY.map(body => ({body, format: (path: string) => formatPost(path, body)})),
+  fc.array(BODY.filter(Boolean), {maxLength: 4}).map(chunks => ({
+    body: chunks.join(''),
+    format: (path: string) => formatChunked(path, ...chunks),
+  })),
+  fc.constant({body: '', format: formatRequest}),
+);
+
+test('drawn requests, cut at drawn places, are each answered once, in order', async () => {
+  const echo = createEcho();
+  const port = await listen(echo.handle);
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(DRAWN_REQUEST, {minLength: 1, maxLength: 12}),
+      fc.array(fc.integer({min: 1, max: 3_000}), {maxLength: 20}),
+      async (requests, cuts) => {
+        echo.seen.length = 0;
+        const caller = await connect(port);
+        caller.socket.setNoDelay(true);
+        const text = requests.map(({format}, at) => format(`${at}`)).join('');
+        let sent = 0;
+        for (const length of [...cuts, text.length]) {
+          caller.send(text.slice(sent, sent + length));
+          sent += length;
+          await new Promise(resolve => setImmediate(resolve));
+        }
+        await waitUntil(
+          'answers',
+          () => caller.statuses.length === requests.length,
+          5_000,
+        );
+        caller.close();
+        expect(echo.seen).toEqual(
+          requests.map(({body}, at) => `/${at} ${body}`),
+        );
+      },
+    ),
+    {numRuns: 200},
+  );
+});
+
 test('requests that Node answers itself take their turn, too', async () => {
   const echo = createEcho();
   const port = await listen(echo.handle);
