--- a/src/entry/entry_server.ts
+++ b/src/entry/entry_server.ts
@@ -11,6 +11,7 @@
 import {Bundle} from '../protocol/bundle';
 import {ControlClient} from '../protocol/control_client';
 import {cancelResponse} from '../transport/cancel_response';
+import {computeConnectionLimit} from '../transport/compute_connection_limit';
 import {HttpListener} from '../transport/http_listener';
 import {readHttpBody} from '../transport/read_http_body';
 import {CallerRequest} from './caller_request';
@@ -137,6 +138,8 @@
         port: settings.port,
         onRequest: (request, response) =>
           void entry.handleRequest(request, response),
+        maxConnections: computeConnectionLimit(),
+        log: {events: entry.events, id: settings.entryId},
       });
     } catch (error) {
       await entry.close();
