refactor(gateway): the time limit of a request is computed in one place

The server and the policies of a request each took the smaller of the route's timeout and the caller's patience.

--- a/src/gateway/create_request_policies.ts
+++ b/src/gateway/create_request_policies.ts
@@ -1,4 +1,5 @@
 import {estimateRequestWork} from '../coordination/scheduling/estimate_request_work';
+import {computeTimeoutMs} from './compute_timeout_ms';
 import {createForecastKey} from './scheduling/create_forecast_key';
 import {createStallThresholds} from './responses/create_stall_thresholds';
 import {SlotWait} from './scheduling/slot_wait';
@@ -17,7 +18,7 @@
   const {request, route, pool, arrivedAt, clock} = options;
   const {balancer, forecast, dialect, signals} = options;
   const {model, promptTokens} = request;
-  const timeoutMs = Math.min(route.timeoutMs, request.waitMs ?? Infinity);
+  const timeoutMs = computeTimeoutMs(request, route);
   const deadlineAt = arrivedAt + timeoutMs;
   const work = createForecastKey({route, pool});
   const stallInput = {route, pool, model, promptTokens, work, forecast};
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -17,6 +17,7 @@
 import {CrashDetector} from './crashes/crash_detector';
 import {CrashContainment} from './crashes/crash_containment';
 import {CheckTimer} from './check_timer';
+import {computeTimeoutMs} from './compute_timeout_ms';
 import {ControlPoller} from './control/control_poller';
 import {createControlClock} from './control/create_control_clock';
 import {createBackendSignals} from './limits/create_backend_signals';
@@ -297,7 +298,7 @@
     const {route, pool, workspace, urgency} = admitted;
     const refusal = this.shutdown.admit({
       route,
-      leftMs: this.computeLeftMs(request, route, arrivedAt),
+      leftMs: computeTimeoutMs(request, route) - (this.clock.now() - arrivedAt),
       isOnNewConnection,
     });
     if (refusal) {
@@ -348,15 +349,6 @@
     }
   }
 
-  /** Returns the milliseconds until the deadline of a request. */
-  private computeLeftMs(
-    {waitMs = Infinity}: GatewayRequest,
-    {timeoutMs}: {timeoutMs: number},
-    arrivedAt: number,
-  ): number {
-    return Math.min(waitMs, timeoutMs) - (this.clock.now() - arrivedAt);
-  }
-
   private recordResult(
     request: GatewayRequest,
     route: string,
