test(transport): a server that starts again before the end of its response is read

A response that ends with its connection is whole if its server listens when the end is read. While a caller reads too slowly the client does not read, and the end waits in the kernel: the server can be killed and start again at its address meanwhile, and the check meets the new process. The same at the client of whinreel-host, where a slow reader and a pause of the process delay the end; the guard against pauses is at the gateway only.

--- a/test/transport/backend_http_client.test.ts
+++ b/test/transport/backend_http_client.test.ts
@@ -1,3 +1,4 @@
+import * as net from 'node:net';
 import {Socket} from 'node:net';
 import {afterEach, expect, test} from 'vitest';
 import {BackendHttpClient} from '../../src/transport/backend_http_client';
@@ -202,3 +203,39 @@
   const text = await readText(body).catch((error: Error) => error.name);
   expect(text).toBe(isKilled ? 'Broken' : 'part');
 });
+
+// What has arrived is read late while the reader or this process is held up, and the server may be another one then.
+test('a response that is read late is not whole when its server was killed and started again meanwhile', async () => {
+  const server = net.createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\n');
+      socket.write(Buffer.alloc(1024 * 1024, 'x'));
+      server.close();
+      socket.end();
+    });
+  });
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as net.AddressInfo;
+  const client = BackendHttpClient.create();
+  closers.push(() => client.close());
+  const {body} = await client.call({
+    url: `http://127.0.0.1:${port}`,
+    method: 'POST',
+    path: '/',
+    headers: {},
+    body: Buffer.from('a'),
+    signal: AbortSignal.timeout(5_000),
+  });
+  await new Promise(resolve => setTimeout(resolve, 500));
+  const restarted = net.createServer();
+  await new Promise<void>(resolve =>
+    restarted.listen(port, '127.0.0.1', resolve),
+  );
+  closers.push(() => restarted.close());
+  const end = await readText(body).then(
+    () => 'whole',
+    (error: Error) => error.name,
+  );
+  expect(end).toBe('Broken');
+});
