fix(transport): a restart before the end is read does not make a response whole

Cause: the check opened its connection after the end had been read, and met the process that listens by then. A time limit on pauses only moves the fault, and fails proper answers of a loaded gateway.

Change: the connection is opened with the head of the response and belongs to the process that sends it. The response is whole only if it is still open 50 ms after the end. Responses from one server share it. Only a server that closes it at once, for want of room, is probed after the end.

--- a/src/common/process_pauses.ts
+++ b/src/common/process_pauses.ts
@@ -2,10 +2,10 @@
 import {Clock} from './clock';
 import {systemClock} from './system_clock';
 
-/** A process that is killed and started again at once can listen within less than 100 ms. */
-const MIN_PAUSE_MS = 60;
+/** A process that is killed and started again at once needs about as long until it listens. */
+const MIN_PAUSE_MS = 100;
 /** What has arrived during a pause is read within this time after it. */
-const RECENT_MS = 1_000;
+const RECENT_MS = 250;
 
 /** The clocks of the system by default. */
 interface ProcessPausesOptions {
@@ -28,7 +28,7 @@
   }
 
   /**
-   * Creates a meter; `record` must be called at intervals well under 60 ms.
+   * Creates a meter; `record` must be called at intervals well under 100 ms.
    *
    * @example
    * const pauses = ProcessPauses.create();
--- a/src/transport/backend_exchange.ts
+++ b/src/transport/backend_exchange.ts
@@ -1,7 +1,7 @@
 /** One HTTP request to a backend server and its response, over a connection of its own. */
 import * as http from 'node:http';
-import {probeListener} from './probe_listener';
 import {ResponseCheck} from './response_check';
+import {ServerWitness} from './server_witness';
 import {TransportError} from './transport_error';
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -42,6 +42,8 @@
   private readonly request: http.ClientRequest;
   private response: http.IncomingMessage | undefined;
   private check: ResponseCheck | undefined;
+  /** Of a response that ends with its connection. */
+  private witness: ServerWitness | undefined;
   private isConnected = false;
   private receivedBytes = 0;
   private bodyBytes = 0;
@@ -95,9 +97,7 @@
         timer = this.startBodyTimer();
       }
       rejectFault(this.check?.findFault());
-      if (this.check?.endsWithConnection) {
-        rejectFault(await findServerFault(this.options.url));
-      }
+      rejectFault(await this.findServerFault());
     } catch (error) {
       throw wrapError(error as Error, 'Broken');
     } finally {
@@ -106,8 +106,17 @@
     }
   }
 
+  /** A process that was killed leaves its connections to the kernel, which ends them in order. */
+  private async findServerFault(): Promise<string | undefined> {
+    const state = (await this.witness?.check()) ?? 'listens';
+    return state === 'listens'
+      ? undefined
+      : 'the server ended with its response';
+  }
+
   /** Closes the connection at once. */
   close(): void {
+    this.witness?.close();
     this.request.destroy();
   }
 
@@ -142,6 +151,9 @@
           this.fail(new Error(`no valid response: ${fault}`));
           return;
         }
+        if (this.check?.endsWithConnection) {
+          this.witness = ServerWitness.create(new URL(this.options.url).host);
+        }
         resolve({status, headers: flattenHeaders(response.headers)});
       });
       this.request.on('error', error => {
@@ -186,12 +198,6 @@
   }
 }
 
-/** A process that was killed leaves its connections to the kernel, which ends them in order. */
-async function findServerFault(url: string): Promise<string | undefined> {
-  const isAlive = (await probeListener(new URL(url).host)) === 'listens';
-  return isAlive ? undefined : 'the server ended with its response';
-}
-
 function rejectFault(reason: string | undefined): void {
   if (reason) {
     throw new Error(`no valid response: ${reason}`);
--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -3,9 +3,9 @@
 import {ConnectionUse} from './connection_use';
 import {ExchangeControl} from './exchange_control';
 import {ExchangeEvents} from './exchange_events';
-import {ListenerChecks} from './listener_checks';
 import {OVERFLOW_CODE} from './overflow_code';
 import {ServerConnections} from './server_connections';
+import {ServerWitnesses} from './server_witnesses';
 import {TransportError} from './transport_error';
 
 /** One HTTP request and the address of its server. */
@@ -24,13 +24,16 @@
 }
 
 /** Callbacks for the progress of a request, in the order of their calls. */
-interface HttpClientEvents extends Pick<ExchangeEvents, 'onHead' | 'onData'> {
+interface HttpClientEvents extends Pick<ExchangeEvents, 'onData'> {
+  /** Called with the head of the response, never with an interim one. */
+  readonly onHead: (
+    status: number,
+    headers: Readonly<Record<string, string | string[] | undefined>>,
+  ) => void;
   /** The request is about to be written to a connection: from now on it may run. False aborts it before the first byte. */
   readonly onSent: (use: ConnectionUse) => boolean;
   /** The body ended with its connection; called before `onEnd`, with whether the server still listens; `unknown` after a pause of this process. */
-  readonly onEndedByConnection?: (
-    state: Awaited<ReturnType<ListenerChecks['check']>> | 'unknown',
-  ) => void;
+  readonly onEndedByConnection?: (state: EndState) => void;
   /** The response is whole. */
   readonly onEnd: () => void;
   /**
@@ -40,6 +43,18 @@
   readonly onError: (error: TransportError) => void;
 }
 
+type ServerState = Awaited<
+  ReturnType<ReturnType<ServerWitnesses['acquire']>['check']>
+>;
+/** `unknown`: this process was held up, and the server may be another one. */
+type EndState = ServerState | 'unknown';
+
+/** Tells at the end of a response whether its server still runs. */
+interface Witness {
+  readonly check: () => Promise<EndState>;
+  readonly release: () => void;
+}
+
 /** Controls a request; `abort` closes its connection, so that the server notices. */
 interface HttpClientHandle {
   readonly abort: () => void;
@@ -52,7 +67,7 @@
 /** Sends requests over one connection pool for each server. */
 export class HttpClientPool {
   private readonly pools = new Map<string, ServerConnections>();
-  private readonly listeners = ListenerChecks.create();
+  private readonly witnesses = ServerWitnesses.create();
 
   private constructor(private readonly hasPausedLately: () => boolean) {}
 
@@ -76,6 +91,7 @@
     let isSent = false;
     let hasReturned = false;
     let isNeeded = true;
+    let witness: Witness | undefined;
     const abortReason = new Error('the request was aborted');
     const withdraw = this.findPool(request).dispatch(
       request.id,
@@ -98,16 +114,25 @@
             started.abort(abortReason);
           }
         },
-        onHead: events.onHead,
+        onHead: (status, headers, endsWithConnection) => {
+          events.onHead(status, headers);
+          // A refusal is not needed any more by then.
+          queueMicrotask(() => {
+            if (endsWithConnection && isNeeded) {
+              witness = this.acquireWitness(request.address);
+            }
+          });
+        },
         onData: events.onData,
-        onEnd: endsWithConnection => {
-          if (endsWithConnection && isNeeded) {
-            void this.checkEnd(request.address, events);
+        onEnd: () => {
+          if (witness) {
+            void checkEnd(witness, events);
           } else {
             events.onEnd();
           }
         },
         onError: error => {
+          witness?.release();
           const report = () => events.onError(wrapError(error, isSent));
           // The caller needs the handle before it hears of the end.
           if (hasReturned) {
@@ -123,6 +148,7 @@
       abort: () => {
         isAborted = true;
         isNeeded = false;
+        witness?.release();
         if (control) {
           control.abort(abortReason);
         } else {
@@ -155,25 +181,15 @@
     await Promise.all(pools.map(pool => pool.close()));
   }
 
-  /**
-   * Completes a response that ended with its connection. The kernel ends the connections
-   * of a killed process in order as well, so that only a server that still listens is
-   * known to have ended the response itself.
-   */
-  private async checkEnd(
-    address: string,
-    {onEndedByConnection, onEnd, onError}: HttpClientEvents,
-  ): Promise<void> {
-    const listenerState = await this.listeners.check(address);
+  /** Opens a connection that tells at the end of a response whether its server still runs. */
+  private acquireWitness(address: string): Witness {
     // A server may have ended during a pause of this process, and started again.
-    const state = this.hasPausedLately() ? 'unknown' : listenerState;
-    onEndedByConnection?.(state);
-    if (state === 'listens') {
-      onEnd();
-      return;
-    }
-    const name = 'Broken';
-    onError(new TransportError({name}, 'the server ended with its response'));
+    const isUnknown = this.hasPausedLately();
+    const {check, release} = this.witnesses.acquire(address);
+    return {
+      check: async () => (isUnknown ? 'unknown' : check()),
+      release,
+    };
   }
 
   private findPool({
@@ -192,6 +208,26 @@
   }
 }
 
+/**
+ * Completes a response that ended with its connection. The kernel ends the connections
+ * of a killed process in order as well, so that only a server that still runs is known
+ * to have ended the response itself.
+ */
+async function checkEnd(
+  witness: Witness,
+  {onEndedByConnection, onEnd, onError}: HttpClientEvents,
+): Promise<void> {
+  const state = await witness.check();
+  witness.release();
+  onEndedByConnection?.(state);
+  if (state === 'listens') {
+    onEnd();
+    return;
+  }
+  const name = 'Broken';
+  onError(new TransportError({name}, 'the server ended with its response'));
+}
+
 function wrapError(
   error: NodeJS.ErrnoException,
   isSent: boolean,
--- a/src/transport/server_connection.ts
+++ b/src/transport/server_connection.ts
@@ -122,7 +122,8 @@
         if (fault) {
           controller.abort(createFault(fault));
         } else if (!isInterim) {
-          events.onHead(status, headers);
+          const endsWithConnection = this.check?.endsWithConnection ?? false;
+          events.onHead(status, headers, endsWithConnection);
         }
       },
       onResponseData: (controller, chunk) => {
@@ -164,7 +165,7 @@
       this.socket?.destroy();
       events.onError(createFault(fault));
     } else {
-      events.onEnd(this.check?.endsWithConnection ?? false);
+      events.onEnd();
     }
   }
 
