--- a/src/gateway/responses/response_buffer.ts
+++ b/src/gateway/responses/response_buffer.ts
@@ -1,13 +1,8 @@
+import {BlockBuffer} from '../../common/block_buffer';
 import {ResponseMemory} from './response_memory';
 
 type MemoryShare = ReturnType<ResponseMemory['createShare']>;
 
-/**
- * Blocks grow with what is held, up to this size, so that a short answer takes
- * little and a long one few blocks.
- */
-const MAX_BLOCK_BYTES = 64 * 1024;
-const MIN_BLOCK_BYTES = 1024;
 /**
  * Each piece counts as this many bytes at least. Handling a piece takes about the
  * same time whatever its size, so a limit of bytes alone allows millions of them.
@@ -17,21 +12,17 @@
 /** Why a piece is not held: the response is too long, or the gateway has no memory left for it. */
 type HoldFailure = 'too-long' | 'no-room';
 
-/**
- * Holds bytes of one response. Pieces are copied, because a piece of a few bytes
- * costs a hundred as an object and can keep the whole read that it came in alive.
- */
+/** Holds bytes of one response, up to a length of its own and under the memory of all. */
 export class ResponseBuffer {
-  private blocks: Buffer[] = [];
-  /** Bytes in use of the last block. */
-  private lastLength = 0;
-  private bytes = 0;
+  private readonly blocks: BlockBuffer;
   private countedBytes = 0;
 
   private constructor(
     private readonly maxBytes: number,
-    private readonly share: MemoryShare,
-  ) {}
+    share: MemoryShare,
+  ) {
+    this.blocks = BlockBuffer.create(share);
+  }
 
   /**
    * Creates an empty buffer.
@@ -45,17 +36,17 @@
 
   /** Number of bytes that were added. */
   get length(): number {
-    return this.bytes;
+    return this.blocks.length;
   }
 
   /** Number of bytes that are allocated. */
   get allocatedBytes(): number {
-    return this.blocks.reduce((sum, {length}) => sum + length, 0);
+    return this.blocks.allocatedBytes;
   }
 
   /** The byte that was added last; undefined if there is none. */
   get lastByte(): number | undefined {
-    return this.blocks.at(-1)?.[this.lastLength - 1];
+    return this.blocks.lastByte;
   }
 
   /** Appends a piece; returns why it cannot be held, after which the buffer is of no use until it is cleared. */
@@ -64,53 +55,18 @@
     if (this.countedBytes > this.maxBytes) {
       return 'too-long';
     }
-    let copied = 0;
-    while (copied < piece.length) {
-      const block = this.findBlock(piece.length - copied);
-      if (!block) {
-        return 'no-room';
-      }
-      const count = piece.copy(block, this.lastLength, copied);
-      copied += count;
-      this.lastLength += count;
-    }
-    this.bytes += piece.length;
-    return undefined;
+    return this.blocks.add(piece) ? undefined : 'no-room';
   }
 
   /** Returns the bytes, in order, and empties the buffer. */
   takeBlocks(): readonly Buffer[] {
-    const {blocks, lastLength} = this;
-    this.clear();
-    return blocks.map((block, at) =>
-      at === blocks.length - 1 ? block.subarray(0, lastLength) : block,
-    );
+    this.countedBytes = 0;
+    return this.blocks.takeBlocks();
   }
 
   /** Drops the bytes. */
   clear(): void {
-    this.share.release();
-    this.blocks = [];
-    this.lastLength = 0;
-    this.bytes = 0;
+    this.blocks.clear();
     this.countedBytes = 0;
   }
-
-  /** Returns the last block, or a new one if that is full; undefined without room for one. */
-  private findBlock(wanted: number): Buffer | undefined {
-    const last = this.blocks.at(-1);
-    if (last && this.lastLength < last.length) {
-      return last;
-    }
-    const wantedSize = Math.max(MIN_BLOCK_BYTES, wanted, this.bytes);
-    const size = Math.min(MAX_BLOCK_BYTES, wantedSize);
-    if (!this.share.reserve(size)) {
-      return undefined;
-    }
-    // Not from the shared pool, which a part that is in use keeps alive.
-    const block = Buffer.allocUnsafeSlow(size);
-    this.blocks.push(block);
-    this.lastLength = 0;
-    return block;
-  }
 }
--- a/src/gateway/responses/response_memory.ts
+++ b/src/gateway/responses/response_memory.ts
@@ -1,12 +1,5 @@
 /** What the requests of a gateway together hold of responses, under one limit. */
-
-/** The part of one request. */
-interface MemoryShare {
-  /** Takes bytes; false if there is no room for them. */
-  readonly reserve: (bytes: number) => boolean;
-  /** Gives back all that was taken. */
-  readonly release: () => void;
-}
+import {ByteBudget} from '../../common/byte_budget';
 
 interface MemoryShareOptions {
   /** False while ending the attempt would free nothing, as its response is complete. */
@@ -15,9 +8,11 @@
   readonly onEvicted: () => void;
 }
 
-interface ShareState extends MemoryShareOptions {
-  bytes: number;
-}
+type Budget = ByteBudget<MemoryShareOptions>;
+type MemoryShare = ReturnType<Budget['createShare']>;
+type SelectVictim = Parameters<
+  typeof ByteBudget.create<MemoryShareOptions>
+>[0]['selectVictim'];
 
 /**
  * Bounds the memory for incomplete responses. When it is spent, the request that
@@ -26,11 +21,7 @@
  * the one that wants more gave way, responses without end would end proper ones.
  */
 export class ResponseMemory {
-  /** Shares that hold something. */
-  private readonly shares = new Set<ShareState>();
-  private bytes = 0;
-
-  private constructor(private readonly maxBytes: number) {}
+  private constructor(private readonly budget: Budget) {}
 
   /**
    * Creates the memory of a gateway.
@@ -41,52 +32,30 @@
    * const hasRoom = share.reserve(1024);
    */
   static create(maxBytes: number): ResponseMemory {
-    return new ResponseMemory(maxBytes);
+    return new ResponseMemory(
+      ByteBudget.create({maxBytes, selectVictim: selectLargest}),
+    );
   }
 
   /** Bytes that all requests together hold. */
   get usedBytes(): number {
-    return this.bytes;
+    return this.budget.usedBytes;
   }
 
   /** Creates the share of one request, which holds nothing. */
   createShare(options: MemoryShareOptions): MemoryShare {
-    const share = {...options, bytes: 0};
-    return {
-      reserve: bytes => this.reserve(share, bytes),
-      release: () => this.release(share),
-    };
-  }
-
-  private reserve(share: ShareState, bytes: number): boolean {
-    while (this.bytes + bytes > this.maxBytes) {
-      const largest = this.findLargest(share);
-      if (!largest || largest.bytes <= share.bytes + bytes) {
-        return false;
-      }
-      this.release(largest);
-      // Ending an attempt sends requests, which must not happen within the callback of another response.
-      queueMicrotask(largest.onEvicted);
-    }
-    this.bytes += bytes;
-    share.bytes += bytes;
-    this.shares.add(share);
-    return true;
-  }
-
-  private release(share: ShareState): void {
-    this.bytes -= share.bytes;
-    share.bytes = 0;
-    this.shares.delete(share);
-  }
-
-  /** Looks through all shares, but only when the memory is spent, and each time one of them ends. */
-  private findLargest(except: ShareState): ShareState | undefined {
-    return [...this.shares]
-      .filter(share => share !== except && share.canEvict())
-      .reduce<ShareState | undefined>(
-        (best, share) => (best && best.bytes >= share.bytes ? best : share),
-        undefined,
-      );
+    return this.budget.createShare(options);
   }
 }
+
+/** Looks through all shares, but only when the memory is spent, and each time one of them ends. */
+const selectLargest: SelectVictim = (held, wanting, bytes) => {
+  const [first, ...others] = [...held].filter(
+    share => share !== wanting && share.holder.canEvict(),
+  );
+  const largest = others.reduce(
+    (best, share) => (best.bytes >= share.bytes ? best : share),
+    first,
+  );
+  return largest && largest.bytes > wanting.bytes + bytes ? largest : undefined;
+};
