fix(transport): request bodies of all callers share one budget of bytes

Each piece of a body was kept as a buffer of its own, and nothing bounded all bodies together: 10 unfinished bodies of 1 MiB in one-byte chunks ended an entry and a control process with 96 MB of heap, 240 in large chunks took an entry to 321 MB and control to 312 where the machine has 256. Bodies are now copied into blocks under one budget for each process, an eighth of its memory, which the platform's settings tell (limits.memory_mb). When it is spent, the unfinished body that has been arriving for the longest is refused as not run; a whole one never is.

A body over its limit was read to its end, however long, before it was refused; it is refused at once now, also by its announced length, and read on for 16 MiB and 2 s so that the refusal is not lost to a reset. A body of which nothing comes for 10 s is refused with 408.

A limit of memory that the settings tell holds also for responses, which took 256 MiB there, as the platform's processes have no control group of their own.

--- a/src/common/block_buffer.ts
+++ b/src/common/block_buffer.ts
@@ -69,13 +69,14 @@
     return blocks;
   }
 
-  /** Returns the bytes in one piece, which the share goes on to count, and empties the buffer; undefined without room for it. */
-  takeJoined(): Buffer | undefined {
+  /**
+   * Returns the bytes in one piece, which the share goes on to count, and empties the
+   * buffer. Blocks and piece are both in memory only within this call, so all buffers
+   * of a process together exceed their budget by no more than one body.
+   */
+  takeJoined(): Buffer {
     const {bytes, allocatedBytes} = this;
     const blocks = this.listFilled();
-    if (blocks.length > 1 && !this.share.reserve(bytes)) {
-      return undefined;
-    }
     this.dropBlocks();
     if (blocks.length <= 1) {
       return blocks[0] ?? Buffer.alloc(0);
@@ -83,7 +84,7 @@
     const joined = Buffer.allocUnsafeSlow(bytes);
     let at = 0;
     blocks.forEach(block => (at += block.copy(joined, at)));
-    this.share.release(allocatedBytes);
+    this.share.release(allocatedBytes - bytes);
     return joined;
   }
 
--- a/src/entry/entry_server.ts
+++ b/src/entry/entry_server.ts
@@ -10,6 +10,8 @@
 import {AdmissionControl} from '../coordination/requests/admission_control';
 import {Bundle} from '../protocol/bundle';
 import {ControlClient} from '../protocol/control_client';
+import {BODY_ERROR_STATUS} from '../transport/body_error_status';
+import {BodyBudget} from '../transport/body_budget';
 import {HttpListener} from '../transport/http_listener';
 import {readHttpBody} from '../transport/read_http_body';
 import {CallerRequest} from './caller_request';
@@ -27,6 +29,14 @@
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 const RETRY_AFTER_LIMIT_MS = 1_000;
 const RETRY_AFTER_NOT_READY_MS = 1_000;
+const RETRY_AFTER_NO_ROOM_MS = 1_000;
+
+/** Titles by the name of the error with which a body was not read. */
+const BODY_ERROR_TITLES: Readonly<Record<string, string | undefined>> = {
+  TooLarge: 'Body too large',
+  NoRoom: 'No room for the body',
+  TooSlow: 'Body too slow',
+};
 
 const NOT_READY: Problem = {
   status: 503,
@@ -73,6 +83,7 @@
       recordPause(this.events, 'control', this.settings.entryId, pause),
   });
   private readonly admission = AdmissionControl.create();
+  private readonly bodyBudget = BodyBudget.create();
   private readonly connections: HostConnections;
   private readonly table: RoutingTable;
   private readonly runner: RequestRunner;
@@ -238,11 +249,11 @@
     const workspace = findWorkspace(request, bundle);
     if (!workspace) {
       // A caller without a key must not make the entry buffer a body.
-      await readHttpBody(request, 0).catch(() => undefined);
+      await this.readBody(request, response, 0).catch(() => undefined);
       sendProblem(response, UNKNOWN_KEY);
       return;
     }
-    const body = await readHttpBody(request, MAX_BODY_BYTES);
+    const body = await this.readBody(request, response, MAX_BODY_BYTES);
     const input = {
       request,
       body,
@@ -265,6 +276,15 @@
     await this.admitAndRun(parsed, workspace.maxInFlight, response);
   }
 
+  private readBody(
+    request: IncomingMessage,
+    response: ServerResponse,
+    maxBytes: number,
+  ): Promise<Buffer> {
+    const budget = this.bodyBudget;
+    return readHttpBody(request, response, {maxBytes, budget});
+  }
+
   private async admitAndRun(
     request: CallerRequest,
     maxInFlight: number,
@@ -309,12 +329,15 @@
       response.destroy();
       return;
     }
-    const isTooLarge = error.name === 'TooLarge';
+    const status = BODY_ERROR_STATUS[error.name];
+    const title = BODY_ERROR_TITLES[error.name] ?? 'Internal error';
     sendProblem(response, {
-      status: isTooLarge ? 413 : 500,
-      title: isTooLarge ? 'Body too large' : 'Internal error',
+      status: status ?? 500,
+      title,
       detail: error.message,
-      outcome: isTooLarge ? 'not-run' : 'unknown',
+      outcome: status === undefined ? 'unknown' : 'not-run',
+      retryAfterMs:
+        error.name === 'NoRoom' ? RETRY_AFTER_NO_ROOM_MS : undefined,
     });
   }
 
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -10,7 +10,6 @@
 import {HttpListener} from '../transport/http_listener';
 import {HttpClientPool} from '../transport/http_client_pool';
 import {hasRepeatedHost} from '../transport/has_repeated_host';
-import {readHttpBody} from '../transport/read_http_body';
 import {BackendSignals} from './limits/backend_signals';
 import {CrashDetector} from './crashes/crash_detector';
 import {CrashContainment} from './crashes/crash_containment';
@@ -29,6 +28,7 @@
 import {ProxiedRequest} from './proxied_request';
 import {RetryBudgets} from './retries/retry_budgets';
 import {RequestIdentity} from './crashes/request_identity';
+import {RequestBodies} from './request_bodies';
 import {RequestLog} from './request_log';
 import {RequestResult} from './request_result';
 import {ResponseLog} from './responses/response_log';
@@ -40,8 +40,6 @@
 
 /** Reason of requests that are abandoned when the gateway shuts down. */
 const STOPPED = 'this gateway stopped';
-/** Limit for request bodies until the first rules arrive. */
-const DEFAULT_MAX_BODY_BYTES = 1024 * 1024;
 /** After this time without an answer, another control process is tried. */
 const CONTROL_TIMEOUT_MS = 1_000;
 
@@ -52,9 +50,8 @@
   private readonly clock = systemClock;
   private readonly clientPool = HttpClientPool.create();
   private readonly responseLog = ResponseLog.create(this.events, systemClock);
-  private readonly responseMemory = ResponseMemory.create(
-    computeResponseMemoryBytes(),
-  );
+  private readonly responseMemory: ResponseMemory;
+  private readonly bodies: RequestBodies;
   private readonly balancer: LoadBalancer;
   private readonly poller: ControlPoller;
   private readonly requestLog: RequestLog;
@@ -84,6 +81,10 @@
     const {gatewayId, zone, control, stopWithinMs} = settings;
     const {confirmationMs, changesWithinMs} = settings;
     const {clock, events} = this;
+    const {memoryBytes} = settings;
+    this.responseMemory = ResponseMemory.create(
+      computeResponseMemoryBytes(memoryBytes),
+    );
     this.shutdown = GatewayShutdown.create({
       gatewayId,
       clock,
@@ -160,6 +161,7 @@
       },
     });
     this.requestLog = RequestLog.create(events, this.poller);
+    this.bodies = RequestBodies.create(memoryBytes, this.requestLog);
     this.checkTimer = CheckTimer.create({
       clock,
       check: now => this.requests.forEach(request => request.check(now)),
@@ -245,29 +247,31 @@
         ? 'there is more than one host header'
         : dialect.readRequest(message);
       if (typeof request === 'string') {
-        await readHttpBody(message, 0).catch(() => undefined);
-        writer.sendError({status: 400, reason: request}, undefined);
+        await this.bodies.rejectInvalid(message, response, writer, request);
         return;
       }
-      await this.admit(message, request, writer, arrivedAt);
+      await this.admit({message, response}, request, writer, arrivedAt);
     } catch (error) {
-      const isTooLarge = (error as Error).name === 'TooLarge';
-      const status = isTooLarge ? 413 : 400;
-      writer.sendError({status, reason: (error as Error).message}, undefined);
+      const {message: reason} = error as Error;
+      writer.sendError({status: 400, reason}, undefined);
     }
   }
 
   private async admit(
-    message: IncomingMessage,
+    exchange: {message: IncomingMessage; response: ServerResponse},
     request: GatewayRequest,
     writer: ResponseWriter,
     arrivedAt: number,
   ): Promise<void> {
-    const isOnNewConnection = !this.seenConnections.has(message.socket);
-    this.seenConnections.add(message.socket);
-    const limits = this.poller.index?.rules.limits;
-    const maxBytes = limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    const body = await readHttpBody(message, maxBytes);
+    const {socket} = exchange.message;
+    const isOnNewConnection = !this.seenConnections.has(socket);
+    this.seenConnections.add(socket);
+    const maxBytes = this.poller.index?.rules.limits?.maxBodyBytes;
+    const head = {...exchange, writer, request, maxBytes};
+    const body = await this.bodies.receive(head);
+    if (!body) {
+      return;
+    }
     // Decided after the body was received, since the rules may have changed or expired meanwhile.
     const {index} = this.poller;
     const admitted = decideAdmission({
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -24,4 +24,6 @@
   };
   /** From the signal to stop until the process is killed, in milliseconds. */
   readonly stopWithinMs: number;
+  /** Memory limit of the process in bytes; without it, that of its control group. */
+  readonly memoryBytes?: number;
 }
--- a/src/gateway/responses/compute_response_memory_bytes.ts
+++ b/src/gateway/responses/compute_response_memory_bytes.ts
@@ -1,4 +1,4 @@
-import * as os from 'node:os';
+import {computeMemoryBytes} from '../../common/compute_memory_bytes';
 
 /** Of the memory limit of the process; the rest is for its heap, for request bodies and for what callers have not read yet. */
 const LIMIT_FRACTION = 1 / 4;
@@ -8,14 +8,14 @@
 /**
  * Computes how much the requests of a gateway together may hold of responses.
  *
- * @param limitBytes the memory limit of the process; one beyond the memory of the machine is none
+ * @param limitBytes the memory limit of the process; the kernel's without
  * @example
  * const memory = ResponseMemory.create(computeResponseMemoryBytes());
  */
 export function computeResponseMemoryBytes(
-  limitBytes: number = process.constrainedMemory(),
-  machineBytes: number = os.totalmem(),
+  limitBytes?: number,
+  machineBytes?: number,
 ): number {
-  const isLimited = limitBytes > 0 && limitBytes < machineBytes;
-  return isLimited ? Math.floor(limitBytes * LIMIT_FRACTION) : DEFAULT_BYTES;
+  const part = {fraction: LIMIT_FRACTION, defaultBytes: DEFAULT_BYTES};
+  return computeMemoryBytes({...part, limitBytes, machineBytes});
 }
--- a/src/host/listen_for_announcements.ts
+++ b/src/host/listen_for_announcements.ts
@@ -1,6 +1,8 @@
 /** Local HTTP endpoint where the backend server announces itself. */
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {BackendAnnouncement} from '../protocol/backend_announcement';
+import {BODY_ERROR_STATUS} from '../transport/body_error_status';
+import {BodyBudget} from '../transport/body_budget';
 import {HttpListener} from '../transport/http_listener';
 import {readHttpBody} from '../transport/read_http_body';
 
@@ -26,12 +28,13 @@
   options: AnnouncementListenerOptions,
 ): Promise<HttpListener> {
   const {host, port} = options;
+  const budget = BodyBudget.create();
   return HttpListener.create({
     host,
     port,
     onRequest: (request, response) => {
-      void handleRequest(request, response, options).catch(() =>
-        response.destroy(),
+      handleRequest(request, response, {...options, budget}).catch(
+        (error: Error) => sendRefusal(response, error),
       );
     },
   });
@@ -40,7 +43,7 @@
 async function handleRequest(
   request: IncomingMessage,
   response: ServerResponse,
-  options: AnnouncementListenerOptions,
+  options: AnnouncementListenerOptions & {readonly budget: BodyBudget},
 ): Promise<void> {
   const route = `${request.method} ${request.url}`;
   if (route === 'GET /status') {
@@ -51,7 +54,10 @@
     sendJson(response, 404, {error: 'try POST /announce or GET /status'});
     return;
   }
-  const body = await readHttpBody(request, MAX_ANNOUNCEMENT_BYTES);
+  const body = await readHttpBody(request, response, {
+    maxBytes: MAX_ANNOUNCEMENT_BYTES,
+    budget: options.budget,
+  });
   const announcement = parseAnnouncement(body);
   if (typeof announcement === 'string') {
     sendJson(response, 400, {error: announcement});
@@ -61,6 +67,15 @@
   sendJson(response, 200, {});
 }
 
+function sendRefusal(response: ServerResponse, error: Error): void {
+  const status = BODY_ERROR_STATUS[error.name];
+  if (status === undefined) {
+    response.destroy();
+    return;
+  }
+  sendJson(response, status, {error: error.message});
+}
+
 function parseAnnouncement(body: Buffer): BackendAnnouncement | string {
   try {
     const parsed = BackendAnnouncement.safeParse(JSON.parse(body.toString()));
--- a/src/transport/read_http_body.ts
+++ b/src/transport/read_http_body.ts
@@ -1,40 +1,190 @@
-import {IncomingMessage} from 'node:http';
+import {IncomingMessage, ServerResponse} from 'node:http';
+import {BlockBuffer} from '../common/block_buffer';
+import {BodyBudget} from './body_budget';
 import {TransportError} from './transport_error';
 
+/** Proper callers send without pauses; a lost packet is sent again within seconds. */
+const DEFAULT_STALL_MS = 10_000;
 /**
- * Reads a whole HTTP body. Bytes beyond the limit are discarded, and the error is
- * thrown only at the end of the body: closing a connection with unread bytes resets
- * it, and the response would be lost.
+ * How long a refused body is read on, and how much of it. Closing a connection with
+ * unread bytes resets it, and the caller might not see the refusal.
+ */
+const DEFAULT_DISCARD_MS = 2_000;
+const DISCARD_BYTES = 16 * 1024 * 1024;
+
+interface BodyOptions {
+  readonly maxBytes: number;
+  /** Shared by all bodies of the process. */
+  readonly budget: BodyBudget;
+  /** Time without a byte after which an unfinished body is refused. */
+  readonly stallMs?: number;
+  /** Time for the refusal of an unfinished body to reach the caller, after which its connection closes. */
+  readonly discardMs?: number;
+}
+
+interface BodyReceiver {
+  readonly resolve: (body: Buffer) => void;
+  readonly reject: (error: TransportError) => void;
+}
+
+/**
+ * Reads a whole HTTP body. It counts in the budget until the response is sent or
+ * the connection has closed. A body that is refused is discarded while the caller
+ * reads the refusal, for a bounded time, after which the connection closes.
  *
- * @throws TransportError named `TooLarge` when the body exceeds the limit
+ * @throws TransportError named `TooLarge` when the body exceeds the limit, `NoRoom`
+ * when the budget is spent, or `TooSlow` when it stops arriving
  * @example
- * const body = await readHttpBody(request, 1024 * 1024);
+ * const body = await readHttpBody(request, response, {maxBytes: 1024 * 1024, budget});
  */
 export function readHttpBody(
   request: IncomingMessage,
-  maxBytes: number,
+  response: ServerResponse,
+  options: BodyOptions,
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    request.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= maxBytes) {
-        chunks.push(chunk);
-      } else {
-        chunks.length = 0;
-      }
-    });
-    request.on('end', () => {
-      if (size <= maxBytes) {
-        resolve(Buffer.concat(chunks));
-        return;
-      }
-      const name = 'TooLarge';
-      reject(new TransportError({name}, 'the body is over %d bytes', maxBytes));
+    new BodyReader(request, response, options, {resolve, reject}).start();
+  });
+}
+
+/** One body, from its head until its request has ended. */
+class BodyReader {
+  private readonly buffer: BlockBuffer;
+  private state: 'receiving' | 'whole' | 'refused' = 'receiving';
+  private discardedBytes = 0;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly request: IncomingMessage,
+    private readonly response: ServerResponse,
+    private readonly options: BodyOptions,
+    private readonly receiver: BodyReceiver,
+  ) {
+    const share = options.budget.createShare({
+      isWhole: () => this.state === 'whole',
+      onEvicted: () => this.rejectForRoom(),
     });
-    request.on('error', error => {
-      reject(new TransportError(error, 'the body broke off'));
+    this.buffer = BlockBuffer.create(share);
+    this.release = () => share.release();
+  }
+
+  private readonly release: () => void;
+
+  start(): void {
+    const {request, options} = this;
+    const {headers} = request;
+    request.once('data', () => this.watchClose());
+    request.on('data', (piece: Buffer) => this.handleData(piece));
+    request.once('end', () => this.handleEnd());
+    request.once('error', error => this.handleError(error));
+    if (Number(headers['content-length'] ?? 0) > options.maxBytes) {
+      this.rejectForLength();
+      return;
+    }
+    this.timer = setTimeout(
+      () => this.rejectForPause(),
+      options.stallMs ?? DEFAULT_STALL_MS,
+    );
+  }
+
+  private watchClose(): void {
+    const {response} = this;
+    const {socket} = this.request;
+    const close = () => this.close();
+    // A response that waits behind another one on its connection does not tell that the connection closed.
+    socket.once('close', close);
+    response.once('close', () => {
+      socket.removeListener('close', close);
+      this.release();
     });
-  });
+  }
+
+  private handleData(piece: Buffer): void {
+    if (this.state === 'refused') {
+      this.drop(piece);
+      return;
+    }
+    this.timer?.refresh();
+    if (this.buffer.length + piece.length > this.options.maxBytes) {
+      this.rejectForLength();
+    } else if (!this.buffer.add(piece)) {
+      this.rejectForRoom();
+    }
+  }
+
+  private handleEnd(): void {
+    clearTimeout(this.timer);
+    if (this.state === 'refused') {
+      return;
+    }
+    this.state = 'whole';
+    this.receiver.resolve(this.buffer.takeJoined());
+  }
+
+  private handleError(error: Error): void {
+    this.close();
+    this.receiver.reject(new TransportError(error, 'the body broke off'));
+  }
+
+  private close(): void {
+    clearTimeout(this.timer);
+    this.buffer.clear();
+  }
+
+  private rejectForLength(): void {
+    const {maxBytes} = this.options;
+    const name = 'TooLarge';
+    this.reject(
+      new TransportError({name}, 'the body is over %d bytes', maxBytes),
+    );
+  }
+
+  private rejectForRoom(): void {
+    const name = 'NoRoom';
+    this.reject(
+      new TransportError({name}, 'there is no memory for more request bodies'),
+    );
+  }
+
+  private rejectForPause(): void {
+    const {stallMs = DEFAULT_STALL_MS} = this.options;
+    const name = 'TooSlow';
+    this.reject(
+      new TransportError({name}, 'none of the body came for %d ms', stallMs),
+    );
+  }
+
+  private reject(error: TransportError): void {
+    if (this.state === 'refused') {
+      return;
+    }
+    this.state = 'refused';
+    this.close();
+    this.receiver.reject(error);
+    if (!this.request.complete) {
+      this.delayEnd();
+    }
+  }
+
+  /** Keeps the connection for a while: Node would close it right after the refusal if the caller wants no other response. */
+  private delayEnd(): void {
+    const {request, response, options} = this;
+    const {socket} = request;
+    if (!response.shouldKeepAlive) {
+      response.shouldKeepAlive = true;
+      request.once('end', () => socket.end());
+    }
+    this.timer = setTimeout(
+      () => socket.destroy(),
+      options.discardMs ?? DEFAULT_DISCARD_MS,
+    );
+  }
+
+  /** Stops reading beyond the limit, and leaves the caller the rest of the time. */
+  private drop({length}: Buffer): void {
+    this.discardedBytes += length;
+    if (this.discardedBytes > DISCARD_BYTES) {
+      this.request.pause();
+    }
+  }
 }
