fix(gateway): complete answers count until their callers have read them

A complete plain answer of up to 8 MiB left the memory for responses when it was handed to the connection, though it stayed in the process until its caller read it: 80 callers that read nothing took an entry to 674 to 685 MB where the machine has 256. It counts now until the response is sent or its connection has closed. When the memory is spent, the answer that was left unread for the longest, and for a second at least, gives way before any incomplete one.

Node tells only the response whose turn it is that its connection has closed; watchResponseClose tells all, so that what belongs to requests sent ahead is given back, and such requests end when their caller goes away.

The test of a gateway was red before (0 bytes counted).

--- a/src/gateway/proxied_request.ts
+++ b/src/gateway/proxied_request.ts
@@ -54,6 +54,7 @@
     this.trial = SuspectTrial.create(options);
     this.crashCheck = CrashCheck.create({...options, trial: this.trial});
     this.relay = ResponseRelay.create({
+      clock,
       response,
       memory: options.responseMemory,
       canEvict: () => this.sender.attempt !== undefined,
@@ -352,9 +353,8 @@
     if (this.isDone) {
       return;
     }
-    const {attempt} = this.sender;
     this.markDone();
-    attempt?.stop('the caller disconnected');
+    this.sender.attempt?.stop('the caller disconnected');
     this.report('gone', 'the caller disconnected', 0);
   }
 
--- a/src/gateway/responses/response_memory.ts
+++ b/src/gateway/responses/response_memory.ts
@@ -6,6 +6,8 @@
   readonly canEvict: () => boolean;
   /** Called after the bytes of the share were given to others. */
   readonly onEvicted: () => void;
+  /** True when it was sent a while ago, and its caller has not read it. */
+  readonly isUnread?: () => boolean;
 }
 
 type Budget = ByteBudget<MemoryShareOptions>;
@@ -15,10 +17,11 @@
 >[0]['selectVictim'];
 
 /**
- * Bounds the memory for incomplete responses. When it is spent, the request that
+ * Bounds the memory for responses until they are sent. When it is spent, the incomplete one that
  * holds the most gives way, be it the one that wants more or another: answers
  * without end are those that grow largest, and proper ones are mostly short. If
  * the one that wants more gave way, responses without end would end proper ones.
+ * Before any of them, complete ones give way that their callers leave unread.
  */
 export class ResponseMemory {
   private constructor(private readonly budget: Budget) {}
@@ -32,9 +35,7 @@
    * const hasRoom = share.reserve(1024);
    */
   static create(maxBytes: number): ResponseMemory {
-    return new ResponseMemory(
-      ByteBudget.create({maxBytes, selectVictim: selectLargest}),
-    );
+    return new ResponseMemory(ByteBudget.create({maxBytes, selectVictim}));
   }
 
   /** Bytes that all requests together hold. */
@@ -49,11 +50,14 @@
 }
 
 /** Looks through all shares, but only when the memory is spent, and each time one of them ends. */
-const selectLargest: SelectVictim = (held, wanting, bytes) => {
-  const [first, ...others] = [...held].filter(
-    share => share !== wanting && share.holder.canEvict(),
-  );
-  const largest = others.reduce(
+const selectVictim: SelectVictim = (held, wanting, bytes) => {
+  const others = [...held].filter(share => share !== wanting);
+  const unread = others.find(({holder}) => holder.isUnread?.());
+  if (unread) {
+    return unread;
+  }
+  const [first, ...rest] = others.filter(({holder}) => holder.canEvict());
+  const largest = rest.reduce(
     (best, share) => (best.bytes >= share.bytes ? best : share),
     first,
   );
--- a/src/gateway/responses/response_relay.ts
+++ b/src/gateway/responses/response_relay.ts
@@ -1,4 +1,5 @@
 /** Forwards response bodies to the caller: streams event by event, everything else once it is complete. */
+import {Clock} from '../../common/clock';
 import {EventOrder} from './event_order';
 import {EventStreamSplitter} from './event_stream_splitter';
 import {MAX_HELD_BYTES} from './max_held_bytes';
@@ -8,7 +9,11 @@
 import {ResponseHead} from '../response_head';
 import {ResponseWriter} from './response_writer';
 
+/** A caller that reads has a response of the longest kind within it, also over a slow link. */
+const UNREAD_AFTER_MS = 1_000;
+
 interface ResponseRelayOptions {
+  readonly clock: Clock;
   readonly response: ResponseWriter;
   /** The memory of the gateway; `canEvict` and `onEvicted` are for the share of this response. */
   readonly memory: ResponseMemory;
@@ -51,7 +56,7 @@
    * Creates a relay that has forwarded nothing.
    *
    * @example
-   * const relay = ResponseRelay.create({response, memory, canEvict, onEvicted, lastEventId, onForwarded});
+   * const relay = ResponseRelay.create({clock, response, memory, canEvict, onEvicted, lastEventId, onForwarded});
    */
   static create(options: ResponseRelayOptions): ResponseRelay {
     return new ResponseRelay(options);
@@ -119,9 +124,28 @@
     response.end();
   }
 
-  /** Sends a response that was buffered until it was complete. */
+  /** Sends a response that was buffered until it was complete, which counts until its caller has read it. */
   sendBuffered(head: ResponseHead): void {
-    this.options.response.sendComplete(head, this.buffered.takeBlocks());
+    const {response} = this.options;
+    const bytes = this.buffered.allocatedBytes;
+    const blocks = this.buffered.takeBlocks();
+    if (!response.isDisconnected) {
+      this.countUnread(bytes);
+    }
+    response.sendComplete(head, blocks);
+  }
+
+  /** The bytes were released just before, so there is room for them. */
+  private countUnread(bytes: number): void {
+    const {response, memory, clock} = this.options;
+    const sentAt = clock.now();
+    const unread = memory.createShare({
+      canEvict: () => false,
+      isUnread: () => clock.now() - sentAt > UNREAD_AFTER_MS,
+      onEvicted: () => response.cancel(),
+    });
+    unread.reserve(bytes);
+    response.watchClose(() => unread.release());
   }
 
   /** Writes events that came together at once, as a read may hold thousands of short ones. */
--- a/src/gateway/responses/response_writer.ts
+++ b/src/gateway/responses/response_writer.ts
@@ -1,5 +1,6 @@
 /** Writes the HTTP response to one caller: a backend server's response, or an error of the gateway. */
 import {ServerResponse} from 'node:http';
+import {watchResponseClose} from '../../transport/watch_response_close';
 import {ResponseHead} from '../response_head';
 
 const MS_PER_SECOND = 1_000;
@@ -50,7 +51,7 @@
 
   /** Calls back once if the caller disconnects before the response is complete. */
   watchDisconnect(callback: () => void): void {
-    this.response.once('close', () => {
+    watchResponseClose(this.response, () => {
       if (!this.response.writableFinished) {
         callback();
       }
@@ -138,7 +139,7 @@
 
   /** Calls back once when the last byte is sent or the connection has closed. */
   watchClose(callback: () => void): void {
-    this.response.once('close', callback);
+    watchResponseClose(this.response, callback);
   }
 
   /** Keeps Node from adding chunked encoding, whose last chunk would mark a possibly truncated body as complete. */
--- a/src/transport/read_http_body.ts
+++ b/src/transport/read_http_body.ts
@@ -2,6 +2,7 @@
 import {BlockBuffer} from '../common/block_buffer';
 import {BodyBudget} from './body_budget';
 import {TransportError} from './transport_error';
+import {watchResponseClose} from './watch_response_close';
 
 /** Proper callers send without pauses; a lost packet is sent again within seconds. */
 const DEFAULT_STALL_MS = 10_000;
@@ -65,15 +66,14 @@
       onEvicted: () => this.rejectForRoom(),
     });
     this.buffer = BlockBuffer.create(share);
-    this.release = () => share.release();
   }
 
-  private readonly release: () => void;
-
   start(): void {
     const {request, options} = this;
     const {headers} = request;
-    request.once('data', () => this.watchClose());
+    request.once('data', () =>
+      watchResponseClose(this.response, () => this.close()),
+    );
     request.on('data', (piece: Buffer) => this.handleData(piece));
     request.once('end', () => this.handleEnd());
     request.once('error', error => this.handleError(error));
@@ -87,18 +87,6 @@
     );
   }
 
-  private watchClose(): void {
-    const {response} = this;
-    const {socket} = this.request;
-    const close = () => this.close();
-    // A response that waits behind another one on its connection does not tell that the connection closed.
-    socket.once('close', close);
-    response.once('close', () => {
-      socket.removeListener('close', close);
-      this.release();
-    });
-  }
-
   private handleData(piece: Buffer): void {
     if (this.state === 'refused') {
       this.drop(piece);
@@ -126,8 +114,11 @@
     this.receiver.reject(new TransportError(error, 'the body broke off'));
   }
 
+  /** Gives back what is held; a refused body is still dropped for its time. */
   private close(): void {
-    clearTimeout(this.timer);
+    if (this.state !== 'refused') {
+      clearTimeout(this.timer);
+    }
     this.buffer.clear();
   }
 
@@ -158,8 +149,8 @@
     if (this.state === 'refused') {
       return;
     }
-    this.state = 'refused';
     this.close();
+    this.state = 'refused';
     this.receiver.reject(error);
     if (!this.request.complete) {
       this.delayEnd();
--- a/test/gateway/response_memory.test.ts
+++ b/test/gateway/response_memory.test.ts
@@ -1,4 +1,6 @@
 // Guards against gateways that run out of memory under many long responses, and against proper ones that end for them.
+import {once} from 'node:events';
+import {IncomingMessage} from 'node:http';
 import {expect, test} from 'vitest';
 import {computeResponseMemoryBytes} from '../../src/gateway/responses/compute_response_memory_bytes';
 import {ResponseMemory} from '../../src/gateway/responses/response_memory';
@@ -70,6 +72,31 @@
   expect(computeResponseMemoryBytes(0, 4_096 * MIB)).toBe(256 * MIB);
 });
 
+test('the response that was left unread for the longest gives way before an incomplete one', async () => {
+  const memory = ResponseMemory.create(100);
+  const evicted: string[] = [];
+  const unread = new Set<string>();
+  const [first, second] = ['first', 'second'].map(name =>
+    memory.createShare({
+      canEvict: () => false,
+      isUnread: () => unread.has(name),
+      onEvicted: () => evicted.push(name),
+    }),
+  );
+  const {shares} = createShares(memory, ['incomplete', 'new']);
+  const [incomplete, wanting] = shares;
+  expect(first.reserve(20)).toBe(true);
+  expect(second.reserve(20)).toBe(true);
+  expect(incomplete.reserve(60)).toBe(true);
+  // Its caller may still be reading it.
+  expect(wanting.reserve(70)).toBe(false);
+  unread.add('first').add('second');
+  expect(wanting.reserve(10)).toBe(true);
+  await Promise.resolve();
+  expect(evicted).toEqual(['first']);
+  expect(memory.usedBytes).toBe(90);
+});
+
 /** Answers with the id of the request and with a body of this length, of which a part may be held back. */
 function sendBody(length: number, sentLength = length): Handler {
   return arrived => {
@@ -141,3 +168,30 @@
   expect(most).toBeLessThanOrEqual(4 * MIB);
   expect(memory.usedBytes).toBe(0);
 });
+
+test('a complete response counts until its caller has read it, and gives way if it does not', async () => {
+  const {fixture} = await startFixture([sendBody(7 * MIB)], {kind: 'unsafe'});
+  const memory = ResponseMemory.create(16 * MIB);
+  fixture.responseMemory = memory;
+  const unread = await Promise.all(
+    ['a', 'b'].map(async id => {
+      const request = fixture.startRequest({'request-id': id});
+      const [response] = (await once(request, 'response')) as [IncomingMessage];
+      return response.pause();
+    }),
+  );
+  expect(memory.usedBytes).toBeGreaterThanOrEqual(14 * MIB);
+  expect(memory.usedBytes).toBeLessThanOrEqual(16 * MIB);
+  await new Promise(resolve => setTimeout(resolve, 1_100));
+
+  const proper = await fixture.send({'request-id': 'proper'});
+
+  expect(proper).toMatchObject({status: 200, isWhole: true});
+  expect(proper.body).toHaveLength(7 * MIB);
+  const ends = await Promise.allSettled(
+    unread.map(response => response.toArray()),
+  );
+  // Room for the proper one takes one of the two.
+  expect(ends.filter(({status}) => status === 'rejected')).toHaveLength(1);
+  await waitUntil('nothing is held', () => memory.usedBytes === 0);
+});
--- a/test/transport/read_http_body.test.ts
+++ b/test/transport/read_http_body.test.ts
@@ -164,6 +164,17 @@
   await waitUntil('nothing is held', () => budget.usedBytes === 0);
 });
 
+test('bodies that wait behind another on a connection that closes count no more', async () => {
+  const {port, budget, held} = await startServer({holds: true});
+  const {socket} = connect(port);
+  const request = `${formatHead('content-length: 5000')}${'x'.repeat(5_000)}`;
+  socket.write(request.repeat(20));
+  await waitUntil('all are held', () => held.length === 20);
+  expect(budget.usedBytes).toBeGreaterThanOrEqual(100_000);
+  socket.destroy();
+  await waitUntil('nothing is held', () => budget.usedBytes === 0);
+});
+
 test('an unfinished body counts no more once its connection has closed', async () => {
   const {port, budget} = await startServer();
   const {socket} = sendPart(port, 100 * KIB);
