fix(platform): a full heap, bodies and responses fit into the machine together

Responses had a quarter of the memory and bodies an eighth, whatever the heap may take: 208 MB of heap, 87 and 43 of 350, before the program itself. Where the platform's settings tell the memory, buffers now have what the limit of the heap and 48 MiB leave of it, responses half and bodies a third of that.

Heap limits of 208 and 248 MiB are what this Node.js says under the flags of deploy/system.toml.

--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -81,9 +81,9 @@
     const {gatewayId, zone, control, stopWithinMs} = settings;
     const {confirmationMs, changesWithinMs} = settings;
     const {clock, events} = this;
-    const {memoryBytes} = settings;
+    const {bufferBytes} = settings;
     this.responseMemory = ResponseMemory.create(
-      computeResponseMemoryBytes(memoryBytes),
+      computeResponseMemoryBytes(undefined, undefined, bufferBytes),
     );
     this.shutdown = GatewayShutdown.create({
       gatewayId,
@@ -161,7 +161,7 @@
       },
     });
     this.requestLog = RequestLog.create(events, this.poller);
-    this.bodies = RequestBodies.create(memoryBytes, this.requestLog);
+    this.bodies = RequestBodies.create(bufferBytes, this.requestLog);
     this.checkTimer = CheckTimer.create({
       clock,
       check: now => this.requests.forEach(request => request.check(now)),
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -24,6 +24,6 @@
   };
   /** From the signal to stop until the process is killed, in milliseconds. */
   readonly stopWithinMs: number;
-  /** Memory limit of the process in bytes; without it, that of its control group. */
-  readonly memoryBytes?: number;
+  /** Memory in bytes for all buffers of the process; without it, parts of the limit of its control group. */
+  readonly bufferBytes?: number;
 }
--- a/src/gateway/request_bodies.ts
+++ b/src/gateway/request_bodies.ts
@@ -33,15 +33,15 @@
   /**
    * Creates the bodies of a gateway.
    *
-   * @param memoryBytes memory limit of the process; the kernel's without
+   * @param bufferBytes memory for all buffers of the process; parts of the kernel's limit without
    * @example
-   * const bodies = RequestBodies.create(settings.memoryBytes, log);
+   * const bodies = RequestBodies.create(settings.bufferBytes, log);
    */
   static create(
-    memoryBytes: number | undefined,
+    bufferBytes: number | undefined,
     log: RequestLog,
   ): RequestBodies {
-    const maxBytes = BodyBudget.computeBytes(memoryBytes);
+    const maxBytes = BodyBudget.computeBytes(bufferBytes);
     return new RequestBodies(BodyBudget.create(maxBytes), log);
   }
 
--- a/src/transport/body_budget.ts
+++ b/src/transport/body_budget.ts
@@ -2,6 +2,8 @@
 import {ByteBudget} from '../common/byte_budget';
 import {computeMemoryBytes} from '../common/compute_memory_bytes';
 
+/** Of the memory for buffers; responses take a half, and some is on its way. */
+const BUFFER_FRACTION = 1 / 3;
 /** Of the memory limit of the process, beside what responses and the heap may take. */
 const LIMIT_FRACTION = 1 / 8;
 /** Without a limit of the process. */
@@ -48,17 +50,25 @@
   /**
    * Computes how much a process may hold of request bodies.
    *
-   * @param limitBytes the memory limit of the process; the kernel's without
+   * @param bufferBytes the memory for all buffers of the process, if it is known
+   * @param limitBytes the memory limit of the process; one beyond the memory of the machine is none
    * @example
-   * const budget = BodyBudget.create(BodyBudget.computeBytes(350 * 1024 * 1024));
+   * const budget = BodyBudget.create(BodyBudget.computeBytes(96 * 1024 * 1024));
    */
   static computeBytes(
     this: void,
+    bufferBytes?: number,
     limitBytes?: number,
     machineBytes?: number,
   ): number {
-    const part = {fraction: LIMIT_FRACTION, defaultBytes: DEFAULT_BYTES};
-    const bytes = computeMemoryBytes({...part, limitBytes, machineBytes});
+    const bytes = computeMemoryBytes({
+      bufferFraction: BUFFER_FRACTION,
+      bufferBytes,
+      limitFraction: LIMIT_FRACTION,
+      defaultBytes: DEFAULT_BYTES,
+      limitBytes,
+      machineBytes,
+    });
     return Math.max(MIN_BYTES, bytes);
   }
 
--- a/test/crowd/crowd.test.ts
+++ b/test/crowd/crowd.test.ts
@@ -13,6 +13,8 @@
   'host: h.example\r\nx-whinreel-request-id: c\r\ntransfer-encoding: chunked\r\n\r\n';
 const CALL_HEAD = `POST /a/ HTTP/1.1\r\n${CHUNKED_HEAD}`;
 const CONFIGURE_HEAD = `PUT /v1/config HTTP/1.1\r\n${CHUNKED_HEAD}`;
+const LONG_ANSWER_HEAD =
+  'GET /g/long HTTP/1.1\r\nhost: h.example\r\nx-whinreel-request-id: c\r\n\r\n';
 const HEAD_BYTES = 14 * 1024;
 
 /** How many connections; each number is small beside what one machine can send. */
@@ -25,6 +27,8 @@
 const IDLE_CONNECTIONS = 600;
 const HALF_HEADS = 600;
 const UNREAD_ANSWERS = 80;
+/** Leaves the unread answers their descriptors. */
+const BODIES_BESIDE_ANSWERS = 150;
 
 let fleet: CrowdFleet;
 let crowds: CrowdConnections[];
@@ -186,7 +190,28 @@
       const {entry} = fleet;
       await open(entry, entry.options.ports.front, {
         count: UNREAD_ANSWERS,
-        head: 'GET /g/long HTTP/1.1\r\nhost: h.example\r\nx-whinreel-request-id: c\r\n\r\n',
+        head: LONG_ANSWER_HEAD,
+      });
+      await fleet.waitUntilSettled();
+
+      await checkEntry();
+    },
+    LIMIT_MS,
+  );
+
+  test(
+    'unfinished bodies and unread answers together do not use up the memory of an entry',
+    async () => {
+      const {entry} = fleet;
+      const {front} = entry.options.ports;
+      await open(entry, front, {
+        count: UNREAD_ANSWERS,
+        head: LONG_ANSWER_HEAD,
+      });
+      await open(entry, front, {
+        count: BODIES_BESIDE_ANSWERS,
+        head: CALL_HEAD,
+        block: formatChunks(LARGE_CHUNK),
       });
       await fleet.waitUntilSettled();
 
--- a/test/transport/read_http_body.test.ts
+++ b/test/transport/read_http_body.test.ts
@@ -255,9 +255,11 @@
 
 test('the budget is a part of the memory of the process, and has room for one body of any program', () => {
   const bytes = BodyBudget.computeBytes;
-  expect(bytes(1_024 * MIB)).toBe(128 * MIB);
-  expect(bytes(64 * MIB)).toBe(24 * MIB);
+  expect(bytes(96 * MIB)).toBe(32 * MIB);
+  expect(bytes(9 * MIB)).toBe(24 * MIB);
+  expect(bytes(undefined, 1_024 * MIB, 4_096 * MIB)).toBe(128 * MIB);
+  expect(bytes(undefined, 64 * MIB, 4_096 * MIB)).toBe(24 * MIB);
   // Neither the process nor the machine has a limit that matters.
-  expect(bytes(2 ** 64, 4_096 * MIB)).toBe(256 * MIB);
-  expect(bytes(0, 1_024 * MIB)).toBe(128 * MIB);
+  expect(bytes(undefined, 2 ** 64, 4_096 * MIB)).toBe(256 * MIB);
+  expect(bytes(undefined, 0, 1_024 * MIB)).toBe(128 * MIB);
 });
