--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -26,4 +26,6 @@
   readonly stopWithinMs: number;
   /** How many descriptors the process may have open; the limit of the process by default. */
   readonly maxDescriptors?: number;
+  /** Memory in bytes for all buffers of the process; without it, parts of the limit of its control group. */
+  readonly bufferBytes?: number;
 }
--- a/test/platform/translation.test.ts
+++ b/test/platform/translation.test.ts
@@ -230,11 +230,13 @@
   });
 
   // Callers could take every descriptor of a machine whose limit the process does not know.
-  test('tells the limit on descriptors, where there is one', () => {
+  test('tells the limits of memory and descriptors, where there are any', () => {
     expect(read(text).limits).toBeUndefined();
     const limited = read(`${text}[limits]\nmemory_mb = 350\nmax_fds = 4100\n`);
-    expect(limited.limits).toEqual({max_fds: 4_100});
-    expect(read(`${text}[limits]\nmemory_mb = 350\n`).limits).toEqual({});
+    expect(limited.limits).toEqual({memory_mb: 350, max_fds: 4_100});
+    expect(read(`${text}[limits]\nmemory_mb = 350\n`).limits).toEqual({
+      memory_mb: 350,
+    });
   });
 
   test('must be named by the environment', () => {
