fix(responses): the id of an event is its last id field, whole

The first id field counted, up to its first blank. The event stream format says that a later field replaces an earlier one, that only one leading space is removed, that an empty value resets the id, and that an id with a NUL is ignored. So a stream whose event had two ids, or an id with blanks, was resumed after another event than its last.

An id goes into a header when its stream is resumed. Blanks within are allowed there; those around a value are lost on the way, so behind such an id, or an empty one, no stream is resumed. Other ids that no header can carry end the attempt, as before.

--- a/src/gateway/responses/event_order.ts
+++ b/src/gateway/responses/event_order.ts
@@ -1,6 +1,8 @@
 const NUMBER = /^-?\d{1,15}(?:\.\d{1,15})?$/;
 /** An id is sent back in a header when its stream is resumed. */
-const HEADER_VALUE = /^[\x21-\x7e\x80-\xff]+$/;
+const HEADER_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/;
+/** A header loses the blanks around its value, and an empty id is none. */
+const CHANGED_IN_HEADER = /^$|^[\t ]|[\t ]$/;
 
 /** Checks the ids of the events of one response, which may come from several backend servers. */
 export class EventOrder {
@@ -31,7 +33,7 @@
     return this.lastId;
   }
 
-  /** False after an event without an id: a new run could not go on behind it. */
+  /** False after an event without an id that can be sent back: a new run could not go on behind it. */
   get canResume(): boolean {
     return this.isLastKnown;
   }
@@ -53,7 +55,14 @@
       this.isLastKnown &&= !hasData;
       return true;
     }
-    if (!HEADER_VALUE.test(id) || !this.isNext(id)) {
+    if (!HEADER_VALUE.test(id)) {
+      return false;
+    }
+    if (CHANGED_IN_HEADER.test(id)) {
+      this.isLastKnown = false;
+      return true;
+    }
+    if (!this.isNext(id)) {
       return false;
     }
     this.lastId = id;
--- a/test/gateway/event_stream_splitter.test.ts
+++ b/test/gateway/event_stream_splitter.test.ts
@@ -189,3 +189,26 @@
     expect(events[0].id).toBe('2');
   }
 });
+
+// The first id counted, up to its first blank: a stream was resumed after another event than its last.
+test.each([
+  ['id: 1\nid: 2\ndata: x', '2'],
+  ['id: a b\ndata: x', 'a b'],
+  ['id:  a', ' a'],
+  ['id:a ', 'a '],
+  ['id: 1\nid: 2\0', '1'],
+  ['id: 1\nid', ''],
+  ['id: 1\nid:', ''],
+  ['id: 1\nidentity: 2', '1'],
+  ['id: 1\n id: 2', '1'],
+  ['id: 1:2', '1:2'],
+  ['data: id: 1', undefined],
+])('the id of %j is %j with any line ends', (event, id) => {
+  for (const lineEnd of LINE_ENDS) {
+    const text = `${event}\n\n`.replaceAll('\n', lineEnd);
+    const ids = createSplitter()
+      .split(Buffer.from(text))
+      .map(each => each.id);
+    expect(ids).toEqual([id]);
+  }
+});
--- a/test/gateway/resumed_stream.test.ts
+++ b/test/gateway/resumed_stream.test.ts
@@ -96,6 +96,7 @@
   ['ids that are no numbers', ['a', 'b'], 'a', true],
   ['an id of other bytes', ['\u00c3\u00a9'], '\u00c3\u00a8', true],
   ['an id that no header can carry', ['a'], 'b\u0001', false],
+  ['an id with blanks within', ['a b'], 'a  \tc', true],
 ])(
   'after %s, a resumed stream may go on as stated',
   (_name, ids, id, isNext) => {
@@ -217,3 +218,35 @@
     expect(cut.backends[1].requests).toHaveLength(0);
   });
 });
+
+describe('the last event of a stream', () => {
+  test('is named in the request of the next run with all of its id', async () => {
+    const {fixture, backends} = await startFixture(
+      [
+        ({socket}) => {
+          socket.write(STREAM_HEAD.replaceAll('\n', '\r\n'));
+          socket.write(encodeChunk('id: 1\nid: a b: c\ndata: t\n\n'));
+          setTimeout(() => socket.resetAndDestroy(), 10);
+        },
+        sendChunks('HTTP/1.1 200 OK', 'id: d\ndata: t\n\n'),
+      ],
+      RESUMABLE,
+    );
+    expect(await fixture.send()).toMatchObject({isWhole: true});
+    const [{headers}] = backends[1].requests;
+    expect([...headers.values()]).toContain('a b: c');
+  });
+
+  // A header loses the blanks around its value, so the next run would be asked for another event.
+  test.each(['', ' ', ' 3', '3 ', '\t3'])(
+    'cannot be named when its id is %j, until a later one has an id',
+    id => {
+      const order = EventOrder.create(undefined);
+      expect(order.accept('2')).toBe(true);
+      expect(order.accept(id)).toBe(true);
+      expect(order.canResume).toBe(false);
+      expect(order.accept('4')).toBe(true);
+      expect([order.canResume, order.last]).toEqual([true, '4']);
+    },
+  );
+});
