--- a/src/entry/caller_response.ts
+++ b/src/entry/caller_response.ts
@@ -6,6 +6,7 @@
 } from 'node:http';
 import {ByteAccumulator} from '../common/byte_accumulator';
 import {RequestOutcome} from '../protocol/request_outcome';
+import {EventCounter} from './event_counter';
 import {cancelResponse} from '../transport/cancel_response';
 import {Problem} from './problem';
 import {sendProblem} from './send_problem';
@@ -14,9 +15,6 @@
 const MAX_BUFFERED_BYTES = 1024 * 1024;
 const OUTCOME_HEADER = 'whinreel-outcome';
 const RESUMED_FROM_HEADER = 'whinreel-resumed-from';
-const LINE_FEED = 10;
-const COLON = 58;
-const DATA_FIELD = Buffer.from('data');
 const OK = 200;
 /** Node.js throws for any other final status. */
 const MAX_STATUS = 999;
@@ -40,7 +38,7 @@
   private readonly drainCallbacks: Array<() => void> = [];
   private isEvents = false;
   private hasDeliveredData = false;
-  private eventCount = 0;
+  private readonly events = EventCounter.create();
 
   private constructor(private readonly response: ServerResponse) {}
 
@@ -61,7 +59,7 @@
 
   /** Number of complete events sent to the caller. */
   get deliveredEventCount(): number {
-    return this.eventCount;
+    return this.events.count;
   }
 
   /** Another replica can continue the interrupted event stream after its last event. */
@@ -131,7 +129,7 @@
     return (
       status === OK &&
       isEventStream(headers) &&
-      resumedFrom === String(this.eventCount)
+      resumedFrom === String(this.events.count)
     );
   }
 
@@ -139,7 +137,7 @@
   write(bytes: Uint8Array, onWritten: () => void): void {
     if (
       this.buffered &&
-      this.buffered.size + bytes.length <= MAX_BUFFERED_BYTES
+      this.buffered.length + bytes.length <= MAX_BUFFERED_BYTES
     ) {
       this.buffered.add(bytes);
       onWritten();
@@ -147,7 +145,9 @@
     }
     this.flushBuffered();
     this.hasDeliveredData = true;
-    this.eventCount += this.isEvents ? countEvents(bytes) : 0;
+    if (this.isEvents) {
+      this.events.add(bytes);
+    }
     const hasRoom = this.isDisconnected || this.response.write(bytes);
     if (hasRoom) {
       onWritten();
@@ -160,7 +160,7 @@
   finish(): void {
     if (this.buffered) {
       this.response.setHeader(OUTCOME_HEADER, 'answered');
-      this.response.setHeader('content-length', String(this.buffered.size));
+      this.response.setHeader('content-length', String(this.buffered.length));
       this.response.end(this.buffered.take());
       return;
     }
@@ -234,31 +234,3 @@
 function isEventStream(headers: Readonly<Record<string, string>>): boolean {
   return headers['content-type']?.startsWith(EVENT_STREAM) ?? false;
 }
-
-/**
- * Counts the events that reach the reader of an event stream: those with data. Surplus
- * empty lines and comments are none, and a frame holds complete events only.
- */
-function countEvents({buffer, byteOffset, byteLength}: Uint8Array): number {
-  const bytes = Buffer.from(buffer, byteOffset, byteLength);
-  let count = 0;
-  let hasData = false;
-  let start = 0;
-  let end = bytes.indexOf(LINE_FEED);
-  while (end >= 0) {
-    const isEmpty = end === start;
-    count += isEmpty && hasData ? 1 : 0;
-    hasData = !isEmpty && (hasData || isDataLine(bytes.subarray(start, end)));
-    start = end + 1;
-    end = bytes.indexOf(LINE_FEED, start);
-  }
-  return count;
-}
-
-function isDataLine(line: Buffer): boolean {
-  const name = line.subarray(0, DATA_FIELD.length);
-  const hasNameOnly = line.length === DATA_FIELD.length;
-  return (
-    name.equals(DATA_FIELD) && (hasNameOnly || line[name.length] === COLON)
-  );
-}
--- a/src/gateway/responses/response_buffer.ts
+++ b/src/gateway/responses/response_buffer.ts
@@ -64,6 +64,11 @@
     return this.blocks.takeBlocks();
   }
 
+  /** Returns the bytes in one buffer, and empties this one. */
+  take(): Buffer {
+    return Buffer.concat(this.takeBlocks());
+  }
+
   /** Drops the bytes. */
   clear(): void {
     this.blocks.clear();
--- a/src/transport/http_connection.ts
+++ b/src/transport/http_connection.ts
@@ -87,7 +87,7 @@
   /** Bytes that wait here; what the stream has read beyond them is counted twice, as the kernel may hold as much again. */
   get heldBytes(): number {
     const {readableLength} = this.socket;
-    const headBytes = this.head?.size ?? 0;
+    const headBytes = this.head?.length ?? 0;
     return headBytes + this.ahead.length + 2 * readableLength;
   }
 
@@ -162,7 +162,7 @@
   private takeHead(bytes: Buffer): number {
     const end = findHeadEnd(this.headTail, bytes);
     const added = end < 0 ? bytes.length : end;
-    const headBytes = (this.head?.size ?? 0) + added;
+    const headBytes = (this.head?.length ?? 0) + added;
     if (headBytes > this.options.readMaxHeadBytes()) {
       this.reject(431);
       return -1;
--- a/test/gateway/resumed_stream.test.ts
+++ b/test/gateway/resumed_stream.test.ts
@@ -96,6 +96,7 @@
   ['ids that are no numbers', ['a', 'b'], 'a', true],
   ['an id of other bytes', ['\u00c3\u00a9'], '\u00c3\u00a8', true],
   ['an id that no header can carry', ['a'], 'b\u0001', false],
+  ['an id with blanks within', ['a b'], 'a  \tc', true],
 ])(
   'after %s, a resumed stream may go on as stated',
   (_name, ids, id, isNext) => {
@@ -214,3 +215,78 @@
   expect(order.accept(first)).toBe(true);
   expect(order.accept(second)).toBe(false);
 });
+
+// Such a stream was read to its end and answered by 502, on every attempt.
+describe.each(['\r\n', '\r'])('a stream whose lines end in %j', lineEnd => {
+  const encode = (text: string) => text.replaceAll('\n', lineEnd);
+  const start = STREAM_HEAD.replaceAll('\n', '\r\n');
+
+  test('is whole, and unchanged', async () => {
+    const text = encode(encodeEvents(1, 2, 3));
+    const {fixture, backends} = await startFixture(
+      [sendChunks('HTTP/1.1 200 OK', text)],
+      RESUMABLE,
+    );
+    expect(await fixture.send()).toMatchObject({
+      status: 200,
+      body: text,
+      isWhole: true,
+    });
+    expect(backends[0].requests).toHaveLength(1);
+  });
+
+  test('is resumed after its last event, and not behind one with data and no id', async () => {
+    const begun = encode(encodeEvents(1, 2));
+    const broken = (text: string): Handler => {
+      return ({socket}) => {
+        socket.write(start + encodeChunk(text));
+        setTimeout(() => socket.resetAndDestroy(), 10);
+      };
+    };
+    const rest = sendChunks('HTTP/1.1 200 OK', encode(encodeEvents(3)));
+    const resumed = await startFixture([broken(begun), rest], RESUMABLE);
+    expect(await resumed.fixture.send()).toMatchObject({
+      body: begun + encode(encodeEvents(3)),
+      isWhole: true,
+    });
+    const unnumbered = begun + encode(': c\ndata: x\n\n');
+    const cut = await startFixture([broken(unnumbered), rest], RESUMABLE);
+    expect(await cut.fixture.send()).toMatchObject({
+      body: unnumbered,
+      isWhole: false,
+    });
+    expect(cut.backends[1].requests).toHaveLength(0);
+  });
+});
+
+describe('the last event of a stream', () => {
+  test('is named in the request of the next run with all of its id', async () => {
+    const {fixture, backends} = await startFixture(
+      [
+        ({socket}) => {
+          socket.write(STREAM_HEAD.replaceAll('\n', '\r\n'));
+          socket.write(encodeChunk('id: 1\nid: a b: c\ndata: t\n\n'));
+          setTimeout(() => socket.resetAndDestroy(), 10);
+        },
+        sendChunks('HTTP/1.1 200 OK', 'id: d\ndata: t\n\n'),
+      ],
+      RESUMABLE,
+    );
+    expect(await fixture.send()).toMatchObject({isWhole: true});
+    const [{headers}] = backends[1].requests;
+    expect([...headers.values()]).toContain('a b: c');
+  });
+
+  // A header loses the blanks around its value, so the next run would be asked for another event.
+  test.each(['', ' ', ' 3', '3 ', '\t3'])(
+    'cannot be named when its id is %j, until a later one has an id',
+    id => {
+      const order = EventOrder.create(undefined);
+      expect(order.accept('2')).toBe(true);
+      expect(order.accept(id)).toBe(true);
+      expect(order.canResume).toBe(false);
+      expect(order.accept('4')).toBe(true);
+      expect([order.canResume, order.last]).toEqual([true, '4']);
+    },
+  );
+});
