fix(transport): callers that read no answers do not take all places of a listener

What callers saw (crowd tests): while 100 connections send requests ahead and read nothing, no ordinary request is answered at the readiness and the metrics address for 40 s. All 64 and 32 places were taken by connections with an unread answer, which count as being answered, so each new one was closed.

Change: at the limit a connection whose caller has taken nothing of its complete response for a second may give way, after idle and unfinished ones. A response that is still being made keeps its connection, and so does a caller that reads slowly.

The two new tests of connection_limit pass before as well (the kernel takes the first one's response); they stay as guards.

--- a/src/transport/http_connection.ts
+++ b/src/transport/http_connection.ts
@@ -84,6 +84,11 @@
     return this.head !== undefined;
   }
 
+  /** Bytes of a complete response that its caller has not taken. */
+  get unreadBytes(): number {
+    return this.active?.writableEnded ? this.socket.writableLength : 0;
+  }
+
   /** Bytes that wait here; what the stream has read beyond them is counted twice, as the kernel may hold as much again. */
   get heldBytes(): number {
     const {readableLength} = this.socket;
--- a/src/transport/http_connections.ts
+++ b/src/transport/http_connections.ts
@@ -7,6 +7,8 @@
 const TIME_MARGIN_MS = 1_000;
 /** For reading and dropping what a caller still sends after its connection was refused. */
 const LINGER_MS = 1_000;
+/** A caller that takes nothing of a complete response for as long may lose its connection to others. */
+const UNREAD_MS = 1_000;
 /** Bytes of unfinished heads and of requests sent ahead, on all connections of a listener together. */
 const MAX_HELD_BYTES = 16 * 1024 * 1024;
 
@@ -19,6 +21,10 @@
   /** How long the connection may rest by its last response, in milliseconds. */
   statedIdleMs: number;
   heldBytes: number;
+  /** At the last check. */
+  unreadBytes: number;
+  /** Since when the caller has taken nothing of its response, in milliseconds; Infinity if it has. */
+  unreadSince: number;
 }
 
 /** Limits of a listener. */
@@ -88,25 +94,29 @@
       since: this.options.clock.now(),
       statedIdleMs: 0,
       heldBytes: 0,
+      unreadBytes: 0,
+      unreadSince: Infinity,
     });
     this.phases[phase].add(connection);
   }
 
-  /** Closes the connection that is idle for the longest time, or else the oldest with an unfinished request; false if there is none. */
+  /**
+   * Closes the connection that is idle for the longest time, or else the oldest with an
+   * unfinished request, or one whose caller does not read; false if there is none.
+   */
   evict(): boolean {
     const {closing, idle, unfinished} = this.phases;
-    for (const group of [closing, idle, unfinished]) {
-      const [oldest] = group;
-      if (oldest) {
-        this.options.onEnded(
-          `there are too many connections: the oldest that was ${oldest.phase} was closed`,
-        );
-        this.remove(oldest);
-        oldest.close();
-        return true;
-      }
+    const groups = [closing, idle, unfinished].map(([oldest]) => oldest);
+    const oldest = groups.find(Boolean) ?? this.findUnread();
+    if (!oldest) {
+      return false;
     }
-    return false;
+    this.options.onEnded(
+      `there are too many connections: the oldest that was ${oldest.phase} was closed`,
+    );
+    this.remove(oldest);
+    oldest.close();
+    return true;
   }
 
   /** Forgets a connection that has closed. */
@@ -159,6 +169,7 @@
     const now = this.options.clock.now();
     const {headerTimeoutMs, idleTimeoutMs} = this.options.readLimits();
     this.holders.forEach(each => this.updateHeld(each));
+    this.phases.answering.forEach(each => this.updateUnread(each, now));
     this.phases.closing.forEach(each => {
       if (now - this.readTimes(each).since > LINGER_MS) {
         each.close();
@@ -181,6 +192,26 @@
     });
   }
 
+  /** Finds a connection whose caller has its complete response ready and takes nothing of it. */
+  private findUnread(): HttpConnection | undefined {
+    const now = this.options.clock.now();
+    return [...this.phases.answering].find(
+      each => now - this.readTimes(each).unreadSince > UNREAD_MS,
+    );
+  }
+
+  private updateUnread(connection: HttpConnection, now: number): void {
+    const times = this.times.get(connection);
+    if (!times) {
+      return;
+    }
+    const {unreadBytes} = connection;
+    if (unreadBytes === 0 || unreadBytes !== times.unreadBytes) {
+      times.unreadSince = unreadBytes === 0 ? Infinity : now;
+    }
+    times.unreadBytes = unreadBytes;
+  }
+
   /** Ends the oldest of the connections that hold much. At least one holds the average. */
   private releaseHolder(): void {
     const average = this.heldBytes / this.holders.size;
@@ -205,8 +236,16 @@
 
   private readTimes(
     connection: HttpConnection,
-  ): Pick<ConnectionTimes, 'since' | 'statedIdleMs' | 'heldBytes'> {
+  ): Omit<ConnectionTimes, 'phase'> {
     const times = this.times.get(connection);
-    return times ?? {since: Infinity, statedIdleMs: 0, heldBytes: 0};
+    return (
+      times ?? {
+        since: Infinity,
+        statedIdleMs: 0,
+        heldBytes: 0,
+        unreadBytes: 0,
+        unreadSince: Infinity,
+      }
+    );
   }
 }
--- a/test/transport/connection_limit.test.ts
+++ b/test/transport/connection_limit.test.ts
@@ -15,6 +15,8 @@
 
 const CLOSERS: Array<() => unknown> = [];
 const LIMIT = 4;
+/** More than the buffers of the kernel hold. */
+const BODY_BYTES = 64 * 1024 * 1024;
 const REQUEST = 'GET /x HTTP/1.1\r\nhost: h\r\n\r\n';
 const PART_OF_BODY =
   'POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\npart';
@@ -177,3 +179,50 @@
     return caller.statuses.length === 1;
   });
 });
+
+// Connections whose responses nobody read took all places for good.
+test('a caller that does not read its response loses its connection to a new one', async () => {
+  const {port} = await listen((_message, response) =>
+    response.end(Buffer.alloc(BODY_BYTES)),
+  );
+  const readNothing = async () => {
+    const caller = await RawCaller.create(port);
+    CLOSERS.push(() => caller.close());
+    caller.socket.pause();
+    caller.send(REQUEST);
+    return caller;
+  };
+  await Promise.all([1, 2, 3, 4].map(readNothing));
+  await waitUntil('an answer', async () => {
+    const caller = await RawCaller.create(port);
+    CLOSERS.push(() => caller.close());
+    caller.send(REQUEST);
+    await new Promise(resolve => setTimeout(resolve, 100));
+    return caller.statuses.includes(200);
+  });
+});
+
+test('a caller that reads slowly keeps its connection', async () => {
+  const {port} = await listen((_message, response) =>
+    response.end(Buffer.alloc(BODY_BYTES)),
+  );
+  const slow = await Promise.all(
+    [1, 2, 3, 4].map(() => RawCaller.create(port)),
+  );
+  CLOSERS.push(...slow.map(each => () => each.close()));
+  slow.forEach(each => {
+    each.send(REQUEST);
+    each.socket.on('data', () => {
+      each.socket.pause();
+      setTimeout(() => each.socket.resume(), 20);
+    });
+  });
+  const newcomers = setInterval(
+    () => void RawCaller.create(port).then(each => each.close()),
+    50,
+  );
+  CLOSERS.push(() => clearInterval(newcomers));
+  await waitUntil('whole responses', () =>
+    slow.every(({received}) => received.length > BODY_BYTES),
+  );
+});
