--- a/review/support-2/deployment.js
+++ b/review/support-2/deployment.js
@@ -11,6 +11,7 @@
 const ROOT = path.resolve(__dirname, '../..');
 /** The platform starts a process that ended after a short delay. */
 const RESTART_AFTER_MS = 500;
+const COULD_NOT_RUN = 2;
 const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
 
 /** Finds ports that are free on all loopback addresses. */
@@ -43,8 +44,13 @@
     this.lines = [];
     this.processes = [];
     process.setMaxListeners(0);
-    process.once('exit', () =>
-      this.processes.forEach(child => child.kill('SIGKILL')),
+    // Whatever ends the script, nothing that it started is left.
+    process.once('exit', () => {
+      this.processes.forEach(child => child.kill('SIGKILL'));
+      fs.rmSync(this.folder, {recursive: true, force: true});
+    });
+    ['SIGTERM', 'SIGINT'].forEach(name =>
+      process.once(name, () => process.exit(COULD_NOT_RUN)),
     );
     this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'review-'));
     this.net = 16 + Math.floor(Math.random() * 200);
