--- a/src/common/server_address.ts
+++ b/src/common/server_address.ts
@@ -65,16 +65,11 @@
     return new ServerAddress(this.host, port);
   }
 
-  /** Formats the address as `parse` reads it; equal addresses have equal texts. */
-  toString(): string {
+  /** The form that `parse` reads, in messages and on disk; equal addresses have equal texts. */
+  get text(): string {
     const {host, port} = this;
     return net.isIPv6(host) ? `[${host}]:${port}` : `${host}:${port}`;
   }
-
-  /** The form in messages and on disk. */
-  toJSON(): string {
-    return this.toString();
-  }
 }
 
 function parseHost(text: string, host: string): string {
