--- a/src/common/server_address.ts
+++ b/src/common/server_address.ts
@@ -66,7 +66,7 @@
   }
 
   /** The form that `parse` reads, in messages and on disk; equal addresses have equal texts. */
-  get text(): string {
+  toString(): string {
     const {host, port} = this;
     return net.isIPv6(host) ? `[${host}]:${port}` : `${host}:${port}`;
   }
--- a/test/common/server_address.test.ts
+++ b/test/common/server_address.test.ts
@@ -16,7 +16,7 @@
     const address = ServerAddress.parse(text);
 
     expect(address).toMatchObject({host, port});
-    expect(ServerAddress.parse(address.text)).toEqual(address);
+    expect(ServerAddress.parse(address.toString())).toEqual(address);
   });
 
   test.each([
