feat(reporting): a process that ends by itself says so in its log

The record of the incident shows that a gateway ended with an exit status and nothing of why: the message went to standard error as plain text, so an end in traffic (status 1) and one at a start (status 2) cannot be told apart. Now the last line of the log is process-failed with the error, its stack and the status. It only observes; the process ends as before.

--- a/src/bin/run_daemon.ts
+++ b/src/bin/run_daemon.ts
@@ -3,6 +3,7 @@
 import {EventRing} from '../common/event_ring';
 import {UsageError} from '../config/usage_error';
 import {startLogReporter} from '../reporting/log_reporter';
+import {writeFailure} from '../reporting/write_failure';
 
 const EXIT_FAILURE = 1;
 const EXIT_USAGE = 2;
@@ -35,6 +36,10 @@
   program: string,
   prepare: () => DaemonOptions,
 ): Promise<void> {
+  // Only observes: after an error that nothing caught the state is unknown, and the process ends.
+  process.on('uncaughtExceptionMonitor', error =>
+    writeFailure({program, error, status: EXIT_FAILURE}),
+  );
   try {
     const {logFormat, start} = prepare();
     // Registered before the start, since a signal without a handler terminates the process.
@@ -99,6 +104,8 @@
   }
   const isUsage = error instanceof UsageError;
   const hint = isUsage ? ` (see ${program} --help)` : '';
+  const status = isUsage ? EXIT_USAGE : EXIT_FAILURE;
   process.stderr.write(`${program}: ${error.message}${hint}\n`);
-  process.exit(isUsage ? EXIT_USAGE : EXIT_FAILURE);
+  writeFailure({program, error, status});
+  process.exit(status);
 }
