--- a/test/faulty_input/faulty_backend.ts
+++ b/test/faulty_input/faulty_backend.ts
@@ -6,6 +6,8 @@
 
 const HEARTBEAT_MS = 300;
 const CALL_MS = 1_000;
+const FIRST_CLIENT_ERROR = 400;
+const FIRST_SERVER_ERROR = 500;
 
 interface FaultyBackendOptions {
   readonly id: string;
@@ -22,6 +24,8 @@
   readonly statuses: Record<number, number> = {};
   /** Newest answer to a registration. */
   reply: SoakReply | undefined;
+  /** Newest answer that refuses a registration for good. */
+  refusal: SoakReply | undefined;
   private sequence = 0;
   private timer: NodeJS.Timeout | undefined;
 
@@ -80,5 +84,8 @@
     });
     const {status} = this.reply;
     this.statuses[status] = (this.statuses[status] ?? 0) + 1;
+    if (status >= FIRST_CLIENT_ERROR && status < FIRST_SERVER_ERROR) {
+      this.refusal = this.reply;
+    }
   }
 }
