--- a/bench/run_promises.ts
+++ b/bench/run_promises.ts
@@ -6,6 +6,7 @@
 import * as http from 'node:http';
 import {cpus, tmpdir} from 'node:os';
 import * as path from 'node:path';
+import {ServerAddress} from '../src/common/server_address';
 import {Bundle} from '../src/protocol/bundle';
 import {computeDigest} from '../src/protocol/compute_digest';
 import {ControlClient} from '../src/protocol/control_client';
@@ -155,7 +156,7 @@
     await fleet.rollOut(createBundle(1, 0));
     const identity = {program: 'entry' as const, id: 'bench', incarnation: 'i'};
     const client = ControlClient.create({
-      addresses: fleet.controlAddresses,
+      addresses: fleet.controlAddresses.map(ServerAddress.parse),
       identity,
     });
     let next = 0;
--- a/bench/run_scheduling.ts
+++ b/bench/run_scheduling.ts
@@ -1,5 +1,6 @@
 /** Prints the cost of scheduling one request at a gateway, by the number of waiting requests and of workspaces. */
 import {performance} from 'node:perf_hooks';
+import {ServerAddress} from '../src/common/server_address';
 import {QueuedRequest} from '../src/gateway/scheduling/queued_request';
 import {SlotQueue} from '../src/gateway/scheduling/slot_queue';
 import {createQueuedRequest} from '../test/support/create_queued_request';
@@ -18,7 +19,7 @@
 const TARGET = {
   incarnation: 'i',
   pool: 'p',
-  address: 'a:1',
+  address: ServerAddress.parse('a:1'),
   zone: 'z',
   slots: 34,
   model: 'm',
--- a/bench/session_load_generator.ts
+++ b/bench/session_load_generator.ts
@@ -1,3 +1,4 @@
+import {ServerAddress} from '../src/common/server_address';
 /** Loads control with many host and entry sessions from one process, without engines or requests. */
 import {Message} from '../src/protocol/message';
 import {MessageOf} from '../src/protocol/message_of';
@@ -165,7 +166,7 @@
       message: MessageOf<Message, 'host-directive' | 'entry-directive'>,
     ) => void,
   ): Promise<Peer> {
-    const peer = await connectPeer(this.leader, identity);
+    const peer = await connectPeer(ServerAddress.parse(this.leader), identity);
     this.peers.push(peer);
     void peer.messages.observe(message => {
       this.traffic.answers += 1;
--- a/src/common/server_address.ts
+++ b/src/common/server_address.ts
@@ -3,10 +3,12 @@
 import {AddressError} from './address_error';
 
 const MAX_PORT = 65_535;
+/** A URL without a port means this one. */
+const HTTP_PORT = 80;
 const MAX_NAME_LENGTH = 253;
 /** An error quotes no more of a text, which may be as long as its sender likes. */
 const MAX_QUOTED_LENGTH = 100;
-const PORT = /^[1-9]\d{0,4}$/;
+const PORT = /^(?:0|[1-9]\d{0,4})$/;
 /** Labels of a DNS name; underscores occur in names of services. */
 const LABEL = /^[a-z0-9_](?:[a-z0-9_-]{0,61}[a-z0-9_])?$/i;
 /** Resolvers take a name whose last label is a number for an abbreviated IPv4 address. */
@@ -23,6 +25,17 @@
     readonly port: number,
   ) {}
 
+  /**
+   * Creates the address of a host and a port.
+   *
+   * @throws AddressError if the host is neither an IP address nor a name
+   * @example
+   * ServerAddress.create('::1', 8080).toString(); // '[::1]:8080'
+   */
+  static create(host: string, port: number): ServerAddress {
+    return ServerAddress.parse(formatParts(host, port));
+  }
+
   /**
    * Parses `host:port`, where the host is an IPv4 address, an IPv6 address in
    * brackets or a DNS name.
@@ -32,19 +45,33 @@
    * const {host, port} = ServerAddress.parse('[::1]:8080'); // '::1', 8080
    */
   static parse(text: string): ServerAddress {
-    const colon = text.lastIndexOf(':');
-    if (colon < 0) {
-      throw createError(text, 'it has no port');
-    }
-    const host = parseHost(text, text.slice(0, colon));
-    const digits = text.slice(colon + 1);
-    const port = Number(digits);
-    if (!PORT.test(digits) || port > MAX_PORT) {
-      throw createError(text, `its port is no number from 1 to ${MAX_PORT}`);
-    }
+    const {host, port} = parseParts(text, 1);
     return new ServerAddress(host, port);
   }
 
+  /**
+   * Parses an address to listen on, where port 0 stands for any free port.
+   *
+   * @throws AddressError that says what is wrong with the text
+   * @example
+   * const {host, port} = ServerAddress.parseListener('127.0.0.1:0');
+   */
+  static parseListener(text: string): {host: string; port: number} {
+    return parseParts(text, 0);
+  }
+
+  /**
+   * Parses the address in a URL of the form `http://host:port`.
+   *
+   * @throws AddressError if a connection to its host cannot be made
+   * @example
+   * ServerAddress.parseUrl('http://localhost/v1').toString(); // 'localhost:80'
+   */
+  static parseUrl(url: string): ServerAddress {
+    const {hostname, port} = new URL(url);
+    return ServerAddress.parse(`${hostname}:${port || HTTP_PORT}`);
+  }
+
   /**
    * Parses an address that may be invalid.
    *
@@ -67,9 +94,30 @@
 
   /** The form that `parse` reads, in messages and on disk; equal addresses have equal texts. */
   toString(): string {
-    const {host, port} = this;
-    return net.isIPv6(host) ? `[${host}]:${port}` : `${host}:${port}`;
+    return formatParts(this.host, this.port);
+  }
+}
+
+function formatParts(host: string, port: number): string {
+  return net.isIPv6(host) ? `[${host}]:${port}` : `${host}:${port}`;
+}
+
+function parseParts(
+  text: string,
+  minPort: number,
+): {host: string; port: number} {
+  const colon = text.lastIndexOf(':');
+  if (colon < 0) {
+    throw createError(text, 'it has no port');
+  }
+  const host = parseHost(text, text.slice(0, colon));
+  const digits = text.slice(colon + 1);
+  const port = Number(digits);
+  if (!PORT.test(digits) || port < minPort || port > MAX_PORT) {
+    const range = `${minPort} to ${MAX_PORT}`;
+    throw createError(text, `its port is no number from ${range}`);
   }
+  return {host, port};
 }
 
 function parseHost(text: string, host: string): string {
--- a/src/config/peers_setting.ts
+++ b/src/config/peers_setting.ts
@@ -1,19 +1,17 @@
 import {z} from 'zod';
-import {parseAddress} from '../protocol/parse_address';
+import {ServerAddress} from '../common/server_address';
 
 /** Schema of names with their addresses, like `control-b=10.0.0.2:7000,control-c=10.0.0.3:7000`. */
 export const peersSetting = z
   .string()
-  .transform((text, context): ReadonlyMap<string, string> => {
-    const peers = new Map<string, string>();
+  .transform((text, context): ReadonlyMap<string, ServerAddress> => {
+    const peers = new Map<string, ServerAddress>();
     for (const part of text.split(',').filter(piece => piece !== '')) {
       const separatorIndex = part.indexOf('=');
-      const [name, address] = [
-        part.slice(0, separatorIndex),
-        part.slice(separatorIndex + 1),
-      ];
+      const name = part.slice(0, separatorIndex);
+      let address: ServerAddress;
       try {
-        parseAddress(address);
+        address = ServerAddress.parse(part.slice(separatorIndex + 1));
       } catch {
         context.addIssue(
           'expected names and addresses like control-b=10.0.0.2:7000',
--- a/src/config/resolve_control_settings.ts
+++ b/src/config/resolve_control_settings.ts
@@ -1,6 +1,5 @@
 import {z} from 'zod';
 import {ControlSettings} from '../control/control_settings';
-import {addressSetting} from './address_setting';
 import {createIntegerSetting} from './create_integer_setting';
 import {loadPublicKeys} from './load_public_keys';
 import {loadTransportSecurity} from './load_transport_security';
@@ -8,6 +7,7 @@
 import {peersSetting} from './peers_setting';
 import {resolveSettings} from './resolve_settings';
 import {commonSettings} from './common_settings';
+import {listenSetting} from './listen_setting';
 
 const DEFAULT_LEASE_MS = '5000';
 const DEFAULT_SNAPSHOT_INTERVAL_ENTRIES = '4096';
@@ -16,7 +16,7 @@
   name: nameSetting.describe(
     'name of this control process, the same after every restart',
   ),
-  listen: addressSetting.describe(
+  listen: listenSetting.describe(
     'address for all other processes, like 127.0.0.1:7000',
   ),
   dataFolder: z.string().min(1).describe('folder that survives restarts'),
--- a/src/config/resolve_entry_settings.ts
+++ b/src/config/resolve_entry_settings.ts
@@ -1,11 +1,11 @@
 import {z} from 'zod';
 import {EntrySettings} from '../entry/entry_settings';
 import {addressListSetting} from './address_list_setting';
-import {addressSetting} from './address_setting';
 import {loadTransportSecurity} from './load_transport_security';
 import {nameSetting} from './name_setting';
 import {resolveSettings} from './resolve_settings';
 import {commonSettings} from './common_settings';
+import {listenSetting} from './listen_setting';
 import {stopWithinSetting} from './stop_within_setting';
 
 const LOOPBACK = '127.0.0.1';
@@ -13,7 +13,7 @@
 const schema = z.object({
   entryId: nameSetting.describe('name of this entry, unique in the fleet'),
   zone: nameSetting.describe('availability zone of this entry'),
-  listen: addressSetting.describe(
+  listen: listenSetting.describe(
     'address for callers, behind the platform’s balancer',
   ),
   control: addressListSetting.describe(
--- a/src/config/resolve_host_settings.ts
+++ b/src/config/resolve_host_settings.ts
@@ -6,14 +6,15 @@
 import {nameSetting} from './name_setting';
 import {resolveSettings} from './resolve_settings';
 import {commonSettings} from './common_settings';
+import {listenSetting} from './listen_setting';
 import {stopWithinSetting} from './stop_within_setting';
 
 const schema = z.object({
   hostId: nameSetting.describe('name of this host, unique in the fleet'),
   zone: nameSetting.describe('availability zone of this host'),
   domain: nameSetting.describe('fabric domain of this host'),
-  listen: addressSetting.describe('address for entries and other members'),
-  announceListen: addressSetting.describe(
+  listen: listenSetting.describe('address for entries and other members'),
+  announceListen: listenSetting.describe(
     'address where the backend server announces itself',
   ),
   advertise: addressSetting
@@ -63,7 +64,7 @@
     domain,
     host: listen.host,
     port: listen.port,
-    advertise: advertise && `${advertise.host}:${advertise.port}`,
+    advertise,
     announceHost: announceListen.host,
     announcePort: announceListen.port,
     control,
--- a/src/control/backend_health.ts
+++ b/src/control/backend_health.ts
@@ -1,6 +1,7 @@
 /** Detects failed backend servers from missing registrations, gateways' reports and liveness probes. */
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
+import {ServerAddress} from '../common/server_address';
 import {EngineGroup} from '../protocol/engine_group';
 import {BackendRegistry} from './backend_registry';
 import {ControlSettings} from './control_settings';
@@ -192,8 +193,7 @@
     }
     state.isProbing = true;
     state.probedAt = now;
-    const {orders} = this.options.poolSettings;
-    void (orders?.probe(address, incarnation) ?? Promise.resolve(true)).then(
+    void this.askEngine(address, incarnation).then(
       isAnswering => {
         state.isProbing = false;
         state.hasAnswered = isAnswering;
@@ -207,6 +207,18 @@
     );
   }
 
+  /** An engine with a malformed address, from the log of another version, counts as unreachable. */
+  private askEngine(text: string, incarnation: string): Promise<boolean> {
+    const {orders} = this.options.poolSettings;
+    if (!orders) {
+      return Promise.resolve(true);
+    }
+    const address = ServerAddress.find(text);
+    return address
+      ? orders.probe(address, incarnation)
+      : Promise.resolve(false);
+  }
+
   private recordEvent(type: string, id: string, reason: string): void {
     const {events, registry, clock, gateways} = this.options;
     const seenAt = registry.find(id)?.seenAt;
--- a/src/control/control_connections.ts
+++ b/src/control/control_connections.ts
@@ -1,7 +1,10 @@
 /** Connections between control processes. Each process sends on the connections that it opened. */
+import {AddressError} from '../common/address_error';
 import {Clock} from '../common/clock';
+import {ServerAddress} from '../common/server_address';
 import {connectPeer} from '../protocol/connect_peer';
 import {Message} from '../protocol/message';
+import {parseAddresses} from '../protocol/parse_addresses';
 import {Peer} from '../protocol/peer';
 import {splitIdentity} from '../protocol/split_identity';
 import {TlsCredentials} from '../transport/tls_credentials';
@@ -18,7 +21,7 @@
   /** Availability zone of this process, if its settings name one. */
   readonly zone?: string;
   /** Addresses of the other control processes, by name. */
-  readonly addresses: ReadonlyMap<string, string>;
+  readonly addresses: ReadonlyMap<string, ServerAddress>;
   readonly clock: Clock;
   readonly security?: TlsCredentials;
   /** Called with each message that arrives on an opened connection. */
@@ -29,6 +32,8 @@
   ) => void;
   /** Called when a message could not be handled, before its connection is closed. */
   readonly onFailure: (from: string, error: Error) => void;
+  /** Called with the error of each address that is malformed. */
+  readonly onMalformedAddress?: (error: AddressError) => void;
 }
 
 interface Connection {
@@ -56,7 +61,7 @@
 /** Maintains one outgoing connection to each of the other control processes. */
 export class ControlConnections {
   private readonly connections = new Map<string, Connection>();
-  private readonly addresses = new Map<string, string>();
+  private readonly addresses = new Map<string, ServerAddress>();
   /** Time of the last message of a process, by identity. */
   private readonly lastMessageAt = new Map<string, number>();
   private readonly histories = new Map<string, ConnectionHistory>();
@@ -76,17 +81,18 @@
   static create(options: ControlConnectionsOptions): ControlConnections {
     const connections = new ControlConnections(options);
     for (const [name, address] of options.addresses) {
-      connections.add(name, address);
+      connections.startConnection(name, address);
     }
     return connections;
   }
 
-  /** Maintains a connection to one more process. */
+  /** Maintains a connection to one more process; there is none to a malformed address. */
   add(name: string, address: string): void {
     if (!this.addresses.has(name)) {
-      this.addresses.set(name, address);
-      this.histories.set(name, {changedAt: this.options.clock.now()});
-      void this.runConnection(name, address);
+      const {onMalformedAddress} = this.options;
+      parseAddresses([address], onMalformedAddress).forEach(parsed =>
+        this.startConnection(name, parsed),
+      );
     }
   }
 
@@ -172,7 +178,16 @@
     }
   }
 
-  private async runConnection(name: string, address: string): Promise<void> {
+  private startConnection(name: string, address: ServerAddress): void {
+    this.addresses.set(name, address);
+    this.histories.set(name, {changedAt: this.options.clock.now()});
+    void this.runConnection(name, address);
+  }
+
+  private async runConnection(
+    name: string,
+    address: ServerAddress,
+  ): Promise<void> {
     while (!this.isClosed) {
       const open = this.connections.get(name);
       await (open ? open.peer.closed : this.connectAndRecord(name, address));
@@ -180,13 +195,19 @@
     }
   }
 
-  private async connectAndRecord(name: string, address: string): Promise<void> {
+  private async connectAndRecord(
+    name: string,
+    address: ServerAddress,
+  ): Promise<void> {
     await this.connectOnce(name, address).catch((error: Error) =>
       this.recordFailure(name, error.message),
     );
   }
 
-  private async connectOnce(name: string, address: string): Promise<void> {
+  private async connectOnce(
+    name: string,
+    address: ServerAddress,
+  ): Promise<void> {
     const {identity, security, onMessage, onFailure, clock} = this.options;
     const peer = await connectPeer(address, identity, security);
     if (this.isClosed || this.connections.has(name)) {
--- a/src/control/control_event_log.ts
+++ b/src/control/control_event_log.ts
@@ -1,8 +1,10 @@
 /** Events that a control process logs about itself, sufficient to diagnose a quorum without progress. */
+import {AddressError} from '../common/address_error';
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
 import {ThrottledEventLog} from '../common/throttled_event_log';
 import {RaftMessage} from '../protocol/raft_message';
+import {recordMalformedAddress} from '../reporting/record_malformed_address';
 import {ControlDataFolder} from '../state/control_data_folder';
 import {RaftRuntime} from './raft_runtime';
 
@@ -101,6 +103,11 @@
     });
   }
 
+  /** Records that another control process gets no connection, as its address is malformed. */
+  recordMalformedAddress(error: AddressError): void {
+    recordMalformedAddress(this.throttledEventLog, this.identity, error);
+  }
+
   /** Records a failure to handle a message; its sender only sees the connection close. */
   recordMessageFailure(from: string, error: Error): void {
     this.throttledEventLog.record('message', {
--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -3,10 +3,12 @@
 import {EventRing} from '../common/event_ring';
 import {LeaseClock} from '../common/lease_clock';
 import {recordPause} from '../common/record_pause';
+import {ServerAddress} from '../common/server_address';
 import {systemClock} from '../common/system_clock';
 import {systemTimers} from '../common/system_timers';
 import {Message} from '../protocol/message';
 import {MessageOf} from '../protocol/message_of';
+import {parseAddresses} from '../protocol/parse_addresses';
 import {Peer} from '../protocol/peer';
 import {splitIdentity} from '../protocol/split_identity';
 import {QuorumStatus} from '../protocol/quorum_status';
@@ -105,12 +107,15 @@
   }
 
   /** Addresses of control processes to try, the known leader first, then voters and seeds. */
-  listControlAddresses(): string[] {
+  listControlAddresses(): readonly ServerAddress[] {
     const leader = this.runtime?.raft.leader;
     const voters = Object.keys(this.member?.manager.listVoters() ?? {});
     const seeds = this.settings.seeded?.seeds ?? [];
     const known = leader ? [splitIdentity(leader).name] : [];
-    return [...new Set([...known, ...voters, ...seeds])];
+    const names = new Set([...known, ...voters, ...seeds]);
+    return parseAddresses([...names], error =>
+      this.log.recordMalformedAddress(error),
+    );
   }
 
   /** Adds addresses for the discovery of control processes, after a change of the settings. */
@@ -168,14 +173,16 @@
     this.connections = ControlConnections.create({
       identity: this.identity,
       zone: settings.zone,
-      addresses: settings.seeded
-        ? new Map(listOtherSeeds(settings).map(seed => [seed, seed]))
-        : settings.peers,
+      addresses: settings.peers,
       clock: systemClock,
       security: settings.security,
       onMessage: (from, message, reply) => this.receive(from, message, reply),
       onFailure: (from, error) => this.log.recordMessageFailure(from, error),
+      onMalformedAddress: error => this.log.recordMalformedAddress(error),
     });
+    for (const seed of listOtherSeeds(settings)) {
+      this.connections.add(seed, seed);
+    }
     this.member = QuorumMember.create({
       settings,
       disk,
@@ -251,7 +258,7 @@
   ): Promise<void> {
     const {runtime, handlers} = this;
     const control = this.settings.seeded
-      ? this.listControlAddresses()
+      ? this.listControlAddresses().map(String)
       : undefined;
     const refuse = () =>
       reply({type: 'not-leader', call: request.call, control});
--- a/src/control/control_settings.ts
+++ b/src/control/control_settings.ts
@@ -1,4 +1,5 @@
 import {KeyObject} from 'node:crypto';
+import {ServerAddress} from '../common/server_address';
 import {EngineClient} from '../protocol/engine_client';
 import {TlsCredentials} from '../transport/tls_credentials';
 
@@ -47,7 +48,7 @@
   /** Whether to lock the data folder; false if the platform guarantees exclusive access. Default: true. */
   readonly locksFolder?: boolean;
   /** Address of each other control process, by name. */
-  readonly peers: ReadonlyMap<string, string>;
+  readonly peers: ReadonlyMap<string, ServerAddress>;
   readonly trustedKeys: readonly KeyObject[];
   /** Time for which hosts and entry processes may use a bundle after it was confirmed, in milliseconds. */
   readonly leaseMs: number;
--- a/src/control/order_dispatcher.ts
+++ b/src/control/order_dispatcher.ts
@@ -1,6 +1,7 @@
 /** Sends the planner's orders to engines: one at a time to each, loads within the pool's limits. */
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
+import {ServerAddress} from '../common/server_address';
 import {EngineAction} from '../coordination/groups/engine_action';
 import {EngineClient} from '../protocol/engine_client';
 import {EngineProfile} from '../protocol/engine_profile';
@@ -259,21 +260,9 @@
   }
 
   private async sendOrder(order: Order): Promise<Outcome> {
-    const {poolSettings, runtime, events} = this.options;
-    const {incarnation, address, kind, group, model, reason} = order;
-    const answer = await poolSettings.orders?.send({
-      incarnation,
-      address,
-      fence: runtime.raft.term,
-      ordersTaken: this.ordersTaken.get(incarnation) ?? 0,
-      order: {
-        kind,
-        group: group && {name: group.name, epoch: group.epoch},
-        model: kind === 'join' || kind === 'stage' ? model : undefined,
-        members:
-          kind === 'join' && group ? listMemberIncarnations(group) : undefined,
-      },
-    });
+    const {runtime, events} = this.options;
+    const {incarnation, kind, group, model, reason} = order;
+    const answer = await this.callEngine(order);
     const outcome = answer?.outcome ?? 'unanswered';
     this.recordOrdersTaken(incarnation, answer);
     events.record({
@@ -292,4 +281,34 @@
     });
     return outcome;
   }
+
+  /** An engine with a malformed address, from the log of another version, does not answer. */
+  private async callEngine({
+    incarnation,
+    address,
+    kind,
+    group,
+    model,
+  }: Order): Promise<Answer | undefined> {
+    const {poolSettings, runtime} = this.options;
+    let parsed: ServerAddress;
+    try {
+      parsed = ServerAddress.parse(address);
+    } catch (error) {
+      return {outcome: 'unanswered', failure: (error as Error).message};
+    }
+    return poolSettings.orders?.send({
+      incarnation,
+      address: parsed,
+      fence: runtime.raft.term,
+      ordersTaken: this.ordersTaken.get(incarnation) ?? 0,
+      order: {
+        kind,
+        group: group && {name: group.name, epoch: group.epoch},
+        model: kind === 'join' || kind === 'stage' ? model : undefined,
+        members:
+          kind === 'join' && group ? listMemberIncarnations(group) : undefined,
+      },
+    });
+  }
 }
--- a/src/control/target_table.ts
+++ b/src/control/target_table.ts
@@ -4,7 +4,7 @@
  */
 import {BackendView} from '../coordination/groups/backend_view';
 import {EngineGroup} from '../protocol/engine_group';
-import {GatewayTarget} from '../protocol/gateway_target';
+import {GatewayTargetMessage} from '../protocol/gateway_target_message';
 import {BackendRegistry} from './backend_registry';
 import {ClosedHeads} from './closed_heads';
 import {ColdServerService} from './cold_server_service';
@@ -20,7 +20,7 @@
 
 /** A target with the time until which it is cold, which each gateway gets relative to the answer. */
 interface TableEntry {
-  readonly target: GatewayTarget;
+  readonly target: GatewayTargetMessage;
   /** May be over; -Infinity for a server that is warm. */
   readonly coldUntil: number;
 }
@@ -32,7 +32,7 @@
 
 /** The full table or changes to it. */
 interface TableUpdate {
-  readonly targets: GatewayTarget[];
+  readonly targets: GatewayTargetMessage[];
   /** Incarnations that currently serve nothing. */
   readonly closed: string[];
   /** Incarnations, or names, of backend servers that take no new work. */
@@ -192,7 +192,7 @@
     this.current = next;
   }
 
-  private createEntry(target: GatewayTarget): TableEntry {
+  private createEntry(target: GatewayTargetMessage): TableEntry {
     const {runtime, cold} = this.options;
     const {rules} = runtime.state.channel;
     const pool = rules?.pools.find(({name}) => name === target.pool);
@@ -233,7 +233,7 @@
   private listUnregisteredHeads(
     views: readonly BackendView[],
     groups: readonly EngineGroup[],
-  ): GatewayTarget[] {
+  ): GatewayTargetMessage[] {
     const {engines, channel} = this.options.runtime.state;
     const registered = new Set(
       views.flatMap(({registration: {address, name}}) => [address, name]),
@@ -260,7 +260,7 @@
   private findTarget(
     {registration}: BackendView,
     committed: EngineGroup | undefined,
-  ): GatewayTarget | undefined {
+  ): GatewayTargetMessage | undefined {
     const {engines, channel} = this.options.runtime.state;
     const {incarnation, name, pool, address, zone, slots, group} = registration;
     const known = channel.rules?.pools.find(other => other.name === pool);
@@ -313,7 +313,7 @@
 function listTargets(
   entries: ReadonlyArray<readonly [string, TableEntry | null]>,
   now: number,
-): GatewayTarget[] {
+): GatewayTargetMessage[] {
   return entries.flatMap(([, entry]) => {
     if (!entry) {
       return [];
--- a/src/entry/entry_settings.ts
+++ b/src/entry/entry_settings.ts
@@ -1,3 +1,4 @@
+import {ServerAddress} from '../common/server_address';
 import {TlsCredentials} from '../transport/tls_credentials';
 
 /** Configuration of an entry process. */
@@ -7,7 +8,7 @@
   /** Address to listen on for callers. */
   readonly host: string;
   readonly port: number;
-  readonly control: readonly string[];
+  readonly control: readonly ServerAddress[];
   /** Milliseconds from the stop signal to the forced exit. */
   readonly stopWithinMs: number;
   readonly security?: TlsCredentials;
--- a/src/entry/host_connection.ts
+++ b/src/entry/host_connection.ts
@@ -1,5 +1,6 @@
 /** The entry's connection to the first member of a group, and the attempts sent over it. */
 import {Clock} from '../common/clock';
+import {ServerAddress} from '../common/server_address';
 import {connectPeer} from '../protocol/connect_peer';
 import {Message} from '../protocol/message';
 import {MessageOf} from '../protocol/message_of';
@@ -30,7 +31,7 @@
 
 /** What a connection needs. */
 interface HostConnectionOptions {
-  readonly address: string;
+  readonly address: ServerAddress;
   readonly identity: Parameters<typeof Peer.create>[1];
   readonly clock: Clock;
   readonly security?: TlsCredentials;
--- a/src/entry/host_connections.ts
+++ b/src/entry/host_connections.ts
@@ -1,5 +1,6 @@
 /** Keeps the entry connected to the first member of every group in the routing table. */
 import {Clock} from '../common/clock';
+import {ServerAddress} from '../common/server_address';
 import {Peer} from '../protocol/peer';
 import {TlsCredentials} from '../transport/tls_credentials';
 import {HostConnection} from './host_connection';
@@ -81,9 +82,14 @@
     if (pending) {
       return pending;
     }
+    const known = ServerAddress.find(address);
+    if (!known) {
+      // A malformed address counts as an unreachable host.
+      return Promise.resolve(undefined);
+    }
     const connecting = HostConnection.connect({
       ...this.options,
-      address,
+      address: known,
       onClosed: () => this.connections.delete(address),
     })
       .then(connection => {
--- a/src/gateway/control/control_poller.ts
+++ b/src/gateway/control/control_poller.ts
@@ -1,18 +1,24 @@
 /** Long-polls the control processes for the rules in force and the backend servers, and tracks how fresh they are. */
 import {Clock} from '../../common/clock';
 import {EventRing} from '../../common/event_ring';
+import {ServerAddress} from '../../common/server_address';
+import {ThrottledEventLog} from '../../common/throttled_event_log';
 import {ControlClient} from '../../protocol/control_client';
 import {ControlMessage} from '../../protocol/control_message';
 import {GatewayTarget} from '../../protocol/gateway_target';
+import {GatewayTargetMessage} from '../../protocol/gateway_target_message';
 import {MessageOf} from '../../protocol/message_of';
 import {ModelDemand} from '../../protocol/model_demand';
+import {parseAddresses} from '../../protocol/parse_addresses';
 import {QueueReport} from '../../protocol/queue_report';
 import {SuspectUpdate} from '../../protocol/suspect_update';
 import {rulesCodec} from '../../protocol/rules_codec';
+import {recordMalformedAddress} from '../../reporting/record_malformed_address';
 import {BackendRateLimits} from '../limits/backend_rate_limits';
 import {RouteIndex} from '../routing/route_index';
 import {GatewayCounts} from './gateway_counts';
 import {ModelAdmissions} from './model_admissions';
+import {parseTargets} from './parse_targets';
 import {ZoneEvacuations} from './zone_evacuations';
 
 /** Longer than the control plane delays the answer to a poll without an update. */
@@ -65,7 +71,7 @@
   >;
   readonly onTargets: (targets: ReadonlyMap<string, GatewayTarget>) => void;
   /** Called with the addresses of the control processes from each answer. */
-  readonly onControl: (addresses: readonly string[]) => void;
+  readonly onControl: (addresses: readonly ServerAddress[]) => void;
 }
 
 /** Polls the control plane until it is closed. */
@@ -79,6 +85,7 @@
   private tableTag = '';
   private confirmedAt = -Infinity;
   private readonly gatewayCounts: GatewayCounts;
+  private readonly eventLog: ThrottledEventLog;
   private isConnected: boolean | undefined;
   private isReporting = false;
   private isClosed = false;
@@ -86,6 +93,7 @@
   private constructor(private readonly options: ControlPollerOptions) {
     const {clock, events, gatewayId} = options;
     this.gatewayCounts = GatewayCounts.create(clock);
+    this.eventLog = ThrottledEventLog.create(events, clock);
     this.evacuations = ZoneEvacuations.create(events);
     this.admissions = ModelAdmissions.create(clock, events, gatewayId);
     void this.follow();
@@ -247,7 +255,10 @@
     this.admissions.record(answer.admissions, askedAt);
     this.gatewayCounts.record(answer.gateways);
     this.options.onRunning(answer.runningElsewhere, answer.gateways - 1);
-    this.options.onControl(answer.control);
+    const control = parseAddresses(answer.control, error =>
+      recordMalformedAddress(this.eventLog, this.options.gatewayId, error),
+    );
+    this.options.onControl(control);
   }
 
   /**
@@ -256,8 +267,9 @@
    */
   private applyTargets(
     answer: PollAnswer,
-    added: readonly GatewayTarget[],
+    received: readonly GatewayTargetMessage[],
   ): void {
+    const {targets: added, malformed} = parseTargets(received);
     const isReplaced = answer.isComplete && answer.isWholeTable !== false;
     const targets = new Map(isReplaced ? [] : this.targets);
     const retired = new Set(answer.retired);
@@ -267,6 +279,8 @@
         targets.delete(incarnation);
       }
     }
+    // The address at which such a target was known is no longer its own.
+    malformed.forEach(({target}) => targets.delete(target.incarnation));
     for (const target of added) {
       // A new leader does not know the zone before the backend server has registered.
       const zone = target.zone || (targets.get(target.incarnation)?.zone ?? '');
--- a/src/gateway/crashes/crash_detector.ts
+++ b/src/gateway/crashes/crash_detector.ts
@@ -106,7 +106,7 @@
       id: incarnation,
       reason: REASONS[state],
       details: {
-        address,
+        address: address.toString(),
         begun: attempts.length - unstarted.length,
         notBegun: unstarted.length,
         requests: names.join(' '),
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -7,7 +7,7 @@
 import {systemClock} from '../common/system_clock';
 import {ThrottledEventLog} from '../common/throttled_event_log';
 import {ControlClient} from '../protocol/control_client';
-import {recordLeaderSearch} from '../reporting/record_leader_search';
+import {createControlClientReports} from '../reporting/create_control_client_reports';
 import {computeConnectionLimit} from '../transport/compute_connection_limit';
 import {HttpListener} from '../transport/http_listener';
 import {HttpClientPool} from '../transport/http_client_pool';
@@ -70,8 +70,9 @@
   private readonly demand = DemandMeter.create(systemClock);
   private readonly containment: CrashContainment;
   private readonly checkTimer: CheckTimer;
-  private seeds: readonly string[];
-  private controlAddresses: readonly string[];
+  private seeds: GatewaySettings['control'];
+  /** The client asks an address once, however often it is listed. */
+  private controlAddresses: GatewaySettings['control'];
   private listener: HttpListener | undefined;
   private openRequests = 0;
   /** Responses to admitted requests, until their last byte is sent. */
@@ -105,7 +106,7 @@
       addresses: () => this.controlAddresses,
       hedgeDelayMs: CONTROL_TIMEOUT_MS,
       identity: {program: 'gateway', id: gatewayId, incarnation},
-      onSearched: search => recordLeaderSearch(eventLog, gatewayId, search),
+      ...createControlClientReports(eventLog, gatewayId),
     });
     this.retryBudgets = RetryBudgets.create({
       gatewayId,
@@ -162,7 +163,7 @@
         this.clientPool.retain(this.balancer.listAddresses());
       },
       onControl: addresses => {
-        this.controlAddresses = [...new Set([...addresses, ...this.seeds])];
+        this.controlAddresses = [...addresses, ...this.seeds];
       },
     });
     this.requestLog = RequestLog.create(events, this.poller);
@@ -208,10 +209,9 @@
   }
 
   /** Updates the seed addresses of the control plane after the settings changed. */
-  setControl(addresses: readonly string[]): void {
+  setControl(addresses: GatewaySettings['control']): void {
     this.seeds = addresses;
-    const known = [...this.controlAddresses, ...addresses];
-    this.controlAddresses = [...new Set(known)];
+    this.controlAddresses = [...this.controlAddresses, ...addresses];
   }
 
   /** Shuts down gracefully: serves requests until callers have noticed, and closes once all admitted ones are answered. */
--- a/src/gateway/gateway_settings.ts
+++ b/src/gateway/gateway_settings.ts
@@ -1,3 +1,4 @@
+import {ServerAddress} from '../common/server_address';
 import {HttpDialect} from './http_dialect';
 
 /** Settings with which a gateway process starts. */
@@ -8,7 +9,7 @@
   readonly host: string;
   readonly port: number;
   /** Initial addresses of control processes. */
-  readonly control: readonly string[];
+  readonly control: readonly ServerAddress[];
   readonly dialect: HttpDialect;
   /** How long requests are served after the control plane confirmed the rules, in milliseconds. */
   readonly confirmationMs: number;
--- a/src/gateway/routing/load_balancer.ts
+++ b/src/gateway/routing/load_balancer.ts
@@ -186,7 +186,7 @@
   listAddresses(): Set<string> {
     return new Set(
       [...this.states.values()].flatMap(({target}) =>
-        this.isOpen(target.incarnation) ? [target.address] : [],
+        this.isOpen(target.incarnation) ? [target.address.toString()] : [],
       ),
     );
   }
--- a/src/host/heartbeat_poller.ts
+++ b/src/host/heartbeat_poller.ts
@@ -1,5 +1,6 @@
 /** The first member's side of heartbeats: polls every other member at a fixed interval. */
 import {Clock} from '../common/clock';
+import {ServerAddress} from '../common/server_address';
 import {GroupLease} from '../coordination/groups/group_lease';
 import {connectPeer} from '../protocol/connect_peer';
 import {Group} from '../protocol/group';
@@ -76,7 +77,7 @@
     this.connecting.add(hostId);
     try {
       const peer = await connectPeer(
-        address,
+        ServerAddress.parse(address),
         this.options.identity,
         this.options.security,
       );
--- a/src/host/host_server.ts
+++ b/src/host/host_server.ts
@@ -3,6 +3,7 @@
 import {EventRing} from '../common/event_ring';
 import {LeaseClock} from '../common/lease_clock';
 import {recordPause} from '../common/record_pause';
+import {ServerAddress} from '../common/server_address';
 import {ShutdownSchedule} from '../common/shutdown_schedule';
 import {systemClock} from '../common/system_clock';
 import {checkDispatch} from '../coordination/requests/check_dispatch';
@@ -293,7 +294,7 @@
       incarnation: this.incarnation,
       zone,
       domain,
-      address: advertise ?? `${host}:${this.port}`,
+      address: `${advertise ?? ServerAddress.create(host, this.port)}`,
       backend: backend
         ? {
             kind: backend.kind,
--- a/src/host/host_settings.ts
+++ b/src/host/host_settings.ts
@@ -1,3 +1,4 @@
+import {ServerAddress} from '../common/server_address';
 import {TlsCredentials} from '../transport/tls_credentials';
 
 /** Configuration of a host process. */
@@ -10,11 +11,11 @@
   readonly host: string;
   readonly port: number;
   /** Address that other processes connect to, if it differs from the listening address. */
-  readonly advertise?: string;
+  readonly advertise?: ServerAddress;
   /** Address to listen on for announcements of the backend server. */
   readonly announceHost: string;
   readonly announcePort: number;
-  readonly control: readonly string[];
+  readonly control: readonly ServerAddress[];
   /** Milliseconds from the stop signal to the forced exit. */
   readonly stopWithinMs: number;
   readonly security?: TlsCredentials;
--- a/src/operator/format_quorum.ts
+++ b/src/operator/format_quorum.ts
@@ -23,7 +23,14 @@
               String(status.commitIndex),
               status.explanation,
             ]
-          : [address, '-', '-', '-', '-', `not reachable: ${failure}`],
+          : [
+              address.toString(),
+              '-',
+              '-',
+              '-',
+              '-',
+              `not reachable: ${failure}`,
+            ],
       ),
     ),
     '\n',
--- a/src/operator/operator_client.ts
+++ b/src/operator/operator_client.ts
@@ -1,6 +1,7 @@
 /** Calls that operators make to control. */
 import {KeyObject, randomBytes, sign} from 'node:crypto';
 import {z} from 'zod';
+import {ServerAddress} from '../common/server_address';
 import {computeKeyId} from '../protocol/compute_key_id';
 import {ControlClient} from '../protocol/control_client';
 import {encodeDrainOrder} from '../protocol/encode_drain_order';
@@ -20,7 +21,7 @@
 
 /** How to reach control, and how long to wait for it. */
 interface OperatorClientOptions {
-  readonly addresses: readonly string[];
+  readonly addresses: readonly ServerAddress[];
   readonly security?: TlsCredentials;
   /** Timeout of each call, in milliseconds. */
   readonly timeoutMs: number;
@@ -40,7 +41,7 @@
    * Creates a client with a new incarnation ID.
    *
    * @example
-   * const client = OperatorClient.create({addresses: ['127.0.0.1:7000'], timeoutMs: 5000});
+   * const client = OperatorClient.create({addresses: [ServerAddress.parse('127.0.0.1:7000')], timeoutMs: 5000});
    */
   static create(options: OperatorClientOptions): OperatorClient {
     const {addresses, security, timeoutMs} = options;
--- a/src/operator/read_quorum_statuses.ts
+++ b/src/operator/read_quorum_statuses.ts
@@ -1,3 +1,4 @@
+import {ServerAddress} from '../common/server_address';
 import {systemTimers} from '../common/system_timers';
 import {waitFor} from '../common/wait_for';
 import {ControlConnection} from '../protocol/control_connection';
@@ -14,13 +15,13 @@
  * @param options addresses to ask, and the identity and security of each connection
  * @returns one view for each address, within a second
  * @example
- * const views = await readQuorumStatuses({addresses: ['127.0.0.1:7000'], identity});
+ * const views = await readQuorumStatuses({addresses: [ServerAddress.parse('127.0.0.1:7000')], identity});
  */
 export function readQuorumStatuses({
   addresses,
   ...options
 }: Omit<Parameters<typeof ControlConnection.create>[0], 'address'> & {
-  readonly addresses: readonly string[];
+  readonly addresses: readonly ServerAddress[];
 }): Promise<QuorumView[]> {
   return Promise.all(
     addresses.map(async address => {
--- a/src/protocol/control_client.ts
+++ b/src/protocol/control_client.ts
@@ -1,4 +1,7 @@
 /** Client of the control processes: sends each call to the current leader. */
+import {AddressError} from '../common/address_error';
+import {selectDistinctAddresses} from '../common/select_distinct_addresses';
+import {ServerAddress} from '../common/server_address';
 import {TlsCredentials} from '../transport/tls_credentials';
 import {ControlCalls} from './control_calls';
 import {ControlConnectionPool} from './control_connection_pool';
@@ -6,6 +9,7 @@
 import {LeaderCall} from './leader_call';
 import {LeaderFinder} from './leader_finder';
 import {MessageOf} from './message_of';
+import {parseAddresses} from './parse_addresses';
 import {Peer} from './peer';
 import {ProtocolError} from './protocol_error';
 
@@ -24,13 +28,16 @@
 /** How to reach the control processes, and the identity of this client. */
 interface ControlClientOptions {
   /** Addresses of the control processes; a function where they may change. */
-  readonly addresses: readonly string[] | (() => readonly string[]);
+  readonly addresses:
+    readonly ServerAddress[] | (() => readonly ServerAddress[]);
   /** Milliseconds without an answer after which the leader is searched for again, in parallel to the pending request. */
   readonly hedgeDelayMs?: number;
   readonly identity: Parameters<typeof Peer.create>[1];
   readonly security?: TlsCredentials;
   /** Receives a report on each call that had to search, or found no leader. */
   readonly onSearched?: (search: SearchReport) => void;
+  /** Receives the error of each address that a process reported and that is malformed. */
+  readonly onMalformedAddress?: (error: AddressError) => void;
 }
 
 /**
@@ -42,7 +49,7 @@
   private readonly finder: LeaderFinder;
   private readonly calls = new Set<LeaderCall>();
   /** Addresses that followers reported. */
-  private reportedAddresses: readonly string[] = [];
+  private reportedAddresses: readonly ServerAddress[] = [];
   private isClosed = false;
 
   private constructor(private readonly options: ControlClientOptions) {
@@ -51,7 +58,7 @@
     this.finder = LeaderFinder.create({
       connections: this.connections,
       listAddresses: () => this.listAddresses(),
-      onRedirect: reported => this.recordAddresses(reported),
+      acceptAddresses: reported => this.acceptAddresses(reported),
     });
   }
 
@@ -59,7 +66,7 @@
    * Creates a client; it connects with the first call.
    *
    * @example
-   * const client = ControlClient.create({addresses: ['127.0.0.1:7000'], identity});
+   * const client = ControlClient.create({addresses: [ServerAddress.parse('127.0.0.1:7000')], identity});
    * const answer = await client.ask({type: 'status-ask'}, 2000);
    */
   static create(options: ControlClientOptions): ControlClient {
@@ -88,7 +95,7 @@
       finder: this.finder,
       timeoutMs,
       hedgeDelayMs: this.options.hedgeDelayMs ?? DEFAULT_TIMEOUT_MS,
-      onRedirect: reported => this.recordAddresses(reported),
+      onRedirect: reported => this.acceptAddresses(reported),
     });
     this.calls.add(call);
     let isAnswered = false;
@@ -113,17 +120,23 @@
   }
 
   /** The reported addresses, then the configured ones. */
-  private listAddresses(): readonly string[] {
+  private listAddresses(): readonly ServerAddress[] {
     const {addresses} = this.options;
     const configured =
       typeof addresses === 'function' ? addresses() : addresses;
-    return [...new Set([...this.reportedAddresses, ...configured])];
+    return selectDistinctAddresses([...this.reportedAddresses, ...configured]);
   }
 
-  private recordAddresses(reported: readonly string[]): void {
-    if (reported.length > 0) {
-      this.reportedAddresses = reported;
+  /** Leaves out malformed addresses, which may come from another version or its disk. */
+  private acceptAddresses(
+    reported: readonly string[],
+  ): readonly ServerAddress[] {
+    const {onMalformedAddress} = this.options;
+    const addresses = parseAddresses(reported, onMalformedAddress);
+    if (addresses.length > 0) {
+      this.reportedAddresses = addresses;
     }
+    return addresses;
   }
 
   private report(
--- a/src/protocol/control_connection.ts
+++ b/src/protocol/control_connection.ts
@@ -1,4 +1,5 @@
 /** A connection to one control process that matches answers to the pending calls. */
+import {ServerAddress} from '../common/server_address';
 import {TlsCredentials} from '../transport/tls_credentials';
 import {connectPeer} from './connect_peer';
 import {ControlCalls} from './control_calls';
@@ -8,7 +9,7 @@
 
 /** Where to connect and as whom. */
 interface ControlConnectionOptions {
-  readonly address: string;
+  readonly address: ServerAddress;
   readonly identity: Parameters<typeof Peer.create>[1];
   readonly security?: TlsCredentials;
 }
@@ -44,7 +45,7 @@
    * Starts connecting.
    *
    * @example
-   * const connection = ControlConnection.create({address: '127.0.0.1:7000', identity});
+   * const connection = ControlConnection.create({address: ServerAddress.parse('127.0.0.1:7000'), identity});
    * await connection.ready;
    * const answer = await connection.call({type: 'status-ask'});
    */
@@ -52,7 +53,7 @@
     return new ControlConnection(options);
   }
 
-  get address(): string {
+  get address(): ServerAddress {
     return this.options.address;
   }
 
--- a/src/protocol/control_connection_pool.ts
+++ b/src/protocol/control_connection_pool.ts
@@ -1,4 +1,5 @@
 /** Pools the connections of one client to control processes: one for each address, shared by its calls. */
+import {ServerAddress} from '../common/server_address';
 import {ControlConnection} from './control_connection';
 
 type ConnectionOptions = Omit<
@@ -18,7 +19,7 @@
    *
    * @example
    * const pool = ControlConnectionPool.create({identity});
-   * const connection = pool.acquire('127.0.0.1:7000');
+   * const connection = pool.acquire(ServerAddress.parse('127.0.0.1:7000'));
    * pool.release(connection);
    */
   static create(options: ConnectionOptions): ControlConnectionPool {
@@ -31,12 +32,13 @@
   }
 
   /** Returns the connection to an address, opened if necessary, with one more reference. */
-  acquire(address: string): ControlConnection {
-    const pooled = this.connections.get(address);
+  acquire(address: ServerAddress): ControlConnection {
+    const key = address.toString();
+    const pooled = this.connections.get(key);
     const connection = pooled?.isUsable
       ? pooled
       : ControlConnection.create({...this.options, address});
-    this.connections.set(address, connection);
+    this.connections.set(key, connection);
     connection.refCount += 1;
     return connection;
   }
@@ -65,8 +67,9 @@
 
   /** Takes a connection out of the pool, so that the next `acquire` opens another: this one may be dead without being closed. */
   evict(connection: ControlConnection): void {
-    if (this.connections.get(connection.address) === connection) {
-      this.connections.delete(connection.address);
+    const key = connection.address.toString();
+    if (this.connections.get(key) === connection) {
+      this.connections.delete(key);
     }
     if (this.leaderConnection === connection) {
       this.leaderConnection = undefined;
--- a/src/protocol/control_message.ts
+++ b/src/protocol/control_message.ts
@@ -5,7 +5,7 @@
 import {ClaimVerdict} from './claim_verdict';
 import {ColdServerReport} from './cold_server_report';
 import {CrashReport} from './crash_report';
-import {GatewayTarget} from './gateway_target';
+import {GatewayTargetMessage} from './gateway_target_message';
 import {Group} from './group';
 import {HostReport} from './host_report';
 import {RateLimitReport} from './rate_limit_report';
@@ -209,7 +209,7 @@
     rulesVersion: z.int(),
     tableTag: z.string(),
     /** Present when the caller has another version of the table. */
-    targets: z.array(GatewayTarget).optional(),
+    targets: z.array(GatewayTargetMessage).optional(),
     /** Backend servers that accept no new requests; present with `targets`. */
     retired: z.array(z.string()).optional(),
     /** Backend servers that have registered and do not serve now; present with `targets`. */
--- a/src/protocol/engine_client.ts
+++ b/src/protocol/engine_client.ts
@@ -1,4 +1,5 @@
 /** Port through which control sends orders to engines; an adapter implements the transport. */
+import {ServerAddress} from '../common/server_address';
 
 /** A change to an engine's group membership, or to the weights stored on its host. */
 interface EngineOrder {
@@ -14,8 +15,7 @@
 /** An order with its recipient and its fencing token. */
 interface OrderCall {
   readonly incarnation: string;
-  /** `host:port`. */
-  readonly address: string;
+  readonly address: ServerAddress;
   readonly order: EngineOrder;
   /** Fencing token, which increases with each leader; engines reject a lower one than they have seen. */
   readonly fence: number;
@@ -39,5 +39,8 @@
 export interface EngineClient {
   readonly send: (call: OrderCall) => Promise<OrderAnswer>;
   /** Checks whether this incarnation of an engine responds. */
-  readonly probe: (address: string, incarnation: string) => Promise<boolean>;
+  readonly probe: (
+    address: ServerAddress,
+    incarnation: string,
+  ) => Promise<boolean>;
 }
--- a/src/protocol/leader_candidates.ts
+++ b/src/protocol/leader_candidates.ts
@@ -1,3 +1,5 @@
+import {ServerAddress} from '../common/server_address';
+
 /**
  * Queue of the control processes that a search for the leader asks: each at most
  * once a round, and all of them in every round, whatever addresses followers report.
@@ -7,13 +9,13 @@
  * search among those followers.
  */
 export class LeaderCandidates {
-  private readonly known: Set<string>;
-  private queue: string[];
+  /** All addresses by their texts, which the other fields hold. */
+  private readonly known = new Map<string, ServerAddress>();
+  private queue: string[] = [];
   private readonly inFlight = new Set<string>();
 
-  private constructor(addresses: readonly string[]) {
-    this.known = new Set(addresses);
-    this.queue = [...this.known];
+  private constructor(addresses: readonly ServerAddress[]) {
+    this.add(addresses);
   }
 
   /**
@@ -21,40 +23,47 @@
    *
    * @param addresses the most likely leader first
    * @example
-   * const candidates = LeaderCandidates.create(['a:1', 'b:1']);
-   * candidates.takeNext(); // 'a:1'
+   * const candidates = LeaderCandidates.create(addresses);
+   * candidates.takeNext(); // the first address
    */
-  static create(addresses: readonly string[]): LeaderCandidates {
+  static create(addresses: readonly ServerAddress[]): LeaderCandidates {
     return new LeaderCandidates(addresses);
   }
 
   /** Returns the next address to ask; undefined when the round is complete. */
-  takeNext(): string | undefined {
-    const address = this.queue.shift();
-    if (address !== undefined) {
-      this.inFlight.add(address);
+  takeNext(): ServerAddress | undefined {
+    const key = this.queue.shift();
+    if (key === undefined) {
+      return undefined;
     }
-    return address;
+    this.inFlight.add(key);
+    return this.known.get(key);
   }
 
   /** Records that the attempt at this address has ended. */
-  finish(address: string): void {
-    this.inFlight.delete(address);
+  finish(address: ServerAddress): void {
+    this.inFlight.delete(address.toString());
   }
 
   /** Adds the addresses that a follower reported; the first one, its presumed leader, is asked next. */
-  add(addresses: readonly string[]): void {
-    const added = addresses.filter(address => !this.known.has(address));
-    added.forEach(address => this.known.add(address));
-    const [presumedLeader] = addresses;
-    const rest = [...this.queue, ...added];
-    this.queue = rest.includes(presumedLeader)
-      ? [presumedLeader, ...rest.filter(address => address !== presumedLeader)]
-      : rest;
+  add(addresses: readonly ServerAddress[]): void {
+    for (const address of addresses) {
+      const key = address.toString();
+      if (!this.known.has(key)) {
+        this.known.set(key, address);
+        this.queue.push(key);
+      }
+    }
+    const presumedLeader = addresses[0]?.toString();
+    if (this.queue.includes(presumedLeader)) {
+      const rest = this.queue.filter(key => key !== presumedLeader);
+      this.queue = [presumedLeader, ...rest];
+    }
   }
 
   /** Queues every address again, except those with an attempt in flight. */
   startRound(): void {
-    this.queue = [...this.known].filter(address => !this.inFlight.has(address));
+    const keys = [...this.known.keys()];
+    this.queue = keys.filter(key => !this.inFlight.has(key));
   }
 }
--- a/src/protocol/leader_finder.ts
+++ b/src/protocol/leader_finder.ts
@@ -8,6 +8,7 @@
  * of 40 calls searched by itself, they sent 480 requests in 0.6 s to a follower; with
  * a shared search they send 12.
  */
+import {ServerAddress} from '../common/server_address';
 import {ControlConnection} from './control_connection';
 import {ControlConnectionPool} from './control_connection_pool';
 import {ControlMessage} from './control_message';
@@ -29,7 +30,7 @@
 
 /** The outcome of asking one control process whether it leads. */
 interface SearchAttempt {
-  readonly address: string;
+  readonly address: ServerAddress;
   readonly outcome: 'leads' | 'does not lead' | 'silent' | 'unreached';
   readonly tookMs: number;
 }
@@ -38,9 +39,11 @@
 interface LeaderFinderOptions {
   readonly connections: ControlConnectionPool;
   /** Addresses to ask, the most likely leader first. */
-  readonly listAddresses: () => readonly string[];
-  /** Receives the control addresses that a follower reports. */
-  readonly onRedirect: (addresses: readonly string[]) => void;
+  readonly listAddresses: () => readonly ServerAddress[];
+  /** Receives the control addresses that a follower reports, and returns those that can be asked. */
+  readonly acceptAddresses: (
+    reported: readonly string[],
+  ) => readonly ServerAddress[];
 }
 
 /** Runs one search while at least one call waits for the leader. */
@@ -57,7 +60,7 @@
    * Creates an idle finder.
    *
    * @example
-   * const finder = LeaderFinder.create({connections, listAddresses, onRedirect});
+   * const finder = LeaderFinder.create({connections, listAddresses, acceptAddresses});
    * finder.wait(connection => connection.call(request));
    */
   static create(options: LeaderFinderOptions): LeaderFinder {
@@ -163,7 +166,7 @@
     });
   }
 
-  private async askProcess(address: string): Promise<void> {
+  private async askProcess(address: ServerAddress): Promise<void> {
     const startedAt = performance.now();
     let hasAdvanced = false;
     const advance = () => {
@@ -184,7 +187,7 @@
     }
   }
 
-  private acquireConnection(address: string): ControlConnection {
+  private acquireConnection(address: ServerAddress): ControlConnection {
     const connection = this.options.connections.acquire(address);
     this.acquired.push(connection);
     return connection;
@@ -211,7 +214,7 @@
     outcome: ControlMessage | Error | undefined,
     startedAt: number,
   ): void {
-    const {onFound, onRedirect, onAttempt} = this.options;
+    const {onFound, acceptAddresses, onAttempt} = this.options;
     const {address} = connection;
     const tookMs = Math.round(performance.now() - startedAt);
     this.candidates.finish(address);
@@ -221,8 +224,7 @@
       onAttempt({address, outcome: 'silent', tookMs});
     } else if (outcome.type === 'not-leader') {
       onAttempt({address, outcome: 'does not lead', tookMs});
-      this.candidates.add(outcome.control ?? []);
-      onRedirect(outcome.control ?? []);
+      this.candidates.add(acceptAddresses(outcome.control ?? []));
     } else {
       onAttempt({address, outcome: 'leads', tookMs});
       onFound(connection);
--- a/src/transport/backend_exchange.ts
+++ b/src/transport/backend_exchange.ts
@@ -1,5 +1,6 @@
 /** One HTTP request to a backend server and its response, over a connection of its own. */
 import * as http from 'node:http';
+import {ServerAddress} from '../common/server_address';
 import {ResponseCheck} from './response_check';
 import {ServerWitness} from './server_witness';
 import {TransportError} from './transport_error';
@@ -152,7 +153,9 @@
           return;
         }
         if (this.check?.endsWithConnection) {
-          this.witness = ServerWitness.create(new URL(this.options.url).host);
+          this.witness = ServerWitness.create(
+            ServerAddress.parseUrl(this.options.url),
+          );
         }
         resolve({status, headers: flattenHeaders(response.headers)});
       });
--- a/src/transport/call_on_new_connection.ts
+++ b/src/transport/call_on_new_connection.ts
@@ -1,11 +1,11 @@
 import * as http from 'node:http';
+import {ServerAddress} from '../common/server_address';
 import {ResponseCheck} from './response_check';
 import {TransportError} from './transport_error';
 
 /** One call, and how long and how large its answer may be. */
 interface ServerCall {
-  /** `host:port`. */
-  readonly address: string;
+  readonly address: ServerAddress;
   readonly method: 'GET' | 'POST';
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
@@ -29,21 +29,22 @@
  * @throws TransportError when the whole answer does not arrive within the limits; the
  *     server may have executed the call
  * @example
- * const {status, body} = await callOnNewConnection({address: '10.0.0.4:8080', method: 'GET', path: '/v1/report', timeoutMs: 300, maxAnswerBytes: 65536});
+ * const {status, body} = await callOnNewConnection({address: ServerAddress.parse('10.0.0.4:8080'), method: 'GET', path: '/v1/report', timeoutMs: 300, maxAnswerBytes: 65536});
  */
 export function callOnNewConnection(call: ServerCall): Promise<ServerAnswer> {
   const {address, method, path, headers, body, timeoutMs} = call;
   return new Promise((resolve, reject) => {
     // Without an agent, Node.js opens a connection for this request alone.
-    const options = {agent: false, method, headers};
-    const request = http.request(`http://${address}${path}`, options);
+    const {host, port} = address;
+    const options = {host, port, path, agent: false, method, headers};
+    const request = http.request(options);
     let check: ResponseCheck | undefined;
     const end = () => {
       clearTimeout(timer);
       request.destroy();
     };
     const fail = (error: Error) => {
-      reject(new TransportError(error, 'the call to %s failed', address));
+      reject(new TransportError(error, 'the call to %s failed', `${address}`));
       end();
     };
     const timer = setTimeout(
--- a/src/transport/frame_connection.ts
+++ b/src/transport/frame_connection.ts
@@ -3,6 +3,7 @@
 import * as tls from 'node:tls';
 import {Stream} from 'most';
 import {PushSource} from '../common/push_source';
+import {ServerAddress} from '../common/server_address';
 import {FrameSplitter} from './frame_splitter';
 import {TransportError} from './transport_error';
 import {TlsCredentials} from './tls_credentials';
@@ -15,8 +16,7 @@
 
 /** Where and how to connect. */
 interface ConnectOptions {
-  readonly host: string;
-  readonly port: number;
+  readonly address: ServerAddress;
   readonly security?: TlsCredentials;
   readonly timeoutMs?: number;
 }
@@ -62,15 +62,14 @@
    *
    * @throws TransportError when the connection fails or takes over a second
    * @example
-   * const connection = await FrameConnection.connect({host: '127.0.0.1', port: 7000});
+   * const connection = await FrameConnection.connect({address: ServerAddress.parse('127.0.0.1:7000')});
    */
   static connect(options: ConnectOptions): Promise<FrameConnection> {
-    const target = `${options.host}:${options.port}`;
     return new Promise((resolve, reject) => {
       const socket = openSocket(options);
       const fail = (error?: Error) => {
         socket.destroy();
-        const message = `cannot connect to ${target}`;
+        const message = `cannot connect to ${options.address}`;
         reject(
           error
             ? new TransportError(error, message)
@@ -168,7 +167,8 @@
 }
 
 function openSocket(options: ConnectOptions): net.Socket {
-  const {host, port, security} = options;
+  const {address, security} = options;
+  const {host, port} = address;
   if (!security) {
     return net.connect({host, port});
   }
--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -1,5 +1,6 @@
 /** HTTP client for many servers with keep-alive connections; it never retries a request. */
 import {Dispatcher} from 'undici';
+import {ServerAddress} from '../common/server_address';
 import {ConnectionUse} from './connection_use';
 import {ExchangeControl} from './exchange_control';
 import {ExchangeEvents} from './exchange_events';
@@ -12,8 +13,7 @@
 interface HttpClientRequest {
   /** Identifies the request in its response; a connection carries each id at most once. */
   readonly id: string;
-  /** `host:port`. */
-  readonly address: string;
+  readonly address: ServerAddress;
   readonly method: string;
   readonly path: string;
   /** Names and values alternate. */
@@ -182,7 +182,7 @@
   }
 
   /** Opens a connection that tells at the end of a response whether its server still runs. */
-  private acquireWitness(address: string): Witness {
+  private acquireWitness(address: ServerAddress): Witness {
     // A server may have ended during a pause of this process, and started again.
     const isUnknown = this.hasPausedLately();
     const {check, release} = this.witnesses.acquire(address);
@@ -196,14 +196,15 @@
     address,
     maxConnections,
   }: HttpClientRequest): ServerConnections {
-    const known = this.pools.get(address);
+    const key = address.toString();
+    const known = this.pools.get(key);
     if (known?.limit === maxConnections) {
       return known;
     }
     // The limit of a pool is fixed; the old one closes once its requests have ended.
     known?.retire();
     const pool = ServerConnections.create(address, maxConnections);
-    this.pools.set(address, pool);
+    this.pools.set(key, pool);
     return pool;
   }
 }
--- a/src/transport/probe_listener.ts
+++ b/src/transport/probe_listener.ts
@@ -1,9 +1,8 @@
 import * as net from 'node:net';
+import {ServerAddress} from '../common/server_address';
 
 /** A refusal takes one round trip; a longer silence tells nothing about the process. */
 const CONNECT_TIMEOUT_MS = 300;
-/** A URL leaves this port out. */
-const DEFAULT_PORT = 80;
 /**
  * A process that ends closes its sockets one after the other, and the port that it listens
  * on may be the last: the kernel accepts a connection until then, and resets it.
@@ -23,14 +22,13 @@
 /**
  * Checks whether a process listens on a port and goes on doing so.
  *
- * @param address `host:port`
  * @returns `refuses` if the machine runs and no process listens there; `silent` if it can
  *     not be reached
  * @example
- * const state = await probeListener('10.0.0.4:8080');
+ * const state = await probeListener(ServerAddress.parse('10.0.0.4:8080'));
  */
 export async function probeListener(
-  address: string,
+  address: ServerAddress,
 ): Promise<'listens' | 'refuses' | 'silent'> {
   for (let count = 0; count < MAX_CONNECTIONS; count += 1) {
     const result = await probeConnection(address);
@@ -45,11 +43,12 @@
 }
 
 /** Opens a connection, and closes it after a while if the server has not. */
-function probeConnection(address: string): Promise<ConnectionResult> {
-  const {hostname, port} = new URL(`http://${address}`);
-  const host = hostname.replace(/^\[|\]$/g, '');
+function probeConnection({
+  host,
+  port,
+}: ServerAddress): Promise<ConnectionResult> {
   return new Promise(resolve => {
-    const socket = net.connect({host, port: Number(port || DEFAULT_PORT)});
+    const socket = net.connect({host, port});
     const finish = (result: ConnectionResult) => {
       clearTimeout(timer);
       socket.destroy();
--- a/src/transport/server_connection.ts
+++ b/src/transport/server_connection.ts
@@ -1,6 +1,7 @@
 /** A keep-alive connection to one server that carries one request at a time. */
 import {Socket} from 'node:net';
 import {Client, Dispatcher, buildConnector} from 'undici';
+import {ServerAddress} from '../common/server_address';
 import {ConnectionUse} from './connection_use';
 import {createConnector} from './create_connector';
 import {ExchangeEvents} from './exchange_events';
@@ -38,7 +39,7 @@
   private requestCount = 0;
   private isRunning = false;
 
-  private constructor(address: string) {
+  private constructor(address: ServerAddress) {
     this.client = new Client(`http://${address}`, {
       // With pipelining, undici would resend the requests queued behind a failed one.
       pipelining: 1,
@@ -54,11 +55,10 @@
   /**
    * Creates a connection that is not open yet.
    *
-   * @param address `host:port`
    * @example
-   * const connection = ServerConnection.create('10.0.0.4:8080');
+   * const connection = ServerConnection.create(ServerAddress.parse('10.0.0.4:8080'));
    */
-  static create(address: string): ServerConnection {
+  static create(address: ServerAddress): ServerConnection {
     return new ServerConnection(address);
   }
 
--- a/src/transport/server_connections.ts
+++ b/src/transport/server_connections.ts
@@ -1,5 +1,6 @@
 /** The connections to one server, up to a limit; requests beyond it wait in order of arrival. */
 import {Dispatcher} from 'undici';
+import {ServerAddress} from '../common/server_address';
 import {ExchangeEvents} from './exchange_events';
 import {ServerConnection} from './server_connection';
 
@@ -18,7 +19,7 @@
   private isClosing = false;
 
   private constructor(
-    private readonly address: string,
+    private readonly address: ServerAddress,
     /** The largest number of connections. */
     readonly limit: number,
   ) {}
@@ -26,12 +27,11 @@
   /**
    * Creates a pool without connections.
    *
-   * @param address `host:port`
    * @param limit the largest number of connections
    * @example
-   * const connections = ServerConnections.create('10.0.0.4:8080', 8);
+   * const connections = ServerConnections.create(ServerAddress.parse('10.0.0.4:8080'), 8);
    */
-  static create(address: string, limit: number): ServerConnections {
+  static create(address: ServerAddress, limit: number): ServerConnections {
     return new ServerConnections(address, limit);
   }
 
--- a/src/transport/server_witness.ts
+++ b/src/transport/server_witness.ts
@@ -1,5 +1,6 @@
 /** Tells whether the process that sends a response still runs when the response has ended. */
 import * as net from 'node:net';
+import {ServerAddress} from '../common/server_address';
 import {probeListener} from './probe_listener';
 
 /** A refusal takes one round trip; a longer silence tells nothing about the process. */
@@ -8,8 +9,6 @@
 const SETTLE_MS = 50;
 /** A server without room for a connection closes it at once. */
 const NO_ROOM_MS = 10;
-/** A URL leaves this port out. */
-const DEFAULT_PORT = 80;
 
 type ServerState = Awaited<ReturnType<typeof probeListener>>;
 type WitnessState = ServerState | 'connecting' | 'no-room';
@@ -31,10 +30,9 @@
   private readonly socket: net.Socket;
   private readonly connected: Promise<void>;
 
-  private constructor(private readonly address: string) {
-    const {hostname, port} = new URL(`http://${address}`);
-    const host = hostname.replace(/^\[|\]$/g, '');
-    this.socket = net.connect({host, port: Number(port || DEFAULT_PORT)});
+  private constructor(private readonly address: ServerAddress) {
+    const {host, port} = address;
+    this.socket = net.connect({host, port});
     this.socket.resume();
     this.connected = new Promise(resolve => this.watch(resolve));
   }
@@ -42,12 +40,11 @@
   /**
    * Opens the connection.
    *
-   * @param address `host:port`
    * @example
-   * const witness = ServerWitness.create('10.0.0.4:8080');
+   * const witness = ServerWitness.create(ServerAddress.parse('10.0.0.4:8080'));
    * const state = await witness.check();
    */
-  static create(address: string): ServerWitness {
+  static create(address: ServerAddress): ServerWitness {
     return new ServerWitness(address);
   }
 
--- a/src/transport/server_witnesses.ts
+++ b/src/transport/server_witnesses.ts
@@ -1,4 +1,5 @@
 /** Witnesses of servers, shared by the responses that arrive from a server at the same time. */
+import {ServerAddress} from '../common/server_address';
 import {ServerWitness} from './server_witness';
 
 type ServerState = Awaited<ReturnType<ServerWitness['check']>>;
@@ -25,23 +26,20 @@
    * Creates a set without connections.
    *
    * @example
-   * const use = ServerWitnesses.create().acquire('10.0.0.4:8080');
+   * const use = ServerWitnesses.create().acquire(ServerAddress.parse('10.0.0.4:8080'));
    */
   static create(): ServerWitnesses {
     return new ServerWitnesses();
   }
 
-  /**
-   * Begins a use with a connection that is open, or else with a new one.
-   *
-   * @param address `host:port`
-   */
-  acquire(address: string): WitnessUse {
-    const known = this.shared.get(address);
+  /** Begins a use with a connection that is open, or else with a new one. */
+  acquire(address: ServerAddress): WitnessUse {
+    const key = address.toString();
+    const known = this.shared.get(key);
     const shared = known?.witness.isOpen
       ? known
       : {witness: ServerWitness.create(address), users: 0};
-    this.shared.set(address, shared);
+    this.shared.set(key, shared);
     shared.users += 1;
     let isReleased = false;
     return {
@@ -49,20 +47,20 @@
       release: () => {
         if (!isReleased) {
           isReleased = true;
-          this.release(address, shared);
+          this.release(key, shared);
         }
       },
     };
   }
 
-  private release(address: string, shared: SharedWitness): void {
+  private release(key: string, shared: SharedWitness): void {
     shared.users -= 1;
     if (shared.users > 0) {
       return;
     }
     shared.witness.close();
-    if (this.shared.get(address) === shared) {
-      this.shared.delete(address);
+    if (this.shared.get(key) === shared) {
+      this.shared.delete(key);
     }
   }
 }
--- a/test/common/server_address.test.ts
+++ b/test/common/server_address.test.ts
@@ -1,5 +1,6 @@
 import * as fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
+import {AddressError} from '../../src/common/address_error';
 import {ServerAddress} from '../../src/common/server_address';
 import {listMalformedAddresses} from '../faulty_input/malformed_addresses';
 
@@ -53,6 +54,39 @@
     expect(ServerAddress.find(text)).toBeUndefined();
   });
 
+  test('to listen on may name port 0, which stands for any free port', () => {
+    expect(ServerAddress.parseListener('127.0.0.1:0')).toEqual({
+      host: '127.0.0.1',
+      port: 0,
+    });
+    expect(ServerAddress.parseListener('[::]:8080')).toEqual({
+      host: '::',
+      port: 8_080,
+    });
+    expect(() => ServerAddress.parseListener('127.0.0.1:00')).toThrow(
+      'its port is no number from 0 to 65535',
+    );
+  });
+
+  test.each([
+    ['http://localhost', 'localhost:80'],
+    ['http://[::1]:9000/v1', '[::1]:9000'],
+    ['http://10.1/', '10.0.0.1:80'],
+  ])('in %s is %s', (url, text) => {
+    expect(ServerAddress.parseUrl(url).toString()).toBe(text);
+  });
+
+  test.each(['http://a!b/', 'http://localhost:0/'])('in %s is refused', url => {
+    expect(() => ServerAddress.parseUrl(url)).toThrow('is no address like');
+  });
+
+  test('is created from a host and a port', () => {
+    expect(ServerAddress.create('::1', 80).toString()).toBe('[::1]:80');
+    expect(ServerAddress.create('a', 1)).toEqual(ServerAddress.parse('a:1'));
+    expect(() => ServerAddress.create('a b', 80)).toThrow(AddressError);
+    expect(() => ServerAddress.create('a', 0)).toThrow(AddressError);
+  });
+
   test('that is accepted always fits into a URL', () => {
     const part = fc.constantFrom(
       ...['127.0.0.1', '::1', '[', ']', '.', ':', '%', '@', '/', '-', '_'],
--- a/test/config/settings.test.ts
+++ b/test/config/settings.test.ts
@@ -26,7 +26,10 @@
       zone: 'from-variable',
       port: 80,
     });
-    expect(settings.control).toEqual(['127.0.0.1:7000', '127.0.0.1:7001']);
+    expect(settings.control.map(String)).toEqual([
+      '127.0.0.1:7000',
+      '127.0.0.1:7001',
+    ]);
   });
 
   test.each([
--- a/test/control/engine_orders.test.ts
+++ b/test/control/engine_orders.test.ts
@@ -276,8 +276,8 @@
     const orders: EngineClient = {
       send: () => Promise.resolve({outcome: 'begun'}),
       probe: address => {
-        probed.push(address);
-        return Promise.resolve(answering.has(address));
+        probed.push(address.toString());
+        return Promise.resolve(answering.has(address.toString()));
       },
     };
     const health = BackendHealth.create({
--- a/test/control/lost_member_stays_lost.test.ts
+++ b/test/control/lost_member_stays_lost.test.ts
@@ -26,7 +26,7 @@
       stallMs: 5_000,
       orders: {
         send: () => Promise.resolve({outcome: 'begun'}),
-        probe: address => Promise.resolve(answering.has(address)),
+        probe: address => Promise.resolve(answering.has(address.toString())),
       },
     },
     clock,
--- a/test/control/partitioned_groups.test.ts
+++ b/test/control/partitioned_groups.test.ts
@@ -69,8 +69,7 @@
       stallMs: 5_000,
       orders: {
         send: () => Promise.resolve({outcome: 'begun'}),
-        probe: address =>
-          Promise.resolve(!scenario.unreachable.has(address.split(':')[0])),
+        probe: ({host}) => Promise.resolve(!scenario.unreachable.has(host)),
       },
     },
     clock,
--- a/test/control/recovery_after_lost_disks.test.ts
+++ b/test/control/recovery_after_lost_disks.test.ts
@@ -2,6 +2,7 @@
 import {tmpdir} from 'node:os';
 import * as path from 'node:path';
 import {afterEach, describe, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {ControlServer} from '../../src/control/control_server';
 import {ControlClient} from '../../src/protocol/control_client';
 import {LogRecord} from '../../src/state/log_record';
@@ -99,7 +100,10 @@
     async (_, order) => {
       const {machines, controls} = await recover(order);
       const client = ControlClient.create({
-        addresses: machines.slice(0, 2).map(({name}) => name),
+        addresses: machines
+          .slice(0, 2)
+          .map(({name}) => name)
+          .map(ServerAddress.parse),
         identity: {program: 'gateway', id: 'g', incarnation: 'i'},
       });
       closers.push(() => client.close());
--- a/test/control/seeded_quorum.test.ts
+++ b/test/control/seeded_quorum.test.ts
@@ -2,6 +2,7 @@
 import {tmpdir} from 'node:os';
 import * as path from 'node:path';
 import {afterEach, describe, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {ControlServer} from '../../src/control/control_server';
 import {BackendRegistration} from '../../src/protocol/backend_registration';
 import {ChannelBundle} from '../../src/protocol/channel_bundle';
@@ -85,7 +86,7 @@
 
 function createClient(addresses: readonly string[]): ControlClient {
   const client = ControlClient.create({
-    addresses,
+    addresses: addresses.map(ServerAddress.parse),
     hedgeDelayMs: 500,
     identity: {program: 'operator', id: 'test', incarnation: 'i'},
   });
--- a/test/control/target_table.test.ts
+++ b/test/control/target_table.test.ts
@@ -8,7 +8,7 @@
 import {BackendRegistry} from '../../src/control/backend_registry';
 import {RaftRuntime} from '../../src/control/raft_runtime';
 import {TargetTable} from '../../src/control/target_table';
-import {GatewayTarget} from '../../src/protocol/gateway_target';
+import {GatewayTargetMessage} from '../../src/protocol/gateway_target_message';
 import {EngineGroupTable} from '../../src/state/engine_group_table';
 import {createRandom} from '../support/create_random';
 import {
@@ -149,7 +149,7 @@
     const {table, engines, registry, register} = create();
     const random = createRandom(11);
     const draw = (count: number) => Math.floor(random() * count);
-    const received = new Map<string, GatewayTarget>();
+    const received = new Map<string, GatewayTargetMessage>();
     const epochs = new Map<string, number>();
     let tag = '';
     let compared = 0;
--- a/test/control/zone_evacuation.test.ts
+++ b/test/control/zone_evacuation.test.ts
@@ -7,6 +7,7 @@
 import {tmpdir} from 'node:os';
 import * as path from 'node:path';
 import {afterEach, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {ControlServer} from '../../src/control/control_server';
 import {ControlClient} from '../../src/protocol/control_client';
 import {FleetStatus} from '../../src/protocol/fleet_status';
@@ -64,7 +65,7 @@
 
 function createClient(addresses: readonly string[]): ControlClient {
   const client = ControlClient.create({
-    addresses,
+    addresses: addresses.map(ServerAddress.parse),
     hedgeDelayMs: 400,
     identity: {program: 'operator', id: 'test', incarnation: 'i'},
   });
--- a/test/entry/suspended_entry.test.ts
+++ b/test/entry/suspended_entry.test.ts
@@ -8,6 +8,7 @@
 import {tmpdir} from 'node:os';
 import * as path from 'node:path';
 import {expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {ControlServer} from '../../src/control/control_server';
 import {EntryServer} from '../../src/entry/entry_server';
 import {reservePort} from '../support/reserve_port';
@@ -35,7 +36,7 @@
     zone: 'z',
     host: '127.0.0.1',
     port: 0,
-    control: [address],
+    control: [ServerAddress.parse(address)],
     stopWithinMs: 1_000,
   });
   const getHealthStatus = async () =>
--- a/test/gateway/crash_detector.test.ts
+++ b/test/gateway/crash_detector.test.ts
@@ -1,6 +1,7 @@
 import * as net from 'node:net';
 import {afterEach, expect, test} from 'vitest';
 import {EventRing} from '../../src/common/event_ring';
+import {ServerAddress} from '../../src/common/server_address';
 import {systemClock} from '../../src/common/system_clock';
 import {CrashDetector} from '../../src/gateway/crashes/crash_detector';
 import {FakeBackend} from '../support/fake_backend';
@@ -14,7 +15,8 @@
   backends.push(backend);
   const events = EventRing.create();
   const detector = CrashDetector.create({clock: systemClock, events});
-  const target = {incarnation: 'i0', address: backend.address};
+  const address = ServerAddress.parse(backend.address);
+  const target = {incarnation: 'i0', address};
   return {backend, events, detector, target};
 }
 
@@ -69,7 +71,8 @@
   });
   await new Promise<void>(resolve => backend.listen(0, '127.0.0.1', resolve));
   const {port} = backend.address() as net.AddressInfo;
-  const target = {incarnation: 'i0', address: `127.0.0.1:${port}`};
+  const address = ServerAddress.parse(`127.0.0.1:${port}`);
+  const target = {incarnation: 'i0', address};
   const detector = CrashDetector.create({
     clock: systemClock,
     events: EventRing.create(),
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, test} from 'vitest';
 import {ByteAccumulator} from '../../src/common/byte_accumulator';
 import {Clock} from '../../src/common/clock';
+import {ServerAddress} from '../../src/common/server_address';
 import {Attempt} from '../../src/gateway/attempt';
 import {choosePool} from '../../src/gateway/routing/choose_pool';
 import {computeStallTimeoutMs} from '../../src/gateway/responses/compute_stall_timeout_ms';
@@ -94,7 +95,7 @@
     const target = {
       incarnation: 'i',
       pool: 'p',
-      address: 'a:1',
+      address: ServerAddress.parse('a:1'),
       zone: 'z',
       slots: 2,
     };
@@ -152,7 +153,13 @@
 test('the load balancer measures how long the last lost group of a model was missing', () => {
   const clock = new ManualClock();
   const balancer = LoadBalancer.create('z', clock, () => 0);
-  const fields = {pool: 'p', address: 'a:1', zone: 'z', slots: 2, model: 'm'};
+  const fields = {
+    pool: 'p',
+    address: ServerAddress.parse('a:1'),
+    zone: 'z',
+    slots: 2,
+    model: 'm',
+  };
   const list = (epoch?: number) =>
     balancer.setTargets(
       new Map(
@@ -228,7 +235,7 @@
   ): [string, GatewayTarget] {
     const fields = {
       pool: 'p',
-      address: `${incarnation}:1`,
+      address: ServerAddress.parse(`${incarnation}:1`),
       zone: 'z',
       slots: 2,
     };
--- a/test/gateway/process_end_report.test.ts
+++ b/test/gateway/process_end_report.test.ts
@@ -4,12 +4,13 @@
  * knew of it within milliseconds.
  */
 import {expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {LoadBalancer} from '../../src/gateway/routing/load_balancer';
 
 const TARGET = {
   incarnation: 'a',
   pool: 'p',
-  address: 'a:1',
+  address: ServerAddress.parse('a:1'),
   zone: 'z',
   slots: 10,
   model: 'big',
--- a/test/gateway/slot_queue.test.ts
+++ b/test/gateway/slot_queue.test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {AdmissionSource} from '../../src/gateway/scheduling/admission_source';
 import {QueuedRequest} from '../../src/gateway/scheduling/queued_request';
 import {SlotQueue} from '../../src/gateway/scheduling/slot_queue';
@@ -9,7 +10,7 @@
 const TARGET = {
   incarnation: 'i',
   pool: 'p',
-  address: 'a:1',
+  address: ServerAddress.parse('a:1'),
   zone: 'z',
   slots: 34,
   model: 'm',
--- a/test/gateway/suspect_reporter.test.ts
+++ b/test/gateway/suspect_reporter.test.ts
@@ -5,6 +5,7 @@
  * everything else that waited.
  */
 import {expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {SuspectReporter} from '../../src/gateway/crashes/suspect_reporter';
 import {CrashReport} from '../../src/protocol/crash_report';
 import {waitUntil} from '../support/wait_until';
@@ -29,7 +30,7 @@
   const crash = (incarnation: string, count: number) => {
     for (let at = 0; at < count; at += 1) {
       const name = `${reports.length}-${at}`;
-      const target = {incarnation, address: 'a:1'};
+      const target = {incarnation, address: ServerAddress.parse('a:1')};
       reporter.recordCrash({target, name, hasResponseStarted: at % 2 === 0});
     }
   };
--- a/test/gateway/target_refusals.test.ts
+++ b/test/gateway/target_refusals.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, test} from 'vitest';
 import {EventRing} from '../../src/common/event_ring';
+import {ServerAddress} from '../../src/common/server_address';
 import {LoadBalancer} from '../../src/gateway/routing/load_balancer';
 import {GatewayTarget} from '../../src/protocol/gateway_target';
 import {PROFILE} from '../support/engine_plan';
@@ -11,7 +12,7 @@
 const TARGET: GatewayTarget = {
   incarnation: 'i',
   pool: 'p',
-  address: 'a:1',
+  address: ServerAddress.parse('a:1'),
   zone: 'z',
   slots: 2,
   model: 'm',
--- a/test/gateway/unusable_slots.test.ts
+++ b/test/gateway/unusable_slots.test.ts
@@ -1,4 +1,5 @@
 import {expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {LoadBalancer} from '../../src/gateway/routing/load_balancer';
 import {SlotForecast} from '../../src/gateway/scheduling/slot_forecast';
 
@@ -11,7 +12,7 @@
   const targets = incarnations.map(incarnation => ({
     ...MODEL,
     incarnation,
-    address: `${incarnation}:1`,
+    address: ServerAddress.parse(`${incarnation}:1`),
     zone: 'z',
     slots: SLOTS,
     epoch: 1,
--- a/test/host/suspended_host.test.ts
+++ b/test/host/suspended_host.test.ts
@@ -4,6 +4,7 @@
  * accepted an attempt whose start-by time had passed 4 s earlier.
  */
 import {expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {HostServer} from '../../src/host/host_server';
 import {connectPeer} from '../../src/protocol/connect_peer';
 import {Message} from '../../src/protocol/message';
@@ -23,11 +24,14 @@
     port: 0,
     announceHost: '127.0.0.1',
     announcePort: 0,
-    control: [`127.0.0.1:${await reservePort()}`],
+    control: [ServerAddress.parse(`127.0.0.1:${await reservePort()}`)],
     stopWithinMs: 1_000,
   });
   const identity = {program: 'entry', id: 'e1', incarnation: 'e'} as const;
-  const peer = await connectPeer(`127.0.0.1:${host.port}`, identity);
+  const peer = await connectPeer(
+    ServerAddress.parse(`127.0.0.1:${host.port}`),
+    identity,
+  );
   const received: Message[] = [];
   void peer.messages.observe(message => received.push(message));
   const find = <T extends Message['type']>(type: T) =>
--- a/test/operator/evacuation.test.ts
+++ b/test/operator/evacuation.test.ts
@@ -4,6 +4,7 @@
 import {tmpdir} from 'node:os';
 import * as path from 'node:path';
 import {afterEach, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {ControlServer} from '../../src/control/control_server';
 import {OperatorClient} from '../../src/operator/operator_client';
 import {TextReporter} from '../../src/operator/text_reporter';
@@ -37,7 +38,7 @@
   cleanups.push(() => control.close());
   await waitUntil('a leader', () => control.isLeading);
   const operator = OperatorClient.create({
-    addresses: [address],
+    addresses: [ServerAddress.parse(address)],
     timeoutMs: 10_000,
   });
   cleanups.push(() => operator.close());
--- a/test/operator/suspects.test.ts
+++ b/test/operator/suspects.test.ts
@@ -3,6 +3,7 @@
 import {tmpdir} from 'node:os';
 import * as path from 'node:path';
 import {afterEach, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {ControlServer} from '../../src/control/control_server';
 import {OperatorClient} from '../../src/operator/operator_client';
 import {TextReporter} from '../../src/operator/text_reporter';
@@ -38,7 +39,7 @@
   cleanups.push(() => control.close());
   await waitUntil('a leader', () => control.isLeading);
   const gateway = ControlClient.create({
-    addresses: [address],
+    addresses: [ServerAddress.parse(address)],
     identity: {program: 'gateway', id: 'g', incarnation: 'i'},
   });
   cleanups.push(() => gateway.close());
@@ -56,7 +57,7 @@
     CALL_TIMEOUT_MS,
   );
   const operator = OperatorClient.create({
-    addresses: [address],
+    addresses: [ServerAddress.parse(address)],
     timeoutMs: CALL_TIMEOUT_MS,
   });
   cleanups.push(() => operator.close());
--- a/test/platform/backend_restarts.test.ts
+++ b/test/platform/backend_restarts.test.ts
@@ -14,6 +14,7 @@
 import {engineIdentity} from '../../platform/engine_identity';
 import {OperatorApi} from '../../platform/operator_api';
 import {EventRing} from '../../src/common/event_ring';
+import {ServerAddress} from '../../src/common/server_address';
 import {systemClock} from '../../src/common/system_clock';
 import {ThrottledEventLog} from '../../src/common/throttled_event_log';
 import {ControlServer} from '../../src/control/control_server';
@@ -103,7 +104,7 @@
 
   const createCall = (address: string) => ({
     incarnation: 'i-1@1000',
-    address,
+    address: ServerAddress.parse(address),
     fence: 3,
     ordersTaken: 0,
     order: {
@@ -119,8 +120,12 @@
     const answer = await engineClient.send(createCall(address));
     expect(answer).toEqual({outcome: 'unfit'});
     expect(orders).toEqual([]);
-    expect(await engineClient.probe(address, 'i-1@1000')).toBe(false);
-    expect(await engineClient.probe(address, 'i-1@2000')).toBe(true);
+    expect(
+      await engineClient.probe(ServerAddress.parse(address), 'i-1@1000'),
+    ).toBe(false);
+    expect(
+      await engineClient.probe(ServerAddress.parse(address), 'i-1@2000'),
+    ).toBe(true);
   });
 
   test('gets orders that name members by their ids', async () => {
@@ -159,7 +164,7 @@
     });
     closers.push(() => control.close());
     const client = ControlClient.create({
-      addresses: [name],
+      addresses: [ServerAddress.parse(name)],
       identity: {program: 'operator', id: 'test', incarnation: 'i'},
     });
     closers.push(() => client.close());
--- a/test/platform/engine_client.test.ts
+++ b/test/platform/engine_client.test.ts
@@ -5,6 +5,7 @@
 import * as net from 'node:net';
 import {afterEach, describe, expect, test, vi} from 'vitest';
 import {engineClient} from '../../platform/engine_client';
+import {ServerAddress} from '../../src/common/server_address';
 
 const INCARNATION = 'i-1@1000';
 const CHUNK_BYTES = 64 * 1024;
@@ -50,7 +51,7 @@
 
 const createCall = (address: string, ordersTaken = 0) => ({
   incarnation: INCARNATION,
-  address,
+  address: ServerAddress.parse(address),
   fence: 3,
   ordersTaken,
   order: {kind: 'stage' as const, model: 'm'},
@@ -124,7 +125,8 @@
 
   test('every call has a connection of its own, one after the other and at once', async () => {
     const {address, engine} = await startRepeatingEngine();
-    const probe = () => engineClient.probe(address, INCARNATION);
+    const probe = () =>
+      engineClient.probe(ServerAddress.parse(address), INCARNATION);
     expect([await probe(), await probe()]).toEqual([true, true]);
     expect(engine.connections).toBe(2);
     expect(await Promise.all([probe(), probe()])).toEqual([true, true]);
@@ -188,7 +190,9 @@
         outcome: 'unanswered',
         failure: failure ?? `the call to ${address} failed: ${OVER_LIMIT}`,
       });
-      expect(await engineClient.probe(address, INCARNATION)).toBe(false);
+      expect(
+        await engineClient.probe(ServerAddress.parse(address), INCARNATION),
+      ).toBe(false);
       await expect.poll(() => closed.length).toBe(2);
       expect(Math.max(...closed)).toBeLessThanOrEqual(MAX_CHUNKS);
     },
@@ -249,7 +253,9 @@
       });
     });
     const schedule = vi.spyOn(globalThis, 'setTimeout');
-    expect(await engineClient.probe(address, INCARNATION)).toBe(false);
+    expect(
+      await engineClient.probe(ServerAddress.parse(address), INCARNATION),
+    ).toBe(false);
     const limits = schedule.mock.calls.filter(([, delayMs]) => delayMs === 300);
     schedule.mockRestore();
     // Whatever arrives, no second period begins.
--- a/test/platform/operator_api_drain.test.ts
+++ b/test/platform/operator_api_drain.test.ts
@@ -9,6 +9,7 @@
 import {afterEach, expect, test} from 'vitest';
 import {OperatorApi} from '../../platform/operator_api';
 import {EventRing} from '../../src/common/event_ring';
+import {ServerAddress} from '../../src/common/server_address';
 import {systemClock} from '../../src/common/system_clock';
 import {ThrottledEventLog} from '../../src/common/throttled_event_log';
 import {ControlClient} from '../../src/protocol/control_client';
@@ -26,7 +27,7 @@
 /** Starts an API whose client finds no leader, so that each call runs into its timeout. */
 async function startApi() {
   const client = ControlClient.create({
-    addresses: [`127.0.0.1:${await reservePort()}`],
+    addresses: [ServerAddress.parse(`127.0.0.1:${await reservePort()}`)],
     identity: {program: 'operator', id: 'test', incarnation: 'i'},
   });
   const api = OperatorApi.create(
--- a/test/protocol/control_client.test.ts
+++ b/test/protocol/control_client.test.ts
@@ -14,6 +14,7 @@
  */
 import * as net from 'node:net';
 import {afterEach, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {ControlClient} from '../../src/protocol/control_client';
 import {Message} from '../../src/protocol/message';
 import {Peer} from '../../src/protocol/peer';
@@ -81,7 +82,7 @@
 test('a client reaches the leader although the other control processes are frozen', async () => {
   const addresses = await Promise.all([true, true, false].map(startControl));
   const client = ControlClient.create({
-    addresses,
+    addresses: addresses.map(ServerAddress.parse),
     hedgeDelayMs: 1_000,
     identity: {program: 'gateway', id: 'g', incarnation: 'i'},
   });
@@ -95,7 +96,7 @@
 test('a client reaches a leader behind a slow connection', async () => {
   const addresses = [await startSlowProxy(await startControl(false), 600)];
   const client = ControlClient.create({
-    addresses,
+    addresses: addresses.map(ServerAddress.parse),
     hedgeDelayMs: 1_000,
     identity: {program: 'gateway', id: 'g', incarnation: 'i'},
   });
--- a/test/protocol/leader_candidates.test.ts
+++ b/test/protocol/leader_candidates.test.ts
@@ -1,6 +1,11 @@
 import {expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {LeaderCandidates} from '../../src/protocol/leader_candidates';
 
+function parseHosts(hosts: readonly string[]): ServerAddress[] {
+  return hosts.map(host => ServerAddress.parse(`${host}:1`));
+}
+
 function takeRemaining(candidates: LeaderCandidates): string[] {
   const taken: string[] = [];
   for (
@@ -8,20 +13,20 @@
     address !== undefined;
     address = candidates.takeNext()
   ) {
-    taken.push(address);
+    taken.push(address.host);
   }
   return taken;
 }
 
 test('every process is asked once a round, whatever addresses followers report', () => {
-  const candidates = LeaderCandidates.create(['a', 'b', 'c']);
+  const candidates = LeaderCandidates.create(parseHosts(['a', 'b', 'c']));
 
   const first = candidates.takeNext();
-  candidates.add(['a', 'b', 'c', 'x']);
+  candidates.add(parseHosts(['a', 'b', 'c', 'x']));
   const second = candidates.takeNext();
-  candidates.add(['a', 'b', 'c', 'y']);
+  candidates.add(parseHosts(['a', 'b', 'c', 'y']));
 
-  expect([first, second, ...takeRemaining(candidates)]).toEqual([
+  expect([first?.host, second?.host, ...takeRemaining(candidates)]).toEqual([
     'a',
     'b',
     'c',
@@ -31,18 +36,18 @@
 });
 
 test('the reported leader is asked next, unless it was already asked in this round', () => {
-  const candidates = LeaderCandidates.create(['a', 'b', 'c']);
+  const candidates = LeaderCandidates.create(parseHosts(['a', 'b', 'c']));
 
   candidates.takeNext();
-  candidates.add(['c', 'b']);
+  candidates.add(parseHosts(['c', 'b']));
 
   expect(takeRemaining(candidates)).toEqual(['c', 'b']);
 });
 
 test('a new round excludes addresses with an attempt in flight', () => {
-  const candidates = LeaderCandidates.create(['a', 'b']);
+  const candidates = LeaderCandidates.create(parseHosts(['a', 'b']));
   takeRemaining(candidates);
-  candidates.finish('b');
+  candidates.finish(ServerAddress.parse('b:1'));
 
   candidates.startRound();
 
--- a/test/protocol/leader_search.test.ts
+++ b/test/protocol/leader_search.test.ts
@@ -15,6 +15,7 @@
  * process, a call with a timeout of 900 ms ended with "tries: …905 unreached 1602".
  */
 import {afterEach, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {ControlClient} from '../../src/protocol/control_client';
 import {Message} from '../../src/protocol/message';
 import {Peer} from '../../src/protocol/peer';
@@ -71,7 +72,7 @@
 
 function createClient(addresses: readonly string[]): ControlClient {
   const client = ControlClient.create({
-    addresses,
+    addresses: addresses.map(ServerAddress.parse),
     hedgeDelayMs: 400,
     identity: {program: 'operator', id: 'o', incarnation: 'i'},
   });
--- a/test/protocol/peer.test.ts
+++ b/test/protocol/peer.test.ts
@@ -1,5 +1,6 @@
 import * as net from 'node:net';
 import {expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {Message} from '../../src/protocol/message';
 import {messageCodec} from '../../src/protocol/message_codec';
 import {Peer} from '../../src/protocol/peer';
@@ -21,8 +22,7 @@
     });
   });
   const connection = await FrameConnection.connect({
-    host: '127.0.0.1',
-    port: server.port,
+    address: ServerAddress.create('127.0.0.1', server.port),
   });
   connection.send(messageCodec.encode({type: 'hello', protocol: 1, ...hello}));
   connection.send(messageCodec.encode({type: 'status-ask', call: 7}));
@@ -41,8 +41,7 @@
     );
   });
   const connection = await FrameConnection.connect({
-    host: '127.0.0.1',
-    port: server.port,
+    address: ServerAddress.create('127.0.0.1', server.port),
   });
   connection.send(messageCodec.encode({type: 'status-ask', call: 7}));
   await connection.closed;
--- a/test/protocol/shared_leader_search.test.ts
+++ b/test/protocol/shared_leader_search.test.ts
@@ -9,6 +9,7 @@
  * a leader, which it did not cause: that day used less CPU time than others.
  */
 import {afterEach, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {ControlClient} from '../../src/protocol/control_client';
 import {Peer} from '../../src/protocol/peer';
 import {FrameServer} from '../../src/transport/frame_server';
@@ -47,7 +48,7 @@
   });
   closers.push(() => server.close());
   const client = ControlClient.create({
-    addresses: [`127.0.0.1:${server.port}`],
+    addresses: [ServerAddress.parse(`127.0.0.1:${server.port}`)],
     identity: {program: 'operator', id: 'o', incarnation: 'i'},
   });
   closers.push(() => client.close());
--- a/test/protocol/unresponsive_leader.test.ts
+++ b/test/protocol/unresponsive_leader.test.ts
@@ -8,6 +8,7 @@
  * to the next call, which failed the same way.
  */
 import {afterEach, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {ControlClient} from '../../src/protocol/control_client';
 import {Peer} from '../../src/protocol/peer';
 import {FrameServer} from '../../src/transport/frame_server';
@@ -52,7 +53,7 @@
     startControl('second', () => leading === 'second'),
   ]);
   const client = ControlClient.create({
-    addresses,
+    addresses: addresses.map(ServerAddress.parse),
     hedgeDelayMs: HEDGE_DELAY_MS,
     identity: {program: 'host', id: 'h', incarnation: 'i'},
   });
--- a/test/support/crash_fleet.ts
+++ b/test/support/crash_fleet.ts
@@ -4,6 +4,7 @@
  * backend server that runs them; other backend servers crash on their own, in waves.
  */
 import {EventRing} from '../../src/common/event_ring';
+import {ServerAddress} from '../../src/common/server_address';
 import {CrashDetector} from '../../src/gateway/crashes/crash_detector';
 import {CrashContainment} from '../../src/gateway/crashes/crash_containment';
 import {RequestIdentity} from '../../src/gateway/crashes/request_identity';
@@ -223,7 +224,7 @@
         backend && {
           incarnation: backend.incarnation,
           pool: 'p',
-          address: 'a:1',
+          address: ServerAddress.parse('a:1'),
           zone: 'z',
           slots: 8,
         }
@@ -355,7 +356,7 @@
     request.trial.end();
     request.trial.recordConnectionLoss(now);
     request.connectionLostAt = hasResponseStarted ? undefined : now;
-    const target = {incarnation, address: 'a:1'};
+    const target = {incarnation, address: ServerAddress.parse('a:1')};
     const {name, parts} = request.identity;
     const judged = request.gateway.containment.recordConnectionLoss({
       target,
--- a/test/support/gateway_fleet.ts
+++ b/test/support/gateway_fleet.ts
@@ -3,6 +3,7 @@
 import * as http from 'node:http';
 import {tmpdir} from 'node:os';
 import * as path from 'node:path';
+import {ServerAddress} from '../../src/common/server_address';
 import {ControlServer} from '../../src/control/control_server';
 import {GatewayServer} from '../../src/gateway/gateway_server';
 import {ControlClient} from '../../src/protocol/control_client';
@@ -85,7 +86,7 @@
       seeded: {seeds: [address], isFirstStart: true, voters: 1, minCopies: 1},
     });
     const client = ControlClient.create({
-      addresses: [address],
+      addresses: [ServerAddress.parse(address)],
       identity: {program: 'operator', id: 'test', incarnation: 'i'},
     });
     const gateways = await Promise.all(
@@ -95,7 +96,7 @@
           zone: 'z',
           host: '127.0.0.1',
           port: 0,
-          control: [address],
+          control: [ServerAddress.parse(address)],
           dialect: plainDialect,
           confirmationMs: options.confirmationMs ?? 4_000,
           changesWithinMs: options.changesWithinMs ?? 2_000,
--- a/test/support/http_clients.ts
+++ b/test/support/http_clients.ts
@@ -1,3 +1,4 @@
+import {ServerAddress} from '../../src/common/server_address';
 /** The product's HTTP clients behind one function each, for tests of what they take as a response. */
 import {BackendHttpClient} from '../../src/transport/backend_http_client';
 import {callOnNewConnection} from '../../src/transport/call_on_new_connection';
@@ -30,7 +31,7 @@
       let status = 0;
       const request = {
         id: 'q',
-        address,
+        address: ServerAddress.parse(address),
         method: body.length > 0 ? 'POST' : 'GET',
         path: '/',
         headers: [],
@@ -75,7 +76,7 @@
   body: Buffer,
 ): Promise<ReceivedResponse> {
   const answer = await callOnNewConnection({
-    address,
+    address: ServerAddress.parse(address),
     method: body.length > 0 ? 'POST' : 'GET',
     path: '/',
     body: body.length > 0 ? body.toString('latin1') : undefined,
--- a/test/support/proxy_fixture.ts
+++ b/test/support/proxy_fixture.ts
@@ -4,6 +4,7 @@
 import {LeaseClock} from '../../src/common/lease_clock';
 import {systemClock} from '../../src/common/system_clock';
 import {EventRing} from '../../src/common/event_ring';
+import {ServerAddress} from '../../src/common/server_address';
 import {BackendSignals} from '../../src/gateway/limits/backend_signals';
 import {CrashDetector} from '../../src/gateway/crashes/crash_detector';
 import {ResponseLog} from '../../src/gateway/responses/response_log';
@@ -129,8 +130,9 @@
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
     const route = {...ROUTE, ...changes};
     const fixture = new ProxyFixture(server, route, target.model);
-    fixture.targets = backends.map(({address}, at) => {
+    fixture.targets = backends.map((backend, at) => {
       const incarnation = `i${at}`;
+      const address = ServerAddress.parse(backend.address);
       const place = {pool: 'p', address, zone: 'z', slots: 4};
       return [incarnation, {incarnation, ...place, ...target}];
     });
--- a/test/support/rate_limit_simulation.ts
+++ b/test/support/rate_limit_simulation.ts
@@ -5,6 +5,7 @@
  */
 import {Clock} from '../../src/common/clock';
 import {EventRing} from '../../src/common/event_ring';
+import {parseTargets} from '../../src/gateway/control/parse_targets';
 import {BackendRateLimits} from '../../src/gateway/limits/backend_rate_limits';
 import {VirtualTime} from '../simulation/virtual_time';
 import {countMaxPerWindow} from './count_max_per_window';
@@ -239,7 +240,7 @@
         if (update && (update.isWholeTable || gateway.tableTag === tableTag)) {
           gateway.tableTag = newTableTag;
           gateway.hasTarget ||= update.targets.length > 0;
-          limits.recordTargets(update.targets, tag);
+          limits.recordTargets(parseTargets(update.targets).targets, tag);
         }
         limits.applyChanges(reports, tag, news, cold);
       });
--- a/test/support/run_balancing_simulation.ts
+++ b/test/support/run_balancing_simulation.ts
@@ -3,6 +3,7 @@
  * load balancer and a delayed report of the others' load, on a virtual clock.
  */
 import {Clock} from '../../src/common/clock';
+import {ServerAddress} from '../../src/common/server_address';
 import {LoadBalancer} from '../../src/gateway/routing/load_balancer';
 import {EngineProfile} from '../../src/protocol/engine_profile';
 import {GatewayTarget} from '../../src/protocol/gateway_target';
@@ -154,7 +155,7 @@
     this.targets.set(incarnation, {
       incarnation,
       pool: 'p',
-      address: `a:${at}`,
+      address: ServerAddress.parse(`a:${at + 1}`),
       zone: `zone-${at % zones}`,
       slots: profile.slots,
       model: 'm',
--- a/test/support/run_scheduling_simulation.ts
+++ b/test/support/run_scheduling_simulation.ts
@@ -1,3 +1,4 @@
+import {ServerAddress} from '../../src/common/server_address';
 /**
  * Simulates gateways that schedule streams of several urgencies onto the same engines,
  * with the real queue, wait and load balancer of each gateway, on a virtual clock.
@@ -60,7 +61,7 @@
       targets.set(incarnation, {
         ...ROUTE,
         incarnation,
-        address: `a:${at}`,
+        address: ServerAddress.parse(`a:${at + 1}`),
         zone,
         slots,
         epoch: 1,
--- a/test/support/test_fleet.ts
+++ b/test/support/test_fleet.ts
@@ -3,6 +3,7 @@
 import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import * as path from 'node:path';
+import {ServerAddress} from '../../src/common/server_address';
 import {Bundle} from '../../src/protocol/bundle';
 import {computeDigest} from '../../src/protocol/compute_digest';
 import {FleetStatus} from '../../src/protocol/fleet_status';
@@ -96,7 +97,7 @@
 
   get operator(): OperatorClient {
     this.client ??= OperatorClient.create({
-      addresses: this.controlAddresses,
+      addresses: this.controlAddresses.map(ServerAddress.parse),
       timeoutMs: 10_000,
       security: this.options.isTls ? readTestSecurity() : undefined,
     });
--- a/test/transport/call_on_new_connection.test.ts
+++ b/test/transport/call_on_new_connection.test.ts
@@ -1,6 +1,7 @@
 /** Guards against calls that end neither with the whole answer nor within their limits. */
 import * as net from 'node:net';
 import {afterEach, describe, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {callOnNewConnection} from '../../src/transport/call_on_new_connection';
 
 const MAX_ANSWER_BYTES = 1_024;
@@ -24,7 +25,7 @@
   closers.push(() => server.close());
   const {port} = server.address() as net.AddressInfo;
   const call = callOnNewConnection({
-    address: `127.0.0.1:${port}`,
+    address: ServerAddress.parse(`127.0.0.1:${port}`),
     method: 'GET',
     path: '/',
     timeoutMs: TIMEOUT_MS,
@@ -96,7 +97,7 @@
     const {port} = server.address() as net.AddressInfo;
     await new Promise(resolve => server.close(resolve));
     const call = callOnNewConnection({
-      address: `127.0.0.1:${port}`,
+      address: ServerAddress.parse(`127.0.0.1:${port}`),
       method: 'GET',
       path: '/',
       timeoutMs: TIMEOUT_MS,
--- a/test/transport/closing_connections.test.ts
+++ b/test/transport/closing_connections.test.ts
@@ -1,6 +1,7 @@
 // Guards against requests and connections that a server gets after nobody needs them any more.
 import * as net from 'node:net';
 import {afterEach, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {HttpClientPool} from '../../src/transport/http_client_pool';
 import {waitUntil} from '../support/wait_until';
 
@@ -35,7 +36,7 @@
     const handle = client.call(
       {
         id,
-        address: `127.0.0.1:${port}`,
+        address: ServerAddress.parse(`127.0.0.1:${port}`),
         method: 'POST',
         path: `/${id}`,
         headers: [],
--- a/test/transport/framing_limit.test.ts
+++ b/test/transport/framing_limit.test.ts
@@ -1,6 +1,7 @@
 // Guards against responses without end in places that the parser does not limit, and against a limit that cuts off proper ones.
 import * as net from 'node:net';
 import {afterEach, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {HttpClientPool} from '../../src/transport/http_client_pool';
 import {EndlessResponse} from '../support/endless_response';
 import {FakeBackend} from '../support/fake_backend';
@@ -29,7 +30,7 @@
       const handle = client.call(
         {
           id: `q${(sent += 1)}`,
-          address: server.address,
+          address: ServerAddress.parse(server.address),
           method: 'GET',
           path: '/',
           headers: [],
--- a/test/transport/http_client_pool.test.ts
+++ b/test/transport/http_client_pool.test.ts
@@ -1,6 +1,7 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import {afterEach, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {HttpClientPool} from '../../src/transport/http_client_pool';
 import {waitUntil} from '../support/wait_until';
 
@@ -34,7 +35,7 @@
       client.call(
         {
           id,
-          address: `127.0.0.1:${port}`,
+          address: ServerAddress.parse(`127.0.0.1:${port}`),
           method: 'GET',
           path: '/',
           headers: [],
@@ -133,7 +134,7 @@
     client.call(
       {
         id: 'q',
-        address: '127.0.0.1:1',
+        address: ServerAddress.parse('127.0.0.1:1'),
         method: 'GET',
         path: '/',
         headers: ['name', 'control \u0001'],
@@ -175,7 +176,7 @@
       client.call(
         {
           id: 'q',
-          address: `127.0.0.1:${port}`,
+          address: ServerAddress.parse(`127.0.0.1:${port}`),
           method: 'GET',
           path: '/',
           headers: [],
--- a/test/transport/probe_listener.test.ts
+++ b/test/transport/probe_listener.test.ts
@@ -1,6 +1,7 @@
 /** Guards against a process that counts as alive because its port is the last that it closes. */
 import * as net from 'node:net';
 import {afterEach, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {probeListener} from '../../src/transport/probe_listener';
 
 const closers: Array<() => unknown> = [];
@@ -23,7 +24,7 @@
 
 test('a server that keeps the connection listens', async () => {
   const {address} = await listen(() => undefined);
-  expect(await probeListener(address)).toBe('listens');
+  expect(await probeListener(ServerAddress.parse(address))).toBe('listens');
 });
 
 test('a server that closes its port after the connection was made refuses', async () => {
@@ -31,16 +32,16 @@
     server.close();
     socket.resetAndDestroy();
   });
-  expect(await probeListener(address)).toBe('refuses');
+  expect(await probeListener(ServerAddress.parse(address))).toBe('refuses');
 });
 
 test('a server without room for a connection listens', async () => {
   const {address} = await listen(socket => socket.resetAndDestroy());
-  expect(await probeListener(address)).toBe('listens');
+  expect(await probeListener(ServerAddress.parse(address))).toBe('listens');
 });
 
 test('a closed port refuses', async () => {
   const {server, address} = await listen(() => undefined);
   await new Promise(resolve => server.close(resolve));
-  expect(await probeListener(address)).toBe('refuses');
+  expect(await probeListener(ServerAddress.parse(address))).toBe('refuses');
 });
--- a/test/transport/response_framing.test.ts
+++ b/test/transport/response_framing.test.ts
@@ -1,6 +1,7 @@
 /** Guards against a verdict on a response that depends on how its bytes are split into reads, or on bytes that are read twice. */
 import * as net from 'node:net';
 import {afterEach, describe, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {HttpClientPool} from '../../src/transport/http_client_pool';
 import {ResponseFraming} from '../../src/transport/response_framing';
 
@@ -102,7 +103,7 @@
       const handle = pool.call(
         {
           id,
-          address: `127.0.0.1:${port}`,
+          address: ServerAddress.parse(`127.0.0.1:${port}`),
           method: 'GET',
           path: '/',
           headers: [],
--- a/test/transport/restart_during_backpressure.test.ts
+++ b/test/transport/restart_during_backpressure.test.ts
@@ -1,6 +1,7 @@
 /** Guards against a response that looks whole because its server was started again before the end was read. */
 import * as net from 'node:net';
 import {afterEach, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {HttpClientPool} from '../../src/transport/http_client_pool';
 import {waitUntil} from '../support/wait_until';
 
@@ -49,7 +50,7 @@
   const handle = client.call(
     {
       id: 'q',
-      address: `127.0.0.1:${port}`,
+      address: ServerAddress.parse(`127.0.0.1:${port}`),
       method: 'GET',
       path: '/',
       headers: [],
--- a/test/transport/restart_during_stall.test.ts
+++ b/test/transport/restart_during_stall.test.ts
@@ -3,6 +3,7 @@
 import * as net from 'node:net';
 import {afterEach, expect, test} from 'vitest';
 import {ProcessPauses} from '../../src/common/process_pauses';
+import {ServerAddress} from '../../src/common/server_address';
 import {HttpClientPool} from '../../src/transport/http_client_pool';
 
 /** Writes a part of a response to each request, and is killed if it is the first process. */
@@ -68,7 +69,7 @@
       client.call(
         {
           id: 'q',
-          address: `127.0.0.1:${port}`,
+          address: ServerAddress.parse(`127.0.0.1:${port}`),
           method: 'GET',
           path: '/',
           headers: [],
--- a/test/transport/tls.test.ts
+++ b/test/transport/tls.test.ts
@@ -1,6 +1,7 @@
 import {readFileSync} from 'node:fs';
 import * as path from 'node:path';
 import {afterEach, beforeEach, expect, test} from 'vitest';
+import {ServerAddress} from '../../src/common/server_address';
 import {connectPeer} from '../../src/protocol/connect_peer';
 import {Peer} from '../../src/protocol/peer';
 import {FrameServer} from '../../src/transport/frame_server';
@@ -41,7 +42,11 @@
 afterEach(() => server.close());
 
 test('a process with a certificate of the authority is accepted', async () => {
-  const peer = await connectPeer(`127.0.0.1:${server.port}`, hello, trusted);
+  const peer = await connectPeer(
+    ServerAddress.parse(`127.0.0.1:${server.port}`),
+    hello,
+    trusted,
+  );
 
   expect(peer.remote.id).toBe('h1');
   peer.close();
@@ -49,14 +54,18 @@
 
 test('a process with a self-signed certificate is rejected', async () => {
   await expect(
-    connectPeer(`127.0.0.1:${server.port}`, hello, stranger),
+    connectPeer(
+      ServerAddress.parse(`127.0.0.1:${server.port}`),
+      hello,
+      stranger,
+    ),
   ).rejects.toThrow();
   expect(connectedIds).toEqual([]);
 });
 
 test('a process without TLS is rejected', async () => {
   await expect(
-    connectPeer(`127.0.0.1:${server.port}`, hello),
+    connectPeer(ServerAddress.parse(`127.0.0.1:${server.port}`), hello),
   ).rejects.toThrow();
   expect(connectedIds).toEqual([]);
 });
@@ -65,6 +74,6 @@
   const other = {...trusted, authority: stranger.certificate};
 
   await expect(
-    connectPeer(`127.0.0.1:${server.port}`, hello, other),
+    connectPeer(ServerAddress.parse(`127.0.0.1:${server.port}`), hello, other),
   ).rejects.toThrow();
 });
