fix(platform): a registration with a malformed address is refused

A registration whose address is none got 200, and from then on stood in the table of every gateway: its service answered 400 or 503 to callers, and beside other such targets the gateways ended, again after each start.

The address of a registration was any text. It is parsed now, and a malformed one gets 400 with "address: ... is no address like 10.0.0.1:8080" and the reason; the quoted text is bounded. What is passed on is the canonical text, so that two spellings of an address are one backend server.

--- a/test/platform/backend_restarts.test.ts
+++ b/test/platform/backend_restarts.test.ts
@@ -209,6 +209,8 @@
       await register('i-1', change({state: 'asleep'})),
       await register('i-2', change({service: 'unknown', born: 2_000})),
       await register('i-1', change({zone: 7})),
+      await register('i-1', change({address: '127.0.0.1:65536'})),
+      await register('i-1', change({address: '127.1:80'})),
       await register('i-1', '{"service":'),
       await register('i-1', Buffer.from([0x22, 0xff, 0xfe, 0x22])),
       await register('%ff', change({})),
--- a/test/platform/translation.test.ts
+++ b/test/platform/translation.test.ts
@@ -5,7 +5,9 @@
 import {describe, expect, test} from 'vitest';
 import {decodeConfiguration} from '../../platform/decode_configuration';
 import {decodeRegistration} from '../../platform/decode_registration';
+import {PlatformError} from '../../platform/platform_error';
 import {readSettings} from '../../platform/read_settings';
+import {listMalformedAddresses} from '../faulty_input/malformed_addresses';
 
 const ROUTE = {
   name: 'r',
@@ -161,6 +163,40 @@
     });
   });
 
+  // Guards against a backend server to which no gateway can connect: each attempt at
+  // it threw out of a callback of the HTTP library, which ended the gateway.
+  test.each(listMalformedAddresses(8_080))(
+    'with the address %j is refused with the name of the field',
+    address => {
+      const text = JSON.stringify({...wire, address});
+      const decode = () => decodeRegistration('i', text);
+      expect(decode).toThrow(PlatformError);
+      expect(decode).toThrow(
+        `address: ${JSON.stringify(address)} is no address like 10.0.0.1:8080: `,
+      );
+    },
+  );
+
+  test('with an endless address is refused with a short error', () => {
+    const text = JSON.stringify({...wire, address: 'a'.repeat(100_000)});
+    let message = '';
+    try {
+      decodeRegistration('i', text);
+    } catch (error) {
+      ({message} = error as Error);
+    }
+    expect(message).toMatch(/^address: "a{100}" is no address/);
+    expect(message.length).toBeLessThan(200);
+  });
+
+  test.each([
+    ['[::FFFF:10.0.0.1]:80', '[::ffff:a00:1]:80'],
+    ['Node-1.Rack:80', 'node-1.rack:80'],
+  ])('with the address %s has its canonical form %s', (address, canonical) => {
+    const text = JSON.stringify({...wire, address});
+    expect(decodeRegistration('i', text).address).toBe(canonical);
+  });
+
   // Guards against a cold server taken for a warm one, and against a server
   // that says nothing taken for one that says that it is warm.
   test.each([
