fix(control): the leader refuses a registration with a malformed address

During a roll-out a control process of the version before passes such a registration on, and the leader put it into the table of all gateways.

What is recorded is the canonical text: two spellings of one address were two backend servers before.

--- a/src/common/server_address.ts
+++ b/src/common/server_address.ts
@@ -1,13 +1,12 @@
 /** Where a server listens: the only place that takes an address apart. */
 import * as net from 'node:net';
 import {AddressError} from './address_error';
+import {MAX_QUOTED_ADDRESS_LENGTH} from './max_quoted_address_length';
 
 const MAX_PORT = 65_535;
 /** A URL without a port means this one. */
 const HTTP_PORT = 80;
 const MAX_NAME_LENGTH = 253;
-/** An error quotes no more of a text, which may be as long as its sender likes. */
-const MAX_QUOTED_LENGTH = 100;
 const PORT = /^(?:0|[1-9]\d{0,4})$/;
 /** Labels of a DNS name; underscores occur in names of services. */
 const LABEL = /^[a-z0-9_](?:[a-z0-9_-]{0,61}[a-z0-9_])?$/i;
@@ -155,7 +154,7 @@
 function createError(text: string, reason: string): AddressError {
   return new AddressError(
     '%s is no address like 10.0.0.1:8080: %s',
-    JSON.stringify(text.slice(0, MAX_QUOTED_LENGTH)),
+    JSON.stringify(text.slice(0, MAX_QUOTED_ADDRESS_LENGTH)),
     reason,
   );
 }
--- a/src/control/registration_service.ts
+++ b/src/control/registration_service.ts
@@ -1,6 +1,8 @@
 /** Serves registrations and deregistrations of backend servers on the leader. */
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
+import {MAX_QUOTED_ADDRESS_LENGTH} from '../common/max_quoted_address_length';
+import {ServerAddress} from '../common/server_address';
 import {ThrottledEventLog} from '../common/throttled_event_log';
 import {BackendRegistration} from '../protocol/backend_registration';
 import {ControlMessage} from '../protocol/control_message';
@@ -58,16 +60,19 @@
     registration: received,
   }: Call<'registration-ask'>): Promise<ControlMessage> {
     const {registry, cold, clock, notify} = this.options;
-    // Where cold servers have no limit, being cold must not change any decision.
-    const {coldForMs, ...withoutColdness} = received;
-    const isLimited = cold.isLimitedPool(received.pool);
-    const registration =
-      coldForMs === undefined || isLimited ? received : withoutColdness;
-    const refusal = this.findRefusal(registration);
+    const refusal = this.findRefusal(received);
     if (refusal !== undefined) {
-      this.recordRefusal(registration, refusal);
+      this.recordRefusal(received, refusal);
       return {type: 'registration-answer', call, refusal};
     }
+    // Processes at the same address are recognized by its canonical text.
+    const address = ServerAddress.parse(received.address).toString();
+    // Where cold servers have no limit, being cold must not change any decision.
+    const complete = {...received, address};
+    const {coldForMs, ...withoutColdness} = complete;
+    const isLimited = cold.isLimitedPool(received.pool);
+    const registration =
+      coldForMs === undefined || isLimited ? complete : withoutColdness;
     if (registry.record(registration, clock.now())) {
       notify();
       this.recordChange(registration);
@@ -130,9 +135,15 @@
   private findRefusal({
     pool,
     startedAt,
+    address,
   }: BackendRegistration): string | undefined {
     const {runtime, registry} = this.options;
     const {rules} = runtime.state.channel;
+    try {
+      ServerAddress.parse(address);
+    } catch (error) {
+      return `address: ${(error as Error).message}`;
+    }
     if (rules && !rules.pools.some(({name}) => name === pool)) {
       return `the rules know no pool "${pool}"`;
     }
@@ -176,7 +187,11 @@
       subject: 'host',
       id: incarnation,
       reason,
-      details: {pool, address, sequence},
+      details: {
+        pool,
+        address: address.slice(0, MAX_QUOTED_ADDRESS_LENGTH),
+        sequence,
+      },
     });
   }
 
