fix(control): no target from a committed member with a malformed address

A group that a leader of the version before committed may have a head with a malformed address; a new leader lists committed heads before they register, and passed it to gateways. It is left out now. A head whose address was committed in another spelling counted neither as registered nor as replaced by the process at that address; both compare the canonical text now.

--- a/src/control/head_stop_detector.ts
+++ b/src/control/head_stop_detector.ts
@@ -1,4 +1,5 @@
 /** Decides when the unreachable head of a group has certainly stopped using its members. */
+import {ServerAddress} from '../common/server_address';
 import {EngineGroup} from '../protocol/engine_group';
 import {BackendRegistry} from './backend_registry';
 
@@ -46,12 +47,14 @@
   /** True once the stall timeout of the head is over, or another process has replaced the head. */
   isHeadStopped(group: EngineGroup, now: number): boolean {
     const [head] = group.members;
+    // Registrations have the canonical text, which another version may not have committed.
+    const address = ServerAddress.find(head.address)?.toString();
     const isReplaced = this.registry
       .list()
       .some(
         ({registration}) =>
           registration.incarnation !== head.incarnation &&
-          (registration.address === head.address ||
+          (registration.address === address ||
             (head.name !== undefined && registration.name === head.name)),
       );
     const releasedAt = this.releasedAt.get(createKey(group)) ?? Infinity;
--- a/src/control/target_table.ts
+++ b/src/control/target_table.ts
@@ -2,6 +2,7 @@
  * Versioned table of the backend servers that gateways may send requests to. Each change is
  * computed once for all gateways, and a gateway gets only the changes that it missed.
  */
+import {ServerAddress} from '../common/server_address';
 import {BackendView} from '../coordination/groups/backend_view';
 import {EngineGroup} from '../protocol/engine_group';
 import {GatewayTargetMessage} from '../protocol/gateway_target_message';
@@ -239,7 +240,9 @@
       views.flatMap(({registration: {address, name}}) => [address, name]),
     );
     return groups.flatMap(({pool, model, epoch, members, isEnding}) => {
-      const [{incarnation, name, address}] = members;
+      const [{incarnation, name, address: text}] = members;
+      // A leader of another version may have committed one that is malformed.
+      const address = ServerAddress.find(text)?.toString();
       const slots = channel.rules?.pools.find(other => other.name === pool)
         ?.engine?.slots;
       const isWhole = members.every(
@@ -249,6 +252,7 @@
         !isWhole ||
         this.options.closedHeads.has({incarnation, epoch}) ||
         slots === undefined ||
+        address === undefined ||
         registered.has(address) ||
         registered.has(name ?? address)
         ? []
