fix(gateway): targets with a malformed address are left out with a line

A leader of the version before, during a roll-out, or a disk may list targets whose address is none. The gateway took them: requests that were sent there got 400 or 504, and one that was sent there from a callback of the HTTP library after a refused connection ended the gateway.

Since the type of an address came in, a target without a parsed one cannot be kept: it is left out, and one that is known under the same incarnation is removed, since its old address is no longer its own. All others are served, and one whose address is mended is taken with the next change.

--- a/src/gateway/control/control_poller.ts
+++ b/src/gateway/control/control_poller.ts
@@ -19,6 +19,7 @@
 import {GatewayCounts} from './gateway_counts';
 import {ModelAdmissions} from './model_admissions';
 import {parseTargets} from './parse_targets';
+import {recordLeftOutTarget} from './record_left_out_target';
 import {ZoneEvacuations} from './zone_evacuations';
 
 /** Longer than the control plane delays the answer to a poll without an update. */
@@ -280,7 +281,10 @@
       }
     }
     // The address at which such a target was known is no longer its own.
-    malformed.forEach(({target}) => targets.delete(target.incarnation));
+    for (const each of malformed) {
+      targets.delete(each.target.incarnation);
+      recordLeftOutTarget(this.eventLog, each);
+    }
     for (const target of added) {
       // A new leader does not know the zone before the backend server has registered.
       const zone = target.zone || (targets.get(target.incarnation)?.zone ?? '');
