test: malformed addresses of control processes cost nothing else

Since an address is parsed where it comes in, a malformed one is left out with the line control-address-left-out, once a second; before, it was tried again and again like an unreachable one, without a word of why.

--- a/test/gateway/malformed_target_addresses.test.ts
+++ b/test/gateway/malformed_target_addresses.test.ts
@@ -222,3 +222,31 @@
     expect(backend.requests.length).toBe(received);
   });
 });
+
+test('a gateway that is told malformed addresses of control processes goes on polling', async () => {
+  const control = listMalformedAddresses(8_080);
+  const {backend, leader, gateway, callOften} = await start(control);
+  leader.setTable({
+    targets: [createTarget('good', 'sound', backend.address)],
+    isWholeTable: true,
+  });
+  await waitUntil('a ready gateway', () => gateway.isReady);
+  leader.setTable({
+    targets: [createTarget('late', 'mixed', backend.address)],
+    isWholeTable: false,
+  });
+  await waitUntil(
+    'a later target',
+    async () => (await callOften('mixed'))[0] === 200,
+  );
+
+  expect(await callOften('sound')).toEqual([200]);
+  expect(gateway.events.listSince(0)).toContainEqual(
+    expect.objectContaining({
+      type: 'control-address-left-out',
+      subject: 'control',
+      id: 'g',
+      reason: expect.stringContaining(JSON.stringify(control[0])),
+    }),
+  );
+});
