--- a/src/control/target_table.ts
+++ b/src/control/target_table.ts
@@ -2,9 +2,10 @@
  * Versioned table of the backend servers that gateways may send requests to. Each change is
  * computed once for all gateways, and a gateway gets only the changes that it missed.
  */
+import {ServerAddress} from '../common/server_address';
 import {BackendView} from '../coordination/groups/backend_view';
 import {EngineGroup} from '../protocol/engine_group';
-import {GatewayTarget} from '../protocol/gateway_target';
+import {GatewayTargetMessage} from '../protocol/gateway_target_message';
 import {BackendRegistry} from './backend_registry';
 import {ClosedHeads} from './closed_heads';
 import {ColdServerService} from './cold_server_service';
@@ -20,7 +21,7 @@
 
 /** A target with the time until which it is cold, which each gateway gets relative to the answer. */
 interface TableEntry {
-  readonly target: GatewayTarget;
+  readonly target: GatewayTargetMessage;
   /** May be over; -Infinity for a server that is warm. */
   readonly coldUntil: number;
 }
@@ -32,7 +33,7 @@
 
 /** The full table or changes to it. */
 interface TableUpdate {
-  readonly targets: GatewayTarget[];
+  readonly targets: GatewayTargetMessage[];
   /** Incarnations that currently serve nothing. */
   readonly closed: string[];
   /** Incarnations, or names, of backend servers that take no new work. */
@@ -192,7 +193,7 @@
     this.current = next;
   }
 
-  private createEntry(target: GatewayTarget): TableEntry {
+  private createEntry(target: GatewayTargetMessage): TableEntry {
     const {runtime, cold} = this.options;
     const {rules} = runtime.state.channel;
     const pool = rules?.pools.find(({name}) => name === target.pool);
@@ -233,13 +234,15 @@
   private listUnregisteredHeads(
     views: readonly BackendView[],
     groups: readonly EngineGroup[],
-  ): GatewayTarget[] {
+  ): GatewayTargetMessage[] {
     const {engines, channel} = this.options.runtime.state;
     const registered = new Set(
       views.flatMap(({registration: {address, name}}) => [address, name]),
     );
     return groups.flatMap(({pool, model, epoch, members, isEnding}) => {
-      const [{incarnation, name, address}] = members;
+      const [{incarnation, name, address: text}] = members;
+      // A leader of another version may have committed one that is malformed.
+      const address = ServerAddress.find(text)?.toString();
       const slots = channel.rules?.pools.find(other => other.name === pool)
         ?.engine?.slots;
       const isWhole = members.every(
@@ -249,6 +252,7 @@
         !isWhole ||
         this.options.closedHeads.has({incarnation, epoch}) ||
         slots === undefined ||
+        address === undefined ||
         registered.has(address) ||
         registered.has(name ?? address)
         ? []
@@ -260,7 +264,7 @@
   private findTarget(
     {registration}: BackendView,
     committed: EngineGroup | undefined,
-  ): GatewayTarget | undefined {
+  ): GatewayTargetMessage | undefined {
     const {engines, channel} = this.options.runtime.state;
     const {incarnation, name, pool, address, zone, slots, group} = registration;
     const known = channel.rules?.pools.find(other => other.name === pool);
@@ -313,7 +317,7 @@
 function listTargets(
   entries: ReadonlyArray<readonly [string, TableEntry | null]>,
   now: number,
-): GatewayTarget[] {
+): GatewayTargetMessage[] {
   return entries.flatMap(([, entry]) => {
     if (!entry) {
       return [];
