fix(control): one server's start time does not exclude the others

A registration without a start was refused as soon as any registered server had told one.

Cause: the rule took what one server says for a property of the whole platform. The start matters only among the starts of one id, so now a registration without one is refused only if the same id told its start in the last two intervals. A majority in the pool would exclude sound servers where the odd ones are more.

--- a/src/control/backend_registry.ts
+++ b/src/control/backend_registry.ts
@@ -31,8 +31,6 @@
   /** Incarnations by address and by name, so that a registration is compared with few others. */
   private readonly byAddress = SecondaryIndex.create();
   private readonly byName = SecondaryIndex.create();
-  /** Number of views with a start time. */
-  private viewsWithStartTime = 0;
   /** Incarnations that another one has replaced. */
   private readonly replaced = new Set<string>();
   /** When each incarnation whose registrations may be stale was first heard, or last overruled by the known process. */
@@ -155,11 +153,6 @@
     return [...this.zones];
   }
 
-  /** True if any registration has a start time, which then all must have. */
-  get hasStartTimes(): boolean {
-    return this.viewsWithStartTime > 0;
-  }
-
   find(incarnation: string): BackendView | undefined {
     return this.views.get(incarnation);
   }
@@ -170,7 +163,6 @@
     this.zones.clear();
     this.byAddress.clear();
     this.byName.clear();
-    this.viewsWithStartTime = 0;
     this.replaced.clear();
     this.suspectedStaleSince.clear();
     this.changes += 1;
@@ -230,12 +222,10 @@
     if (before) {
       this.byAddress.remove(before.address, before.incarnation);
       this.byName.remove(before.name, before.incarnation);
-      this.viewsWithStartTime -= before.startedAt ? 1 : 0;
     }
     if (after) {
       this.byAddress.add(after.address, after.incarnation);
       this.byName.add(after.name, after.incarnation);
-      this.viewsWithStartTime += after.startedAt ? 1 : 0;
     }
   }
 
--- a/src/control/registration_service.ts
+++ b/src/control/registration_service.ts
@@ -14,6 +14,8 @@
 
 /** A new leader has heard from every live backend server after this many registration intervals. */
 const LISTEN_INTERVALS = 2;
+/** A backend server that was silent for this many intervals may have been replaced by one that tells no start time. */
+const SILENT_INTERVALS = 2;
 /** Used where the interval of registrations isn't configured. */
 const DEFAULT_HEARTBEAT_MS = 1_000;
 
@@ -129,18 +131,34 @@
   /** Why a registration is invalid and must not change anything; undefined if it is valid. */
   private findRefusal({
     pool,
+    name,
     startedAt,
   }: BackendRegistration): string | undefined {
-    const {runtime, registry} = this.options;
+    const {runtime} = this.options;
     const {rules} = runtime.state.channel;
-    if (rules && !rules.pools.some(({name}) => name === pool)) {
+    if (rules && !rules.pools.some(known => known.name === pool)) {
       return `the rules know no pool "${pool}"`;
     }
-    return startedAt === undefined && registry.hasStartTimes
-      ? 'it does not tell when it started, as the others do'
+    return startedAt === undefined && this.hasRecentStartTime(name)
+      ? 'it does not tell when it started, as it did before'
       : undefined;
   }
 
+  /**
+   * True if the backend server of this name told its start time lately. Without one, a
+   * registration cannot be assigned to one of its starts. Other servers prove nothing: a
+   * single faulty one that tells a start time would exclude all that tell none.
+   */
+  private hasRecentStartTime(name: string | undefined): boolean {
+    const {registry, clock, settings} = this.options;
+    const known = name === undefined ? undefined : registry.findByName(name);
+    const heartbeatMs = settings.pools?.heartbeatMs ?? DEFAULT_HEARTBEAT_MS;
+    return (
+      known?.registration.startedAt !== undefined &&
+      clock.now() - known.seenAt < heartbeatMs * SILENT_INTERVALS
+    );
+  }
+
   private findNewestIncarnation(name: string): string | undefined {
     const registered = this.options.registry.findByName(name);
     const member = this.listMembers().find(known => known.name === name);
