fix(protocol): an invalid call costs only itself

A call with one field that its schema refuses, such as a report with an infinite figure, made the receiver close the connection: every other call on it was lost, and the sender came back with the same field. A call over the limit of a frame was worse: the error was thrown where nobody waits for it, and the unhandled rejection ended the process that sent it. An answer over the limit ended the leader.

Cause: the connection knew two kinds of messages, correct ones and a breach of the protocol. Now a message with the number of a call that does not match its schema is answered with invalid-call and the field; what cannot be sent fails in the same way, without a way to the peer. Anything else still closes the connection. The leader logs call-invalid, once a second.

--- a/src/control/control_event_log.ts
+++ b/src/control/control_event_log.ts
@@ -101,6 +101,17 @@
     });
   }
 
+  /** Records a call that does not match its schema; its sender gets the reason. */
+  recordInvalidCall(from: string, reason: string): void {
+    this.throttledEventLog.record('invalid-call', {
+      type: 'call-invalid',
+      subject: 'control',
+      id: this.identity,
+      reason,
+      details: {from},
+    });
+  }
+
   /** Records a failure to handle a message; its sender only sees the connection close. */
   recordMessageFailure(from: string, error: Error): void {
     this.throttledEventLog.record('message', {
--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -17,7 +17,7 @@
 import {createCallHandlers} from './create_call_handlers';
 import {BackendRegistry} from './backend_registry';
 import {ChangeSignal} from './change_signal';
-import {ControlError} from './control_error';
+import {CallAnswerer} from './call_answerer';
 import {ControlConnections} from './control_connections';
 import {ControlEventLog} from './control_event_log';
 import {ControlSettings} from './control_settings';
@@ -43,6 +43,7 @@
   readonly failed: Promise<Error>;
   private fail: (error: Error) => void = () => undefined;
   private readonly log: ControlEventLog;
+  private readonly calls: CallAnswerer;
   private readonly fleet = Fleet.create();
   private readonly signal = ChangeSignal.create();
   private readonly incarnation = randomBytes(8).toString('hex');
@@ -62,6 +63,15 @@
   ) {
     this.failed = new Promise(resolve => (this.fail = resolve));
     this.log = ControlEventLog.create(disk.identity, this.events, systemClock);
+    this.calls = CallAnswerer.create({
+      log: this.log,
+      identity: disk.identity,
+      findRuntime: () => this.runtime,
+      findHandlers: () => this.handlers,
+      listControlAddresses: () =>
+        settings.seeded ? this.listControlAddresses() : undefined,
+      listVoters: () => Object.keys(this.member?.manager.listVoters() ?? {}),
+    });
     this.registry = BackendRegistry.create(
       settings.pools?.heartbeatMs,
       ({registration: {incarnation, address, sequence}, holder}) =>
@@ -235,8 +245,15 @@
       reply({type: 'quorum-answer', call: message.call, status});
       return;
     }
+    if (message.type === 'invalid-call') {
+      this.calls.reject(from, message, reply);
+      return;
+    }
     if ('call' in message) {
-      void this.answer(message as MessageOf<Message, keyof Handlers>, reply);
+      void this.calls.answer(
+        message as MessageOf<Message, keyof Handlers>,
+        reply,
+      );
       return;
     }
     if ('term' in message) {
@@ -245,57 +262,6 @@
     this.member?.receive(from, message, reply);
   }
 
-  private async answer(
-    request: MessageOf<Message, keyof Handlers>,
-    reply: Reply,
-  ): Promise<void> {
-    const {runtime, handlers} = this;
-    const control = this.settings.seeded
-      ? this.listControlAddresses()
-      : undefined;
-    const refuse = () =>
-      reply({type: 'not-leader', call: request.call, control});
-    if (!runtime?.canServe() || !handlers?.[request.type]) {
-      if (runtime?.raft.role === 'leader') {
-        this.recordRefusal(
-          request.type,
-          'it is the leader, but no quorum has confirmed that lately',
-        );
-      }
-      refuse();
-      return;
-    }
-    try {
-      const answer = await handlers[request.type](request as never);
-      // This process may have been suspended since the call, and its lease expired.
-      if (runtime.canServe()) {
-        reply(answer);
-      } else {
-        this.recordRefusal(
-          request.type,
-          'leadership was lost before the answer was sent',
-        );
-        refuse();
-      }
-    } catch (error) {
-      if (!(error instanceof ControlError)) {
-        throw error;
-      }
-      this.recordRefusal(request.type, error.message);
-      refuse();
-    }
-  }
-
-  private recordRefusal(callType: string, reason: string): void {
-    const voters = Object.keys(this.member?.manager.listVoters() ?? {});
-    this.log.recordRefusedCall({
-      ask: callType,
-      reason,
-      voters,
-      raft: this.runtime?.raft,
-    });
-  }
-
   /** Starts what the leader does besides consensus; it is idle while another process leads. */
   private startLeaderServices(runtime: RaftRuntime): void {
     const {settings, disk, fleet} = this;
--- a/src/protocol/control_connection.ts
+++ b/src/protocol/control_connection.ts
@@ -61,7 +61,10 @@
     return !this.isClosed;
   }
 
-  /** Sends a call after the handshake; resolves to undefined when the connection closes first. */
+  /**
+   * Sends a call after the handshake; resolves to undefined when the connection closes
+   * first, and to `invalid-call` when the call or its answer is invalid or too long.
+   */
   call(request: ControlCalls['request']): Promise<ControlMessage | undefined> {
     const {peer} = this;
     if (!peer || this.isClosed) {
@@ -70,7 +73,13 @@
     const callId = ++this.lastCallId;
     return new Promise(resolve => {
       this.pending.set(callId, resolve);
-      peer.send({...request, call: callId} as Message);
+      try {
+        peer.send({...request, call: callId} as Message);
+      } catch (error) {
+        this.pending.delete(callId);
+        const {message: reason} = error as Error;
+        resolve({type: 'invalid-call', call: callId, reason});
+      }
     });
   }
 
--- a/src/protocol/leader_call.ts
+++ b/src/protocol/leader_call.ts
@@ -110,6 +110,11 @@
     if (this.isSettled) {
       return;
     }
+    if (answer?.type === 'invalid-call') {
+      // No other process would decode it either.
+      this.reject(new ProtocolError('%s', answer.reason));
+      return;
+    }
     if (answer && answer.type !== 'not-leader') {
       this.resolve(answer);
       return;
--- a/src/protocol/leader_finder.ts
+++ b/src/protocol/leader_finder.ts
@@ -217,7 +217,7 @@
     this.candidates.finish(address);
     if (outcome instanceof Error) {
       onAttempt({address, outcome: 'unreached', tookMs}, outcome);
-    } else if (outcome === undefined) {
+    } else if (outcome === undefined || outcome.type === 'invalid-call') {
       onAttempt({address, outcome: 'silent', tookMs});
     } else if (outcome.type === 'not-leader') {
       onAttempt({address, outcome: 'does not lead', tookMs});
--- a/src/protocol/message_codec.ts
+++ b/src/protocol/message_codec.ts
@@ -1,5 +1,7 @@
 /** Encodes messages as CBOR, and validates decoded ones against their schemas. */
 import {Encoder} from 'cbor-x';
+import {z} from 'zod';
+import {InvalidCallError} from './invalid_call_error';
 import {Message} from './message';
 import {ProtocolError} from './protocol_error';
 
@@ -9,6 +11,11 @@
   tagUint8Array: false,
 });
 
+/** What a call and its answer have in common. */
+const AnyCall = z.object({type: z.string(), call: z.int().nonnegative()});
+/** A reason quotes no more of a message, which may be as long as its sender likes. */
+const MAX_REASON_LENGTH = 200;
+
 /** Codec for messages between processes. */
 export const messageCodec = {
   /** Encodes one message. */
@@ -19,6 +26,7 @@
   /**
    * Decodes and validates one message.
    *
+   * @throws InvalidCallError for a call or an answer that does not match its schema
    * @throws ProtocolError for invalid CBOR or an unknown message
    */
   decode(bytes: Uint8Array): Message {
@@ -30,8 +38,22 @@
     }
     const parsed = Message.safeParse(value);
     if (!parsed.success) {
+      rejectCall(value, parsed.error);
       throw new ProtocolError(parsed.error, 'the frame holds no known message');
     }
     return parsed.data;
   },
 };
+
+/** @throws InvalidCallError if the value has the number of a call */
+function rejectCall(value: unknown, error: z.ZodError): void {
+  const call = AnyCall.safeParse(value);
+  if (call.success) {
+    const [{path, message}] = error.issues;
+    const reason = `${call.data.type}: ${path.join('.')}: ${message}`;
+    throw new InvalidCallError(
+      call.data.call,
+      reason.slice(0, MAX_REASON_LENGTH),
+    );
+  }
+}
--- a/src/protocol/peer.ts
+++ b/src/protocol/peer.ts
@@ -4,6 +4,7 @@
 import {FrameConnection} from '../transport/frame_connection';
 import {TransportError} from '../transport/transport_error';
 import {HelloMessage} from './hello_message';
+import {InvalidCallError} from './invalid_call_error';
 import {Message} from './message';
 import {messageCodec} from './message_codec';
 
@@ -18,7 +19,7 @@
   private readonly received = PushSource.create<Message>({
     buffersUntilObserved: true,
   });
-  /** Messages after the handshake. */
+  /** Messages after the handshake; `invalid-call` in place of a call or an answer that does not match its schema. */
   readonly messages: Stream<Message> = this.received.stream;
   /** Resolves when the connection is closed, with the error if it failed. */
   readonly closed: Promise<TransportError | undefined>;
@@ -96,9 +97,7 @@
     try {
       message = messageCodec.decode(frame);
     } catch (error) {
-      this.connection.close(
-        new TransportError(error as Error, 'the peer broke the protocol'),
-      );
+      this.handleInvalid(error as Error);
       return;
     }
     if (this.remoteHello) {
@@ -114,4 +113,15 @@
     this.remoteHello = message;
     onHello();
   }
+  /** An invalid call costs only itself: other calls of the same connection are correct. */
+  private handleInvalid(error: Error): void {
+    if (error instanceof InvalidCallError && this.remoteHello) {
+      const {call, message: reason} = error;
+      this.received.push({type: 'invalid-call', call, reason});
+      return;
+    }
+    this.connection.close(
+      new TransportError(error, 'the peer broke the protocol'),
+    );
+  }
 }
