fix(gateway): models that do not exist take no memory and fill no report

Each name in X-Whinreel-Model that a caller made up got a rate, a queue and an entry among the models without a free slot, for good, and was part of each report to the leader. A few thousand requests with names of 16 KB made a report that is longer than a frame, which ended the gateway.

Cause: the tables were keyed by what callers say. The header still goes to backend servers as it came.

--- a/src/gateway/scheduling/demand_meter.ts
+++ b/src/gateway/scheduling/demand_meter.ts
@@ -25,7 +25,7 @@
   at: number;
 }
 
-/** Counts all arriving requests, including retries of refused ones. */
+/** Counts all arriving requests for the models of the rules, including retries of refused ones. */
 export class DemandMeter {
   private readonly recent = new Map<string, DecayedArrivals>();
   private readonly answerTokens = new Map<string, number>();
@@ -49,7 +49,8 @@
     {model, promptTokens}: Pick<GatewayRequest, 'model' | 'promptTokens'>,
     engine: EngineProfile | undefined,
   ): void {
-    if (engine && model !== undefined) {
+    // Callers may name any number of models that do not exist.
+    if (model !== undefined && isKnown(model, engine)) {
       const recent = this.computeDecayed(model);
       recent.requests += 1;
       recent.promptTokens += promptTokens;
@@ -66,6 +67,9 @@
     if (!engine || model === undefined || outcome !== 'answered') {
       return;
     }
+    if (!isKnown(model, engine)) {
+      return;
+    }
     const tokens = events * engine.stepsPerEvent;
     const average = this.answerTokens.get(model) ?? tokens;
     this.answerTokens.set(model, average + (tokens - average) * NEWEST_WEIGHT);
@@ -106,3 +110,7 @@
     };
   }
 }
+
+function isKnown(model: string, engine: EngineProfile | undefined): boolean {
+  return engine?.models.some(({name}) => name === model) ?? false;
+}
--- a/src/gateway/scheduling/slot_queues.ts
+++ b/src/gateway/scheduling/slot_queues.ts
@@ -11,6 +11,9 @@
   readonly engine: EngineProfile;
 }
 
+/** Stands for all models that the rules do not know, of which callers may name any number. */
+const UNKNOWN_MODEL = '';
+
 /** Creates queues when they are first needed. */
 export class SlotQueues {
   private readonly queues = new Map<string, SlotQueue>();
@@ -31,8 +34,10 @@
     return new SlotQueues(clock, admissions);
   }
 
-  /** Returns the queue for the slots of a model, by the engine's newest figures. */
-  get({pool, model, engine}: SlotQueueKey): SlotQueue {
+  /** Returns the queue for the slots of a model, by the engine's newest figures; models that the engine does not have share one. */
+  get({pool, model: named, engine}: SlotQueueKey): SlotQueue {
+    const isKnown = engine.models.some(({name}) => name === named);
+    const model = isKnown ? named : UNKNOWN_MODEL;
     const key = `${pool} ${model}`;
     const {clock, admissions} = this;
     const queue =
--- a/test/platform/caller_numbers.test.ts
+++ b/test/platform/caller_values.test.ts
@@ -1,4 +1,4 @@
-/** Guards against numbers in the headers of callers that are not finite, and spread from there into reports. */
+/** Guards against values in the headers of callers that no report can hold: numbers that are not finite, and long names. */
 import {IncomingMessage} from 'node:http';
 import {describe, expect, test} from 'vitest';
 import {platformHttpDialect} from '../../platform/platform_http_dialect';
@@ -68,6 +68,19 @@
     expect(request.waitMs).toBe(waitMs);
   });
 
+  // Reports name the models of requests; their frames have a limit, and callers may name many.
+  test.each([
+    ['daka510000', 'daka510000'],
+    ['x'.repeat(200), 'x'.repeat(200)],
+    ['x'.repeat(201), undefined],
+    ['x'.repeat(16_000), undefined],
+  ])(
+    'with the model %s asks for it unless no model has that name',
+    (sent, model) => {
+      expect(read({'x-whinreel-model': sent}).model).toBe(model);
+    },
+  );
+
   // The leader closed the connection on such a report, and the gateway lost control.
   test.each(['1e309,80', '1e308,80', '999999999,1'])(
     'with the token usage %j leaves the report of the gateway decodable',
