fix(gateway): reject a response with a header that cannot be sent

A header that Node.js refuses to send, with a control character or one outside Latin-1, would throw while the response is passed on. Today the parser of the client refuses such responses before, but the code that passes a response on relied on it without a check.

A response which states that it did not run the request counts as before. Latin-1 and UTF-8 in a header were and are passed on byte by byte, which a test shows now.

--- a/src/gateway/response_head.ts
+++ b/src/gateway/response_head.ts
@@ -21,6 +21,8 @@
   readonly restMs?: number;
   /** The backend server announces that it is shutting down. */
   readonly isLeaving?: boolean;
+  /** Name of a header that no response can carry, so that this one cannot be passed on. */
+  readonly unsendable?: string;
   /** Name and value of a header whose value is invalid. */
   readonly unread?: string;
 }
--- a/src/gateway/responses/find_rejection_cause.ts
+++ b/src/gateway/responses/find_rejection_cause.ts
@@ -18,7 +18,12 @@
 export function findRejectionCause(
   head: Pick<
     ResponseHead,
-    'requestId' | 'status' | 'isSealed' | 'isNotRun' | 'isWrongIncarnation'
+    | 'requestId'
+    | 'status'
+    | 'isSealed'
+    | 'isNotRun'
+    | 'isWrongIncarnation'
+    | 'unsendable'
   >,
   requestId: string,
 ): RejectionCause | undefined {
@@ -38,6 +43,9 @@
   if (PROMISES.has(head.status)) {
     return 'unmarked';
   }
+  if (head.unsendable !== undefined) {
+    return 'invalid-header';
+  }
   const isSuccess = head.status >= 200 && head.status < 300;
   return isSuccess && !head.isSealed ? 'unsealed' : undefined;
 }
--- a/src/gateway/responses/rejection_cause.ts
+++ b/src/gateway/responses/rejection_cause.ts
@@ -4,6 +4,7 @@
  * backend server does not vouch for a success. `unmarked`: its status promises that
  * the request was not executed, but the backend server does not state it.
  * `contradictory`: it states that although its status says the opposite.
+ * `invalid-header`: it has a header that cannot be passed on.
  * `disordered`: an event of its stream is not the one after the last.
  * `oversized-head`: the bytes before the end of its head exceed their limit.
  * `oversized-framing`: the chunk framing or the trailers do. `oversized-body`: it is
@@ -17,6 +18,7 @@
   | 'unsealed'
   | 'unmarked'
   | 'contradictory'
+  | 'invalid-header'
   | 'disordered'
   | 'oversized-head'
   | 'oversized-framing'
--- a/src/gateway/responses/response_log.ts
+++ b/src/gateway/responses/response_log.ts
@@ -25,6 +25,7 @@
   contradictory:
     'the backend server states that the request was not run, with a status of one that was',
   disordered: 'an event of the stream is not the one after the last',
+  'invalid-header': 'the answer has a header that cannot be passed on',
   'oversized-head': 'the head of the answer is too long',
   'oversized-framing': 'the answer has too many bytes besides its body',
   'oversized-body': 'the answer is too large to hold',
--- a/test/gateway/invalid_response.test.ts
+++ b/test/gateway/invalid_response.test.ts
@@ -64,3 +64,16 @@
     expect(await fixture.send()).toMatchObject({status: 200, body: 'second'});
   });
 });
+
+// Guards against bytes that HTTP allows and that were taken for another encoding.
+test('a response with Latin-1 or UTF-8 in a header is passed on byte by byte', async () => {
+  const {fixture} = await startFixture([
+    ({socket}) => {
+      const head = `HTTP/1.1 200 OK\n${MARKS}x-note: caf\xe9 \xe2\x98\x83\n${LENGTH}\nbody`;
+      socket.write(Buffer.from(head.replaceAll('\n', '\r\n'), 'latin1'));
+    },
+  ]);
+  const {status, headers} = await fixture.send();
+  expect(status).toBe(200);
+  expect(headers['x-note']).toBe('caf\xe9 \xe2\x98\x83');
+});
