--- a/test/platform/accepted_values.test.ts
+++ b/test/platform/accepted_values.test.ts
@@ -17,6 +17,7 @@
 import {computeStallTimeoutMs} from '../../src/gateway/responses/compute_stall_timeout_ms';
 import {RouteIndex} from '../../src/gateway/routing/route_index';
 import {DemandMeter} from '../../src/gateway/scheduling/demand_meter';
+import {PermitIssuer} from '../../src/coordination/limits/permit_issuer';
 import {estimateRequestWork} from '../../src/coordination/scheduling/estimate_request_work';
 import {GatewayRules} from '../../src/protocol/gateway_rules';
 import {Message} from '../../src/protocol/message';
@@ -77,7 +78,22 @@
   expect(Number.isFinite(value)).toBe(true);
 }
 
-function checkPool({engine}: GatewayRules['pools'][number]): void {
+/** The interval between two permits to send to a cold server goes into an answer to gateways. */
+function checkColdLimit(perSecond: number): void {
+  const now = 0;
+  const leadingSince = 0;
+  const options = {kind: 'cold' as const, perSecond, now, leadingSince};
+  const {pauseMs, intervalMs} = PermitIssuer.create(options).acquire('g', now);
+  const verdict = {kind: 'later' as const, pauseMs, intervalMs};
+  checkSurvives({type: 'permit-answer', call: 1, verdict});
+}
+
+function checkPool(pool: GatewayRules['pools'][number]): void {
+  const {engine, coldRequestsPerSecond, coldStartMs = 0} = pool;
+  checkTimer(coldStartMs);
+  if (coldRequestsPerSecond !== undefined) {
+    checkColdLimit(coldRequestsPerSecond);
+  }
   for (const {name, loadMs, warmMs} of engine?.models ?? []) {
     checkHeader(name);
     checkTimer(loadMs);
@@ -210,8 +226,13 @@
 describe('with drawn values', () => {
   test('an accepted configuration survives its messages, and its values can be used', () => {
     let accepted = 0;
+    const added = [
+      ['services', '0', 'cold_per_s'],
+      ['services', '0', 'cold_start_s'],
+      ['tenants', '0', 'priority'],
+    ];
     fc.assert(
-      fc.property(drawOddBodies(pageExamples.configuration), text => {
+      fc.property(drawOddBodies(pageExamples.configuration, added), text => {
         const rules = accept(() => decodeConfiguration(text));
         if (rules) {
           accepted += 1;
--- a/test/platform/unusable_numbers.test.ts
+++ b/test/platform/unusable_numbers.test.ts
@@ -73,4 +73,12 @@
     const stallMs = computeStallTimeoutMs(pools[0].engine, 'daka510000');
     expect(stallMs).toBeLessThan(Infinity);
   });
+
+  // The interval between two permits became infinite, and gateways could not decode the answer.
+  test('has a rate for cold servers at which their permits have an interval', () => {
+    const path = 'services.0.cold_per_s';
+    expect(() => decode(path, '5e-324')).toThrow(path);
+    expect(decode(path, '0').pools[0].coldRequestsPerSecond).toBeUndefined();
+    expect(decode(path, '0.25').pools[0].coldRequestsPerSecond).toBe(0.25);
+  });
 });
--- a/test/support/draw_odd_values.ts
+++ b/test/support/draw_odd_values.ts
@@ -43,7 +43,7 @@
 
 /** A JSON text of any kind. */
 const drawText: fc.Arbitrary<string> = fc.oneof(
-  fc.constantFrom(...NUMBER_TEXTS),
+  {weight: 4, arbitrary: fc.constantFrom(...NUMBER_TEXTS)},
   fc.double({noNaN: true, noDefaultInfinity: true}).map(String),
   drawString.map(text => JSON.stringify(text)),
   fc.constantFrom('null', 'true', 'false', '[]', '{}', '[[]]'),
