fix(control): models are loaded where less than one load a second may begin

With a loads_per_s of 1, which is also the default, no model was loaded any more once callers were served: the bucket of loads is filled at 0.9 of that rate and held as many tokens, which is never a whole one.

Its capacity is now at least one token; rates above one load a second are as before. The same value in a sound configuration was accepted and could not do what it is for.

--- a/src/control/token_bucket.ts
+++ b/src/control/token_bucket.ts
@@ -28,12 +28,13 @@
     this.filledAt = now;
   }
 
-  /** Takes one token at the given refill rate, which is also the capacity; false if there is none. */
+  /** Takes one token at the given refill rate; false if there is none. The capacity is what a second refills, and at least one token. */
   take(perSecond: number, now: number): boolean {
     const MS_PER_SECOND = 1_000;
     this.perSecond = perSecond;
     const added = ((now - this.filledAt) * this.perSecond) / MS_PER_SECOND;
-    this.tokens = Math.min(this.perSecond, this.tokens + added);
+    const capacity = Math.max(1, this.perSecond);
+    this.tokens = Math.min(capacity, this.tokens + added);
     this.filledAt = now;
     if (this.tokens < 1) {
       return false;
