fix(entry): refuse a path that ends the connection to a host process

A caller's path over 8,192 characters, within the limit of a head, made a dispatch that the host process could not decode. It closed the connection, and every other request of that entry to that host broke off.

The entry now answers 414 before anything is sent.

--- a/src/entry/parse_caller_request.ts
+++ b/src/entry/parse_caller_request.ts
@@ -7,6 +7,8 @@
 const DEFAULT_DEADLINE_MS = 120_000;
 const MAX_DEADLINE_MS = 3_600_000;
 const MAX_KEY_CHARACTERS = 200;
+/** A host process takes no longer one: it would close the connection with all other requests on it. */
+const MAX_PATH_CHARACTERS = 8_192;
 const COMPLETIONS_PATH = '/v1/chat/completions';
 const SERVICES_PREFIX = '/services/';
 /** Headers for the entry or the caller's connection only. */
@@ -149,6 +151,13 @@
     );
   }
   const path = rest.slice(nameEnd);
+  if (path.length >= MAX_PATH_CHARACTERS) {
+    return createProblem(
+      414,
+      'Long path',
+      `the path takes fewer than ${MAX_PATH_CHARACTERS} characters`,
+    );
+  }
   return {
     kind: 'service',
     name,
