fix(control): an unknown number of failures acknowledges no change

A quorum whose settings do not say how many failures it must tolerate counted one copy as enough: checkDurability took 1 for what was missing. Until now settings without that number ended the start; once they do not, the loss of one disk could undo what was acknowledged. Such a leader now refuses changes and goes on with everything else, and the quorum keeps its size; the values are read at each use, so that a mended file counts.

Addresses that addSeeds gives were connected to but never listed, so that a process that started without seeds referred nobody to them. They are listed now, after the voters and the first seeds.

--- a/src/control/check_durability.ts
+++ b/src/control/check_durability.ts
@@ -5,6 +5,8 @@
 
 /** Expected voters have joined a new leader by then; starting a process takes two seconds. */
 const QUORUM_GROWTH_MS = 6_000;
+/** A quorum that is not formed from seeds has its full size from the start. */
+const UNSEEDED = {voters: 1, minCopies: 1};
 
 /** What the check depends on. */
 interface DurabilityInput {
@@ -29,8 +31,14 @@
   clock,
 }: DurabilityInput): void {
   const {raft} = runtime;
+  const {seeded = UNSEEDED} = settings;
+  if (seeded.voters === undefined || seeded.minCopies === undefined) {
+    throw new ControlError(
+      'the settings do not say how many failures the quorum must tolerate',
+    );
+  }
   const voters = raft.listVotersAt(raft.commitIndex).size;
-  const {voters: wanted = 1, minCopies = 1} = settings.seeded ?? {};
+  const {voters: wanted, minCopies} = seeded;
   const copies = Math.floor(voters / 2) + 1;
   const leadingMs = clock.now() - runtime.leadingSince;
   const isDurable =
--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -54,6 +54,8 @@
   private planner: HostGroupPlannerLoop | undefined;
   private handlers: Handlers | undefined;
   private missingLeaderLog: MissingLeaderLog | undefined;
+  /** Seeds of later settings. */
+  private readonly addedSeeds = new Set<string>();
   private readonly startedAt = systemClock.now();
 
   private constructor(
@@ -110,11 +112,12 @@
     const voters = Object.keys(this.member?.manager.listVoters() ?? {});
     const seeds = this.settings.seeded?.seeds ?? [];
     const known = leader ? [splitIdentity(leader).name] : [];
-    return [...new Set([...known, ...voters, ...seeds])];
+    return [...new Set([...known, ...voters, ...seeds, ...this.addedSeeds])];
   }
 
   /** Adds addresses for the discovery of control processes, after a change of the settings. */
   addSeeds(seeds: readonly string[]): void {
+    seeds.forEach(seed => this.addedSeeds.add(seed));
     this.member?.manager.addSeeds(seeds);
   }
 
--- a/src/control/control_settings.ts
+++ b/src/control/control_settings.ts
@@ -2,16 +2,22 @@
 import {EngineClient} from '../protocol/engine_client';
 import {TlsCredentials} from '../transport/tls_credentials';
 
-/** Bootstrap of a quorum from seed processes; processes are named by their address. */
+/**
+ * Bootstrap of a quorum from seed processes; processes are named by their address. The
+ * values may change while the process runs, so each use reads them again.
+ */
 interface SeededQuorum {
   /** Names of the initial voters; once the quorum exists, only used for discovery. */
   readonly seeds: readonly string[];
   /** True if the whole system starts for the first time, so that a new quorum may be formed. */
   readonly isFirstStart: boolean;
-  /** Target number of voters. */
-  readonly voters: number;
-  /** Guaranteed copies needed to acknowledge a change: the tolerated number of failures plus one. */
-  readonly minCopies: number;
+  /** Target number of voters; while it is undefined, the quorum keeps its size. */
+  readonly voters: number | undefined;
+  /**
+   * Guaranteed copies needed to acknowledge a change: the tolerated number of failures plus
+   * one. While it is undefined, no change is acknowledged.
+   */
+  readonly minCopies: number | undefined;
 }
 
 /** What the leader needs to manage the backend servers of the pools. */
