--- a/src/config/resolve_document.ts
+++ b/src/config/resolve_document.ts
@@ -94,7 +94,9 @@
     const wrong = getValue(root, path);
     const isKnown = problems.has(name);
     const stated =
-      wrong === undefined ? 'is missing' : `is ${quote(wrong)}: ${message}`;
+      wrong === undefined
+        ? 'is missing'
+        : `is ${formatValue(wrong)}: ${message}`;
     problems.set(name, problems.get(name) ?? stated);
     const replacement = isKnown ? undefined : getValue(replacements, path);
     const isEntry = lists.includes(path.slice(0, -1).join('.'));
@@ -193,7 +195,7 @@
   }
 }
 
-function quote(value: unknown): string {
+function formatValue(value: unknown): string {
   const text = inspect(value, {
     depth: 1,
     breakLength: Infinity,
