--- a/test/platform/partly_wrong_start.test.ts
+++ b/test/platform/partly_wrong_start.test.ts
@@ -199,6 +199,7 @@
     }
     for (const machine of all) {
       expect(machine.listReasons('settings-ignored')).toHaveLength(8);
+      expect(machine.listReasons('metrics-unavailable')).toHaveLength(1);
     }
 
     // One gateway is told of the mended file, the other finds it by itself.
--- a/test/platform/settings_machine.ts
+++ b/test/platform/settings_machine.ts
@@ -66,7 +66,7 @@
       label: this.options.ip,
       script: `platform/bin/${this.options.role}.js`,
       args: [],
-      env: {WHINREEL_NODE_FILE: this.file},
+      env: {WHINREEL_NODE_FILE: this.file, WHINREEL_METRICS_PORT: 'odd'},
     });
   }
 
