fix(platform): a start that fails names the settings that it used

A listen address that the machine does not have, or a data_dir that cannot be made, ended the start with "cannot listen on 192.0.2.1:80" or "ENOTDIR: not a directory, mkdir '/dev/null/data'", which do not tell where the value stands. The line now names the file and the settings without which the role cannot do, with their values, before the cause. The status stays 1, since a port may also be taken for a while.

The three tests failed before: no line named the file or the field.

--- a/test/platform/partly_wrong_start.test.ts
+++ b/test/platform/partly_wrong_start.test.ts
@@ -216,6 +216,25 @@
   TEST_MS,
 );
 
+test.each([
+  [0, 'data_dir', {data_dir: '/dev/null/data'}],
+  [0, 'listen.control', {listen: {control: '192.0.2.1:80'}}],
+  [3, 'listen.front', {listen: {front: '192.0.2.1:80', ready: '127.0.0.1:1'}}],
+])(
+  'a start that a sound value prevents (%d, %s) names it',
+  async (at, name, changes) => {
+    const {all} = await createFleet();
+    writeAll([all[at]], true, changes);
+    const error = await all[at].start().catch((failure: Error) => failure);
+
+    const value = JSON.stringify(Object.values(changes)[0]).match(
+      /"[/\d][^"]*"/,
+    );
+    expect(String(error)).toContain('boot.toml: cannot start with ');
+    expect(String(error)).toContain(`${name} = ${value?.[0]}`);
+  },
+);
+
 test(
   'a first start with too few sound seeds forms the whole quorum once the files are mended',
   async () => {
