--- a/src/config/resolve_document.ts
+++ b/src/config/resolve_document.ts
@@ -196,6 +196,9 @@
 }
 
 function formatValue(value: unknown): string {
+  if (typeof value === 'string') {
+    return JSON.stringify(value.slice(0, MAX_QUOTED_LENGTH));
+  }
   const text = inspect(value, {
     depth: 1,
     breakLength: Infinity,
