fix(control): an error in a call, a message or a round of work ends that alone

Shown by the review with injected errors: what the handler of a call threw was an unhandled rejection, and ended the leader, as the next leader that got the same call. The catch behind the observers of messages never ran, since the stream runs them within the event of the socket. A round of the planner had none.

An error while a message of the agreement is handled still ends the process, in order: what it may vote for is unknown until it has read its disk again.

--- a/src/control/control_connections.ts
+++ b/src/control/control_connections.ts
@@ -1,5 +1,6 @@
 /** Connections between control processes. Each process sends on the connections that it opened. */
 import {AddressError} from '../common/address_error';
+import {FaultBoundary} from '../common/fault_boundary';
 import {Clock} from '../common/clock';
 import {ServerAddress} from '../common/server_address';
 import {connectPeer} from '../protocol/connect_peer';
@@ -218,16 +219,16 @@
     this.connections.set(name, connection);
     this.histories.set(name, {changedAt: clock.now()});
     const reply = (message: Message) => peer.send(message);
-    void peer.messages
-      .observe(message => {
-        connection.lastMessageAt = clock.now();
-        this.lastMessageAt.set(peer.remote.id, connection.lastMessageAt);
-        onMessage(peer.remote.id, message, reply);
-      })
-      .catch((error: Error) => {
-        onFailure(peer.remote.id, error);
-        peer.close();
-      });
+    const boundary = FaultBoundary.create(fault => {
+      onFailure(peer.remote.id, fault);
+      peer.close();
+    });
+    const receive = (message: Message) => {
+      connection.lastMessageAt = clock.now();
+      this.lastMessageAt.set(peer.remote.id, connection.lastMessageAt);
+      onMessage(peer.remote.id, message, reply);
+    };
+    void peer.messages.observe(boundary.wrap(receive));
     const failure = await peer.closed;
     const current = this.connections.get(name);
     if (current !== undefined && current !== connection) {
--- a/src/control/control_event_log.ts
+++ b/src/control/control_event_log.ts
@@ -17,6 +17,9 @@
   readonly raft: RaftRuntime['raft'] | undefined;
 }
 
+/** Lines of a stack: the message, and where the error comes from. */
+const MAX_STACK_LINES = 6;
+
 /** Records events with the identity of one control process. */
 export class ControlEventLog {
   private readonly throttledEventLog: ThrottledEventLog;
@@ -119,6 +122,16 @@
     });
   }
 
+  /** Records an error of this process that ended one call; its sender hears that this process does not lead. */
+  recordCallFault(ask: string, error: Error): void {
+    this.recordFault('call-fault', error, {ask});
+  }
+
+  /** Records an error of this process that ended one round of work that it repeats. */
+  recordWorkFault(work: string, error: Error): void {
+    this.recordFault('work-fault', error, {work});
+  }
+
   /** Records a failure to handle a message; its sender only sees the connection close. */
   recordMessageFailure(from: string, error: Error): void {
     this.throttledEventLog.record('message', {
@@ -129,4 +142,20 @@
       details: {from},
     });
   }
+
+  private recordFault(
+    type: string,
+    error: Error,
+    details: Readonly<Record<string, string>>,
+  ): void {
+    const kind = `${type} ${Object.values(details).join(' ')}`;
+    const stack = (error.stack ?? '').split('\n', MAX_STACK_LINES).join('\n');
+    this.throttledEventLog.record(kind, {
+      type,
+      subject: 'control',
+      id: this.identity,
+      reason: error.message,
+      details: {...details, error: error.name, stack},
+    });
+  }
 }
--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -1,6 +1,7 @@
 /** A control process: forms or joins the quorum and, while it leads, plans and serves calls. */
 import {randomBytes} from 'node:crypto';
 import {EventRing} from '../common/event_ring';
+import {FaultBoundary} from '../common/fault_boundary';
 import {LeaseClock} from '../common/lease_clock';
 import {recordPause} from '../common/record_pause';
 import {ServerAddress} from '../common/server_address';
@@ -214,6 +215,7 @@
       onFailure: error => this.fail(error),
       onChange: () => this.signal.notify(),
       onDiskFull: error => this.record('disk-full', error.message),
+      onFault: (work, error) => this.log.recordWorkFault(work, error),
     });
     this.member.start();
     this.missingLeaderLog = MissingLeaderLog.create({
@@ -241,12 +243,14 @@
       this.connections?.connectBack(peer.remote);
     }
     const reply = (message: Message) => peer.send(message);
-    void peer.messages
-      .observe(message => this.receive(peer.remote.id, message, reply))
-      .catch((error: Error) => {
-        this.log.recordMessageFailure(peer.remote.id, error);
-        peer.close();
-      });
+    const boundary = FaultBoundary.create(fault => {
+      this.log.recordMessageFailure(peer.remote.id, fault);
+      peer.close();
+    });
+    // The stream runs its observers within the event of the socket.
+    const receive = (message: Message) =>
+      this.receive(peer.remote.id, message, reply);
+    void peer.messages.observe(boundary.wrap(receive));
   }
 
   private receive(from: string, message: Message, reply: Reply): void {
@@ -260,16 +264,25 @@
       return;
     }
     if ('call' in message) {
-      void this.calls.answer(
-        message as MessageOf<Message, keyof Handlers>,
-        reply,
-      );
+      const call = message as MessageOf<Message, keyof Handlers>;
+      this.calls
+        .answer(call, reply)
+        .catch((error: Error) => this.log.recordMessageFailure(from, error));
       return;
     }
     if ('term' in message) {
       this.log.recordRefusedVote(from, message as RaftMessage);
     }
-    this.member?.receive(from, message, reply);
+    try {
+      this.member?.receive(from, message, reply);
+    } catch (error) {
+      if ('term' in message) {
+        // What this process may vote for and acknowledge is unknown until it has read its disk again.
+        this.fail(error as Error);
+        return;
+      }
+      throw error;
+    }
   }
 
   /** Starts what the leader does besides consensus; it is idle while another process leads. */
@@ -297,6 +310,7 @@
     });
     if (settings.pools) {
       this.enginePlanner = EngineGroupPlannerLoop.create({
+        onFault: (work, error) => this.log.recordWorkFault(work, error),
         poolSettings: settings.pools,
         runtime,
         registry: this.registry,
--- a/src/control/engine_group_planner_loop.ts
+++ b/src/control/engine_group_planner_loop.ts
@@ -1,5 +1,6 @@
 /** Periodically plans the groups of engines, commits the changes and dispatches the orders while this process leads. */
 import {Clock} from '../common/clock';
+import {FaultBoundary} from '../common/fault_boundary';
 import {EventRing} from '../common/event_ring';
 import {BackendView} from '../coordination/groups/backend_view';
 import {countByDomain} from '../coordination/groups/count_by_domain';
@@ -42,6 +43,8 @@
 
 /** Dependencies of the loop. */
 interface EngineGroupPlannerLoopOptions {
+  /** Called with what failed in a round; the next round follows. */
+  readonly onFault: (work: string, error: Error) => void;
   readonly poolSettings: NonNullable<ControlSettings['pools']>;
   readonly runtime: RaftRuntime;
   readonly registry: BackendRegistry;
@@ -82,7 +85,10 @@
     this.idleHosts = IdleHostLog.create(events);
     this.shortages = ModelShortageLog.create(events);
     this.moves = GroupMoveLog.create(events);
-    this.timer = setInterval(() => void this.run(), PLAN_EVERY_MS);
+    const boundary = FaultBoundary.create(fault =>
+      options.onFault('planning', fault),
+    );
+    this.timer = setInterval(() => boundary.watch(this.run()), PLAN_EVERY_MS);
   }
 
   /**
@@ -126,7 +132,10 @@
     this.isCommitting = true;
     try {
       for (const pool of runtime.state.channel.rules?.pools ?? []) {
-        await this.planPool(pool, now);
+        // One pool that cannot be planned must not keep the others from it.
+        await this.planPool(pool, now).catch((error: Error) =>
+          this.options.onFault(`planning of pool ${pool.name}`, error),
+        );
       }
     } finally {
       this.isCommitting = false;
--- a/src/control/quorum_manager.ts
+++ b/src/control/quorum_manager.ts
@@ -43,6 +43,8 @@
   readonly findRuntime: () => RaftRuntime | undefined;
   /** Called when the disk is full; the write is retried until it succeeds. */
   readonly onDiskFull?: (error: Error) => void;
+  /** Called with what failed in a round of work; the next round follows. Without it the error is thrown. */
+  readonly onFault?: (work: string, error: Error) => void;
   /** Called once, when the data folder contains the voters of a quorum. */
   readonly onQuorum: (reason: {type: string; reason: string}) => void;
 }
@@ -232,7 +234,15 @@
 
   private tick(): void {
     this.connectVoters();
-    void this.changeVoters();
+    this.changeVoters().catch((error: Error) => this.handleFault(error));
+  }
+
+  private handleFault(error: Error): void {
+    const {onFault} = this.options;
+    if (!onFault) {
+      throw error;
+    }
+    onFault('change of voters', error);
   }
 
   private async changeVoters(): Promise<void> {
--- a/src/control/quorum_member.ts
+++ b/src/control/quorum_member.ts
@@ -25,6 +25,8 @@
   readonly clock: Clock;
   readonly timers?: Timers;
   readonly random: () => number;
+  /** Called with what failed in a round of work; the next round follows. */
+  readonly onFault?: (work: string, error: Error) => void;
   /** Called when the data folder contains the voters of a quorum, with the event to record. */
   readonly onQuorum: (reason: {type: string; reason: string}) => void;
   /** Called once, before Raft handles its first event. */
@@ -46,6 +48,7 @@
       timers,
       findRuntime: () => this.raftRuntime,
       onDiskFull: options.onDiskFull,
+      onFault: options.onFault,
       onQuorum: reason => {
         options.onQuorum(reason);
         this.startRaft();
--- a/src/transport/frame_connection.ts
+++ b/src/transport/frame_connection.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net';
 import * as tls from 'node:tls';
 import {Stream} from 'most';
+import {FaultBoundary} from '../common/fault_boundary';
 import {PushSource} from '../common/push_source';
 import {ServerAddress} from '../common/server_address';
 import {FrameSplitter} from './frame_splitter';
@@ -37,7 +38,13 @@
   ) {
     socket.setNoDelay(true);
     const splitter = FrameSplitter.create(maxFrameBytes);
-    socket.on('data', chunk => this.receive(splitter, chunk));
+    // Whoever handles a frame runs within this event.
+    const boundary = FaultBoundary.create(fault => {
+      this.failure ??= new TransportError(fault, 'a frame was not handled');
+      socket.destroy();
+    });
+    const receive = (chunk: Buffer) => this.receive(splitter, chunk);
+    socket.on('data', boundary.wrap(receive));
     socket.on('error', error => {
       this.failure ??= new TransportError(error, 'connection failed');
     });
