fix(common): an observer that fails costs neither the recorder nor other observers

Shown by the review: the line of a request's fault goes to the observers of events, and an error of one of them left the boundary that had just ended the request, and with it the process. Each observer gets each value; the ring warns on standard error.

--- a/src/common/event_ring.ts
+++ b/src/common/event_ring.ts
@@ -1,4 +1,5 @@
 import {PushSource} from './push_source';
+import {runEach} from './run_each';
 import {SystemEvent} from './system_event';
 
 /** An event with its sequence number and time in this process. */
@@ -44,7 +45,11 @@
     if (this.events.length > this.capacity * 2) {
       this.events = this.events.slice(-this.capacity);
     }
-    this.source.push(recorded);
+    // Whoever records an event is not at fault for its observers, and cannot log their errors.
+    const [fault] = runEach([() => this.source.push(recorded)]);
+    if (fault) {
+      process.emitWarning(fault);
+    }
   }
 
   /** Lists the events after a sequence number, oldest first. */
--- a/src/common/push_source.ts
+++ b/src/common/push_source.ts
@@ -5,6 +5,7 @@
  * relative to other work; this source calls its sinks within `push`.
  */
 import {Disposable, Scheduler, Sink, Stream} from 'most';
+import {runEach} from './run_each';
 
 interface Subscription<T> {
   readonly sink: Sink<T>;
@@ -50,8 +51,16 @@
       this.buffered.push(value);
       return;
     }
-    for (const {sink, scheduler} of this.subscriptions) {
-      sink.event(scheduler.now(), value);
+    // Each subscriber gets the value, whichever of them fails.
+    const [fault] = runEach(
+      [...this.subscriptions].map(
+        ({sink, scheduler}) =>
+          () =>
+            sink.event(scheduler.now(), value),
+      ),
+    );
+    if (fault) {
+      throw fault;
     }
   }
 
--- a/src/protocol/check_gateway_rules.ts
+++ b/src/protocol/check_gateway_rules.ts
@@ -4,18 +4,38 @@
 /**
  * Checks constraints between fields, which the schema cannot express: every route
  * has a known pool with a weight over 0, no two routes share a host and path prefix,
- * and a key belongs to one workspace.
+ * no two pools and no two models of a pool share a name, and a key belongs to one
+ * workspace.
  *
  * @throws ProtocolError that names the invalid route or workspace
  * @example
  * checkGatewayRules(rules);
  */
 export function checkGatewayRules(rules: GatewayRules): void {
+  checkNames(rules);
   checkTargets(rules);
   checkDuplicates(rules);
   checkKeys(rules);
 }
 
+function checkNames({pools}: GatewayRules): void {
+  const repeated = findRepeated(pools.map(pool => pool.name));
+  if (repeated !== undefined) {
+    throw new ProtocolError('two pools are named "%s"', repeated);
+  }
+  for (const {name, engine} of pools) {
+    const model = findRepeated(engine?.models.map(each => each.name) ?? []);
+    if (model !== undefined) {
+      throw new ProtocolError('pool %s has two models "%s"', name, model);
+    }
+  }
+}
+
+function findRepeated(names: readonly string[]): string | undefined {
+  const seen = new Set<string>();
+  return names.find(name => seen.size === seen.add(name).size);
+}
+
 function checkTargets({routes, pools}: GatewayRules): void {
   const known = new Set(pools.map(pool => pool.name));
   for (const {name, targets} of routes) {
