--- a/src/bin/run_daemon.ts
+++ b/src/bin/run_daemon.ts
@@ -37,9 +37,10 @@
   prepare: () => DaemonOptions,
 ): Promise<void> {
   // Only observes: after an error that nothing caught the state is unknown, and the process ends.
-  process.on('uncaughtExceptionMonitor', error =>
-    writeFailure({program, error, status: EXIT_FAILURE}),
-  );
+  process.on('uncaughtExceptionMonitor', (thrown: unknown) => {
+    const error = thrown instanceof Error ? thrown : new Error(String(thrown));
+    writeFailure({program, error, status: EXIT_FAILURE});
+  });
   try {
     const {logFormat, start} = prepare();
     // Registered before the start, since a signal without a handler terminates the process.
--- a/src/gateway/control/parse_targets.ts
+++ b/src/gateway/control/parse_targets.ts
@@ -17,7 +17,8 @@
 }
 
 /** Requests name their server in a header. */
-const HEADER_TEXT = /^[\x21-\x7e](?:[\x20-\x7e]*[\x21-\x7e])?$/;
+const HEADER_TEXT =
+  /^[\x21-\x7e\xa1-\xff](?:[\x20-\x7e\xa0-\xff]*[\x21-\x7e\xa1-\xff])?$/;
 
 /**
  * Parses the addresses of targets, and checks their ids. Malformed ones come from a leader of another version
--- a/src/gateway/request_bodies.ts
+++ b/src/gateway/request_bodies.ts
@@ -12,6 +12,8 @@
 /** Limit for bodies until the first rules arrive. */
 const DEFAULT_MAX_BYTES = 1024 * 1024;
 const INVALID_STATUS = 400;
+/** The gateway, not the caller, is why the body was not read. */
+const UNAVAILABLE_STATUS = 503;
 
 /** One request whose head was read. */
 interface ReceivedHead {
@@ -75,11 +77,10 @@
     {request, writer}: ReceivedHead,
     {name, message: reason}: Error,
   ): void {
-    const refusal = {
-      status: BODY_ERROR_STATUS[name] ?? INVALID_STATUS,
-      reason,
-      retryAfterMs: name === 'NoRoom' ? RETRY_AFTER_NO_ROOM_MS : undefined,
-    };
+    const status = BODY_ERROR_STATUS[name] ?? INVALID_STATUS;
+    const retryAfterMs =
+      status === UNAVAILABLE_STATUS ? RETRY_AFTER_NO_ROOM_MS : undefined;
+    const refusal = {status, reason, retryAfterMs};
     writer.sendError(refusal, request.id);
     this.log.recordRefusal(request, refusal);
   }
--- a/src/gateway/request_sender.ts
+++ b/src/gateway/request_sender.ts
@@ -154,15 +154,18 @@
     const {incarnation} = target;
     const running = balancer.countRunning(incarnation);
     history.recordTarget(incarnation, running, clock.now());
+    const remainingMs = Math.max(1, Math.floor(deadlineAt - clock.now()));
+    const lastEventId = readLastEventId();
     const attempt = Attempt.create({
       ...context,
       ...this.options,
       target,
       permit,
-      retry: policy.takeGrant(),
+      remainingMs,
+      lastEventId,
       onWritten: () => policy.recordWritten(),
-      remainingMs: Math.max(1, Math.floor(deadlineAt - clock.now())),
-      lastEventId: readLastEventId(),
+      // Last, so that nothing fails between the policy and the attempt, which gives it back.
+      retry: policy.takeGrant(),
     });
     // Known before anything is sent, so that an attempt that ends within the call is stopped like any other.
     this.attempt = attempt;
--- a/test/platform/http_dialect.test.ts
+++ b/test/platform/http_dialect.test.ts
@@ -45,6 +45,17 @@
     expect(read({...sent, host})).toMatchObject({host: name});
   });
 
+  test('with two ids are refused, since a server answers with one of them', () => {
+    const message = {
+      headers: {'x-whinreel-request-id': 'q, r'},
+      rawHeaders: ['X-Whinreel-Request-Id', 'q', 'x-whinreel-request-id', 'r'],
+    };
+    const read = () =>
+      platformHttpDialect.readRequest(message as unknown as IncomingMessage);
+
+    expect(read()).toMatch('more than one');
+  });
+
   // Guards against an id that its server does not get, so that the caller gets no answer.
   test('of the request itself are forwarded although its connection header lists them', () => {
     const connection = 'close, X-Whinreel-Request-Id, x-hop';
