fix(transport): a body that an error ended keeps no memory

Shown by the review with an injected error: 80,000 bytes stayed counted after the caller had gone. test/transport/faulty_body.test.ts was red.

--- a/src/transport/read_http_body.ts
+++ b/src/transport/read_http_body.ts
@@ -1,6 +1,7 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {BlockBuffer} from '../common/block_buffer';
 import {FaultBoundary} from '../common/fault_boundary';
+import {runEach} from '../common/run_each';
 import {BodyBudget} from './body_budget';
 import {TransportError} from './transport_error';
 import {watchResponseClose} from './watch_response_close';
@@ -57,7 +58,8 @@
   private discardedBytes = 0;
   private timer: NodeJS.Timeout | undefined;
   private readonly boundary = FaultBoundary.create(fault => {
-    clearTimeout(this.timer);
+    this.state = 'refused';
+    runEach([() => clearTimeout(this.timer), () => this.buffer.clear()]);
     const name = 'Fault';
     this.receiver.reject(
       new TransportError({name, cause: fault}, 'the body could not be read'),
