--- a/test/soak/soak_machine.ts
+++ b/test/soak/soak_machine.ts
@@ -48,6 +48,7 @@
 export class SoakMachine extends SoakProcess {
   private isFirstStart = true;
   private seeds: readonly string[];
+  private replacedSettings: string | undefined;
 
   private constructor(readonly options: SoakMachineOptions) {
     super();
@@ -74,6 +75,11 @@
     this.running.reload();
   }
 
+  /** Each start from now on reads this text instead of the machine's own settings; undefined for these again. */
+  replaceSettings(text: string | undefined): void {
+    this.replacedSettings = text;
+  }
+
   /** Process id; undefined while it is down. */
   get pid(): number | undefined {
     return this.running?.pid;
@@ -82,7 +88,7 @@
   protected override async launch(): Promise<ManagedProcess> {
     const {role, routes, limits, metricsPort = 0} = this.options;
     const heap = limits ? [`--max-old-space-size=${limits.heapMb}`] : [];
-    this.writeSettings(this.formatSettings());
+    this.writeSettings(this.replacedSettings ?? this.formatSettings());
     const started = await ManagedProcess.create({
       label: this.label,
       script: `platform/bin/${role}.js`,
