--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -3,10 +3,12 @@
 import {EventRing} from '../common/event_ring';
 import {LeaseClock} from '../common/lease_clock';
 import {recordPause} from '../common/record_pause';
+import {ServerAddress} from '../common/server_address';
 import {systemClock} from '../common/system_clock';
 import {systemTimers} from '../common/system_timers';
 import {Message} from '../protocol/message';
 import {MessageOf} from '../protocol/message_of';
+import {parseAddresses} from '../protocol/parse_addresses';
 import {Peer} from '../protocol/peer';
 import {splitIdentity} from '../protocol/split_identity';
 import {QuorumStatus} from '../protocol/quorum_status';
@@ -17,7 +19,7 @@
 import {createCallHandlers} from './create_call_handlers';
 import {BackendRegistry} from './backend_registry';
 import {ChangeSignal} from './change_signal';
-import {ControlError} from './control_error';
+import {CallAnswerer} from './call_answerer';
 import {ControlConnections} from './control_connections';
 import {ControlEventLog} from './control_event_log';
 import {ControlSettings} from './control_settings';
@@ -43,6 +45,7 @@
   readonly failed: Promise<Error>;
   private fail: (error: Error) => void = () => undefined;
   private readonly log: ControlEventLog;
+  private readonly calls: CallAnswerer;
   private readonly fleet = Fleet.create();
   private readonly signal = ChangeSignal.create();
   private readonly incarnation = randomBytes(8).toString('hex');
@@ -54,6 +57,8 @@
   private planner: HostGroupPlannerLoop | undefined;
   private handlers: Handlers | undefined;
   private missingLeaderLog: MissingLeaderLog | undefined;
+  /** Seeds of later settings. */
+  private readonly addedSeeds = new Set<string>();
   private readonly startedAt = systemClock.now();
 
   private constructor(
@@ -62,6 +67,15 @@
   ) {
     this.failed = new Promise(resolve => (this.fail = resolve));
     this.log = ControlEventLog.create(disk.identity, this.events, systemClock);
+    this.calls = CallAnswerer.create({
+      log: this.log,
+      identity: disk.identity,
+      findRuntime: () => this.runtime,
+      findHandlers: () => this.handlers,
+      listControlAddresses: () =>
+        settings.seeded ? this.listControlAddresses().map(String) : undefined,
+      listVoters: () => Object.keys(this.member?.manager.listVoters() ?? {}),
+    });
     this.registry = BackendRegistry.create(
       settings.pools?.heartbeatMs,
       ({registration: {incarnation, address, sequence}, holder}) =>
@@ -105,16 +119,20 @@
   }
 
   /** Addresses of control processes to try, the known leader first, then voters and seeds. */
-  listControlAddresses(): string[] {
+  listControlAddresses(): readonly ServerAddress[] {
     const leader = this.runtime?.raft.leader;
     const voters = Object.keys(this.member?.manager.listVoters() ?? {});
     const seeds = this.settings.seeded?.seeds ?? [];
     const known = leader ? [splitIdentity(leader).name] : [];
-    return [...new Set([...known, ...voters, ...seeds])];
+    const names = new Set([...known, ...voters, ...seeds, ...this.addedSeeds]);
+    return parseAddresses([...names], error =>
+      this.log.recordMalformedAddress(error),
+    );
   }
 
   /** Adds addresses for the discovery of control processes, after a change of the settings. */
   addSeeds(seeds: readonly string[]): void {
+    seeds.forEach(seed => this.addedSeeds.add(seed));
     this.member?.manager.addSeeds(seeds);
   }
 
@@ -168,14 +186,16 @@
     this.connections = ControlConnections.create({
       identity: this.identity,
       zone: settings.zone,
-      addresses: settings.seeded
-        ? new Map(listOtherSeeds(settings).map(seed => [seed, seed]))
-        : settings.peers,
+      addresses: settings.peers,
       clock: systemClock,
       security: settings.security,
       onMessage: (from, message, reply) => this.receive(from, message, reply),
       onFailure: (from, error) => this.log.recordMessageFailure(from, error),
+      onMalformedAddress: error => this.log.recordMalformedAddress(error),
     });
+    for (const seed of listOtherSeeds(settings)) {
+      this.connections.add(seed, seed);
+    }
     this.member = QuorumMember.create({
       settings,
       disk,
@@ -235,8 +255,15 @@
       reply({type: 'quorum-answer', call: message.call, status});
       return;
     }
+    if (message.type === 'invalid-call') {
+      this.calls.reject(from, message, reply);
+      return;
+    }
     if ('call' in message) {
-      void this.answer(message as MessageOf<Message, keyof Handlers>, reply);
+      void this.calls.answer(
+        message as MessageOf<Message, keyof Handlers>,
+        reply,
+      );
       return;
     }
     if ('term' in message) {
@@ -245,57 +272,6 @@
     this.member?.receive(from, message, reply);
   }
 
-  private async answer(
-    request: MessageOf<Message, keyof Handlers>,
-    reply: Reply,
-  ): Promise<void> {
-    const {runtime, handlers} = this;
-    const control = this.settings.seeded
-      ? this.listControlAddresses()
-      : undefined;
-    const refuse = () =>
-      reply({type: 'not-leader', call: request.call, control});
-    if (!runtime?.canServe() || !handlers?.[request.type]) {
-      if (runtime?.raft.role === 'leader') {
-        this.recordRefusal(
-          request.type,
-          'it is the leader, but no quorum has confirmed that lately',
-        );
-      }
-      refuse();
-      return;
-    }
-    try {
-      const answer = await handlers[request.type](request as never);
-      // This process may have been suspended since the call, and its lease expired.
-      if (runtime.canServe()) {
-        reply(answer);
-      } else {
-        this.recordRefusal(
-          request.type,
-          'leadership was lost before the answer was sent',
-        );
-        refuse();
-      }
-    } catch (error) {
-      if (!(error instanceof ControlError)) {
-        throw error;
-      }
-      this.recordRefusal(request.type, error.message);
-      refuse();
-    }
-  }
-
-  private recordRefusal(callType: string, reason: string): void {
-    const voters = Object.keys(this.member?.manager.listVoters() ?? {});
-    this.log.recordRefusedCall({
-      ask: callType,
-      reason,
-      voters,
-      raft: this.runtime?.raft,
-    });
-  }
-
   /** Starts what the leader does besides consensus; it is idle while another process leads. */
   private startLeaderServices(runtime: RaftRuntime): void {
     const {settings, disk, fleet} = this;
--- a/src/control/registration_service.ts
+++ b/src/control/registration_service.ts
@@ -1,6 +1,8 @@
 /** Serves registrations and deregistrations of backend servers on the leader. */
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
+import {MAX_QUOTED_ADDRESS_LENGTH} from '../common/max_quoted_address_length';
+import {ServerAddress} from '../common/server_address';
 import {ThrottledEventLog} from '../common/throttled_event_log';
 import {BackendRegistration} from '../protocol/backend_registration';
 import {ControlMessage} from '../protocol/control_message';
@@ -14,6 +16,8 @@
 
 /** A new leader has heard from every live backend server after this many registration intervals. */
 const LISTEN_INTERVALS = 2;
+/** A backend server that was silent for this many intervals may have been replaced by one that tells no start time. */
+const SILENT_INTERVALS = 2;
 /** Used where the interval of registrations isn't configured. */
 const DEFAULT_HEARTBEAT_MS = 1_000;
 
@@ -58,16 +62,19 @@
     registration: received,
   }: Call<'registration-ask'>): Promise<ControlMessage> {
     const {registry, cold, clock, notify} = this.options;
-    // Where cold servers have no limit, being cold must not change any decision.
-    const {coldForMs, ...withoutColdness} = received;
-    const isLimited = cold.isLimitedPool(received.pool);
-    const registration =
-      coldForMs === undefined || isLimited ? received : withoutColdness;
-    const refusal = this.findRefusal(registration);
+    const refusal = this.findRefusal(received);
     if (refusal !== undefined) {
-      this.recordRefusal(registration, refusal);
+      this.recordRefusal(received, refusal);
       return {type: 'registration-answer', call, refusal};
     }
+    // Processes at the same address are recognized by its canonical text.
+    const address = ServerAddress.parse(received.address).toString();
+    // Where cold servers have no limit, being cold must not change any decision.
+    const complete = {...received, address};
+    const {coldForMs, ...withoutColdness} = complete;
+    const isLimited = cold.isLimitedPool(received.pool);
+    const registration =
+      coldForMs === undefined || isLimited ? complete : withoutColdness;
     if (registry.record(registration, clock.now())) {
       notify();
       this.recordChange(registration);
@@ -129,18 +136,40 @@
   /** Why a registration is invalid and must not change anything; undefined if it is valid. */
   private findRefusal({
     pool,
+    name,
     startedAt,
+    address,
   }: BackendRegistration): string | undefined {
-    const {runtime, registry} = this.options;
+    const {runtime} = this.options;
     const {rules} = runtime.state.channel;
-    if (rules && !rules.pools.some(({name}) => name === pool)) {
+    try {
+      ServerAddress.parse(address);
+    } catch (error) {
+      return `address: ${(error as Error).message}`;
+    }
+    if (rules && !rules.pools.some(known => known.name === pool)) {
       return `the rules know no pool "${pool}"`;
     }
-    return startedAt === undefined && registry.hasStartTimes
-      ? 'it does not tell when it started, as the others do'
+    return startedAt === undefined && this.hasRecentStartTime(name)
+      ? 'it does not tell when it started, as it did before'
       : undefined;
   }
 
+  /**
+   * True if the backend server of this name told its start time lately. Without one, a
+   * registration cannot be assigned to one of its starts. Other servers prove nothing: a
+   * single faulty one that tells a start time would exclude all that tell none.
+   */
+  private hasRecentStartTime(name: string | undefined): boolean {
+    const {registry, clock, settings} = this.options;
+    const known = name === undefined ? undefined : registry.findByName(name);
+    const heartbeatMs = settings.pools?.heartbeatMs ?? DEFAULT_HEARTBEAT_MS;
+    return (
+      known?.registration.startedAt !== undefined &&
+      clock.now() - known.seenAt < heartbeatMs * SILENT_INTERVALS
+    );
+  }
+
   private findNewestIncarnation(name: string): string | undefined {
     const registered = this.options.registry.findByName(name);
     const member = this.listMembers().find(known => known.name === name);
@@ -176,7 +205,11 @@
       subject: 'host',
       id: incarnation,
       reason,
-      details: {pool, address, sequence},
+      details: {
+        pool,
+        address: address.slice(0, MAX_QUOTED_ADDRESS_LENGTH),
+        sequence,
+      },
     });
   }
 
