--- a/src/control/call_answerer.ts
+++ b/src/control/call_answerer.ts
@@ -67,10 +67,12 @@
         refuse();
       }
     } catch (error) {
-      if (!(error instanceof ControlError)) {
-        throw error;
+      if (error instanceof ControlError) {
+        this.recordRefusal(request.type, error.message);
+      } else {
+        // Costs this call alone: its sender asks again, and errors of the disk end the process elsewhere.
+        this.options.log.recordCallFault(request.type, error as Error);
       }
-      this.recordRefusal(request.type, error.message);
       refuse();
     }
   }
--- a/src/control/control_event_log.ts
+++ b/src/control/control_event_log.ts
@@ -17,6 +17,9 @@
   readonly raft: RaftRuntime['raft'] | undefined;
 }
 
+/** Lines of a stack: the message, and where the error comes from. */
+const MAX_STACK_LINES = 6;
+
 /** Records events with the identity of one control process. */
 export class ControlEventLog {
   private readonly throttledEventLog: ThrottledEventLog;
@@ -119,6 +122,18 @@
     });
   }
 
+  /** Records an error of this process that ended one call; its sender hears that this process does not lead. */
+  recordCallFault(ask: string, error: Error): void {
+    const stack = (error.stack ?? '').split('\n', MAX_STACK_LINES).join('\n');
+    this.throttledEventLog.record(`call-fault ${ask}`, {
+      type: 'call-fault',
+      subject: 'control',
+      id: this.identity,
+      reason: error.message,
+      details: {ask, error: error.name, stack},
+    });
+  }
+
   /** Records a failure to handle a message; its sender only sees the connection close. */
   recordMessageFailure(from: string, error: Error): void {
     this.throttledEventLog.record('message', {
--- a/src/control/control_server.ts
+++ b/src/control/control_server.ts
@@ -260,10 +260,10 @@
       return;
     }
     if ('call' in message) {
-      void this.calls.answer(
-        message as MessageOf<Message, keyof Handlers>,
-        reply,
-      );
+      const call = message as MessageOf<Message, keyof Handlers>;
+      this.calls
+        .answer(call, reply)
+        .catch((error: Error) => this.log.recordMessageFailure(from, error));
       return;
     }
     if ('term' in message) {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -292,8 +292,10 @@
       return;
     }
     if (error.name === 'Unsendable') {
-      // Says nothing about the backend server, and every other would get the same.
-      throw error;
+      // No sign of an unreachable server; another may have an id that fits into a header.
+      const reason = `it has no form in HTTP: ${String(error.cause ?? error)}`;
+      this.finish({kind: 'not-run', reason});
+      return;
     }
     if (error.name === 'NeverSent') {
       balancer.recordUnreachable(target.incarnation);
--- a/src/gateway/control/parse_targets.ts
+++ b/src/gateway/control/parse_targets.ts
@@ -1,11 +1,12 @@
 import {ServerAddress} from '../../common/server_address';
 import {GatewayTarget} from '../../protocol/gateway_target';
 import {GatewayTargetMessage} from '../../protocol/gateway_target_message';
+import {ProtocolError} from '../../protocol/protocol_error';
 
-/** A target whose address is malformed. */
+/** A target whose address or id is malformed. */
 interface MalformedTarget {
   readonly target: GatewayTargetMessage;
-  /** What is wrong with its address. */
+  /** What is wrong with it. */
   readonly reason: string;
 }
 
@@ -15,8 +16,11 @@
   readonly malformed: readonly MalformedTarget[];
 }
 
+/** Requests name their server in a header. */
+const HEADER_TEXT = /^[\x21-\x7e](?:[\x20-\x7e]*[\x21-\x7e])?$/;
+
 /**
- * Parses the addresses of targets. Malformed ones come from a leader of another version
+ * Parses the addresses of targets, and checks their ids. Malformed ones come from a leader of another version
  * or from its disk, and must not cost the others.
  *
  * @example
@@ -29,6 +33,9 @@
   const malformed: MalformedTarget[] = [];
   for (const target of messages) {
     try {
+      if (!HEADER_TEXT.test(target.incarnation)) {
+        throw new ProtocolError('its id fits into no header');
+      }
       const address = ServerAddress.parse(target.address);
       targets.push({...target, address});
     } catch (error) {
--- a/src/gateway/crashes/crash_detector.ts
+++ b/src/gateway/crashes/crash_detector.ts
@@ -70,7 +70,8 @@
       return known.state;
     }
     const attempts = [attempt];
-    const state = this.probe(attempt);
+    // A server that could not be probed is not known to have ended.
+    const state = this.probe(attempt).catch(() => STATES.silent);
     this.connectionLosses.set(incarnation, {since: now, attempts, state});
     void state.then(found => this.record(attempt.target, found, attempts));
     this.expire(now);
--- a/src/gateway/crashes/suspect_trial.ts
+++ b/src/gateway/crashes/suspect_trial.ts
@@ -3,6 +3,7 @@
  * running there.
  */
 import {Clock} from '../../common/clock';
+import {FaultBoundary} from '../../common/fault_boundary';
 import {GatewayTarget} from '../../protocol/gateway_target';
 import {CrashContainment} from './crash_containment';
 import {RequestIdentity} from './request_identity';
@@ -29,6 +30,8 @@
 
 /** Dependencies of the trial. */
 interface SuspectTrialOptions {
+  /** Of the request; takes charge of what runs later. */
+  readonly boundary: FaultBoundary;
   readonly containment: CrashContainment;
   readonly identity: RequestIdentity;
   readonly clock: Clock;
@@ -52,7 +55,7 @@
    * Creates the trial of a request that is not a suspect.
    *
    * @example
-   * const trial = SuspectTrial.create({containment, identity, clock});
+   * const trial = SuspectTrial.create({boundary, containment, identity, clock});
    */
   static create(options: SuspectTrialOptions): SuspectTrial {
     return new SuspectTrial(options);
@@ -112,7 +115,7 @@
     }
     this.askedAt = now;
     this.isAsking = true;
-    void this.ask(target);
+    this.options.boundary.watch(this.ask(target));
     return {kind: 'wait'};
   }
 
--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -3,6 +3,7 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
 import {EventRing} from '../common/event_ring';
+import {mergeAddresses} from '../common/merge_addresses';
 import {ProcessPauses} from '../common/process_pauses';
 import {systemClock} from '../common/system_clock';
 import {ThrottledEventLog} from '../common/throttled_event_log';
@@ -210,7 +211,7 @@
   /** Updates the seed addresses of the control plane after the settings changed. */
   setControl(addresses: GatewaySettings['control']): void {
     this.seeds = addresses;
-    this.controlAddresses = [...this.controlAddresses, ...addresses];
+    this.controlAddresses = mergeAddresses(this.controlAddresses, addresses);
   }
 
   /** Shuts down gracefully: serves requests until callers have noticed, and closes once all admitted ones are answered. */
--- a/src/gateway/proxied_request.ts
+++ b/src/gateway/proxied_request.ts
@@ -57,7 +57,7 @@
       ...policies,
       context: options,
     });
-    this.trial = SuspectTrial.create(options);
+    this.trial = SuspectTrial.create({...options, boundary});
     this.crashCheck = CrashCheck.create({...options, trial: this.trial});
     this.relay = ResponseRelay.create({
       boundary,
--- a/test/control/invalid_calls.test.ts
+++ b/test/control/invalid_calls.test.ts
@@ -8,6 +8,7 @@
 import {afterEach, describe, expect, test, vi} from 'vitest';
 import {ServerAddress} from '../../src/common/server_address';
 import {ControlServer} from '../../src/control/control_server';
+import {RegistrationService} from '../../src/control/registration_service';
 import {connectPeer} from '../../src/protocol/connect_peer';
 import {ControlClient} from '../../src/protocol/control_client';
 import {Message} from '../../src/protocol/message';
@@ -34,6 +35,16 @@
   promptTokensPerSecond: Infinity,
   answerTokensPerSecond: 1,
 };
+const REGISTRATION = {
+  incarnation: 'i',
+  pool: 'p',
+  address: '127.0.0.1:80',
+  zone: 'z',
+  isLeaving: false,
+  sequence: 1,
+  slots: 1,
+  stagedModels: [],
+};
 const closers: Array<() => unknown> = [];
 
 afterEach(async () => {
@@ -148,3 +159,24 @@
 
   expect(listEvents('call-invalid')).toHaveLength(1);
 });
+
+// Guards against an error in the handler of one call that ends the process.
+test('a call whose handler fails costs only itself', async () => {
+  const {address, listEvents} = await startControl();
+  const client = createClient(address);
+  vi.spyOn(RegistrationService.prototype, 'register').mockImplementation(() => {
+    throw new RangeError('the handler failed');
+  });
+
+  const [failed, status] = await Promise.allSettled([
+    client.ask({type: 'registration-ask', registration: REGISTRATION}, 500),
+    client.ask({type: 'status-ask'}, 5_000),
+  ]);
+
+  expect(failed.status).toBe('rejected');
+  expect(status.status).toBe('fulfilled');
+  expect(listEvents('call-fault')[0]).toMatchObject({
+    reason: 'the handler failed',
+    details: {ask: 'registration-ask', error: 'RangeError'},
+  });
+});
--- a/test/platform/http_dialect.test.ts
+++ b/test/platform/http_dialect.test.ts
@@ -37,6 +37,29 @@
     expect(read({host: 'h'})).toMatch('is missing');
   });
 
+  test.each([
+    ['[::1]:80', '[::1]'],
+    ['[::1]', '[::1]'],
+    ['h.example:', 'h.example'],
+  ])('of the host %s name the host %s', (host, name) => {
+    expect(read({...sent, host})).toMatchObject({host: name});
+  });
+
+  // Guards against an id that its server does not get, so that the caller gets no answer.
+  test('of the request itself are forwarded although its connection header lists them', () => {
+    const connection = 'close, X-Whinreel-Request-Id, x-hop';
+    const request = read({...sent, connection});
+
+    expect(request).toMatchObject({
+      forwardedHeaders: expect.arrayContaining([
+        'x-whinreel-request-id',
+      ]) as unknown,
+    });
+    expect(request).not.toMatchObject({
+      forwardedHeaders: expect.arrayContaining(['x-hop']) as unknown,
+    });
+  });
+
   test('are forwarded without the API key and with those that the gateway sets', () => {
     const request = read(sent);
     if (typeof request === 'string') {
--- a/test/support/crash_fleet.ts
+++ b/test/support/crash_fleet.ts
@@ -8,7 +8,7 @@
 import {CrashDetector} from '../../src/gateway/crashes/crash_detector';
 import {CrashContainment} from '../../src/gateway/crashes/crash_containment';
 import {RequestIdentity} from '../../src/gateway/crashes/request_identity';
-import {SuspectTrial} from '../../src/gateway/crashes/suspect_trial';
+import {createSuspectTrial} from './create_suspect_trial';
 import {VirtualTime} from '../simulation/virtual_time';
 import {SimulatedControl} from './simulated_control';
 import {CrashFleetOptions} from './crash_fleet_options';
@@ -188,7 +188,7 @@
       identity,
       isPoison: marked >= 0,
       poisonIndex: marked,
-      trial: SuspectTrial.create({containment, identity, clock: this.time}),
+      trial: createSuspectTrial({containment, identity, clock: this.time}),
       triedBackends: new Set(),
       isAbandoned: false,
       lostAttempts: 0,
