fix: a name that every object inherits is no count, a dead server has a line

Found by the drawn inputs: one registration with the id "constructor" gave every request of its whole service 503 at all gateways, since the count of its running requests was read from Object.prototype. Records that are indexed by names from outside are read by getOwn: running requests, demand of models. A server to which no connection can be made has a line with its address and the cause (backend-unreachable).

--- a/src/control/gateway_service.ts
+++ b/src/control/gateway_service.ts
@@ -1,4 +1,5 @@
 /** Serves the calls of gateways, of trusted rules channels and of backend servers on the leader. */
+import {getOwn} from '../common/get_own';
 import {Clock} from '../common/clock';
 import {EventRing} from '../common/event_ring';
 import {ControlMessage} from '../protocol/control_message';
@@ -149,7 +150,7 @@
     const sums: Record<string, ModelDemand> = {};
     for (const {demand} of this.gateways.values()) {
       for (const [model, part] of Object.entries(demand)) {
-        sums[model] = addDemand(sums[model], part);
+        sums[model] = addDemand(getOwn(sums, model), part);
       }
     }
     return sums;
@@ -265,7 +266,7 @@
     const own = this.gateways.get(gatewayId)?.running ?? {};
     const elsewhere: Record<string, number> = {};
     for (const [incarnation, count] of this.running) {
-      const others = count - (own[incarnation] ?? 0);
+      const others = count - (getOwn(own, incarnation) ?? 0);
       if (others > 0) {
         elsewhere[incarnation] = others;
       }
--- a/src/coordination/groups/compute_model_needs.ts
+++ b/src/coordination/groups/compute_model_needs.ts
@@ -1,3 +1,4 @@
+import {getOwn} from '../../common/get_own';
 import {EngineProfile} from '../../protocol/engine_profile';
 import {ModelDemand} from '../../protocol/model_demand';
 import {computeBusyGroups} from './compute_busy_groups';
@@ -36,7 +37,7 @@
   return new Map(
     profile.models.flatMap(model => {
       const {name} = model;
-      const modelDemand = demand[name];
+      const modelDemand = getOwn(demand, name);
       const weight = weights.get(name) ?? 1;
       if (!modelDemand) {
         return [[name, {weight, busyGroups: 0, sufficientGroups: 0}]];
--- a/src/coordination/groups/compute_split_cost.ts
+++ b/src/coordination/groups/compute_split_cost.ts
@@ -1,3 +1,4 @@
+import {getOwn} from '../../common/get_own';
 import {EngineProfile} from '../../protocol/engine_profile';
 import {ModelDemand} from '../../protocol/model_demand';
 import {estimateLateFraction} from './estimate_late_fraction';
@@ -35,7 +36,7 @@
   weights,
 }: SplitCostInput): number {
   return profile.models.reduce((sum, model) => {
-    const demand = demandByModel[model.name];
+    const demand = getOwn(demandByModel, model.name);
     const groups = counts.get(model.name) ?? 0;
     if (!demand) {
       return sum;
--- a/src/coordination/groups/compute_urgency_weights.ts
+++ b/src/coordination/groups/compute_urgency_weights.ts
@@ -1,3 +1,4 @@
+import {getOwn} from '../../common/get_own';
 import {ModelDemand} from '../../protocol/model_demand';
 import {QueueReport} from '../../protocol/queue_report';
 
@@ -61,7 +62,7 @@
     }
     if (queues === undefined) {
       for (const model of models) {
-        const rate = demand[model]?.requestsPerSecond ?? 0;
+        const rate = getOwn(demand, model)?.requestsPerSecond ?? 0;
         unknownRates.set(model, (unknownRates.get(model) ?? 0) + rate);
       }
     }
--- a/src/coordination/groups/demand_forecast.ts
+++ b/src/coordination/groups/demand_forecast.ts
@@ -1,4 +1,5 @@
 /** Forecasts what the measured demand of a pool's models makes of a number of groups. */
+import {getOwn} from '../../common/get_own';
 import {EngineProfile} from '../../protocol/engine_profile';
 import {ModelDemand} from '../../protocol/model_demand';
 import {computeBusyGroups} from './compute_busy_groups';
@@ -31,7 +32,7 @@
   static create(input: ForecastInput): DemandForecast | undefined {
     const {profile, demand} = input;
     const isKnown = profile.models.every(
-      ({name}) => (demand[name]?.answerTokensPerSecond ?? 0) > 0,
+      ({name}) => (getOwn(demand, name)?.answerTokensPerSecond ?? 0) > 0,
     );
     return isKnown ? new DemandForecast(input) : undefined;
   }
--- a/src/coordination/groups/share_adjuster.ts
+++ b/src/coordination/groups/share_adjuster.ts
@@ -3,6 +3,7 @@
  * which one model's groups are overloaded while another's are half idle: a rise of
  * one model's traffic, and the loss of a fabric domain.
  */
+import {getOwn} from '../../common/get_own';
 import {EngineProfile} from '../../protocol/engine_profile';
 import {ModelDemand} from '../../protocol/model_demand';
 import {computeDesiredGroups} from './compute_desired_groups';
@@ -216,7 +217,7 @@
 /** Where urgency counts, requests for models of other pools do not delay the first shift. */
 function isDemandKnown({profile, demand, weights}: UpdateInput): boolean {
   const demands = weights
-    ? profile.models.flatMap(({name}) => demand[name] ?? [])
+    ? profile.models.flatMap(({name}) => getOwn(demand, name) ?? [])
     : Object.values(demand);
   return demands.every(isKnown);
 }
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -298,7 +298,7 @@
       return;
     }
     if (error.name === 'NeverSent') {
-      balancer.recordUnreachable(target.incarnation);
+      balancer.recordUnreachable(target.incarnation, readCause(error));
       this.finish({kind: 'not-run', reason: 'no connection was made'});
       return;
     }
@@ -358,3 +358,10 @@
     ];
   }
 }
+
+/** The code of a failed connection, such as ECONNREFUSED, or else its message. */
+function readCause({cause, message}: Error): string {
+  const {code, message: reason = message} = (cause ??
+    {}) as NodeJS.ErrnoException;
+  return code ?? reason;
+}
--- a/src/gateway/routing/load_balancer.ts
+++ b/src/gateway/routing/load_balancer.ts
@@ -1,7 +1,7 @@
 /** Chooses the backend server with the earliest expected first event, and tracks the load and health of each. */
+import {getOwn} from '../../common/get_own';
 import {Clock} from '../../common/clock';
 import {EventRing} from '../../common/event_ring';
-import {ThrottledEventLog} from '../../common/throttled_event_log';
 import {GatewayTarget} from '../../protocol/gateway_target';
 import {createQueueKey} from './create_queue_key';
 import {createTargetState} from './create_target_state';
@@ -9,6 +9,7 @@
 import {RequestEnd} from './request_end';
 import {RequestSizes} from './request_sizes';
 import {RunningGrowth} from './running_growth';
+import {TargetEventLog} from './target_event_log';
 import {TargetAvailability} from './target_availability';
 import {TargetQuery} from './target_query';
 import {TargetSelection} from './target_selection';
@@ -46,7 +47,7 @@
   private readonly growth: RunningGrowth;
   private readonly sizes = RequestSizes.create();
   private readonly selection: TargetSelection;
-  private readonly eventLog: ThrottledEventLog;
+  private readonly eventLog: TargetEventLog;
 
   private constructor(
     zone: string,
@@ -69,7 +70,7 @@
       growth: this.growth,
       sizes: this.sizes,
     });
-    this.eventLog = ThrottledEventLog.create(events, clock);
+    this.eventLog = TargetEventLog.create(events, clock);
   }
 
   /**
@@ -140,7 +141,7 @@
     this.unreported.recordReport(others);
     const totals = new Map<string, number>();
     for (const [incarnation, state] of this.states) {
-      const count = running[incarnation] ?? 0;
+      const count = getOwn(running, incarnation) ?? 0;
       state.runningElsewhere = count;
       const queue = createQueueKey(state.target);
       totals.set(queue, (totals.get(queue) ?? 0) + count);
@@ -268,9 +269,17 @@
     return state !== undefined && state.stalledAt > state.lastActiveAt;
   }
 
-  /** Avoids a target for a while that refused a connection. */
-  recordUnreachable(incarnation: string): void {
+  /**
+   * Avoids a target for a while to which no connection could be made.
+   *
+   * @param cause why, for the log
+   */
+  recordUnreachable(incarnation: string, cause = 'unknown'): void {
     this.avoid(incarnation, UNREACHABLE_COOLDOWN_MS);
+    const target = this.states.get(incarnation)?.target;
+    if (target) {
+      this.eventLog.recordUnreachable(target, cause);
+    }
   }
 
   /**
@@ -354,20 +363,8 @@
   }
 
   private recordRefusal(state: TargetState, reason: string): void {
-    const {target, running, runningElsewhere} = state;
-    this.eventLog.record(`send-refused ${reason}`, {
-      type: 'send-refused',
-      subject: 'host',
-      id: target.incarnation,
-      reason,
-      details: {
-        epoch: target.epoch ?? 0,
-        slots: target.slots,
-        running,
-        runningElsewhere,
-        reportAgeMs: Math.round(this.unreported.reportAgeMs),
-      },
-    });
+    const {reportAgeMs} = this.unreported;
+    this.eventLog.recordRefusal(state, reason, reportAgeMs);
   }
 
   private avoid(incarnation: string, durationMs: number): void {
--- a/test/gateway/unusable_slots.test.ts
+++ b/test/gateway/unusable_slots.test.ts
@@ -62,3 +62,17 @@
   clock.time = 61_000;
   expect(forecast.estimateWaitedMs('r', 5_400)).toBe(0);
 });
+
+// Guards against a count that is a function of Object.prototype, so that no request of the service was served.
+test.each(['constructor', 'toString', 'hasOwnProperty'])(
+  'a backend server named %s has the running requests that were reported',
+  incarnation => {
+    const {balancer} = createBalancer([incarnation, 'b']);
+    balancer.setRunningElsewhere({b: 2}, 1);
+
+    expect(balancer.readLoad(MODEL)).toEqual({
+      freeSlots: 2 * SLOTS - 2,
+      running: 2,
+    });
+  },
+);
