test(faulty-input): inputs drawn at every door of the running programs

Three control processes and two gateways get mostly valid inputs with one or two odd fields: requests of callers, answers and registrations of backend servers, their reports, configurations, other calls and settings files. A sound service beside them must lose no request and no slot.

--- /dev/null
+++ b/test/faulty_input/drawn_world.ts
@@ -0,0 +1,12 @@
+import {BrokenPromises} from './broken_promises';
+import {DrawnFleet} from './drawn_fleet';
+
+/** What all doors of a run share. */
+export interface DrawnWorld {
+  readonly fleet: DrawnFleet;
+  readonly broken: BrokenPromises;
+  /** The next number that no other input of the run has had. */
+  readonly takeNumber: () => number;
+  /** Notes what one input got: `caller 400`. */
+  readonly countOutcome: (outcome: string) => void;
+}
--- a/test/soak/soak_fleet.ts
+++ b/test/soak/soak_fleet.ts
@@ -29,6 +29,8 @@
   readonly entries?: number;
   /** Within this process; 0 where a run brings its own. */
   readonly backends?: number;
+  /** What each machine has. */
+  readonly limits?: SoakMachine['options']['limits'];
 }
 
 /** Three control processes, and by default three entries and three backend servers, with a relay on each link. */
@@ -45,16 +47,17 @@
 
   private constructor(
     private readonly seed: number,
-    private readonly size: Required<SoakFleetOptions>,
+    private readonly size: Required<Omit<SoakFleetOptions, 'limits'>> &
+      Pick<SoakFleetOptions, 'limits'>,
   ) {
     this.random = createRandom(seed);
   }
 
   static async create(
     seed: number,
-    {entries = ENTRIES, backends = BACKENDS}: SoakFleetOptions = {},
+    {entries = ENTRIES, backends = BACKENDS, limits}: SoakFleetOptions = {},
   ): Promise<SoakFleet> {
-    const fleet = new SoakFleet(seed, {entries, backends});
+    const fleet = new SoakFleet(seed, {entries, backends, limits});
     const [internal, control, front, ready] = await Promise.all(
       [1, 2, 3, 4].map(() => reservePort()),
     );
@@ -139,7 +142,10 @@
         routes[`${seed}:${internal}`] = port;
       }
       const folder = path.join(this.folder, ip);
-      return SoakMachine.create({role, ip, ports, seeds, folder, routes});
+      const {limits} = this.size;
+      return SoakMachine.create({
+        ...{role, ip, ports, seeds, folder, routes, limits},
+      });
     };
     for (const ip of seeds) {
       this.controls.push(await create('control', ip));
--- a/test/soak/soak_machine.ts
+++ b/test/soak/soak_machine.ts
@@ -49,6 +49,7 @@
   private isFirstStart = true;
   /** Whole addresses, or what stands in their place. */
   private seeds: readonly string[];
+  private replacedSettings: string | undefined;
 
   private constructor(readonly options: SoakMachineOptions) {
     super();
@@ -75,6 +76,11 @@
     this.running.reload();
   }
 
+  /** Each start from now on reads this text instead of the machine's own settings; undefined for these again. */
+  replaceSettings(text: string | undefined): void {
+    this.replacedSettings = text;
+  }
+
   /** Seeds of its first settings file. */
   get soundSeeds(): string[] {
     return this.formatSeeds(this.options.seeds);
@@ -97,7 +103,7 @@
   protected override async launch(): Promise<ManagedProcess> {
     const {role, routes, limits, metricsPort = 0} = this.options;
     const heap = limits ? [`--max-old-space-size=${limits.heapMb}`] : [];
-    this.writeSettings(this.formatSettings());
+    this.writeSettings(this.replacedSettings ?? this.formatSettings());
     const started = await ManagedProcess.create({
       label: this.label,
       script: `platform/bin/${role}.js`,
