--- a/test/faulty_input/drawn_fleet.ts
+++ b/test/faulty_input/drawn_fleet.ts
@@ -84,6 +84,17 @@
     return from[this.turn % from.length];
   }
 
+  /** A gateway that is up, one after the other. */
+  chooseGateway(): SoakMachine {
+    const {gateways} = this;
+    const up = gateways.filter(
+      gateway => !this.wasDisturbed([gateway], Infinity),
+    );
+    const from = up.length > 0 ? up : gateways;
+    this.turn += 1;
+    return from[this.turn % from.length];
+  }
+
   /** Does something to a machine that its callers may notice. */
   async disturb(
     machine: SoakMachine,
--- a/test/faulty_input/drawn_world.ts
+++ b/test/faulty_input/drawn_world.ts
@@ -7,6 +7,8 @@
   readonly broken: BrokenPromises;
   /** The next number that no other input of the run has had. */
   readonly takeNumber: () => number;
+  /** In registrations of all sound servers: either each tells its start, or none does. */
+  readonly start: {readonly born?: number};
   /** Notes what one input got: `caller 400`. */
   readonly countOutcome: (outcome: string) => void;
 }
--- a/test/faulty_input/format_odd_toml.ts
+++ b/test/faulty_input/format_odd_toml.ts
@@ -1,3 +1,5 @@
+/** An integer of TOML has 64 bits. */
+const MAX_INTEGER = 2 ** 63;
 const RAW = /^@raw:(.*)@$/;
 
 /**
@@ -26,5 +28,8 @@
   if (typeof value === 'string') {
     return RAW.exec(value)?.[1].replace('NaN', 'nan') ?? JSON.stringify(value);
   }
+  if (Number.isInteger(value) && Math.abs(value as number) < MAX_INTEGER) {
+    return BigInt(value as number).toString();
+  }
   return String(value);
 }
--- a/test/faulty_input/report_door.ts
+++ b/test/faulty_input/report_door.ts
@@ -54,6 +54,7 @@
         beats: BEATS,
         registration: {
           service: 'engine',
+          ...world.start,
           domain: 'd',
           models: [],
           staged: ['m1'],
