--- a/test/faulty_input/answer_door.ts
+++ b/test/faulty_input/answer_door.ts
@@ -140,7 +140,7 @@
     async play(input, lane) {
       const number = world.takeNumber();
       const id = `answer-${number}`;
-      const gateway = fleet.chooseGateway();
+      const gateway = await fleet.findGateway();
       const {ip, ports} = gateway.options;
       const from = performance.now();
       answers.set(id, input);
--- a/test/faulty_input/caller_door.ts
+++ b/test/faulty_input/caller_door.ts
@@ -116,7 +116,7 @@
     }),
     async play(input) {
       const number = world.takeNumber();
-      const gateway = fleet.chooseGateway();
+      const gateway = await fleet.findGateway();
       const {ip, ports} = gateway.options;
       const from = performance.now();
       const reply = await sendRaw({
--- a/test/faulty_input/drawn_fleet.ts
+++ b/test/faulty_input/drawn_fleet.ts
@@ -18,8 +18,10 @@
 
 /** When a machine was down on purpose, or after it had ended by itself. */
 interface Disturbance {
+  /** Steps that are under way or wait. */
   count: number;
   endedAt: number;
+  last: Promise<unknown>;
 }
 
 /** Three control processes and two gateways. */
@@ -84,32 +86,40 @@
     return from[this.turn % from.length];
   }
 
-  /** A gateway that is up, one after the other. */
-  chooseGateway(): SoakMachine {
-    const {gateways} = this;
-    const up = gateways.filter(
-      gateway => !this.wasDisturbed([gateway], Infinity),
-    );
-    const from = up.length > 0 ? up : gateways;
+  /** The gateways in turn, without those that are down; waits while all are. */
+  async findGateway(): Promise<SoakMachine> {
+    const until = performance.now() + READY_WITHIN_MS;
+    const isUp = (gateway: SoakMachine) =>
+      !this.wasDisturbed([gateway], Infinity);
+    while (!this.gateways.some(isUp) && performance.now() < until) {
+      await new Promise(resolve => setTimeout(resolve, WATCH_MS));
+    }
+    const up = this.gateways.filter(isUp);
+    const from = up.length > 0 ? up : this.gateways;
     this.turn += 1;
     return from[this.turn % from.length];
   }
 
-  /** Does something to a machine that its callers may notice. */
-  async disturb(
-    machine: SoakMachine,
-    step: () => Promise<unknown>,
-  ): Promise<void> {
-    const known = this.disturbances.get(machine) ?? {count: 0, endedAt: 0};
+  /** Does something to a machine that its callers may notice, after what is under way there. */
+  disturb(machine: SoakMachine, step: () => Promise<unknown>): Promise<void> {
+    const known = this.disturbances.get(machine) ?? {
+      count: 0,
+      endedAt: 0,
+      last: Promise.resolve(),
+    };
     this.disturbances.set(machine, known);
     known.count += 1;
-    try {
-      await step();
-      await this.waitUntilReady(machine);
-    } finally {
-      known.count -= 1;
-      known.endedAt = performance.now();
-    }
+    const done = known.last.then(async () => {
+      try {
+        await step();
+        await this.waitUntilReady(machine);
+      } finally {
+        known.count -= 1;
+        known.endedAt = performance.now();
+      }
+    });
+    known.last = done.catch(() => undefined);
+    return done;
   }
 
   /** True if one of the machines was down at some moment since then. */
@@ -157,8 +167,10 @@
           what,
         );
         void this.disturb(machine, async () => {
-          await machine.close();
-          await machine.start();
+          if (machine.unexpectedEnd !== undefined) {
+            await machine.close();
+            await machine.start();
+          }
         }).catch((error: Error) =>
           this.broken.record(`a ${role} does not start again`, error.message),
         );
--- a/test/faulty_input/registration_door.ts
+++ b/test/faulty_input/registration_door.ts
@@ -8,7 +8,9 @@
 import {readStatus} from './read_status';
 import {sendRaw} from './send_raw';
 
-const LANES = 8;
+const LANES = 16;
+/** Several servers share one, so that a request may be repeated at the next. */
+const SERVICES = 4;
 /** Within it, a server that was accepted gets a request. */
 const SERVED_WITHIN_MS = 2_500;
 /** Control keeps the address of a server for some seconds, so the next ones must not get it. */
@@ -87,7 +89,7 @@
     const bytes = Buffer.from(id).toString('latin1');
     while (performance.now() < until) {
       const number = world.takeNumber();
-      const {ip, ports} = fleet.chooseGateway().options;
+      const {ip, ports} = (await fleet.findGateway()).options;
       await sendRaw({
         host: ip,
         port: ports.front,
@@ -120,7 +122,7 @@
   ) => {
     const from = performance.now();
     const number = world.takeNumber();
-    const service = `own${lane}`;
+    const service = `own${lane % SERVICES}`;
     const fill = (text: string) =>
       text
         .replaceAll('{number}', String(number))
