--- a/test/faulty_input/registration_door.ts
+++ b/test/faulty_input/registration_door.ts
@@ -193,7 +193,7 @@
         {weight: 1, arbitrary: oddValues.text},
       ),
       body: fc.oneof(
-        {weight: 2, arbitrary: fc.constant<object>(sound)},
+        {weight: 5, arbitrary: fc.constant<object>(sound)},
         {weight: 8, arbitrary: createVariation<object>(sound)},
         {
           weight: 3,
