--- a/test/faulty_input/list_running.ts
+++ b/test/faulty_input/list_running.ts
@@ -1,3 +1,4 @@
+import {ServerAddress} from '../../src/common/server_address';
 import {ControlClient} from '../../src/protocol/control_client';
 
 const TIMEOUT_MS = 5_000;
@@ -13,7 +14,7 @@
   addresses: readonly string[],
 ): Promise<Readonly<Record<string, number>>> {
   const client = ControlClient.create({
-    addresses,
+    addresses: addresses.map(text => ServerAddress.parse(text)),
     identity: {program: 'gateway', id: 'observer', incarnation: 'observer'},
   });
   try {
