--- a/src/gateway/gateway_server.ts
+++ b/src/gateway/gateway_server.ts
@@ -3,7 +3,7 @@
 import {IncomingMessage, ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
 import {EventRing} from '../common/event_ring';
-import {mergeAddresses} from '../common/merge_addresses';
+import {selectDistinctAddresses} from '../common/select_distinct_addresses';
 import {ProcessPauses} from '../common/process_pauses';
 import {systemClock} from '../common/system_clock';
 import {ThrottledEventLog} from '../common/throttled_event_log';
@@ -211,7 +211,8 @@
   /** Updates the seed addresses of the control plane after the settings changed. */
   setControl(addresses: GatewaySettings['control']): void {
     this.seeds = addresses;
-    this.controlAddresses = mergeAddresses(this.controlAddresses, addresses);
+    const known = [...this.controlAddresses, ...addresses];
+    this.controlAddresses = selectDistinctAddresses(known);
   }
 
   /** Shuts down gracefully: serves requests until callers have noticed, and closes once all admitted ones are answered. */
@@ -245,9 +246,8 @@
     );
     this.openRequests += 1;
     response.once('close', () => (this.openRequests -= 1));
-    createFaultBoundary(writer, this.faultLog).watch(
-      this.receive({message, response}, writer),
-    );
+    const received = this.receive({message, response}, writer);
+    createFaultBoundary(writer, this.faultLog).watch(received);
   }
 
   private async receive(
