--- a/test/faulty_input/create_configuration.ts
+++ b/test/faulty_input/create_configuration.ts
@@ -1,7 +1,7 @@
 import {formatOddJson} from './format_odd_json';
 
 /** Services of servers whose registrations, and whose answers, are drawn. */
-const REGISTERED = ['own0', 'own1', 'own2', 'own3'];
+const REGISTERED = ['own0', 'own1', 'own2', 'own3', 'far'];
 const ANSWERING = ['answer0', 'answer1', 'answer2', 'answer3'];
 const SOUND_KINDS = {g: 'safe', u: 'unsafe', s: 'stream', a: 'safe'} as const;
 const TIMEOUT_MS = 2_000;
--- a/test/faulty_input/registration_door.ts
+++ b/test/faulty_input/registration_door.ts
@@ -137,7 +137,9 @@
   ) => {
     const from = performance.now();
     const number = world.takeNumber();
-    const service = `own${lane % SERVICES}`;
+    // Requests stay in the zone of their gateway while a server there is free.
+    const isNear = drawnBody['zone'] === plain.zone;
+    const service = isNear ? `own${lane % SERVICES}` : 'far';
     const fill = (text: string) =>
       text
         .replaceAll('{number}', String(number))
