fix(transport): a request that cannot be sent does not count as an unreachable server

What fails within the call of the library, before a connection can be tried, is of the request itself, whatever its code. A route's host with brackets around no IPv6 address is refused. The test with the header host "[" shows it without the configuration.

--- a/src/transport/http_client_pool.ts
+++ b/src/transport/http_client_pool.ts
@@ -9,12 +9,7 @@
 import {ServerConnections} from './server_connections';
 import {ServerWitnesses} from './server_witnesses';
 import {TransportError} from './transport_error';
-
-/** Codes with which the library rejects a request itself: a method, path or header that HTTP has no form for. */
-const UNSENDABLE_CODES: ReadonlySet<string> = new Set([
-  'UND_ERR_INVALID_ARG',
-  'UND_ERR_NOT_SUPPORTED',
-]);
+import {UNSENDABLE_CODE} from './unsendable_code';
 
 /** One HTTP request and the address of its server. */
 interface HttpClientRequest {
@@ -249,7 +244,7 @@
 ): TransportError {
   const {code = ''} = error;
   const sentName = code === OVERFLOW_CODE ? 'Oversized' : 'Broken';
-  const unsentName = UNSENDABLE_CODES.has(code) ? 'Unsendable' : 'NeverSent';
+  const unsentName = code === UNSENDABLE_CODE ? 'Unsendable' : 'NeverSent';
   // Other codes do not tell: an open connection can fail with the same ones as one that was never made.
   const name = isSent ? sentName : unsentName;
   return new TransportError(
--- a/src/transport/server_connection.ts
+++ b/src/transport/server_connection.ts
@@ -12,6 +12,7 @@
 import {ResponseCheck} from './response_check';
 import {ResponseDrain} from './response_drain';
 import {TransportError} from './transport_error';
+import {UNSENDABLE_CODE} from './unsendable_code';
 
 /** Time for a new connection, after which the server counts as unreachable. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -160,10 +161,15 @@
         }),
       ),
       onResponseError: boundary.wrap((_controller, error) =>
-        end(() => events.onError(error)),
+        end(() =>
+          events.onError(isDispatching ? markUnsendable(error) : error),
+        ),
       ),
     };
+    // Connecting takes longer, so that an error within the call is of the request itself.
+    let isDispatching = true;
     boundary.run(() => this.client.dispatch(options, handler));
+    isDispatching = false;
   }
 
   /** Closes the connection once its request has ended. */
@@ -246,3 +252,8 @@
 function createFault(reason: string): TransportError {
   return new TransportError('no valid response: %s', reason);
 }
+
+function markUnsendable(error: Error): Error {
+  const marked = new TransportError(error, 'the request cannot be sent');
+  return Object.assign(marked, {code: UNSENDABLE_CODE});
+}
--- a/test/gateway/request_fault.test.ts
+++ b/test/gateway/request_fault.test.ts
@@ -134,16 +134,22 @@
   }
 });
 
-test('a request that has no form in HTTP does not make its backend server unreachable', async () => {
-  const {fixture} = await startFixture([sendOk('whole')]);
-  fixture.wrap = dependency =>
-    'createHeaders' in dependency
-      ? {...dependency, createHeaders: () => ['workspace', 'a\nb']}
-      : dependency;
-  const invalid = await fixture.send();
-  fixture.wrap = dependency => dependency;
+test.each([
+  ['workspace', 'a\nb'],
+  ['host', '['],
+])(
+  'a request with the header %s as %j does not make its backend server unreachable',
+  async (...header) => {
+    const {fixture} = await startFixture([sendOk('whole')]);
+    fixture.wrap = dependency =>
+      'createHeaders' in dependency
+        ? {...dependency, createHeaders: () => header}
+        : dependency;
+    const invalid = await fixture.send();
+    fixture.wrap = dependency => dependency;
 
-  expect(invalid.status).toBe(503);
-  expect(Number(invalid.headers['retry-after'])).toBeGreaterThan(0);
-  expect((await fixture.send()).status).toBe(200);
-});
+    expect(invalid.status).toBe(503);
+    expect(Number(invalid.headers['retry-after'])).toBeGreaterThan(0);
+    expect((await fixture.send()).status).toBe(200);
+  },
+);
--- a/test/platform/unusable_names.test.ts
+++ b/test/platform/unusable_names.test.ts
@@ -40,6 +40,7 @@
   // Headers are Latin-1.
   test.each([
     [TENANT, 'caf\xe9'],
+    ['routes.0.host', '[::1]'],
     [KEY, 'cl\xe9'],
     [MODEL, 'mod\xe8le'],
   ])('with %s as %j is accepted', (path, value) => {
@@ -63,6 +64,8 @@
     ['routes.0.host', 'a\nb'],
     ['routes.0.host', '☃'],
     ['routes.0.host', 'é'],
+    ['routes.0.host', '['],
+    ['routes.0.host', '[h]'],
     ['routes.0.host', 'h.example:80'],
     ['routes.0.host', '[::1]:'],
     ['routes.0.path_prefix', '/a b/'],
